--- /dev/null
+++ b/crates/sesamegap-measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures placement policies over fake engines in virtual time.
+
+fn main() {}
--- /dev/null
+++ b/crates/sesamegap-platform/src/vms/mod.rs
@@ -0,0 +1,70 @@
+//! The platform's list of VMs, which lags behind the world.
+
+use crate::error::PlatformError;
+use futures_util::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use sesamegap_wire::{DomainId, ServiceId, UpstreamId, VmId};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// What runs on a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum VmRole {
+    /// The system's own processes.
+    Entry {
+        /// The VM's name.
+        vm: VmId,
+        /// Address of the locator on the VM.
+        locator: SocketAddr,
+    },
+    /// A model engine.
+    Engine {
+        /// The engine's name.
+        id: UpstreamId,
+    },
+    /// The kept-KV store.
+    Store {
+        /// The store's name.
+        id: UpstreamId,
+    },
+    /// A worker of a plain service.
+    Worker {
+        /// The worker's name.
+        id: UpstreamId,
+        /// The service it belongs to.
+        service: ServiceId,
+    },
+}
+
+/// Whether a VM stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// In use.
+    Live,
+    /// About to go; it must get no new work.
+    Leaving,
+}
+
+/// One line of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// What runs there.
+    pub role: VmRole,
+    /// Where it listens; for an entry VM, its router.
+    pub addr: SocketAddr,
+    /// Failure domain it stands in.
+    pub domain: DomainId,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// The list of live and leaving VMs.
+pub trait VmList: Send + Sync + fmt::Debug {
+    /// Reads the list as the platform knows it now.
+    ///
+    /// # Errors
+    /// If the platform cannot be reached or its answer is not a list.
+    fn list(&self) -> BoxFuture<'_, Result<Vec<VmEntry>, PlatformError>>;
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/agreement/mod.rs
@@ -0,0 +1,1 @@
+//! Rules by which processes agree through the log.
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/mod.rs
@@ -0,0 +1,5 @@
+//! Limits under load: queues, windows, shares and budgets.
+
+mod windows;
+
+pub use windows::Windows;
--- /dev/null
+++ b/crates/sesamegap-policy/src/shifting/mod.rs
@@ -0,0 +1,1 @@
+//! Which engine holds which model and version.
--- /dev/null
+++ b/crates/sesamegap-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems that sesamegap meets.
--- /dev/null
+++ b/crates/sesamegap-upstream/src/kv/mod.rs
@@ -0,0 +1,15 @@
+//! The kept-KV store, which holds cache blocks that engines have evicted.
+
+use crate::error::UpstreamError;
+use futures_util::future::BoxFuture;
+use sesamegap_wire::BlockKey;
+use std::fmt;
+
+/// A client of the kept-KV store.
+pub trait KvStore: Send + Sync + fmt::Debug {
+    /// How many of the keys, from the first on without a gap, the store holds.
+    ///
+    /// # Errors
+    /// If the store cannot be reached.
+    fn held<'a>(&'a self, keys: &'a [BlockKey]) -> BoxFuture<'a, Result<usize, UpstreamError>>;
+}
--- /dev/null
+++ b/crates/sesamegap-upstream/src/service/mod.rs
@@ -0,0 +1,48 @@
+//! A worker of a plain service.
+
+use crate::error::UpstreamError;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use sesamegap_wire::RequestId;
+use smol_str::SmolStr;
+use std::fmt;
+use std::time::Duration;
+
+/// One call to a plain service.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The request, echoed by the worker so that a crossed reply is noticed.
+    pub request: RequestId,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path and query below the service's root.
+    pub path: String,
+    /// Content type of the body.
+    pub content: Option<SmolStr>,
+    /// Body.
+    pub body: Bytes,
+    /// Idempotency key, passed on to the worker.
+    pub key: Option<SmolStr>,
+    /// Time for the whole call.
+    pub timeout: Duration,
+}
+
+/// A worker's reply.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content: Option<SmolStr>,
+    /// Body, whole.
+    pub body: Bytes,
+}
+
+/// A client of one worker of a plain service.
+pub trait PlainService: Send + Sync + fmt::Debug {
+    /// Makes a call and returns the whole reply.
+    ///
+    /// # Errors
+    /// [`Ran::No`](crate::Ran::No) only if nothing was written or the worker said so.
+    fn call(&self, call: Call) -> BoxFuture<'_, Result<Reply, UpstreamError>>;
+}
--- /dev/null
+++ b/crates/sesamegap-wire/src/chain.rs
@@ -0,0 +1,195 @@
+//! Keys under which the prefixes of a prompt are found again.
+//!
+//! A prompt is cut into blocks of equal size and hashed as a chain, each key over its predecessor
+//! and the block's bytes. The chain is seeded with team, model and weights version, so an entry
+//! of another team or of older weights cannot match by construction. The hash is keyed BLAKE3
+//! cut to 128 bits: with a fast unkeyed hash a caller could craft two prompts with one key.
+
+use crate::error::ParseError;
+use crate::ids::{ModelId, TeamId};
+use crate::quantity::{Tokens, WeightsVersion};
+use serde::de::{self, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// Bytes that stand for one token where no tokenizer is at hand.
+pub const BYTES_PER_TOKEN: u64 = 4;
+
+const CONTEXT: &str = "sesamegap 2026 prompt block chain v1";
+
+/// The key of one block and of all that comes before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BlockKey(pub u128);
+
+impl fmt::Display for BlockKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for BlockKey {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let wrong = || {
+            let shown: String = text.chars().take(40).collect();
+            ParseError::new("block key", shown, "32 hexadecimal digits")
+        };
+        if text.len() != 32 {
+            return Err(wrong());
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| wrong())
+    }
+}
+
+impl Serialize for BlockKey {
+    /// Sixteen bytes in binary formats, hexadecimal text in readable ones.
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        if to.is_human_readable() {
+            to.collect_str(self)
+        } else {
+            to.serialize_bytes(&self.0.to_be_bytes())
+        }
+    }
+}
+
+struct KeyVisitor;
+
+impl Visitor<'_> for KeyVisitor {
+    type Value = BlockKey;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a block key of 16 bytes or 32 hexadecimal digits")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<BlockKey, E> {
+        text.parse().map_err(E::custom)
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<BlockKey, E> {
+        let Ok(bytes) = <[u8; 16]>::try_from(bytes) else {
+            return Err(E::invalid_length(bytes.len(), &self));
+        };
+        Ok(BlockKey(u128::from_be_bytes(bytes)))
+    }
+}
+
+impl<'de> Deserialize<'de> for BlockKey {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        if from.is_human_readable() {
+            from.deserialize_str(KeyVisitor)
+        } else {
+            from.deserialize_bytes(KeyVisitor)
+        }
+    }
+}
+
+/// The block keys of one prompt, outermost prefix first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Chain {
+    /// One key for each whole block.
+    pub keys: Arc<[BlockKey]>,
+    /// Number of blocks at the end of each nested level, rising.
+    pub levels: Arc<[u16]>,
+    /// Length of the whole prompt, the part after the last whole block included.
+    pub tokens: Tokens,
+}
+
+/// What a chain is seeded with.
+#[derive(Debug, Clone, Copy)]
+pub struct Seed<'a> {
+    /// Team that asks.
+    pub team: &'a TeamId,
+    /// Model asked for.
+    pub model: &'a ModelId,
+    /// Weights the answer must come from.
+    pub version: WeightsVersion,
+}
+
+impl Chain {
+    /// Hashes the parts of a prompt, one part a nested level.
+    ///
+    /// `block` is the block size in tokens and must not be zero.
+    pub fn of_parts(seed: Seed<'_>, parts: &[&str], block: Tokens) -> Self {
+        let size = usize::try_from(block.0 * BYTES_PER_TOKEN).unwrap_or(usize::MAX);
+        let mut hasher = Cutter::new(seed, size);
+        let mut levels = Vec::with_capacity(parts.len());
+        for part in parts {
+            hasher.add(part.as_bytes());
+            let count = u16::try_from(hasher.keys.len()).unwrap_or(u16::MAX);
+            if count > levels.last().copied().unwrap_or(0) {
+                levels.push(count);
+            }
+        }
+        let bytes: usize = parts.iter().map(|part| part.len()).sum();
+        Self {
+            keys: hasher.keys.into(),
+            levels: levels.into(),
+            tokens: Tokens((bytes as u64).div_ceil(BYTES_PER_TOKEN)),
+        }
+    }
+}
+
+/// Cuts a stream of bytes into blocks and hashes each onto the last key.
+struct Cutter {
+    size: usize,
+    root: [u8; 32],
+    prior: BlockKey,
+    filled: usize,
+    hasher: blake3::Hasher,
+    keys: Vec<BlockKey>,
+}
+
+impl Cutter {
+    fn new(seed: Seed<'_>, size: usize) -> Self {
+        let mut root = blake3::Hasher::new_derive_key(CONTEXT);
+        for name in [seed.team.as_str(), seed.model.as_str()] {
+            root.update(&(name.len() as u64).to_le_bytes());
+            root.update(name.as_bytes());
+        }
+        root.update(&seed.version.0.to_le_bytes());
+        let root = *root.finalize().as_bytes();
+        let mut cutter = Self {
+            size: size.max(1),
+            root,
+            prior: BlockKey(0),
+            filled: 0,
+            hasher: blake3::Hasher::new_keyed(&root),
+            keys: Vec::new(),
+        };
+        cutter.open();
+        cutter
+    }
+
+    fn open(&mut self) {
+        self.hasher = blake3::Hasher::new_keyed(&self.root);
+        self.hasher.update(&self.prior.0.to_be_bytes());
+        self.filled = 0;
+    }
+
+    fn add(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let room = self.size - self.filled;
+            let (now, later) = bytes.split_at(room.min(bytes.len()));
+            self.hasher.update(now);
+            self.filled += now.len();
+            bytes = later;
+            if self.filled == self.size {
+                self.close();
+            }
+        }
+    }
+
+    fn close(&mut self) {
+        let digest = self.hasher.finalize();
+        let mut half = [0; 16];
+        half.copy_from_slice(&digest.as_bytes()[..16]);
+        self.prior = BlockKey(u128::from_be_bytes(half));
+        self.keys.push(self.prior);
+        self.open();
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-wire/src/ids/mod.rs
@@ -0,0 +1,113 @@
+//! Names of the things that sesamegap deals with.
+//!
+//! A name is short text of letters, digits, `-`, `_`, `.` and `:`; anything else is refused when
+//! it is read, so that a name can stand in a path, a header or a log line without escaping.
+
+mod request;
+
+pub use request::RequestId;
+
+use crate::error::ParseError;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use smol_str::SmolStr;
+use std::fmt;
+use std::str::FromStr;
+
+/// Longest name in bytes; a longer one is a mistake or an attack on memory.
+pub const MAX_NAME: usize = 64;
+
+const ALLOWED: &str = "1 to 64 letters, digits, `-`, `_`, `.` or `:`";
+
+fn is_name(text: &str) -> bool {
+    let fits = (1..=MAX_NAME).contains(&text.len());
+    fits && text
+        .bytes()
+        .all(|b| b.is_ascii_alphanumeric() || b"-_.:".contains(&b))
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $type(SmolStr);
+
+        impl $type {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                self.0.as_str()
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                if is_name(text) {
+                    Ok(Self(SmolStr::new(text)))
+                } else {
+                    Err(ParseError::new($kind, text.chars().take(MAX_NAME).collect::<String>(), ALLOWED))
+                }
+            }
+        }
+
+        impl Serialize for $type {
+            fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+                to.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $type {
+            fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+                let text = SmolStr::deserialize(from)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+name!(
+    /// A team of callers, with its own keys, limits and cache namespace.
+    TeamId,
+    "team"
+);
+name!(
+    /// A traffic class, which sets priority and deadline.
+    ClassId,
+    "class"
+);
+name!(
+    /// A model as callers name it.
+    ModelId,
+    "model"
+);
+name!(
+    /// An upstream: a model engine, the kept-KV store or a worker of a plain service.
+    UpstreamId,
+    "upstream"
+);
+name!(
+    /// A plain service beside the model engines.
+    ServiceId,
+    "service"
+);
+name!(
+    /// An entry VM, on which the system's own processes run.
+    VmId,
+    "VM"
+);
+name!(
+    /// A failure domain.
+    DomainId,
+    "failure domain"
+);
+name!(
+    /// A stream of the platform's log.
+    StreamId,
+    "log stream"
+);
--- /dev/null
+++ b/crates/sesamegap-wire/src/ids/request.rs
@@ -0,0 +1,65 @@
+//! The identifier of one request, which names the router that minted it.
+
+use super::VmId;
+use crate::error::ParseError;
+use crate::quantity::Incarnation;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
+use std::str::FromStr;
+
+const ALLOWED: &str = "`VM~INCARNATION~SEQUENCE`, the numbers in hexadecimal";
+
+/// One request, named by the incarnation of the router that took it in.
+///
+/// A restarted router has a new incarnation, so it can never mint an id twice, and any router can
+/// tell from the id alone where the request ran.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId {
+    /// VM of the router that minted the id.
+    pub vm: VmId,
+    /// That router's incarnation.
+    pub incarnation: Incarnation,
+    /// Counts the requests of this incarnation.
+    pub seq: u64,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}~{:x}~{:x}", self.vm, self.incarnation.0, self.seq)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let wrong = || {
+            let shown: String = text.chars().take(128).collect();
+            ParseError::new("request id", shown, ALLOWED)
+        };
+        let mut parts = text.split('~');
+        let (Some(vm), Some(inc), Some(seq), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(wrong());
+        };
+        Ok(Self {
+            vm: vm.parse().map_err(|_| wrong())?,
+            incarnation: Incarnation(u64::from_str_radix(inc, 16).map_err(|_| wrong())?),
+            seq: u64::from_str_radix(seq, 16).map_err(|_| wrong())?,
+        })
+    }
+}
+
+impl Serialize for RequestId {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for RequestId {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-wire/src/quantity/mod.rs
@@ -0,0 +1,127 @@
+//! Quantities with a unit, so that two kinds of number cannot be mixed up.
+
+use crate::error::ParseError;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub};
+use std::str::FromStr;
+use std::time::Duration;
+
+macro_rules! number {
+    ($(#[$doc:meta])* $type:ident, $int:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $type(pub $int);
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                let shown = || text.chars().take(32).collect::<String>();
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| ParseError::new($kind, shown(), "a whole number"))
+            }
+        }
+    };
+}
+
+number!(
+    /// A number of tokens.
+    Tokens,
+    u64,
+    "number of tokens"
+);
+number!(
+    /// A version of a model's weights; a new one makes all older cache entries useless.
+    WeightsVersion,
+    u32,
+    "weights version"
+);
+number!(
+    /// One life of a process; a restart takes a higher one.
+    Incarnation,
+    u64,
+    "incarnation"
+);
+number!(
+    /// A record's position in a stream of the platform's log.
+    Offset,
+    u64,
+    "offset"
+);
+number!(
+    /// A fencing number: the offset of the lease record under which an order is given.
+    Fence,
+    u64,
+    "fencing number"
+);
+number!(
+    /// The position of a chunk in an answer, from 0.
+    Seq,
+    u64,
+    "sequence number"
+);
+number!(
+    /// Microseconds on a process's own monotonic clock; meaningless to any other process.
+    Moment,
+    u64,
+    "moment"
+);
+
+impl Offset {
+    /// The offset after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Self;
+
+    /// Subtracts down to zero, never below.
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Moment {
+    /// Time passed since `earlier`, zero if that lies ahead.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/crates/sesamegap/src/lib.rs
@@ -0,0 +1,1 @@
+//! The I/O that joins the parts of sesamegap, and its binaries.
