--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -1,1 +1,6 @@
 //! The I/O that joins the parts of sesamegap, and its binaries.
+//!
+//! Each process has a module of its own; [`config`] holds what a process learns from its settings
+//! file at start, as opposed to the settings tree, which it follows through the log.
+
+pub mod config;
