--- a/crates/sesamegap/src/config/mod.rs
+++ b/crates/sesamegap/src/config/mod.rs
@@ -65,12 +65,12 @@
             gossip: Duration::from_millis(500),
             silence: Duration::from_millis(400),
             connect: Duration::from_millis(250),
-            age: Duration::from_secs(60),
+            age: Duration::from_mins(1),
             address: Duration::from_secs(2),
-            keep: Duration::from_secs(120),
+            keep: Duration::from_mins(2),
             log: Duration::from_secs(2),
             lease: Duration::from_secs(5),
-            stop: Duration::from_secs(60),
+            stop: Duration::from_mins(1),
         }
     }
 }
