Speak to platform and upstreams over HTTP

Cause: the router has only traits to call, and nothing behind them. Change: clients for log, VM list, weight store, engines, kept-KV store and plain services, over a pool per target whose connections are dropped when old, mute or crossed. Nothing is retried or redirected, so that no request is written twice. Refusals count as not run only if they name the attempt. Conclusion: the router can be written against real clients.

--- /dev/null
+++ b/crates/sesamegap-http/src/pool.rs
@@ -0,0 +1,166 @@
+//! The connections to one target.
+
+use crate::failure::Failure;
+use crate::settings::Settings;
+use bytes::{Bytes, BytesMut};
+use reqwest::{Client, Method, RequestBuilder, Response, redirect, retry};
+use std::future::Future;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Header by which a caller names its failure domain.
+pub const DOMAIN: &str = "sesamegap-domain";
+
+/// Probes that may go unanswered before the kernel closes an idle connection.
+const PROBES: u32 = 3;
+
+#[derive(Debug)]
+struct Held {
+    client: Client,
+    since: Instant,
+}
+
+/// The connections to one target, replaced when they are old or one of them misbehaved.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    base: String,
+    settings: Settings,
+    held: Arc<Mutex<Held>>,
+}
+
+impl Pool {
+    /// A pool for a target given as `http://IP:PORT`; nothing is connected yet.
+    pub fn new(base: impl Into<String>, settings: Settings) -> Self {
+        let base = base.into();
+        let held = Held {
+            client: build(&settings),
+            since: Instant::now(),
+        };
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            settings,
+            held: Arc::new(Mutex::new(held)),
+        }
+    }
+
+    /// The limits.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Starts a request to a path of the target, on connections young enough.
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let request = self
+            .client()
+            .request(method, format!("{}{path}", self.base));
+        match &self.settings.domain {
+            Some(domain) => request.header(DOMAIN, domain.as_str()),
+            None => request,
+        }
+    }
+
+    /// Gives up all pooled connections; what is in flight on them is left alone.
+    ///
+    /// When one connection went mute or crossed answers, whatever did that to it may have done it
+    /// to its neighbours. Requests sent on those would be noticed only after the silence limit.
+    pub fn renew(&self) {
+        let fresh = Held {
+            client: build(&self.settings),
+            since: Instant::now(),
+        };
+        *self.held.lock().unwrap_or_else(PoisonError::into_inner) = fresh;
+    }
+
+    /// Sends a request and waits for the head of the answer, at most the silence limit plus `extra`.
+    ///
+    /// # Errors
+    /// [`Failure::Unreached`] only if no connection was made.
+    pub async fn send(
+        &self,
+        request: RequestBuilder,
+        extra: Duration,
+    ) -> Result<Response, Failure> {
+        let limit = self.settings.silence + extra;
+        let outcome = match timeout(limit, request.send()).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => Err(Failure::of_sending(&error)),
+            Err(_) => Err(Failure::silence()),
+        };
+        self.watch(outcome)
+    }
+
+    /// Reads a whole body, within the limits on silence and size.
+    ///
+    /// # Errors
+    /// If the body breaks off, goes silent or is too long.
+    pub async fn whole(&self, response: Response) -> Result<Bytes, Failure> {
+        let outcome = self.read(response).await;
+        self.watch(outcome)
+    }
+
+    /// Limits how long a future may stay without bytes from the target.
+    ///
+    /// # Errors
+    /// If it did not end in time; the pooled connections are then given up.
+    pub async fn heard<T>(&self, waiting: impl Future<Output = T>) -> Result<T, Failure> {
+        let outcome = timeout(self.settings.silence, waiting).await;
+        self.watch(outcome.map_err(|_| Failure::silence()))
+    }
+
+    async fn read(&self, mut response: Response) -> Result<Bytes, Failure> {
+        let limit = self.settings.body;
+        let mut body = BytesMut::new();
+        loop {
+            let next = timeout(self.settings.silence, response.chunk()).await;
+            let chunk = match next {
+                Ok(Ok(Some(chunk))) => chunk,
+                Ok(Ok(None)) => return Ok(body.freeze()),
+                Ok(Err(error)) => return Err(Failure::Broken(error.to_string())),
+                Err(_) => return Err(Failure::silence()),
+            };
+            if body.len() + chunk.len() > limit {
+                return Err(Failure::Oversized(limit));
+            }
+            body.extend_from_slice(&chunk);
+        }
+    }
+
+    /// Gives up the pooled connections after a failure on one of them.
+    fn watch<T>(&self, outcome: Result<T, Failure>) -> Result<T, Failure> {
+        if matches!(outcome, Err(Failure::Broken(_))) {
+            self.renew();
+        }
+        outcome
+    }
+
+    fn client(&self) -> Client {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.since.elapsed() > self.settings.age {
+            held.client = build(&self.settings);
+            held.since = Instant::now();
+        }
+        held.client.clone()
+    }
+}
+
+/// A client with no connection yet.
+fn build(settings: &Settings) -> Client {
+    let builder = Client::builder()
+        .no_proxy()
+        .redirect(redirect::Policy::none())
+        .retry(retry::never())
+        .connect_timeout(settings.connect)
+        .pool_idle_timeout(settings.idle)
+        .tcp_nodelay(true)
+        .tcp_keepalive(settings.idle)
+        .tcp_keepalive_interval(settings.idle)
+        .tcp_keepalive_retries(PROBES);
+    // Bytes that the other end never acknowledges would keep a dead connection open for a
+    // quarter of an hour; this closes it after about the silence limit.
+    #[cfg(target_os = "linux")]
+    let builder = builder.tcp_user_timeout(settings.silence * PROBES);
+    builder
+        .build()
+        .expect("a client without TLS and proxy has nothing to fail on")
+}
--- /dev/null
+++ b/crates/sesamegap-http/src/settings.rs
@@ -0,0 +1,112 @@
+//! Limits of a client towards one target.
+
+use sesamegap_wire::DomainId;
+use std::time::Duration;
+
+/// Limits of a client towards one target.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub(crate) connect: Duration,
+    pub(crate) silence: Duration,
+    pub(crate) age: Duration,
+    pub(crate) idle: Duration,
+    pub(crate) body: usize,
+    pub(crate) event: usize,
+    pub(crate) domain: Option<DomainId>,
+}
+
+impl Settings {
+    /// Starts from the defaults.
+    pub fn builder() -> Builder {
+        Builder(Self::default())
+    }
+
+    /// Longest wait for the next bytes of an answer.
+    pub fn silence(&self) -> Duration {
+        self.silence
+    }
+
+    /// Largest body taken, in bytes.
+    pub fn body(&self) -> usize {
+        self.body
+    }
+
+    /// Largest event of a stream taken, in bytes.
+    pub fn event(&self) -> usize {
+        self.event
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(250),
+            silence: Duration::from_millis(400),
+            age: Duration::from_mins(1),
+            idle: Duration::from_secs(20),
+            body: 8 << 20,
+            event: 64 << 10,
+            domain: None,
+        }
+    }
+}
+
+/// Builds [`Settings`].
+#[derive(Debug)]
+pub struct Builder(Settings);
+
+impl Builder {
+    /// Time to open a connection.
+    #[must_use]
+    pub fn connect(mut self, time: Duration) -> Self {
+        self.0.connect = time;
+        self
+    }
+
+    /// Longest wait for the next bytes of an answer.
+    #[must_use]
+    pub fn silence(mut self, time: Duration) -> Self {
+        self.0.silence = time;
+        self
+    }
+
+    /// Age at which the connections are replaced by new ones.
+    #[must_use]
+    pub fn age(mut self, time: Duration) -> Self {
+        self.0.age = time;
+        self
+    }
+
+    /// Time after which an unused connection is closed.
+    #[must_use]
+    pub fn idle(mut self, time: Duration) -> Self {
+        self.0.idle = time;
+        self
+    }
+
+    /// Largest body taken, in bytes.
+    #[must_use]
+    pub fn body(mut self, bytes: usize) -> Self {
+        self.0.body = bytes;
+        self
+    }
+
+    /// Largest event of a stream taken, in bytes.
+    #[must_use]
+    pub fn event(mut self, bytes: usize) -> Self {
+        self.0.event = bytes;
+        self
+    }
+
+    /// Failure domain of the caller, told to the target.
+    #[must_use]
+    pub fn domain(mut self, domain: DomainId) -> Self {
+        self.0.domain = Some(domain);
+        self
+    }
+
+    /// The settings.
+    pub fn build(self) -> Settings {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-platform/src/client.rs
@@ -0,0 +1,40 @@
+//! What the clients of the platform share.
+
+use crate::error::{PlatformError, Reason};
+use reqwest::{Method, Response};
+use serde::de::DeserializeOwned;
+use sesamegap_http::{Failure, Pool};
+use std::time::Duration;
+
+impl From<Failure> for PlatformError {
+    /// Keeps apart a call that was never made and one that may have taken effect.
+    fn from(failure: Failure) -> Self {
+        let reason = match failure {
+            Failure::Unreached(_) => Reason::Unreached,
+            Failure::Broken(_) | Failure::Oversized(_) => Reason::Unknown,
+        };
+        Self::new(reason, failure.to_string())
+    }
+}
+
+/// Takes a client error as a refusal; of a server error nobody knows what was done before it.
+pub(crate) fn checked(response: Response) -> Result<Response, PlatformError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let reason = if status.is_client_error() {
+        Reason::Refused
+    } else {
+        Reason::Unknown
+    };
+    Err(PlatformError::new(reason, format!("status {status}")))
+}
+
+/// Reads one JSON value.
+pub(crate) async fn get<T: DeserializeOwned>(pool: &Pool, path: &str) -> Result<T, PlatformError> {
+    let request = pool.request(Method::GET, path);
+    let sent = pool.send(request, Duration::ZERO).await?;
+    let body = pool.whole(checked(sent)?).await?;
+    serde_json::from_slice(&body).map_err(|e| PlatformError::new(Reason::Unknown, e.to_string()))
+}
--- /dev/null
+++ b/crates/sesamegap-platform/src/log/frame.rs
@@ -0,0 +1,128 @@
+//! What a log client and a log service write to each other, as `MessagePack`.
+//!
+//! `POST /streams/{name}` takes an [`Append`] and answers an [`Appended`]; the records are taken all
+//! or none. `GET /streams/{name}?from=OFFSET&wait=MILLISECONDS` answers a [`PageFrame`]. Where retention
+//! has dropped the offset asked for, the answer is status 410 with an [`Expired`]. Any other status
+//! of the client's error range says that nothing was taken; of a server's error nobody knows.
+
+use super::{Page, Record};
+use bytes::Bytes;
+use serde::de::{self, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use sesamegap_wire::Offset;
+use std::fmt;
+
+/// A record's body, written as one run of bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Body(pub Bytes);
+
+impl Serialize for Body {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(&self.0)
+    }
+}
+
+struct BodyVisitor;
+
+impl<'de> Visitor<'de> for BodyVisitor {
+    type Value = Body;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("bytes")
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Body, E> {
+        Ok(Body(Bytes::copy_from_slice(bytes)))
+    }
+
+    fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Body, E> {
+        Ok(Body(bytes.into()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Body, A::Error> {
+        let mut bytes = Vec::new();
+        while let Some(byte) = seq.next_element()? {
+            bytes.push(byte);
+        }
+        Ok(Body(bytes.into()))
+    }
+}
+
+impl<'de> Deserialize<'de> for Body {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_byte_buf(BodyVisitor)
+    }
+}
+
+/// Records to append, all or none.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Append {
+    /// The records' bodies.
+    pub records: Vec<Body>,
+}
+
+/// Records that were appended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Appended {
+    /// Offset of the first one.
+    pub offset: Offset,
+}
+
+/// Records asked for that are kept no longer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Expired {
+    /// Oldest offset still kept.
+    pub oldest: Offset,
+}
+
+/// One record of a page.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Line {
+    /// Its offset.
+    pub offset: Offset,
+    /// When it was taken, in milliseconds since the Unix epoch.
+    pub time_ms: u64,
+    /// Its body.
+    pub body: Body,
+}
+
+/// A run of records as written on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PageFrame {
+    /// The records.
+    pub records: Vec<Line>,
+    /// Where to read on.
+    pub next: Offset,
+    /// Offset that the next append will get.
+    pub end: Offset,
+}
+
+impl From<PageFrame> for Page {
+    fn from(frame: PageFrame) -> Self {
+        let record = |line: Line| Record {
+            offset: line.offset,
+            time_ms: line.time_ms,
+            body: line.body.0,
+        };
+        Self {
+            records: frame.records.into_iter().map(record).collect(),
+            next: frame.next,
+            end: frame.end,
+        }
+    }
+}
+
+impl From<Page> for PageFrame {
+    fn from(page: Page) -> Self {
+        let line = |record: Record| Line {
+            offset: record.offset,
+            time_ms: record.time_ms,
+            body: Body(record.body),
+        };
+        Self {
+            records: page.records.into_iter().map(line).collect(),
+            next: page.next,
+            end: page.end,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-platform/src/log/http.rs
@@ -0,0 +1,88 @@
+//! The log over HTTP, in the frames of [`frame`](super::frame).
+//!
+//! An append is written once. If its answer does not come, nobody knows whether it took effect, and
+//! the error says so; the writer reads on and looks for the id that it put into its record.
+
+use super::frame::{Append, Appended, Body, Expired, PageFrame};
+use super::{Log, Page};
+use crate::client::checked;
+use crate::error::{PlatformError, Reason};
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt};
+use reqwest::{Method, StatusCode};
+use sesamegap_http::{Pool, Settings};
+use sesamegap_wire::{Offset, StreamId, codec};
+use std::time::Duration;
+
+/// A client of the log service.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    pool: Pool,
+}
+
+impl HttpLog {
+    /// A client for a log at `http://IP:PORT`.
+    pub fn new(base: impl Into<String>, settings: Settings) -> Self {
+        Self {
+            pool: Pool::new(base, settings),
+        }
+    }
+
+    async fn write(&self, stream: &StreamId, records: Vec<Bytes>) -> Result<Offset, PlatformError> {
+        let records = records.into_iter().map(Body).collect();
+        let body = codec::encode(&Append { records })
+            .map_err(|e| PlatformError::new(Reason::Refused, e.to_string()))?;
+        let path = format!("/streams/{stream}");
+        let request = self.pool.request(Method::POST, &path).body(body);
+        let sent = self.pool.send(request, Duration::ZERO).await;
+        let response = checked(sent?)?;
+        let answer = self.pool.whole(response).await?;
+        let appended: Appended = codec::decode(&answer).map_err(|e| unreadable(&e))?;
+        Ok(appended.offset)
+    }
+
+    async fn fetch(
+        &self,
+        stream: &StreamId,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<Page, PlatformError> {
+        let path = format!("/streams/{stream}?from={from}&wait={}", wait.as_millis());
+        let request = self.pool.request(Method::GET, &path);
+        let sent = self.pool.send(request, wait).await?;
+        let gone = sent.status() == StatusCode::GONE;
+        let response = if gone { sent } else { checked(sent)? };
+        let answer = self.pool.whole(response).await?;
+        if gone {
+            let expired: Expired = codec::decode(&answer).map_err(|e| unreadable(&e))?;
+            let detail = format!("{stream} is kept from offset {} on", expired.oldest);
+            return Err(PlatformError::new(Reason::Expired(expired.oldest), detail));
+        }
+        let frame: PageFrame = codec::decode(&answer).map_err(|e| unreadable(&e))?;
+        Ok(frame.into())
+    }
+}
+
+/// An answer came and is none: what was asked for may have been done.
+fn unreadable(error: &codec::CodecError) -> PlatformError {
+    PlatformError::new(Reason::Unknown, error.to_string())
+}
+
+impl Log for HttpLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        records: Vec<Bytes>,
+    ) -> BoxFuture<'a, Result<Offset, PlatformError>> {
+        self.write(stream, records).boxed()
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        from: Offset,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Page, PlatformError>> {
+        self.fetch(stream, from, wait).boxed()
+    }
+}
--- a/crates/sesamegap-platform/src/log/mod.rs
+++ b/crates/sesamegap-platform/src/log/mod.rs
@@ -5,8 +5,12 @@
 //! and an append whose answer was lost may still have taken effect. So each record carries an id
 //! of its writer's choosing, and readers treat a second one with the same id as the first.
 
+pub mod frame;
+mod http;
 pub mod streams;
 
+pub use http::HttpLog;
+
 use crate::error::PlatformError;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
--- a/crates/sesamegap-platform/src/vms/mod.rs
+++ b/crates/sesamegap-platform/src/vms/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's list of VMs, which lags behind the world.
 
+mod http;
+
+pub use http::HttpVms;
+
 use crate::error::PlatformError;
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
--- a/crates/sesamegap-platform/src/weights/mod.rs
+++ b/crates/sesamegap-platform/src/weights/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's store of model weights, from which engines load.
 
+mod http;
+
+pub use http::HttpWeights;
+
 use crate::error::PlatformError;
 use futures_util::future::BoxFuture;
 use sesamegap_wire::{ModelId, WeightsVersion};
--- /dev/null
+++ b/crates/sesamegap-upstream/src/client.rs
@@ -0,0 +1,44 @@
+//! What the clients of the upstreams share.
+
+use crate::error::{Fault, Ran, UpstreamError};
+use reqwest::{RequestBuilder, Response};
+use serde::de::DeserializeOwned;
+use sesamegap_http::{Failure, Pool};
+use std::time::Duration;
+
+impl From<Failure> for UpstreamError {
+    /// Says that nothing ran only if no connection was made.
+    fn from(failure: Failure) -> Self {
+        let (fault, ran) = match failure {
+            Failure::Unreached(_) => (Fault::Unreached, Ran::No),
+            Failure::Broken(_) | Failure::Oversized(_) => (Fault::Broken, Ran::Unknown),
+        };
+        Self::new(fault, ran, failure.to_string())
+    }
+}
+
+/// An answer that cannot be understood.
+pub(crate) fn unreadable(detail: impl Into<String>) -> UpstreamError {
+    UpstreamError::new(Fault::Broken, Ran::Unknown, detail)
+}
+
+/// Sends a request and reads one JSON value; a status from 400 on tells nothing of what ran.
+pub(crate) async fn ask<T: DeserializeOwned>(
+    pool: &Pool,
+    request: RequestBuilder,
+    wait: Duration,
+) -> Result<T, UpstreamError> {
+    let response = pool.send(request, wait).await?;
+    let body = pool.whole(checked(response)?).await?;
+    serde_json::from_slice(&body).map_err(|e| unreadable(e.to_string()))
+}
+
+pub(crate) fn checked(response: Response) -> Result<Response, UpstreamError> {
+    let status = response.status();
+    if status.is_success() {
+        Ok(response)
+    } else {
+        let detail = format!("status {status}");
+        Err(UpstreamError::new(Fault::Refused, Ran::Unknown, detail))
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-upstream/src/engine/chunks.rs
@@ -0,0 +1,84 @@
+//! The chunks of one answer, read from one connection.
+//!
+//! Each event is matched to the attempt before it is handed on. An answer to another attempt means
+//! that the two ends of the connection disagree about what was asked, so neither this connection
+//! nor its neighbours are used again. A stream ends well only with [`Chunk::End`].
+
+use super::ChunkStream;
+use crate::client::unreadable;
+use crate::error::{Fault, Ran, UpstreamError};
+use crate::wire::Envelope;
+use async_stream::try_stream;
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::{Stream, StreamExt};
+use reqwest::Response;
+use sesamegap_http::text::EventMeter;
+use sesamegap_http::{Failure, Pool};
+use sesamegap_wire::RequestId;
+use sesamegap_wire::engine::Chunk;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time in which the end of a body follows the last event, so that its connection can be kept.
+const TAIL: Duration = Duration::from_millis(20);
+
+/// The chunks of one attempt's answer.
+pub(super) fn stream(
+    pool: Pool,
+    response: Response,
+    request: RequestId,
+    attempt: u32,
+) -> ChunkStream {
+    let stream = try_stream! {
+        let bytes = metered(response, pool.settings().event());
+        let mut events = Box::pin(bytes.eventsource());
+        loop {
+            let event = pool.heard(events.next()).await?;
+            let event = event.ok_or_else(|| broken(&pool, "the stream ended before the answer"))?;
+            let event = event.map_err(|e| broken(&pool, &e.to_string()))?;
+            let chunk = matched(&event.data, &request, attempt)
+                .inspect_err(|_| pool.renew())?;
+            if let Chunk::End { .. } = chunk {
+                // A body read to its end leaves the connection fit for the next request.
+                let _closed = timeout(TAIL, events.next()).await;
+                yield chunk;
+                break;
+            }
+            yield chunk;
+        }
+    };
+    stream.boxed()
+}
+
+/// Reads one event and checks whose answer it belongs to.
+///
+/// # Errors
+/// [`Fault::Crossed`] if it belongs to another attempt, [`Fault::Broken`] if it is no event.
+pub fn matched(data: &str, request: &RequestId, attempt: u32) -> Result<Chunk, UpstreamError> {
+    let envelope: Envelope =
+        serde_json::from_str(data).map_err(|e| unreadable(format!("no chunk: {e}")))?;
+    if envelope.request == *request && envelope.attempt == attempt {
+        return Ok(envelope.chunk);
+    }
+    let detail = format!(
+        "answer to {} attempt {}",
+        envelope.request, envelope.attempt
+    );
+    Err(UpstreamError::new(Fault::Crossed, Ran::Unknown, detail))
+}
+
+fn broken(pool: &Pool, words: &str) -> UpstreamError {
+    pool.renew();
+    Failure::Broken(words.to_owned()).into()
+}
+
+/// The bytes of a body, ended with an error where one event grows too long.
+fn metered(response: Response, limit: usize) -> impl Stream<Item = Result<Bytes, Failure>> {
+    let mut meter = EventMeter::new(limit);
+    response.bytes_stream().map(move |chunk| match chunk {
+        Ok(bytes) if meter.allows(&bytes) => Ok(bytes),
+        Ok(_) => Err(Failure::Oversized(limit)),
+        Err(error) => Err(Failure::Broken(error.to_string())),
+    })
+}
--- a/crates/sesamegap-upstream/src/engine/mod.rs
+++ b/crates/sesamegap-upstream/src/engine/mod.rs
@@ -5,6 +5,11 @@
 //! a doubled, dropped, reordered or crossed one is noticed. Silence is bounded by heartbeats that
 //! the engine sends between chunks.
 
+pub mod chunks;
+mod http;
+
+pub use http::HttpEngine;
+
 use crate::error::UpstreamError;
 use futures_util::future::BoxFuture;
 use futures_util::stream::BoxStream;
--- a/crates/sesamegap-upstream/src/error.rs
+++ b/crates/sesamegap-upstream/src/error.rs
@@ -24,7 +24,8 @@
 }
 
 /// What went wrong with an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// No connection.
     Unreached,
--- /dev/null
+++ b/crates/sesamegap-upstream/src/kv/http.rs
@@ -0,0 +1,41 @@
+//! The kept-KV store over HTTP: `POST /v1/held` takes keys and answers how many are held.
+
+use super::KvStore;
+use crate::client::ask;
+use crate::error::UpstreamError;
+use crate::wire::{Asked, Held};
+use futures_util::future::{BoxFuture, FutureExt};
+use reqwest::Method;
+use sesamegap_http::{Pool, Settings};
+use sesamegap_wire::BlockKey;
+use std::time::Duration;
+
+/// A client of the kept-KV store.
+#[derive(Debug, Clone)]
+pub struct HttpStore {
+    pool: Pool,
+}
+
+impl HttpStore {
+    /// A client for a store at `http://IP:PORT`.
+    pub fn new(base: impl Into<String>, settings: Settings) -> Self {
+        Self {
+            pool: Pool::new(base, settings),
+        }
+    }
+
+    async fn count(&self, keys: &[BlockKey]) -> Result<usize, UpstreamError> {
+        let keys = keys.to_vec();
+        let asked = Asked { keys };
+        let request = self.pool.request(Method::POST, "/v1/held").json(&asked);
+        let answer: Held = ask(&self.pool, request, Duration::ZERO).await?;
+        // A store that claims more than was asked for would make the caller index out of bounds.
+        Ok(answer.held.min(asked.keys.len()))
+    }
+}
+
+impl KvStore for HttpStore {
+    fn held<'a>(&'a self, keys: &'a [BlockKey]) -> BoxFuture<'a, Result<usize, UpstreamError>> {
+        self.count(keys).boxed()
+    }
+}
--- a/crates/sesamegap-upstream/src/kv/mod.rs
+++ b/crates/sesamegap-upstream/src/kv/mod.rs
@@ -1,5 +1,9 @@
 //! The kept-KV store, which holds cache blocks that engines have evicted.
 
+mod http;
+
+pub use http::HttpStore;
+
 use crate::error::UpstreamError;
 use futures_util::future::BoxFuture;
 use sesamegap_wire::BlockKey;
--- /dev/null
+++ b/crates/sesamegap-upstream/src/service/http.rs
@@ -0,0 +1,113 @@
+//! A worker of a plain service over HTTP.
+//!
+//! The call goes through as it is, with two headers added: [`REQUEST`] names the request, which the
+//! worker echoes, and [`KEY`] carries the idempotency key. A reply without the echo, or with that
+//! of another request, is discarded. A worker that did not run the call says so with [`RAN`] and
+//! status 429 or 503; any other status is the service's own reply.
+
+use super::{Call, PlainService, Reply};
+use crate::client::unreadable;
+use crate::error::{Fault, Ran, UpstreamError};
+use crate::wire::{KEY, RAN, REQUEST};
+use futures_util::future::{BoxFuture, FutureExt};
+use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use reqwest::{Method, RequestBuilder, Response, StatusCode};
+use sesamegap_http::{Failure, Pool, Settings};
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+/// A client of one worker of a plain service.
+#[derive(Debug, Clone)]
+pub struct HttpWorker {
+    pool: Pool,
+}
+
+impl HttpWorker {
+    /// A client for a worker at `http://IP:PORT`.
+    pub fn new(base: impl Into<String>, settings: Settings) -> Self {
+        Self {
+            pool: Pool::new(base, settings),
+        }
+    }
+
+    async fn exchange(&self, call: Call) -> Result<Reply, UpstreamError> {
+        let limit = call.timeout;
+        let id = call.request.to_string();
+        let request = self.request(call)?;
+        let exchange = async {
+            let response = self.pool.send(request, limit).await?;
+            self.own(&response, &id)?;
+            self.reply(response).await
+        };
+        let outcome = timeout(limit, exchange).await;
+        outcome.unwrap_or_else(|_| {
+            self.pool.renew();
+            Err(Failure::silence().into())
+        })
+    }
+
+    fn request(&self, call: Call) -> Result<RequestBuilder, UpstreamError> {
+        let method = Method::from_bytes(call.method.as_bytes())
+            .map_err(|e| UpstreamError::new(Fault::Refused, Ran::No, e.to_string()))?;
+        let path = call.path.trim_start_matches('/');
+        let mut request = self
+            .pool
+            .request(method, &format!("/{path}"))
+            .header(REQUEST, call.request.to_string())
+            .body(call.body);
+        if let Some(content) = &call.content {
+            request = request.header(CONTENT_TYPE, content.as_str());
+        }
+        if let Some(key) = &call.key {
+            request = request.header(KEY, key.as_str());
+        }
+        Ok(request)
+    }
+
+    /// Checks that a reply is the one to this request.
+    fn own(&self, response: &Response, id: &str) -> Result<(), UpstreamError> {
+        let echo = header(response.headers(), REQUEST);
+        if echo.as_deref() == Some(id) {
+            return Ok(());
+        }
+        self.pool.renew();
+        let whose = echo.map_or("no request".to_owned(), |echo| format!("request {echo}"));
+        let detail = format!("reply to {whose}");
+        Err(UpstreamError::new(Fault::Crossed, Ran::Unknown, detail))
+    }
+
+    async fn reply(&self, response: Response) -> Result<Reply, UpstreamError> {
+        let status = response.status();
+        let refused = header(response.headers(), RAN).as_deref() == Some("no");
+        let content = header(response.headers(), CONTENT_TYPE.as_str());
+        let body = self.pool.whole(response).await?;
+        if refused {
+            return Err(refusal(status));
+        }
+        Ok(Reply {
+            status: status.as_u16(),
+            content,
+            body,
+        })
+    }
+}
+
+fn refusal(status: StatusCode) -> UpstreamError {
+    let fault = match status {
+        StatusCode::TOO_MANY_REQUESTS => Fault::Busy,
+        StatusCode::SERVICE_UNAVAILABLE => Fault::Leaving,
+        _ if status.is_client_error() => Fault::Refused,
+        _ => return unreadable(format!("status {status} that claims not to have run")),
+    };
+    UpstreamError::new(fault, Ran::No, format!("status {status}"))
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<SmolStr> {
+    headers.get(name)?.to_str().ok().map(SmolStr::new)
+}
+
+impl PlainService for HttpWorker {
+    fn call(&self, call: Call) -> BoxFuture<'_, Result<Reply, UpstreamError>> {
+        self.exchange(call).boxed()
+    }
+}
--- a/crates/sesamegap-upstream/src/service/mod.rs
+++ b/crates/sesamegap-upstream/src/service/mod.rs
@@ -1,5 +1,9 @@
 //! A worker of a plain service.
 
+mod http;
+
+pub use http::HttpWorker;
+
 use crate::error::UpstreamError;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
