Fold changes of settings in offset order

Cause: racing operators, lost append answers and stale peers may neither revert settings nor apply a change twice, with no coordination service. Conclusion: the router can follow the settings stream with this API.

--- a/crates/sesamegap-settings/src/catalogue/mod.rs
+++ b/crates/sesamegap-settings/src/catalogue/mod.rs
@@ -3,6 +3,9 @@
 //! A catalogue is made anew from the tree after each accepted change and shared read-only; no
 //! reader ever sees half a change.
 
+pub(crate) mod resolve;
+
+use crate::keys::Keys;
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{
     ClassId, ModelId, Offset, ServiceId, TeamId, Tokens, UpstreamId, WeightsVersion,
@@ -13,7 +16,7 @@
 /// All settings in force at one revision.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalogue {
-    /// Offset of the last change taken in.
+    /// Offset after that of the last change accepted; 0 is the empty tree.
     pub revision: Offset,
     /// Teams by name.
     pub teams: BTreeMap<TeamId, TeamSpec>,
@@ -23,6 +26,8 @@
     pub models: BTreeMap<ModelId, ModelSpec>,
     /// Plain services by name.
     pub services: BTreeMap<ServiceId, ServiceSpec>,
+    /// Which team each key belongs to.
+    pub keys: Keys,
 }
 
 /// What a team may do, and its share when there is not enough for all.
--- /dev/null
+++ b/crates/sesamegap-settings/src/change/mod.rs
@@ -0,0 +1,175 @@
+//! A change of settings as it travels through the log.
+//!
+//! Its id is of the author's choosing, so that an append repeated after a lost answer is known to
+//! be the same change. Its base is the revision its author had seen: if another change has
+//! touched one of its paths since, the author decided on something that no longer stood.
+
+use crate::error::SettingsError;
+use crate::tree::TreePath;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::Value;
+use sesamegap_wire::{Offset, ParseError};
+use smol_str::SmolStr;
+use std::fmt;
+use std::str::FromStr;
+
+/// Largest change as a record, in bytes; a log of operators' changes is not a file store.
+pub const MAX_CHANGE: usize = 1 << 20;
+
+/// Most edits in one change, enough to create a thousand teams at once.
+pub const MAX_EDITS: usize = 1024;
+
+/// Longest name of an author, in bytes.
+pub const MAX_BY: usize = 64;
+
+/// Longest note, in bytes.
+pub const MAX_NOTE: usize = 512;
+
+/// Version of the records' format. Another is published only once all routers read it.
+const FORMAT: u8 = 1;
+
+/// What a record holds, as its second byte.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub(crate) enum RecordKind {
+    Change = b'c',
+    Snapshot = b's',
+}
+
+/// Frames a record body.
+pub(crate) fn frame<T: Serialize>(kind: RecordKind, value: &T) -> Result<Vec<u8>, SettingsError> {
+    let mut body = vec![FORMAT, kind as u8];
+    rmp_serde::encode::write_named(&mut body, value)
+        .map_err(|e| SettingsError::Malformed(e.to_string()))?;
+    Ok(body)
+}
+
+/// The kind and content of a record body, if its format is known.
+pub(crate) fn unframe(body: &[u8]) -> Option<(RecordKind, &[u8])> {
+    match body {
+        [FORMAT, b'c', content @ ..] => Some((RecordKind::Change, content)),
+        [FORMAT, b's', content @ ..] => Some((RecordKind::Snapshot, content)),
+        _ => None,
+    }
+}
+
+/// Decodes a record's content.
+pub(crate) fn decode<T: DeserializeOwned>(content: &[u8]) -> Result<T, SettingsError> {
+    rmp_serde::from_slice(content).map_err(|e| SettingsError::Malformed(e.to_string()))
+}
+
+/// Identifies a change, however often it is appended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChangeId(pub u128);
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for ChangeId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let wrong = || {
+            let shown: String = text.chars().take(40).collect();
+            ParseError::new("change id", shown, "1 to 32 hexadecimal digits")
+        };
+        let digits = (1..=32).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit());
+        if !digits {
+            return Err(wrong());
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| wrong())
+    }
+}
+
+impl Serialize for ChangeId {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ChangeId {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = SmolStr::deserialize(from)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// One value set or removed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Edit {
+    /// Where.
+    pub path: TreePath,
+    /// The new value; `None` removes what stands there, so that it is inherited again.
+    #[serde(default)]
+    pub value: Option<Value>,
+}
+
+/// Edits that take effect together or not at all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Identifies the change.
+    pub id: ChangeId,
+    /// Revision its author had seen, checked for each path.
+    pub base: Offset,
+    /// Who published it.
+    pub by: SmolStr,
+    /// Why.
+    pub note: String,
+    /// What it sets and removes, in order.
+    pub edits: Vec<Edit>,
+}
+
+impl Change {
+    /// Encodes the change as the body of a log record.
+    ///
+    /// # Errors
+    /// If it exceeds one of this module's bounds.
+    pub fn encode(&self) -> Result<Vec<u8>, SettingsError> {
+        self.bounded()?;
+        let body = frame(RecordKind::Change, self)?;
+        if body.len() > MAX_CHANGE {
+            return Err(SettingsError::Oversized("bytes of a change", MAX_CHANGE));
+        }
+        Ok(body)
+    }
+
+    /// Decodes the body of a log record.
+    ///
+    /// # Errors
+    /// If it is no change of a known format or exceeds a bound.
+    pub fn decode(body: &[u8]) -> Result<Self, SettingsError> {
+        if body.len() > MAX_CHANGE {
+            return Err(SettingsError::Oversized("bytes of a change", MAX_CHANGE));
+        }
+        let Some((RecordKind::Change, content)) = unframe(body) else {
+            return Err(SettingsError::Malformed("not a change".to_owned()));
+        };
+        let change: Self = decode(content)?;
+        change.bounded()?;
+        Ok(change)
+    }
+
+    fn bounded(&self) -> Result<(), SettingsError> {
+        if self.edits.is_empty() {
+            return Err(SettingsError::Malformed(
+                "a change without edits".to_owned(),
+            ));
+        }
+        if self.edits.len() > MAX_EDITS {
+            return Err(SettingsError::Oversized("edits of a change", MAX_EDITS));
+        }
+        if self.by.len() > MAX_BY {
+            return Err(SettingsError::Oversized("bytes of `by`", MAX_BY));
+        }
+        if self.note.len() > MAX_NOTE {
+            return Err(SettingsError::Oversized("bytes of `note`", MAX_NOTE));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-settings/src/document/mod.rs
@@ -0,0 +1,175 @@
+//! A settings file in JSON with comments, with the place of each value.
+
+use crate::error::SettingsError;
+use crate::findings::{Finding, Findings, Place, shown};
+use crate::schema::reader::join;
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use serde_json::{Map, Number, Value};
+use std::collections::BTreeMap;
+
+/// Largest file read, in bytes; the tree of 35,000 teams is a third of it.
+pub const MAX_FILE: usize = 32 << 20;
+
+/// What the parser takes besides plain JSON: comments and trailing commas, nothing looser.
+const OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// A file that was read.
+#[derive(Debug)]
+pub struct Document {
+    file: String,
+    value: Value,
+    /// Byte position of each value, or of its key, by path.
+    starts: BTreeMap<String, usize>,
+    /// Byte position of the start of each line.
+    lines: Vec<usize>,
+    text: String,
+}
+
+impl Document {
+    /// Parses a file's text; `file` is the name that findings show.
+    ///
+    /// # Errors
+    /// With findings, if the text is not JSON with comments or has a key twice.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        if text.len() > MAX_FILE {
+            return Err(SettingsError::Oversized("bytes of a file", MAX_FILE));
+        }
+        let mut document = Self {
+            file: file.to_owned(),
+            value: Value::Null,
+            starts: BTreeMap::new(),
+            lines: line_starts(text),
+            text: text.to_owned(),
+        };
+        let mut findings = Findings::default();
+        match parse_to_ast(text, &CollectOptions::default(), &OPTIONS) {
+            Ok(parsed) => match parsed.value {
+                Some(root) => document.value = document.take(&root, "", &mut findings),
+                None => findings.push(document.finding(0, "", "the file is empty", "an object")),
+            },
+            Err(error) => {
+                let allowed = "JSON with comments and trailing commas";
+                let wrong = error.kind().to_string();
+                findings.push(document.finding(error.range().start, "", &wrong, allowed));
+            }
+        }
+        if findings.is_empty() {
+            Ok(document)
+        } else {
+            Err(SettingsError::Invalid(findings))
+        }
+    }
+
+    /// The content.
+    pub fn value(&self) -> &Value {
+        &self.value
+    }
+
+    /// Adds to each finding the place of its path, or of the nearest one above that is there.
+    pub fn locate(&self, findings: &mut Findings) {
+        for finding in findings.iter_mut() {
+            finding.place = Some(self.place(self.start(&finding.path)));
+        }
+    }
+
+    fn start(&self, path: &str) -> usize {
+        let mut path = path;
+        loop {
+            if let Some(start) = self.starts.get(path) {
+                return *start;
+            }
+            path = path.rsplit_once('/').map_or("", |(above, _)| above);
+        }
+    }
+
+    fn place(&self, start: usize) -> Place {
+        let line = self.lines.partition_point(|at| *at <= start);
+        let head = self
+            .text
+            .get(self.lines[line - 1]..start)
+            .unwrap_or_default();
+        Place {
+            file: self.file.clone(),
+            line,
+            column: head.chars().count() + 1,
+        }
+    }
+
+    fn finding(&self, start: usize, path: &str, wrong: &str, allowed: &str) -> Finding {
+        Finding {
+            place: Some(self.place(start)),
+            path: path.to_owned(),
+            wrong: wrong.to_owned(),
+            allowed: allowed.to_owned(),
+        }
+    }
+
+    /// Takes a value out of the syntax tree and notes where it stood.
+    fn take(&mut self, value: &ast::Value<'_>, path: &str, findings: &mut Findings) -> Value {
+        self.starts.entry(path.to_owned()).or_insert(value.start());
+        match value {
+            ast::Value::StringLit(text) => Value::String(text.value.to_string()),
+            ast::Value::BooleanLit(flag) => Value::Bool(flag.value),
+            ast::Value::NullKeyword(_) => Value::Null,
+            ast::Value::NumberLit(number) => self.number(number, path, findings),
+            ast::Value::Array(array) => {
+                let mut items = Vec::new();
+                for (index, item) in array.elements.iter().enumerate() {
+                    let path = join(path, &index.to_string());
+                    items.push(self.take(item, &path, findings));
+                }
+                Value::Array(items)
+            }
+            ast::Value::Object(object) => Value::Object(self.object(object, path, findings)),
+        }
+    }
+
+    fn object(
+        &mut self,
+        object: &ast::Object<'_>,
+        path: &str,
+        findings: &mut Findings,
+    ) -> Map<String, Value> {
+        let mut map = Map::new();
+        for property in &object.properties {
+            let key = property.name.as_str();
+            let path = join(path, key);
+            if map.contains_key(key) {
+                let wrong = format!("`{}` stands twice", shown(key));
+                findings.push(self.finding(property.start(), &path, &wrong, "each key once"));
+            }
+            let value = self.take(&property.value, &path, findings);
+            map.insert(key.to_owned(), value);
+        }
+        map
+    }
+
+    fn number(&self, number: &ast::NumberLit<'_>, path: &str, findings: &mut Findings) -> Value {
+        if let Ok(number) = number.value.parse::<Number>() {
+            return Value::Number(number);
+        }
+        let wrong = format!("`{}` is not a number", shown(number.value));
+        findings.push(self.finding(number.start(), path, &wrong, "a finite number"));
+        Value::Null
+    }
+}
+
+fn line_starts(text: &str) -> Vec<usize> {
+    let after = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+    std::iter::once(0)
+        .chain(after.map(|(at, _)| at + 1))
+        .collect()
+}
--- /dev/null
+++ b/crates/sesamegap-settings/src/keys/mod.rs
@@ -0,0 +1,56 @@
+//! Keys of teams and operators, of which only hashes are kept.
+//!
+//! A key is found by the BLAKE3 hash of what the caller sent. The search through the sorted
+//! hashes may take longer for one hash than for another, but a caller cannot choose the hash of a
+//! key it does not know, so that tells it nothing; the last comparison takes constant time.
+
+use blake3::Hash;
+use serde::{Deserialize, Serialize};
+use sesamegap_wire::TeamId;
+use std::collections::BTreeMap;
+
+/// The hash under which a key is written into settings, in hexadecimal.
+pub fn key_hash(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
+
+/// Whether a key has this hash, compared in constant time; a malformed hash matches nothing.
+pub fn matches(key: &str, hash: &str) -> bool {
+    match Hash::from_hex(hash) {
+        Ok(wanted) => blake3::hash(key.as_bytes()) == wanted,
+        Err(_) => false,
+    }
+}
+
+/// Which team a key belongs to.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Keys(BTreeMap<[u8; 32], TeamId>);
+
+impl Keys {
+    /// The team whose key this is.
+    pub fn team(&self, key: &str) -> Option<&TeamId> {
+        let sent = blake3::hash(key.as_bytes());
+        let (kept, team) = self.0.get_key_value(sent.as_bytes())?;
+        (Hash::from_bytes(*kept) == sent).then_some(team)
+    }
+
+    /// The team that holds this hash.
+    pub fn holder(&self, hash: &str) -> Option<&TeamId> {
+        let hash = Hash::from_hex(hash).ok()?;
+        self.0.get(hash.as_bytes())
+    }
+
+    /// Adds a team's hash; a malformed one is left out, as it matches nothing.
+    pub fn add(&mut self, hash: &str, team: &TeamId) {
+        if let Ok(hash) = Hash::from_hex(hash) {
+            self.0.insert(*hash.as_bytes(), team.clone());
+        }
+    }
+
+    /// Removes a hash.
+    pub fn remove(&mut self, hash: &str) {
+        if let Ok(hash) = Hash::from_hex(hash) {
+            self.0.remove(hash.as_bytes());
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-settings/src/tree/edit.rs
@@ -0,0 +1,167 @@
+//! Changing the tree, one path at a time, with a way back.
+
+use super::path::{Slot, Target};
+use super::{Group, Tree};
+use crate::change::Edit;
+use crate::findings::Findings;
+use crate::schema::Kind;
+use crate::schema::reader::{self, Values};
+use serde_json::Value;
+use smol_str::SmolStr;
+
+/// What can stand at a path.
+#[derive(Debug, Clone)]
+pub(crate) enum Piece {
+    Group(Box<Group>),
+    Values(Values),
+    Value(Value),
+}
+
+/// An edit that was checked in itself: where, and what is to stand there.
+#[derive(Debug)]
+pub(crate) struct Step {
+    pub(crate) target: Target,
+    pub(crate) piece: Option<Piece>,
+}
+
+/// Reads an edit, or adds findings.
+pub(crate) fn step(edit: &Edit, findings: &mut Findings) -> Option<Step> {
+    let path = edit.path.as_str();
+    let target = match Target::parse(&edit.path) {
+        Ok(target) => target,
+        Err((wrong, allowed)) => {
+            findings.add(path, wrong, allowed);
+            return None;
+        }
+    };
+    let before = findings.len();
+    let piece = edit
+        .value
+        .as_ref()
+        .and_then(|value| piece(&target, value, path, findings));
+    (findings.len() == before).then_some(Step { target, piece })
+}
+
+fn piece(target: &Target, value: &Value, path: &str, findings: &mut Findings) -> Option<Piece> {
+    match target.slot {
+        Slot::Group => {
+            let group = Group::read_below(value, path, target.groups.len(), findings);
+            Some(Piece::Group(Box::new(group)))
+        }
+        Slot::Defaults(kind, None) | Slot::Item(kind, _, None) => Some(Piece::Values(
+            reader::read(kind.fields(), value, path, findings),
+        )),
+        Slot::Defaults(kind, Some(index)) | Slot::Item(kind, _, Some(index)) => {
+            let field = &kind.fields()[usize::from(index)];
+            let fits = reader::check(field, value, path, findings);
+            fits.then(|| Piece::Value(value.clone()))
+        }
+    }
+}
+
+/// Why a step could not be taken: what is wrong, and what is allowed.
+pub(crate) type Obstacle = (String, &'static str);
+
+impl Tree {
+    /// Takes a step and returns what stood there before, the step back.
+    pub(crate) fn set(&mut self, step: Step) -> Result<Step, Obstacle> {
+        let Step { target, piece } = step;
+        let (last, above) = match (&target.slot, target.groups.split_last()) {
+            (Slot::Group, Some((last, above))) => (Some(last), above),
+            _ => (None, &target.groups[..]),
+        };
+        let group = self.descend(above)?;
+        let old = match (&target.slot, last) {
+            (Slot::Group, Some(name)) => set_group(group, name, piece)?,
+            (Slot::Group, None) => None,
+            (Slot::Defaults(kind, field), _) => {
+                set_values(&mut group.defaults[*kind as usize], *field, piece)?
+            }
+            (Slot::Item(kind, name, None), _) => set_item(group, *kind, name, piece)?,
+            (Slot::Item(kind, name, field), _) => {
+                let own = group.items[*kind as usize].get_mut(name).ok_or_else(|| {
+                    let wrong = format!("there is no {kind} `{name}` here");
+                    (
+                        wrong,
+                        "a field of an existing object, or a whole object to create it",
+                    )
+                })?;
+                set_values(own, *field, piece)?
+            }
+        };
+        Ok(Step { target, piece: old })
+    }
+
+    fn descend(&mut self, names: &[SmolStr]) -> Result<&mut Group, Obstacle> {
+        let mut group = &mut self.root;
+        for name in names {
+            group = group.groups.get_mut(name).ok_or_else(|| {
+                let wrong = format!("there is no group `{name}` here");
+                (
+                    wrong,
+                    "a path through existing groups, or a whole group to create it",
+                )
+            })?;
+        }
+        Ok(group)
+    }
+}
+
+fn missing() -> Obstacle {
+    (
+        "there is nothing to remove here".to_owned(),
+        "to remove what stands in the tree",
+    )
+}
+
+fn set_group(
+    above: &mut Group,
+    name: &SmolStr,
+    piece: Option<Piece>,
+) -> Result<Option<Piece>, Obstacle> {
+    let old = match piece {
+        Some(Piece::Group(group)) => above.groups.insert(name.clone(), *group),
+        _ => Some(above.groups.remove(name).ok_or_else(missing)?),
+    };
+    Ok(old.map(|group| Piece::Group(Box::new(group))))
+}
+
+fn set_item(
+    group: &mut Group,
+    kind: Kind,
+    name: &SmolStr,
+    piece: Option<Piece>,
+) -> Result<Option<Piece>, Obstacle> {
+    let items = &mut group.items[kind as usize];
+    let old = match piece {
+        Some(Piece::Values(values)) => items.insert(name.clone(), values),
+        _ => Some(items.remove(name).ok_or_else(missing)?),
+    };
+    Ok(old.map(Piece::Values))
+}
+
+/// Sets all values of an object, or one of them.
+fn set_values(
+    own: &mut Values,
+    field: Option<u8>,
+    piece: Option<Piece>,
+) -> Result<Option<Piece>, Obstacle> {
+    let Some(index) = field else {
+        let values = match piece {
+            Some(Piece::Values(values)) => values,
+            _ => Values::new(),
+        };
+        return Ok(Some(Piece::Values(std::mem::replace(own, values))));
+    };
+    let at = own.binary_search_by_key(&index, |(index, _)| *index);
+    let old = match (at, piece) {
+        (Ok(at), Some(Piece::Value(value))) => Some(std::mem::replace(&mut own[at].1, value)),
+        (Ok(at), _) => Some(own.remove(at).1),
+        (Err(at), Some(Piece::Value(value))) => {
+            own.insert(at, (index, value));
+            None
+        }
+        (Err(_), _) => return Err(missing()),
+    };
+    Ok(old.map(Piece::Value))
+}
--- /dev/null
+++ b/crates/sesamegap-settings/src/tree/group.rs
@@ -0,0 +1,168 @@
+//! A node of the tree: defaults, objects and the groups below.
+
+use super::path::MAX_DEPTH;
+use crate::findings::{Findings, shown};
+use crate::schema::reader::{self, Values, join};
+use crate::schema::shape::is_name;
+use crate::schema::{Kind, shape};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+const KEYS: &str = "one of defaults, groups, teams, classes, models, services";
+const NAMES: &str = "1 to 64 letters, digits, `-`, `_`, `.` or `:`";
+
+/// One level of the tree.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Group {
+    /// What the objects below inherit, by kind.
+    pub(crate) defaults: [Values; 4],
+    /// What each object sets itself, by kind and name.
+    pub(crate) items: [BTreeMap<SmolStr, Values>; 4],
+    /// Groups below.
+    pub(crate) groups: BTreeMap<SmolStr, Group>,
+}
+
+impl Group {
+    /// Reads a group and all below it, with a finding for each thing that is wrong.
+    pub fn read(value: &Value, path: &str, findings: &mut Findings) -> Self {
+        Self::read_below(value, path, 0, findings)
+    }
+
+    /// Reads a group that stands below `depth` others.
+    pub(crate) fn read_below(
+        value: &Value,
+        path: &str,
+        depth: usize,
+        findings: &mut Findings,
+    ) -> Self {
+        let mut group = Self::default();
+        if depth > MAX_DEPTH {
+            findings.add(
+                path,
+                "groups nested too deep",
+                format!("{MAX_DEPTH} levels"),
+            );
+            return group;
+        }
+        let Some(object) = as_object(value, path, KEYS, findings) else {
+            return group;
+        };
+        for (key, value) in object {
+            let path = join(path, key);
+            match (key.as_str(), Kind::from_plural(key)) {
+                ("defaults", _) => group.read_defaults(value, &path, findings),
+                ("groups", _) => {
+                    for_each(value, &path, findings, |name, value, path, findings| {
+                        let below = Self::read_below(value, path, depth + 1, findings);
+                        group.groups.insert(SmolStr::new(name), below);
+                    });
+                }
+                (_, Some(kind)) => {
+                    for_each(value, &path, findings, |name, value, path, findings| {
+                        let values = reader::read(kind.fields(), value, path, findings);
+                        group.items[kind as usize].insert(SmolStr::new(name), values);
+                    });
+                }
+                _ => findings.add(&path, format!("unknown key `{}`", shown(key)), KEYS),
+            }
+        }
+        group
+    }
+
+    fn read_defaults(&mut self, value: &Value, path: &str, findings: &mut Findings) {
+        let kinds = "one of team, class, model, service";
+        let Some(object) = as_object(value, path, kinds, findings) else {
+            return;
+        };
+        for (key, value) in object {
+            let path = join(path, key);
+            match Kind::from_single(key) {
+                Some(kind) => {
+                    let values = reader::read(kind.fields(), value, &path, findings);
+                    self.defaults[kind as usize] = values;
+                }
+                None => findings.add(&path, format!("unknown key `{}`", shown(key)), kinds),
+            }
+        }
+    }
+
+    /// The group as operators write it.
+    pub fn to_value(&self) -> Value {
+        let mut out = Map::new();
+        let mut defaults = Map::new();
+        for kind in Kind::ALL {
+            let own = &self.defaults[kind as usize];
+            if !own.is_empty() {
+                defaults.insert(kind.single().to_owned(), values_to_json(kind, own));
+            }
+            let items = &self.items[kind as usize];
+            if !items.is_empty() {
+                let write = |(name, own): (&SmolStr, &Values)| {
+                    (name.to_string(), values_to_json(kind, own))
+                };
+                let items: Map<String, Value> = items.iter().map(write).collect();
+                out.insert(kind.plural().to_owned(), Value::Object(items));
+            }
+        }
+        if !defaults.is_empty() {
+            out.insert("defaults".to_owned(), Value::Object(defaults));
+        }
+        if !self.groups.is_empty() {
+            let write = |(name, group): (&SmolStr, &Self)| (name.to_string(), group.to_value());
+            let groups: Map<String, Value> = self.groups.iter().map(write).collect();
+            out.insert("groups".to_owned(), Value::Object(groups));
+        }
+        Value::Object(out)
+    }
+}
+
+/// What an object sets, as operators write it.
+pub(crate) fn values_to_json(kind: Kind, values: &Values) -> Value {
+    let write = |(index, value): &(u8, Value)| {
+        let name = kind.fields()[usize::from(*index)].name;
+        (name.to_owned(), value.clone())
+    };
+    Value::Object(values.iter().map(write).collect())
+}
+
+fn as_object<'a>(
+    value: &'a Value,
+    path: &str,
+    allowed: &str,
+    findings: &mut Findings,
+) -> Option<&'a Map<String, Value>> {
+    let object = value.as_object();
+    if object.is_none() {
+        findings.add(
+            path,
+            format!("{} is not an object", shape::brief(value)),
+            allowed,
+        );
+    }
+    object
+}
+
+fn for_each(
+    value: &Value,
+    path: &str,
+    findings: &mut Findings,
+    mut read: impl FnMut(&str, &Value, &str, &mut Findings),
+) {
+    let Some(object) = as_object(value, path, "an object with a key for each name", findings)
+    else {
+        return;
+    };
+    for (name, value) in object {
+        let path = join(path, name);
+        if is_name(name) {
+            read(name, value, &path, findings);
+        } else {
+            findings.add(
+                &path,
+                format!("`{}` is not a valid name", shown(name)),
+                NAMES,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-settings/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the settings crate, a module a subject.
+
+mod fold;
+mod support;
--- /dev/null
+++ b/crates/sesamegap-settings/tests/testsuite/support.rs
@@ -0,0 +1,56 @@
+//! Small helpers to write changes and trees.
+
+use serde_json::{Value, json};
+use sesamegap_settings::{Change, ChangeId, Edit, Fold, Outcome};
+use sesamegap_wire::Offset;
+
+/// A change with one edit; `Value::Null` removes.
+pub fn change(id: u128, base: u64, path: &str, value: Value) -> Change {
+    changes(id, base, [(path, value)])
+}
+
+/// A change with several edits.
+pub fn changes<const N: usize>(id: u128, base: u64, edits: [(&str, Value); N]) -> Change {
+    let edit = |(path, value): (&str, Value)| Edit {
+        path: path.parse().expect("a path"),
+        value: (!value.is_null()).then_some(value),
+    };
+    Change {
+        id: ChangeId(id),
+        base: Offset(base),
+        by: "op".into(),
+        note: String::new(),
+        edits: edits.into_iter().map(edit).collect(),
+    }
+}
+
+/// Appends a change right after what was folded.
+pub fn append(fold: &mut Fold, change: &Change) -> Outcome {
+    fold.apply(fold.next(), 0, &change.encode().expect("within bounds"))
+}
+
+/// A fold in which a class, a model and two teams stand, at revision 1.
+pub fn started() -> Fold {
+    let mut fold = Fold::default();
+    let first = changes(
+        1,
+        0,
+        [
+            ("classes/standard", json!({})),
+            ("models/m", json!({"version": 3})),
+            ("teams/a", json!({"weight": 2})),
+            (
+                "groups/desk",
+                json!({"defaults": {"team": {"weight": 5}}, "teams": {"b": {}}}),
+            ),
+        ],
+    );
+    let outcome = append(&mut fold, &first);
+    assert_eq!(
+        outcome,
+        Outcome::Accepted {
+            revision: Offset(1)
+        }
+    );
+    fold
+}
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -3,4 +3,5 @@
 //! Each process has a module of its own; [`config`] holds what a process learns from its settings
 //! file at start, as opposed to the settings tree, which it follows through the log.
 
+pub mod admin;
 pub mod config;
