Queue, admit, limit and hedge in the decider

Cause: the decider kept one list, scanned it whole at each poll and knew neither priority nor team nor what engines can do. Change: ranks, lanes by model with deficit round robin over teams and earliest deadline first in each; admission by learned service rates and first-token times; fair shares; team limits shared with peers; a retry budget that also pays for hedges; windows with a reserve and a bound on prefill, fixed or adaptive.

--- a/crates/sesamegap-policy/src/decider/builder.rs
+++ b/crates/sesamegap-policy/src/decider/builder.rs
@@ -1,13 +1,17 @@
 //! Builds a decider.
 
 use super::Decider;
+use super::flights::Flights;
+use super::outlook::Outlook;
 use crate::load::Windows;
+use crate::load::limits::{Comebacks, RetryBudget, Shares, TeamLimits};
+use crate::load::queue::Queue;
+use crate::load::windows::WindowKind;
 use crate::placing::{Placer, PlainPlacer};
 use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
 use sesamegap_settings::Catalogue;
-use sesamegap_wire::{DomainId, VmId};
-use std::collections::VecDeque;
+use sesamegap_wire::{DomainId, Moment, VmId};
 use std::sync::Arc;
 
 /// Gathers what a decider needs.
@@ -18,6 +22,7 @@
     seed: u64,
     catalogue: Arc<Catalogue>,
     placer: Option<Box<dyn Placer>>,
+    window: WindowKind,
 }
 
 impl DeciderBuilder {
@@ -29,6 +34,7 @@
             seed: 0,
             catalogue: Arc::default(),
             placer: None,
+            window: WindowKind::default(),
         }
     }
 
@@ -53,18 +59,35 @@
         self
     }
 
+    /// Sets another kind of window than the one that routers use.
+    #[must_use]
+    pub fn window(mut self, kind: WindowKind) -> Self {
+        self.window = kind;
+        self
+    }
+
     /// Makes the decider.
     pub fn build(self) -> Decider {
         let _ = (self.vm, self.domain);
-        Decider {
-            placer: self
-                .placer
-                .unwrap_or_else(|| Box::new(PlainPlacer::default())),
-            windows: Windows::default(),
-            catalogue: self.catalogue,
+        let placer = self.placer;
+        let mut decider = Decider {
+            placer: placer.unwrap_or_else(|| Box::new(PlainPlacer::default())),
+            windows: Windows::new(self.window),
+            catalogue: Arc::default(),
             rng: ChaCha12Rng::seed_from_u64(self.seed),
-            queue: VecDeque::new(),
+            queue: Queue::default(),
+            flights: Flights::default(),
+            outlook: Outlook::default(),
+            teams: TeamLimits::default(),
+            shares: Shares::default(),
+            budget: RetryBudget::default(),
+            comebacks: Comebacks::default(),
+            highest: 0,
+            retry: None,
+            swept: Moment::default(),
             ready: Vec::new(),
-        }
+        };
+        decider.settings(self.catalogue);
+        decider
     }
 }
--- a/crates/sesamegap-policy/src/decider/mod.rs
+++ b/crates/sesamegap-policy/src/decider/mod.rs
@@ -4,25 +4,39 @@
 //! at [`Decider::wake`], the owner calls [`Decider::poll`] and carries out the decisions it gets.
 //! A request that fails before its first token and may run again is submitted again with the
 //! engine barred and the attempt counted. Every submitted request gets exactly one decision per
-//! submission.
+//! submission; a hedge is a decision on a request that was sent before.
+//!
+//! [`arrivals`] admits or refuses what is submitted, [`dispatch`] sends what waits, [`flights`]
+//! knows what is sent and not over, and [`outlook`] says how long a request would wait.
 
+mod arrivals;
 mod builder;
+mod dispatch;
+mod flights;
+mod outlook;
 mod work;
 
 pub use builder::DeciderBuilder;
 pub use work::{Decision, Observation, Refusal, RefusalCode, Work};
 
 use crate::load::Windows;
-use crate::placing::{Ask, Need, Placed, Placer};
+use crate::load::limits::{Comebacks, RetryBudget, Shares, TeamLimits};
+use crate::load::queue::Queue;
+use crate::load::windows::Signal;
+use crate::placing::{Ask, Need, Placer};
+use flights::Flights;
+use outlook::Outlook;
 use rand::rngs::ChaCha12Rng;
 use sesamegap_settings::{Catalogue, ClassSpec};
-use sesamegap_wire::engine::CacheBatch;
+use sesamegap_wire::engine::{CacheBatch, EngineEntry};
 use sesamegap_wire::peer::{Digest, Warmth};
-use sesamegap_wire::{Moment, RequestId, UpstreamId};
-use std::collections::VecDeque;
+use sesamegap_wire::{Moment, RequestId, UpstreamId, VmId};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How often queued work is looked over for what has become hopeless.
+const SWEEP: Duration = Duration::from_millis(100);
+
 /// Admits, queues, places and refuses requests.
 #[derive(Debug)]
 pub struct Decider {
@@ -30,60 +44,86 @@
     windows: Windows,
     catalogue: Arc<Catalogue>,
     rng: ChaCha12Rng,
-    queue: VecDeque<Work>,
+    queue: Queue,
+    flights: Flights,
+    outlook: Outlook,
+    teams: TeamLimits,
+    shares: Shares,
+    budget: RetryBudget,
+    comebacks: Comebacks,
+    highest: u8,
+    retry: Option<Moment>,
+    swept: Moment,
     ready: Vec<Decision>,
 }
 
 impl Decider {
     /// Takes in a request; its decision comes from [`Decider::poll`].
-    pub fn submit(&mut self, work: Work, _now: Moment) {
-        self.queue.push_back(work);
+    pub fn submit(&mut self, work: Work, now: Moment) {
+        self.arrive(work, now);
     }
 
     /// Takes in news.
     pub fn observe(&mut self, news: Observation, now: Moment) {
         match news {
-            Observation::Settings(catalogue) => self.catalogue = catalogue,
-            Observation::Fleet(engines) => self.placer.fleet(&engines, now),
-            Observation::Report(engine, report) => self.placer.report(&engine, &report, now),
+            Observation::Settings(catalogue) => self.settings(catalogue),
+            Observation::Fleet(engines) => self.fleet(&engines, now),
+            Observation::Report(engine, report) => {
+                self.placer.report(&engine, &report, now);
+                self.queue.room();
+            }
             Observation::Cache(engine, batch) => self.cache(engine, &batch, now),
             Observation::Listing(engine, listing) => self.placer.listing(&engine, &listing, now),
             Observation::Started(request, cached) => self.placer.started(&request, cached, now),
-            Observation::First(request) => self.placer.first(&request, now),
+            Observation::First(request) => self.first(&request, now),
             Observation::Finished(request, whole) => self.finished(&request, whole, now),
             Observation::Failed(engine) => self.placer.failed(&engine, now),
-            Observation::Cancelled(request) => self.queue.retain(|work| work.request != request),
-            Observation::Routers(_) => {}
-            Observation::Peer(vm, digest) => self.placer.peer(vm.as_str(), &digest, now),
+            Observation::Cancelled(request) => self.cancelled(&request),
+            Observation::Routers(count) => {
+                self.teams.routers(count);
+                self.windows.routers(self.teams.shared_by());
+            }
+            Observation::Peer(vm, digest) => self.peer(vm, &digest, now),
             Observation::Warm(warmth) => self.placer.warm(&warmth, now),
         }
     }
 
     /// Gives all decisions that are due.
     pub fn poll(&mut self, now: Moment) -> Vec<Decision> {
-        let mut later = VecDeque::new();
-        while let Some(work) = self.queue.pop_front() {
-            if let Some(work) = self.decide(work, now) {
-                later.push_back(work);
-            }
+        self.expire(now);
+        if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.sweep(now);
+            self.reap(now);
+        }
+        if self.retry.is_some_and(|at| at <= now) {
+            self.retry = None;
+            self.queue.room();
         }
-        self.queue = later;
+        self.dispatch(now);
+        self.hedge(now);
+        let queue = &self.queue;
+        self.outlook.tick(|model| queue.waits_for(model), now);
         std::mem::take(&mut self.ready)
     }
 
     /// When to call [`Decider::poll`] next even if nothing happens.
     pub fn wake(&self) -> Option<Moment> {
-        let earliest = self.queue.iter().filter_map(|work| {
-            let class = self.catalogue.classes.get(&work.class)?;
-            Some(work.arrived + class.deadline)
-        });
-        earliest.min()
+        let sweep = (!self.queue.is_empty()).then(|| self.swept + SWEEP);
+        let times = [
+            self.queue.first_expiry(),
+            self.flights.first_hedge(),
+            self.retry,
+            sweep,
+        ];
+        times.into_iter().flatten().min()
     }
 
     /// What peers should know of this router's traffic.
     pub fn digest(&mut self, now: Moment) -> Digest {
         let mut digest = Digest::default();
         self.placer.digest(&mut digest, now);
+        self.teams.digest(&mut digest, now);
         digest
     }
 
@@ -95,69 +135,101 @@
     /// Describes the state for a dump.
     pub fn dump(&self, now: Moment) -> serde_json::Value {
         serde_json::json!({
-            "queue": self.queue.len(),
+            "queue": self.queue.dump(),
+            "windows": self.windows.dump(),
+            "flights": self.flights.len(),
+            "shares": self.shares.dump(),
+            "rates": self.outlook.dump(),
+            "budget": self.budget.left(),
             "placing": self.placer.dump(now),
         })
     }
 
+    fn settings(&mut self, catalogue: Arc<Catalogue>) {
+        let priorities = catalogue.classes.values().map(|class| class.priority);
+        self.highest = priorities.max().unwrap_or(0);
+        self.teams.keep(&catalogue);
+        self.shares
+            .keep(|model| catalogue.models.contains_key(model));
+        self.outlook.keep(&catalogue);
+        self.catalogue = catalogue;
+        self.queue.room();
+    }
+
+    fn fleet(&mut self, engines: &[EngineEntry], now: Moment) {
+        self.placer.fleet(engines, now);
+        let known: rustc_hash::FxHashSet<_> = engines.iter().map(|entry| &entry.id).collect();
+        self.windows.keep(|id| known.contains(id));
+        self.queue.room();
+    }
+
     fn cache(&mut self, engine: UpstreamId, batch: &CacheBatch, now: Moment) {
         if self.placer.cache(&engine, batch, now) == Need::Listing {
             self.ready.push(Decision::List { engine });
         }
     }
 
-    fn finished(&mut self, request: &RequestId, whole: bool, now: Moment) {
-        self.windows.release(request);
-        self.placer.finished(request, whole, now);
+    fn first(&mut self, request: &RequestId, now: Moment) {
+        self.placer.first(request, now);
+        let Some(flight) = self.flights.first(request) else {
+            return;
+        };
+        let time = now.since(flight.sent);
+        let signal = if time > flight.patience {
+            Signal::Late
+        } else {
+            Signal::Timely
+        };
+        self.outlook.first(&flight.model, flight.tokens, time, now);
+        self.windows.computed(request, signal, now);
+        self.queue.room();
     }
 
-    /// Decides on one request, or gives it back to wait.
-    fn decide(&mut self, work: Work, now: Moment) -> Option<Work> {
-        let Some(class) = self.catalogue.classes.get(&work.class).cloned() else {
-            self.refuse(work, RefusalCode::Unknown);
-            return None;
-        };
-        if now >= work.arrived + class.deadline {
-            self.refuse(work, RefusalCode::Deadline);
-            return None;
-        }
-        let ask = Self::ask(&work, &class);
-        let placed = self.placer.place(&ask, &self.windows, now, &mut self.rng);
-        match placed {
-            Placed::Full(_) => return Some(work),
-            Placed::Nowhere => self.refuse(work, RefusalCode::NoEngine),
-            Placed::At(at) => {
-                self.placer.sent(&ask, &at, now);
-                self.windows.take(&work.request, &at, work.chain.tokens);
-                self.ready.push(Decision::Send {
-                    request: work.request,
-                    at,
-                    priority: class.priority,
-                });
+    fn finished(&mut self, request: &RequestId, whole: bool, now: Moment) {
+        self.placer.finished(request, whole, now);
+        if let Some(flight) = self.flights.end(request) {
+            if whole {
+                self.outlook.done(&flight.model, flight.cost);
+            } else if !flight.first {
+                self.windows.failed(request, now);
             }
         }
-        None
+        if self.windows.release(request) {
+            self.queue.room();
+        }
     }
 
-    fn ask<'a>(work: &'a Work, class: &'a ClassSpec) -> Ask<'a> {
-        Ask {
-            request: &work.request,
-            model: &work.model,
-            version: work.version,
-            chain: &work.chain,
-            class,
-            barred: &work.barred,
+    fn cancelled(&mut self, request: &RequestId) {
+        self.queue.remove(request);
+        self.flights.no_hedge(request);
+    }
+
+    fn peer(&mut self, vm: VmId, digest: &Digest, now: Moment) {
+        self.placer.peer(vm.as_str(), digest, now);
+        self.teams.peer(vm, digest, now);
+        self.windows.routers(self.teams.shared_by());
+    }
+
+    /// Ends bookings whose end was never reported.
+    ///
+    /// An owner that loses track of a stream would leave its place on the engine taken for good;
+    /// the dump would show flights without traffic. Long after its class's last promise a
+    /// request is taken for over.
+    fn reap(&mut self, now: Moment) {
+        while let Some(request) = self.flights.overdue(now) {
+            self.finished(&request, false, now);
         }
     }
+}
 
-    fn refuse(&mut self, work: Work, code: RefusalCode) {
-        let refusal = Refusal {
-            code,
-            after: Duration::from_secs(1),
-        };
-        self.ready.push(Decision::Refuse {
-            request: work.request,
-            refusal,
-        });
+/// What a placer is asked for a request.
+fn ask<'a>(work: &'a Work, class: &'a ClassSpec) -> Ask<'a> {
+    Ask {
+        request: &work.request,
+        model: &work.model,
+        version: work.version,
+        chain: &work.chain,
+        class,
+        barred: &work.barred,
     }
 }
--- /dev/null
+++ b/crates/sesamegap-policy/src/decider/outlook.rs
@@ -0,0 +1,94 @@
+//! How long a request would wait, from what was learned.
+
+use crate::load::learned::{FirstTime, FirstTimes, Inflow, Paces};
+use crate::load::queue::{Item, Queue};
+use sesamegap_settings::Catalogue;
+use sesamegap_wire::{ModelId, Moment, Tokens};
+use std::time::Duration;
+
+/// Least part of the service rate reckoned for a rank whose betters use it all: keeps the
+/// estimate finite.
+const LEAST_PART: f64 = 0.02;
+
+/// Longest wait told; anything above is as hopeless.
+const LONGEST: Duration = Duration::from_mins(10);
+
+/// Rates and times learned from own traffic.
+#[derive(Debug, Default)]
+pub struct Outlook {
+    paces: Paces,
+    firsts: FirstTimes,
+    inflow: Inflow,
+}
+
+impl Outlook {
+    /// Cost a second that engines of a model take from this router, once known.
+    pub fn rate(&self, model: &ModelId) -> Option<f64> {
+        self.paces.rate(model)
+    }
+
+    /// Time that a request would wait in the queue.
+    ///
+    /// What waits ahead is served at the rate that admitted work of higher rank leaves over,
+    /// because that work goes on arriving and goes first. `extra` is the request's own cost if
+    /// it is not queued.
+    pub fn wait(&self, queue: &Queue, item: &Item, extra: u64, now: Moment) -> Duration {
+        let model = &item.work.model;
+        let Some(rate) = self.paces.rate(model) else {
+            return Duration::ZERO;
+        };
+        let team = &item.work.team;
+        let ahead = queue.ahead(item.rank, model, team, item.weight, extra);
+        if ahead <= 0.0 {
+            return Duration::ZERO;
+        }
+        let left = rate - self.inflow.above(model, item.rank, now);
+        let seconds = ahead / left.max(rate * LEAST_PART);
+        Duration::try_from_secs_f64(seconds).map_or(LONGEST, |wait| wait.min(LONGEST))
+    }
+
+    /// Time that engines take for so much work of a model.
+    pub fn span(&self, model: &ModelId, cost: u64) -> Duration {
+        let seconds = self.rate(model).map_or(0.0, |rate| cost as f64 / rate);
+        Duration::try_from_secs_f64(seconds).map_or(LONGEST, |span| span.min(LONGEST))
+    }
+
+    /// First-token time to expect of engines.
+    pub fn first_time(&self, model: &ModelId, tokens: Tokens, now: Moment) -> Option<FirstTime> {
+        self.firsts.get(model, tokens, now)
+    }
+
+    /// Notes admitted work.
+    pub fn admitted(&mut self, item: &Item, now: Moment) {
+        self.inflow.add(&item.work.model, item.rank, item.cost, now);
+    }
+
+    /// Notes a first-token time.
+    pub fn first(&mut self, model: &ModelId, tokens: Tokens, time: Duration, now: Moment) {
+        self.firsts.add(model, tokens, time, now);
+    }
+
+    /// Notes finished work.
+    pub fn done(&mut self, model: &ModelId, cost: u64) {
+        self.paces.done(model, cost);
+    }
+
+    /// Takes due samples.
+    pub fn tick(&mut self, waiting: impl Fn(&ModelId) -> bool, now: Moment) {
+        self.paces.tick(waiting, now);
+    }
+
+    /// Keeps to the models that settings know.
+    pub fn keep(&mut self, catalogue: &Catalogue) {
+        self.paces.keep(catalogue.models.keys());
+        self.firsts
+            .keep(|model| catalogue.models.contains_key(model));
+        self.inflow
+            .keep(|model| catalogue.models.contains_key(model));
+    }
+
+    /// Describes the rates for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        self.paces.dump()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/learned/flow.rs
@@ -0,0 +1,25 @@
+//! A rate that forgets.
+
+use sesamegap_wire::Moment;
+use std::time::Duration;
+
+/// Amount a second, averaged with weights that fall exponentially with age.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Flow {
+    rate: f64,
+    at: Moment,
+}
+
+impl Flow {
+    /// Adds an amount.
+    pub fn add(&mut self, amount: f64, now: Moment, memory: Duration) {
+        self.rate = self.rate(now, memory) + amount / memory.as_secs_f64();
+        self.at = now.max(self.at);
+    }
+
+    /// The rate by now.
+    pub fn rate(&self, now: Moment, memory: Duration) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.rate * (-age / memory.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/learned/inflow.rs
@@ -0,0 +1,39 @@
+//! How much work is let in at each rank.
+
+use super::Flow;
+use crate::load::queue::Rank;
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{ModelId, Moment};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Age at which admitted work has lost about two thirds of its weight.
+const MEMORY: Duration = Duration::from_secs(3);
+
+/// Admitted work by model and rank, in cost a second.
+#[derive(Debug, Default)]
+pub struct Inflow {
+    models: FxHashMap<ModelId, BTreeMap<Rank, Flow>>,
+}
+
+impl Inflow {
+    /// Notes an admitted request.
+    pub fn add(&mut self, model: &ModelId, rank: Rank, cost: u64, now: Moment) {
+        let ranks = self.models.entry(model.clone()).or_default();
+        ranks.entry(rank).or_default().add(cost as f64, now, MEMORY);
+    }
+
+    /// What is let in above a rank and so goes before it.
+    pub fn above(&self, model: &ModelId, rank: Rank, now: Moment) -> f64 {
+        let Some(ranks) = self.models.get(model) else {
+            return 0.0;
+        };
+        let above = ranks.range(..rank);
+        above.map(|(_, flow)| flow.rate(now, MEMORY)).sum()
+    }
+
+    /// Keeps to the models that settings know.
+    pub fn keep(&mut self, known: impl Fn(&ModelId) -> bool) {
+        self.models.retain(|model, _| known(model));
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/learned/mod.rs
@@ -0,0 +1,11 @@
+//! What a router learns from its own traffic: service rates and first-token times.
+
+mod first;
+mod flow;
+mod inflow;
+mod pace;
+
+pub use first::{FirstTime, FirstTimes};
+pub use flow::Flow;
+pub use inflow::Inflow;
+pub use pace::{Pace, Paces};
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/learned/pace.rs
@@ -0,0 +1,119 @@
+//! How fast the engines of a model take work from this router.
+//!
+//! The rate counts only while requests wait: an idle router learns how little it was asked, not
+//! how much its engines could do. It is taken from what finished, not from what was sent, since
+//! a burst into empty windows says nothing of the engines.
+
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{ModelId, Moment};
+use std::time::Duration;
+
+/// Shortest span of one sample; shorter ones hold too few answers to mean anything.
+const SAMPLE: Duration = Duration::from_millis(200);
+
+/// Age by which a sample's weight has fallen to about a third: some dozens of answers.
+const MEMORY: Duration = Duration::from_secs(3);
+
+/// Time under backlog before the rate is believed: the first answers come late because they
+/// all began together.
+const TRUSTED: Duration = Duration::from_secs(1);
+
+/// Age at which a rate is forgotten: the fleet may be another by then, and an old low rate
+/// would refuse work that idle engines could do.
+const FORGOTTEN: Duration = Duration::from_secs(20);
+
+/// One model's service rate.
+#[derive(Debug, Default)]
+pub struct Pace {
+    rate: f64,
+    seen: Duration,
+    done: f64,
+    since: Moment,
+    waited: bool,
+    last: Moment,
+}
+
+impl Pace {
+    /// Notes work that engines have finished.
+    pub fn done(&mut self, cost: u64) {
+        self.done += cost as f64;
+    }
+
+    /// Takes a sample when one is due; `waiting` if requests wait for this model.
+    pub fn tick(&mut self, waiting: bool, now: Moment) {
+        let span = now.since(self.since);
+        if !self.waited || !waiting {
+            // Only spans that were busy from end to end are measured.
+            if waiting != self.waited || span >= SAMPLE {
+                self.restart(waiting, now);
+            }
+            return;
+        }
+        if span < SAMPLE {
+            return;
+        }
+        let sample = self.done / span.as_secs_f64();
+        let trust = (span.as_secs_f64() / MEMORY.as_secs_f64()).min(1.0);
+        let first = span.as_secs_f64() / (self.seen + span).as_secs_f64();
+        self.rate += (sample - self.rate) * trust.max(first);
+        self.seen = (self.seen + span).min(FORGOTTEN);
+        self.last = now;
+        self.restart(waiting, now);
+    }
+
+    fn restart(&mut self, waiting: bool, now: Moment) {
+        if now.since(self.last) > FORGOTTEN {
+            self.seen = Duration::ZERO;
+        }
+        self.done = 0.0;
+        self.since = now;
+        self.waited = waiting;
+    }
+
+    /// Cost a second, once enough is known.
+    pub fn rate(&self) -> Option<f64> {
+        (self.seen >= TRUSTED && self.rate > 0.0).then_some(self.rate)
+    }
+}
+
+/// Service rates by model.
+#[derive(Debug, Default)]
+pub struct Paces {
+    models: FxHashMap<ModelId, Pace>,
+}
+
+impl Paces {
+    /// Notes work that engines of a model have finished.
+    pub fn done(&mut self, model: &ModelId, cost: u64) {
+        if let Some(pace) = self.models.get_mut(model) {
+            pace.done(cost);
+        }
+    }
+
+    /// Takes due samples; `waiting` says for which models requests wait.
+    pub fn tick(&mut self, waiting: impl Fn(&ModelId) -> bool, now: Moment) {
+        for (model, pace) in &mut self.models {
+            pace.tick(waiting(model), now);
+        }
+    }
+
+    /// Cost a second for a model, once enough is known.
+    pub fn rate(&self, model: &ModelId) -> Option<f64> {
+        self.models.get(model)?.rate()
+    }
+
+    /// Describes the rates for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let rates = self.models.iter();
+        let rates = rates.map(|(model, pace)| (model.to_string(), pace.rate().into()));
+        rates.collect::<serde_json::Map<_, _>>().into()
+    }
+
+    /// Keeps to the models that settings know.
+    pub fn keep<'a>(&mut self, models: impl Iterator<Item = &'a ModelId>) {
+        let mut old = std::mem::take(&mut self.models);
+        self.models = models
+            .map(|model| (model.clone(), old.remove(model).unwrap_or_default()))
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/limits/mod.rs
@@ -0,0 +1,13 @@
+//! Limits of teams and of retries.
+
+mod budget;
+mod comeback;
+mod peers;
+mod shares;
+mod teams;
+
+pub use budget::RetryBudget;
+pub use comeback::{Comebacks, spread};
+pub use peers::PeerDemand;
+pub use shares::{Claim, Shares};
+pub use teams::TeamLimits;
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/limits/peers.rs
@@ -0,0 +1,101 @@
+//! What other routers say of their demand.
+
+use rustc_hash::FxHashMap;
+use sesamegap_wire::peer::Digest;
+use sesamegap_wire::{Moment, TeamId, VmId};
+use std::time::Duration;
+
+/// Silence after which a peer's figures no longer count: some missed digests.
+const SILENT: Duration = Duration::from_secs(5);
+
+/// Silence after which a peer is forgotten.
+const GONE: Duration = Duration::from_mins(1);
+
+/// Peers kept; three times the routers expected at the letter's size.
+const MOST_PEERS: usize = 1_024;
+
+/// Teams kept of one peer; a longer digest is cut.
+const MOST_TEAMS: usize = 256;
+
+#[derive(Debug, Default)]
+struct Peer {
+    heard: Moment,
+    counted: bool,
+    demand: Vec<(TeamId, f64)>,
+}
+
+/// Demand of each team at the other routers.
+#[derive(Debug, Default)]
+pub struct PeerDemand {
+    peers: FxHashMap<VmId, Peer>,
+    sums: FxHashMap<TeamId, f64>,
+    live: usize,
+    swept: Moment,
+}
+
+impl PeerDemand {
+    /// Takes a peer's digest in place of its last one.
+    pub fn heard(&mut self, vm: VmId, digest: &Digest, now: Moment) {
+        if self.peers.len() >= MOST_PEERS && !self.peers.contains_key(&vm) {
+            return;
+        }
+        let mut peer = self.peers.remove(&vm).unwrap_or_default();
+        self.discount(&mut peer);
+        let usable = digest.demand.iter().filter(|(_, rate)| rate.is_finite());
+        let demand = usable.take(MOST_TEAMS);
+        peer.demand = demand.map(|(t, rate)| (t.clone(), rate.max(0.0))).collect();
+        for (team, rate) in &peer.demand {
+            *self.sums.entry(team.clone()).or_default() += rate;
+        }
+        peer.counted = true;
+        peer.heard = now;
+        self.live += 1;
+        self.peers.insert(vm, peer);
+    }
+
+    /// Leaves out peers that have fallen silent; cheap enough for each poll.
+    pub fn sweep(&mut self, now: Moment) {
+        if now.since(self.swept) < SILENT / 5 {
+            return;
+        }
+        self.swept = now;
+        let mut peers = std::mem::take(&mut self.peers);
+        for peer in peers.values_mut() {
+            if peer.counted && now.since(peer.heard) > SILENT {
+                self.discount(peer);
+            }
+        }
+        peers.retain(|_, peer| now.since(peer.heard) <= GONE);
+        self.peers = peers;
+    }
+
+    fn discount(&mut self, peer: &mut Peer) {
+        if !std::mem::take(&mut peer.counted) {
+            return;
+        }
+        self.live -= 1;
+        for (team, rate) in &peer.demand {
+            if let Some(sum) = self.sums.get_mut(team) {
+                *sum -= rate;
+                if *sum <= f64::EPSILON * rate.max(1.0) * MOST_PEERS as f64 {
+                    self.sums.remove(team);
+                }
+            }
+        }
+    }
+
+    /// Demand of a team at the peers that are heard.
+    pub fn demand(&self, team: &TeamId) -> f64 {
+        self.sums.get(team).copied().unwrap_or(0.0)
+    }
+
+    /// Peers that are heard.
+    pub fn live(&self) -> usize {
+        self.live
+    }
+
+    /// Peers that are known, silent ones included.
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/limits/shares.rs
@@ -0,0 +1,155 @@
+//! Which work is within its team's fair share.
+//!
+//! Load: saturation with demand skewed between teams. Harm prevented: a team that asks for little
+//! is refused because a heavier one asks for much. The service rate of a model is filled up
+//! evenly: each team gets its demand or its weight times one common level, whichever is less. A
+//! team above the level keeps its highest classes within its share, as far as they fit, and the
+//! rest is excess. Demand counts what arrives, refused or not, so that refusing a team does not
+//! make it look light.
+
+use crate::load::learned::Flow;
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{ModelId, Moment, TeamId};
+use std::time::Duration;
+
+/// Age at which demand has lost about two thirds of its weight: long against single requests,
+/// short against a caller's patience.
+const MEMORY: Duration = Duration::from_secs(5);
+
+/// How often the common level is worked out again.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// Part of the measured rate that is handed out: the rate is an estimate, and work within its
+/// share must find room even when it was guessed a little high.
+const SAFE: f64 = 0.95;
+
+/// Teams tracked for one model; more than one router can serve within the memory.
+const MOST_TEAMS: usize = 8_192;
+
+/// Demand below which a team is forgotten, in cost a second.
+const LEAST: f64 = 1.0;
+
+/// A team's demand by priority.
+#[derive(Debug, Default)]
+struct Demand {
+    weight: f64,
+    flows: Vec<(u8, Flow)>,
+}
+
+impl Demand {
+    fn add(&mut self, priority: u8, cost: f64, now: Moment) {
+        let slot = self.flows.iter().position(|(p, _)| *p == priority);
+        let at = slot.unwrap_or_else(|| {
+            self.flows.push((priority, Flow::default()));
+            self.flows.len() - 1
+        });
+        self.flows[at].1.add(cost, now, MEMORY);
+    }
+
+    /// Demand at this priority and above.
+    fn from(&self, priority: u8, now: Moment) -> f64 {
+        let above = self.flows.iter().filter(|(p, _)| *p >= priority);
+        above.map(|(_, flow)| flow.rate(now, MEMORY)).sum()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    teams: FxHashMap<TeamId, Demand>,
+    /// Demand by weight up to which work is within its share; none while there is enough.
+    level: Option<f64>,
+    at: Moment,
+}
+
+impl Table {
+    /// Works out the common level for a service rate.
+    fn fill(&mut self, rate: Option<f64>, now: Moment) {
+        self.at = now;
+        self.teams.retain(|_, demand| demand.from(0, now) >= LEAST);
+        let demands = self.teams.values();
+        let mut demands: Vec<_> = demands.map(|d| (d.from(0, now), d.weight)).collect();
+        self.level = rate.and_then(|rate| level(&mut demands, rate * SAFE));
+    }
+}
+
+/// The level at which a rate is used up, if demand exceeds it.
+fn level(demands: &mut [(f64, f64)], rate: f64) -> Option<f64> {
+    demands.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
+    let mut left = rate;
+    let mut weights: f64 = demands.iter().map(|(_, weight)| weight).sum();
+    for (demand, weight) in demands {
+        let level = left / weights;
+        if *demand > level * *weight {
+            return Some(level);
+        }
+        left -= *demand;
+        weights -= *weight;
+    }
+    None
+}
+
+/// Fair shares by model.
+#[derive(Debug, Default)]
+pub struct Shares {
+    models: FxHashMap<ModelId, Table>,
+}
+
+/// One request as shares see it.
+#[derive(Debug)]
+pub struct Claim<'a> {
+    /// Model asked for.
+    pub model: &'a ModelId,
+    /// Team that asks.
+    pub team: &'a TeamId,
+    /// Its weight.
+    pub weight: f64,
+    /// The request's priority.
+    pub priority: u8,
+    /// Its cost.
+    pub cost: u64,
+}
+
+impl Shares {
+    /// Counts a request's demand.
+    pub fn arrive(&mut self, claim: &Claim<'_>, now: Moment) {
+        if !self.models.contains_key(claim.model) {
+            self.models.insert(claim.model.clone(), Table::default());
+        }
+        let Some(table) = self.models.get_mut(claim.model) else {
+            return;
+        };
+        if table.teams.len() >= MOST_TEAMS && !table.teams.contains_key(claim.team) {
+            return;
+        }
+        let demand = table.teams.entry(claim.team.clone()).or_default();
+        demand.weight = claim.weight;
+        demand.add(claim.priority, claim.cost as f64, now);
+    }
+
+    /// Whether a request exceeds its team's share at this service rate.
+    pub fn exceeds(&mut self, claim: &Claim<'_>, rate: Option<f64>, now: Moment) -> bool {
+        let Some(table) = self.models.get_mut(claim.model) else {
+            return false;
+        };
+        if now.since(table.at) >= PERIOD {
+            table.fill(rate, now);
+        }
+        let Some(level) = table.level else {
+            return false;
+        };
+        let demand = table.teams.get(claim.team);
+        demand.is_some_and(|demand| demand.from(claim.priority, now) > level * claim.weight)
+    }
+
+    /// Keeps to the models that settings know.
+    pub fn keep(&mut self, known: impl Fn(&ModelId) -> bool) {
+        self.models.retain(|model, _| known(model));
+    }
+
+    /// Describes the levels for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let levels = self.models.iter();
+        let levels = levels.map(|(model, table)| (model.to_string(), table.level.into()));
+        levels.collect::<serde_json::Map<_, _>>().into()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/load/queue/level.rs
@@ -0,0 +1,122 @@
+//! All work of one rank, and who has most of it.
+
+use super::lane::{LEAST_WEIGHT, Lane};
+use super::{Item, LaneKey};
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{ModelId, TeamId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a team has waiting in a level.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    cost: u64,
+    weight: f64,
+}
+
+impl Load {
+    /// Cost by weight, the measure by which one team is heavier than another.
+    fn heft(self) -> u64 {
+        heft(self.cost, self.weight)
+    }
+}
+
+/// Cost by weight.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates and costs are never below zero"
+)]
+pub fn heft(cost: u64, weight: f64) -> u64 {
+    (cost as f64 / weight.max(LEAST_WEIGHT)) as u64
+}
+
+/// Work of one rank.
+#[derive(Debug, Default)]
+pub struct Level {
+    /// Work by the engines it wants.
+    pub lanes: BTreeMap<LaneKey, Lane>,
+    loads: FxHashMap<TeamId, Load>,
+    heavy: BTreeSet<(u64, TeamId)>,
+    models: FxHashMap<ModelId, u64>,
+    weight: f64,
+}
+
+impl Level {
+    /// Adds an item.
+    pub fn push(&mut self, key: &LaneKey, item: Item) {
+        self.note(&item, true);
+        match self.lanes.get_mut(key) {
+            Some(lane) => lane.push(item),
+            None => self.lanes.entry(key.clone()).or_default().push(item),
+        }
+    }
+
+    /// Takes an item out.
+    pub fn remove(&mut self, key: &LaneKey, team: &TeamId, due: super::Due) -> Option<Item> {
+        let lane = self.lanes.get_mut(key)?;
+        let item = lane.remove(team, due)?;
+        if lane.is_empty() {
+            self.lanes.remove(key);
+        }
+        self.note(&item, false);
+        Some(item)
+    }
+
+    /// Cost waiting for a model.
+    pub fn cost(&self, model: &ModelId) -> u64 {
+        self.models.get(model).copied().unwrap_or(0)
+    }
+
+    /// Cost that a team has waiting, all models together.
+    pub fn load(&self, team: &TeamId) -> u64 {
+        self.loads.get(team).map_or(0, |load| load.cost)
+    }
+
+    /// Weights of all teams with work here.
+    pub fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// The team with most waiting for its weight, and how much that is.
+    pub fn heaviest(&self) -> Option<(u64, &TeamId)> {
+        let (heft, team) = self.heavy.last()?;
+        Some((*heft, team))
+    }
+
+    /// The latest due item of a team, from the lane in which it has most.
+    pub fn tail(&self, team: &TeamId) -> Option<&Item> {
+        let tails = self.lanes.values().filter_map(|lane| lane.tail(team));
+        let (_, item) = tails.max_by_key(|(cost, _)| *cost)?;
+        Some(item)
+    }
+
+    /// Keeps the sums in step with the lanes.
+    fn note(&mut self, item: &Item, added: bool) {
+        let team = &item.work.team;
+        let load = self.loads.entry(team.clone()).or_default();
+        self.heavy.remove(&(load.heft(), team.clone()));
+        self.weight -= load.weight;
+        let model = self.models.entry(item.work.model.clone()).or_default();
+        if added {
+            load.weight = item.weight.max(LEAST_WEIGHT);
+            load.cost += item.cost;
+            *model += item.cost;
+        } else {
+            load.cost = load.cost.saturating_sub(item.cost);
+            *model = model.saturating_sub(item.cost);
+        }
+        if *model == 0 {
+            self.models.remove(&item.work.model);
+        }
+        if load.cost == 0 {
+            self.loads.remove(team);
+        } else {
+            self.weight += load.weight;
+            self.heavy.insert((load.heft(), team.clone()));
+        }
+        if self.loads.is_empty() {
+            // Rounding errors of the running sum end here.
+            self.weight = 0.0;
+        }
+    }
+}
