Read process settings and publish with sesamegap-ctl

Cause: processes must not start on settings with a fault, and operators need to publish and look at the tree. Conclusion: not yet run against a router; tests of ctl come next.

--- a/crates/sesamegap-settings/src/schema/mod.rs
+++ b/crates/sesamegap-settings/src/schema/mod.rs
@@ -11,7 +11,7 @@
 
 pub use reader::Row;
 pub use shape::Shape;
-pub use specs::Kind;
+pub use specs::{Kind, built_in};
 
 /// One setting.
 #[derive(Debug)]
@@ -50,3 +50,8 @@
         about,
     }
 }
+
+/// Describes a setting that may be left out and then has no value.
+pub const fn optional(name: &'static str, shape: Shape, about: &'static str) -> Field {
+    field(name, shape, "null", about)
+}
--- a/crates/sesamegap-settings/src/schema/reader.rs
+++ b/crates/sesamegap-settings/src/schema/reader.rs
@@ -44,34 +44,64 @@
 
 /// Reads the fields that an object sets, with a finding for each that is wrong.
 pub fn read(fields: &[Field], value: &Value, path: &str, findings: &mut Findings) -> Values {
+    read_beside(fields, &[], value, path, findings)
+}
+
+/// Reads the fields that an object sets beside `others`, which are read elsewhere.
+pub fn read_beside(
+    fields: &[Field],
+    others: &[&str],
+    value: &Value,
+    path: &str,
+    findings: &mut Findings,
+) -> Values {
+    let allowed = || [&[names(fields).as_str()], others].concat().join(", ");
     let Some(object) = value.as_object() else {
-        findings.add(
-            path,
-            format!("{} is not an object", brief(value)),
-            names(fields),
-        );
+        let wrong = format!("{} is not an object", brief(value));
+        findings.add(path, wrong, allowed());
         return Values::new();
     };
     let mut values = Values::new();
     for (key, value) in object {
         let path = join(path, key);
         match find(fields, key) {
-            None => findings.add(
-                &path,
-                format!("unknown key `{}`", shown(key)),
-                names(fields),
-            ),
             Some(index) => {
                 if check(&fields[usize::from(index)], value, &path, findings) {
                     values.push((index, value.clone()));
                 }
             }
+            None if others.contains(&key.as_str()) => {}
+            None => {
+                let wrong = format!("unknown key `{}`", shown(key));
+                findings.add(&path, wrong, allowed());
+            }
         }
     }
     values.sort_by_key(|(index, _)| *index);
     values
 }
 
+/// Completes what an object sets with built-in values, with a finding for each that is missing.
+pub fn complete<'a>(
+    fields: &'static [Field],
+    own: &'a Values,
+    built_in: &'a [Value],
+    path: &str,
+    findings: &mut Findings,
+) -> Row<'a> {
+    let mut values: Vec<&Value> = built_in.iter().collect();
+    for (index, value) in own {
+        values[usize::from(*index)] = value;
+    }
+    for (field, value) in fields.iter().zip(&values) {
+        if field.default.is_none() && value.is_null() {
+            let wrong = format!("the key `{}` is missing", field.name);
+            findings.add(path, wrong, field.shape.allowed());
+        }
+    }
+    Row::new(fields, values)
+}
+
 /// The values of a whole object: each field's own, inherited or built-in one.
 ///
 /// All were checked against their fields before, so the typed getters cannot fail.
@@ -100,6 +130,11 @@
         self.value(name).as_str().unwrap_or_default()
     }
 
+    /// Whether an optional field has a value.
+    pub fn has(&self, name: &str) -> bool {
+        !self.value(name).is_null()
+    }
+
     /// A flag.
     pub fn flag(&self, name: &str) -> bool {
         self.value(name).as_bool().unwrap_or_default()
--- a/crates/sesamegap-settings/src/schema/shape.rs
+++ b/crates/sesamegap-settings/src/schema/shape.rs
@@ -42,6 +42,8 @@
     Socket,
     /// The address of an HTTP server without a path.
     Server,
+    /// A list of addresses of HTTP servers.
+    Servers,
     /// Any text from and up to so many bytes.
     Text(usize, usize),
 }
@@ -60,6 +62,7 @@
             Self::Hashes => "hashes",
             Self::Socket => "IP:PORT",
             Self::Server => "http://IP:PORT",
+            Self::Servers => "list of http://IP:PORT",
             Self::Text(..) => "text",
         }
     }
@@ -101,6 +104,9 @@
             Self::Server => {
                 "an HTTP server by IP address and port, as in \"http://10.0.0.1:7000\"".to_owned()
             }
+            Self::Servers => {
+                format!("up to {MAX_LIST} different servers, as in \"http://10.0.0.1:7000\"")
+            }
             Self::Text(least, most) => format!("text of {least} to {most} bytes"),
         }
     }
@@ -131,6 +137,7 @@
             Self::Hashes => list(value, is_hash),
             Self::Socket => text(value, |t| t.parse::<SocketAddr>().is_ok()),
             Self::Server => text(value, is_server),
+            Self::Servers => list(value, is_server),
             Self::Text(least, most) => text(value, |t| (*least..=*most).contains(&t.len())),
         }
     }
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod admin;
 pub mod config;
+pub mod ctl;
