--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod admin;
 pub mod config;
 pub mod locator;
+pub mod ctl;
