--- a/crates/sesamegap-policy/src/decider/builder.rs
+++ b/crates/sesamegap-policy/src/decider/builder.rs
@@ -2,7 +2,7 @@
 
 use super::Decider;
 use crate::load::Windows;
-use crate::placing::{Placer, PlainPlacer};
+use crate::placing::{Placer, PrefixPlacer};
 use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
 use sesamegap_settings::Catalogue;
@@ -55,11 +55,13 @@
 
     /// Makes the decider.
     pub fn build(self) -> Decider {
-        let _ = (self.vm, self.domain);
+        let _ = self.vm;
+        let mut placer = self
+            .placer
+            .unwrap_or_else(|| Box::new(PrefixPlacer::builder(self.domain).build()));
+        placer.settings(&self.catalogue);
         Decider {
-            placer: self
-                .placer
-                .unwrap_or_else(|| Box::new(PlainPlacer::default())),
+            placer,
             windows: Windows::default(),
             catalogue: self.catalogue,
             rng: ChaCha12Rng::seed_from_u64(self.seed),
--- a/crates/sesamegap-policy/src/decider/mod.rs
+++ b/crates/sesamegap-policy/src/decider/mod.rs
@@ -43,7 +43,7 @@
     /// Takes in news.
     pub fn observe(&mut self, news: Observation, now: Moment) {
         match news {
-            Observation::Settings(catalogue) => self.catalogue = catalogue,
+            Observation::Settings(catalogue) => self.settings(catalogue),
             Observation::Fleet(engines) => self.placer.fleet(&engines, now),
             Observation::Report(engine, report) => self.placer.report(&engine, &report, now),
             Observation::Cache(engine, batch) => self.cache(engine, &batch, now),
@@ -100,6 +100,11 @@
         })
     }
 
+    fn settings(&mut self, catalogue: Arc<Catalogue>) {
+        self.placer.settings(&catalogue);
+        self.catalogue = catalogue;
+    }
+
     fn cache(&mut self, engine: UpstreamId, batch: &CacheBatch, now: Moment) {
         if self.placer.cache(&engine, batch, now) == Need::Listing {
             self.ready.push(Decision::List { engine });
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/candidates.rs
@@ -0,0 +1,109 @@
+//! The handful of engines weighed for one request.
+
+use super::Ask;
+use super::engines::Engines;
+use super::heat::Heat;
+use super::homes::Homes;
+use super::index::{Depth, Index};
+use super::ring::{EngineNo, Ring};
+use sesamegap_wire::Moment;
+
+/// Holders weighed, those of the longest prefixes.
+const HOLDERS: usize = 6;
+
+/// Members of the home set weighed.
+const HOMES: usize = 6;
+
+/// An engine to weigh.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The engine.
+    pub engine: EngineNo,
+    /// Leading blocks it is believed to hold.
+    pub blocks: u16,
+    /// Place in the home set, the set's length if it is not in it.
+    pub rank: usize,
+}
+
+/// Gathers candidates into buffers that are used again.
+#[derive(Debug, Default)]
+pub struct Candidates {
+    /// What was gathered last.
+    pub found: Vec<Candidate>,
+    depths: Vec<Depth>,
+    homes: Vec<EngineNo>,
+    finder: Homes,
+}
+
+impl Candidates {
+    /// Gathers for a request; `false` if no engine holds its weights.
+    pub fn gather(
+        &mut self,
+        ask: &Ask<'_>,
+        engines: &Engines,
+        index: &Index,
+        heat: &Heat,
+        now: Moment,
+        draws: (u64, u64),
+    ) -> bool {
+        self.found.clear();
+        let Some(ring) = engines.ring(ask.model, ask.version) else {
+            return false;
+        };
+        let seeds = |no| engines.get(no).map_or(0, |e| e.seed);
+        self.finder
+            .find(ask.chain, ring, heat, seeds, &mut self.homes);
+        index.depths(&ask.chain.keys, now, &mut self.depths);
+        self.add_holders(ask, engines, draws.0);
+        for at in 0..self.homes.len().min(HOMES) {
+            self.add(self.homes[at], engines);
+        }
+        self.add_drawn(ring, engines, draws);
+        true
+    }
+
+    /// Adds the holders of the longest prefixes, ties in an order that each request draws anew.
+    fn add_holders(&mut self, ask: &Ask<'_>, engines: &Engines, draw: u64) {
+        let turn = usize::try_from(draw >> 32).unwrap_or(0) % self.depths.len().max(1);
+        self.depths.rotate_left(turn);
+        self.depths.sort_by_key(|d| std::cmp::Reverse(d.blocks));
+        let mut added = 0;
+        for at in 0..self.depths.len() {
+            let Some(no) = engines.of_slot(self.depths[at].slot) else {
+                continue;
+            };
+            if !engines.serves(no, ask.model, ask.version) {
+                continue;
+            }
+            self.add(no, engines);
+            added += 1;
+            if added == HOLDERS {
+                return;
+            }
+        }
+    }
+
+    fn add_drawn(&mut self, ring: &Ring, engines: &Engines, draws: (u64, u64)) {
+        for draw in [draws.0, draws.1] {
+            if let Some(no) = ring.pick(draw) {
+                self.add(no, engines);
+            }
+        }
+    }
+
+    fn add(&mut self, no: EngineNo, engines: &Engines) {
+        if self.found.iter().any(|c| c.engine == no) {
+            return;
+        }
+        let Some(engine) = engines.get(no) else {
+            return;
+        };
+        let depth = self.depths.iter().find(|d| d.slot == engine.slot);
+        let rank = self.homes.iter().position(|home| *home == no);
+        self.found.push(Candidate {
+            engine: no,
+            blocks: depth.map_or(0, |d| d.blocks),
+            rank: rank.unwrap_or(self.homes.len()),
+        });
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/cost.rs
@@ -0,0 +1,56 @@
+//! What it costs to answer a request on one engine, in seconds.
+//!
+//! The cost is the wait until the engine turns to the request, plus the time to compute what its
+//! cache lacks, which counts `thrift` times: computing a block again also evicts another block and
+//! holds up the requests behind. An engine far down the home set costs a part of the missing
+//! tokens more, so that routers which know nothing of each other's dispatch still send a cold prefix
+//! to the same engine. Another failure domain costs its round trip.
+
+use sesamegap_wire::Tokens;
+
+/// Part of the cost of missing tokens that each place down the home set adds.
+const RANK: f64 = 0.1;
+
+/// Seconds that a round trip to another failure domain adds.
+const ACROSS: f64 = 0.003;
+
+/// Costs within this part of the best are alike.
+const ALIKE: f64 = 0.02;
+
+/// Costs within so many seconds of the best are alike; estimates are no better.
+const ALIKE_SECONDS: f64 = 0.002;
+
+/// One engine's offer to answer a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer {
+    /// Seconds until the engine turns to it.
+    pub wait: f64,
+    /// Prompt tokens to compute.
+    pub missing: Tokens,
+    /// Seconds a token takes there.
+    pub per_token: f64,
+    /// Place in the home set, its length if the engine is not in it.
+    pub rank: usize,
+    /// Whether it stands in another failure domain.
+    pub across: bool,
+}
+
+impl Offer {
+    /// Seconds to the first token.
+    pub fn first_token(&self) -> f64 {
+        self.wait + self.missing.0 as f64 * self.per_token
+    }
+
+    /// Cost in seconds for a class that weighs a recomputed token `thrift` times.
+    pub fn cost(&self, thrift: f64) -> f64 {
+        let compute = self.missing.0 as f64 * self.per_token * thrift.max(1.0);
+        let rank = compute * RANK * self.rank as f64;
+        let across = if self.across { ACROSS } else { 0.0 };
+        self.wait + compute + rank + across
+    }
+}
+
+/// Highest cost that counts as like the best.
+pub fn alike(best: f64) -> f64 {
+    best * (1.0 + ALIKE) + ALIKE_SECONDS
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/dump.rs
@@ -0,0 +1,41 @@
+//! The placer's state as an operator reads it.
+
+use super::engines::Engine;
+use super::prefix::PrefixPlacer;
+use sesamegap_wire::Moment;
+
+/// Engines described at most, so that a dump of a large fleet stays readable.
+const SHOWN: usize = 200;
+
+/// Describes the state.
+pub(super) fn describe(placer: &PrefixPlacer, now: Moment) -> serde_json::Value {
+    let shown = placer.engines.iter().take(SHOWN);
+    let engines: Vec<_> = shown.map(|(_, e)| engine(placer, e, now)).collect();
+    serde_json::json!({
+        "placer": "prefix",
+        "blocks": placer.index.len(),
+        "index_bytes": placer.index.bytes(),
+        "in_flight": placer.flights.count(),
+        "hot_prefixes": placer.heat.len(),
+        "typical_us_per_token": placer.engines.typical * 1e6,
+        "engines": engines,
+    })
+}
+
+fn engine(placer: &PrefixPlacer, engine: &Engine, now: Moment) -> serde_json::Value {
+    let per_token = placer.engines.per_token(engine, now);
+    serde_json::json!({
+        "id": engine.id.as_str(),
+        "domain": engine.domain.as_str(),
+        "incarnation": engine.incarnation.0,
+        "leaving": engine.leaving,
+        "suspect": engine.suspect,
+        "reported": engine.report.is_some(),
+        "newest_event": engine.newest,
+        "wants_listing": engine.unlisted,
+        "wait_ms": engine.backlog.wait(now, per_token).as_millis(),
+        "us_per_token": per_token * 1e6,
+        "eviction_age_s": placer.index.age(engine.slot),
+        "cold_prefills": engine.cold,
+    })
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/feed.rs
@@ -0,0 +1,132 @@
+//! Cache events and listings, taken into the index.
+//!
+//! Events of one life of an engine are numbered. A jump means that some were lost, which would
+//! show as requests placed on blocks that are gone; the engine's entries are then in doubt, and a
+//! listing is asked for. Listings are long, so they are asked for at a limited rate, per engine and in all.
+
+use super::Need;
+use super::engines::Engines;
+use super::index::Index;
+use super::ring::EngineNo;
+use sesamegap_wire::Moment;
+use sesamegap_wire::engine::{CacheBatch, CacheEvent, Listing};
+use sesamegap_wire::peer::EngineCache;
+use std::time::Duration;
+
+/// Time between two listings of one engine: a few times an event's delay.
+const PER_ENGINE: Duration = Duration::from_secs(3);
+
+/// Time between two listings of any engines; at 353,000 blocks a listing has some 6 MB.
+const IN_ALL: Duration = Duration::from_millis(100);
+
+/// Takes in what engines tell of their caches.
+#[derive(Debug, Default)]
+pub struct Feed {
+    asked: Moment,
+}
+
+impl Feed {
+    /// Takes in a batch of events and says what is needed to trust the entries.
+    pub fn events(
+        &mut self,
+        no: EngineNo,
+        batch: &CacheBatch,
+        engines: &mut Engines,
+        index: &mut Index,
+        now: Moment,
+    ) -> Need {
+        engines.live(no, batch.incarnation, index);
+        let Some(engine) = engines.get_mut(no) else {
+            return Need::Nothing;
+        };
+        if batch.incarnation < engine.incarnation {
+            return Need::Nothing;
+        }
+        if engine.newest.is_none() && batch.newest == 0 {
+            engine.newest = Some(0);
+        }
+        for (number, event) in &batch.events {
+            if engine.newest.is_some_and(|newest| *number <= newest) {
+                continue;
+            }
+            // The first event of a life is number 1 or 0; any later one comes after others.
+            let next = engine.newest.map_or(1, |newest| newest + 1);
+            if *number > next {
+                engine.unlisted = true;
+                index.doubt(engine.slot, now);
+            }
+            engine.newest = Some(*number);
+            apply(event, engine.slot, index, now);
+        }
+        if !engine.unlisted && engine.newest.is_some() {
+            return Need::Nothing;
+        }
+        let waits = engine.asked.is_some_and(|at| now < at + PER_ENGINE);
+        if waits || now < self.asked + IN_ALL {
+            return Need::Nothing;
+        }
+        engine.asked = Some(now);
+        self.asked = now;
+        Need::Listing
+    }
+
+    /// Takes in a listing; `false` if it tells less than is known.
+    pub fn listing(
+        no: EngineNo,
+        listing: &Listing,
+        engines: &mut Engines,
+        index: &mut Index,
+        now: Moment,
+    ) -> bool {
+        engines.live(no, listing.incarnation, index);
+        let Some(engine) = engines.get_mut(no) else {
+            return false;
+        };
+        let older = engine.newest.is_some_and(|newest| listing.newest < newest);
+        if listing.incarnation < engine.incarnation || older {
+            return false;
+        }
+        engine.newest = Some(listing.newest);
+        engine.unlisted = false;
+        let slot = index.relist(engine.slot, &listing.keys, now);
+        engines.reslot(no, slot);
+        true
+    }
+
+    /// Takes over what a peer believes of an engine of which nothing was heard.
+    pub fn warm(
+        no: EngineNo,
+        cache: &EngineCache,
+        engines: &mut Engines,
+        index: &mut Index,
+        now: Moment,
+    ) {
+        engines.live(no, cache.incarnation, index);
+        let Some(engine) = engines.get_mut(no) else {
+            return;
+        };
+        if cache.incarnation < engine.incarnation || engine.newest.is_some() {
+            return;
+        }
+        engine.newest = Some(cache.newest);
+        engine.unlisted = false;
+        for key in &cache.keys {
+            index.stored(engine.slot, *key, now);
+        }
+    }
+}
+
+fn apply(event: &CacheEvent, slot: super::index::Slot, index: &mut Index, now: Moment) {
+    match event {
+        CacheEvent::Stored { keys } => {
+            for key in keys {
+                index.stored(slot, *key, now);
+            }
+        }
+        CacheEvent::Evicted { keys } => {
+            for key in keys {
+                index.evicted(slot, *key, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/flights.rs
@@ -0,0 +1,79 @@
+//! Requests that are with an engine and what was believed when they were sent.
+
+use super::ring::EngineNo;
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{BlockKey, Moment, RequestId, Tokens};
+use std::sync::Arc;
+
+/// How far an engine has come with a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Stage {
+    /// Sent, nothing heard.
+    Sent,
+    /// The engine has looked up its cache.
+    Started {
+        /// When.
+        at: Moment,
+        /// Whether no other own request was computed there meanwhile.
+        alone: bool,
+    },
+    /// Its first token came.
+    Answering,
+}
+
+/// One request with an engine.
+#[derive(Debug, Clone)]
+pub struct Flight {
+    /// The engine.
+    pub engine: EngineNo,
+    /// Block size of its model.
+    pub block: Tokens,
+    /// The prompt's blocks.
+    pub keys: Arc<[BlockKey]>,
+    /// The whole prompt.
+    pub prompt: Tokens,
+    /// Tokens to compute, as booked on the engine.
+    pub missing: Tokens,
+    /// Whether it counts as a cold prefill.
+    pub cold: bool,
+    /// How far it has come.
+    pub stage: Stage,
+}
+
+/// All requests with engines; the windows on engines bound their number.
+#[derive(Debug, Default)]
+pub struct Flights {
+    all: FxHashMap<RequestId, Flight>,
+}
+
+impl Flights {
+    /// Enters a request; gives the former entry if it was sent before.
+    pub fn enter(&mut self, request: &RequestId, flight: Flight) -> Option<Flight> {
+        self.all.insert(request.clone(), flight)
+    }
+
+    /// A request's entry, to change.
+    pub fn get_mut(&mut self, request: &RequestId) -> Option<&mut Flight> {
+        self.all.get_mut(request)
+    }
+
+    /// Takes out a request that is over.
+    pub fn leave(&mut self, request: &RequestId) -> Option<Flight> {
+        self.all.remove(request)
+    }
+
+    /// Takes out all requests of an engine that is gone.
+    pub fn drop_engine(&mut self, engine: EngineNo) {
+        self.all.retain(|_, flight| flight.engine != engine);
+    }
+
+    /// Requests with one engine.
+    pub fn on(&self, engine: EngineNo) -> impl Iterator<Item = &Flight> {
+        self.all.values().filter(move |f| f.engine == engine)
+    }
+
+    /// Number of requests.
+    pub fn count(&self) -> usize {
+        self.all.len()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/index.rs
@@ -0,0 +1,375 @@
+//! Which engine is believed to hold which block.
+//!
+//! An engine's entries hang on a *slot*, a small number that it gets anew with each incarnation
+//! and each listing; forgetting all that an engine held is then one step, and the entries left
+//! behind are swept up later, a shard at a time, before the slot is given out again. A key is cut
+//! to 64 bits: the index is a hint for speed, so a collision costs one recomputation and no more.
+//!
+//! Each holding has the time of its last use by this router, in coarse ticks, and whether an
+//! engine confirmed it. One entered when a request was sent counts for [`EXPECT`] only, unless an
+//! event or an answer confirms it. Where events were lost, a holding counts while it is younger
+//! than the age at which the engine was seen to evict.
+//!
+//! Memory is bounded: a shard that is full forgets the quarter of its blocks unused the longest.
+
+use super::holders::{Holders, Holding};
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{BlockKey, Moment};
+use std::time::Duration;
+
+/// How long a block counts as held that was sent to an engine but not confirmed: a long prompt's
+/// time in an engine's queue, with its event's delay.
+pub const EXPECT: Duration = Duration::from_secs(10);
+
+/// Shards: one is swept at a time, which keeps the longest pause to a few microseconds.
+const SHARDS: usize = 256;
+
+/// Time for a sweep over all shards; the slots of dead engines come free after two.
+const SWEEP: Duration = Duration::from_secs(4);
+
+/// Length of a tick; 15 bits of ticks are 68 minutes, longer than any block is left unused.
+const TICK_MICROS: u64 = 125_000;
+
+/// Ticks are kept in 15 bits, the sixteenth tells a confirmed holding.
+const TICKS: u16 = 0x7fff;
+
+/// Ages beyond this are clipped by the sweep, before the ticks wrap.
+const OLDEST: u16 = TICKS / 2;
+
+/// Eviction age assumed until one was seen.
+const AGE_AT_FIRST: Duration = Duration::from_secs(30);
+
+/// Weight of a new eviction in the learned age: about the last 30 count.
+const AGE_GAIN: f64 = 1.0 / 32.0;
+
+/// A number under which one life of an engine's cache is entered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Slot(pub(super) u16);
+
+/// What is known of a slot.
+#[derive(Debug, Clone)]
+struct Life {
+    live: bool,
+    /// Sweeps completed when the slot died.
+    died: u64,
+    /// Holdings not confirmed since this tick are in doubt.
+    doubt: Option<u16>,
+    /// Seconds from last use to eviction, learned.
+    age: f64,
+}
+
+/// Who holds which block, as far as known.
+#[derive(Debug)]
+pub struct Index {
+    shards: Vec<FxHashMap<u64, Holders>>,
+    /// Most blocks in one shard.
+    limit: usize,
+    lives: Vec<Life>,
+    free: Vec<u16>,
+    cursor: usize,
+    swept: u64,
+    next: Moment,
+}
+
+/// How many leading blocks a slot holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Depth {
+    /// The slot.
+    pub slot: Slot,
+    /// Leading blocks believed to be held.
+    pub blocks: u16,
+}
+
+fn short(key: BlockKey) -> u64 {
+    u64::try_from(key.0 >> 64).unwrap_or(0)
+}
+
+fn tick(now: Moment) -> u16 {
+    u16::try_from((now.0 / TICK_MICROS) & u64::from(TICKS)).unwrap_or(0)
+}
+
+fn ticks_since(now: u16, then: u16) -> u16 {
+    now.wrapping_sub(then) & TICKS
+}
+
+fn seconds(ticks: u16) -> f64 {
+    f64::from(ticks) * (TICK_MICROS as f64) / 1e6
+}
+
+impl Index {
+    /// Makes an index that keeps at most about so many blocks.
+    pub fn new(most: usize) -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_| FxHashMap::default()).collect(),
+            limit: (most / SHARDS).max(4),
+            lives: Vec::new(),
+            free: Vec::new(),
+            cursor: 0,
+            swept: 0,
+            next: Moment(0),
+        }
+    }
+
+    /// Opens a slot for an engine's cache of which nothing is known.
+    ///
+    /// `None` if all numbers are taken by lives that are not yet swept.
+    pub fn open(&mut self) -> Option<Slot> {
+        let life = Life {
+            live: true,
+            died: 0,
+            doubt: None,
+            age: AGE_AT_FIRST.as_secs_f64(),
+        };
+        if let Some(number) = self.free.pop() {
+            self.lives[usize::from(number)] = life;
+            return Some(Slot(number));
+        }
+        let number = u16::try_from(self.lives.len()).ok()?;
+        if number == Holding::NONE {
+            return None;
+        }
+        self.lives.push(life);
+        Some(Slot(number))
+    }
+
+    /// Forgets all that a slot holds.
+    pub fn close(&mut self, slot: Slot) {
+        let swept = self.swept;
+        let life = self.life(slot);
+        life.live = false;
+        life.died = swept;
+    }
+
+    /// Moves to a new slot what a listing says is held, and forgets the rest.
+    pub fn relist(&mut self, old: Slot, keys: &[BlockKey], now: Moment) -> Slot {
+        let Some(new) = self.open() else { return old };
+        self.lives[usize::from(new.0)].age = self.lives[usize::from(old.0)].age;
+        for key in keys {
+            let used = self.used(old, *key).unwrap_or(tick(now));
+            self.put(new, *key, used, true);
+        }
+        self.close(old);
+        new
+    }
+
+    /// Notes that an engine told of a block it holds.
+    pub fn stored(&mut self, slot: Slot, key: BlockKey, now: Moment) {
+        self.put(slot, key, tick(now), true);
+    }
+
+    /// Notes that a block is used by a request sent to the engine, which will hold it then.
+    pub fn expect(&mut self, slot: Slot, key: BlockKey, now: Moment) {
+        self.put(slot, key, tick(now), false);
+    }
+
+    /// Notes that an engine evicted a block, and learns its eviction age.
+    pub fn evicted(&mut self, slot: Slot, key: BlockKey, now: Moment) {
+        let Some(used) = self.used(slot, key) else {
+            return;
+        };
+        let age = seconds(ticks_since(tick(now), used));
+        let life = self.life(slot);
+        life.age += (age - life.age) * AGE_GAIN;
+        let shard = self.shard(key);
+        let Some(holders) = shard.get_mut(&short(key)) else {
+            return;
+        };
+        holders.remove(slot.0);
+        if holders.is_empty() {
+            shard.remove(&short(key));
+        }
+    }
+
+    /// Marks what a slot holds now as doubtful.
+    pub fn doubt(&mut self, slot: Slot, now: Moment) {
+        self.life(slot).doubt = Some(tick(now));
+    }
+
+    /// Gives for each slot that holds the first block how many leading ones it holds.
+    pub fn depths(&self, keys: &[BlockKey], now: Moment, found: &mut Vec<Depth>) {
+        found.clear();
+        let Some(first) = keys.first().and_then(|key| self.holders(*key)) else {
+            return;
+        };
+        let now = tick(now);
+        let believed = first.iter().filter(|h| self.believes(**h, now));
+        found.extend(believed.map(|h| Depth {
+            slot: Slot(h.slot),
+            blocks: 1,
+        }));
+        for (at, key) in keys.iter().enumerate().skip(1) {
+            let Some(holders) = self.holders(*key) else {
+                return;
+            };
+            let mut alive = false;
+            for depth in found.iter_mut().filter(|d| usize::from(d.blocks) == at) {
+                if holders
+                    .find(depth.slot.0)
+                    .is_some_and(|h| self.believes(h, now))
+                {
+                    depth.blocks += 1;
+                    alive = true;
+                }
+            }
+            if !alive {
+                return;
+            }
+        }
+    }
+
+    /// How many leading blocks one slot holds.
+    pub fn depth(&self, slot: Slot, keys: &[BlockKey], now: Moment) -> u16 {
+        let now = tick(now);
+        let held = keys.iter().take_while(|key| {
+            self.holders(**key)
+                .and_then(|h| h.find(slot.0))
+                .is_some_and(|h| self.believes(h, now))
+        });
+        u16::try_from(held.count()).unwrap_or(u16::MAX)
+    }
+
+    /// Sweeps one shard if it is time; to be called often.
+    pub fn tend(&mut self, now: Moment) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + SWEEP / u32::try_from(SHARDS).unwrap_or(1);
+        let mut shard = std::mem::take(&mut self.shards[self.cursor]);
+        let tick = tick(now);
+        shard.retain(|_, holders| {
+            holders.retain(|h| self.keeps(h, tick));
+            !holders.is_empty()
+        });
+        self.shards[self.cursor] = shard;
+        self.cursor = (self.cursor + 1) % SHARDS;
+        if self.cursor == 0 {
+            self.swept += 1;
+            self.recycle();
+        }
+    }
+
+    /// Blocks that anyone is believed to hold.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(FxHashMap::len).sum()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.shards.iter().all(FxHashMap::is_empty)
+    }
+
+    /// Bytes taken by the tables, counted from their capacity.
+    pub fn bytes(&self) -> usize {
+        // A bucket has one byte of control data, and at most seven in eight are filled.
+        let bucket = size_of::<(u64, Holders)>() + 1;
+        let tables = self.shards.iter().map(|shard| {
+            let many = shard.values().map(Holders::heap_bytes).sum::<usize>();
+            shard.capacity() * 8 / 7 * bucket + many
+        });
+        tables.sum()
+    }
+
+    /// Seconds from last use to eviction, learned.
+    pub fn age(&self, slot: Slot) -> f64 {
+        self.lives[usize::from(slot.0)].age
+    }
+
+    /// Keys a slot holds, the most recently used first; only their upper halves are known.
+    pub fn keys(&self, slot: Slot, now: Moment) -> Vec<BlockKey> {
+        let now = tick(now);
+        let mut held: Vec<(u16, u64)> = Vec::new();
+        for (key, holders) in self.shards.iter().flatten() {
+            if let Some(holding) = holders.find(slot.0).filter(|h| self.believes(*h, now)) {
+                held.push((ticks_since(now, holding.tick()), *key));
+            }
+        }
+        held.sort_unstable();
+        let keys = held.into_iter();
+        keys.map(|(_, key)| BlockKey(u128::from(key) << 64))
+            .collect()
+    }
+
+    fn shard(&mut self, key: BlockKey) -> &mut FxHashMap<u64, Holders> {
+        &mut self.shards[Self::place(key)]
+    }
+
+    fn place(key: BlockKey) -> usize {
+        usize::try_from(key.0 >> 120).unwrap_or(0) % SHARDS
+    }
+
+    fn holders(&self, key: BlockKey) -> Option<&Holders> {
+        self.shards[Self::place(key)].get(&short(key))
+    }
+
+    fn life(&mut self, slot: Slot) -> &mut Life {
+        &mut self.lives[usize::from(slot.0)]
+    }
+
+    fn used(&self, slot: Slot, key: BlockKey) -> Option<u16> {
+        self.holders(key)?.find(slot.0).map(Holding::tick)
+    }
+
+    fn put(&mut self, slot: Slot, key: BlockKey, used: u16, confirmed: bool) {
+        let limit = self.limit;
+        let shard = self.shard(key);
+        if shard.len() >= limit && !shard.contains_key(&short(key)) {
+            forget_oldest(shard, used);
+        }
+        let holding = Holding::new(slot.0, used, confirmed);
+        shard.entry(short(key)).or_default().put(holding);
+    }
+
+    fn believes(&self, holding: Holding, now: u16) -> bool {
+        let life = &self.lives[usize::from(holding.slot)];
+        if !life.live {
+            return false;
+        }
+        let age = ticks_since(now, holding.tick());
+        if !holding.confirmed() {
+            return seconds(age) < EXPECT.as_secs_f64();
+        }
+        let doubted = life
+            .doubt
+            .is_some_and(|since| age >= ticks_since(now, since));
+        !doubted || seconds(age) < life.age
+    }
+
+    /// Whether the sweep leaves a holding, whose age it clips before the ticks wrap.
+    fn keeps(&self, holding: &mut Holding, now: u16) -> bool {
+        let live = self.lives[usize::from(holding.slot)].live;
+        let age = ticks_since(now, holding.tick());
+        if age > OLDEST {
+            *holding = Holding::new(
+                holding.slot,
+                now.wrapping_sub(OLDEST) & TICKS,
+                holding.confirmed(),
+            );
+        }
+        live && (holding.confirmed() || seconds(age) < EXPECT.as_secs_f64())
+    }
+
+    fn recycle(&mut self) {
+        for (number, life) in self.lives.iter_mut().enumerate() {
+            if life.live || life.died == u64::MAX || self.swept < life.died + 2 {
+                continue;
+            }
+            life.died = u64::MAX;
+            self.free.push(u16::try_from(number).unwrap_or(u16::MAX));
+        }
+    }
+}
+
+/// Drops the quarter of a shard's blocks that were unused the longest, so that each drop pays for
+/// many insertions.
+fn forget_oldest(shard: &mut FxHashMap<u64, Holders>, now: u16) {
+    let age = |holders: &Holders| {
+        let youngest = holders.iter().map(|h| ticks_since(now, h.tick())).min();
+        youngest.unwrap_or(TICKS)
+    };
+    let mut ages: Vec<(u16, u64)> = shard.iter().map(|(key, h)| (age(h), *key)).collect();
+    let kept = ages.len() * 3 / 4;
+    ages.select_nth_unstable(kept);
+    for (_, key) in &ages[kept..] {
+        shard.remove(key);
+    }
+}
--- a/crates/sesamegap-policy/src/placing/mod.rs
+++ b/crates/sesamegap-policy/src/placing/mod.rs
@@ -2,13 +2,36 @@
 //!
 //! A [`Placer`] hears what engines report, what their caches gain and lose, and how requests went,
 //! and weighs for each request the wait against the tokens that would be computed again.
-
+//!
+//! [`PrefixPlacer`] is the one that routers use. It keeps the [`engines`] with what waits on each
+//! ([`backlog`]) and how fast it is ([`speed`]), an [`index`] of who holds which block, and the
+//! [`heat`] of prefixes; from these it gathers a handful of candidates (holders, [`homes`] found
+//! on a [`ring`], two at random) and takes the cheapest.
+
+pub mod backlog;
+mod builder;
+mod candidates;
+mod cost;
+mod dump;
+pub mod engines;
+mod feed;
+mod flights;
+pub mod heat;
+mod holders;
+pub mod homes;
+pub mod index;
+mod peers;
 mod plain;
+mod prefix;
+pub mod ring;
+pub mod speed;
 
+pub use builder::PrefixBuilder;
 pub use plain::PlainPlacer;
+pub use prefix::{BLOCK, PrefixPlacer};
 
 use rand::Rng;
-use sesamegap_settings::ClassSpec;
+use sesamegap_settings::{Catalogue, ClassSpec};
 use sesamegap_wire::engine::{CacheBatch, EngineEntry, Listing, LoadReport};
 use sesamegap_wire::peer::{Digest, Warmth};
 use sesamegap_wire::{
@@ -77,6 +100,9 @@
 
 /// Picks engines. One implementation serves routers; others are baselines to measure against.
 pub trait Placer: fmt::Debug + Send {
+    /// Takes the settings in force, of which the models' block sizes matter.
+    fn settings(&mut self, _catalogue: &Catalogue) {}
+
     /// Takes the list of engines in use, in place of the former one.
     fn fleet(&mut self, engines: &[EngineEntry], now: Moment);
 
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/peers.rs
@@ -0,0 +1,73 @@
+//! What peers have sent to engines and is not yet computed there.
+
+use super::ring::EngineNo;
+use rustc_hash::FxHashMap;
+use sesamegap_wire::Moment;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// A peer without a digest for this long has nothing under way.
+const SILENT: Duration = Duration::from_secs(5);
+
+/// Peers remembered at most, as many as there may be routers.
+const PEERS: usize = 512;
+
+#[derive(Debug)]
+struct Peer {
+    at: Moment,
+    waiting: Vec<(EngineNo, f64)>,
+}
+
+/// Adds up over peers the tokens that wait on each engine.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: FxHashMap<SmolStr, Peer>,
+    sums: FxHashMap<EngineNo, f64>,
+}
+
+impl Peers {
+    /// Takes a peer's figures in place of its former ones; gives the engines whose sum changed.
+    pub fn hear(
+        &mut self,
+        from: &str,
+        waiting: Vec<(EngineNo, f64)>,
+        now: Moment,
+    ) -> Vec<EngineNo> {
+        if self.peers.len() >= PEERS && !self.peers.contains_key(from) {
+            return Vec::new();
+        }
+        let mut changed = self.forget(from);
+        for (engine, tokens) in &waiting {
+            *self.sums.entry(*engine).or_default() += tokens;
+            changed.push(*engine);
+        }
+        self.peers.insert(from.into(), Peer { at: now, waiting });
+        changed
+    }
+
+    /// Forgets peers that have gone silent; gives the engines whose sum changed.
+    pub fn tend(&mut self, now: Moment) -> Vec<EngineNo> {
+        let silent = self.peers.iter().filter(|(_, p)| now.since(p.at) >= SILENT);
+        let silent: Vec<SmolStr> = silent.map(|(name, _)| name.clone()).collect();
+        silent.iter().flat_map(|name| self.forget(name)).collect()
+    }
+
+    /// Tokens of all peers that wait on an engine.
+    pub fn sum(&self, engine: EngineNo) -> f64 {
+        self.sums.get(&engine).copied().unwrap_or(0.0)
+    }
+
+    fn forget(&mut self, name: &str) -> Vec<EngineNo> {
+        let Some(peer) = self.peers.remove(name) else {
+            return Vec::new();
+        };
+        for (engine, tokens) in &peer.waiting {
+            if let Some(sum) = self.sums.get_mut(engine) {
+                *sum -= tokens;
+            }
+        }
+        // What is left below half a token is rounding.
+        self.sums.retain(|_, sum| *sum > 0.5);
+        peer.waiting.into_iter().map(|(engine, _)| engine).collect()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -0,0 +1,411 @@
+//! The placer that routers use.
+//!
+//! For each request a handful of engines is weighed, whatever the number of all: those believed
+//! to hold the most of its prefix, its home set, and two drawn at random, which find an idle
+//! engine when all the others are busy. The cheapest wins; near ties are drawn at random,
+//! so that routers with the same late reports do not all pile onto one engine. What is sent is
+//! booked at once on the engine's backlog and in the index, long before reports and events tell.
+
+use super::candidates::{Candidate, Candidates};
+use super::cost::{Offer, alike};
+use super::engines::{Engine, Engines};
+use super::feed::Feed;
+use super::flights::{Flight, Flights, Stage};
+use super::heat::Heat;
+use super::index::Index;
+use super::peers::Peers;
+use super::ring::EngineNo;
+use super::{Ask, Need, Placed, Placement, Placer, PrefixBuilder, Room};
+use rand::Rng;
+use rustc_hash::FxHashMap;
+use sesamegap_settings::Catalogue;
+use sesamegap_wire::engine::{CacheBatch, EngineEntry, Listing, LoadReport};
+use sesamegap_wire::peer::{Digest, EngineCache, Warmth};
+use sesamegap_wire::{Chain, DomainId, ModelId, Moment, RequestId, Tokens, UpstreamId};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Block size of a model that settings do not tell.
+pub const BLOCK: Tokens = Tokens(4096);
+
+/// Blocks to compute from which a request is a cold prefill.
+const COLD_BLOCKS: u64 = 4;
+
+/// Own cold prefills on one engine at a time: one is computed, one waits, the rest go elsewhere.
+///
+/// Load: an engine comes back empty and is first home to many hot prefixes. Without a limit all
+/// routers would fill its queue with long prefills, and short requests behind them would be late.
+const COLD_MOST: u32 = 2;
+
+/// Pace of what is learned over the whole fleet.
+const TEND: Duration = Duration::from_secs(1);
+
+/// Engines named in a digest at most, those with the most waiting.
+const NAMED: usize = 64;
+
+/// Keys handed to a peer that starts, which keeps the message under its largest size.
+const WARM_KEYS: usize = 300_000;
+
+/// Places by prefix, load and home set.
+#[derive(Debug)]
+pub struct PrefixPlacer {
+    pub(super) domain: DomainId,
+    pub(super) engines: Engines,
+    pub(super) index: Index,
+    pub(super) heat: Heat,
+    pub(super) flights: Flights,
+    pub(super) peers: Peers,
+    pub(super) feed: Feed,
+    pub(super) candidates: Candidates,
+    pub(super) blocks: FxHashMap<ModelId, Tokens>,
+    pub(super) tended: Moment,
+}
+
+impl PrefixPlacer {
+    /// Starts to build a placer for a router in a failure domain.
+    pub fn builder(domain: DomainId) -> PrefixBuilder {
+        PrefixBuilder::new(domain)
+    }
+
+    fn block(&self, model: &ModelId) -> Tokens {
+        self.blocks.get(model).copied().unwrap_or(BLOCK)
+    }
+
+    fn tend(&mut self, now: Moment) {
+        self.index.tend(now);
+        if now < self.tended + TEND {
+            return;
+        }
+        self.tended = now;
+        self.heat.tend(now);
+        self.engines.tend(now);
+        for engine in self.peers.tend(now) {
+            self.note_peers(engine, now);
+        }
+    }
+
+    fn note_peers(&mut self, no: EngineNo, now: Moment) {
+        let sum = self.peers.sum(no);
+        if let Some(engine) = self.engines.get_mut(no) {
+            engine.backlog.peers(sum, now);
+        }
+    }
+
+    fn offer(&self, ask: &Ask<'_>, engine: &Engine, found: Candidate, now: Moment) -> Offer {
+        let per_token = self.engines.per_token(engine, now);
+        let held = Tokens(u64::from(found.blocks) * self.block(ask.model).0);
+        Offer {
+            wait: engine.backlog.wait(now, per_token).as_secs_f64(),
+            missing: ask.chain.tokens - held,
+            per_token,
+            rank: found.rank,
+            across: engine.domain != self.domain,
+        }
+    }
+
+    fn is_cold(&self, ask: &Ask<'_>, missing: Tokens) -> bool {
+        missing.0 >= COLD_BLOCKS * self.block(ask.model).0
+    }
+
+    /// Picks among the candidates; those over the cap on cold prefills only if `over` allows.
+    fn choose(
+        &self,
+        ask: &Ask<'_>,
+        room: &dyn Room,
+        now: Moment,
+        rng: &mut dyn Rng,
+        over: bool,
+    ) -> Placed {
+        let mut best: Option<(f64, EngineNo, Offer)> = None;
+        let mut shortest = f64::INFINITY;
+        let mut offers = Vec::with_capacity(self.candidates.found.len());
+        for found in &self.candidates.found {
+            let Some(engine) = self.engines.get(found.engine) else {
+                continue;
+            };
+            if ask.barred.contains(&engine.id) {
+                continue;
+            }
+            let offer = self.offer(ask, engine, *found, now);
+            shortest = shortest.min(offer.first_token());
+            let capped = engine.cold >= COLD_MOST && self.is_cold(ask, offer.missing);
+            if (capped && !over) || !room.has(&engine.id, offer.missing) {
+                continue;
+            }
+            let cost = offer.cost(ask.class.thrift);
+            offers.push((cost, found.engine, offer));
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, found.engine, offer));
+            }
+        }
+        let Some((least, _, _)) = best else {
+            if shortest.is_finite() {
+                return Placed::Full(Duration::from_secs_f64(shortest));
+            }
+            return Placed::Nowhere;
+        };
+        let limit = alike(least);
+        let ties = offers.iter().filter(|(cost, _, _)| *cost <= limit);
+        let draw = usize::try_from(rng.next_u32()).unwrap_or(0) % ties.clone().count().max(1);
+        let mut ties = ties;
+        let Some((_, no, offer)) = ties.nth(draw) else {
+            return Placed::Nowhere;
+        };
+        self.placement(ask, *no, offer)
+    }
+
+    fn placement(&self, ask: &Ask<'_>, no: EngineNo, offer: &Offer) -> Placed {
+        let Some(engine) = self.engines.get(no) else {
+            return Placed::Nowhere;
+        };
+        Placed::At(Placement {
+            engine: engine.id.clone(),
+            incarnation: engine.incarnation,
+            cached: ask.chain.tokens - offer.missing,
+            wait: Duration::from_secs_f64(offer.first_token()),
+            import: None,
+        })
+    }
+
+    fn count_heat(&mut self, chain: &Chain) {
+        for end in chain.levels.iter() {
+            let at = usize::from(*end).checked_sub(1);
+            if let Some(key) = at.and_then(|at| chain.keys.get(at)) {
+                self.heat.count(*key);
+            }
+        }
+    }
+
+    /// Takes a request's booking off its engine's books.
+    fn settle(&mut self, flight: &Flight) {
+        let Some(engine) = self.engines.get_mut(flight.engine) else {
+            return;
+        };
+        if flight.stage == Stage::Answering {
+            return;
+        }
+        engine.backlog.settle(flight.missing);
+        if flight.cold {
+            engine.cold = engine.cold.saturating_sub(1);
+        }
+        if matches!(flight.stage, Stage::Started { .. }) {
+            engine.computing = engine.computing.saturating_sub(1);
+        }
+    }
+}
+
+impl Placer for PrefixPlacer {
+    fn settings(&mut self, catalogue: &Catalogue) {
+        let models = catalogue.models.iter();
+        self.blocks = models
+            .map(|(model, spec)| (model.clone(), Tokens(spec.block.0.max(1))))
+            .collect();
+    }
+
+    fn fleet(&mut self, engines: &[EngineEntry], now: Moment) {
+        for gone in self.engines.list(engines, &mut self.index) {
+            self.flights.drop_engine(gone);
+        }
+        self.tend(now);
+    }
+
+    fn report(&mut self, engine: &UpstreamId, report: &LoadReport, now: Moment) {
+        if let Some(no) = self.engines.number(engine) {
+            self.engines.report(no, report, now, &mut self.index);
+            self.note_peers(no, now);
+        }
+        self.tend(now);
+    }
+
+    fn cache(&mut self, engine: &UpstreamId, batch: &CacheBatch, now: Moment) -> Need {
+        self.tend(now);
+        let Some(no) = self.engines.number(engine) else {
+            return Need::Nothing;
+        };
+        self.feed
+            .events(no, batch, &mut self.engines, &mut self.index, now)
+    }
+
+    fn listing(&mut self, engine: &UpstreamId, listing: &Listing, now: Moment) {
+        let Some(no) = self.engines.number(engine) else {
+            return;
+        };
+        if !Feed::listing(no, listing, &mut self.engines, &mut self.index, now) {
+            return;
+        }
+        // Blocks of requests under way are not in a listing yet; without this the next request
+        // for the same prefix would be sent elsewhere and computed twice.
+        let Some(slot) = self.engines.get(no).map(|e| e.slot) else {
+            return;
+        };
+        for flight in self.flights.on(no) {
+            for key in flight.keys.iter() {
+                self.index.expect(slot, *key, now);
+            }
+        }
+    }
+
+    fn place(&mut self, ask: &Ask<'_>, room: &dyn Room, now: Moment, rng: &mut dyn Rng) -> Placed {
+        self.tend(now);
+        let known = self.candidates.gather(
+            ask,
+            &self.engines,
+            &self.index,
+            &self.heat,
+            now,
+            (rng.next_u64(), rng.next_u64()),
+        );
+        if !known {
+            return Placed::Nowhere;
+        }
+        match self.choose(ask, room, now, rng, false) {
+            Placed::At(at) => Placed::At(at),
+            _ => self.choose(ask, room, now, rng, true),
+        }
+    }
+
+    fn sent(&mut self, ask: &Ask<'_>, at: &Placement, now: Moment) {
+        let Some(no) = self.engines.number(&at.engine) else {
+            return;
+        };
+        let missing = ask.chain.tokens - at.cached;
+        let cold = self.is_cold(ask, missing);
+        let typical = self.engines.typical;
+        let Some(engine) = self.engines.get_mut(no) else {
+            return;
+        };
+        let per_token = engine.speed.per_token(typical, now);
+        engine.backlog.send(missing, now, per_token);
+        engine.cold += u32::from(cold);
+        let slot = engine.slot;
+        for key in ask.chain.keys.iter() {
+            self.index.expect(slot, *key, now);
+        }
+        self.count_heat(ask.chain);
+        let flight = Flight {
+            engine: no,
+            block: self.block(ask.model),
+            keys: Arc::clone(&ask.chain.keys),
+            prompt: ask.chain.tokens,
+            missing,
+            cold,
+            stage: Stage::Sent,
+        };
+        if let Some(former) = self.flights.enter(ask.request, flight) {
+            self.settle(&former);
+        }
+    }
+
+    fn started(&mut self, request: &RequestId, cached: Tokens, now: Moment) {
+        let Some(flight) = self.flights.get_mut(request) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(flight.engine) else {
+            return;
+        };
+        if flight.stage != Stage::Sent {
+            return;
+        }
+        let found = flight.prompt - cached;
+        engine.backlog.correct(flight.missing, found);
+        let overrated = found.0 >= flight.missing.0 + COLD_BLOCKS * flight.block.0;
+        engine.note_belief(overrated);
+        flight.missing = found;
+        engine.computing += 1;
+        let alone = engine.computing == 1;
+        flight.stage = Stage::Started { at: now, alone };
+        if engine.mistaken() {
+            engine.unlisted = true;
+            self.index.doubt(engine.slot, now);
+        }
+        let blocks = usize::try_from(cached.0 / flight.block.0).unwrap_or(usize::MAX);
+        for key in flight.keys.iter().take(blocks) {
+            self.index.stored(engine.slot, *key, now);
+        }
+    }
+
+    fn first(&mut self, request: &RequestId, now: Moment) {
+        let Some(flight) = self.flights.get_mut(request) else {
+            return;
+        };
+        let before = flight.clone();
+        flight.stage = Stage::Answering;
+        self.settle(&before);
+        let typical = self.engines.typical;
+        let Some(engine) = self.engines.get_mut(before.engine) else {
+            return;
+        };
+        if let Stage::Started { at, alone: true } = before.stage {
+            let took = now.since(at);
+            engine.speed.learn(before.missing, took, typical, now);
+            self.heat.took(took.as_secs_f64());
+        }
+    }
+
+    fn finished(&mut self, request: &RequestId, _whole: bool, _now: Moment) {
+        if let Some(flight) = self.flights.leave(request) {
+            self.settle(&flight);
+        }
+    }
+
+    fn failed(&mut self, engine: &UpstreamId, _now: Moment) {
+        if let Some(no) = self.engines.number(engine) {
+            self.engines.fail(no);
+        }
+    }
+
+    fn peer(&mut self, from: &str, digest: &Digest, now: Moment) {
+        self.heat.peer(from, &digest.heat, now);
+        let waiting = digest.prefill.iter().take(NAMED);
+        let waiting = waiting
+            .filter_map(|(id, tokens)| Some((self.engines.number(id)?, tokens.0 as f64)))
+            .collect();
+        for engine in self.peers.hear(from, waiting, now) {
+            self.note_peers(engine, now);
+        }
+    }
+
+    fn digest(&mut self, digest: &mut Digest, now: Moment) {
+        self.tend(now);
+        digest.heat = self.heat.hottest();
+        let waiting = self.engines.iter().map(|(_, e)| (e.backlog.own(), &e.id));
+        let mut waiting: Vec<_> = waiting.filter(|(tokens, _)| tokens.0 > 0).collect();
+        waiting.sort_unstable_by(|a, b| b.cmp(a));
+        let named = waiting.into_iter().take(NAMED);
+        digest.prefill = named.map(|(tokens, id)| (id.clone(), tokens)).collect();
+    }
+
+    fn warm(&mut self, warmth: &Warmth, now: Moment) {
+        for cache in &warmth.engines {
+            if let Some(no) = self.engines.number(&cache.engine) {
+                Feed::warm(no, cache, &mut self.engines, &mut self.index, now);
+            }
+        }
+    }
+
+    fn warmth(&self, now: Moment) -> Warmth {
+        let mut left = WARM_KEYS;
+        let engines = self.engines.iter().filter(|(_, e)| e.newest.is_some());
+        let caches = engines.map(|(_, engine)| {
+            let mut keys = self.index.keys(engine.slot, now);
+            keys.truncate(left);
+            left -= keys.len();
+            EngineCache {
+                engine: engine.id.clone(),
+                incarnation: engine.incarnation,
+                newest: engine.newest.unwrap_or(0),
+                keys,
+            }
+        });
+        let engines = caches.collect();
+        let digest = Digest {
+            heat: self.heat.hottest(),
+            ..Digest::default()
+        };
+        Warmth { engines, digest }
+    }
+
+    fn dump(&self, now: Moment) -> serde_json::Value {
+        super::dump::describe(self, now)
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/ring.rs
@@ -0,0 +1,128 @@
+//! The order in which a key prefers engines, found without looking at all of them.
+//!
+//! Each engine stands at points of a ring, more of them the larger its cache. A key probes the ring at a
+//! sequence of places of its own; the engines met, without repetition, are its order of
+//! preference. All routers that know the same engines get the same order, an engine that comes or
+//! goes moves only its own share of keys, and a probe costs a binary search whatever the fleet's
+//! size. Plain weighted rendezvous hashing gives the same for a scan of all engines, which at
+//! 1,700 engines takes longer than all the rest of a placement.
+
+use sesamegap_wire::{BlockKey, UpstreamId};
+
+/// Points of an engine of ordinary weight: shares then vary by about an eighth.
+const POINTS: f64 = 64.0;
+
+/// Probes without a new engine after which the walk ends; most engines are then met.
+const PATIENCE: usize = 32;
+
+/// An engine's number in this router's tables.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineNo(pub u16);
+
+impl EngineNo {
+    /// The number as an index.
+    pub fn at(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// Engines at points of a ring.
+#[derive(Debug, Default, Clone)]
+pub struct Ring {
+    points: Vec<(u64, EngineNo)>,
+    members: Vec<(EngineNo, f64)>,
+}
+
+/// Mixes all bits of a number into all bits.
+pub(super) fn mix(mut x: u64) -> u64 {
+    // The finalizer of SplitMix64.
+    x ^= x >> 30;
+    x = x.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x ^= x >> 27;
+    x = x.wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// A number for an engine that is the same in every router.
+pub(super) fn seed_of(engine: &UpstreamId) -> u64 {
+    let mut half = [0; 8];
+    half.copy_from_slice(&blake3::hash(engine.as_str().as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(half)
+}
+
+impl Ring {
+    /// Puts an engine on the ring, or gives it another weight.
+    pub fn set(&mut self, no: EngineNo, seed: u64, weight: f64) {
+        if self
+            .members
+            .iter()
+            .any(|(m, w)| *m == no && (w - weight).abs() < 1e-9)
+        {
+            return;
+        }
+        self.remove(no);
+        self.members.push((no, weight));
+        // A lone point at least, so that the smallest engine still gets work.
+        let mut left = (POINTS * weight).round().max(1.0);
+        let mut at = seed;
+        while left > 0.0 {
+            at = at.wrapping_add(0x9e37_79b9_7f4a_7c15);
+            self.points.push((mix(at), no));
+            left -= 1.0;
+        }
+        self.points.sort_unstable();
+    }
+
+    /// Takes an engine off the ring.
+    pub fn remove(&mut self, no: EngineNo) {
+        let before = self.members.len();
+        self.members.retain(|(member, _)| *member != no);
+        if self.members.len() < before {
+            self.points.retain(|(_, member)| *member != no);
+        }
+    }
+
+    /// Number of engines.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no engine is on the ring.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Engines on the ring, in no order.
+    pub fn members(&self) -> impl Iterator<Item = EngineNo> + '_ {
+        self.members.iter().map(|(no, _)| *no)
+    }
+
+    /// The member at a place drawn at random.
+    pub fn pick(&self, draw: u64) -> Option<EngineNo> {
+        let len = u64::try_from(self.members.len()).unwrap_or(1).max(1);
+        let at = usize::try_from(draw % len).unwrap_or(0);
+        self.members.get(at).map(|(no, _)| *no)
+    }
+
+    /// Appends up to `most` engines in the key's order of preference.
+    pub fn walk(&self, key: BlockKey, most: usize, found: &mut Vec<EngineNo>) {
+        let most = most.min(self.members.len());
+        let mut misses = 0;
+        let mut probe = u64::try_from(key.0 >> 64).unwrap_or(0);
+        while found.len() < most && misses < PATIENCE {
+            probe = probe.wrapping_add(0x9e37_79b9_7f4a_7c15);
+            let no = self.successor(mix(probe));
+            if found.contains(&no) {
+                misses += 1;
+            } else {
+                misses = 0;
+                found.push(no);
+            }
+        }
+    }
+
+    fn successor(&self, place: u64) -> EngineNo {
+        let at = self.points.partition_point(|(point, _)| *point < place);
+        self.points[at % self.points.len()].1
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/placing/speed.rs
@@ -0,0 +1,76 @@
+//! How fast an engine computes prompts, learned from its first tokens.
+//!
+//! Load: donated hardware of uneven speed, of which any piece may drift to a fraction of it. Harm
+//! prevented: work sent by queue length alone waits longest on the slowest engine. What was seen
+//! fades with time towards the speed typical of the fleet, so a slow engine loses weight smoothly,
+//! and one that has recovered is asked again little by little and earns its weight back.
+
+use sesamegap_wire::{Moment, Tokens};
+use std::time::Duration;
+
+/// Seconds a token takes before anything was seen: a large model on one accelerator.
+pub const AT_FIRST: f64 = 5e-5;
+
+/// Time in which what was seen loses half its weight: long against a queue, short against a shift.
+const HALF_LIFE: Duration = Duration::from_secs(20);
+
+/// Tokens' worth of trust in the typical speed: one cache block.
+const PRIOR: f64 = 4096.0;
+
+/// Tokens seen that count at most; older ones are scaled down.
+const MEMORY: f64 = 65_536.0;
+
+/// Tokens that stand for the fixed cost of starting a prompt.
+const START: f64 = 256.0;
+
+/// A sample this many times over the present speed counts as so many: a pause is no drift.
+const CLIP: f64 = 8.0;
+
+/// Learned speed of one engine.
+#[derive(Debug, Clone, Default)]
+pub struct Speed {
+    time: f64,
+    tokens: f64,
+    at: Moment,
+}
+
+impl Speed {
+    /// Seconds a token takes, between what was seen here and what is `typical` of the fleet.
+    pub fn per_token(&self, typical: f64, now: Moment) -> f64 {
+        let faded = self.faded(now);
+        (self.time * faded + typical * PRIOR) / (self.tokens * faded + PRIOR)
+    }
+
+    /// Learns from one prompt, of which so many tokens were computed in so much time.
+    pub fn learn(&mut self, tokens: Tokens, took: Duration, typical: f64, now: Moment) {
+        let tokens = tokens.0 as f64 + START;
+        let most = self.per_token(typical, now) * CLIP * tokens;
+        let time = took.as_secs_f64().min(most);
+        let faded = self.faded(now);
+        let room = (MEMORY / (self.tokens * faded + tokens)).min(1.0);
+        self.time = (self.time * faded + time) * room;
+        self.tokens = (self.tokens * faded + tokens) * room;
+        self.at = now;
+    }
+
+    /// Whether anything was seen that still counts.
+    pub fn known(&self, now: Moment) -> bool {
+        self.tokens * self.faded(now) > PRIOR
+    }
+
+    fn faded(&self, now: Moment) -> f64 {
+        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        (-halves).exp2()
+    }
+}
+
+/// The median speed of engines that were seen lately.
+pub fn typical<'a>(speeds: impl Iterator<Item = &'a Speed>, now: Moment) -> f64 {
+    let known = speeds.filter(|speed| speed.known(now));
+    let mut all: Vec<f64> = known.map(|speed| speed.time / speed.tokens).collect();
+    if all.is_empty() {
+        return AT_FIRST;
+    }
+    let middle = all.len() / 2;
+    *all.select_nth_unstable_by(middle, f64::total_cmp).1
+}
