--- a/crates/sesamegap-policy/src/decider/builder.rs
+++ b/crates/sesamegap-policy/src/decider/builder.rs
@@ -7,7 +7,7 @@
 use crate::load::limits::{Comebacks, RetryBudget, Shares, TeamLimits};
 use crate::load::queue::Queue;
 use crate::load::windows::WindowKind;
-use crate::placing::{Placer, PlainPlacer};
+use crate::placing::{Placer, PrefixPlacer};
 use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
 use sesamegap_settings::Catalogue;
@@ -68,10 +68,13 @@
 
     /// Makes the decider.
     pub fn build(self) -> Decider {
-        let _ = (self.vm, self.domain);
-        let placer = self.placer;
+        let _ = self.vm;
+        let domain = self.domain;
+        let placer = self
+            .placer
+            .unwrap_or_else(|| Box::new(PrefixPlacer::builder(domain).build()));
         let mut decider = Decider {
-            placer: placer.unwrap_or_else(|| Box::new(PlainPlacer::default())),
+            placer,
             windows: Windows::new(self.window),
             catalogue: Arc::default(),
             rng: ChaCha12Rng::seed_from_u64(self.seed),
--- a/crates/sesamegap-policy/src/decider/mod.rs
+++ b/crates/sesamegap-policy/src/decider/mod.rs
@@ -146,6 +146,7 @@
     }
 
     fn settings(&mut self, catalogue: Arc<Catalogue>) {
+        self.placer.settings(&catalogue);
         let priorities = catalogue.classes.values().map(|class| class.priority);
         self.highest = priorities.max().unwrap_or(0);
         self.teams.keep(&catalogue);
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -5,5 +5,5 @@
 
 pub mod admin;
 pub mod config;
-pub mod locator;
 pub mod ctl;
+pub mod locator;
