Take callers' requests through the decider thread to engines

Cause: the crates had interfaces but nothing joined them. Change: a router with callers' endpoints, answers that are kept and read at each caller's pace, one decider thread behind bounded rings, followers of the VM list, engines and log, and peer endpoints.

--- /dev/null
+++ b/crates/sesamegap/src/router/core.rs
@@ -0,0 +1,83 @@
+//! What all parts of one router share.
+
+use super::clock::Clock;
+use super::deciding::DeciderHandle;
+use super::fleet::Fleet;
+use super::inforce::InForce;
+use super::once::Once;
+use super::peers::{PeerClient, Peers};
+use super::phase::Phases;
+use super::streams::Kept;
+use super::tree::SettingsTree;
+use crate::config::ProcessConfig;
+use crate::telemetry::Telemetry;
+use sesamegap_platform::Log;
+use sesamegap_wire::{Incarnation, RequestId};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio_util::task::TaskTracker;
+
+/// Silence limits for which a request that nobody reads goes on, so that its caller can resume.
+const LINGER_FACTOR: u32 = 10;
+
+/// The shared parts of one router.
+#[derive(Debug)]
+pub struct Core {
+    /// Settings of the process.
+    pub config: ProcessConfig,
+    /// This life of the router.
+    pub incarnation: Incarnation,
+    /// Monotonic clock.
+    pub clock: Clock,
+    /// The decider thread.
+    pub decider: DeciderHandle,
+    /// Upstreams and entry VMs.
+    pub fleet: Fleet,
+    /// Answers by request.
+    pub kept: Kept,
+    /// The settings tree.
+    pub tree: SettingsTree,
+    /// Idempotency keys.
+    pub once: Once,
+    /// Who else is alive.
+    pub peers: Arc<dyn Peers>,
+    /// Speaks to other routers.
+    pub peer_client: PeerClient,
+    /// The platform's log.
+    pub log: Arc<dyn Log>,
+    /// Metrics.
+    pub telemetry: Telemetry,
+    /// Whether the router serves, leaves or refuses.
+    pub phases: Phases,
+    /// Requests being worked on.
+    pub flights: TaskTracker,
+    /// Requests minted so far.
+    pub minted: AtomicU64,
+}
+
+impl Core {
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<InForce> {
+        self.tree.in_force()
+    }
+
+    /// Mints the id of a new request.
+    pub fn mint(&self) -> RequestId {
+        RequestId {
+            vm: self.config.vm.clone(),
+            incarnation: self.incarnation,
+            seq: self.minted.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    /// How long a request goes on that nobody reads.
+    pub fn linger(&self) -> Duration {
+        self.config.timing.silence * LINGER_FACTOR
+    }
+
+    /// Whether a request id names this life of this router.
+    pub fn owns(&self, request: &RequestId) -> bool {
+        request.vm == self.config.vm && request.incarnation == self.incarnation
+    }
+}
--- /dev/null
+++ b/crates/sesamegap/src/router/start.rs
@@ -0,0 +1,243 @@
+//! Starts a router and stops it.
+
+use super::callers;
+use super::clock::{Clock, unix_ms};
+use super::core::Core;
+use super::deciding::{self, DeciderThread};
+use super::fleet::{Connect, Fleet, follow};
+use super::follow_log;
+use super::once::{self, Appender, Once};
+use super::operators;
+use super::peers::{ListedPeers, PeerClient, Peers, endpoints, gossip};
+use super::phase::{Phase, Phases};
+use super::streams::Kept;
+use crate::config::ProcessConfig;
+use crate::events;
+use crate::telemetry::Telemetry;
+use anyhow::Context;
+use poem::listener::TcpAcceptor;
+use poem::{EndpointExt, Route, Server};
+use sesamegap_platform::{Log, VmList};
+use sesamegap_policy::DeciderBuilder;
+use sesamegap_wire::Incarnation;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Listings of engines that may wait to be asked for.
+const LISTS: usize = 256;
+
+/// A peer's word of itself is trusted for so many rounds of gossip.
+const SILENT_ROUNDS: u32 = 6;
+
+/// Idle connections are closed after this, so that a caller that sends half a request and stops
+/// cannot hold one for good.
+const IDLE: Duration = Duration::from_mins(2);
+
+/// Time for the last bytes to reach callers once every request is done.
+const FLUSH: Duration = Duration::from_secs(5);
+
+/// What a router is joined to.
+#[derive(Debug, Clone)]
+pub struct Links {
+    /// The platform's log.
+    pub log: Arc<dyn Log>,
+    /// The platform's VM list.
+    pub vms: Arc<dyn VmList>,
+    /// Makes clients of upstreams.
+    pub connect: Arc<dyn Connect>,
+    /// Who else is alive; without one, the VM list is trusted.
+    pub peers: Option<Arc<dyn Peers>>,
+}
+
+/// A router about to start.
+#[derive(Debug)]
+pub struct Router {
+    config: ProcessConfig,
+    links: Links,
+}
+
+/// A router that serves.
+#[derive(Debug)]
+pub struct Running {
+    core: Arc<Core>,
+    addr: SocketAddr,
+    decider: DeciderThread,
+    followers: CancellationToken,
+    close: CancellationToken,
+    server: JoinHandle<std::io::Result<()>>,
+    gossip: JoinHandle<()>,
+}
+
+impl Router {
+    /// Takes the process's settings and what it is joined to.
+    pub fn new(config: ProcessConfig, links: Links) -> Self {
+        Self { config, links }
+    }
+
+    /// Starts serving; the port answers once the router knows what its peers know.
+    ///
+    /// # Errors
+    /// If the address cannot be bound or the system gives no thread.
+    pub async fn start(self) -> anyhow::Result<Running> {
+        let listen = self.config.listen;
+        let listener = TcpListener::bind(listen)
+            .await
+            .with_context(|| format!("cannot listen on {listen}"))?;
+        let addr = listener.local_addr()?;
+        self.start_on(listener, addr).await
+    }
+
+    async fn start_on(self, listener: TcpListener, addr: SocketAddr) -> anyhow::Result<Running> {
+        let Self { config, links } = self;
+        let incarnation = Incarnation(unix_ms());
+        let clock = Clock::start();
+        let (lists, wanted_lists) = mpsc::channel(LISTS);
+        let decider = DeciderBuilder::new(config.vm.clone(), config.domain.clone())
+            .seed(rand::random())
+            .build();
+        let (handle, thread) = deciding::start(decider, clock, &config.bounds, lists)?;
+        let (appender, records) = Appender::new();
+        let claims = Arc::default();
+        let peers = links.peers.unwrap_or_else(|| {
+            let silence = config.timing.gossip * SILENT_ROUNDS;
+            Arc::new(ListedPeers::new(config.vm.clone(), silence))
+        });
+        let core = Arc::new(Core {
+            incarnation,
+            clock,
+            decider: handle,
+            fleet: Fleet::new(Arc::clone(&links.connect)),
+            kept: Kept::new(config.timing.keep, config.bounds.kept),
+            once: Once::new(Arc::clone(&claims), appender.clone(), config.timing.keep),
+            peers,
+            peer_client: PeerClient::new(&config)?,
+            log: Arc::clone(&links.log),
+            telemetry: Telemetry::new()?,
+            tree: super::tree::SettingsTree::default(),
+            phases: Phases::default(),
+            flights: TaskTracker::new(),
+            minted: std::sync::atomic::AtomicU64::new(0),
+            config,
+        });
+        let followers = CancellationToken::new();
+        let limit = core.config.timing.log;
+        follow::read_list(&core, links.vms.as_ref()).await;
+        follow::spawn("fleet", followers.clone(), {
+            let core = Arc::clone(&core);
+            async move {
+                tokio::join!(
+                    follow::list(Arc::clone(&core), links.vms),
+                    follow::engines(core, links.connect, wanted_lists),
+                );
+            }
+        })?;
+        follow::spawn("log", followers.clone(), {
+            let log = Arc::clone(&links.log);
+            let reader = once::follow::ClaimsReader {
+                claims,
+                appender: appender.clone(),
+            };
+            async move {
+                tokio::join!(
+                    follow_log::follow(Arc::clone(&log), once::follow::source(), limit, reader),
+                    once::append(log, appender, records, limit),
+                );
+            }
+        })?;
+        let close = CancellationToken::new();
+        let server = serve(&core, listener, close.clone())?;
+        let gossip = tokio::spawn(gossip::run(Arc::clone(&core)));
+        tracing::info!(event = events::ROUTER_STARTED.number, %addr, vm = %core.config.vm, "router serves");
+        Ok(Running {
+            core,
+            addr,
+            decider: thread,
+            followers,
+            close,
+            server,
+            gossip,
+        })
+    }
+}
+
+fn serve(
+    core: &Arc<Core>,
+    listener: TcpListener,
+    close: CancellationToken,
+) -> anyhow::Result<JoinHandle<std::io::Result<()>>> {
+    let route = callers::routes(Route::new());
+    let route = endpoints::routes(route);
+    let app = operators::routes(route)
+        .data(Arc::clone(core))
+        .catch_all_error(async |error| callers::from_library(error));
+    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE);
+    Ok(tokio::spawn(async move {
+        server
+            .run_with_graceful_shutdown(app, close.cancelled_owned(), Some(FLUSH))
+            .await
+    }))
+}
+
+impl Running {
+    /// Where the router listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The shared parts, for tests and for programs that run routers as threads.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Stops as planned: leaving, refusing, the last request done.
+    ///
+    /// No request in flight is cut unless it takes longer than the configured stop.
+    pub async fn stop(mut self) {
+        let timing = self.core.config.timing.clone();
+        tracing::info!(event = events::ROUTER_LEAVING.number, "router is leaving");
+        self.core.phases.enter(Phase::Leaving);
+        gossip::round(&self.core).await;
+        // Callers keep this address for its time to live and must be served meanwhile.
+        tokio::time::sleep(timing.address).await;
+        tracing::info!(
+            event = events::ROUTER_REFUSING.number,
+            "router refuses new requests"
+        );
+        self.core.phases.enter(Phase::Refusing);
+        self.core.flights.close();
+        if timeout(timing.stop, self.core.flights.wait())
+            .await
+            .is_err()
+        {
+            tracing::warn!(
+                event = events::ROUTER_CUT.number,
+                "requests still in flight"
+            );
+        }
+        self.close.cancel();
+        drop((&mut self.server).await);
+        self.end();
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn kill(self) {
+        self.server.abort();
+        self.end();
+    }
+
+    fn end(self) {
+        self.gossip.abort();
+        self.followers.cancel();
+        self.core.decider.stop();
+        self.decider.join();
+        tracing::info!(event = events::ROUTER_STOPPED.number, "router stopped");
+    }
+}
