--- a/crates/sesamegap/src/events/mod.rs
+++ b/crates/sesamegap/src/events/mod.rs
@@ -47,6 +47,7 @@
     SETTINGS_IN_FORCE = 143, "Another revision of the settings is in force.";
     SETTINGS_FROM_PEER = 144, "Newer settings were taken over from a peer.";
     SNAPSHOT_APPENDED = 145, "A snapshot of the settings was appended.";
+    SNAPSHOT_REFUSED = 146, "A snapshot does not match its hash or is not valid, and was not taken over.";
     CLAIM_LOST = 150, "The answer to an append of claims was lost.";
     CLAIM_RELEASED = 151, "A claim that was never dispatched is released.";
     WARM_START = 160, "Knowledge of caches and heat was taken over from a peer.";
--- a/crates/sesamegap/src/router/callers/admit.rs
+++ b/crates/sesamegap/src/router/callers/admit.rs
@@ -108,7 +108,7 @@
     match core.once.place(core, &admit.asked.team, &key).await? {
         Place::Here => here(core, admit, &key, digest).await,
         Place::There(holder) => {
-            let relayed = Relayed::new(&admit.asked, holder, path, body);
+            let relayed = Relayed::new(&admit.asked, holder, path, &body);
             relay::forward(core, &relayed).await
         }
     }
--- a/crates/sesamegap/src/router/callers/chat.rs
+++ b/crates/sesamegap/src/router/callers/chat.rs
@@ -15,7 +15,7 @@
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 use serde::Deserialize;
-use sesamegap_settings::ClassSpec;
+use sesamegap_settings::{Catalogue, ClassSpec};
 use sesamegap_wire::chain::Seed;
 use sesamegap_wire::{Chain, ClassId, ModelId, TeamId, Tokens};
 
@@ -71,9 +71,9 @@
 pub async fn chat(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    serve(&core, request, body, Shape::Chat).await
+    serve(core, request, body, Shape::Chat).await
 }
 
 /// `POST /v1/completions`
@@ -81,9 +81,9 @@
 pub async fn completions(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    serve(&core, request, body, Shape::Text).await
+    serve(core, request, body, Shape::Text).await
 }
 
 async fn serve(
@@ -100,6 +100,9 @@
 }
 
 /// Checks a request against the settings and cuts its prompt.
+///
+/// # Errors
+/// With what is wrong with it; nothing was run.
 pub fn prepare(core: &Core, asked: Asked, body: &[u8], shape: Shape) -> Result<Admit, ApiError> {
     let body: Asking = serde_json::from_slice(body)
         .map_err(|error| ApiError::bad("bad_json", format!("the body is no request: {error}")))?;
@@ -107,7 +110,7 @@
         return Err(ApiError::bad("bad_request", "`n` must be 1"));
     }
     let settings = core.settings();
-    let catalogue = &settings.catalogue;
+    let catalogue = settings.as_ref();
     let model: ModelId = body
         .model
         .parse()
@@ -153,11 +156,7 @@
     ))
 }
 
-fn allowed(
-    catalogue: &sesamegap_settings::Catalogue,
-    team: &TeamId,
-    model: &ModelId,
-) -> Result<(), ApiError> {
+fn allowed(catalogue: &Catalogue, team: &TeamId, model: &ModelId) -> Result<(), ApiError> {
     let spec = catalogue.teams.get(team);
     if spec.is_some_and(|spec| may_ask(spec, model)) {
         return Ok(());
@@ -171,7 +170,7 @@
 }
 
 fn class<'a>(
-    catalogue: &'a sesamegap_settings::Catalogue,
+    catalogue: &'a Catalogue,
     asked: &Asked,
 ) -> Result<(ClassId, &'a ClassSpec), ApiError> {
     let default = catalogue.teams.get(&asked.team).map(|team| &team.class);
--- a/crates/sesamegap/src/router/callers/intake.rs
+++ b/crates/sesamegap/src/router/callers/intake.rs
@@ -69,8 +69,14 @@
 
 /// The team whose key the request carries.
 pub fn team(core: &Core, headers: &HeaderMap) -> Result<TeamId, ApiError> {
+    if !core.tree.is_known() {
+        let mut error = ApiError::overload("this router has no settings yet");
+        error.code = "starting";
+        return Err(error);
+    }
+    let settings = core.settings();
     bearer(headers)
-        .and_then(|key| core.settings().team(key))
+        .and_then(|key| settings.keys.team(key).cloned())
         .ok_or_else(|| {
             let message = "the Authorization header carries no team's key";
             ApiError::not_run(StatusCode::UNAUTHORIZED, "wrong_key", message)
--- a/crates/sesamegap/src/router/callers/models.rs
+++ b/crates/sesamegap/src/router/callers/models.rs
@@ -10,11 +10,11 @@
 
 /// `GET /v1/models`
 #[handler]
-pub async fn list(request: &Request, core: Data<&Shared>) -> Result<Json<Value>, ApiError> {
-    let team = intake::team(&core, request.headers())?;
+pub fn list(request: &Request, Data(core): Data<&Shared>) -> Result<Json<Value>, ApiError> {
+    let team = intake::team(core, request.headers())?;
     let settings = core.settings();
-    let spec = settings.catalogue.teams.get(&team);
-    let names = settings.catalogue.models.keys();
+    let spec = settings.teams.get(&team);
+    let names = settings.models.keys();
     let allowed = names.filter(|name| spec.is_some_and(|spec| may_ask(spec, name)));
     let data: Vec<Value> = allowed.map(describe).collect();
     Ok(Json(json!({ "object": "list", "data": data })))
@@ -22,14 +22,14 @@
 
 /// `GET /v1/models/{name}`
 #[handler]
-pub async fn one(
+pub fn one(
     request: &Request,
     Path(name): Path<String>,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Json<Value>, ApiError> {
-    let team = intake::team(&core, request.headers())?;
+    let team = intake::team(core, request.headers())?;
     let settings = core.settings();
-    let catalogue = &settings.catalogue;
+    let catalogue = settings.as_ref();
     let known = name.parse().ok().filter(|name: &ModelId| {
         let spec = catalogue.teams.get(&team);
         catalogue.models.contains_key(name) && spec.is_some_and(|spec| may_ask(spec, name))
--- a/crates/sesamegap/src/router/callers/relay.rs
+++ b/crates/sesamegap/src/router/callers/relay.rs
@@ -7,7 +7,7 @@
 use super::reply::Form;
 use super::services::{self, Outline};
 use super::{ApiError, Shared, admit};
-use crate::router::once::{Holder, Place};
+use crate::router::once::Place;
 use crate::router::peers::message::{Relay, Resume};
 use crate::router::streams::Shape;
 use async_stream::stream;
@@ -15,6 +15,7 @@
 use futures_util::StreamExt;
 use poem::http::{StatusCode, header};
 use poem::{Body, Response};
+use sesamegap_policy::agreement::Holder;
 use sesamegap_wire::{RequestId, TeamId};
 use std::io;
 
@@ -27,7 +28,7 @@
 
 impl Relayed {
     /// Wraps a request for its holder.
-    pub fn new(asked: &Asked, holder: Holder, path: &str, body: Bytes) -> Self {
+    pub fn new(asked: &Asked, holder: Holder, path: &str, body: &Bytes) -> Self {
         let message = Relay {
             incarnation: holder.incarnation,
             team: asked.team.clone(),
--- a/crates/sesamegap/src/router/callers/requests.rs
+++ b/crates/sesamegap/src/router/callers/requests.rs
@@ -17,16 +17,16 @@
 pub async fn on_resume(
     request: &Request,
     Path(id): Path<String>,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let team = intake::team(&core, request.headers())?;
+    let team = intake::team(core, request.headers())?;
     let id = parse(&id)?;
     let from = resume_from(request)?;
     let form = form(request);
     if !core.owns(&id) {
-        return relay::resume(&core, &id, &team, from, form).await;
+        return relay::resume(core, &id, &team, from, form).await;
     }
-    let answer = find(&core, &id, &team)?;
+    let answer = find(core, &id, &team)?;
     Ok(resume_response(&answer, from, form).await)
 }
 
@@ -35,14 +35,14 @@
 pub async fn on_cancel(
     request: &Request,
     Path(id): Path<String>,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let team = intake::team(&core, request.headers())?;
+    let team = intake::team(core, request.headers())?;
     let id = parse(&id)?;
     if !core.owns(&id) {
-        return relay::cancel(&core, &id, &team).await;
+        return relay::cancel(core, &id, &team).await;
     }
-    find(&core, &id, &team)?.cancel();
+    find(core, &id, &team)?.cancel();
     Ok(StatusCode::NO_CONTENT.into())
 }
 
--- a/crates/sesamegap/src/router/callers/services.rs
+++ b/crates/sesamegap/src/router/callers/services.rs
@@ -23,11 +23,11 @@
 pub async fn serve(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    intake::open(&core)?;
-    let asked = Asked::read(&core, request)?;
-    let body = intake::body(&core, body).await?;
+    intake::open(core)?;
+    let asked = Asked::read(core, request)?;
+    let body = intake::body(core, body).await?;
     let content = request.headers().get(header::CONTENT_TYPE);
     let content = content.and_then(|content| content.to_str().ok());
     let target = request.uri().path_and_query();
@@ -37,8 +37,8 @@
         path,
         content,
     };
-    let admit = prepare(&core, asked, &call, body.clone())?;
-    admit::run(&core, admit, &call.line(), body).await
+    let admit = prepare(core, asked, &call, body.clone())?;
+    admit::run(core, admit, &call.line(), body).await
 }
 
 /// What a call says besides its body.
@@ -86,7 +86,7 @@
     let found = service
         .parse::<ServiceId>()
         .ok()
-        .and_then(|id| settings.catalogue.services.get_key_value(&id));
+        .and_then(|id| settings.services.get_key_value(&id));
     let Some((service, spec)) = found else {
         let shown: String = service.chars().take(64).collect();
         let message = format!("no service `{shown}`");
--- a/crates/sesamegap/src/router/callers/sse.rs
+++ b/crates/sesamegap/src/router/callers/sse.rs
@@ -3,6 +3,7 @@
 use super::reply::usage;
 use crate::router::streams::{Answer, End, Shape};
 use serde_json::{Value, json};
+use sesamegap_wire::ModelId;
 
 /// A comment, which client libraries skip.
 pub const BEAT: &str = ": still at work\n\n";
@@ -21,7 +22,7 @@
         "id": answer.head.request.to_string(),
         "object": object,
         "created": answer.head.created,
-        "model": answer.head.model.as_ref().map(|model| model.as_str()),
+        "model": answer.head.model.as_ref().map(ModelId::as_str),
     })
 }
 
--- a/crates/sesamegap/src/router/callers/tickets.rs
+++ b/crates/sesamegap/src/router/callers/tickets.rs
@@ -7,10 +7,10 @@
 
 /// `POST /v1/tickets`
 #[handler]
-pub async fn mint(request: &Request, core: Data<&Shared>) -> Result<Json<Value>, ApiError> {
-    intake::open(&core)?;
-    intake::team(&core, request.headers())?;
-    let ticket = core.once.mint(&core);
+pub fn mint(request: &Request, Data(core): Data<&Shared>) -> Result<Json<Value>, ApiError> {
+    intake::open(core)?;
+    let team = intake::team(core, request.headers())?;
+    let ticket = core.once.mint(core, &team)?;
     Ok(Json(json!({
         "key": ticket.to_string(),
         "seconds": core.config.timing.keep.as_secs(),
--- a/crates/sesamegap/src/router/core.rs
+++ b/crates/sesamegap/src/router/core.rs
@@ -3,7 +3,6 @@
 use super::clock::Clock;
 use super::deciding::DeciderHandle;
 use super::fleet::Fleet;
-use super::inforce::InForce;
 use super::once::Once;
 use super::peers::{PeerClient, Peers};
 use super::phase::Phases;
@@ -12,6 +11,7 @@
 use crate::config::ProcessConfig;
 use crate::telemetry::Telemetry;
 use sesamegap_platform::Log;
+use sesamegap_settings::Catalogue;
 use sesamegap_wire::{Incarnation, RequestId};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -58,7 +58,7 @@
 
 impl Core {
     /// The settings in force.
-    pub fn settings(&self) -> Arc<InForce> {
+    pub fn settings(&self) -> Arc<Catalogue> {
         self.tree.in_force()
     }
 
--- a/crates/sesamegap/src/router/deciding/mod.rs
+++ b/crates/sesamegap/src/router/deciding/mod.rs
@@ -49,6 +49,8 @@
     Finished(RequestId, bool),
     /// Its caller left while it was queued.
     Cancelled(RequestId),
+    /// News that must not be lost, whatever the load.
+    News(Box<Observation>),
     /// No request at all: the thread is to stop.
     Stop,
 }
@@ -85,6 +87,9 @@
 /// How many ends may wait for each flight: its present one and that of a former attempt.
 const ENDS_PER_FLIGHT: usize = 2;
 
+/// Room for news that must not be lost; settings and fleet change at most some times a second.
+const NEWS: usize = 64;
+
 /// Starts the thread; engines whose cache must be listed are named on `lists`.
 ///
 /// # Errors
@@ -96,7 +101,7 @@
     lists: mpsc::Sender<UpstreamId>,
 ) -> io::Result<(DeciderHandle, DeciderThread)> {
     let (ring, messages) = bounded(bounds.ring);
-    let (ends, ended) = bounded(bounds.flights * ENDS_PER_FLIGHT + 1);
+    let (ends, ended) = bounded(bounds.flights * ENDS_PER_FLIGHT + NEWS);
     let mut owner = thread::Owner::new(decider, clock, lists);
     let rings = thread::Rings { messages, ended };
     let join = std::thread::Builder::new()
@@ -131,6 +136,11 @@
         }
     }
 
+    /// Passes on news that no later news makes up for.
+    pub fn tell(&self, news: Observation) {
+        self.end(Ended::News(Box::new(news)));
+    }
+
     /// Ends a booking.
     pub fn finished(&self, request: RequestId, whole: bool) {
         self.end(Ended::Finished(request, whole));
--- a/crates/sesamegap/src/router/deciding/thread.rs
+++ b/crates/sesamegap/src/router/deciding/thread.rs
@@ -91,6 +91,7 @@
                 self.owed.remove(&request);
                 self.decider.observe(Observation::Cancelled(request), now);
             }
+            Ended::News(news) => self.decider.observe(*news, now),
             Ended::Stop => return ControlFlow::Break(()),
         }
         ControlFlow::Continue(())
@@ -126,6 +127,11 @@
                         drop(to.send(Verdict::Refuse(refusal)));
                     }
                 }
+                // Second attempts are not carried out yet, and are reported so at once.
+                Decision::Hedge { twin, .. } => {
+                    let news = Observation::Finished(twin, false);
+                    self.decider.observe(news, self.clock.now());
+                }
                 Decision::List { engine } => drop(self.lists.try_send(engine)),
             }
         }
--- a/crates/sesamegap/src/router/fleet/follow.rs
+++ b/crates/sesamegap/src/router/fleet/follow.rs
@@ -57,8 +57,7 @@
     };
     if core.fleet.update(&list) {
         tracing::info!(event = events::LIST_CHANGED.number, "VM list changed");
-        core.decider
-            .observe(Observation::Fleet(core.fleet.engines()));
+        core.decider.tell(Observation::Fleet(core.fleet.engines()));
     }
     true
 }
@@ -138,8 +137,7 @@
                 if report.leaving {
                     core.fleet.leaving(&id, &core.decider);
                 } else if core.fleet.staying(&id) {
-                    core.decider
-                        .observe(Observation::Fleet(core.fleet.engines()));
+                    core.decider.tell(Observation::Fleet(core.fleet.engines()));
                 }
                 core.decider
                     .observe(Observation::Report(id.clone(), report));
--- a/crates/sesamegap/src/router/fleet/mod.rs
+++ b/crates/sesamegap/src/router/fleet/mod.rs
@@ -4,8 +4,11 @@
 //! believed at once, until the list names it as leaving too or no longer. [`follow`] reads the
 //! list, the engines' reports and their cache events.
 
+mod connect;
 pub mod follow;
 
+pub use connect::{HttpConnect, http_settings};
+
 use super::deciding::DeciderHandle;
 use super::lock;
 use arc_swap::ArcSwap;
@@ -224,7 +227,7 @@
             %engine,
             "engine is leaving"
         );
-        decider.observe(Observation::Fleet(self.engines()));
+        decider.tell(Observation::Fleet(self.engines()));
     }
 
     /// Notes that an engine serves again; `true` if it had said that it was leaving.
--- a/crates/sesamegap/src/router/follow_log.rs
+++ b/crates/sesamegap/src/router/follow_log.rs
@@ -21,8 +21,11 @@
 
 /// Takes what the log gives.
 pub trait Reader: Send {
-    /// Takes records in order of offset.
-    fn take(&mut self, records: &[Record]);
+    /// Takes records in order of offset; may say where to read on, if not after them.
+    fn take(&mut self, records: &[Record]) -> Option<Offset>;
+
+    /// Learns that all records there are were read.
+    fn caught_up(&mut self) {}
 
     /// Learns that records before this offset were dropped before they were read.
     fn expired(&mut self, oldest: Offset) {
@@ -53,9 +56,16 @@
         Offset(self.next.load(Ordering::Acquire))
     }
 
-    /// Skips records that are known from elsewhere.
-    pub fn skip_to(&self, next: Offset) {
-        self.next.fetch_max(next.0, Ordering::AcqRel);
+    /// Reads on from elsewhere, as when a snapshot covers what was not read, or was missed.
+    pub fn seek(&self, next: Offset) {
+        self.next.store(next.0, Ordering::Release);
+    }
+
+    /// Moves from where a read began, unless another thread has moved it meanwhile.
+    fn advance(&self, from: Offset, next: Offset) {
+        let _ = self
+            .next
+            .compare_exchange(from.0, next.0, Ordering::AcqRel, Ordering::Acquire);
     }
 
     /// Milliseconds since the log was last read with success.
@@ -79,15 +89,16 @@
                 source
                     .read_ms
                     .store(super::clock::unix_ms(), Ordering::Relaxed);
-                if !page.records.is_empty() {
-                    reader.take(&page.records);
+                let elsewhere = reader.take(&page.records);
+                source.advance(from, elsewhere.unwrap_or(page.next));
+                if page.next >= page.end {
+                    reader.caught_up();
                 }
-                source.skip_to(page.next);
             }
             Ok(Err(error)) if let Reason::Expired(oldest) = error.reason() => {
                 tracing::warn!(event = events::LOG_EXPIRED.number, stream = %source.stream, %oldest, "records expired");
                 reader.expired(oldest);
-                source.skip_to(oldest);
+                source.advance(from, oldest);
             }
             Ok(Err(_)) | Err(_) => {
                 if !std::mem::replace(&mut down, true) {
--- a/crates/sesamegap/src/router/mod.rs
+++ b/crates/sesamegap/src/router/mod.rs
@@ -14,7 +14,6 @@
 pub mod deciding;
 pub mod fleet;
 pub mod follow_log;
-pub mod inforce;
 pub mod once;
 mod operators;
 pub mod peers;
--- a/crates/sesamegap/src/router/once/mod.rs
+++ b/crates/sesamegap/src/router/once/mod.rs
@@ -1,46 +1,50 @@
 //! Idempotency keys: what may run, where, and only once.
 //!
-//! Three things are asked in turn. [`Once::place`] says which router may run a key: the one that a
-//! [`Ticket`] names, or the one whose claim on a caller's own key comes first in the log. Then, on
-//! that router alone, [`Once::enter`] lets one request run under the key and gives every other one
-//! its answer. A key whose router is gone is never run again, because nobody can tell any longer
-//! whether it was.
+//! Two questions are asked in turn. [`Once::place`] says which router may run a key: the one that
+//! minted it as a ticket, or the one whose claim on a caller's own key comes first in the log.
+//! Then, on that router alone, [`Once::enter`] lets one request run under the key and gives every
+//! other one its answer. A key whose router is gone is never run again, because nobody can tell
+//! any longer whether it was.
+//!
+//! The rules are those of [`sesamegap_policy::agreement`]; here they meet the log and the callers.
 
 mod appender;
-pub mod claims;
 pub mod follow;
-mod key;
 mod runs;
-mod ticket;
 
 pub use appender::{Appender, append};
-pub use claims::{ClaimRecord, Claims};
 pub use runs::Entry;
-pub use ticket::Ticket;
 
 use super::callers::ApiError;
 use super::clock::unix_ms;
 use super::core::Core;
 use super::lock;
 use super::streams::Answer;
-use appender::Claimed;
+use follow::SharedClaims;
 use poem::http::StatusCode;
 use runs::Runs;
-use sesamegap_wire::{Incarnation, RequestId, TeamId, VmId};
+use sesamegap_policy::agreement::Holder;
+use sesamegap_policy::agreement::claims::{
+    Appended, ClaimId, ClaimKey, Claimant, KeyAge, KeyLife, Standing, Step, Verdict,
+};
+use sesamegap_policy::agreement::tickets::{Admission, Ticket, Tickets};
+use sesamegap_wire::{RequestId, TeamId};
 use smol_str::SmolStr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
-/// One life of a router, which alone may run a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Holder {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-}
+/// For how long the platform's log is taken to keep a record; a key that is older is refused.
+pub const LOG_RETENTION: Duration = Duration::from_hours(1);
+
+/// Most by which callers' clocks may differ from ours.
+const SKEW: Duration = Duration::from_mins(1);
+
+/// Tickets that can be outstanding; a caller that mints without end must not fill the memory.
+const TICKETS: usize = 1 << 16;
+
+/// Pause before an append that failed is tried again.
+const PAUSE: Duration = Duration::from_millis(100);
 
 /// Which router may run a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -54,57 +58,66 @@
 /// The keys that this router knows of.
 #[derive(Debug)]
 pub struct Once {
+    me: Holder,
     runs: Mutex<Runs>,
-    claims: Arc<Mutex<Claims>>,
+    tickets: Mutex<Tickets>,
+    claims: SharedClaims,
     appender: Appender,
-    tickets: AtomicU64,
-    keep: Duration,
+    life: KeyLife,
 }
 
 impl Once {
-    /// Starts with no key; each one is remembered for several times `keep`.
-    pub fn new(claims: Arc<Mutex<Claims>>, appender: Appender, keep: Duration) -> Self {
+    /// Starts with no key; a ticket can be used for `keep`.
+    pub fn new(me: Holder, claims: SharedClaims, appender: Appender, keep: Duration) -> Self {
         Self {
-            runs: Mutex::new(Runs::new(keep)),
+            runs: Mutex::default(),
+            tickets: Mutex::new(Tickets::new(me.clone(), keep, TICKETS)),
             claims,
             appender,
-            tickets: AtomicU64::new(0),
-            keep,
+            life: KeyLife::new(LOG_RETENTION, SKEW),
+            me,
         }
     }
 
     /// Mints a ticket, which only this life of this router will run.
-    pub fn mint(&self, core: &Core) -> Ticket {
-        Ticket {
-            holder: this(core),
-            seq: self.tickets.fetch_add(1, Ordering::Relaxed),
-            minted: unix_ms(),
-        }
+    ///
+    /// # Errors
+    /// If too many are outstanding.
+    pub fn mint(&self, core: &Core, team: &TeamId) -> Result<Ticket, ApiError> {
+        let ticket = lock(&self.tickets).mint(team, core.clock.now());
+        ticket.ok_or_else(|| ApiError::overload("too many tickets are outstanding"))
     }
 
     /// Finds out which router may run a key, claiming it if nobody has.
+    ///
+    /// # Errors
+    /// If the key may not run, or the log cannot be asked; nothing was run.
     pub async fn place(
         &self,
         core: &Core,
         team: &TeamId,
         key: &SmolStr,
     ) -> Result<Place, ApiError> {
-        if lock(&self.runs).knows(team, key) {
+        let claim = ClaimKey {
+            team: team.clone(),
+            key: key.clone(),
+        };
+        if lock(&self.runs).knows(&claim) {
             return Ok(Place::Here);
         }
-        if let Some(ticket) = Ticket::parse(key) {
-            return self.place_ticket(core, ticket);
-        }
-        key::check_age(key, unix_ms())?;
-        let known = lock(&self.claims).holder(team, key);
-        match known {
-            Some(claim) if claim.holder == this(core) => self.held(claim.seen.elapsed()),
-            Some(claim) => Ok(Place::There(claim.holder)),
-            None => self.claim(core, team, key).await,
+        if let Ok(ticket) = key.parse::<Ticket>() {
+            return self.place_ticket(core, team, &ticket);
         }
+        self.check_age(key)?;
+        self.claim(core, claim).await
     }
 
     /// Lets one request run under a key, or finds the answer of the one that did.
+    ///
+    /// Only a key that [`Once::place`] has placed here may enter.
+    ///
+    /// # Errors
+    /// If it may not run now, or its answer is kept no longer.
     pub fn enter(
         &self,
         core: &Core,
@@ -113,58 +126,116 @@
         digest: blake3::Hash,
         open: impl FnOnce(RequestId) -> Result<Arc<Answer>, ApiError>,
     ) -> Result<Entry, ApiError> {
-        let request = core.mint();
+        let key = ClaimKey {
+            team: team.clone(),
+            key: key.clone(),
+        };
         let find = |request: &RequestId| core.kept.get(request);
-        lock(&self.runs).enter(team, key, digest, find, || open(request))
+        lock(&self.runs).enter(&key, digest, find, || open(core.mint()))
+    }
+
+    /// Lets nothing in any longer, and gives back the claims under which nothing ran.
+    ///
+    /// A claim that is not given back would answer `ran: unknown` for good once this router is
+    /// gone, although it is certain that nothing ran.
+    pub async fn close(&self, limit: Duration) {
+        let unused = lock(&self.runs).close();
+        if unused.is_empty() {
+            return;
+        }
+        let count = unused.len();
+        let until = Instant::now() + limit;
+        for record in unused {
+            let appended = timeout_at(until, self.appender.append(record)).await;
+            if !matches!(appended, Ok(Ok(Appended::At(_)))) {
+                return;
+            }
+        }
+        tracing::info!(
+            event = crate::events::CLAIM_RELEASED.number,
+            count,
+            "claims released"
+        );
     }
 
     /// Number of keys run here, and of claims known.
     pub fn size(&self) -> (usize, usize) {
-        (lock(&self.runs).len(), lock(&self.claims).len())
+        (lock(&self.runs).len(), self.claims.len())
     }
 
-    fn place_ticket(&self, core: &Core, ticket: Ticket) -> Result<Place, ApiError> {
-        if ticket.holder != this(core) {
-            return Ok(Place::There(ticket.holder));
-        }
-        if ticket.seq >= self.tickets.load(Ordering::Relaxed) {
-            return Err(ApiError::bad("bad_key", "this ticket was never handed out"));
+    fn place_ticket(&self, core: &Core, team: &TeamId, ticket: &Ticket) -> Result<Place, ApiError> {
+        match lock(&self.tickets).admit(ticket, team, core.clock.now()) {
+            // A used ticket that nothing ran under was refused before it ran, and may try again.
+            Admission::Run | Admission::Used => Ok(Place::Here),
+            Admission::Other(holder) => Ok(Place::There(holder)),
+            Admission::Expired => Err(ApiError::not_run(
+                StatusCode::CONFLICT,
+                "key_expired",
+                "the ticket is too old and was never used",
+            )),
+            Admission::Unknown => Err(expired("the ticket is too old")),
+            Admission::Forged => Err(ApiError::bad(
+                "bad_key",
+                "this ticket was not handed out to this team",
+            )),
         }
-        let age = unix_ms().saturating_sub(ticket.minted);
-        if Duration::from_millis(age) > self.keep {
-            return Err(expired("the ticket is too old"));
+    }
+
+    /// Refuses a key whose claim the log may have dropped already.
+    fn check_age(&self, key: &str) -> Result<(), ApiError> {
+        match self.life.judge(key, unix_ms()) {
+            KeyAge::Fresh | KeyAge::Timeless => Ok(()),
+            KeyAge::Stale => Err(expired("the key is older than the log keeps claims")),
+            KeyAge::Ahead => Err(ApiError::bad(
+                "bad_key",
+                "the key's time lies in the future",
+            )),
         }
-        Ok(Place::Here)
     }
 
-    /// A claim of this router's that was not run for long may have been run and forgotten.
-    fn held(&self, age: Duration) -> Result<Place, ApiError> {
-        if age > self.keep {
-            return Err(expired("the key was claimed too long ago"));
+    async fn claim(&self, core: &Core, key: ClaimKey) -> Result<Place, ApiError> {
+        let patience = core.config.timing.log;
+        let until = Instant::now() + patience;
+        let id = ClaimId(rand::random());
+        let now = core.clock.now();
+        let mut claimant = Claimant::new(key.clone(), id, self.me.clone(), now, patience);
+        loop {
+            let mut moved = self.claims.subscribe();
+            let step = self.claims.look(&mut claimant, core.clock.now());
+            match step {
+                Step::Append(record) => {
+                    let appended = timeout_at(until, self.appender.append(record)).await;
+                    let appended = appended.unwrap_or(Ok(Appended::Unknown))?;
+                    claimant.appended(appended);
+                    if !matches!(appended, Appended::At(_)) {
+                        drop(timeout_at(until.min(Instant::now() + PAUSE), moved.changed()).await);
+                    }
+                }
+                Step::Wait => drop(timeout_at(until, moved.changed()).await),
+                Step::Done(Verdict::Run | Verdict::Earlier(_)) => {
+                    return Ok(Place::Here);
+                }
+                Step::Done(Verdict::Other(holder)) => return Ok(Place::There(holder)),
+                Step::Done(Verdict::GivenUp(release)) => {
+                    // The claim may stand: this router goes on holding the key and runs it if the
+                    // caller comes again; only at its end does it give the claim back.
+                    lock(&self.runs).unused(key, release);
+                    return Err(log_down());
+                }
+            }
         }
-        Ok(Place::Here)
     }
 
-    async fn claim(&self, core: &Core, team: &TeamId, key: &SmolStr) -> Result<Place, ApiError> {
-        let record = ClaimRecord {
-            id: core.mint(),
+    /// Which life holds a key, as far as the log was read.
+    pub fn holder(&self, team: &TeamId, key: &SmolStr) -> Option<Holder> {
+        let key = ClaimKey {
             team: team.clone(),
             key: key.clone(),
         };
-        let pending = self.appender.claim(record)?;
-        match timeout(core.config.timing.log, pending.done()).await {
-            Ok(Claimed::By(holder)) if holder == this(core) => Ok(Place::Here),
-            Ok(Claimed::By(holder)) => Ok(Place::There(holder)),
-            Ok(Claimed::Failed) | Err(_) => Err(log_down()),
-        }
-    }
-}
-
-/// This life of this router.
-pub fn this(core: &Core) -> Holder {
-    Holder {
-        vm: core.config.vm.clone(),
-        incarnation: core.incarnation,
+        self.claims.with(|claims| match claims.standing(&key) {
+            Standing::Held(_, holder) => Some(holder.clone()),
+            Standing::Free => None,
+        })
     }
 }
 
@@ -178,7 +249,8 @@
     ApiError::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "log_down",
-        "the log that decides who may run a key cannot be reached; a ticket works without it",
+        "the log that decides who may run a key cannot be reached; this attempt was not run: \
+         ask again with the same key",
     )
     .after(Duration::from_secs(1))
 }
--- a/crates/sesamegap/src/router/once/runs.rs
+++ b/crates/sesamegap/src/router/once/runs.rs
@@ -1,23 +1,26 @@
 //! The keys that ran on this router.
 
+use super::LOG_RETENTION;
 use crate::router::callers::ApiError;
 use crate::router::streams::{Answer, End};
 use poem::http::StatusCode;
 use rustc_hash::FxHashMap;
+use sesamegap_policy::agreement::claims::{ClaimKey, ClaimRecord};
 use sesamegap_upstream::Ran;
-use sesamegap_wire::{RequestId, TeamId};
-use smol_str::SmolStr;
+use sesamegap_wire::RequestId;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A key is remembered for so many times the span in which it may be run first.
+/// For how long a key is remembered.
 ///
-/// It must be longer than that span, or a key could be forgotten and run a second time.
-const REMEMBER: u32 = 4;
+/// A claim stands for as long as the log keeps it, and a key that stands but is forgotten here
+/// would run a second time; so this is longer, whatever the clocks say.
+const REMEMBER: Duration = LOG_RETENTION.saturating_mul(2);
 
-type Key = (TeamId, SmolStr);
+/// Claims without a run that are remembered; the oldest is never given back beyond that.
+const UNUSED: usize = 4096;
 
 /// Whether a request runs.
 #[derive(Debug)]
@@ -34,41 +37,48 @@
     digest: blake3::Hash,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Runs {
-    span: Duration,
-    runs: FxHashMap<Key, Run>,
-    order: VecDeque<(Instant, Key)>,
+    known: FxHashMap<ClaimKey, Run>,
+    order: VecDeque<(Instant, ClaimKey)>,
+    unused: VecDeque<(ClaimKey, ClaimRecord)>,
+    closed: bool,
 }
 
 impl Runs {
-    pub(super) fn new(keep: Duration) -> Self {
-        Self {
-            span: keep * REMEMBER,
-            runs: FxHashMap::default(),
-            order: VecDeque::new(),
-        }
+    pub(super) fn len(&self) -> usize {
+        self.known.len()
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.runs.len()
+    pub(super) fn knows(&self, key: &ClaimKey) -> bool {
+        self.known.contains_key(key)
+    }
+
+    /// Remembers how to give back a claim under which nothing ran yet.
+    pub(super) fn unused(&mut self, key: ClaimKey, release: ClaimRecord) {
+        if self.unused.len() >= UNUSED {
+            self.unused.pop_front();
+        }
+        self.unused.push_back((key, release));
     }
 
-    pub(super) fn knows(&self, team: &TeamId, key: &SmolStr) -> bool {
-        self.runs.contains_key(&(team.clone(), key.clone()))
+    /// Lets nothing in any longer and says how to give back what was never used.
+    pub(super) fn close(&mut self) -> Vec<ClaimRecord> {
+        self.closed = true;
+        let unused = std::mem::take(&mut self.unused).into_iter();
+        let unused = unused.filter(|(key, _)| !self.known.contains_key(key));
+        unused.map(|(_, release)| release).collect()
     }
 
     pub(super) fn enter(
         &mut self,
-        team: &TeamId,
-        key: &SmolStr,
+        key: &ClaimKey,
         digest: blake3::Hash,
         find: impl FnOnce(&RequestId) -> Option<Arc<Answer>>,
         open: impl FnOnce() -> Result<Arc<Answer>, ApiError>,
     ) -> Result<Entry, ApiError> {
         self.forget();
-        let key = (team.clone(), key.clone());
-        if let Some(run) = self.runs.get(&key) {
+        if let Some(run) = self.known.get(key) {
             if run.digest != digest {
                 return Err(reused());
             }
@@ -77,23 +87,27 @@
                 return Ok(Entry::Known(answer));
             }
         }
+        // After the claims were given back another router may run the key.
+        if self.closed {
+            return Err(ApiError::overload("this router is stopping"));
+        }
         let answer = open()?;
         let run = Run {
             request: answer.head.request.clone(),
             digest,
         };
-        self.runs.insert(key.clone(), run);
-        self.order.push_back((Instant::now(), key));
+        if self.known.insert(key.clone(), run).is_none() {
+            self.order.push_back((Instant::now(), key.clone()));
+        }
         Ok(Entry::Run(answer))
     }
 
     fn forget(&mut self) {
-        while let Some((since, _)) = self.order.front()
-            && since.elapsed() > self.span
+        while let Some((_, key)) = self
+            .order
+            .pop_front_if(|(since, _)| since.elapsed() > REMEMBER)
         {
-            if let Some((_, key)) = self.order.pop_front() {
-                self.runs.remove(&key);
-            }
+            self.known.remove(&key);
         }
     }
 }
--- a/crates/sesamegap/src/router/operators.rs
+++ b/crates/sesamegap/src/router/operators.rs
@@ -1,16 +1,22 @@
 //! The operators' side: settings, dump, metrics, health.
 
-use super::callers::{ApiError, Shared, bearer};
+use super::callers::{ApiError, Shared, bearer, read_body};
 use super::core::Core;
-use super::inforce::is_secret;
+use super::tree::publish;
+use crate::admin::{self, ChangeAnswer, ChangeRequest, EffectiveAnswer, HistoryAnswer, TreeAnswer};
 use poem::http::StatusCode;
-use poem::web::{Data, Json};
-use poem::{Request, Response, Route, get, handler};
+use poem::web::{Data, Json, Path};
+use poem::{Body, IntoResponse, Request, Response, Route, get, handler, post};
 use serde_json::{Value, json};
+use sesamegap_settings::{ChangeId, TreePath};
 
 /// The routes that operators use.
 pub fn routes(route: Route) -> Route {
     route
+        .at("/admin/changes", post(change))
+        .at("/admin/tree", get(tree))
+        .at("/admin/effective/*path", get(effective))
+        .at("/admin/history", get(history))
         .at("/dump", get(dump))
         .at("/metrics", get(metrics))
         .at("/healthz", get(health))
@@ -19,7 +25,7 @@
 /// Lets only the operators' key pass.
 fn check(core: &Core, request: &Request) -> Result<(), ApiError> {
     let key = bearer(request.headers());
-    if key.is_some_and(|key| is_secret(key, &core.config.operator)) {
+    if key.is_some_and(|key| sesamegap_settings::matches(key, &core.config.operator)) {
         return Ok(());
     }
     Err(ApiError::not_run(
@@ -29,10 +35,62 @@
     ))
 }
 
+/// `POST /admin/changes`
+#[handler]
+async fn change(
+    request: &Request,
+    body: Body,
+    Data(core): Data<&Shared>,
+) -> Result<Response, ApiError> {
+    check(core, request)?;
+    let body = read_body(core, body).await?;
+    let asked: ChangeRequest = serde_json::from_slice(&body)
+        .map_err(|error| ApiError::bad("bad_json", format!("the body is no change: {error}")))?;
+    let id = asked.id.unwrap_or_else(|| ChangeId(rand::random()));
+    let answer = match asked.into_change(id) {
+        Ok(change) => publish(core, &change).await,
+        Err(findings) => ChangeAnswer::Invalid { id, findings },
+    };
+    let status = StatusCode::from_u16(answer.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    Ok(Json(answer).with_status(status).into_response())
+}
+
+/// `GET /admin/tree`
+#[handler]
+fn tree(request: &Request, Data(core): Data<&Shared>) -> Result<Json<TreeAnswer>, ApiError> {
+    check(core, request)?;
+    Ok(Json(core.tree.with(|fold| admin::tree(fold))))
+}
+
+/// `GET /admin/effective/{path}`
+#[handler]
+fn effective(
+    request: &Request,
+    Path(path): Path<String>,
+    Data(core): Data<&Shared>,
+) -> Result<Json<EffectiveAnswer>, ApiError> {
+    check(core, request)?;
+    let path: TreePath = path.parse().map_err(|error: sesamegap_wire::ParseError| {
+        ApiError::bad("bad_path", error.to_string())
+    })?;
+    let found = core.tree.with(|fold| admin::effective(fold, &path));
+    found.map(Json).ok_or_else(|| {
+        let message = format!("nothing stands at `{path}`");
+        ApiError::not_run(StatusCode::NOT_FOUND, "not_found", message)
+    })
+}
+
+/// `GET /admin/history`
+#[handler]
+fn history(request: &Request, Data(core): Data<&Shared>) -> Result<Json<HistoryAnswer>, ApiError> {
+    check(core, request)?;
+    Ok(Json(core.tree.with(|fold| admin::history(fold))))
+}
+
 /// `GET /dump`
 #[handler]
-async fn dump(request: &Request, core: Data<&Shared>) -> Result<Json<Value>, ApiError> {
-    check(&core, request)?;
+async fn dump(request: &Request, Data(core): Data<&Shared>) -> Result<Json<Value>, ApiError> {
+    check(core, request)?;
     let decider = core.decider.dump().await;
     let (answers, bytes) = core.kept.size();
     let (keys, claims) = core.once.size();
@@ -44,14 +102,34 @@
         "flights": core.flights.len(),
         "ring": core.decider.waiting(),
         "kept": { "answers": answers, "bytes": bytes },
+        "settings": {
+            "revision": core.settings().revision,
+            "next": core.tree.next(),
+            "log_age_ms": core.tree.source().age_ms(),
+        },
+        "peers": peers(core),
         "keys": { "run": keys, "claims": claims },
         "decider": decider,
     })))
 }
 
+fn peers(core: &Core) -> Vec<Value> {
+    let peers = core.peers.live(&core.fleet.entries()).into_iter();
+    let shown = peers.map(|peer| {
+        json!({
+            "vm": peer.vm,
+            "router": peer.router.to_string(),
+            "incarnation": peer.incarnation,
+            "leaving": peer.leaving,
+            "settings": peer.settings,
+        })
+    });
+    shown.collect()
+}
+
 /// `GET /metrics`
 #[handler]
-async fn metrics(core: Data<&Shared>) -> Result<Response, ApiError> {
+fn metrics(Data(core): Data<&Shared>) -> Result<Response, ApiError> {
     let text = core.telemetry.text().map_err(|error| {
         let status = StatusCode::INTERNAL_SERVER_ERROR;
         ApiError::not_run(status, "internal", error.to_string())
@@ -63,6 +141,6 @@
 
 /// `GET /healthz`
 #[handler]
-async fn health(core: Data<&Shared>) -> Json<Value> {
+fn health(Data(core): Data<&Shared>) -> Json<Value> {
     Json(json!({ "phase": core.phases.now().to_string() }))
 }
--- a/crates/sesamegap/src/router/peers/endpoints.rs
+++ b/crates/sesamegap/src/router/peers/endpoints.rs
@@ -6,8 +6,7 @@
 use crate::events;
 use crate::router::callers::{ApiError, Form, Shared, find_answer, resume_response, run_relayed};
 use crate::router::core::Core;
-use crate::router::inforce::is_same;
-use poem::http::StatusCode;
+use poem::http::{HeaderValue, StatusCode};
 use poem::web::Data;
 use poem::{Body, Request, Response, Route, handler, post};
 use serde::Serialize;
@@ -31,11 +30,11 @@
 async fn on_hello(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let hello: Hello = read(&core, request, body).await?;
+    let hello: Hello = read(core, request, body).await?;
     core.peers.heard(&hello);
-    let own = gossip::own(&core).await;
+    let own = gossip::own(core).await;
     core.decider
         .observe(Observation::Peer(hello.vm, hello.digest));
     answer(&own)
@@ -45,9 +44,9 @@
 async fn on_warmth(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let (): () = read(&core, request, body).await?;
+    let (): () = read(core, request, body).await?;
     let warmth = core.decider.warmth().await;
     answer(&warmth.unwrap_or_default())
 }
@@ -56,9 +55,9 @@
 async fn on_settings(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let want: WantSettings = read(&core, request, body).await?;
+    let want: WantSettings = read(core, request, body).await?;
     answer(&core.tree.share(want))
 }
 
@@ -66,20 +65,20 @@
 async fn on_relay(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let relay: Relay = read(&core, request, body).await?;
-    run_relayed(&core, relay).await
+    let relay: Relay = read(core, request, body).await?;
+    run_relayed(core, relay).await
 }
 
 #[handler]
 async fn on_resume(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let resume: Resume = read(&core, request, body).await?;
-    let found = owned(&core, &resume)?;
+    let resume: Resume = read(core, request, body).await?;
+    let found = owned(core, &resume)?;
     let form = if resume.events {
         Form::Events
     } else {
@@ -92,10 +91,10 @@
 async fn on_cancel(
     request: &Request,
     body: Body,
-    core: Data<&Shared>,
+    Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
-    let resume: Resume = read(&core, request, body).await?;
-    owned(&core, &resume)?.cancel();
+    let resume: Resume = read(core, request, body).await?;
+    owned(core, &resume)?.cancel();
     Ok(StatusCode::NO_CONTENT.into())
 }
 
@@ -107,15 +106,15 @@
     find_answer(core, &resume.request, &resume.team)
 }
 
-/// Checks the secret, in constant time, before anything of the body is read.
+/// Checks the secret, by hashes that compare in constant time, before anything of the body is read.
 async fn read<T: DeserializeOwned>(
     core: &Core,
     request: &Request,
     body: Body,
 ) -> Result<T, ApiError> {
     let secret = request.headers().get(SECRET);
-    let secret = secret.map(|value| value.as_bytes()).unwrap_or_default();
-    if !is_same(secret, core.config.secret.as_bytes()) {
+    let secret = secret.map(HeaderValue::as_bytes).unwrap_or_default();
+    if blake3::hash(secret) != blake3::hash(core.config.secret.as_bytes()) {
         tracing::warn!(event = events::PEER_REFUSED.number, "wrong secret");
         let message = "the message carries no valid secret";
         return Err(ApiError::not_run(
--- a/crates/sesamegap/src/router/peers/gossip.rs
+++ b/crates/sesamegap/src/router/peers/gossip.rs
@@ -7,6 +7,7 @@
 use super::message::Hello;
 use crate::router::core::Core;
 use crate::router::phase::Phase;
+use crate::router::tree::sync;
 use futures_util::StreamExt;
 use futures_util::stream;
 use rand::seq::SliceRandom;
@@ -20,6 +21,7 @@
 pub async fn run(core: Arc<Core>) {
     loop {
         round(&core).await;
+        sync::from_peers(&core, true).await;
         tokio::time::sleep(core.config.timing.gossip).await;
     }
 }
@@ -38,11 +40,13 @@
 /// Exchanges digests with some peers.
 pub async fn round(core: &Core) {
     let mut peers = core.peers.live(&core.fleet.entries());
-    peers.shuffle(&mut rand::rng());
-    peers.truncate(FANOUT);
     if peers.is_empty() {
         return;
     }
+    let routers = u32::try_from(peers.len() + 1).unwrap_or(u32::MAX);
+    core.decider.observe(Observation::Routers(routers));
+    peers.shuffle(&mut rand::rng());
+    peers.truncate(FANOUT);
     let own = own(core).await;
     let exchanges = stream::iter(peers).map(|peer| exchange(core, peer, &own));
     exchanges
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -6,11 +6,13 @@
 use super::deciding::{self, DeciderThread};
 use super::fleet::{Connect, Fleet, follow};
 use super::follow_log;
+use super::once::follow::SharedClaims;
 use super::once::{self, Appender, Once};
 use super::operators;
 use super::peers::{ListedPeers, PeerClient, Peers, endpoints, gossip};
 use super::phase::{Phase, Phases};
 use super::streams::Kept;
+use super::tree::{SettingsTree, TreeReader, snapshots, sync};
 use crate::config::ProcessConfig;
 use crate::events;
 use crate::telemetry::Telemetry;
@@ -18,7 +20,8 @@
 use poem::listener::TcpAcceptor;
 use poem::{EndpointExt, Route, Server};
 use sesamegap_platform::{Log, VmList};
-use sesamegap_policy::DeciderBuilder;
+use sesamegap_policy::agreement::Holder;
+use sesamegap_policy::{DeciderBuilder, Observation};
 use sesamegap_wire::Incarnation;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -104,7 +107,11 @@
             .build();
         let (handle, thread) = deciding::start(decider, clock, &config.bounds, lists)?;
         let (appender, records) = Appender::new();
-        let claims = Arc::default();
+        let me = Holder {
+            vm: config.vm.clone(),
+            incarnation,
+        };
+        let claims = SharedClaims::default();
         let peers = links.peers.unwrap_or_else(|| {
             let silence = config.timing.gossip * SILENT_ROUNDS;
             Arc::new(ListedPeers::new(config.vm.clone(), silence))
@@ -112,15 +119,15 @@
         let core = Arc::new(Core {
             incarnation,
             clock,
-            decider: handle,
+            decider: handle.clone(),
             fleet: Fleet::new(Arc::clone(&links.connect)),
             kept: Kept::new(config.timing.keep, config.bounds.kept),
-            once: Once::new(Arc::clone(&claims), appender.clone(), config.timing.keep),
+            once: Once::new(me, claims.clone(), appender, config.timing.keep),
             peers,
             peer_client: PeerClient::new(&config)?,
             log: Arc::clone(&links.log),
             telemetry: Telemetry::new()?,
-            tree: super::tree::SettingsTree::default(),
+            tree: SettingsTree::new(handle),
             phases: Phases::default(),
             flights: TaskTracker::new(),
             minted: std::sync::atomic::AtomicU64::new(0),
@@ -140,17 +147,19 @@
         })?;
         follow::spawn("log", followers.clone(), {
             let log = Arc::clone(&links.log);
-            let reader = once::follow::ClaimsReader {
-                claims,
-                appender: appender.clone(),
-            };
+            let core = Arc::clone(&core);
+            let tree = TreeReader(Arc::clone(&core));
+            let source = core.tree.source().clone();
             async move {
                 tokio::join!(
-                    follow_log::follow(Arc::clone(&log), once::follow::source(), limit, reader),
-                    once::append(log, appender, records, limit),
+                    follow_log::follow(Arc::clone(&log), source, limit, tree),
+                    follow_log::follow(Arc::clone(&log), once::follow::source(), limit, claims),
+                    once::append(log, records, limit),
+                    snapshots::run(core),
                 );
             }
         })?;
+        learn(&core).await;
         let close = CancellationToken::new();
         let server = serve(&core, listener, close.clone())?;
         let gossip = tokio::spawn(gossip::run(Arc::clone(&core)));
@@ -167,6 +176,29 @@
     }
 }
 
+/// Learns what peers know, so that the first request is served as well as any later one.
+///
+/// Settings come from whoever answers first, a peer or the log; without either the router serves
+/// all the same, and refuses until it has them.
+async fn learn(core: &Arc<Core>) {
+    let warm = warm_up(core);
+    let settings = async {
+        sync::from_peers(core, false).await;
+        drop(timeout(core.config.timing.log, core.tree.known()).await);
+    };
+    tokio::join!(warm, settings);
+}
+
+async fn warm_up(core: &Core) {
+    for peer in core.peers.live(&core.fleet.entries()) {
+        if let Ok(warmth) = core.peer_client.warmth(peer.router).await {
+            tracing::info!(event = events::WARM_START.number, from = %peer.vm, "knowledge taken over");
+            core.decider.observe(Observation::Warm(warmth));
+            return;
+        }
+    }
+}
+
 fn serve(
     core: &Arc<Core>,
     listener: TcpListener,
@@ -212,6 +244,7 @@
             "router refuses new requests"
         );
         self.core.phases.enter(Phase::Refusing);
+        self.core.once.close(timing.log).await;
         self.core.flights.close();
         if timeout(timing.stop, self.core.flights.wait())
             .await
--- a/crates/sesamegap/src/router/streams/model.rs
+++ b/crates/sesamegap/src/router/streams/model.rs
@@ -31,6 +31,9 @@
 /// Attempts that an upstream refused without running; each costs one round trip only.
 const REFUSED_ATTEMPTS: u32 = 4;
 
+/// How much longer than the client the stream's reader waits.
+const SILENCE_MARGIN: f64 = 1.25;
+
 /// A model request that was let in.
 #[derive(Debug, Clone)]
 pub struct ModelJob {
@@ -214,6 +217,7 @@
             },
             attempt: self.attempt,
             barred: self.barred.clone(),
+            repeatable: self.job.repeatable,
         }
     }
 
@@ -334,7 +338,9 @@
 
     /// Reads one connection; `true` if the answer is whole, else the connection is of no more use.
     async fn read(&mut self, mut stream: ChunkStream) -> Result<bool, ApiError> {
-        let silence = self.core.config.timing.silence;
+        // The client notices silence itself and gives up its pooled connections then; this limit
+        // is behind it, for clients that do not.
+        let silence = self.core.config.timing.silence.mul_f64(SILENCE_MARGIN);
         loop {
             let chunk = match timeout(silence, stream.next()).await {
                 Ok(Some(Ok(chunk))) => chunk,
--- /dev/null
+++ b/crates/sesamegap/src/router/tree/sync.rs
@@ -0,0 +1,36 @@
+//! Takes settings over from peers that are further.
+
+use crate::events;
+use crate::router::core::Core;
+use crate::router::peers::message::WantSettings;
+use futures_util::StreamExt;
+use futures_util::stream;
+
+/// Peers asked at once when this router knows nothing yet.
+const ASKED: usize = 8;
+
+/// Asks peers for settings and takes over the newest; `true` if one was further.
+///
+/// A peer is asked if it is known to be further, or if nothing is known of it yet.
+pub async fn from_peers(core: &Core, only_ahead: bool) -> bool {
+    let next = core.tree.next();
+    let peers = core.peers.live(&core.fleet.entries()).into_iter();
+    let ahead = peers.filter(|peer| !only_ahead || peer.settings > next);
+    let asked: Vec<_> = ahead.take(ASKED).collect();
+    let answers = stream::iter(asked).map(|peer| async move {
+        let want = WantSettings { next };
+        core.peer_client.settings(peer.router, want).await
+    });
+    let mut answers = answers.buffer_unordered(ASKED);
+    let mut adopted = false;
+    while let Some(answer) = answers.next().await {
+        let Ok(settings) = answer else {
+            continue;
+        };
+        adopted |= !settings.snapshot.is_empty() && core.tree.adopt(&settings.snapshot);
+    }
+    if adopted {
+        tracing::info!(event = events::SETTINGS_FROM_PEER.number, next = %core.tree.next(), "settings from a peer");
+    }
+    adopted
+}
