--- a/crates/sesamegap/src/router/once/follow.rs
+++ b/crates/sesamegap/src/router/once/follow.rs
@@ -1,6 +1,5 @@
 //! Follows the claims in the log.
 
-use super::LOG_RETENTION;
 use crate::router::follow_log::{self, Source};
 use crate::router::lock;
 use sesamegap_platform::Record;
@@ -8,6 +7,7 @@
 use sesamegap_policy::agreement::claims::{ClaimRecord, Claimant, Claims, Step};
 use sesamegap_wire::{Moment, Offset, codec};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// The fold of claims, shared with those who ask who holds a key.
@@ -17,16 +17,15 @@
     moved: watch::Sender<Offset>,
 }
 
-impl Default for SharedClaims {
-    fn default() -> Self {
+impl SharedClaims {
+    /// Starts before the oldest record that the log keeps.
+    pub fn new(retention: Duration) -> Self {
         Self {
-            fold: Arc::new(Mutex::new(Claims::new(LOG_RETENTION))),
+            fold: Arc::new(Mutex::new(Claims::new(retention))),
             moved: watch::Sender::new(Offset(0)),
         }
     }
-}
 
-impl SharedClaims {
     /// Tells when the fold moves from now on.
     pub fn subscribe(&self) -> watch::Receiver<Offset> {
         self.moved.subscribe()
--- a/crates/sesamegap/src/router/once/mod.rs
+++ b/crates/sesamegap/src/router/once/mod.rs
@@ -20,6 +20,7 @@
 use super::core::Core;
 use super::lock;
 use super::streams::Answer;
+use crate::config::Timing;
 use follow::SharedClaims;
 use poem::http::StatusCode;
 use runs::Runs;
@@ -34,9 +35,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// For how long the platform's log is taken to keep a record; a key that is older is refused.
-pub const LOG_RETENTION: Duration = Duration::from_hours(1);
-
 /// Most by which callers' clocks may differ from ours.
 const SKEW: Duration = Duration::from_mins(1);
 
@@ -68,13 +66,13 @@
 
 impl Once {
     /// Starts with no key; a ticket can be used for `keep`.
-    pub fn new(me: Holder, claims: SharedClaims, appender: Appender, keep: Duration) -> Self {
+    pub fn new(me: Holder, claims: SharedClaims, appender: Appender, timing: &Timing) -> Self {
         Self {
-            runs: Mutex::default(),
-            tickets: Mutex::new(Tickets::new(me.clone(), keep, TICKETS)),
+            runs: Mutex::new(Runs::new(timing.retention)),
+            tickets: Mutex::new(Tickets::new(me.clone(), timing.keep, TICKETS)),
             claims,
             appender,
-            life: KeyLife::new(LOG_RETENTION, SKEW),
+            life: KeyLife::new(timing.retention, SKEW.min(timing.retention / 4)),
             me,
         }
     }
--- a/crates/sesamegap/src/router/once/runs.rs
+++ b/crates/sesamegap/src/router/once/runs.rs
@@ -1,6 +1,5 @@
 //! The keys that ran on this router.
 
-use super::LOG_RETENTION;
 use crate::router::callers::ApiError;
 use crate::router::streams::{Answer, End};
 use poem::http::StatusCode;
@@ -13,11 +12,11 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long a key is remembered.
+/// For how many times the log's retention a key is remembered.
 ///
 /// A claim stands for as long as the log keeps it, and a key that stands but is forgotten here
 /// would run a second time; so this is longer, whatever the clocks say.
-const REMEMBER: Duration = LOG_RETENTION.saturating_mul(2);
+const REMEMBER: u32 = 2;
 
 /// Claims without a run that are remembered; the oldest is never given back beyond that.
 const UNUSED: usize = 4096;
@@ -37,8 +36,9 @@
     digest: blake3::Hash,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Runs {
+    span: Duration,
     known: FxHashMap<ClaimKey, Run>,
     order: VecDeque<(Instant, ClaimKey)>,
     unused: VecDeque<(ClaimKey, ClaimRecord)>,
@@ -46,6 +46,17 @@
 }
 
 impl Runs {
+    /// Starts with no key; claims stand for the log's retention.
+    pub(super) fn new(retention: Duration) -> Self {
+        Self {
+            span: retention.saturating_mul(REMEMBER),
+            known: FxHashMap::default(),
+            order: VecDeque::new(),
+            unused: VecDeque::new(),
+            closed: false,
+        }
+    }
+
     pub(super) fn len(&self) -> usize {
         self.known.len()
     }
@@ -103,10 +114,8 @@
     }
 
     fn forget(&mut self) {
-        while let Some((_, key)) = self
-            .order
-            .pop_front_if(|(since, _)| since.elapsed() > REMEMBER)
-        {
+        let span = self.span;
+        while let Some((_, key)) = self.order.pop_front_if(|(since, _)| since.elapsed() > span) {
             self.known.remove(&key);
         }
     }
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -4,7 +4,7 @@
 use super::clock::{Clock, unix_ms};
 use super::core::Core;
 use super::deciding::{self, DeciderThread};
-use super::fleet::{Connect, Fleet, follow};
+use super::fleet::{Connect, Fleet, HttpConnect, follow, http_settings};
 use super::follow_log;
 use super::once::follow::SharedClaims;
 use super::once::{self, Appender, Once};
@@ -19,7 +19,7 @@
 use anyhow::Context;
 use poem::listener::TcpAcceptor;
 use poem::{EndpointExt, Route, Server};
-use sesamegap_platform::{Log, VmList};
+use sesamegap_platform::{HttpLog, HttpVms, Log, VmList};
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::{DeciderBuilder, Observation};
 use sesamegap_wire::Incarnation;
@@ -59,6 +59,19 @@
     pub peers: Option<Arc<dyn Peers>>,
 }
 
+impl Links {
+    /// Joins a router over HTTP to what its settings name.
+    pub fn http(config: &ProcessConfig) -> Self {
+        let settings = http_settings(config);
+        Self {
+            log: Arc::new(HttpLog::new(config.log.as_str(), settings.clone())),
+            vms: Arc::new(HttpVms::new(config.vms.as_str(), settings)),
+            connect: Arc::new(HttpConnect::new(config)),
+            peers: None,
+        }
+    }
+}
+
 /// A router about to start.
 #[derive(Debug)]
 pub struct Router {
@@ -111,7 +124,7 @@
             vm: config.vm.clone(),
             incarnation,
         };
-        let claims = SharedClaims::default();
+        let claims = SharedClaims::new(config.timing.retention);
         let peers = links.peers.unwrap_or_else(|| {
             let silence = config.timing.gossip * SILENT_ROUNDS;
             Arc::new(ListedPeers::new(config.vm.clone(), silence))
@@ -122,7 +135,7 @@
             decider: handle.clone(),
             fleet: Fleet::new(Arc::clone(&links.connect)),
             kept: Kept::new(config.timing.keep, config.bounds.kept),
-            once: Once::new(me, claims.clone(), appender, config.timing.keep),
+            once: Once::new(me, claims.clone(), appender, &config.timing),
             peers,
             peer_client: PeerClient::new(&config)?,
             log: Arc::clone(&links.log),
--- a/crates/sesamegap/src/router/tree/snapshots.rs
+++ b/crates/sesamegap/src/router/tree/snapshots.rs
@@ -5,27 +5,26 @@
 
 use crate::events;
 use crate::router::core::Core;
-use crate::router::once::LOG_RETENTION;
 use bytes::Bytes;
 use rand::RngExt;
 use sesamegap_platform::log::streams;
 use sesamegap_wire::Offset;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::timeout;
 
-/// Between two snapshots; several fall into the log's retention, so that some may fail.
-const EVERY: Duration = Duration::from_secs(LOG_RETENTION.as_secs() / 6);
+/// Snapshots within the log's retention, so that some may fail.
+const WITHIN: u32 = 6;
 
 /// Part of the time between two snapshots over which their writers are spread.
 const JITTER: f64 = 0.2;
 
 /// Appends snapshots until the task is dropped.
 pub async fn run(core: Arc<Core>) {
+    let every = core.config.timing.retention / WITHIN;
     let mut covered = Offset(0);
     loop {
         let spread = 1.0 + rand::rng().random_range(0.0..JITTER);
-        tokio::time::sleep(EVERY.mul_f64(spread)).await;
+        tokio::time::sleep(every.mul_f64(spread)).await;
         if core.tree.next() > covered
             && is_lowest(&core)
             && let Some(next) = append(&core).await
