Run a whole deployment on loopback and drive it as callers would

Cause: nothing showed a request served from one end to the other. Change: sesamegap-local starts stand-ins, routers and locators as threads of one process, publishes the site's tree and sends its requests from a seed; a caller follows the locator's answer, resumes broken streams and repeats saves under one key. Main functions share their start and exit.

--- a/crates/sesamegap-standin/src/deployment/mod.rs
+++ b/crates/sesamegap-standin/src/deployment/mod.rs
@@ -101,6 +101,13 @@
         Some(engine.state())
     }
 
+    /// How many of the keys, from the first on without a gap, the best engine holds.
+    pub fn held(&self, keys: &[BlockKey]) -> usize {
+        let engines = self.controls.engines.iter();
+        let held = engines.map(|engine| engine.holds(keys));
+        held.max().unwrap_or(0)
+    }
+
     /// Puts a block into the kept-KV store, if there is one.
     pub fn keep(&self, key: BlockKey, tag: Tag) {
         if let Some(store) = &self.controls.store {
--- a/crates/sesamegap-standin/src/engine/mod.rs
+++ b/crates/sesamegap-standin/src/engine/mod.rs
@@ -186,6 +186,18 @@
     }
 }
 
+impl EngineStandin {
+    /// How many of the keys, from the first on without a gap, are cached.
+    pub(crate) fn holds(&self, keys: &[BlockKey]) -> usize {
+        let life = self.life();
+        let inner = life.lock();
+        let held = keys
+            .iter()
+            .take_while(|key| inner.cache.tag(**key).is_some());
+        held.count()
+    }
+}
+
 impl Holder for EngineStandin {
     fn export(&self, key: BlockKey) -> Option<Tag> {
         self.life().lock().cache.tag(key)
--- a/crates/sesamegap-standin/src/faults/kind.rs
+++ b/crates/sesamegap-standin/src/faults/kind.rs
@@ -87,7 +87,7 @@
 
 impl FaultError {
     /// Records why not.
-    pub(crate) fn new(why: impl Into<String>) -> Self {
+    pub fn new(why: impl Into<String>) -> Self {
         Self(why.into())
     }
 }
--- a/crates/sesamegap/src/bin/sesamegap-router/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-router/main.rs
@@ -1,17 +1,12 @@
 //! `sesamegap-router`: takes callers' requests and routes them to engines and plain services.
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use clap::Parser;
 use sesamegap::config::{Config, ProcessConfig};
+use sesamegap::process;
 use sesamegap::router::{Links, Router};
-use sesamegap::telemetry::{self, Format};
-use sesamegap_settings::SettingsError;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
-
-/// Exit code for a settings file with findings; wrong usage has the same.
-const FINDINGS: u8 = 2;
 
 /// Routes language-model traffic with long shared prompts.
 ///
@@ -27,35 +22,15 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let cli = Cli::parse();
-    match run(&cli).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:#}");
-            match error.downcast_ref() {
-                Some(SettingsError::Invalid(_)) => ExitCode::from(FINDINGS),
-                _ => ExitCode::FAILURE,
-            }
-        }
-    }
+    process::exit(run(&Cli::parse()).await)
 }
 
-async fn run(cli: &Cli) -> Result<()> {
+async fn run(cli: &Cli) -> Result<ExitCode> {
     let config = ProcessConfig::load(&cli.config)?;
-    let format = if config.json_logs {
-        Format::Json
-    } else {
-        Format::Text
-    };
-    telemetry::init(format);
-    let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
+    process::log(&config);
     let links = Links::http(&config);
     let running = Router::new(config, links).start().await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    process::told_to_stop().await?;
     running.stop().await;
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod config;
 pub mod ctl;
 pub mod events;
+pub mod local;
 pub mod locator;
+pub mod process;
 pub mod router;
 pub mod telemetry;
--- /dev/null
+++ b/crates/sesamegap/src/local/deployment.rs
@@ -0,0 +1,386 @@
+//! Starts a whole deployment and stops it.
+
+use super::site::Site;
+use super::traffic::demo_key;
+use crate::admin::{ChangeAnswer, TreeAnswer};
+use crate::config::{CtlConfig, ProcessConfig, Timing};
+use crate::ctl::client::Client;
+use crate::ctl::file::{self, Publishable};
+use crate::ctl::publish::{Publication, edits, fresh_id};
+use crate::locator;
+use crate::router::{Links, Router, Running};
+use anyhow::{Context, Result, bail};
+use futures_util::future::join_all;
+use serde_json::{Value, json};
+use sesamegap_platform::{VmEntry, VmRole, VmState};
+use sesamegap_settings::{Catalogue, Findings, SettingsError, Tree, key_hash};
+use sesamegap_standin::{Deployment as Standins, FaultError, Restart};
+use sesamegap_wire::{DomainId, VmId};
+use smol_str::{SmolStr, format_smolstr};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
+
+/// Secret of a demonstration's own processes.
+const SECRET: &str = "demonstration-only-secret";
+
+/// Key of a demonstration's operators.
+pub const OPERATOR: &str = "operator-demo-key";
+
+/// Longest wait for the first settings to be in force on every router.
+const SETTLED: Duration = Duration::from_secs(20);
+
+/// A deployment that serves on loopback.
+#[derive(Debug)]
+pub struct Deployment {
+    site: Arc<Site>,
+    catalogue: Catalogue,
+    standins: Arc<Standins>,
+    routers: Arc<Routers>,
+    locators: Vec<locator::Running>,
+}
+
+impl Deployment {
+    /// Starts stand-ins, routers and locators, and waits until the site's tree is in force.
+    ///
+    /// # Errors
+    /// If a port cannot be opened or the tree is not taken.
+    pub async fn start(site: Arc<Site>) -> Result<Self> {
+        let tree = site_tree(&site)?;
+        let catalogue = Catalogue::resolve(&tree, &mut Findings::default());
+        let plan = site.plan(OPERATOR.into());
+        let standins = Arc::new(Standins::start(plan).await?);
+        let routers = Arc::new(Routers::start(&site, &standins).await?);
+        let locators = start_locators(&site, &standins, &routers).await?;
+        standins.on_restart(Arc::clone(&routers) as Arc<dyn Restart>);
+        let deployment = Self {
+            site,
+            catalogue,
+            standins,
+            routers,
+            locators,
+        };
+        deployment.publish(tree).await?;
+        Ok(deployment)
+    }
+
+    /// The site.
+    pub fn site(&self) -> &Arc<Site> {
+        &self.site
+    }
+
+    /// The settings that were published at the start.
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// The stand-ins.
+    pub fn standins(&self) -> &Arc<Standins> {
+        &self.standins
+    }
+
+    /// The routers.
+    pub fn routers(&self) -> &Arc<Routers> {
+        &self.routers
+    }
+
+    /// Where the locators listen.
+    pub fn locators(&self) -> Vec<SocketAddr> {
+        self.locators.iter().map(locator::Running::addr).collect()
+    }
+
+    /// What a person or another program needs to use the deployment.
+    pub fn greeting(&self) -> Value {
+        let urls = |addrs: Vec<SocketAddr>| -> Vec<String> {
+            addrs.iter().map(|addr| format!("http://{addr}")).collect()
+        };
+        let teams = self.catalogue.teams.keys();
+        let keys: serde_json::Map<String, Value> = teams
+            .map(|team| (team.to_string(), demo_key(team).into()))
+            .collect();
+        json!({
+            "locators": urls(self.locators()),
+            "routers": urls(self.routers.addrs()),
+            "standins": format!("http://{}", self.standins.addresses().control),
+            "teams": keys,
+            "operator": OPERATOR,
+            "services": self.catalogue.services.keys().collect::<Vec<_>>(),
+            "models": self.catalogue.models.keys().collect::<Vec<_>>(),
+        })
+    }
+
+    /// Stops as planned: no request in flight is cut.
+    pub async fn stop(self) {
+        self.routers.stop().await;
+        join_all(self.locators.into_iter().map(locator::Running::stop)).await;
+    }
+
+    /// Asks a router for the operators' view of the settings.
+    ///
+    /// # Errors
+    /// If no router answers.
+    pub async fn tree(&self) -> Result<TreeAnswer> {
+        Ok(self.client(&self.routers.addrs())?.tree().await?)
+    }
+
+    /// A client of the operators' interface of some routers.
+    ///
+    /// # Errors
+    /// If the HTTP client cannot be set up.
+    pub fn client(&self, routers: &[SocketAddr]) -> Result<Client> {
+        let urls = routers.iter().map(|addr| format_smolstr!("http://{addr}"));
+        let config = CtlConfig {
+            routers: urls.collect(),
+            key: Some(OPERATOR.into()),
+            by: "sesamegap-local".into(),
+            ..CtlConfig::default()
+        };
+        Ok(Client::new(config)?)
+    }
+
+    async fn publish(&self, tree: Tree) -> Result<()> {
+        let client = self.client(&self.routers.addrs())?;
+        let current = client.tree().await?;
+        let edits = edits(Publishable::Tree(Box::new(tree)), &current)?;
+        let publication = Publication {
+            base: current.revision,
+            by: "sesamegap-local".into(),
+            note: "the site's tree".to_owned(),
+            id: fresh_id(),
+        };
+        match client.change(&publication.request(edits)).await? {
+            ChangeAnswer::Accepted { revision, .. } => self.settled(revision).await,
+            other => bail!("the site's tree was not taken: {other:?}"),
+        }
+    }
+
+    /// Waits until a revision is in force on every router.
+    ///
+    /// # Errors
+    /// If it takes too long.
+    pub async fn settled(&self, revision: sesamegap_wire::Offset) -> Result<()> {
+        let until = Instant::now() + SETTLED;
+        for addr in self.routers.addrs() {
+            let client = self.client(&[addr])?;
+            loop {
+                let tree = client.tree().await;
+                if tree.is_ok_and(|tree| tree.revision >= revision) {
+                    break;
+                }
+                if Instant::now() >= until {
+                    bail!("revision {revision} is not in force at {addr}");
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn site_tree(site: &Site) -> Result<Tree, SettingsError> {
+    let mut findings = Findings::default();
+    let whole = json!({ "tree": site.tree });
+    let tree = file::read_tree(&whole, &mut findings);
+    if findings.is_empty() {
+        Ok(tree)
+    } else {
+        Err(SettingsError::Invalid(findings))
+    }
+}
+
+/// What is needed to start one router again.
+#[derive(Debug)]
+struct Slot {
+    config: ProcessConfig,
+    running: Option<Running>,
+}
+
+/// The routers of a deployment, which can be killed and started anew.
+#[derive(Debug)]
+pub struct Routers {
+    runtime: Handle,
+    slots: Mutex<Vec<Slot>>,
+    addrs: Vec<SocketAddr>,
+}
+
+impl Routers {
+    async fn start(site: &Site, standins: &Standins) -> Result<Self> {
+        let mut slots = Vec::new();
+        let mut addrs = Vec::new();
+        for index in 0..site.routers {
+            let mut config = process(site, standins, index, "router")?;
+            let running = Router::new(config.clone(), Links::http(&config))
+                .start()
+                .await?;
+            config.listen = running.addr();
+            config.advertise = running.addr();
+            addrs.push(running.addr());
+            slots.push(Slot {
+                config,
+                running: Some(running),
+            });
+        }
+        Ok(Self {
+            runtime: Handle::current(),
+            slots: Mutex::new(slots),
+            addrs,
+        })
+    }
+
+    /// Where the routers listen.
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.addrs.clone()
+    }
+
+    /// The routers' VMs.
+    pub fn vms(&self) -> Vec<VmId> {
+        let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.iter().map(|slot| slot.config.vm.clone()).collect()
+    }
+
+    /// Kills a router as a crash would, and starts it anew on the same address.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub async fn crash(&self, index: usize) -> Result<()> {
+        let (config, running) = self.take(index);
+        if let Some(running) = running {
+            running.kill();
+        }
+        self.start_again(index, config).await
+    }
+
+    /// Stops a router as planned and starts it anew on the same address.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub async fn replace(&self, index: usize) -> Result<()> {
+        let (config, running) = self.take(index);
+        if let Some(running) = running {
+            running.stop().await;
+        }
+        self.start_again(index, config).await
+    }
+
+    async fn stop(&self) {
+        let running: Vec<Running> = {
+            let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+            slots.iter_mut().filter_map(|s| s.running.take()).collect()
+        };
+        join_all(running.into_iter().map(Running::stop)).await;
+    }
+
+    fn take(&self, index: usize) -> (ProcessConfig, Option<Running>) {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        let slot = &mut slots[index];
+        (slot.config.clone(), slot.running.take())
+    }
+
+    async fn start_again(&self, index: usize, config: ProcessConfig) -> Result<()> {
+        let links = Links::http(&config);
+        let running = start_patiently(config, links).await?;
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots[index].running = Some(running);
+        Ok(())
+    }
+}
+
+/// Starts a router on an address that its former life may still be giving back.
+async fn start_patiently(config: ProcessConfig, links: Links) -> Result<Running> {
+    const TRIES: u32 = 50;
+    let mut tries = 0;
+    loop {
+        let started = Router::new(config.clone(), links.clone()).start().await;
+        tries += 1;
+        if started.is_ok() || tries >= TRIES {
+            return started;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Restarts routers when the stand-ins' control address is asked to.
+impl Restart for Routers {
+    fn restart(&self, router: Option<&str>) -> Result<(), FaultError> {
+        let vms = self.vms();
+        let chosen: Vec<usize> = match router {
+            None => (0..vms.len()).collect(),
+            Some(name) => vms
+                .iter()
+                .position(|vm| vm.as_str() == name)
+                .into_iter()
+                .collect(),
+        };
+        if chosen.is_empty() {
+            return Err(FaultError::new("there is no such router"));
+        }
+        // All die before the first comes back, as when one update reaches all VMs at once.
+        let taken: Vec<_> = chosen
+            .iter()
+            .map(|index| (*index, self.take(*index)))
+            .collect();
+        let mut dead = Vec::new();
+        for (index, (config, running)) in taken {
+            if let Some(running) = running {
+                running.kill();
+            }
+            dead.push((index, config));
+        }
+        tokio::task::block_in_place(|| {
+            self.runtime.block_on(async {
+                for (index, config) in dead {
+                    if let Err(error) = self.start_again(index, config).await {
+                        tracing::error!(%error, "router not started again");
+                    }
+                }
+            });
+        });
+        Ok(())
+    }
+}
+
+async fn start_locators(
+    site: &Site,
+    standins: &Standins,
+    routers: &Routers,
+) -> Result<Vec<locator::Running>> {
+    let mut locators = Vec::new();
+    for (index, router) in routers.addrs().into_iter().enumerate() {
+        let config = process(site, standins, index, "locator")?;
+        let entry = |locator| VmEntry {
+            role: VmRole::Entry {
+                vm: config.vm.clone(),
+                locator,
+            },
+            addr: router,
+            domain: config.domain.clone(),
+            state: VmState::Live,
+        };
+        standins.enlist(&entry(router));
+        let vms = Links::http(&config).vms;
+        let running = locator::start(config.clone(), vms).await?;
+        standins.enlist(&entry(running.addr()));
+        locators.push(running);
+    }
+    Ok(locators)
+}
+
+fn process(site: &Site, standins: &Standins, index: usize, what: &str) -> Result<ProcessConfig> {
+    let vm: VmId = format!("entry-{}", index + 1)
+        .parse()
+        .with_context(|| format!("no name for {what} {index}"))?;
+    let domain: DomainId = site.domains[index % site.domains.len()].clone();
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let url = |addr: SocketAddr| -> SmolStr { format_smolstr!("http://{addr}") };
+    let platform = standins.addresses();
+    let config = ProcessConfig::builder(vm, domain, listen)
+        .log(url(platform.log))
+        .vms(url(platform.vms))
+        .weights(url(platform.weights))
+        .secret(SECRET)
+        .operator(key_hash(OPERATOR))
+        .timing(Timing::default())
+        .build()?;
+    Ok(config)
+}
--- /dev/null
+++ b/crates/sesamegap/src/local/mod.rs
@@ -0,0 +1,21 @@
+//! A whole deployment on loopback, as threads of one process.
+//!
+//! [`Site`] reads how many machines there are and what callers send; [`Deployment`] starts the
+//! stand-ins, then routers, locators and controllers against them, and publishes the site's tree.
+//! [`traffic`] makes the site's requests from a seed, [`caller`] sends them as a real HTTP client
+//! would, and [`Report`] tells how they fared. With a soak, faults are brought about meanwhile and
+//! the promises are checked against the stand-ins' records.
+
+pub mod caller;
+pub mod deployment;
+pub mod drive;
+pub mod report;
+pub mod site;
+pub mod soak;
+pub mod stream;
+pub mod traffic;
+
+pub use deployment::Deployment;
+pub use drive::{Drive, Extent, drive};
+pub use report::Report;
+pub use site::Site;
--- a/crates/sesamegap/src/telemetry/logging.rs
+++ b/crates/sesamegap/src/telemetry/logging.rs
@@ -16,7 +16,16 @@
 ///
 /// `RUST_LOG` chooses what is logged, else `info` and above.
 pub fn init(format: Format) {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    start(format, "info");
+}
+
+/// Starts logging of errors alone, for a program whose output is read by people.
+pub fn init_quiet() {
+    start(Format::Text, "error");
+}
+
+fn start(format: Format, usual: &str) {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(usual));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
--- a/crates/sesamegap/src/telemetry/mod.rs
+++ b/crates/sesamegap/src/telemetry/mod.rs
@@ -5,7 +5,7 @@
 
 mod logging;
 
-pub use logging::{Format, init};
+pub use logging::{Format, init, init_quiet};
 
 use crate::router::streams::{Answer, End};
 use opentelemetry::KeyValue;
