Find live routers by probes instead of trusting the VM list

Cause: the list lags, so a dead router was asked for seconds and a new one not found. Change: one probe a round, indirect ones when it is not answered, news along with both; a leaving router serves for two more rounds of the locators' probes.

--- a/crates/sesamegap/src/router/core.rs
+++ b/crates/sesamegap/src/router/core.rs
@@ -4,7 +4,7 @@
 use super::deciding::DeciderHandle;
 use super::fleet::Fleet;
 use super::once::Once;
-use super::peers::{PeerClient, Peers};
+use super::peers::{PeerClient, Peers, ProbedPeers};
 use super::phase::Phases;
 use super::streams::Kept;
 use super::tree::SettingsTree;
@@ -42,6 +42,8 @@
     pub once: Once,
     /// Who else is alive.
     pub peers: Arc<dyn Peers>,
+    /// The table of routers that probes keep up to date.
+    pub members: Arc<ProbedPeers>,
     /// Speaks to other routers.
     pub peer_client: PeerClient,
     /// The platform's log.
--- a/crates/sesamegap/src/router/operators.rs
+++ b/crates/sesamegap/src/router/operators.rs
@@ -108,6 +108,7 @@
             "log_age_ms": core.tree.source().age_ms(),
         },
         "peers": peers(core),
+        "members": core.members.beliefs(),
         "keys": { "run": keys, "claims": claims },
         "decider": decider,
     })))
--- a/crates/sesamegap/src/router/peers/client.rs
+++ b/crates/sesamegap/src/router/peers/client.rs
@@ -1,6 +1,6 @@
 //! Speaks to other routers.
 
-use super::message::{HaveSettings, Hello, Relay, Resume, WantSettings};
+use super::message::{HaveSettings, Hello, ProbeFor, Probed, Relay, Resume, WantSettings};
 use crate::config::ProcessConfig;
 use crate::router::core::Core;
 use reqwest::{Client, Response};
@@ -68,6 +68,22 @@
         self.ask(to, "hello", hello).await
     }
 
+    /// Probes a peer.
+    ///
+    /// # Errors
+    /// If no usable answer comes in time.
+    pub async fn probe(&self, to: SocketAddr, probe: &Probed) -> Result<Probed, PeerError> {
+        self.ask(to, "probe", probe).await
+    }
+
+    /// Asks a peer to probe another one.
+    ///
+    /// # Errors
+    /// If no usable answer comes in time, of the peer or through it.
+    pub async fn probe_for(&self, to: SocketAddr, ask: &ProbeFor) -> Result<Probed, PeerError> {
+        self.ask(to, "probe-for", ask).await
+    }
+
     /// Fetches what a peer knows of caches and heat.
     ///
     /// # Errors
--- a/crates/sesamegap/src/router/peers/endpoints.rs
+++ b/crates/sesamegap/src/router/peers/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::client::SECRET;
 use super::gossip;
-use super::message::{Hello, Relay, Resume, WantSettings};
+use super::message::{Hello, ProbeFor, Probed, Relay, Resume, WantSettings};
 use crate::events;
 use crate::router::callers::{ApiError, Form, Shared, find_answer, resume_response, run_relayed};
 use crate::router::core::Core;
@@ -19,6 +19,8 @@
 pub fn routes(route: Route) -> Route {
     route
         .at("/peer/hello", post(on_hello))
+        .at("/peer/probe", post(on_probe))
+        .at("/peer/probe-for", post(on_probe_for))
         .at("/peer/warmth", post(on_warmth))
         .at("/peer/settings", post(on_settings))
         .at("/peer/relay", post(on_relay))
@@ -40,6 +42,32 @@
     answer(&own)
 }
 
+#[handler]
+async fn on_probe(
+    request: &Request,
+    body: Body,
+    Data(core): Data<&Shared>,
+) -> Result<Response, ApiError> {
+    let probe: Probed = read(core, request, body).await?;
+    answer(&core.members.answer(&probe))
+}
+
+#[handler]
+async fn on_probe_for(
+    request: &Request,
+    body: Body,
+    Data(core): Data<&Shared>,
+) -> Result<Response, ApiError> {
+    let ask: ProbeFor = read(core, request, body).await?;
+    match core.peer_client.probe(ask.target, &ask.probe).await {
+        Ok(probed) => answer(&probed),
+        Err(error) => {
+            let status = StatusCode::GATEWAY_TIMEOUT;
+            Err(ApiError::not_run(status, "no_answer", error.to_string()))
+        }
+    }
+}
+
 #[handler]
 async fn on_warmth(
     request: &Request,
--- a/crates/sesamegap/src/router/peers/message.rs
+++ b/crates/sesamegap/src/router/peers/message.rs
@@ -1,9 +1,11 @@
 //! What routers say to each other.
 
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::agreement::membership::News;
 use sesamegap_wire::peer::Digest;
 use sesamegap_wire::{ClassId, Incarnation, Offset, RequestId, TeamId, VmId};
 use smol_str::SmolStr;
+use std::net::SocketAddr;
 
 /// A keyed request for the router that holds its key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +55,24 @@
     pub digest: Digest,
 }
 
+/// A probe, or the answer to one: what a router says of itself, and news of others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probed {
+    /// What the sender says of itself.
+    pub from: News,
+    /// What it believes of others.
+    pub news: Vec<News>,
+}
+
+/// Asks a router to probe another in the asker's place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeFor {
+    /// Whom to probe.
+    pub target: SocketAddr,
+    /// What to send.
+    pub probe: Probed,
+}
+
 /// Asks for settings that the asker does not have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WantSettings {
--- a/crates/sesamegap/src/router/peers/mod.rs
+++ b/crates/sesamegap/src/router/peers/mod.rs
@@ -8,8 +8,10 @@
 pub mod endpoints;
 pub mod gossip;
 pub mod message;
+pub mod probing;
 
 pub use client::{PeerClient, PeerError};
+pub use probing::ProbedPeers;
 
 use super::fleet::EntryVm;
 use super::lock;
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -9,7 +9,7 @@
 use super::once::follow::SharedClaims;
 use super::once::{self, Appender, Once};
 use super::operators;
-use super::peers::{ListedPeers, PeerClient, Peers, endpoints, gossip};
+use super::peers::{PeerClient, Peers, ProbedPeers, endpoints, gossip, probing};
 use super::phase::{Phase, Phases};
 use super::streams::Kept;
 use super::tree::{SettingsTree, TreeReader, snapshots, sync};
@@ -36,13 +36,13 @@
 /// Listings of engines that may wait to be asked for.
 const LISTS: usize = 256;
 
-/// A peer's word of itself is trusted for so many rounds of gossip.
-const SILENT_ROUNDS: u32 = 6;
-
 /// Idle connections are closed after this, so that a caller that sends half a request and stops
 /// cannot hold one for good.
 const IDLE: Duration = Duration::from_mins(2);
 
+/// Rounds of probes within which every locator has heard that a router is leaving.
+const LOCATOR_ROUNDS: u32 = 2;
+
 /// Time for the last bytes to reach callers once every request is done.
 const FLUSH: Duration = Duration::from_secs(5);
 
@@ -55,7 +55,7 @@
     pub vms: Arc<dyn VmList>,
     /// Makes clients of upstreams.
     pub connect: Arc<dyn Connect>,
-    /// Who else is alive; without one, the VM list is trusted.
+    /// Who else is alive; without one, probes find out.
     pub peers: Option<Arc<dyn Peers>>,
 }
 
@@ -125,10 +125,15 @@
             incarnation,
         };
         let claims = SharedClaims::new(config.timing.retention);
-        let peers = links.peers.unwrap_or_else(|| {
-            let silence = config.timing.gossip * SILENT_ROUNDS;
-            Arc::new(ListedPeers::new(config.vm.clone(), silence))
-        });
+        let members = Arc::new(ProbedPeers::new(
+            me.clone(),
+            reached_at(&config, addr),
+            clock,
+            config.timing.gossip,
+        ));
+        let peers = links
+            .peers
+            .unwrap_or_else(|| Arc::clone(&members) as Arc<dyn Peers>);
         let core = Arc::new(Core {
             incarnation,
             clock,
@@ -137,6 +142,7 @@
             kept: Kept::new(config.timing.keep, config.bounds.kept),
             once: Once::new(me, claims.clone(), appender, &config.timing),
             peers,
+            members,
             peer_client: PeerClient::new(&config)?,
             log: Arc::clone(&links.log),
             telemetry: Telemetry::new()?,
@@ -175,7 +181,12 @@
         learn(&core).await;
         let close = CancellationToken::new();
         let server = serve(&core, listener, close.clone())?;
-        let gossip = tokio::spawn(gossip::run(Arc::clone(&core)));
+        let gossip = tokio::spawn({
+            let core = Arc::clone(&core);
+            async move {
+                tokio::join!(gossip::run(Arc::clone(&core)), probing::run(core));
+            }
+        });
         tracing::info!(event = events::ROUTER_STARTED.number, %addr, vm = %core.config.vm, "router serves");
         Ok(Running {
             core,
@@ -189,6 +200,15 @@
     }
 }
 
+/// Where others reach the router: as advertised, or where it listens on a port of its own choice.
+fn reached_at(config: &ProcessConfig, addr: SocketAddr) -> SocketAddr {
+    if config.advertise.port() == 0 {
+        addr
+    } else {
+        config.advertise
+    }
+}
+
 /// Learns what peers know, so that the first request is served as well as any later one.
 ///
 /// Settings come from whoever answers first, a peer or the log; without either the router serves
@@ -250,8 +270,9 @@
         tracing::info!(event = events::ROUTER_LEAVING.number, "router is leaving");
         self.core.phases.enter(Phase::Leaving);
         gossip::round(&self.core).await;
-        // Callers keep this address for its time to live and must be served meanwhile.
-        tokio::time::sleep(timing.address).await;
+        // Callers keep this address for its time to live and must be served meanwhile. A locator
+        // may name it once more until its next round of probes has ended.
+        tokio::time::sleep(timing.address + timing.gossip * LOCATOR_ROUNDS).await;
         tracing::info!(
             event = events::ROUTER_REFUSING.number,
             "router refuses new requests"
