--- a/crates/sesamegap-standin/src/control/mod.rs
+++ b/crates/sesamegap-standin/src/control/mod.rs
@@ -7,16 +7,21 @@
 //! | `GET /engines` | each engine's incarnation, weights, role and orders, and the loads |
 //! | `GET /addresses` | where each stand-in listens |
 //!
-//! Every request carries the operators' key as bearer token. Without `seconds` a fault hits the
-//! next occasion only; without `target` it hits every stand-in that it can hit.
+//! Each of these carries the operators' key as bearer token. Beside them the same address serves
+//! the platform's log, VM list and weight store, without a key, so that the settings of a small
+//! demonstration need one address only.
+//!
+//! Without `seconds` a fault hits the next occasion only; without `target` it hits every stand-in
+//! that it can hit.
 
 use crate::deployment::Controls;
 use crate::engine::EngineState;
 use crate::faults::{Fault, FaultError, Hit, Span};
+use crate::host::Host;
 use poem::http::StatusCode;
 use poem::http::header::AUTHORIZATION;
 use poem::web::{Data, Json, Path, Query};
-use poem::{Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, handler};
+use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, handler};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::Seq;
 use std::sync::Arc;
@@ -60,16 +65,19 @@
     }
 }
 
-/// The control address's endpoint.
-pub(crate) fn endpoint(controls: Arc<Controls>) -> impl IntoEndpoint<Endpoint: 'static> {
-    let key = blake3::hash(controls.operator().as_bytes());
-    Route::new()
+/// What the control address serves on a machine.
+pub(crate) fn endpoint(controls: &Arc<Controls>, door: &Arc<Host>) -> Route {
+    let key = controls.operator;
+    let own = Route::new()
         .at("/fault/:name", poem::post(bring_about))
         .at("/executions", poem::get(executions))
         .at("/engines", poem::get(engines))
         .at("/addresses", poem::get(addresses))
-        .data(controls)
-        .around(move |inner, request| guard(inner, request, key))
+        .data(Arc::clone(controls))
+        .around(move |inner, request| guard(inner, request, key));
+    let route = Route::new().nest_no_strip("/", own);
+    let route = controls.log.mount(route, door);
+    controls.weights.mount(controls.vms.mount(route))
 }
 
 /// Lets only the operators in; comparing hashes takes the same time for any wrong key.
--- a/crates/sesamegap-standin/src/deployment/controls.rs
+++ b/crates/sesamegap-standin/src/deployment/controls.rs
@@ -11,8 +11,8 @@
 use crate::record::{Executions, Record};
 use crate::store::StoreStandin;
 use crate::worker::WorkerStandin;
+use blake3::Hash;
 use sesamegap_platform::VmState;
-use smol_str::SmolStr;
 use std::fmt;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct Controls {
     pub(crate) addresses: Addresses,
-    pub(crate) operator: SmolStr,
+    pub(crate) operator: Hash,
     pub(crate) log: Arc<LogStandin>,
     pub(crate) vms: Arc<VmBoard>,
     pub(crate) weights: Arc<WeightShelf>,
@@ -44,10 +44,6 @@
 }
 
 impl Controls {
-    pub(crate) fn operator(&self) -> &str {
-        &self.operator
-    }
-
     pub(crate) fn addresses(&self) -> &Addresses {
         &self.addresses
     }
--- a/crates/sesamegap-standin/src/deployment/start.rs
+++ b/crates/sesamegap-standin/src/deployment/start.rs
@@ -4,7 +4,7 @@
 use crate::control;
 use crate::engine::holders::Holders;
 use crate::engine::{EngineStandin, Shared};
-use crate::host::{Host, Task};
+use crate::host::{ANY_PORT, Host, Task};
 use crate::plan::Plan;
 use crate::platform::log::LogStandin;
 use crate::platform::vms::VmBoard;
@@ -12,12 +12,12 @@
 use crate::record::Record;
 use crate::store::{ENGINES_WORTH, StoreStandin};
 use crate::worker::WorkerStandin;
+use poem::Route;
 use sesamegap_platform::{VmEntry, VmRole, VmState};
 use sesamegap_wire::DomainId;
 use std::io::Result as IoResult;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
 
 /// What has been opened so far.
 #[derive(Default)]
@@ -33,15 +33,18 @@
     let vms = VmBoard::new(plan.platform.lag);
     let weights = WeightShelf::new(&plan.models, &plan.platform);
 
-    let (host, door) = Host::open(None, Duration::ZERO).await?;
+    let (host, door) = Host::open_central(ANY_PORT).await?;
     let log = LogStandin::new(Arc::clone(&host), plan.platform.clone());
-    let log_addr = opened.serve(host, |host| host.serve(door, log.endpoint()));
+    let route = log.mount(Route::new(), &host);
+    let log_addr = opened.serve(host, |host| host.serve(door, route));
 
-    let (host, door) = Host::open(None, Duration::ZERO).await?;
-    let vms_addr = opened.serve(host, |host| host.serve(door, vms.endpoint()));
+    let (host, door) = Host::open_central(ANY_PORT).await?;
+    let route = vms.mount(Route::new());
+    let vms_addr = opened.serve(host, |host| host.serve(door, route));
 
-    let (host, door) = Host::open(None, Duration::ZERO).await?;
-    let weights_addr = opened.serve(host, |host| host.serve(door, weights.endpoint()));
+    let (host, door) = Host::open_central(ANY_PORT).await?;
+    let route = weights.mount(Route::new());
+    let weights_addr = opened.serve(host, |host| host.serve(door, route));
 
     let (store, store_addr) = open_store(&plan, &vms, &mut opened).await?;
     let shared = Shared {
@@ -54,7 +57,7 @@
     let engines = open_engines(&plan, shared, &vms, &mut opened).await?;
     let workers = open_workers(&plan, &record, &vms, &mut opened).await?;
 
-    let (host, door) = Host::open(None, Duration::ZERO).await?;
+    let (host, door) = Host::open_central(plan.control).await?;
     let addresses = Addresses {
         log: log_addr,
         vms: vms_addr,
@@ -79,7 +82,7 @@
         record,
         restart: OnceLock::new(),
     });
-    let endpoint = control::endpoint(Arc::clone(&controls));
+    let endpoint = control::endpoint(&controls, &host);
     opened.tasks.push(host.serve(door, endpoint));
     Ok((controls, opened.tasks))
 }
@@ -111,7 +114,7 @@
     };
     let capacity = plan.engine.capacity.saturating_mul(ENGINES_WORTH);
     let store = StoreStandin::new(id.clone(), capacity);
-    let (host, door) = Host::open(Some(domain.clone()), plan.between).await?;
+    let (host, door) = Host::open(domain, plan.between).await?;
     let addr = opened.serve(host, |host| host.serve(door, store.endpoint()));
     let role = VmRole::Store { id: id.clone() };
     vms.enlist(&live(role, addr, domain));
@@ -126,7 +129,7 @@
 ) -> IoResult<Vec<Arc<EngineStandin>>> {
     let mut engines = Vec::with_capacity(plan.engines.len());
     for (index, own) in plan.engines.iter().enumerate() {
-        let (host, door) = Host::open(Some(own.domain.clone()), plan.between).await?;
+        let (host, door) = Host::open(&own.domain, plan.between).await?;
         let (engine, reporter) = EngineStandin::new(index, own, Arc::clone(&host), shared.clone());
         let addr = opened.serve(host, |host| host.serve(door, engine.endpoint()));
         opened.tasks.push(reporter);
@@ -145,7 +148,7 @@
 ) -> IoResult<Vec<Arc<WorkerStandin>>> {
     let mut workers = Vec::with_capacity(plan.workers.len());
     for own in &plan.workers {
-        let (host, door) = Host::open(Some(own.domain.clone()), plan.between).await?;
+        let (host, door) = Host::open(&own.domain, plan.between).await?;
         let worker = WorkerStandin::new(
             own.clone(),
             plan.work,
--- a/crates/sesamegap-standin/src/gate/mod.rs
+++ b/crates/sesamegap-standin/src/gate/mod.rs
@@ -40,9 +40,9 @@
 pub(crate) struct Gate(Arc<Shared>);
 
 impl Gate {
-    /// Listens on a free loopback port.
-    pub(crate) async fn open() -> IoResult<(Self, GateAcceptor)> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    /// Listens on an address; port 0 is any free one.
+    pub(crate) async fn open(addr: SocketAddr) -> IoResult<(Self, GateAcceptor)> {
+        let listener = TcpListener::bind(addr).await?;
         let shared = Arc::new(Shared {
             addr: listener.local_addr()?,
             lines: Mutex::new(Vec::new()),
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Whether the gate is down.
+    pub(crate) fn is_down(&self) -> bool {
+        *self.0.down.borrow()
+    }
+
     fn lines(&self) -> Vec<Arc<Line>> {
         let lines = self.0.lines.lock().unwrap_or_else(PoisonError::into_inner);
         lines.iter().filter_map(Weak::upgrade).collect()
--- a/crates/sesamegap-standin/src/host.rs
+++ b/crates/sesamegap-standin/src/host.rs
@@ -6,6 +6,7 @@
 use sesamegap_http::pool::DOMAIN;
 use sesamegap_wire::DomainId;
 use std::io::Result as IoResult;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -14,6 +15,9 @@
 /// Largest request taken, in bytes.
 pub(crate) const MAX_BODY: usize = 32 << 20;
 
+/// Any free loopback port.
+pub(crate) const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// The machine that a stand-in runs on.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -24,12 +28,25 @@
 }
 
 impl Host {
-    /// Opens a machine in a failure domain, or one that is equally far from everybody.
+    /// Opens a machine in a failure domain on any free port.
     pub(crate) async fn open(
+        domain: &DomainId,
+        between: Duration,
+    ) -> IoResult<(Arc<Self>, GateAcceptor)> {
+        Self::build(ANY_PORT, Some(domain.clone()), between).await
+    }
+
+    /// Opens a machine that is equally far from everybody.
+    pub(crate) async fn open_central(addr: SocketAddr) -> IoResult<(Arc<Self>, GateAcceptor)> {
+        Self::build(addr, None, Duration::ZERO).await
+    }
+
+    async fn build(
+        addr: SocketAddr,
         domain: Option<DomainId>,
         between: Duration,
     ) -> IoResult<(Arc<Self>, GateAcceptor)> {
-        let (gate, acceptor) = Gate::open().await?;
+        let (gate, acceptor) = Gate::open(addr).await?;
         let host = Arc::new(Self {
             gate,
             switches: Switches::default(),
--- a/crates/sesamegap-standin/src/plan/builder.rs
+++ b/crates/sesamegap-standin/src/plan/builder.rs
@@ -1,8 +1,10 @@
 //! Builds a [`Plan`].
 
 use super::{EngineLimits, EnginePlan, Plan, PlatformLimits, WorkerPlan};
+use crate::host::ANY_PORT;
+use blake3::Hash;
 use sesamegap_wire::{DomainId, ModelId, ServiceId, Tokens, UpstreamId, WeightsVersion};
-use smol_str::SmolStr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Which engines refuse orders with an old fencing number.
@@ -27,7 +29,8 @@
     work: Duration,
     engine: EngineLimits,
     platform: PlatformLimits,
-    operator: SmolStr,
+    control: SocketAddr,
+    operator: Hash,
 }
 
 impl Default for Builder {
@@ -44,7 +47,8 @@
             work: Duration::from_millis(1),
             engine: EngineLimits::default(),
             platform: PlatformLimits::default(),
-            operator: SmolStr::new_static("operator"),
+            control: ANY_PORT,
+            operator: blake3::hash(b"operator"),
         }
     }
 }
@@ -130,10 +134,23 @@
         self
     }
 
+    /// Where the control listens.
+    #[must_use]
+    pub fn control(mut self, addr: SocketAddr) -> Self {
+        self.control = addr;
+        self
+    }
+
     /// Key that the control address asks for.
     #[must_use]
-    pub fn operator(mut self, key: impl Into<SmolStr>) -> Self {
-        self.operator = key.into();
+    pub fn operator(self, key: &str) -> Self {
+        self.operator_hash(blake3::hash(key.as_bytes()))
+    }
+
+    /// Hash of the key that the control address asks for.
+    #[must_use]
+    pub fn operator_hash(mut self, hash: Hash) -> Self {
+        self.operator = hash;
         self
     }
 
@@ -152,6 +169,7 @@
             work: self.work,
             engine: self.engine,
             platform: self.platform,
+            control: self.control,
             operator: self.operator,
         }
     }
--- a/crates/sesamegap-standin/src/plan/mod.rs
+++ b/crates/sesamegap-standin/src/plan/mod.rs
@@ -9,8 +9,9 @@
 pub use builder::Builder;
 pub use limits::{EngineLimits, PlatformLimits};
 
+use blake3::Hash;
 use sesamegap_wire::{DomainId, ModelId, ServiceId, Tokens, UpstreamId, WeightsVersion};
-use smol_str::SmolStr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// One model engine.
@@ -58,8 +59,10 @@
     pub engine: EngineLimits,
     /// Limits and speed of the platform.
     pub platform: PlatformLimits,
-    /// Key that the control address asks for.
-    pub operator: SmolStr,
+    /// Where the control listens; port 0 is any free one.
+    pub control: SocketAddr,
+    /// Hash of the key that the control address asks for.
+    pub operator: Hash,
 }
 
 impl Plan {
--- a/crates/sesamegap-standin/src/platform/log.rs
+++ b/crates/sesamegap-standin/src/platform/log.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use poem::http::StatusCode;
 use poem::web::{Data, Path, Query};
-use poem::{Body, EndpointExt, IntoEndpoint, Request, Response, Route, handler};
+use poem::{Body, EndpointExt, Request, Response, Route, handler};
 use serde::Deserialize;
 use sesamegap_platform::log::frame::{Append, Appended, Expired, PageFrame};
 use sesamegap_platform::{Page, Record};
@@ -95,10 +95,13 @@
         &self.host
     }
 
-    pub(crate) fn endpoint(self: &Arc<Self>) -> impl IntoEndpoint<Endpoint: 'static> + use<> {
-        Route::new()
-            .at("/streams/:name", poem::get(read).post(append))
+    /// Adds the log to what a machine serves.
+    pub(crate) fn mount(self: &Arc<Self>, route: Route, door: &Arc<Host>) -> Route {
+        let stream = poem::get(read)
+            .post(append)
             .data(Arc::clone(self))
+            .data(Arc::clone(door));
+        route.at("/streams/:name", stream)
     }
 
     /// Drops all records of a stream before an offset, as if retention had.
@@ -152,7 +155,11 @@
         stream.page(from)
     }
 
-    async fn slow_down(&self) {
+    /// Lets the faults of the log hit a request before it is looked at.
+    async fn meet(&self, door: &Host, request: &Request) {
+        if self.host.gate.is_down() {
+            lose_answer(door, request).await;
+        }
         if self.host.switches.take(Fault::LogSlow).is_some() {
             sleep(self.limits.slow).await;
         }
@@ -179,11 +186,12 @@
 #[handler]
 async fn append(
     Data(log): Data<&Arc<LogStandin>>,
+    Data(door): Data<&Arc<Host>>,
     Path(name): Path<StreamId>,
     request: &Request,
     body: Body,
 ) -> Response {
-    log.slow_down().await;
+    log.meet(door, request).await;
     let Ok(bytes) = body.into_bytes_limit(MAX_BODY).await else {
         return StatusCode::BAD_REQUEST.into();
     };
@@ -199,7 +207,7 @@
     let bodies = append.records.into_iter().map(|body| body.0).collect();
     let offset = log.add(name, bodies);
     if log.host.switches.take(Fault::LogLostAnswer).is_some() {
-        lose_answer(&log.host, request).await;
+        lose_answer(door, request).await;
     }
     packed(StatusCode::OK, &Appended { offset })
 }
@@ -223,10 +231,12 @@
 #[handler]
 async fn read(
     Data(log): Data<&Arc<LogStandin>>,
+    Data(door): Data<&Arc<Host>>,
     Path(name): Path<StreamId>,
     Query(ask): Query<From>,
+    request: &Request,
 ) -> Response {
-    log.slow_down().await;
+    log.meet(door, request).await;
     let wait = Duration::from_millis(ask.wait);
     match log.page(&name, Offset(ask.from), wait).await {
         Ok(page) => packed(StatusCode::OK, &PageFrame::from(page)),
--- a/crates/sesamegap-standin/src/platform/vms.rs
+++ b/crates/sesamegap-standin/src/platform/vms.rs
@@ -1,7 +1,7 @@
 //! The VM list, which shows a change only after a lag: `GET /vms`.
 
 use poem::web::{Data, Json};
-use poem::{EndpointExt, IntoEndpoint, Route, handler};
+use poem::{EndpointExt, Route, handler};
 use sesamegap_platform::{VmEntry, VmRole, VmState};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -34,10 +34,9 @@
         })
     }
 
-    pub(crate) fn endpoint(self: &Arc<Self>) -> impl IntoEndpoint<Endpoint: 'static> + use<> {
-        Route::new()
-            .at("/vms", poem::get(list))
-            .data(Arc::clone(self))
+    /// Adds the list to what a machine serves.
+    pub(crate) fn mount(self: &Arc<Self>, route: Route) -> Route {
+        route.at("/vms", poem::get(list).data(Arc::clone(self)))
     }
 
     /// Adds a VM that was there before the list began to lag.
--- a/crates/sesamegap-standin/src/platform/weights.rs
+++ b/crates/sesamegap-standin/src/platform/weights.rs
@@ -6,7 +6,7 @@
 use crate::rate::Rate;
 use poem::http::StatusCode;
 use poem::web::{Data, Json, Path};
-use poem::{EndpointExt, IntoEndpoint, IntoResponse, Response, Route, handler};
+use poem::{EndpointExt, IntoResponse, Response, Route, handler};
 use sesamegap_wire::{ModelId, WeightsVersion};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -54,10 +54,10 @@
         })
     }
 
-    pub(crate) fn endpoint(self: &Arc<Self>) -> impl IntoEndpoint<Endpoint: 'static> + use<> {
-        Route::new()
-            .at("/models/:model", poem::get(versions))
-            .data(Arc::clone(self))
+    /// Adds the store to what a machine serves.
+    pub(crate) fn mount(self: &Arc<Self>, route: Route) -> Route {
+        let store = poem::get(versions).data(Arc::clone(self));
+        route.at("/models/:model", store)
     }
 
     /// Adds a version to load.
--- a/crates/sesamegap-standin/tests/testsuite/control.rs
+++ b/crates/sesamegap-standin/tests/testsuite/control.rs
@@ -1,10 +1,14 @@
 //! The control address.
 
-use crate::support::{ask, dispatch, first_engine, incarnation, plan, start, until, url};
+use crate::support::{ask, dispatch, first_engine, incarnation, plan, settings, start, until, url};
+use bytes::Bytes;
 use reqwest::{Client, Method, StatusCode};
+use sesamegap_platform::{HttpLog, HttpVms, Log, Reason, VmList};
 use sesamegap_standin::{Deployment, Engines, Executions, FaultError, Restart};
+use sesamegap_wire::Offset;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 async fn send(
     deployment: &Deployment,
@@ -62,6 +66,31 @@
     }
 }
 
+/// The log is out for a demonstration that knows one address only. The control must stay open, or
+/// nobody could look at what happens.
+#[tokio::test]
+async fn it_serves_the_platform_too_and_outlives_the_logs_outage() {
+    let deployment = start(plan()).await;
+    let base = url(deployment.addresses().control);
+    let log = HttpLog::new(base.clone(), settings());
+    let name = "settings".parse().unwrap();
+    log.append(&name, vec![Bytes::from_static(b"a")])
+        .await
+        .unwrap();
+    assert_eq!(
+        HttpVms::new(base, settings()).list().await.unwrap().len(),
+        2
+    );
+    deployment.set_log_down(true);
+    let error = log.append(&name, vec![Bytes::from_static(b"b")]).await;
+    assert_eq!(error.unwrap_err().reason(), Reason::Unknown);
+    let (status, _) = send(&deployment, "operator", Method::GET, "/engines").await;
+    assert_eq!(status, StatusCode::OK);
+    deployment.set_log_down(false);
+    let page = log.read(&name, Offset(0), Duration::ZERO).await.unwrap();
+    assert_eq!(page.records.len(), 1);
+}
+
 #[derive(Debug, Default)]
 struct Restarts(AtomicUsize);
 
--- a/crates/sesamegap/src/ctl/file.rs
+++ b/crates/sesamegap/src/ctl/file.rs
@@ -118,6 +118,9 @@
 pub fn read_tree(value: &Value, findings: &mut Findings) -> Tree {
     const KEYS: [&str; 2] = ["tree", "site"];
     unknown_keys(value, &KEYS, findings);
+    if let Some(site) = value.get("site") {
+        crate::site::check(site, findings);
+    }
     let tree = Tree::read(&value["tree"], "tree", findings);
     let mut within = Findings::default();
     Catalogue::resolve(&tree, &mut within);
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod events;
 pub mod locator;
 pub mod router;
+pub mod site;
 pub mod telemetry;
--- /dev/null
+++ b/crates/sesamegap/src/site/mod.rs
@@ -0,0 +1,135 @@
+//! A site as the stand-ins bring it up: its machines, delays and speeds.
+//!
+//! They stand under `site` in a file whose `tree` is published to the routers. What the two must
+//! agree on (models, their versions and blocks, plain services) is taken from the tree.
+
+pub mod fields;
+
+use crate::config::read;
+use fields::SITE;
+use serde_json::{Map, Value};
+use sesamegap_settings::schema::reader::{complete, read as read_fields};
+use sesamegap_settings::schema::{Row, built_in};
+use sesamegap_settings::{Catalogue, Document, Findings, SettingsError, Tree};
+use sesamegap_standin::Plan;
+use sesamegap_standin::plan::{Builder, EngineLimits, PlatformLimits};
+use sesamegap_wire::DomainId;
+use std::path::Path;
+use std::time::Duration;
+
+/// Versions after the deployed one that the weight store has, so that one can be rolled out.
+const LATER_VERSIONS: u32 = 3;
+
+/// A site: what the stand-ins bring up, and what is run beside them.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// Failure domains.
+    pub domains: Vec<DomainId>,
+    /// Entry VMs.
+    pub routers: usize,
+    /// Round trip to clients.
+    pub clients: Duration,
+    /// The stand-ins.
+    pub standins: Builder,
+    /// The tree, as it is published.
+    pub tree: Tree,
+}
+
+impl Site {
+    /// Reads a file with `tree` and `site`.
+    ///
+    /// # Errors
+    /// With all findings and their places.
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&file.display().to_string(), &read::text(file)?)
+    }
+
+    /// Reads a file's text; `file` is the name that findings show.
+    ///
+    /// # Errors
+    /// With all findings and their places.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let document = Document::parse(file, text)?;
+        let mut findings = Findings::default();
+        match Self::from_value(document.value(), &mut findings) {
+            Some(site) if findings.is_empty() => Ok(site),
+            _ => {
+                document.locate(&mut findings);
+                Err(SettingsError::Invalid(findings))
+            }
+        }
+    }
+
+    fn from_value(value: &Value, findings: &mut Findings) -> Option<Self> {
+        let tree = crate::ctl::file::read_tree(value, findings);
+        let nothing = Value::Object(Map::new());
+        let section = value.get("site").unwrap_or(&nothing);
+        if !findings.is_empty() {
+            return None;
+        }
+        // Whatever is wrong with the section was found together with the tree.
+        let own = read_fields(SITE, section, "site", findings);
+        let defaults = built_in(SITE);
+        let row = complete(SITE, &own, &defaults, "site", findings);
+        let catalogue = Catalogue::resolve(&tree, findings);
+        Some(Self {
+            domains: row.list("domains"),
+            routers: row.whole("routers"),
+            clients: millis(&row, "clients_ms"),
+            standins: standins(&row, &catalogue),
+            tree,
+        })
+    }
+}
+
+/// Checks the `site` of a file.
+pub fn check(value: &Value, findings: &mut Findings) {
+    read_fields(SITE, value, "site", findings);
+}
+
+fn standins(row: &Row<'_>, catalogue: &Catalogue) -> Builder {
+    let mut plan = Plan::builder()
+        .domains(row.list("domains"))
+        .engines(row.whole("engines"))
+        .between(millis(row, "between_ms"))
+        .engine(engine(row))
+        .platform(platform(row));
+    if row.flag("store") {
+        plan = plan.store();
+    }
+    for (model, spec) in &catalogue.models {
+        let first = spec.version.0;
+        let versions: Vec<u32> = (first..=first.saturating_add(LATER_VERSIONS)).collect();
+        plan = plan.model(model.clone(), &versions).block(spec.block);
+    }
+    for service in catalogue.services.keys() {
+        plan = plan.workers(service.clone(), row.whole("workers"));
+    }
+    plan
+}
+
+fn engine(row: &Row<'_>) -> EngineLimits {
+    EngineLimits {
+        slots: row.whole("slots"),
+        queue: row.whole("queue"),
+        capacity: row.whole("capacity"),
+        prefill: millis(row, "prefill_ms") / 1000,
+        import: millis(row, "import_ms"),
+        decode: millis(row, "decode_ms"),
+        ..EngineLimits::default()
+    }
+}
+
+fn platform(row: &Row<'_>) -> PlatformLimits {
+    PlatformLimits {
+        appends: row.whole("appends"),
+        retention: row.span("retention"),
+        lag: row.span("lag"),
+        load: row.span("load"),
+        ..PlatformLimits::default()
+    }
+}
+
+fn millis(row: &Row<'_>, name: &str) -> Duration {
+    Duration::from_secs_f64(row.real(name) / 1000.0)
+}
