--- a/crates/sesamegap-http/src/pool.rs
+++ b/crates/sesamegap-http/src/pool.rs
@@ -90,13 +90,13 @@
         self.watch(outcome)
     }
 
-    /// Reads a whole body, within the limits on silence and size.
+    /// Reads a whole body, within the limits on silence, time and size.
     ///
     /// # Errors
     /// If the body breaks off, goes silent or is too long.
     pub async fn whole(&self, response: Response) -> Result<Bytes, Failure> {
-        let outcome = self.read(response).await;
-        self.watch(outcome)
+        let outcome = timeout(self.settings.whole, self.read(response)).await;
+        self.watch(outcome.unwrap_or_else(|_| Err(Failure::silence())))
     }
 
     /// Limits how long a future may stay without bytes from the target.
--- a/crates/sesamegap-http/src/settings.rs
+++ b/crates/sesamegap-http/src/settings.rs
@@ -10,6 +10,7 @@
     pub(crate) silence: Duration,
     pub(crate) age: Duration,
     pub(crate) idle: Duration,
+    pub(crate) whole: Duration,
     pub(crate) body: usize,
     pub(crate) event: usize,
     pub(crate) domain: Option<DomainId>,
@@ -44,6 +45,7 @@
             silence: Duration::from_millis(400),
             age: Duration::from_mins(1),
             idle: Duration::from_secs(20),
+            whole: Duration::from_secs(30),
             body: 8 << 20,
             event: 64 << 10,
             domain: None,
@@ -84,6 +86,13 @@
         self
     }
 
+    /// Time to read a whole body, which keeps one that trickles from being read for ever.
+    #[must_use]
+    pub fn whole(mut self, time: Duration) -> Self {
+        self.0.whole = time;
+        self
+    }
+
     /// Largest body taken, in bytes.
     #[must_use]
     pub fn body(mut self, bytes: usize) -> Self {
--- a/crates/sesamegap-http/src/text.rs
+++ b/crates/sesamegap-http/src/text.rs
@@ -38,6 +38,7 @@
             return true;
         }
         self.event += 1;
+        let fits = self.event <= self.limit;
         if byte != b'\n' && byte != b'\r' {
             self.line += 1;
         } else {
@@ -46,6 +47,6 @@
             }
             self.line = 0;
         }
-        self.event <= self.limit
+        fits
     }
 }
