--- a/crates/sesamegap/src/bin/sesamegap-local/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-local/main.rs
@@ -6,8 +6,9 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, ValueEnum};
-use sesamegap::local::{Deployment, Site};
+use sesamegap::local::Deployment;
 use sesamegap::process;
+use sesamegap::site::Site;
 use sesamegap::telemetry;
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/sesamegap/src/bin/sesamegap-locator/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-locator/main.rs
@@ -27,7 +27,7 @@
 
 async fn run(cli: &Cli) -> Result<ExitCode> {
     let config = ProcessConfig::load(&cli.config)?;
-    process::log(&config);
+    process::log(config.json_logs);
     let vms = Links::http(&config).vms;
     let running = locator::start(config, vms).await?;
     process::told_to_stop().await?;
--- a/crates/sesamegap/src/bin/sesamegap-router/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-router/main.rs
@@ -27,7 +27,7 @@
 
 async fn run(cli: &Cli) -> Result<ExitCode> {
     let config = ProcessConfig::load(&cli.config)?;
-    process::log(&config);
+    process::log(config.json_logs);
     let links = Links::http(&config);
     let running = Router::new(config, links).start().await?;
     process::told_to_stop().await?;
--- a/crates/sesamegap/src/ctl/file.rs
+++ b/crates/sesamegap/src/ctl/file.rs
@@ -116,8 +116,9 @@
 
 /// Reads the `tree` of a file, with a finding for each thing that is wrong.
 pub fn read_tree(value: &Value, findings: &mut Findings) -> Tree {
-    const KEYS: [&str; 2] = ["tree", "site"];
+    const KEYS: [&str; 3] = ["tree", "site", "traffic"];
     unknown_keys(value, &KEYS, findings);
+    crate::site::check(value, findings);
     let tree = Tree::read(&value["tree"], "tree", findings);
     let mut within = Findings::default();
     Catalogue::resolve(&tree, &mut within);
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod locator;
 pub mod process;
 pub mod router;
+pub mod site;
 pub mod telemetry;
--- a/crates/sesamegap/src/local/deployment.rs
+++ b/crates/sesamegap/src/local/deployment.rs
@@ -1,19 +1,20 @@
 //! Starts a whole deployment and stops it.
 
-use super::site::Site;
+use super::demand::Demand;
 use super::traffic::demo_key;
 use crate::admin::{ChangeAnswer, TreeAnswer};
 use crate::config::{CtlConfig, ProcessConfig, Timing};
 use crate::ctl::client::Client;
-use crate::ctl::file::{self, Publishable};
+use crate::ctl::file::Publishable;
 use crate::ctl::publish::{Publication, edits, fresh_id};
 use crate::locator;
 use crate::router::{Links, Router, Running};
+use crate::site::Site;
 use anyhow::{Context, Result, bail};
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use sesamegap_platform::{VmEntry, VmRole, VmState};
-use sesamegap_settings::{Catalogue, Findings, SettingsError, Tree, key_hash};
+use sesamegap_settings::{Catalogue, Findings, Tree, key_hash};
 use sesamegap_standin::{Deployment as Standins, FaultError, Restart};
 use sesamegap_wire::{DomainId, VmId};
 use smol_str::{SmolStr, format_smolstr};
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub struct Deployment {
     site: Arc<Site>,
+    demand: Arc<Demand>,
     catalogue: Catalogue,
     standins: Arc<Standins>,
     routers: Arc<Routers>,
@@ -47,20 +49,22 @@
     /// # Errors
     /// If a port cannot be opened or the tree is not taken.
     pub async fn start(site: Arc<Site>) -> Result<Self> {
-        let tree = site_tree(&site)?;
-        let catalogue = Catalogue::resolve(&tree, &mut Findings::default());
-        let plan = site.plan(OPERATOR.into());
+        let demand = site.demand.clone().context("the file has no `traffic`")?;
+        let catalogue = Catalogue::resolve(&site.tree, &mut Findings::default());
+        let plan = site.standins.clone().operator(OPERATOR).build();
         let standins = Arc::new(Standins::start(plan).await?);
         let routers = Arc::new(Routers::start(&site, &standins).await?);
         let locators = start_locators(&site, &standins, &routers).await?;
         standins.on_restart(Arc::clone(&routers) as Arc<dyn Restart>);
         let deployment = Self {
             site,
+            demand: Arc::new(demand),
             catalogue,
             standins,
             routers,
             locators,
         };
+        let tree = deployment.site.tree.clone();
         deployment.publish(tree).await?;
         Ok(deployment)
     }
@@ -70,6 +74,11 @@
         &self.site
     }
 
+    /// What callers send.
+    pub fn demand(&self) -> &Arc<Demand> {
+        &self.demand
+    }
+
     /// The settings that were published at the start.
     pub fn catalogue(&self) -> &Catalogue {
         &self.catalogue
@@ -178,17 +187,6 @@
     }
 }
 
-fn site_tree(site: &Site) -> Result<Tree, SettingsError> {
-    let mut findings = Findings::default();
-    let whole = json!({ "tree": site.tree });
-    let tree = file::read_tree(&whole, &mut findings);
-    if findings.is_empty() {
-        Ok(tree)
-    } else {
-        Err(SettingsError::Invalid(findings))
-    }
-}
-
 /// What is needed to start one router again.
 #[derive(Debug)]
 struct Slot {
--- a/crates/sesamegap/src/local/drive.rs
+++ b/crates/sesamegap/src/local/drive.rs
@@ -48,8 +48,8 @@
 /// If a caller cannot be set up.
 pub async fn drive(deployment: &Deployment, drive: Drive) -> Result<Vec<Sent>> {
     let callers = callers(deployment)?;
-    let site = Arc::clone(deployment.site());
-    let traffic = Traffic::new(site, deployment.catalogue(), drive.seed);
+    let demand = Arc::clone(deployment.demand());
+    let traffic = Traffic::new(demand, deployment.catalogue(), drive.seed);
     let start = Instant::now();
     let mut tasks = JoinSet::new();
     let (most, last) = match drive.extent {
@@ -81,12 +81,13 @@
 /// One caller a team, spread over the failure domains.
 fn callers(deployment: &Deployment) -> Result<BTreeMap<TeamId, Arc<Caller>>> {
     let site = deployment.site();
+    let demand = deployment.demand();
     let teams = deployment.catalogue().teams.keys().enumerate();
     teams
         .map(|(index, team)| {
             let domain = site.domains[index % site.domains.len()].clone();
-            let asked = (site.model.clone(), site.service.clone());
-            let caller = Caller::new(deployment.locators(), domain, asked, site.client)?;
+            let asked = (demand.model.clone(), demand.service.clone());
+            let caller = Caller::new(deployment.locators(), domain, asked, site.clients / 2)?;
             Ok((team.clone(), Arc::new(caller)))
         })
         .collect()
@@ -97,11 +98,11 @@
     let What::Model(question) = &ask.what else {
         return (0, 0);
     };
-    let site = deployment.site();
-    let spec = deployment.catalogue().models.get(&site.model);
+    let demand = deployment.demand();
+    let spec = deployment.catalogue().models.get(&demand.model);
     let version = spec.map_or(WeightsVersion(1), |spec| spec.version);
     let block = spec.map_or(0, |spec| spec.block.0);
-    let chain = question.chain(&ask.team, site, version);
+    let chain = question.chain(&ask.team, demand, version);
     let blocks = deployment.standins().held(&chain.keys) as u64;
     (blocks * block, chain.tokens.0)
 }
--- a/crates/sesamegap/src/local/traffic.rs
+++ b/crates/sesamegap/src/local/traffic.rs
@@ -4,7 +4,7 @@
 //! much more wanted than others, as a busy substation's is. Texts depend on nothing but the names
 //! of their level, so that equal names give byte-equal prefixes.
 
-use super::site::{Flow, Site};
+use super::demand::{Demand, Flow};
 use rand::rngs::ChaCha12Rng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
@@ -75,12 +75,12 @@
     }
 
     /// The prompt's blocks, as the router cuts them.
-    pub fn chain(&self, team: &TeamId, site: &Site, version: WeightsVersion) -> Chain {
+    pub fn chain(&self, team: &TeamId, demand: &Demand, version: WeightsVersion) -> Chain {
         let parts = self.parts();
         let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
         let seed = Seed {
             team,
-            model: &site.model,
+            model: &demand.model,
             version,
         };
         Chain::of_parts(seed, &parts, Tokens(BLOCK))
@@ -98,7 +98,7 @@
 #[derive(Debug)]
 pub struct Traffic {
     rng: ChaCha12Rng,
-    site: Arc<Site>,
+    demand: Arc<Demand>,
     teams: Vec<(TeamId, f64)>,
     texts: HashMap<String, Arc<str>>,
     number: u64,
@@ -107,11 +107,11 @@
 
 impl Traffic {
     /// Starts the sequence of a seed, with teams as unequal as their weights in the tree.
-    pub fn new(site: Arc<Site>, catalogue: &Catalogue, seed: u64) -> Self {
+    pub fn new(demand: Arc<Demand>, catalogue: &Catalogue, seed: u64) -> Self {
         let teams = catalogue.teams.iter();
         Self {
             rng: ChaCha12Rng::seed_from_u64(seed),
-            site,
+            demand,
             teams: teams
                 .map(|(team, spec)| (team.clone(), spec.weight))
                 .collect(),
@@ -128,9 +128,9 @@
     }
 
     fn question(&mut self, team: &TeamId) -> Question {
-        let site = Arc::clone(&self.site);
-        let shares: Vec<f64> = site.flows.iter().map(|flow| flow.share).collect();
-        let flow = &site.flows[self.draw(&shares)];
+        let demand = Arc::clone(&self.demand);
+        let shares: Vec<f64> = demand.flows.iter().map(|flow| flow.share).collect();
+        let flow = &demand.flows[self.draw(&shares)];
         let dossier = self.popular(flow.dossiers);
         let form = self.rng.random_range(0..flow.forms);
         Question {
@@ -188,15 +188,15 @@
     fn next(&mut self) -> Option<Ask> {
         let team = self.team();
         let kind = self.rng.random::<f64>();
-        let site = Arc::clone(&self.site);
-        let what = if kind < site.saves {
+        let demand = Arc::clone(&self.demand);
+        let what = if kind < demand.saves {
             What::Save
-        } else if kind < site.saves + site.lookups {
+        } else if kind < demand.saves + demand.lookups {
             What::Lookup
         } else {
             What::Model(self.question(&team))
         };
-        let gap = -(1.0 - self.rng.random::<f64>()).ln() / site.rate;
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / demand.rate;
         self.at += Duration::from_secs_f64(gap);
         self.number += 1;
         Some(Ask {
--- a/crates/sesamegap/src/process/mod.rs
+++ b/crates/sesamegap/src/process/mod.rs
@@ -1,6 +1,5 @@
 //! What the main functions of all programs share.
 
-use crate::config::ProcessConfig;
 use crate::telemetry::{self, Format};
 use anyhow::{Context, Result};
 use sesamegap_settings::SettingsError;
@@ -23,13 +22,9 @@
     }
 }
 
-/// Starts logging as the process's settings say.
-pub fn log(config: &ProcessConfig) {
-    telemetry::init(if config.json_logs {
-        Format::Json
-    } else {
-        Format::Text
-    });
+/// Starts logging, as JSON lines or as text.
+pub fn log(json: bool) {
+    telemetry::init(if json { Format::Json } else { Format::Text });
 }
 
 /// Waits until the process is told to stop, by SIGTERM or SIGINT.
