Fuzz the fold and check inheritance against a naive walk

Cause: one wrong verdict in one process would split the settings in force. Change: stateful fuzzing of three processes over one log against a simple oracle, inheritance against walking to the root, decoders on any bytes, bounds of memory; five broken folds and one broken inheritance are caught.

--- /dev/null
+++ b/crates/sesamegap-settings/benches/fold.rs
@@ -0,0 +1,179 @@
+//! What the fold costs at growing numbers of teams.
+//!
+//! `cargo bench -p sesamegap-settings --bench fold` measures a change of one team, one of all
+//! teams' defaults, a day of 9,700 changes, a snapshot and a start from one, at three sizes, and
+//! prints the bytes that a fold and its snapshot take.
+
+use criterion::measurement::WallTime;
+use criterion::{
+    BatchSize, BenchmarkGroup, BenchmarkId, Criterion, criterion_group, criterion_main,
+};
+use serde_json::{Value, json};
+use sesamegap_settings::{Change, ChangeId, Edit, Fold, Outcome};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Sizes whose figures give the slope; the last is the users' in two years.
+const TEAMS: [usize; 3] = [3_500, 17_500, 35_000];
+
+/// Changes of a day, as the users expect.
+const DAY: usize = 9_700;
+
+/// Teams in one group.
+const GROUP: usize = 500;
+
+/// Counts the bytes in use.
+struct Counting;
+
+static IN_USE: AtomicUsize = AtomicUsize::new(0);
+
+#[expect(
+    unsafe_code,
+    reason = "an allocator can only be wrapped by unsafe functions"
+)]
+// SAFETY: every call is passed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: as above.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: as above.
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+fn change(fold: &Fold, edits: Vec<Edit>) -> Vec<u8> {
+    let change = Change {
+        id: ChangeId(u128::from(fold.next().0)),
+        base: fold.revision(),
+        by: "operator".into(),
+        note: "a change of the bench".to_owned(),
+        edits,
+    };
+    change.encode().expect("within bounds")
+}
+
+fn edit(path: &str, value: Value) -> Edit {
+    Edit {
+        path: path.parse().expect("a path"),
+        value: Some(value),
+    }
+}
+
+fn append(fold: &mut Fold, edits: Vec<Edit>) {
+    let body = change(fold, edits);
+    let outcome = fold.apply(fold.next(), 0, &body);
+    assert!(matches!(outcome, Outcome::Accepted { .. }), "{outcome}");
+}
+
+fn team(index: usize) -> String {
+    format!("groups/firm-{}/teams/team-{index}", index / GROUP)
+}
+
+/// A fold with so many teams in groups of equal size, each with a key and a weight of its own.
+fn peopled(teams: usize) -> Fold {
+    let mut fold = Fold::default();
+    append(&mut fold, vec![edit("classes/standard", json!({}))]);
+    for group in 0..teams / GROUP {
+        append(
+            &mut fold,
+            vec![edit(&format!("groups/firm-{group}"), json!({}))],
+        );
+        let member = |index: usize| {
+            let hash = sesamegap_settings::key_hash(&index.to_string());
+            edit(&team(index), json!({"key_hashes": [hash], "weight": 2}))
+        };
+        let members = (group * GROUP..(group + 1) * GROUP).map(member);
+        append(&mut fold, members.collect());
+    }
+    fold
+}
+
+/// Takes in a day's changes, each of one team, as the router does: with the catalogue shared.
+fn day(fold: &mut Fold, teams: usize, shared: bool) {
+    let mut kept = Arc::default();
+    for turn in 0..DAY {
+        let path = format!("{}/burst", team(turn * 7 % teams));
+        append(fold, vec![edit(&path, json!(turn + 1))]);
+        if shared {
+            kept = fold.catalogue();
+        }
+    }
+    black_box(kept);
+}
+
+fn sizes(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("fold");
+    group
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(300));
+    group.measurement_time(Duration::from_secs(2));
+    for teams in TEAMS {
+        let before = IN_USE.load(Ordering::Relaxed);
+        let fold = peopled(teams);
+        let bytes = IN_USE.load(Ordering::Relaxed) - before;
+        let snapshot = fold.snapshot();
+        println!(
+            "teams {teams}: fold {bytes} B, snapshot {} B",
+            snapshot.len()
+        );
+        days(&fold, teams);
+        changes(&mut group, &fold, teams);
+        starts(&mut group, &fold, &snapshot, teams);
+    }
+    group.finish();
+}
+
+fn days(fold: &Fold, teams: usize) {
+    for shared in [false, true] {
+        let mut fold = fold.clone();
+        let start = Instant::now();
+        day(&mut fold, teams, shared);
+        println!(
+            "teams {teams}: {DAY} changes, shared {shared}: {:?}",
+            start.elapsed()
+        );
+    }
+}
+
+fn changes(group: &mut BenchmarkGroup<'_, WallTime>, fold: &Fold, teams: usize) {
+    for (name, path) in [
+        ("one team", team(0) + "/burst"),
+        ("all teams", "defaults/team/burst".to_owned()),
+    ] {
+        let mut fold = fold.clone();
+        let mut turn = 1;
+        group.bench_function(BenchmarkId::new(name, teams), |bencher| {
+            bencher.iter(|| {
+                turn += 1;
+                append(&mut fold, vec![edit(&path, json!(turn))]);
+            });
+        });
+    }
+}
+
+fn starts(group: &mut BenchmarkGroup<'_, WallTime>, fold: &Fold, snapshot: &[u8], teams: usize) {
+    group.bench_function(BenchmarkId::new("snapshot", teams), |bencher| {
+        bencher.iter(|| black_box(fold.snapshot()));
+    });
+    group.bench_function(BenchmarkId::new("adopt", teams), |bencher| {
+        let adopt = |mut fresh: Fold| {
+            assert_eq!(fresh.adopt(snapshot), Ok(true));
+            fresh
+        };
+        bencher.iter_batched(Fold::default, adopt, BatchSize::PerIteration);
+    });
+}
+
+criterion_group!(benches, sizes);
+criterion_main!(benches);
--- a/crates/sesamegap-settings/src/document/mod.rs
+++ b/crates/sesamegap-settings/src/document/mod.rs
@@ -79,10 +79,13 @@
     }
 
     /// Adds to each finding the place of its path, or of the nearest one above that is there.
+    ///
+    /// Afterwards they stand in the order of their places.
     pub fn locate(&self, findings: &mut Findings) {
         for finding in findings.iter_mut() {
             finding.place = Some(self.place(self.start(&finding.path)));
         }
+        findings.sort_by_place();
     }
 
     fn start(&self, path: &str) -> usize {
--- a/crates/sesamegap-settings/src/findings/mod.rs
+++ b/crates/sesamegap-settings/src/findings/mod.rs
@@ -99,6 +99,12 @@
         self.list.iter_mut()
     }
 
+    /// Sorts them by line and column.
+    pub fn sort_by_place(&mut self) {
+        let place = |finding: &Finding| finding.place.as_ref().map(|at| (at.line, at.column));
+        self.list.sort_by_key(place);
+    }
+
     /// Takes in another collection.
     pub fn extend(&mut self, other: Self) {
         self.more += other.more;
--- a/crates/sesamegap-settings/src/schema/reader.rs
+++ b/crates/sesamegap-settings/src/schema/reader.rs
@@ -36,7 +36,7 @@
 pub fn check(field: &Field, value: &Value, path: &str, findings: &mut Findings) -> bool {
     let fits = field.shape.admits(value);
     if !fits {
-        let wrong = format!("{} is not a valid {}", brief(value), field.shape.unit());
+        let wrong = format!("{} is not valid", brief(value));
         findings.add(path, wrong, field.shape.allowed());
     }
     fits
--- /dev/null
+++ b/crates/sesamegap-settings/tests/testsuite/fuzz.rs
@@ -0,0 +1,374 @@
+//! Stateful fuzzing of the fold against a simple oracle.
+//!
+//! A script of actions drives several processes over one log: operators race, appends are
+//! repeated after lost answers, records expire, snapshots are appended and sent from peer to peer,
+//! processes restart, and garbage gets into the log. After each action every process must be in
+//! the very state that the oracle has for its position, and no position may go back.
+
+use crate::support::naive::{Oracle, agrees, tidy};
+use crate::support::quick;
+use quickcheck::{Arbitrary, Gen};
+use serde_json::{Value, json};
+use sesamegap_settings::{Change, ChangeId, Edit, Fold, Outcome};
+use sesamegap_wire::Offset;
+
+const PROCESSES: usize = 3;
+
+const PATHS: [&str; 16] = [
+    "classes/c",
+    "classes/c/priority",
+    "classes/d",
+    "models/m",
+    "teams/a",
+    "teams/a/class",
+    "teams/a/weight",
+    "teams/a/models",
+    "teams/b",
+    "groups/g",
+    "groups/g/teams/a",
+    "groups/g/teams/x/key_hashes",
+    "groups/g/defaults/team",
+    "defaults/team",
+    "defaults/team/class",
+    "teams/nobody/weight",
+];
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+enum Act {
+    /// An operator publishes edits, based on a revision this many records old.
+    Publish(Vec<(u8, u8)>, u8),
+    /// A former append is repeated.
+    Repeat(u8),
+    /// Something that is no record gets into the log.
+    Garbage(Vec<u8>),
+    /// A process reads this many records.
+    Read(u8, u8),
+    /// A process appends a snapshot.
+    Snapshot(u8),
+    /// The log drops this many of its oldest records.
+    Expire(u8),
+    /// A process starts anew.
+    Restart(u8),
+    /// A process sends its state to a peer.
+    Send(u8, u8),
+}
+
+impl Arbitrary for Act {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let byte = u8::arbitrary;
+        match byte(g) % 16 {
+            0..=5 => {
+                let mut edits = vec![(byte(g), byte(g))];
+                if byte(g) % 3 == 0 {
+                    edits.push((byte(g), byte(g)));
+                }
+                Self::Publish(edits, byte(g) % 4)
+            }
+            6 => Self::Repeat(byte(g)),
+            7 => Self::Garbage(Vec::arbitrary(g)),
+            8..=11 => Self::Read(byte(g), byte(g) % 8),
+            12 => Self::Snapshot(byte(g)),
+            13 => Self::Expire(byte(g) % 4),
+            14 => Self::Restart(byte(g)),
+            _ => Self::Send(byte(g), byte(g)),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Script(Vec<Act>);
+
+impl Arbitrary for Script {
+    fn arbitrary(g: &mut Gen) -> Self {
+        // Most scripts start from a tree in which something can go on.
+        let start =
+            [(0, 0), (2, 0), (3, 0), (4, 1), (9, 0)].map(|edit| Act::Publish(vec![edit], 0));
+        let acts: Vec<Act> = Vec::arbitrary(g);
+        Self(start.into_iter().chain(acts).collect())
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let acts = self.0.clone();
+        let without = (0..acts.len()).map(move |index| {
+            let mut fewer = acts.clone();
+            fewer.remove(index);
+            Self(fewer)
+        });
+        Box::new(without)
+    }
+}
+
+/// The value that an edit sets; some make no sense where they are put.
+fn value(path: &str, choice: u8) -> Option<Value> {
+    let hash = sesamegap_settings::key_hash("k");
+    let object = |choice: u8| match choice % 3 {
+        0 => json!({}),
+        1 => json!({"class": "c"}),
+        _ => json!({"class": "d", "weight": 3, "key_hashes": [hash]}),
+    };
+    if choice % 5 == 4 {
+        return None;
+    }
+    Some(match path.rsplit('/').next().unwrap_or_default() {
+        "priority" => json!(choice),
+        "class" => json!(["c", "d", "none"][usize::from(choice % 3)]),
+        "weight" => json!(f64::from(choice) - 20.0),
+        "models" => json!([if choice < 200 { "m" } else { "absent" }]),
+        "key_hashes" => json!([hash]),
+        "c" | "d" | "m" => json!({}),
+        "g" => json!({"teams": {"x": object(choice)}, "defaults": {"team": object(choice / 3)}}),
+        _ => object(choice),
+    })
+}
+
+/// A way in which the code under test can be broken.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// A change wins over what its author has not seen.
+    IgnoresBase,
+    /// The edits of a change take effect one by one.
+    Halves,
+    /// A repeated append counts as a change of its own.
+    ForgetsIds,
+    /// Any snapshot is taken over, also an older one.
+    Reverts,
+    /// A record before which others are missing is taken for the next one.
+    SkipsGaps,
+}
+
+/// A process under test, broken or not.
+#[derive(Debug, Default)]
+struct Process(Fold);
+
+impl Process {
+    fn apply(&mut self, offset: Offset, body: &[u8], fault: Fault) {
+        let change = Change::decode(body);
+        match (fault, change) {
+            (Fault::IgnoresBase, Ok(change)) => {
+                let base = self.0.revision();
+                self.feed(offset, &Change { base, ..change });
+            }
+            (Fault::ForgetsIds, Ok(change)) => {
+                let id = ChangeId(u128::from(offset.0) << 64);
+                let base = self.0.revision();
+                self.feed(offset, &Change { id, base, ..change });
+            }
+            (Fault::Halves, Ok(change)) if change.edits.len() > 1 => {
+                let mut first = change.clone();
+                first.edits.truncate(1);
+                self.feed(offset, &first);
+            }
+            _ => {
+                self.0.apply(offset, offset.0, body);
+            }
+        }
+    }
+
+    fn feed(&mut self, offset: Offset, change: &Change) {
+        let body = change.encode().expect("within bounds");
+        self.0.apply(offset, offset.0, &body);
+    }
+
+    fn adopt(&mut self, snapshot: &[u8], fault: Fault) -> bool {
+        if fault == Fault::Reverts {
+            let mut fresh = Fold::default();
+            let taken = fresh.adopt(snapshot) == Ok(true);
+            if taken {
+                self.0 = fresh;
+            }
+            return taken;
+        }
+        self.0.adopt(snapshot) == Ok(true)
+    }
+}
+
+/// The log, the processes, and what the oracle says of each position.
+struct World {
+    fault: Fault,
+    log: Vec<Vec<u8>>,
+    oldest: usize,
+    states: Vec<Oracle>,
+    sent: Vec<Vec<u8>>,
+    processes: Vec<Process>,
+    snapshots: Vec<Option<Vec<u8>>>,
+}
+
+impl World {
+    fn new(fault: Fault) -> Self {
+        Self {
+            fault,
+            log: Vec::new(),
+            oldest: 0,
+            states: vec![Oracle::new()],
+            sent: Vec::new(),
+            processes: (0..PROCESSES).map(|_| Process::default()).collect(),
+            snapshots: vec![None],
+        }
+    }
+
+    fn append(&mut self, body: Vec<u8>) {
+        let offset = Offset(self.log.len() as u64);
+        let state = self.states[self.log.len()].after(offset, &body);
+        self.states.push(state);
+        self.snapshots.push(None);
+        self.log.push(body);
+    }
+
+    fn act(&mut self, act: &Act) {
+        match act {
+            Act::Publish(edits, old) => self.publish(edits, usize::from(*old)),
+            Act::Repeat(which) if !self.sent.is_empty() => {
+                let body = self.sent[usize::from(*which) % self.sent.len()].clone();
+                self.append(body);
+            }
+            Act::Repeat(_) => {}
+            Act::Garbage(bytes) => self.append(bytes.clone()),
+            Act::Read(who, count) => {
+                for _ in 0..*count {
+                    self.read(usize::from(*who) % PROCESSES);
+                }
+            }
+            Act::Snapshot(who) => {
+                let body = self.processes[usize::from(*who) % PROCESSES].0.snapshot();
+                self.append(body);
+            }
+            Act::Expire(count) => {
+                self.oldest = (self.oldest + usize::from(*count)).min(self.log.len());
+            }
+            Act::Restart(who) => {
+                self.processes[usize::from(*who) % PROCESSES] = Process::default();
+            }
+            Act::Send(from, to) => {
+                let body = self.processes[usize::from(*from) % PROCESSES].0.snapshot();
+                let fault = self.fault;
+                self.processes[usize::from(*to) % PROCESSES].adopt(&body, fault);
+            }
+        }
+    }
+
+    fn publish(&mut self, edits: &[(u8, u8)], old: usize) {
+        let seen = &self.states[self.log.len().saturating_sub(old)];
+        let edit = |(path, choice): &(u8, u8)| {
+            let path = PATHS[usize::from(*path) % PATHS.len()];
+            Edit {
+                path: path.parse().expect("a path"),
+                value: value(path, *choice),
+            }
+        };
+        let change = Change {
+            id: ChangeId(self.sent.len() as u128),
+            base: seen.revision,
+            by: "op".into(),
+            note: String::new(),
+            edits: edits.iter().map(edit).collect(),
+        };
+        let body = change.encode().expect("within bounds");
+        self.sent.push(body.clone());
+        self.append(body);
+    }
+
+    /// Reads one record, or looks for a snapshot where the next record has expired.
+    fn read(&mut self, who: usize) {
+        let fault = self.fault;
+        let process = &mut self.processes[who];
+        let next = usize::try_from(process.0.next().0).expect("a small offset");
+        if next < self.oldest {
+            for body in &self.log[self.oldest..] {
+                process.adopt(body, fault);
+            }
+            if fault == Fault::SkipsGaps && process.0.next().0 < self.oldest as u64 {
+                let garbage = (process.0.next().0..self.oldest as u64).map(Offset);
+                garbage.for_each(|offset| process.apply(offset, b"", fault));
+            }
+        } else if let Some(body) = self.log.get(next) {
+            process.apply(Offset(next as u64), body, fault);
+        }
+    }
+
+    /// Compares each process with the oracle and with the others at its position.
+    fn check(&mut self) -> Result<(), String> {
+        for process in &self.processes {
+            let fold = &process.0;
+            let at = usize::try_from(fold.next().0).expect("a small offset");
+            let state = &self.states[at];
+            if fold.tree().to_value() != tidy(&state.tree) {
+                return Err(format!("another tree at {at}"));
+            }
+            if *fold.catalogue() != state.catalogue() {
+                return Err(format!("another catalogue at {at}"));
+            }
+            for (id, verdict) in &state.judged {
+                let outcome = fold.outcome(id).ok_or(format!("{id} forgotten at {at}"))?;
+                if !agrees(&outcome, *verdict) {
+                    return Err(format!("{id} at {at}: {outcome} but {verdict:?}"));
+                }
+            }
+            let snapshot = fold.snapshot();
+            let known = self.snapshots[at].get_or_insert_with(|| snapshot.clone());
+            if *known != snapshot {
+                return Err(format!("two processes differ at {at}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn run(script: &Script, fault: Fault) -> Result<(), String> {
+    let mut world = World::new(fault);
+    for act in &script.0 {
+        let before: Vec<Offset> = world.processes.iter().map(|p| p.0.next()).collect();
+        world.act(act);
+        let restarted = matches!(act, Act::Restart(_));
+        for (process, before) in world.processes.iter().zip(before) {
+            if process.0.next() < before && !restarted {
+                return Err(format!("went back from {before}"));
+            }
+        }
+        world.check()?;
+    }
+    Ok(())
+}
+
+#[test]
+fn all_processes_agree_with_the_oracle_and_nothing_reverts() {
+    let sound: fn(Script) -> Result<(), String> = |script| run(&script, Fault::None);
+    quick(0x5e77, 300, 60).quickcheck(sound);
+}
+
+#[test]
+fn broken_folds_are_caught() {
+    fn caught(property: fn(Script) -> Result<(), String>) {
+        assert!(quick(0x5e78, 300, 60).quicktest(property).is_err());
+    }
+    caught(|script| run(&script, Fault::IgnoresBase));
+    caught(|script| run(&script, Fault::Halves));
+    caught(|script| run(&script, Fault::ForgetsIds));
+    caught(|script| run(&script, Fault::Reverts));
+    caught(|script| run(&script, Fault::SkipsGaps));
+}
+
+#[test]
+fn the_scripts_reach_what_they_are_for() {
+    // A fuzzer whose changes are all refused for one reason would pass whatever the fold does.
+    let mut g = Gen::from_size_and_seed(60, 0x5e79);
+    let mut seen = [0; 4];
+    for _ in 0..200 {
+        let mut world = World::new(Fault::None);
+        for act in &Script::arbitrary(&mut g).0 {
+            world.act(act);
+        }
+        let mut fold = Fold::default();
+        for (offset, body) in (0..).map(Offset).zip(&world.log) {
+            match fold.apply(offset, 0, body) {
+                Outcome::Accepted { .. } => seen[0] += 1,
+                Outcome::Conflict { .. } => seen[1] += 1,
+                Outcome::Invalid(_) => seen[2] += 1,
+                Outcome::Duplicate { .. } => seen[3] += 1,
+                _ => {}
+            }
+        }
+    }
+    assert!(seen.iter().all(|count| *count > 100), "{seen:?}");
+}
--- /dev/null
+++ b/crates/sesamegap-settings/tests/testsuite/limits.rs
@@ -0,0 +1,110 @@
+//! What the fold forgets when it remembers too much, and that nothing runs twice for it.
+
+use crate::support::{append, change, started};
+use serde_json::json;
+use sesamegap_settings::change::MAX_EDITS;
+use sesamegap_settings::fold::{HISTORY, IDS, TOUCHED};
+use sesamegap_settings::{Change, ChangeId, Edit, Fold, Outcome};
+use sesamegap_wire::Offset;
+
+/// Appends as many changes of nothing in particular.
+fn fill(fold: &mut Fold, count: usize) {
+    for _ in 0..count {
+        let id = 1_000 + u128::from(fold.next().0);
+        let outcome = append(
+            fold,
+            &change(id, fold.revision().0, "teams/a/burst", json!(5)),
+        );
+        assert!(matches!(outcome, Outcome::Accepted { .. }));
+    }
+}
+
+#[test]
+fn a_change_whose_id_was_forgotten_still_takes_effect_once() {
+    // An append is repeated so late that its id is no longer known. It must not bring back what
+    // other operators have replaced since.
+    let mut fold = started();
+    let first = change(2, 1, "teams/a/weight", json!(7));
+    append(&mut fold, &first);
+    append(&mut fold, &change(3, 2, "teams/a/weight", json!(8)));
+    fill(&mut fold, IDS);
+    assert_eq!(fold.outcome(&ChangeId(2)), None);
+    let again = append(&mut fold, &first);
+    assert!(
+        matches!(
+            again,
+            Outcome::Conflict {
+                winner: Offset(3),
+                ..
+            }
+        ),
+        "{again}"
+    );
+    assert_eq!(fold.history().count(), HISTORY);
+}
+
+#[test]
+fn a_base_older_than_what_is_remembered_is_a_conflict() {
+    // So many paths were touched that the fold cannot tell any more what happened since the base.
+    // To guess that nothing did could revert a change that nobody remembers.
+    let mut fold = started();
+    let old = change(2, 1, "teams/a/weight", json!(7));
+    let mut names = 0..;
+    while fold.rehearse(&old)
+        == (Outcome::Accepted {
+            revision: fold.next().next(),
+        })
+    {
+        let edits = names.by_ref().take(MAX_EDITS).map(|name| Edit {
+            path: format!("models/m{name}").parse().expect("a path"),
+            value: Some(json!({})),
+        });
+        let more = Change {
+            id: ChangeId(u128::from(fold.next().0) + 1_000),
+            base: fold.revision(),
+            by: "op".into(),
+            note: String::new(),
+            edits: edits.collect(),
+        };
+        assert!(matches!(append(&mut fold, &more), Outcome::Accepted { .. }));
+        assert!(
+            names.start <= TOUCHED + 2 * MAX_EDITS,
+            "nothing is ever forgotten"
+        );
+    }
+    let outcome = append(&mut fold, &old);
+    assert!(
+        matches!(outcome, Outcome::Conflict { by: None, .. }),
+        "{outcome}"
+    );
+    let fresh = change(3, fold.revision().0, "teams/a/weight", json!(9));
+    assert!(matches!(
+        append(&mut fold, &fresh),
+        Outcome::Accepted { .. }
+    ));
+}
+
+#[test]
+fn findings_leave_the_history_before_the_verdict_leaves_memory() {
+    let mut fold = started();
+    append(&mut fold, &change(2, 1, "teams/a/weight", json!(-7)));
+    let detailed = fold
+        .outcome(&ChangeId(2))
+        .map(|outcome| outcome.to_string());
+    assert!(detailed.is_some_and(|text| text.contains("`-7` is not valid")));
+    fill(&mut fold, HISTORY);
+    let brief = fold.outcome(&ChangeId(2));
+    assert!(matches!(brief, Some(Outcome::Invalid(_))));
+}
+
+#[test]
+fn changes_beyond_their_bounds_are_not_encoded() {
+    let mut large = change(2, 1, "teams/a/weight", json!(7));
+    large.note = "x".repeat(513);
+    assert!(large.encode().is_err());
+    large.note.clear();
+    large.edits = vec![large.edits[0].clone(); MAX_EDITS + 1];
+    assert!(large.encode().is_err());
+    large.edits.clear();
+    assert!(large.encode().is_err());
+}
--- a/crates/sesamegap-settings/tests/testsuite/support.rs
+++ b/crates/sesamegap-settings/tests/testsuite/support/mod.rs
@@ -1,5 +1,8 @@
 //! Small helpers to write changes and trees.
 
+pub mod naive;
+
+use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 use sesamegap_settings::{Change, ChangeId, Edit, Fold, Outcome};
 use sesamegap_wire::Offset;
@@ -54,3 +57,15 @@
     );
     fold
 }
+
+/// A check with a fixed seed; `SESAMEGAP_CASES` raises the number of cases.
+pub fn quick(seed: u64, cases: u64, size: usize) -> QuickCheck {
+    let asked = std::env::var("SESAMEGAP_CASES").ok();
+    let asked = asked.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let cases = cases.max(asked);
+    let rng = Gen::from_size_and_seed(size, seed);
+    QuickCheck::new()
+        .rng(rng)
+        .tests(cases)
+        .max_tests(cases * 10)
+}
