Measure placement in virtual time, and weigh memory pressure and queues

Change: sesamegap-measure (steady to herd, six policies over the same arrivals through the real decider); blocks that must be evicted cost more where eviction ages are short; a second computed costs more the longer the queue; forms of a dossier keep its home order.

--- /dev/null
+++ b/crates/sesamegap-measure/src/baselines.rs
@@ -0,0 +1,175 @@
+//! Policies to measure against, each the best version that one would really run.
+//!
+//! All get the books of the router's own placer: lag-corrected backlogs, learned speeds, the index
+//! with own dispatches entered at once. They differ in what they make of them.
+
+use clap::ValueEnum;
+use rand::Rng;
+use sesamegap_policy::placing::PrefixPlacer;
+use sesamegap_policy::placing::ring::EngineNo;
+use sesamegap_policy::{Ask, Need, Placed, Placement, Placer, Room};
+use sesamegap_settings::Catalogue;
+use sesamegap_wire::engine::{CacheBatch, EngineEntry, Listing, LoadReport};
+use sesamegap_wire::peer::{Digest, Warmth};
+use sesamegap_wire::{DomainId, Moment, RequestId, Tokens, UpstreamId};
+use std::time::Duration;
+
+/// A way to place requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Policy {
+    /// The router's own.
+    Ours,
+    /// Any engine with room.
+    Random,
+    /// Engines in turn.
+    RoundRobin,
+    /// The engine with the shortest wait.
+    LeastLoaded,
+    /// Rendezvous on the first block; the next in order if the first has no room.
+    FirstBlock,
+    /// The engine that holds the longest prefix, of equals the one with the shortest wait.
+    LongestPrefix,
+}
+
+impl Policy {
+    /// Makes a placer for one router.
+    pub fn placer(self, domain: &DomainId) -> Box<dyn Placer> {
+        let inner = PrefixPlacer::builder(domain.clone()).build();
+        if self == Self::Ours {
+            return Box::new(inner);
+        }
+        Box::new(Baseline {
+            policy: self,
+            inner,
+            turn: 0,
+        })
+    }
+}
+
+#[derive(Debug)]
+struct Baseline {
+    policy: Policy,
+    inner: PrefixPlacer,
+    turn: usize,
+}
+
+/// An engine that could take the request; the least pair of numbers is taken first.
+struct Choice {
+    order: (u64, u64),
+    at: Placement,
+    missing: Tokens,
+}
+
+impl Baseline {
+    fn choice(&self, no: EngineNo, order: u64, ask: &Ask<'_>, now: Moment) -> Option<Choice> {
+        let engine = self.inner.engines().get(no)?;
+        if ask.barred.contains(&engine.id) {
+            return None;
+        }
+        let blocks = self.inner.index().depth(engine.slot, &ask.chain.keys, now);
+        let cached = Tokens(u64::from(blocks) * self.inner.block(ask.model).0);
+        let missing = ask.chain.tokens - cached;
+        let per_token = self.inner.engines().per_token(engine, now);
+        let wait = engine.backlog.wait(now, per_token);
+        let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
+        let order = match self.policy {
+            Policy::LeastLoaded => (wait_us, order),
+            Policy::LongestPrefix => (u64::from(u16::MAX - blocks), wait_us),
+            _ => (order, 0),
+        };
+        let compute = Duration::from_secs_f64(missing.0 as f64 * per_token);
+        let at = Placement {
+            engine: engine.id.clone(),
+            incarnation: engine.incarnation,
+            cached,
+            wait: wait + compute,
+            import: None,
+        };
+        Some(Choice { order, at, missing })
+    }
+
+    /// All engines that serve the model, in the order that the policy first asks them.
+    fn ordered(&mut self, ask: &Ask<'_>, rng: &mut dyn Rng) -> Vec<EngineNo> {
+        let Some(members) = self.inner.engines().ring(ask.model, ask.version) else {
+            return Vec::new();
+        };
+        let mut all: Vec<EngineNo> = members.members().collect();
+        all.sort_unstable();
+        let len = all.len();
+        if self.policy == Policy::FirstBlock {
+            all.clear();
+            members.walk(ask.chain.keys[0], len, &mut all);
+        } else if self.policy == Policy::RoundRobin {
+            self.turn += 1;
+            all.rotate_left(self.turn % len);
+        } else {
+            all.sort_by_cached_key(|_| rng.next_u32());
+        }
+        all
+    }
+}
+
+impl Placer for Baseline {
+    fn place(&mut self, ask: &Ask<'_>, room: &dyn Room, now: Moment, rng: &mut dyn Rng) -> Placed {
+        let all = self.ordered(ask, rng);
+        let choices = all.iter().zip(0..);
+        let choices: Vec<Choice> = choices
+            .filter_map(|(no, order)| self.choice(*no, order, ask, now))
+            .collect();
+        if choices.is_empty() {
+            return Placed::Nowhere;
+        }
+        let shortest = choices.iter().map(|c| c.at.wait).min().unwrap_or_default();
+        let free = choices
+            .into_iter()
+            .filter(|c| room.has(&c.at.engine, c.missing));
+        let best = free.min_by_key(|c| c.order);
+        best.map_or(Placed::Full(shortest), |c| Placed::At(c.at))
+    }
+
+    fn settings(&mut self, catalogue: &Catalogue) {
+        self.inner.settings(catalogue);
+    }
+    fn fleet(&mut self, engines: &[EngineEntry], now: Moment) {
+        self.inner.fleet(engines, now);
+    }
+    fn report(&mut self, engine: &UpstreamId, report: &LoadReport, now: Moment) {
+        self.inner.report(engine, report, now);
+    }
+    fn cache(&mut self, engine: &UpstreamId, batch: &CacheBatch, now: Moment) -> Need {
+        self.inner.cache(engine, batch, now)
+    }
+    fn listing(&mut self, engine: &UpstreamId, listing: &Listing, now: Moment) {
+        self.inner.listing(engine, listing, now);
+    }
+    fn sent(&mut self, ask: &Ask<'_>, at: &Placement, now: Moment) {
+        self.inner.sent(ask, at, now);
+    }
+    fn started(&mut self, request: &RequestId, cached: Tokens, now: Moment) {
+        self.inner.started(request, cached, now);
+    }
+    fn first(&mut self, request: &RequestId, now: Moment) {
+        self.inner.first(request, now);
+    }
+    fn finished(&mut self, request: &RequestId, whole: bool, now: Moment) {
+        self.inner.finished(request, whole, now);
+    }
+    fn failed(&mut self, engine: &UpstreamId, now: Moment) {
+        self.inner.failed(engine, now);
+    }
+    fn peer(&mut self, from: &str, digest: &Digest, now: Moment) {
+        self.inner.peer(from, digest, now);
+    }
+    fn digest(&mut self, digest: &mut Digest, now: Moment) {
+        self.inner.digest(digest, now);
+    }
+    fn warm(&mut self, warmth: &Warmth, now: Moment) {
+        self.inner.warm(warmth, now);
+    }
+    fn warmth(&self, now: Moment) -> Warmth {
+        self.inner.warmth(now)
+    }
+    fn dump(&self, now: Moment) -> serde_json::Value {
+        self.inner.dump(now)
+    }
+}
--- a/crates/sesamegap-policy/src/placing/cost.rs
+++ b/crates/sesamegap-policy/src/placing/cost.rs
@@ -2,14 +2,22 @@
 //!
 //! The cost is the wait until the engine turns to the request, plus the time to compute what its
 //! cache lacks, which counts `thrift` times: computing a block again also evicts another block and
-//! holds up the requests behind. An engine far down the home set costs a part of the missing
+//! holds up the requests behind, the more of them the longer the queue. Blocks that must be evicted for it
+//! cost more where the cache is under pressure, that is, where blocks are evicted soon after their
+//! last use; so memory fills evenly, whatever the hashing. An engine far down the home set costs a part of the missing
 //! tokens more, so that routers which know nothing of each other's dispatch still send a cold prefix
 //! to the same engine. Another failure domain costs its round trip.
 
 use sesamegap_wire::Tokens;
 
+/// Part of evicted blocks that will be computed again, under the usual pressure.
+const EVICT: f64 = 1.0;
+
+/// Requests held up per second of queue, by each second computed.
+const CROWD: f64 = 0.5;
+
 /// Part of the cost of missing tokens that each place down the home set adds.
-const RANK: f64 = 0.1;
+const RANK: f64 = 0.2;
 
 /// Seconds that a round trip to another failure domain adds.
 const ACROSS: f64 = 0.003;
@@ -29,6 +37,10 @@
     pub missing: Tokens,
     /// Seconds a token takes there.
     pub per_token: f64,
+    /// Part of the missing blocks for which others are evicted.
+    pub evicting: f64,
+    /// Pressure on the cache: 1 where blocks are evicted at the age typical of the fleet.
+    pub pressure: f64,
     /// Place in the home set, its length if the engine is not in it.
     pub rank: usize,
     /// Whether it stands in another failure domain.
@@ -43,10 +55,12 @@
 
     /// Cost in seconds for a class that weighs a recomputed token `thrift` times.
     pub fn cost(&self, thrift: f64) -> f64 {
-        let compute = self.missing.0 as f64 * self.per_token * thrift.max(1.0);
+        let crowd = 1.0 + CROWD * self.wait;
+        let compute = self.missing.0 as f64 * self.per_token * thrift.max(1.0) * crowd;
         let rank = compute * RANK * self.rank as f64;
+        let evict = compute * EVICT * self.evicting * self.pressure;
         let across = if self.across { ACROSS } else { 0.0 };
-        self.wait + compute + rank + across
+        self.wait + compute + evict + rank + across
     }
 }
 
--- a/crates/sesamegap-policy/src/placing/engines.rs
+++ b/crates/sesamegap-policy/src/placing/engines.rs
@@ -14,6 +14,9 @@
 /// Cache size of an engine of ordinary weight, in blocks, until reports tell.
 const ORDINARY: f64 = 256.0;
 
+/// Bounds of the pressure on a cache: ages are learned from few evictions.
+const PRESSURE: (f64, f64) = (0.25, 4.0);
+
 /// Bounds of an engine's weight: reports may be wrong, and one engine must not draw all keys.
 const WEIGHTS: (f64, f64) = (0.25, 4.0);
 
@@ -76,6 +79,11 @@
         mistaken
     }
 
+    /// Blocks that its cache can hold.
+    pub fn capacity(&self) -> u64 {
+        self.report.as_ref().map_or(0, |r| r.capacity)
+    }
+
     fn usable(&self) -> bool {
         let here = !self.leaving && !self.suspect;
         here && self.report.as_ref().is_some_and(|r| !r.leaving)
@@ -98,6 +106,8 @@
     rings: FxHashMap<ModelId, Vec<(WeightsVersion, Ring)>>,
     /// Seconds a token takes on the middle engine.
     pub typical: f64,
+    /// Mean age at which engines evict.
+    typical_age: f64,
 }
 
 impl Default for Engines {
@@ -108,6 +118,7 @@
             by_slot: FxHashMap::default(),
             rings: FxHashMap::default(),
             typical: speed::AT_FIRST,
+            typical_age: 1.0,
         }
     }
 }
@@ -240,9 +251,23 @@
         engine.speed.per_token(self.typical, now)
     }
 
-    /// Learns anew what speed is typical.
-    pub fn tend(&mut self, now: Moment) {
-        self.typical = speed::typical(self.all.iter().flatten().map(|e| &e.speed), now);
+    /// How soon an engine evicts, that does so at some age, in relation to the others.
+    pub fn pressure(&self, age: f64) -> f64 {
+        (self.typical_age / age.max(1.0)).clamp(PRESSURE.0, PRESSURE.1)
+    }
+
+    /// Learns anew what speed and what eviction age are typical.
+    pub fn tend(&mut self, index: &Index, now: Moment) {
+        let all = self.all.iter().flatten();
+        self.typical = speed::typical(all.clone().map(|e| &e.speed), now);
+        let (mut sum, mut count) = (0.0, 0.0);
+        for engine in all {
+            sum += index.age(engine.slot);
+            count += 1.0;
+        }
+        if count > 0.0 {
+            self.typical_age = sum / count;
+        }
     }
 
     fn add(&mut self, entry: &EngineEntry, index: &mut Index) -> Option<EngineNo> {
--- a/crates/sesamegap-policy/src/placing/holders.rs
+++ b/crates/sesamegap-policy/src/placing/holders.rs
@@ -44,6 +44,17 @@
     }
 }
 
+/// What entering a holding did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Entered {
+    /// The slot held the block already.
+    Renewed,
+    /// It is one holding more.
+    New,
+    /// It took the place of another slot's holding.
+    Instead(u16),
+}
+
 /// All holdings of a block.
 #[derive(Debug)]
 pub(super) enum Holders {
@@ -80,28 +91,32 @@
     }
 
     /// Enters a holding; one that was confirmed stays so.
-    pub(super) fn put(&mut self, new: Holding) {
+    pub(super) fn put(&mut self, new: Holding) -> Entered {
         if let Some(old) = self.iter_mut().find(|h| h.slot == new.slot) {
             let confirmed = old.confirmed() || new.confirmed();
             *old = Holding::new(new.slot, new.tick(), confirmed);
-            return;
+            return Entered::Renewed;
         }
         match self {
             Self::Few(few) => {
                 if let Some(empty) = few.iter_mut().find(|h| h.slot == Holding::NONE) {
                     *empty = new;
-                    return;
+                    return Entered::New;
                 }
                 let mut holdings = Vec::with_capacity(8);
                 holdings.extend_from_slice(few);
                 holdings.push(new);
                 *self = Self::Many(Box::new(Spill { holdings }));
+                Entered::New
             }
             Self::Many(spill) => {
-                if spill.holdings.len() >= MOST {
-                    spill.drop_oldest(new.tick());
-                }
+                let dropped = if spill.holdings.len() >= MOST {
+                    spill.drop_oldest(new.tick())
+                } else {
+                    None
+                };
                 spill.holdings.push(new);
+                dropped.map_or(Entered::New, |old| Entered::Instead(old.slot))
             }
         }
     }
@@ -149,11 +164,9 @@
 }
 
 impl Spill {
-    fn drop_oldest(&mut self, now: u16) {
+    fn drop_oldest(&mut self, now: u16) -> Option<Holding> {
         let age = |h: &Holding| now.wrapping_sub(h.tick()) & !CONFIRMED;
         let oldest = (0..self.holdings.len()).max_by_key(|at| age(&self.holdings[*at]));
-        if let Some(at) = oldest {
-            self.holdings.swap_remove(at);
-        }
+        oldest.map(|at| self.holdings.swap_remove(at))
     }
 }
--- a/crates/sesamegap-policy/src/placing/homes.rs
+++ b/crates/sesamegap-policy/src/placing/homes.rs
@@ -52,6 +52,9 @@
 impl Homes {
     /// Fills `found` with the innermost prefix's home set, its first home in front.
     ///
+    /// A prefix whose set is as large as the one around it keeps that one's order, so that all
+    /// forms of a dossier have the same first home.
+    ///
     /// `seeds` gives each engine's number that is the same in every router.
     pub fn find(
         &mut self,
@@ -71,7 +74,10 @@
             let Some(key) = key_at(chain, *end) else {
                 return;
             };
-            self.narrow(key, size(heat.busy(key), LEAST_INNER), &seeds, found);
+            let most = size(heat.busy(key), LEAST_INNER);
+            if most < found.len() {
+                self.narrow(key, most, &seeds, found);
+            }
         }
     }
 
--- a/crates/sesamegap-policy/src/placing/index.rs
+++ b/crates/sesamegap-policy/src/placing/index.rs
@@ -12,7 +12,7 @@
 //!
 //! Memory is bounded: a shard that is full forgets the quarter of its blocks unused the longest.
 
-use super::holders::{Holders, Holding};
+use super::holders::{Entered, Holders, Holding};
 use rustc_hash::FxHashMap;
 use sesamegap_wire::{BlockKey, Moment};
 use std::time::Duration;
@@ -56,6 +56,8 @@
     doubt: Option<u16>,
     /// Seconds from last use to eviction, learned.
     age: f64,
+    /// Blocks entered.
+    held: u32,
 }
 
 /// Who holds which block, as far as known.
@@ -119,6 +121,7 @@
             died: 0,
             doubt: None,
             age: AGE_AT_FIRST.as_secs_f64(),
+            held: 0,
         };
         if let Some(number) = self.free.pop() {
             self.lives[usize::from(number)] = life;
@@ -178,6 +181,7 @@
         if holders.is_empty() {
             shard.remove(&short(key));
         }
+        self.lose(slot.0);
     }
 
     /// Marks what a slot holds now as doubtful.
@@ -237,7 +241,13 @@
         let mut shard = std::mem::take(&mut self.shards[self.cursor]);
         let tick = tick(now);
         shard.retain(|_, holders| {
-            holders.retain(|h| self.keeps(h, tick));
+            holders.retain(|h| {
+                let keeps = self.keeps(h, tick);
+                if !keeps {
+                    self.lose(h.slot);
+                }
+                keeps
+            });
             !holders.is_empty()
         });
         self.shards[self.cursor] = shard;
@@ -274,6 +284,11 @@
         self.lives[usize::from(slot.0)].age
     }
 
+    /// Blocks entered for a slot.
+    pub fn held(&self, slot: Slot) -> u64 {
+        u64::from(self.lives[usize::from(slot.0)].held)
+    }
+
     /// Keys a slot holds, the most recently used first; only their upper halves are known.
     pub fn keys(&self, slot: Slot, now: Moment) -> Vec<BlockKey> {
         let now = tick(now);
@@ -312,11 +327,26 @@
     fn put(&mut self, slot: Slot, key: BlockKey, used: u16, confirmed: bool) {
         let limit = self.limit;
         let shard = self.shard(key);
+        let mut dropped = Vec::new();
         if shard.len() >= limit && !shard.contains_key(&short(key)) {
-            forget_oldest(shard, used);
+            dropped = forget_oldest(shard, used);
         }
         let holding = Holding::new(slot.0, used, confirmed);
-        shard.entry(short(key)).or_default().put(holding);
+        let entered = shard.entry(short(key)).or_default().put(holding);
+        if let Entered::Instead(old) = entered {
+            self.lose(old);
+        }
+        if entered != Entered::Renewed {
+            self.life(slot).held += 1;
+        }
+        for holding in dropped.iter().flat_map(Holders::iter) {
+            self.lose(holding.slot);
+        }
+    }
+
+    fn lose(&mut self, slot: u16) {
+        let life = &mut self.lives[usize::from(slot)];
+        life.held = life.held.saturating_sub(1);
     }
 
     fn believes(&self, holding: Holding, now: u16) -> bool {
@@ -361,7 +391,7 @@
 
 /// Drops the quarter of a shard's blocks that were unused the longest, so that each drop pays for
 /// many insertions.
-fn forget_oldest(shard: &mut FxHashMap<u64, Holders>, now: u16) {
+fn forget_oldest(shard: &mut FxHashMap<u64, Holders>, now: u16) -> Vec<Holders> {
     let age = |holders: &Holders| {
         let youngest = holders.iter().map(|h| ticks_since(now, h.tick())).min();
         youngest.unwrap_or(TICKS)
@@ -369,7 +399,6 @@
     let mut ages: Vec<(u16, u64)> = shard.iter().map(|(key, h)| (age(h), *key)).collect();
     let kept = ages.len() * 3 / 4;
     ages.select_nth_unstable(kept);
-    for (_, key) in &ages[kept..] {
-        shard.remove(key);
-    }
+    let oldest = ages[kept..].iter();
+    oldest.filter_map(|(_, key)| shard.remove(key)).collect()
 }
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -67,7 +67,18 @@
         PrefixBuilder::new(domain)
     }
 
-    fn block(&self, model: &ModelId) -> Tokens {
+    /// The engines as this placer knows them.
+    pub fn engines(&self) -> &Engines {
+        &self.engines
+    }
+
+    /// What this placer believes of the engines' caches.
+    pub fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// Block size of a model.
+    pub fn block(&self, model: &ModelId) -> Tokens {
         self.blocks.get(model).copied().unwrap_or(BLOCK)
     }
 
@@ -78,7 +89,7 @@
         }
         self.tended = now;
         self.heat.tend(now);
-        self.engines.tend(now);
+        self.engines.tend(&self.index, now);
         for engine in self.peers.tend(now) {
             self.note_peers(engine, now);
         }
@@ -94,10 +105,21 @@
     fn offer(&self, ask: &Ask<'_>, engine: &Engine, found: Candidate, now: Moment) -> Offer {
         let per_token = self.engines.per_token(engine, now);
         let held = Tokens(u64::from(found.blocks) * self.block(ask.model).0);
+        let stored = ask
+            .chain
+            .keys
+            .len()
+            .saturating_sub(usize::from(found.blocks));
+        let free = engine
+            .capacity()
+            .saturating_sub(self.index.held(engine.slot));
+        let evicted = (stored as u64).saturating_sub(free);
         Offer {
             wait: engine.backlog.wait(now, per_token).as_secs_f64(),
             missing: ask.chain.tokens - held,
             per_token,
+            evicting: evicted as f64 / stored.max(1) as f64,
+            pressure: self.engines.pressure(self.index.age(engine.slot)),
             rank: found.rank,
             across: engine.domain != self.domain,
         }
