Wait for room at the holder, and ask for listings at once

Change: a placer answers Full where waiting for room is cheaper, unless the engine is overdue; Placer::wants names engines whose listing is wanted, spaced by their size.

--- a/crates/sesamegap-measure/src/outcome.rs
+++ b/crates/sesamegap-measure/src/outcome.rs
@@ -1,7 +1,7 @@
 //! What became of each request, and the measures made of it.
 
 use crate::site::{BLOCK, Site, TEAMS};
-use crate::workload::{Arrival, END, FAULT, WARM};
+use crate::workload::{Arrival, END, FAULT, SECOND, WARM};
 use rustc_hash::FxHashSet;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::RefusalCode;
@@ -41,9 +41,11 @@
     pub hit: f64,
     /// The same where all caches are one and never evict.
     pub bound: f64,
-    /// Hit rate from ten seconds after the fault, and in the ten seconds after it.
-    pub hit_after: f64,
+    /// Hit rate in the ten seconds after the fault, and after these.
     pub hit_during: f64,
+    pub hit_after: f64,
+    /// The same for the second fault, if there is one.
+    pub hit_later: f64,
     /// Thousands of tokens computed again, per request.
     pub again_k: f64,
     /// Milliseconds to the first token.
@@ -151,6 +153,7 @@
             hit: hit(measured(WARM, END)),
             bound: bound(arrivals),
             hit_after: hit(measured(FAULT + after, FAULT + after + length)),
+            hit_later: hit(measured(SECOND + after, SECOND + after + length)),
             hit_during: hit(measured(FAULT, FAULT + after)),
             again_k: again as f64 / 1e3 / count,
             p50: quantile(0.5, &[0, 1]),
--- a/crates/sesamegap-policy/src/decider/mod.rs
+++ b/crates/sesamegap-policy/src/decider/mod.rs
@@ -104,6 +104,9 @@
         self.hedge(now);
         let queue = &self.queue;
         self.outlook.tick(|model| queue.waits_for(model), now);
+        while let Some(engine) = self.placer.wants(now) {
+            self.ready.push(Decision::List { engine });
+        }
         std::mem::take(&mut self.ready)
     }
 
--- a/crates/sesamegap-policy/src/placing/engines.rs
+++ b/crates/sesamegap-policy/src/placing/engines.rs
@@ -14,6 +14,10 @@
 /// Cache size of an engine of ordinary weight, in blocks, until reports tell.
 const ORDINARY: f64 = 256.0;
 
+/// Seconds without progress that are nothing unusual, beside the time to compute what was sent:
+/// peers' work may go first.
+const PATIENCE: f64 = 2.0;
+
 /// Bounds of the pressure on a cache: ages are learned from few evictions.
 const PRESSURE: (f64, f64) = (0.25, 4.0);
 
@@ -57,6 +61,8 @@
     pub computing: u32,
     /// How often its cache fell short of what was believed, lately.
     pub mistakes: f64,
+    /// When an own request there last showed progress.
+    pub heard: Moment,
     /// What waits there.
     pub backlog: Backlog,
     /// How fast it computes.
@@ -79,6 +85,24 @@
         mistaken
     }
 
+    /// Seconds by which own requests there are overdue.
+    ///
+    /// A silent engine's backlog seems to drain by the clock, so it would look idle and draw all
+    /// requests for what it holds until the silence limit ends the first of them.
+    pub fn silence(&self, now: Moment) -> f64 {
+        let own = self.backlog.own().0 as f64;
+        if own <= 0.0 {
+            return 0.0;
+        }
+        let allowed = PATIENCE + 2.0 * own * self.speed.per_token(speed::AT_FIRST, now);
+        (now.since(self.heard).as_secs_f64() - allowed).max(0.0)
+    }
+
+    /// Whether own requests there are overdue.
+    pub fn stalled(&self, now: Moment) -> bool {
+        self.silence(now) > 0.0
+    }
+
     /// Blocks that its cache can hold.
     pub fn capacity(&self) -> u64 {
         self.report.as_ref().map_or(0, |r| r.capacity)
@@ -290,6 +314,7 @@
             cold: 0,
             computing: 0,
             mistakes: 0.0,
+            heard: Moment(0),
             backlog: Backlog::default(),
             speed: Speed::default(),
         };
--- a/crates/sesamegap-policy/src/placing/feed.rs
+++ b/crates/sesamegap-policy/src/placing/feed.rs
@@ -5,24 +5,27 @@
 //! listing is asked for. Listings are long, so they are asked for at a limited rate, per engine and in all.
 
 use super::Need;
-use super::engines::Engines;
+use super::engines::{Engine, Engines};
 use super::index::Index;
 use super::ring::EngineNo;
-use sesamegap_wire::Moment;
 use sesamegap_wire::engine::{CacheBatch, CacheEvent, Listing};
 use sesamegap_wire::peer::EngineCache;
+use sesamegap_wire::{Moment, UpstreamId};
 use std::time::Duration;
 
 /// Time between two listings of one engine: a few times an event's delay.
 const PER_ENGINE: Duration = Duration::from_secs(3);
 
-/// Time between two listings of any engines; at 353,000 blocks a listing has some 6 MB.
-const IN_ALL: Duration = Duration::from_millis(100);
+/// Keys taken in a second, by which listings are spaced: an index takes ten times as many in.
+const KEYS_A_SECOND: f64 = 500_000.0;
+
+/// Time between two looks for engines of which nothing is known.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// Takes in what engines tell of their caches.
 #[derive(Debug, Default)]
 pub struct Feed {
-    asked: Moment,
+    next: Moment,
 }
 
 impl Feed {
@@ -58,16 +61,43 @@
             engine.newest = Some(*number);
             apply(event, engine.slot, index, now);
         }
-        if !engine.unlisted && engine.newest.is_some() {
-            return Need::Nothing;
+        if self.due(engine, now) {
+            self.ask(engine, now);
+            return Need::Listing;
         }
-        let waits = engine.asked.is_some_and(|at| now < at + PER_ENGINE);
-        if waits || now < self.asked + IN_ALL {
-            return Need::Nothing;
+        Need::Nothing
+    }
+
+    /// An engine of which a listing is wanted now, noted as asked.
+    ///
+    /// Load: all routers restart together and know no cache. Harm prevented: dossiers computed
+    /// again that engines hold; so listings are asked for as soon as an engine has reported, the
+    /// small ones at once and the large ones one after another.
+    pub fn wants(&mut self, engines: &mut Engines, now: Moment) -> Option<UpstreamId> {
+        if now < self.next {
+            return None;
         }
+        let due = engines.iter().find(|(_, e)| self.due(e, now));
+        let no = due.map(|(no, _)| no);
+        if no.is_none() {
+            self.next = now + LOOK;
+        }
+        let engine = engines.get_mut(no?)?;
+        self.ask(engine, now);
+        Some(engine.id.clone())
+    }
+
+    fn due(&self, engine: &Engine, now: Moment) -> bool {
+        let unknown = engine.unlisted || engine.newest.is_none();
+        let reports = engine.report.is_some() && !engine.suspect;
+        let waits = engine.asked.is_some_and(|at| now < at + PER_ENGINE);
+        unknown && reports && !waits && now >= self.next
+    }
+
+    fn ask(&mut self, engine: &mut Engine, now: Moment) {
         engine.asked = Some(now);
-        self.asked = now;
-        Need::Listing
+        let seconds = engine.capacity() as f64 / KEYS_A_SECOND;
+        self.next = now + Duration::from_secs_f64(seconds.min(PER_ENGINE.as_secs_f64()));
     }
 
     /// Takes in a listing; `false` if it tells less than is known.
--- a/crates/sesamegap-policy/src/placing/mod.rs
+++ b/crates/sesamegap-policy/src/placing/mod.rs
@@ -112,6 +112,11 @@
     /// Takes cache events of an engine and says what is needed to trust its entries.
     fn cache(&mut self, engine: &UpstreamId, batch: &CacheBatch, now: Moment) -> Need;
 
+    /// An engine of which a listing is wanted now, without an event that tells so.
+    fn wants(&mut self, _now: Moment) -> Option<UpstreamId> {
+        None
+    }
+
     /// Takes a listing of all that an engine holds.
     fn listing(&mut self, engine: &UpstreamId, listing: &Listing, now: Moment);
 
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -46,6 +46,41 @@
 /// Keys handed to a peer that starts, which keeps the message under its largest size.
 const WARM_KEYS: usize = 300_000;
 
+/// Seconds that waiting for room must save: less is lost in the estimates.
+const ROOM_SECONDS: f64 = 0.05;
+
+/// Longest wait for room told at a time, in seconds.
+const ROOM_MOST: f64 = 1.0;
+
+/// Candidates with their costs.
+#[derive(Debug)]
+struct Weighed {
+    /// Those with room.
+    open: Vec<(f64, EngineNo, Offer)>,
+    /// Least cost with room.
+    best: f64,
+    /// Least cost without room, and the shortest wait there.
+    full: f64,
+    wait: f64,
+}
+
+impl Default for Weighed {
+    fn default() -> Self {
+        Self {
+            open: Vec::new(),
+            best: f64::INFINITY,
+            full: f64::INFINITY,
+            wait: f64::INFINITY,
+        }
+    }
+}
+
+impl Weighed {
+    fn is_empty(&self) -> bool {
+        self.open.is_empty() && self.full.is_infinite()
+    }
+}
+
 /// Places by prefix, load and home set.
 #[derive(Debug)]
 pub struct PrefixPlacer {
@@ -115,7 +150,7 @@
             .saturating_sub(self.index.held(engine.slot));
         let evicted = (stored as u64).saturating_sub(free);
         Offer {
-            wait: engine.backlog.wait(now, per_token).as_secs_f64(),
+            wait: engine.backlog.wait(now, per_token).as_secs_f64() + engine.silence(now),
             missing: ask.chain.tokens - held,
             per_token,
             evicting: evicted as f64 / stored.max(1) as f64,
@@ -129,18 +164,9 @@
         missing.0 >= COLD_BLOCKS * self.block(ask.model).0
     }
 
-    /// Picks among the candidates; those over the cap on cold prefills only if `over` allows.
-    fn choose(
-        &self,
-        ask: &Ask<'_>,
-        room: &dyn Room,
-        now: Moment,
-        rng: &mut dyn Rng,
-        over: bool,
-    ) -> Placed {
-        let mut best: Option<(f64, EngineNo, Offer)> = None;
-        let mut shortest = f64::INFINITY;
-        let mut offers = Vec::with_capacity(self.candidates.found.len());
+    /// Weighs the candidates; those over the cap on cold prefills only if `over` allows.
+    fn weigh(&self, ask: &Ask<'_>, room: &dyn Room, now: Moment, over: bool) -> Weighed {
+        let mut weighed = Weighed::default();
         for found in &self.candidates.found {
             let Some(engine) = self.engines.get(found.engine) else {
                 continue;
@@ -149,31 +175,39 @@
                 continue;
             }
             let offer = self.offer(ask, engine, *found, now);
-            shortest = shortest.min(offer.first_token());
-            let capped = engine.cold >= COLD_MOST && self.is_cold(ask, offer.missing);
-            if (capped && !over) || !room.has(&engine.id, offer.missing) {
+            if !over && engine.cold >= COLD_MOST && self.is_cold(ask, offer.missing) {
                 continue;
             }
             let cost = offer.cost(ask.class.thrift);
-            offers.push((cost, found.engine, offer));
-            if best.is_none_or(|(least, _, _)| cost < least) {
-                best = Some((cost, found.engine, offer));
+            if room.has(&engine.id, offer.missing) {
+                weighed.open.push((cost, found.engine, offer));
+                weighed.best = weighed.best.min(cost);
+            } else if !engine.stalled(now) {
+                weighed.full = weighed.full.min(cost);
+                weighed.wait = weighed.wait.min(offer.wait);
             }
         }
-        let Some((least, _, _)) = best else {
-            if shortest.is_finite() {
-                return Placed::Full(Duration::from_secs_f64(shortest));
-            }
-            return Placed::Nowhere;
-        };
-        let limit = alike(least);
-        let ties = offers.iter().filter(|(cost, _, _)| *cost <= limit);
-        let draw = usize::try_from(rng.next_u32()).unwrap_or(0) % ties.clone().count().max(1);
+        weighed
+    }
+
+    /// Picks among what was weighed.
+    ///
+    /// Load: an engine that holds a dossier has its window full for a moment. Harm prevented: the
+    /// whole dossier computed again on an engine that happens to have room; so the request waits
+    /// here where that is cheaper, unless the engine shows no progress.
+    fn choose(&self, ask: &Ask<'_>, weighed: &Weighed, rng: &mut dyn Rng) -> Placed {
+        if weighed.full + ROOM_SECONDS < weighed.best {
+            return Placed::Full(Duration::from_secs_f64(weighed.wait.min(ROOM_MOST)));
+        }
+        let limit = alike(weighed.best);
+        let ties = weighed.open.iter().filter(|(cost, _, _)| *cost <= limit);
+        let count = ties.clone().count().max(1);
+        let draw = usize::try_from(rng.next_u32()).unwrap_or(0) % count;
         let mut ties = ties;
-        let Some((_, no, offer)) = ties.nth(draw) else {
-            return Placed::Nowhere;
-        };
-        self.placement(ask, *no, offer)
+        match ties.nth(draw) {
+            Some((_, no, offer)) => self.placement(ask, *no, offer),
+            None => Placed::Nowhere,
+        }
     }
 
     fn placement(&self, ask: &Ask<'_>, no: EngineNo, offer: &Offer) -> Placed {
@@ -248,6 +282,10 @@
             .events(no, batch, &mut self.engines, &mut self.index, now)
     }
 
+    fn wants(&mut self, now: Moment) -> Option<UpstreamId> {
+        self.feed.wants(&mut self.engines, now)
+    }
+
     fn listing(&mut self, engine: &UpstreamId, listing: &Listing, now: Moment) {
         let Some(no) = self.engines.number(engine) else {
             return;
@@ -280,10 +318,12 @@
         if !known {
             return Placed::Nowhere;
         }
-        match self.choose(ask, room, now, rng, false) {
-            Placed::At(at) => Placed::At(at),
-            _ => self.choose(ask, room, now, rng, true),
+        let within = self.weigh(ask, room, now, false);
+        if !within.is_empty() {
+            return self.choose(ask, &within, rng);
         }
+        let over = self.weigh(ask, room, now, true);
+        self.choose(ask, &over, rng)
     }
 
     fn sent(&mut self, ask: &Ask<'_>, at: &Placement, now: Moment) {
@@ -297,6 +337,9 @@
             return;
         };
         let per_token = engine.speed.per_token(typical, now);
+        if engine.backlog.own().0 == 0 {
+            engine.heard = now;
+        }
         engine.backlog.send(missing, now, per_token);
         engine.cold += u32::from(cold);
         let slot = engine.slot;
@@ -328,6 +371,7 @@
         if flight.stage != Stage::Sent {
             return;
         }
+        engine.heard = now;
         let found = flight.prompt - cached;
         engine.backlog.correct(flight.missing, found);
         let overrated = found.0 >= flight.missing.0 + COLD_BLOCKS * flight.block.0;
@@ -357,6 +401,7 @@
         let Some(engine) = self.engines.get_mut(before.engine) else {
             return;
         };
+        engine.heard = now;
         if let Stage::Started { at, alone: true } = before.stage {
             let took = now.since(at);
             engine.speed.learn(before.missing, took, typical, now);
