--- a/crates/sesamegap-policy/src/placing/engines.rs
+++ b/crates/sesamegap-policy/src/placing/engines.rs
@@ -14,6 +14,13 @@
 /// Cache size of an engine of ordinary weight, in blocks, until reports tell.
 const ORDINARY: f64 = 256.0;
 
+/// Seconds without progress that are nothing unusual, beside the time to compute what was sent:
+/// peers' work may go first.
+const PATIENCE: f64 = 2.0;
+
+/// Bounds of the pressure on a cache: ages are learned from few evictions.
+const PRESSURE: (f64, f64) = (0.25, 4.0);
+
 /// Bounds of an engine's weight: reports may be wrong, and one engine must not draw all keys.
 const WEIGHTS: (f64, f64) = (0.25, 4.0);
 
@@ -54,6 +61,8 @@
     pub computing: u32,
     /// How often its cache fell short of what was believed, lately.
     pub mistakes: f64,
+    /// When an own request there last showed progress.
+    pub heard: Moment,
     /// What waits there.
     pub backlog: Backlog,
     /// How fast it computes.
@@ -76,6 +85,29 @@
         mistaken
     }
 
+    /// Seconds by which own requests there are overdue.
+    ///
+    /// A silent engine's backlog seems to drain by the clock, so it would look idle and draw all
+    /// requests for what it holds until the silence limit ends the first of them.
+    pub fn silence(&self, now: Moment) -> f64 {
+        let own = self.backlog.own().0 as f64;
+        if own <= 0.0 {
+            return 0.0;
+        }
+        let allowed = PATIENCE + 2.0 * own * self.speed.per_token(speed::AT_FIRST, now);
+        (now.since(self.heard).as_secs_f64() - allowed).max(0.0)
+    }
+
+    /// Whether own requests there are overdue.
+    pub fn stalled(&self, now: Moment) -> bool {
+        self.silence(now) > 0.0
+    }
+
+    /// Blocks that its cache can hold.
+    pub fn capacity(&self) -> u64 {
+        self.report.as_ref().map_or(0, |r| r.capacity)
+    }
+
     fn usable(&self) -> bool {
         let here = !self.leaving && !self.suspect;
         here && self.report.as_ref().is_some_and(|r| !r.leaving)
@@ -98,6 +130,8 @@
     rings: FxHashMap<ModelId, Vec<(WeightsVersion, Ring)>>,
     /// Seconds a token takes on the middle engine.
     pub typical: f64,
+    /// Mean age at which engines evict.
+    typical_age: f64,
 }
 
 impl Default for Engines {
@@ -108,6 +142,7 @@
             by_slot: FxHashMap::default(),
             rings: FxHashMap::default(),
             typical: speed::AT_FIRST,
+            typical_age: 1.0,
         }
     }
 }
@@ -240,9 +275,23 @@
         engine.speed.per_token(self.typical, now)
     }
 
-    /// Learns anew what speed is typical.
-    pub fn tend(&mut self, now: Moment) {
-        self.typical = speed::typical(self.all.iter().flatten().map(|e| &e.speed), now);
+    /// How soon an engine evicts, that does so at some age, in relation to the others.
+    pub fn pressure(&self, age: f64) -> f64 {
+        (self.typical_age / age.max(1.0)).clamp(PRESSURE.0, PRESSURE.1)
+    }
+
+    /// Learns anew what speed and what eviction age are typical.
+    pub fn tend(&mut self, index: &Index, now: Moment) {
+        let all = self.all.iter().flatten();
+        self.typical = speed::typical(all.clone().map(|e| &e.speed), now);
+        let (mut sum, mut count) = (0.0, 0.0);
+        for engine in all {
+            sum += index.age(engine.slot);
+            count += 1.0;
+        }
+        if count > 0.0 {
+            self.typical_age = sum / count;
+        }
     }
 
     fn add(&mut self, entry: &EngineEntry, index: &mut Index) -> Option<EngineNo> {
@@ -265,6 +314,7 @@
             cold: 0,
             computing: 0,
             mistakes: 0.0,
+            heard: Moment(0),
             backlog: Backlog::default(),
             speed: Speed::default(),
         };
