Give each router of a local deployment threads of its own

Change: one runtime a router, ended as a whole by a crash. Conclusion: a crash ends connections as the end of a process does.

--- a/crates/sesamegap/src/local/deployment.rs
+++ b/crates/sesamegap/src/local/deployment.rs
@@ -21,7 +21,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::runtime::Handle;
+use tokio::runtime::{Builder, Handle, Runtime};
 
 /// Secret of a demonstration's own processes.
 const SECRET: &str = "demonstration-only-secret";
@@ -29,6 +29,9 @@
 /// Key of a demonstration's operators.
 pub const OPERATOR: &str = "operator-demo-key";
 
+/// Threads of one router; a small entry VM has about as many.
+const ROUTER_THREADS: usize = 2;
+
 /// Longest wait for the first settings to be in force on every router.
 const SETTLED: Duration = Duration::from_secs(20);
 
@@ -187,11 +190,53 @@
     }
 }
 
+/// One router with threads of its own.
+///
+/// A crash ends its threads, and with them its connections, as the end of a process would; tasks
+/// on shared threads would go on answering callers for a router that is dead.
+#[derive(Debug)]
+struct Own {
+    runtime: Runtime,
+    running: Running,
+}
+
+impl Own {
+    async fn start(config: &ProcessConfig) -> Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(ROUTER_THREADS)
+            .enable_all()
+            .build()
+            .context("cannot start a router's threads")?;
+        let router = Router::new(config.clone(), Links::http(config));
+        let started = runtime.spawn(router.start()).await?;
+        match started {
+            Ok(running) => Ok(Self { runtime, running }),
+            Err(error) => {
+                runtime.shutdown_background();
+                Err(error)
+            }
+        }
+    }
+
+    fn crash(self) {
+        self.running.kill();
+        self.runtime.shutdown_background();
+    }
+
+    async fn stop(self) {
+        let stopped = self.runtime.spawn(self.running.stop()).await;
+        if let Err(error) = stopped {
+            tracing::error!(%error, "router did not stop as planned");
+        }
+        self.runtime.shutdown_background();
+    }
+}
+
 /// What is needed to start one router again.
 #[derive(Debug)]
 struct Slot {
     config: ProcessConfig,
-    running: Option<Running>,
+    own: Option<Own>,
 }
 
 /// The routers of a deployment, which can be killed and started anew.
@@ -208,15 +253,13 @@
         let mut addrs = Vec::new();
         for index in 0..site.routers {
             let mut config = process(site, standins, index, "router")?;
-            let running = Router::new(config.clone(), Links::http(&config))
-                .start()
-                .await?;
-            config.listen = running.addr();
-            config.advertise = running.addr();
-            addrs.push(running.addr());
+            let own = Own::start(&config).await?;
+            config.listen = own.running.addr();
+            config.advertise = config.listen;
+            addrs.push(config.listen);
             slots.push(Slot {
                 config,
-                running: Some(running),
+                own: Some(own),
             });
         }
         Ok(Self {
@@ -242,9 +285,9 @@
     /// # Errors
     /// If it cannot be started.
     pub async fn crash(&self, index: usize) -> Result<()> {
-        let (config, running) = self.take(index);
-        if let Some(running) = running {
-            running.kill();
+        let (config, own) = self.take(index);
+        if let Some(own) = own {
+            own.crash();
         }
         self.start_again(index, config).await
     }
@@ -254,42 +297,41 @@
     /// # Errors
     /// If it cannot be started.
     pub async fn replace(&self, index: usize) -> Result<()> {
-        let (config, running) = self.take(index);
-        if let Some(running) = running {
-            running.stop().await;
+        let (config, own) = self.take(index);
+        if let Some(own) = own {
+            own.stop().await;
         }
         self.start_again(index, config).await
     }
 
     async fn stop(&self) {
-        let running: Vec<Running> = {
+        let all: Vec<Own> = {
             let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-            slots.iter_mut().filter_map(|s| s.running.take()).collect()
+            slots.iter_mut().filter_map(|s| s.own.take()).collect()
         };
-        join_all(running.into_iter().map(Running::stop)).await;
+        join_all(all.into_iter().map(Own::stop)).await;
     }
 
-    fn take(&self, index: usize) -> (ProcessConfig, Option<Running>) {
+    fn take(&self, index: usize) -> (ProcessConfig, Option<Own>) {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
         let slot = &mut slots[index];
-        (slot.config.clone(), slot.running.take())
+        (slot.config.clone(), slot.own.take())
     }
 
     async fn start_again(&self, index: usize, config: ProcessConfig) -> Result<()> {
-        let links = Links::http(&config);
-        let running = start_patiently(config, links).await?;
+        let own = start_patiently(&config).await?;
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-        slots[index].running = Some(running);
+        slots[index].own = Some(own);
         Ok(())
     }
 }
 
 /// Starts a router on an address that its former life may still be giving back.
-async fn start_patiently(config: ProcessConfig, links: Links) -> Result<Running> {
+async fn start_patiently(config: &ProcessConfig) -> Result<Own> {
     const TRIES: u32 = 50;
     let mut tries = 0;
     loop {
-        let started = Router::new(config.clone(), links.clone()).start().await;
+        let started = Own::start(config).await;
         tries += 1;
         if started.is_ok() || tries >= TRIES {
             return started;
@@ -319,9 +361,9 @@
             .map(|index| (*index, self.take(*index)))
             .collect();
         let mut dead = Vec::new();
-        for (index, (config, running)) in taken {
-            if let Some(running) = running {
-                running.kill();
+        for (index, (config, own)) in taken {
+            if let Some(own) = own {
+                own.crash();
             }
             dead.push((index, config));
         }
