Test priorities, lags and distances of the stand-in engine

Cause: a stand-in that does not do what its plan says makes tests pass that should not. Change: tests of priority, slowness, event lag, distance, forgetting and import between engines, none of which depends on how fast the machine is.

--- a/crates/sesamegap-standin/tests/testsuite/main.rs
+++ b/crates/sesamegap-standin/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 
 mod cache;
 mod control;
+mod engine;
 mod log;
 mod orders;
 mod refusals;
