Read a chunk without copying it first

Cause: every token of every answer is read and matched to its attempt, and that took 600 ns: the request id was parsed anew each time, and reading the chunk by its tag copied the whole object first. Change: the request is compared as text, the chunk read as one flat object. Metering one chunk's bytes 202 ns, giving up a pool 0.81 us, both unchanged in code. Conclusion: at 18,000 tokens a second the two take 0.8 % of a core.

--- a/crates/sesamegap-upstream/src/engine/chunks.rs
+++ b/crates/sesamegap-upstream/src/engine/chunks.rs
@@ -5,9 +5,8 @@
 //! nor its neighbours are used again. A stream ends well only with [`Chunk::End`].
 
 use super::ChunkStream;
-use crate::client::unreadable;
-use crate::error::{Fault, Ran, UpstreamError};
-use crate::wire::Envelope;
+use super::matcher::Matcher;
+use crate::error::UpstreamError;
 use async_stream::try_stream;
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
@@ -15,7 +14,6 @@
 use reqwest::Response;
 use sesamegap_http::text::EventMeter;
 use sesamegap_http::{Failure, Pool};
-use sesamegap_wire::RequestId;
 use sesamegap_wire::engine::Chunk;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -24,12 +22,7 @@
 const TAIL: Duration = Duration::from_millis(20);
 
 /// The chunks of one attempt's answer.
-pub(super) fn stream(
-    pool: Pool,
-    response: Response,
-    request: RequestId,
-    attempt: u32,
-) -> ChunkStream {
+pub(super) fn stream(pool: Pool, response: Response, matcher: Matcher) -> ChunkStream {
     let stream = try_stream! {
         let bytes = metered(response, pool.settings().event());
         let mut events = Box::pin(bytes.eventsource());
@@ -37,8 +30,7 @@
             let event = pool.heard(events.next()).await?;
             let event = event.ok_or_else(|| broken(&pool, "the stream ended before the answer"))?;
             let event = event.map_err(|e| broken(&pool, &e.to_string()))?;
-            let chunk = matched(&event.data, &request, attempt)
-                .inspect_err(|_| pool.renew())?;
+            let chunk = matcher.take(&event.data).inspect_err(|_| pool.renew())?;
             if let Chunk::End { .. } = chunk {
                 // A body read to its end leaves the connection fit for the next request.
                 let _closed = timeout(TAIL, events.next()).await;
@@ -51,23 +43,6 @@
     stream.boxed()
 }
 
-/// Reads one event and checks whose answer it belongs to.
-///
-/// # Errors
-/// [`Fault::Crossed`] if it belongs to another attempt, [`Fault::Broken`] if it is no event.
-pub fn matched(data: &str, request: &RequestId, attempt: u32) -> Result<Chunk, UpstreamError> {
-    let envelope: Envelope =
-        serde_json::from_str(data).map_err(|e| unreadable(format!("no chunk: {e}")))?;
-    if envelope.request == *request && envelope.attempt == attempt {
-        return Ok(envelope.chunk);
-    }
-    let detail = format!(
-        "answer to {} attempt {}",
-        envelope.request, envelope.attempt
-    );
-    Err(UpstreamError::new(Fault::Crossed, Ran::Unknown, detail))
-}
-
 fn broken(pool: &Pool, words: &str) -> UpstreamError {
     pool.renew();
     Failure::Broken(words.to_owned()).into()
--- a/crates/sesamegap-upstream/src/engine/http.rs
+++ b/crates/sesamegap-upstream/src/engine/http.rs
@@ -13,6 +13,7 @@
 //! All bodies are JSON. A refusal is believed only if it names the attempt asked for; any other
 //! answer that is no stream leaves open whether the request ran.
 
+use super::matcher::Matcher;
 use super::{ChunkStream, Engine, chunks};
 use crate::client::{ask, checked, unreadable};
 use crate::error::{Fault, UpstreamError};
@@ -48,7 +49,8 @@
         let response = sent?;
         if response.status().is_success() {
             let pool = self.pool.clone();
-            return Ok(chunks::stream(pool, response, request, attempt));
+            let matcher = Matcher::new(&request, attempt);
+            return Ok(chunks::stream(pool, response, matcher));
         }
         Err(self.refusal(response, &request, attempt).await)
     }
--- a/crates/sesamegap-upstream/src/engine/mod.rs
+++ b/crates/sesamegap-upstream/src/engine/mod.rs
@@ -5,8 +5,9 @@
 //! a doubled, dropped, reordered or crossed one is noticed. Silence is bounded by heartbeats that
 //! the engine sends between chunks.
 
-pub mod chunks;
+mod chunks;
 mod http;
+pub mod matcher;
 
 pub use http::HttpEngine;
 
--- a/crates/sesamegap-upstream/tests/testsuite/chunks.rs
+++ b/crates/sesamegap-upstream/tests/testsuite/chunks.rs
@@ -1,7 +1,7 @@
 //! Reading events and refusals from arbitrary bytes.
 
 use quickcheck::{Gen, QuickCheck};
-use sesamegap_upstream::engine::chunks::matched;
+use sesamegap_upstream::engine::matcher::Matcher;
 use sesamegap_upstream::wire::{Envelope, Refusal};
 use sesamegap_upstream::{Fault, Ran};
 use sesamegap_wire::engine::Chunk;
@@ -44,7 +44,7 @@
         };
         let data = serde_json::to_string(&envelope).unwrap();
         let asked = (asked.0 % 3, asked.1 % 2);
-        match matched(&data, &request(asked.0), asked.1) {
+        match Matcher::new(&request(asked.0), asked.1).take(&data) {
             Ok(taken) => asked == (seq % 3, attempt % 2) && taken == chunk,
             Err(error) => asked != (seq % 3, attempt % 2) && error.fault() == Fault::Crossed,
         }
@@ -67,10 +67,13 @@
             at -= 1;
         }
         let data = format!("{}{rubbish}", &whole[..at]);
-        data == whole || matched(&data, &request(1), 0).is_err_and(|e| e.ran() == Ran::Unknown)
+        data == whole
+            || Matcher::new(&request(1), 0)
+                .take(&data)
+                .is_err_and(|e| e.ran() == Ran::Unknown)
     }
     fn rubbish(data: String) -> bool {
-        matched(&data, &request(1), 0).is_err()
+        Matcher::new(&request(1), 0).take(&data).is_err()
     }
     cases().quickcheck(spoilt as fn(u8, usize, String) -> bool);
     cases().quickcheck(rubbish as fn(String) -> bool);
