Test the router over sockets, with faults

Cause: nothing showed that streams stay whole and that keys run once. Conclusion: one test is still unsteady (a dropped first chunk), looked at next.

--- a/crates/sesamegap/src/router/callers/admit.rs
+++ b/crates/sesamegap/src/router/callers/admit.rs
@@ -155,8 +155,9 @@
     let key = admit.asked.key;
     let job = admit.job;
     let tracker = core.flights.clone();
-    tracker.spawn(async move {
-        let request = answer.head.request.clone();
+    let cut = core.cut.clone();
+    let request = answer.head.request.clone();
+    let work = async move {
         match job {
             Job::Model(mut job) => {
                 job.key = key;
@@ -169,7 +170,8 @@
             }
         }
         core.kept.close(&request);
-    });
+    };
+    tracker.spawn(async move { cut.run_until_cancelled(work).await });
 }
 
 /// Names the request in a response.
--- a/crates/sesamegap/src/router/core.rs
+++ b/crates/sesamegap/src/router/core.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Silence limits for which a request that nobody reads goes on, so that its caller can resume.
@@ -52,6 +53,8 @@
     pub phases: Phases,
     /// Requests being worked on.
     pub flights: TaskTracker,
+    /// Ends all work and all connections.
+    pub cut: CancellationToken,
     /// Requests minted so far.
     pub minted: AtomicU64,
 }
--- a/crates/sesamegap/src/router/fleet/follow.rs
+++ b/crates/sesamegap/src/router/fleet/follow.rs
@@ -7,6 +7,7 @@
 use crate::events;
 use crate::router::core::Core;
 use crate::router::fleet::Connect;
+use futures_util::{StreamExt, stream};
 use sesamegap_platform::VmList;
 use sesamegap_policy::Observation;
 use sesamegap_upstream::Engine;
@@ -26,6 +27,9 @@
 /// Pause after a failed read of cache events, so that a dead engine is not asked without end.
 const EVENT_PAUSE: Duration = Duration::from_millis(200);
 
+/// Engines asked at once at the start.
+const AT_ONCE: usize = 64;
+
 /// Shortest time between two listings of one engine, which are large.
 const LISTING_PAUSE: Duration = Duration::from_millis(500);
 
@@ -128,6 +132,26 @@
     }
 }
 
+/// Reads every engine's report once.
+///
+/// Without it a router that has just started would refuse its first callers, since it would know
+/// of no engine that holds their model.
+pub async fn first_reports(core: &Core) {
+    let limit = core.config.timing.connect + core.config.timing.silence;
+    let ids = core.fleet.addresses().into_iter().map(|(id, _)| id);
+    let asked = stream::iter(ids).map(|id| async move {
+        if let Some(engine) = core.fleet.engine(&id)
+            && let Ok(report) = engine.load().await
+        {
+            core.fleet.reported(&id);
+            core.decider.observe(Observation::Report(id, report));
+        }
+    });
+    let all = asked.buffer_unordered(AT_ONCE).for_each(|()| async {});
+    // Engines that do not answer are heard later, if at all.
+    drop(timeout(limit, all).await);
+}
+
 async fn reports(core: Arc<Core>, client: Arc<dyn Engine>, id: UpstreamId) {
     let timing = &core.config.timing;
     let limit = timing.connect + timing.silence;
@@ -141,6 +165,7 @@
                 }
                 core.decider
                     .observe(Observation::Report(id.clone(), report));
+                core.fleet.reported(&id);
             }
             Ok(Err(_)) | Err(_) => core.decider.observe(Observation::Failed(id.clone())),
         }
--- a/crates/sesamegap/src/router/fleet/mod.rs
+++ b/crates/sesamegap/src/router/fleet/mod.rs
@@ -75,6 +75,8 @@
     members: ArcSwap<Members>,
     /// Engines that said themselves that they are leaving.
     said: Mutex<BTreeSet<UpstreamId>>,
+    /// Engines whose report was read.
+    reported: Mutex<BTreeSet<UpstreamId>>,
 }
 
 impl Fleet {
@@ -84,6 +86,7 @@
             connect,
             members: ArcSwap::default(),
             said: Mutex::default(),
+            reported: Mutex::default(),
         }
     }
 
@@ -217,6 +220,34 @@
         Some(WorkerSlot(Arc::clone(best)))
     }
 
+    /// Notes that an engine's report was read.
+    pub fn reported(&self, engine: &UpstreamId) {
+        let mut reported = lock(&self.reported);
+        if !reported.contains(engine) {
+            reported.insert(engine.clone());
+        }
+    }
+
+    /// Describes the upstreams for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let members = self.members.load();
+        let engines: Vec<_> = self.engines();
+        let workers = members.workers.iter().map(|(service, workers)| {
+            let calls: u32 = workers
+                .iter()
+                .map(|w| w.flights.load(Ordering::Relaxed))
+                .sum();
+            let shown = serde_json::json!({ "workers": workers.len(), "calls": calls });
+            (service.to_string(), shown)
+        });
+        let services: serde_json::Map<_, _> = workers.collect();
+        serde_json::json!({
+            "engines": engines,
+            "services": services,
+            "reports": lock(&self.reported).len(),
+        })
+    }
+
     /// Notes that an engine said itself that it is leaving, and tells the decider at once.
     pub fn leaving(&self, engine: &UpstreamId, decider: &DeciderHandle) {
         if !lock(&self.said).insert(engine.clone()) {
--- a/crates/sesamegap/src/router/follow_log.rs
+++ b/crates/sesamegap/src/router/follow_log.rs
@@ -16,8 +16,12 @@
 /// How long one read waits for news.
 const WAIT: Duration = Duration::from_secs(1);
 
-/// First and longest pause after a failed read.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// First pause after a failed read.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Part of the limit on a call that is the longest pause: once the log is back, claims must be
+/// read well before those who wait for them give up.
+const LONGEST_PAUSE: u32 = 4;
 
 /// Takes what the log gives.
 pub trait Reader: Send {
@@ -76,7 +80,7 @@
 
 /// Follows until the task is dropped.
 pub async fn follow(log: Arc<dyn Log>, source: Source, limit: Duration, mut reader: impl Reader) {
-    let mut pause = PAUSES.0;
+    let mut pause = FIRST_PAUSE;
     let mut down = false;
     loop {
         let from = source.next();
@@ -85,7 +89,7 @@
                 if std::mem::take(&mut down) {
                     tracing::info!(event = events::LOG_BACK.number, stream = %source.stream, "log read again");
                 }
-                pause = PAUSES.0;
+                pause = FIRST_PAUSE;
                 source
                     .read_ms
                     .store(super::clock::unix_ms(), Ordering::Relaxed);
@@ -106,7 +110,7 @@
                 }
                 let spread = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(pause.mul_f64(spread)).await;
-                pause = (pause * 2).min(PAUSES.1);
+                pause = (pause * 2).min(limit / LONGEST_PAUSE);
             }
         }
     }
--- a/crates/sesamegap/src/router/mod.rs
+++ b/crates/sesamegap/src/router/mod.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod core;
 pub mod deciding;
+mod door;
 pub mod fleet;
 pub mod follow_log;
 pub mod once;
--- a/crates/sesamegap/src/router/operators.rs
+++ b/crates/sesamegap/src/router/operators.rs
@@ -2,6 +2,7 @@
 
 use super::callers::{ApiError, Shared, bearer, read_body};
 use super::core::Core;
+use super::phase::Phase;
 use super::tree::publish;
 use crate::admin::{self, ChangeAnswer, ChangeRequest, EffectiveAnswer, HistoryAnswer, TreeAnswer};
 use poem::http::StatusCode;
@@ -107,6 +108,7 @@
             "next": core.tree.next(),
             "log_age_ms": core.tree.source().age_ms(),
         },
+        "fleet": core.fleet.dump(),
         "peers": peers(core),
         "keys": { "run": keys, "claims": claims },
         "decider": decider,
@@ -141,6 +143,15 @@
 
 /// `GET /healthz`
 #[handler]
-fn health(Data(core): Data<&Shared>) -> Json<Value> {
-    Json(json!({ "phase": core.phases.now().to_string() }))
+fn health(Data(core): Data<&Shared>) -> Response {
+    let phase = core.phases.now();
+    let serves = phase == Phase::Serving && core.tree.is_known();
+    // Locators name only routers that answer with success.
+    let status = if serves {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let body = json!({ "phase": phase.to_string(), "settings": core.tree.is_known() });
+    Json(body).with_status(status).into_response()
 }
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -4,6 +4,7 @@
 use super::clock::{Clock, unix_ms};
 use super::core::Core;
 use super::deciding::{self, DeciderThread};
+use super::door::Door;
 use super::fleet::{Connect, Fleet, HttpConnect, follow, http_settings};
 use super::follow_log;
 use super::once::follow::SharedClaims;
@@ -17,7 +18,6 @@
 use crate::events;
 use crate::telemetry::Telemetry;
 use anyhow::Context;
-use poem::listener::TcpAcceptor;
 use poem::{EndpointExt, Route, Server};
 use sesamegap_platform::{HttpLog, HttpVms, Log, VmList};
 use sesamegap_policy::agreement::Holder;
@@ -143,6 +143,7 @@
             tree: SettingsTree::new(handle),
             phases: Phases::default(),
             flights: TaskTracker::new(),
+            cut: CancellationToken::new(),
             minted: std::sync::atomic::AtomicU64::new(0),
             config,
         });
@@ -194,12 +195,16 @@
 /// Settings come from whoever answers first, a peer or the log; without either the router serves
 /// all the same, and refuses until it has them.
 async fn learn(core: &Arc<Core>) {
-    let warm = warm_up(core);
+    let engines = async {
+        follow::first_reports(core).await;
+        // What engines hold can be believed only once their incarnations are known.
+        warm_up(core).await;
+    };
     let settings = async {
         sync::from_peers(core, false).await;
         drop(timeout(core.config.timing.log, core.tree.known()).await);
     };
-    tokio::join!(warm, settings);
+    tokio::join!(engines, settings);
 }
 
 async fn warm_up(core: &Core) {
@@ -222,8 +227,9 @@
     let app = operators::routes(route)
         .data(Arc::clone(core))
         .catch_all_error(async |error| callers::from_library(error));
-    let acceptor = TcpAcceptor::from_tokio(listener)?;
-    let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE);
+    let most = core.config.bounds.connections;
+    let door = Door::new(listener, most, core.cut.clone())?;
+    let server = Server::new_with_acceptor(door).idle_timeout(IDLE);
     Ok(tokio::spawn(async move {
         server
             .run_with_graceful_shutdown(app, close.cancelled_owned(), Some(FLUSH))
@@ -274,12 +280,14 @@
     }
 
     /// Stops at once, as a crash would.
-    pub fn kill(self) {
+    pub async fn kill(mut self) {
         self.server.abort();
+        drop((&mut self.server).await);
         self.end();
     }
 
     fn end(self) {
+        self.core.cut.cancel();
         self.gossip.abort();
         self.followers.cancel();
         self.core.decider.stop();
--- /dev/null
+++ b/crates/sesamegap/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the processes, over real sockets with stand-ins for all that they meet.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a helper that fails is a test that fails"
+)]
+
+mod router;
+mod support;
