--- a/crates/sesamegap/src/local/deployment.rs
+++ b/crates/sesamegap/src/local/deployment.rs
@@ -218,8 +218,11 @@
         }
     }
 
-    fn crash(self) {
-        self.running.kill();
+    async fn crash(self) {
+        let killed = self.runtime.spawn(self.running.kill()).await;
+        if let Err(error) = killed {
+            tracing::error!(%error, "router not killed");
+        }
         self.runtime.shutdown_background();
     }
 
@@ -287,7 +290,7 @@
     pub async fn crash(&self, index: usize) -> Result<()> {
         let (config, own) = self.take(index);
         if let Some(own) = own {
-            own.crash();
+            own.crash().await;
         }
         self.start_again(index, config).await
     }
@@ -318,6 +321,26 @@
         (slot.config.clone(), slot.own.take())
     }
 
+    /// Kills some routers and starts them anew.
+    ///
+    /// All die before the first comes back, as when one update reaches all VMs at once.
+    async fn restart_all(&self, chosen: &[usize]) {
+        let taken = chosen.iter().map(|index| (*index, self.take(*index)));
+        let dying = taken.map(async |(index, (config, own))| {
+            if let Some(own) = own {
+                own.crash().await;
+            }
+            (index, config)
+        });
+        let dead = join_all(dying).await;
+        let starts = dead.into_iter().map(async |(index, config)| {
+            if let Err(error) = self.start_again(index, config).await {
+                tracing::error!(%error, "router not started again");
+            }
+        });
+        join_all(starts).await;
+    }
+
     async fn start_again(&self, index: usize, config: ProcessConfig) -> Result<()> {
         let own = start_patiently(&config).await?;
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
@@ -355,27 +378,7 @@
         if chosen.is_empty() {
             return Err(FaultError::new("there is no such router"));
         }
-        // All die before the first comes back, as when one update reaches all VMs at once.
-        let taken: Vec<_> = chosen
-            .iter()
-            .map(|index| (*index, self.take(*index)))
-            .collect();
-        let mut dead = Vec::new();
-        for (index, (config, own)) in taken {
-            if let Some(own) = own {
-                own.crash();
-            }
-            dead.push((index, config));
-        }
-        tokio::task::block_in_place(|| {
-            self.runtime.block_on(async {
-                for (index, config) in dead {
-                    if let Err(error) = self.start_again(index, config).await {
-                        tracing::error!(%error, "router not started again");
-                    }
-                }
-            });
-        });
+        tokio::task::block_in_place(|| self.runtime.block_on(self.restart_all(&chosen)));
         Ok(())
     }
 }
