Describe the stand-ins and the clients' design

Cause: nobody could tell from the outside what the stand-ins do, nor why the clients say unknown so often.

--- a/crates/sesamegap-standin/tests/testsuite/control.rs
+++ b/crates/sesamegap-standin/tests/testsuite/control.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use reqwest::{Client, Method, StatusCode};
 use sesamegap_platform::{HttpLog, HttpVms, Log, Reason, VmList};
-use sesamegap_standin::{Deployment, Engines, Executions, FaultError, Restart};
+use sesamegap_standin::{Deployment, Engines, Executions, Fault, FaultError, Restart};
 use sesamegap_wire::Offset;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -116,3 +116,12 @@
     assert_eq!(status, StatusCode::NO_CONTENT);
     until(|| restarts.0.load(Ordering::Acquire) == 1).await;
 }
+
+#[test]
+fn every_fault_stands_in_the_operators_page() {
+    let page = include_str!("../../../../docs/standins.md");
+    for fault in Fault::ALL {
+        assert!(page.contains(&format!("`{fault}`")), "{fault}");
+        assert_eq!(fault.name().parse(), Ok(*fault));
+    }
+}
