Test the sites' files

Cause: that a site has the users' sizes, and that the page names each of its settings, was only said.

--- a/crates/sesamegap/tests/testsuite/main.rs
+++ b/crates/sesamegap/tests/testsuite/main.rs
@@ -6,4 +6,5 @@
 )]
 
 mod router;
+mod site;
 mod support;
