Let no request slip into an engine that has just crashed

Cause: a request checked before a crash and taken in after it ran on the incarnation that was gone, and could be answered from its cache. A site's file repeated how settings files are read. Change: an ended incarnation admits nothing; a site is read as every other settings file is. Conclusion: found by reading; an answer comes from a live incarnation only.

--- a/crates/sesamegap-standin/src/engine/check.rs
+++ b/crates/sesamegap-standin/src/engine/check.rs
@@ -24,7 +24,10 @@
         let job = Arc::new(Job::new(&dispatch, answer));
         let key = (dispatch.request.clone(), dispatch.attempt);
         let due = Due::new(Arc::clone(&life), self.missing(&life, &dispatch));
-        life.lock().jobs.insert(key.clone(), Arc::clone(&job));
+        if !life.admit(&job) {
+            let detail = "this incarnation has just ended".to_owned();
+            return Err(not_run(&dispatch, Fault::Incarnation, detail));
+        }
         let work = run::run(
             Arc::clone(self),
             Arc::clone(&life),
--- a/crates/sesamegap-standin/src/engine/life.rs
+++ b/crates/sesamegap-standin/src/engine/life.rs
@@ -18,6 +18,7 @@
     pub(crate) cache: Cache,
     pub(crate) events: Events,
     pub(crate) jobs: HashMap<(RequestId, u32), Arc<Job>>,
+    ended: bool,
 }
 
 /// One incarnation of an engine.
@@ -46,6 +47,7 @@
                 cache: Cache::new(limits.capacity),
                 events: Events::new(limits.events),
                 jobs: HashMap::new(),
+                ended: false,
             }),
         })
     }
@@ -77,9 +79,25 @@
         gone
     }
 
+    /// Takes a job in, unless this incarnation has ended meanwhile.
+    ///
+    /// A job that slipped into an ended incarnation would answer from a cache that is gone.
+    pub(crate) fn admit(&self, job: &Arc<Job>) -> bool {
+        let mut state = self.lock();
+        if !state.ended {
+            let key = (job.request.clone(), job.attempt);
+            state.jobs.insert(key, Arc::clone(job));
+        }
+        !state.ended
+    }
+
     /// Ends all work of this incarnation.
     pub(crate) fn end(&self) {
-        let jobs: Vec<_> = self.lock().jobs.drain().map(|(_, job)| job).collect();
+        let jobs: Vec<_> = {
+            let mut state = self.lock();
+            state.ended = true;
+            state.jobs.drain().map(|(_, job)| job).collect()
+        };
         for job in jobs {
             job.stop();
         }
--- a/crates/sesamegap/src/bin/sesamegap-local/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-local/main.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, ValueEnum};
+use sesamegap::config::Config;
 use sesamegap::local::Deployment;
 use sesamegap::process;
 use sesamegap::site::Site;
--- a/crates/sesamegap/src/bin/sesamegap-standin/serve.rs
+++ b/crates/sesamegap/src/bin/sesamegap-standin/serve.rs
@@ -1,7 +1,7 @@
 //! Serving until told to stop.
 
 use anyhow::{Context, Result};
-use sesamegap::config::StandinConfig;
+use sesamegap::config::{Config, StandinConfig};
 use sesamegap::process;
 use sesamegap::site::Site;
 use sesamegap_standin::Deployment;
--- a/crates/sesamegap/src/site/mod.rs
+++ b/crates/sesamegap/src/site/mod.rs
@@ -5,17 +5,16 @@
 
 pub mod fields;
 
-use crate::config::read;
+use crate::config::Config;
 use crate::local::Demand;
 use fields::SITE;
 use serde_json::{Map, Value};
 use sesamegap_settings::schema::reader::{complete, read as read_fields};
 use sesamegap_settings::schema::{Row, built_in};
-use sesamegap_settings::{Catalogue, Document, Findings, SettingsError, Tree};
+use sesamegap_settings::{Catalogue, Findings, Tree};
 use sesamegap_standin::Plan;
 use sesamegap_standin::plan::{Builder, EngineLimits, PlatformLimits};
 use sesamegap_wire::DomainId;
-use std::path::Path;
 use std::time::Duration;
 
 /// Versions after the deployed one that the weight store has, so that one can be rolled out.
@@ -38,31 +37,7 @@
     pub demand: Option<Demand>,
 }
 
-impl Site {
-    /// Reads a file with `tree` and `site`.
-    ///
-    /// # Errors
-    /// With all findings and their places.
-    pub fn load(file: &Path) -> Result<Self, SettingsError> {
-        Self::parse(&file.display().to_string(), &read::text(file)?)
-    }
-
-    /// Reads a file's text; `file` is the name that findings show.
-    ///
-    /// # Errors
-    /// With all findings and their places.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let document = Document::parse(file, text)?;
-        let mut findings = Findings::default();
-        match Self::from_value(document.value(), &mut findings) {
-            Some(site) if findings.is_empty() => Ok(site),
-            _ => {
-                document.locate(&mut findings);
-                Err(SettingsError::Invalid(findings))
-            }
-        }
-    }
-
+impl Config for Site {
     fn from_value(value: &Value, findings: &mut Findings) -> Option<Self> {
         let tree = crate::ctl::file::read_tree(value, findings);
         let nothing = Value::Object(Map::new());
--- a/crates/sesamegap/tests/testsuite/site.rs
+++ b/crates/sesamegap/tests/testsuite/site.rs
@@ -1,5 +1,6 @@
 //! A site's file, as the stand-ins bring it up.
 
+use sesamegap::config::Config;
 use sesamegap::site::Site;
 use sesamegap::site::fields::SITE;
 use sesamegap_settings::SettingsError;
