Test process settings, operators' answers and sesamegap-ctl

Cause: a lost answer must not become a second change nor be called a failure, and a fault in a file must be found before anything starts. Conclusion: three faults found and mended. A value not valid was also reported as missing; a class not valid was also reported as not there; a router behind the log refused a base that its peers had.

--- a/crates/sesamegap-settings/src/findings/mod.rs
+++ b/crates/sesamegap-settings/src/findings/mod.rs
@@ -99,6 +99,11 @@
         self.list.iter_mut()
     }
 
+    /// Whether one was kept about this very path.
+    pub fn about(&self, path: &str) -> bool {
+        self.list.iter().any(|finding| finding.path == path)
+    }
+
     /// Sorts them by line and column.
     pub fn sort_by_place(&mut self) {
         let place = |finding: &Finding| finding.place.as_ref().map(|at| (at.line, at.column));
@@ -122,6 +127,16 @@
     }
 }
 
+impl IntoIterator for Findings {
+    type Item = Finding;
+    type IntoIter = std::vec::IntoIter<Finding>;
+
+    /// Those that were kept.
+    fn into_iter(self) -> Self::IntoIter {
+        self.list.into_iter()
+    }
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, finding) in self.list.iter().enumerate() {
--- a/crates/sesamegap-settings/src/schema/reader.rs
+++ b/crates/sesamegap-settings/src/schema/reader.rs
@@ -84,6 +84,8 @@
 }
 
 /// Completes what an object sets with built-in values, with a finding for each that is missing.
+///
+/// A value that was there but not valid has its finding already.
 pub fn complete<'a>(
     fields: &'static [Field],
     own: &'a Values,
@@ -96,9 +98,10 @@
         values[usize::from(*index)] = value;
     }
     for (field, value) in fields.iter().zip(&values) {
-        if field.default.is_none() && value.is_null() {
-            let wrong = format!("the key `{}` is missing", field.name);
-            findings.add(path, wrong, field.shape.allowed());
+        let path = join(path, field.name);
+        let missing = field.default.is_none() && value.is_null();
+        if missing && !findings.about(&path) {
+            findings.add(&path, "the key is missing", field.shape.allowed());
         }
     }
     Row::new(fields, values)
--- a/crates/sesamegap/src/admin/mod.rs
+++ b/crates/sesamegap/src/admin/mod.rs
@@ -157,8 +157,12 @@
 
 /// The answer to a change that would be refused if it came next, before it is appended.
 ///
-/// `None` means that it is worth a record in the log.
+/// `None` means that it is worth a record in the log. So is one whose base lies ahead of this
+/// process: its author read a router that is further, and only the log's order can judge it.
 pub fn refusal(fold: &mut Fold, change: &Change) -> Option<ChangeAnswer> {
+    if change.base > fold.next() {
+        return None;
+    }
     match fold.rehearse(change) {
         Outcome::Accepted { .. } => None,
         Outcome::Duplicate { .. } => answer(fold, change.id),
--- a/crates/sesamegap/src/ctl/file.rs
+++ b/crates/sesamegap/src/ctl/file.rs
@@ -122,10 +122,13 @@
     let tree = Tree::read(&value["tree"], "tree", findings);
     let mut within = Findings::default();
     Catalogue::resolve(&tree, &mut within);
-    for finding in within.iter_mut() {
+    for mut finding in within {
         finding.path.insert_str(0, "tree/");
+        // A value that is not valid was left out, so what its default refers to is beside the point.
+        if !findings.about(&finding.path) {
+            findings.push(finding);
+        }
     }
-    findings.extend(within);
     tree
 }
 
--- a/crates/sesamegap/tests/testsuite/main.rs
+++ b/crates/sesamegap/tests/testsuite/main.rs
@@ -5,5 +5,10 @@
     reason = "a helper that fails is a test that fails"
 )]
 
+mod admin;
+mod config;
+mod ctl;
+mod operators;
+mod pages;
 mod router;
 mod support;
