Judge each edit in itself, in the oracle too

Cause: with SESAMEGAP_CASES=20000 the fuzz found a change that sets a path to a value out of bounds and then to a good one; the fold refused it and the oracle took it. Change: the fold is right, for an operator wrote a value that is not valid; the oracle now checks the tree after each edit, and the page says so. Conclusion: the oracle was too lenient; the check is stricter than before.

--- a/crates/sesamegap-settings/src/fold/mod.rs
+++ b/crates/sesamegap-settings/src/fold/mod.rs
@@ -3,9 +3,10 @@
 //! Every process feeds the records of the settings stream to a [`Fold`] in order of offset. The
 //! same pure function thereby decides everywhere, without a word between processes, which changes
 //! are accepted: a change wins if nobody touched one of its paths after its base, and takes effect
-//! only if the whole tree is valid with it. Racing operators so get one winner, and the other
-//! learns who won. Nothing but record offsets and contents goes into a decision: no clock, no
-//! randomness, no setting of the process.
+//! only if each of its edits is valid in itself, even one that a later edit of the same change
+//! replaces, and the whole tree is valid with all of them. Racing operators so get one winner, and
+//! the other learns who won. Nothing but record offsets and contents goes into a decision: no
+//! clock, no randomness, no setting of the process.
 //!
 //! Positions only move forward. A record before [`Fold::next`] is not looked at again, and a
 //! snapshot that covers no more than is already folded is not adopted. A reader that finds its
--- a/crates/sesamegap-settings/tests/testsuite/support/naive.rs
+++ b/crates/sesamegap-settings/tests/testsuite/support/naive.rs
@@ -70,7 +70,7 @@
         let mut tree = self.tree.clone();
         let applied = change.edits.iter().all(|edit| {
             let parts: Vec<&str> = edit.path.as_str().split('/').collect();
-            set(&mut tree, &parts, edit.value.clone())
+            set(&mut tree, &parts, edit.value.clone()) && read(&tree).is_some()
         });
         if !applied || resolve(&tree).is_none() {
             return Verdict::Invalid;
@@ -105,10 +105,16 @@
     one.starts_with(&other) || other.starts_with(&one)
 }
 
-fn resolve(tree: &Value) -> Option<Catalogue> {
+/// The tree, if each of its values is valid in itself.
+fn read(tree: &Value) -> Option<Tree> {
     let mut findings = Findings::default();
     let tree = Tree::read(tree, "", &mut findings);
-    let catalogue = Catalogue::resolve(&tree, &mut findings);
+    findings.is_empty().then_some(tree)
+}
+
+fn resolve(tree: &Value) -> Option<Catalogue> {
+    let mut findings = Findings::default();
+    let catalogue = Catalogue::resolve(&read(tree)?, &mut findings);
     findings.is_empty().then_some(catalogue)
 }
 
