--- a/crates/sesamegap/tests/testsuite/main.rs
+++ b/crates/sesamegap/tests/testsuite/main.rs
@@ -5,6 +5,11 @@
     reason = "a helper that fails is a test that fails"
 )]
 
+mod admin;
+mod config;
+mod ctl;
+mod operators;
+mod pages;
 mod router;
 mod site;
 mod support;
