--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/shifting/judge.rs
@@ -0,0 +1,68 @@
+//! What no order may do, said without the planner's own code.
+
+use sesamegap_policy::shifting::{EngineOrder, EngineView, LEAST_STAY, MOST_LOADS};
+use sesamegap_settings::ModelSpec;
+use sesamegap_wire::engine::Wanted;
+use sesamegap_wire::{ModelId, Moment};
+use std::collections::BTreeMap;
+
+/// The fleet at the moment of an order, as it truly is.
+pub struct Judge<'a> {
+    pub engines: &'a [EngineView],
+    pub models: &'a BTreeMap<ModelId, ModelSpec>,
+    pub demand: &'a BTreeMap<ModelId, f64>,
+    pub now: Moment,
+}
+
+impl Judge<'_> {
+    /// Says what is wrong with an order, if anything.
+    pub fn fault(&self, order: &EngineOrder) -> Option<String> {
+        let engine = self.engines.iter().find(|e| e.id == order.engine)?;
+        match &order.wanted {
+            Wanted::Load { model, .. } => self.load_fault(engine, model),
+            Wanted::Drop { model, below } => {
+                let kept = |held: &ModelId, version| held != model || version >= *below;
+                if engine
+                    .loaded
+                    .iter()
+                    .all(|(held, version)| kept(held, *version))
+                {
+                    return None;
+                }
+                let rest = engine
+                    .loaded
+                    .iter()
+                    .any(|(held, v)| held == model && *v >= *below);
+                self.drop_fault(engine, model, rest)
+            }
+        }
+    }
+
+    fn load_fault(&self, engine: &EngineView, model: &ModelId) -> Option<String> {
+        let loading: Vec<_> = self.engines.iter().filter(|e| e.loading).collect();
+        if loading.len() >= MOST_LOADS {
+            return Some(format!("a load too many on {}", engine.id));
+        }
+        if engine.loaded.len() >= engine.slots {
+            return Some(format!("{} has no room for {model}", engine.id));
+        }
+        let urgent = !self.engines.iter().any(|e| !e.leaving && e.holds(model));
+        let elsewhere = loading.iter().any(|e| e.domain != engine.domain);
+        (elsewhere && !urgent).then(|| format!("two domains at once, at {}", engine.id))
+    }
+
+    fn drop_fault(&self, engine: &EngineView, model: &ModelId, rest: bool) -> Option<String> {
+        let demand = self.demand.get(model).copied().unwrap_or(0.0);
+        let spec = self.models.get(model);
+        let used = spec.is_some_and(|spec| spec.least > 0 || demand > 0.0);
+        let others = self
+            .engines
+            .iter()
+            .filter(|e| e.id != engine.id && !e.leaving);
+        if used && !rest && !others.into_iter().any(|e| e.holds(model)) {
+            return Some(format!("{} was the last holder of {model}", engine.id));
+        }
+        let stayed = self.now.since(engine.since);
+        (stayed < LEAST_STAY).then(|| format!("{} changed again after {stayed:?}", engine.id))
+    }
+}
