Bound what waits on an engine, and guard fair shares against noise

Cause: in virtual time with 8 routers the highest class was late or refused while low classes stood on engines for up to a minute: each router bounded only its own work, a heavy team's whole class turned to excess at once, and times of overtaken requests stood for all. Change: windows add what other routers may have sent to an engine's last report; the class at the edge of a team's share fits in part; engine priorities follow the queue's ranks; first-token times are kept by rank and end at the deadline; the placer's expectation is corrected by rank. Tests put bursts, skew, a slow engine, long with short work, saturation, crashes and returning callers through it and look at what callers get.

--- a/crates/sesamegap-policy/src/decider/arrivals.rs
+++ b/crates/sesamegap-policy/src/decider/arrivals.rs
@@ -93,7 +93,8 @@
     /// the budget their sum, the deadline their use.
     fn check_retry(&mut self, work: &Work, terms: Terms<'_>, now: Moment) -> Result<(), Barrier> {
         let left = (work.arrived + terms.class.deadline).since(now);
-        let needed = self.outlook.first_time(&work.model, work.chain.tokens, now);
+        let rank = Rank::new(false, terms.class.priority);
+        let needed = self.outlook.first_time(work, rank, now);
         if needed.is_some_and(|time| time.with(0.0) > left) || left.is_zero() {
             return Err(Barrier::new(RefusalCode::Deadline, SOON));
         }
@@ -127,12 +128,13 @@
         let rate = self.outlook.rate(&work.model);
         let excess = self.shares.exceeds(&claim, rate, now);
         let deadline = work.arrived + terms.class.deadline;
-        let first = self.outlook.first_time(&work.model, work.chain.tokens, now);
+        let rank = Rank::new(excess, terms.class.priority);
+        let first = self.outlook.first_time(&work, rank, now);
         // The quickest first token that is still likely.
         let least = first.map_or(Duration::ZERO, |time| time.with(-1.0));
         let left = deadline.since(now).saturating_sub(least);
         Item {
-            rank: Rank::new(excess, terms.class.priority),
+            rank,
             deadline,
             hopeless: now + left,
             weight: terms.team.weight,
@@ -168,8 +170,7 @@
     fn needed(&self, item: &Item, now: Moment) -> Duration {
         let wait = self.outlook.wait(&self.queue, item, item.cost, now);
         let margin = if wait.is_zero() { 0.0 } else { MARGIN };
-        let tokens = item.work.chain.tokens;
-        let first = self.outlook.first_time(&item.work.model, tokens, now);
+        let first = self.outlook.first_time(&item.work, item.rank, now);
         wait + first.map_or(Duration::ZERO, |time| time.with(margin))
     }
 
--- a/crates/sesamegap-policy/src/decider/dispatch.rs
+++ b/crates/sesamegap-policy/src/decider/dispatch.rs
@@ -1,9 +1,10 @@
 //! Sending what waits to engines with room.
 
 use super::flights::{Flight, Flights};
+use super::outlook::Outlook;
 use super::{Decider, Decision, RefusalCode, Work, ask};
 use crate::load::Windows;
-use crate::load::queue::{ANSWER_COST, Item, Offer};
+use crate::load::queue::{ANSWER_COST, Item, Offer, Rank};
 use crate::placing::{Ask, Placed, Placement, Placer};
 use rand::rngs::ChaCha12Rng;
 use sesamegap_settings::{Catalogue, ClassSpec};
@@ -27,6 +28,7 @@
 
 /// The parts of a decider that sending needs while the queue is being served.
 struct Sender<'a> {
+    outlook: &'a Outlook,
     placer: &'a mut dyn Placer,
     windows: &'a mut Windows,
     flights: &'a mut Flights,
@@ -60,12 +62,12 @@
             Placed::At(at) if self.comes_late(item, &at) => self.drop(item, RefusalCode::Deadline),
             Placed::At(at) => {
                 let hedge = hedge.filter(|_| class.hedge);
-                self.book(&ask, &item.work, &at, hedge);
+                self.book(&ask, item, &at, hedge);
                 let missing = (item.work.chain.tokens - at.cached).0;
                 self.ready.push(Decision::Send {
                     request: item.work.request.clone(),
                     at,
-                    priority: class.priority,
+                    priority: item.rank.in_engine(),
                 });
                 Offer::Sent(missing + ANSWER_COST * item.work.answer.0)
             }
@@ -77,7 +79,8 @@
     /// an engine on which this router has nothing in flight is tried all the same: with no
     /// answers there would be nothing to correct the guess by.
     fn comes_late(&self, item: &Item, at: &Placement) -> bool {
-        self.now + at.wait > item.deadline && self.windows.busy(&at.engine)
+        let wait = self.outlook.corrected(item.rank, at.wait);
+        self.now + wait > item.deadline && self.windows.busy(&at.engine)
     }
 
     fn drop(&mut self, item: &Item, code: RefusalCode) -> Offer {
@@ -85,24 +88,27 @@
         Offer::Dropped
     }
 
-    fn book(&mut self, ask: &Ask<'_>, work: &Work, at: &Placement, hedge: Option<Moment>) {
+    fn book(&mut self, ask: &Ask<'_>, item: &Item, at: &Placement, hedge: Option<Moment>) {
+        let (work, rank) = (&item.work, item.rank);
         self.placer.sent(ask, at, self.now);
         let missing = work.chain.tokens - at.cached;
-        self.windows.take(ask.request, at, missing);
-        let flight = flight(work, at, ask.class, self.now);
+        self.windows.take(ask.request, at, missing, self.now);
+        let flight = flight(work, rank, at, ask.class, self.now);
         let hedge = hedge.map(|due| (due, Box::new(work.clone())));
         self.flights.start(ask.request, Flight { hedge, ..flight });
     }
 }
 
 /// An attempt that starts now.
-fn flight(work: &Work, at: &Placement, class: &ClassSpec, now: Moment) -> Flight {
+fn flight(work: &Work, rank: Rank, at: &Placement, class: &ClassSpec, now: Moment) -> Flight {
     Flight {
         engine: at.engine.clone(),
         model: work.model.clone(),
         tokens: work.chain.tokens,
         cost: work.chain.tokens.0 + ANSWER_COST * work.answer.0,
         sent: now,
+        rank,
+        expected: at.wait,
         patience: class.deadline.mul_f64(LATE),
         first: false,
         end: now + class.total.max(class.deadline) + GRACE,
@@ -115,6 +121,7 @@
     pub(super) fn dispatch(&mut self, now: Moment) {
         let outlook = &self.outlook;
         let mut sender = Sender {
+            outlook,
             placer: &mut *self.placer,
             windows: &mut self.windows,
             flights: &mut self.flights,
@@ -128,7 +135,7 @@
         };
         self.queue.serve(|item| {
             let work = &item.work;
-            let time = outlook.first_time(&work.model, work.chain.tokens, now);
+            let time = outlook.first_time(work, item.rank, now);
             let due = time.map(|time| now + time.with(HEDGE_AFTER));
             let hedge = due.filter(|_| work.repeatable && work.attempt == 0);
             sender.offer(item, hedge)
@@ -161,7 +168,8 @@
             return;
         };
         let deadline = twin.arrived + class.deadline;
-        let time = self.outlook.first_time(&twin.model, twin.chain.tokens, now);
+        let rank = Rank::new(false, class.priority);
+        let time = self.outlook.first_time(twin, rank, now);
         let late = time.is_some_and(|time| now + time.with(0.0) >= deadline);
         if !class.hedge || late || !self.budget.pay() {
             return;
@@ -177,14 +185,14 @@
         };
         self.placer.sent(&ask, &at, now);
         let missing = twin.chain.tokens - at.cached;
-        self.windows.take(&twin.request, &at, missing);
-        let flight = flight(twin, &at, class, now);
+        self.windows.take(&twin.request, &at, missing, now);
+        let flight = flight(twin, rank, &at, class, now);
         self.flights.start(&twin.request, flight);
         self.ready.push(Decision::Hedge {
             request,
             twin: twin.request.clone(),
             at,
-            priority: class.priority,
+            priority: rank.in_engine(),
         });
     }
 }
--- a/crates/sesamegap-policy/src/decider/flights.rs
+++ b/crates/sesamegap-policy/src/decider/flights.rs
@@ -1,6 +1,7 @@
 //! What is sent and not over.
 
 use super::Work;
+use crate::load::queue::Rank;
 use rustc_hash::FxHashMap;
 use sesamegap_wire::{ModelId, Moment, RequestId, Tokens, UpstreamId};
 use std::collections::BTreeSet;
@@ -19,6 +20,10 @@
     pub cost: u64,
     /// When it was sent.
     pub sent: Moment,
+    /// Where it stood in the queue.
+    pub rank: Rank,
+    /// First-token time that the placer expected.
+    pub expected: Duration,
     /// Time after which its first token counts as late.
     pub patience: Duration,
     /// Whether its first token came.
--- a/crates/sesamegap-policy/src/decider/mod.rs
+++ b/crates/sesamegap-policy/src/decider/mod.rs
@@ -70,6 +70,7 @@
             Observation::Fleet(engines) => self.fleet(&engines, now),
             Observation::Report(engine, report) => {
                 self.placer.report(&engine, &report, now);
+                self.windows.report(&engine, &report, now);
                 self.queue.room();
             }
             Observation::Cache(engine, batch) => self.cache(engine, &batch, now),
@@ -184,7 +185,10 @@
         } else {
             Signal::Timely
         };
-        self.outlook.first(&flight.model, flight.tokens, time, now);
+        // Beyond the deadline it no longer matters how late an answer is, and one that was
+        // overtaken on its engine for a minute must not stand for all that follow.
+        self.outlook
+            .first(flight, time.min(flight.patience * 2), now);
         self.windows.computed(request, signal, now);
         self.queue.room();
     }
--- a/crates/sesamegap-policy/src/decider/outlook.rs
+++ b/crates/sesamegap-policy/src/decider/outlook.rs
@@ -1,9 +1,12 @@
 //! How long a request would wait, from what was learned.
 
+use super::Work;
+use super::flights::Flight;
 use crate::load::learned::{FirstTime, FirstTimes, Inflow, Paces};
-use crate::load::queue::{Item, Queue};
+use crate::load::queue::{Item, Queue, Rank};
 use sesamegap_settings::Catalogue;
-use sesamegap_wire::{ModelId, Moment, Tokens};
+use sesamegap_wire::{ModelId, Moment};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Least part of the service rate reckoned for a rank whose betters use it all: keeps the
@@ -13,12 +16,19 @@
 /// Longest wait told; anything above is as hopeless.
 const LONGEST: Duration = Duration::from_mins(10);
 
+/// Share of a new comparison in how far a placer's expectations are off.
+const GAIN: f64 = 0.1;
+
+/// Bounds on one comparison, so that one odd answer does not turn the estimate over.
+const OFF: (f64, f64) = (0.05, 4.0);
+
 /// Rates and times learned from own traffic.
 #[derive(Debug, Default)]
 pub struct Outlook {
     paces: Paces,
     firsts: FirstTimes,
     inflow: Inflow,
+    off: BTreeMap<Rank, f64>,
 }
 
 impl Outlook {
@@ -53,9 +63,9 @@
         Duration::try_from_secs_f64(seconds).map_or(LONGEST, |span| span.min(LONGEST))
     }
 
-    /// First-token time to expect of engines.
-    pub fn first_time(&self, model: &ModelId, tokens: Tokens, now: Moment) -> Option<FirstTime> {
-        self.firsts.get(model, tokens, now)
+    /// First-token time to expect of engines, as others of this size and rank had it.
+    pub fn first_time(&self, work: &Work, rank: Rank, now: Moment) -> Option<FirstTime> {
+        self.firsts.get(&work.model, rank, work.chain.tokens, now)
     }
 
     /// Notes admitted work.
@@ -63,9 +73,25 @@
         self.inflow.add(&item.work.model, item.rank, item.cost, now);
     }
 
-    /// Notes a first-token time.
-    pub fn first(&mut self, model: &ModelId, tokens: Tokens, time: Duration, now: Moment) {
-        self.firsts.add(model, tokens, time, now);
+    /// Notes a first-token time, and how far off the placer's expectation was.
+    ///
+    /// Placers expect engines to go first come, first served; an engine that minds priority
+    /// is quicker than that for the high classes and slower for the low ones.
+    pub fn first(&mut self, flight: &Flight, time: Duration, now: Moment) {
+        self.firsts
+            .add(&flight.model, flight.rank, flight.tokens, time, now);
+        if flight.expected.is_zero() {
+            return;
+        }
+        let ratio = time.as_secs_f64() / flight.expected.as_secs_f64();
+        let off = self.off.entry(flight.rank).or_insert(1.0);
+        *off += (ratio.clamp(OFF.0, OFF.1) - *off) * GAIN;
+    }
+
+    /// A placer's expectation, corrected by how others of its kind came out.
+    pub fn corrected(&self, rank: Rank, expected: Duration) -> Duration {
+        let off = self.off.get(&rank).copied().unwrap_or(1.0);
+        expected.mul_f64(off)
     }
 
     /// Notes finished work.
--- a/crates/sesamegap-policy/src/load/learned/first.rs
+++ b/crates/sesamegap-policy/src/load/learned/first.rs
@@ -1,11 +1,13 @@
 //! How long engines take from dispatch to the first token.
 //!
-//! Times are kept by model and by size of the prompt, as a mean and a mean deviation, the way a
+//! Times are kept by model, rank and size of the prompt (engines mind priority too), as a mean and a mean deviation, the way a
 //! retransmission timer keeps its round trip. They fade when no news comes: a bad time that made
 //! the router refuse everything would otherwise never be corrected.
 
+use crate::load::queue::Rank;
 use rustc_hash::FxHashMap;
 use sesamegap_wire::{ModelId, Moment, Tokens};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Share of a new time in the mean.
@@ -49,10 +51,12 @@
     }
 }
 
+type Sizes = [FirstTime; SIZES as usize];
+
 /// First-token times by model and size of the prompt.
 #[derive(Debug, Default)]
 pub struct FirstTimes {
-    models: FxHashMap<ModelId, [FirstTime; SIZES as usize]>,
+    models: FxHashMap<ModelId, BTreeMap<Rank, Sizes>>,
 }
 
 impl FirstTimes {
@@ -61,14 +65,28 @@
     }
 
     /// Takes the first-token time of a request.
-    pub fn add(&mut self, model: &ModelId, tokens: Tokens, time: Duration, now: Moment) {
-        let sizes = self.models.entry(model.clone()).or_default();
+    pub fn add(
+        &mut self,
+        model: &ModelId,
+        rank: Rank,
+        tokens: Tokens,
+        time: Duration,
+        now: Moment,
+    ) {
+        let ranks = self.models.entry(model.clone()).or_default();
+        let sizes = ranks.entry(rank).or_default();
         sizes[Self::size(tokens)].add(time.as_secs_f64(), now);
     }
 
     /// What to expect for a prompt of this size; nothing if none was seen.
-    pub fn get(&self, model: &ModelId, tokens: Tokens, now: Moment) -> Option<FirstTime> {
-        let mut time = self.models.get(model)?[Self::size(tokens)];
+    pub fn get(
+        &self,
+        model: &ModelId,
+        rank: Rank,
+        tokens: Tokens,
+        now: Moment,
+    ) -> Option<FirstTime> {
+        let mut time = self.models.get(model)?.get(&rank)?[Self::size(tokens)];
         if time.at == Moment::default() {
             return None;
         }
--- a/crates/sesamegap-policy/src/load/learned/pace.rs
+++ b/crates/sesamegap-policy/src/load/learned/pace.rs
@@ -11,8 +11,9 @@
 /// Shortest span of one sample; shorter ones hold too few answers to mean anything.
 const SAMPLE: Duration = Duration::from_millis(200);
 
-/// Age by which a sample's weight has fallen to about a third: some dozens of answers.
-const MEMORY: Duration = Duration::from_secs(3);
+/// Age by which a sample's weight has fallen to about a third: some dozens of answers
+/// at the few a second that one router sees.
+const MEMORY: Duration = Duration::from_secs(10);
 
 /// Time under backlog before the rate is believed: the first answers come late because they
 /// all began together.
@@ -20,7 +21,7 @@
 
 /// Age at which a rate is forgotten: the fleet may be another by then, and an old low rate
 /// would refuse work that idle engines could do.
-const FORGOTTEN: Duration = Duration::from_secs(20);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// One model's service rate.
 #[derive(Debug, Default)]
--- a/crates/sesamegap-policy/src/load/limits/shares.rs
+++ b/crates/sesamegap-policy/src/load/limits/shares.rs
@@ -3,8 +3,8 @@
 //! Load: saturation with demand skewed between teams. Harm prevented: a team that asks for little
 //! is refused because a heavier one asks for much. The service rate of a model is filled up
 //! evenly: each team gets its demand or its weight times one common level, whichever is less. A
-//! team above the level keeps its highest classes within its share, as far as they fit, and the
-//! rest is excess. Demand counts what arrives, refused or not, so that refusing a team does not
+//! team above the level keeps its highest classes within its share, as far as they fit; of the
+//! class at the edge a part fits, and the rest is excess. Demand counts what arrives, refused or not, so that refusing a team does not
 //! make it look light.
 
 use crate::load::learned::Flow;
@@ -13,15 +13,15 @@
 use std::time::Duration;
 
 /// Age at which demand has lost about two thirds of its weight: long against single requests,
-/// short against a caller's patience.
-const MEMORY: Duration = Duration::from_secs(5);
+/// of which a light team may send one in some seconds to one router.
+const MEMORY: Duration = Duration::from_secs(20);
 
 /// How often the common level is worked out again.
 const PERIOD: Duration = Duration::from_millis(250);
 
-/// Part of the measured rate that is handed out: the rate is an estimate, and work within its
-/// share must find room even when it was guessed a little high.
-const SAFE: f64 = 0.95;
+/// Share that a team gets, by the share worked out: demand and service rate are estimates from a
+/// few requests a second, and what is taken for excess by mistake waits behind all others.
+const AMPLE: f64 = 1.5;
 
 /// Teams tracked for one model; more than one router can serve within the memory.
 const MOST_TEAMS: usize = 8_192;
@@ -29,27 +29,58 @@
 /// Demand below which a team is forgotten, in cost a second.
 const LEAST: f64 = 1.0;
 
+/// Demand of one priority.
+#[derive(Debug)]
+struct Tier {
+    priority: u8,
+    flow: Flow,
+    /// Adds up the parts of requests that fit, until one fits whole.
+    fitted: f64,
+}
+
 /// A team's demand by priority.
 #[derive(Debug, Default)]
 struct Demand {
     weight: f64,
-    flows: Vec<(u8, Flow)>,
+    tiers: Vec<Tier>,
 }
 
 impl Demand {
     fn add(&mut self, priority: u8, cost: f64, now: Moment) {
-        let slot = self.flows.iter().position(|(p, _)| *p == priority);
-        let at = slot.unwrap_or_else(|| {
-            self.flows.push((priority, Flow::default()));
-            self.flows.len() - 1
+        let tier = self.tiers.iter().position(|t| t.priority == priority);
+        let at = tier.unwrap_or_else(|| {
+            self.tiers.push(Tier {
+                priority,
+                flow: Flow::default(),
+                fitted: 0.0,
+            });
+            self.tiers.len() - 1
         });
-        self.flows[at].1.add(cost, now, MEMORY);
+        self.tiers[at].flow.add(cost, now, MEMORY);
     }
 
     /// Demand at this priority and above.
     fn from(&self, priority: u8, now: Moment) -> f64 {
-        let above = self.flows.iter().filter(|(p, _)| *p >= priority);
-        above.map(|(_, flow)| flow.rate(now, MEMORY)).sum()
+        let above = self.tiers.iter().filter(|t| t.priority >= priority);
+        above.map(|tier| tier.flow.rate(now, MEMORY)).sum()
+    }
+
+    /// Whether the next request of a priority fits into a share.
+    fn fits(&mut self, priority: u8, share: f64, now: Moment) -> bool {
+        let all = self.from(priority, now);
+        let Some(tier) = self.tiers.iter_mut().find(|t| t.priority == priority) else {
+            return true;
+        };
+        let own = tier.flow.rate(now, MEMORY);
+        if all <= share || own <= 0.0 {
+            return true;
+        }
+        tier.fitted += ((share - (all - own)) / own).clamp(0.0, 1.0);
+        let fits = tier.fitted >= 1.0;
+        if fits {
+            tier.fitted -= 1.0;
+        }
+        fits
     }
 }
 
@@ -68,7 +99,7 @@
         self.teams.retain(|_, demand| demand.from(0, now) >= LEAST);
         let demands = self.teams.values();
         let mut demands: Vec<_> = demands.map(|d| (d.from(0, now), d.weight)).collect();
-        self.level = rate.and_then(|rate| level(&mut demands, rate * SAFE));
+        self.level = rate.and_then(|rate| level(&mut demands, rate));
     }
 }
 
@@ -137,8 +168,9 @@
         let Some(level) = table.level else {
             return false;
         };
-        let demand = table.teams.get(claim.team);
-        demand.is_some_and(|demand| demand.from(claim.priority, now) > level * claim.weight)
+        let share = AMPLE * level * claim.weight;
+        let demand = table.teams.get_mut(claim.team);
+        demand.is_some_and(|demand| !demand.fits(claim.priority, share, now))
     }
 
     /// Keeps to the models that settings know.
--- a/crates/sesamegap-policy/src/load/queue/mod.rs
+++ b/crates/sesamegap-policy/src/load/queue/mod.rs
@@ -43,6 +43,9 @@
 /// reads all weights for one token of each stream, where prefill computes many at once.
 pub const ANSWER_COST: u64 = 4;
 
+/// Least engine priority of work within its share.
+const UPPER: u8 = 128;
+
 /// Where a request stands; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank {
@@ -58,6 +61,15 @@
         let priority = Reverse(priority);
         Self { excess, priority }
     }
+
+    /// Priority in an engine's own batch.
+    ///
+    /// Engines know nothing of shares. Without the upper half for work within them, a heavy
+    /// team's excess of a high class would overtake a light team's low class there.
+    pub fn in_engine(self) -> u8 {
+        let upper = if self.excess { 0 } else { UPPER };
+        upper + self.priority.0.min(UPPER - 1)
+    }
 }
 
 /// What requests of one lane have in common.
--- a/crates/sesamegap-policy/src/load/windows/mod.rs
+++ b/crates/sesamegap-policy/src/load/windows/mod.rs
@@ -1,19 +1,24 @@
 //! How much work one router keeps on each engine.
 //!
 //! What waits here can still be reordered, refused or sent elsewhere; what waits on an engine
-//! cannot. So each engine gets enough to keep its batch full, and no more. Three bounds hold:
+//! cannot. So each engine gets enough to keep its batch full, and no more. These bounds hold:
 //!
-//! - requests in flight, by a [`Window`];
-//! - prompt tokens sent and not yet computed, so that long prefills starve no short ones: the
+//! - requests of this router in flight, by a [`Window`];
+//! - requests waiting on the engine, whoever sent them, as it reports with a lag, and what this
+//!   router has sent since;
+//! - prompt tokens not yet computed there, so that long prefills starve no short ones: the
 //!   engine computes them one after another, and a short one behind four long ones is late;
-//! - a reserve in both, which only the highest class may use, so that it always finds room.
+//! - a reserve in each, which only the highest class may use, so that it always finds room.
 
 mod adaptive;
+mod backlog;
 
 pub use adaptive::AdaptiveWindow;
 
 use crate::placing::{Placement, Room};
+use backlog::Backlog;
 use rustc_hash::FxHashMap;
+use sesamegap_wire::engine::LoadReport;
 use sesamegap_wire::{Moment, RequestId, Tokens, UpstreamId};
 use std::fmt;
 
@@ -24,13 +29,14 @@
 /// Fewest requests one router may have in flight to an engine, however many routers there are.
 pub const FEWEST: usize = 4;
 
+/// Requests waiting on an engine: what it can start while a report is under way. With twice as
+/// many, low classes were overtaken on the engine itself for tens of seconds (docs/design/load.md).
+const WAITING: usize = 4;
+
 /// Prompt tokens sent to an engine and not yet computed, over all routers: two of today's long
 /// reviews, so that a short prompt waits for less than a long one takes.
 const PREFILL_TOTAL: u64 = 65_536;
 
-/// Least that one router may have sent: a long prompt must be possible at all.
-const PREFILL_LEAST: u64 = 16_384;
-
 /// Part of a window kept for the highest class: one in eight.
 const RESERVE: usize = 8;
 
@@ -87,13 +93,7 @@
 struct Engine {
     window: Box<dyn Window>,
     flights: usize,
-    prefill: u64,
-}
-
-#[derive(Debug)]
-struct Flight {
-    engine: UpstreamId,
-    prefill: u64,
+    backlog: Backlog,
 }
 
 /// Counts what is in flight to each engine.
@@ -101,7 +101,7 @@
 pub struct Windows {
     kind: WindowKind,
     engines: FxHashMap<UpstreamId, Engine>,
-    flights: FxHashMap<RequestId, Flight>,
+    flights: FxHashMap<RequestId, UpstreamId>,
     routers: usize,
 }
 
@@ -127,41 +127,45 @@
         self.routers = count.max(1);
     }
 
-    /// Books a request on its engine.
-    pub fn take(&mut self, request: &RequestId, at: &Placement, prefill: Tokens) {
-        self.release(request);
+    fn entry(&mut self, engine: &UpstreamId) -> &mut Engine {
         let kind = self.kind;
-        let engine = self.engines.entry(at.engine.clone());
-        let engine = engine.or_insert_with(|| Engine {
+        let entry = self.engines.entry(engine.clone());
+        entry.or_insert_with(|| Engine {
             window: kind.make(),
             flights: 0,
-            prefill: 0,
-        });
+            backlog: Backlog::default(),
+        })
+    }
+
+    /// Books a request on its engine.
+    pub fn take(&mut self, request: &RequestId, at: &Placement, prefill: Tokens, now: Moment) {
+        self.release(request);
+        let engine = self.entry(&at.engine);
         engine.flights += 1;
-        engine.prefill += prefill.0;
-        let flight = Flight {
-            engine: at.engine.clone(),
-            prefill: prefill.0,
-        };
-        self.flights.insert(request.clone(), flight);
+        engine.backlog.sent(request, prefill.0, now);
+        self.flights.insert(request.clone(), at.engine.clone());
+    }
+
+    /// Takes an engine's report of itself.
+    pub fn report(&mut self, engine: &UpstreamId, report: &LoadReport, now: Moment) {
+        let engine = self.entry(engine);
+        engine.backlog.report(report, now);
     }
 
     /// Notes that a request's prompt is computed.
     pub fn computed(&mut self, request: &RequestId, signal: Signal, now: Moment) {
-        let Some(flight) = self.flights.get_mut(request) else {
-            return;
-        };
-        let prefill = std::mem::take(&mut flight.prefill);
-        if let Some(engine) = self.engines.get_mut(&flight.engine) {
-            engine.prefill = engine.prefill.saturating_sub(prefill);
+        if let Some(engine) = self.flights.get(request)
+            && let Some(engine) = self.engines.get_mut(engine)
+        {
+            engine.backlog.computed(request);
             engine.window.signal(signal, engine.flights, now);
         }
     }
 
     /// Notes that an attempt failed on its engine.
     pub fn failed(&mut self, request: &RequestId, now: Moment) {
-        if let Some(flight) = self.flights.get(request)
-            && let Some(engine) = self.engines.get_mut(&flight.engine)
+        if let Some(engine) = self.flights.get(request)
+            && let Some(engine) = self.engines.get_mut(engine)
         {
             engine.window.signal(Signal::Late, engine.flights, now);
         }
@@ -169,12 +173,12 @@
 
     /// Ends a booking and says whether there was one; ending one twice does nothing.
     pub fn release(&mut self, request: &RequestId) -> bool {
-        let Some(flight) = self.flights.remove(request) else {
+        let Some(engine) = self.flights.remove(request) else {
             return false;
         };
-        if let Some(engine) = self.engines.get_mut(&flight.engine) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
             engine.flights -= 1;
-            engine.prefill = engine.prefill.saturating_sub(flight.prefill);
+            engine.backlog.computed(request);
         }
         true
     }
@@ -203,7 +207,7 @@
         let engines = self.engines.iter().map(|(id, engine)| {
             let limit = engine.window.limit(self.routers);
             let state = serde_json::json!({
-                "flights": engine.flights, "limit": limit, "prefill": engine.prefill,
+                "flights": engine.flights, "limit": limit, "prefill": engine.backlog.prefill(1),
             });
             (id.to_string(), state)
         });
@@ -212,7 +216,7 @@
 
     /// Load: saturation, and long prefills beside short ones. Harm prevented: a short prompt
     /// behind long ones on an engine, and the highest class behind all others. An engine with
-    /// no prefill of this router takes any one prompt, or the longest could never run.
+    /// nothing to compute takes any one prompt, or the longest could never run.
     fn has(&self, engine: &UpstreamId, prefill: Tokens, highest: bool) -> bool {
         let Some(engine) = self.engines.get(engine) else {
             return true;
@@ -220,12 +224,13 @@
         let limit = engine.window.limit(self.routers);
         let reserve = (limit / RESERVE).max(1);
         let usable = if highest { limit } else { limit - reserve };
-        if engine.flights >= usable {
+        let more = if highest { 2 } else { 1 };
+        let waiting = engine.backlog.waiting(self.routers);
+        if engine.flights >= usable || waiting >= WAITING * more {
             return false;
         }
-        let bound = (PREFILL_TOTAL / self.routers as u64).max(PREFILL_LEAST);
-        let bound = if highest { bound * 2 } else { bound };
-        engine.prefill == 0 || engine.prefill + prefill.0 <= bound
+        let queued = engine.backlog.prefill(self.routers);
+        queued == 0 || queued + prefill.0 <= PREFILL_TOTAL * more as u64
     }
 }
 
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the decisions, by subject.
+
+mod load;
+mod shifting;
+mod support;
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/support/engine.rs
@@ -0,0 +1,130 @@
+//! An engine in virtual time: chunks of prefill by priority, and a batch that decodes.
+
+use sesamegap_wire::engine::LoadReport;
+use sesamegap_wire::{Incarnation, Moment, RequestId, Tokens, WeightsVersion};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Streams that one engine answers at once.
+const BATCH: usize = 16;
+
+/// Time of one answer token.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Prompt tokens computed a second by an engine of speed 1.
+const SPEED: f64 = 20_000.0;
+
+/// Prompt tokens computed before the engine looks again who goes first.
+const PIECE: u64 = 2_048;
+
+/// A request as an engine sees it.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub request: RequestId,
+    pub tokens: u64,
+    pub answer: u64,
+    pub priority: u8,
+}
+
+/// What happens on an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Tick {
+    First(RequestId),
+    Done(RequestId),
+}
+
+#[derive(Debug)]
+pub struct Engine {
+    pub speed: f64,
+    waiting: BTreeMap<(Reverse<u8>, u64), Job>,
+    computing: Option<(Moment, (Reverse<u8>, u64), Job)>,
+    decoding: BTreeSet<(Moment, RequestId)>,
+    seq: u64,
+}
+
+impl Engine {
+    pub fn new(speed: f64) -> Self {
+        Self {
+            speed,
+            waiting: BTreeMap::new(),
+            computing: None,
+            decoding: BTreeSet::new(),
+            seq: 0,
+        }
+    }
+
+    pub fn take(&mut self, job: Job, now: Moment) {
+        self.seq += 1;
+        self.waiting.insert((Reverse(job.priority), self.seq), job);
+        self.start(now);
+    }
+
+    /// Starts the next piece of the prompt that goes first.
+    fn start(&mut self, now: Moment) {
+        if self.computing.is_some() || self.decoding.len() >= BATCH {
+            return;
+        }
+        if let Some((place, mut job)) = self.waiting.pop_first() {
+            let piece = job.tokens.min(PIECE);
+            job.tokens -= piece;
+            let time = Duration::from_secs_f64(piece as f64 / (SPEED * self.speed));
+            self.computing = Some((now + time, place, job));
+        }
+    }
+
+    /// When something happens next.
+    pub fn next(&self) -> Option<Moment> {
+        let computed = self.computing.as_ref().map(|(at, ..)| *at);
+        let decoded = self.decoding.first().map(|(at, _)| *at);
+        computed.into_iter().chain(decoded).min()
+    }
+
+    /// What happens by now; call it at each [`Engine::next`].
+    pub fn tick(&mut self, now: Moment) -> Vec<Tick> {
+        let mut ticks = Vec::new();
+        while self.decoding.first().is_some_and(|(at, _)| *at <= now) {
+            ticks.extend(self.decoding.pop_first().map(|(_, job)| Tick::Done(job)));
+        }
+        if let Some((_, place, job)) = self.computing.take_if(|(at, ..)| *at <= now) {
+            if job.tokens > 0 {
+                self.waiting.insert(place, job);
+            } else {
+                ticks.push(Tick::First(job.request.clone()));
+                let time = STEP.mul_f64(job.answer as f64 / self.speed);
+                self.decoding.insert((now + time, job.request));
+            }
+        }
+        self.start(now);
+        ticks
+    }
+
+    /// Drops all it has, as a crash does.
+    pub fn crash(&mut self) -> Vec<RequestId> {
+        let mut lost: Vec<_> = self
+            .waiting
+            .values()
+            .map(|job| job.request.clone())
+            .collect();
+        lost.extend(self.computing.take().map(|(_, _, job)| job.request));
+        lost.extend(self.decoding.iter().map(|(_, request)| request.clone()));
+        *self = Self::new(self.speed);
+        lost
+    }
+
+    pub fn report(&self) -> LoadReport {
+        let queued = self.waiting.values().map(|job| job.tokens).sum();
+        LoadReport {
+            incarnation: Incarnation(1),
+            age: Duration::ZERO,
+            running: u32::try_from(self.decoding.len()).expect("few"),
+            waiting: u32::try_from(self.waiting.len()).expect("few"),
+            prefill: Tokens(queued),
+            capacity: 1_000,
+            loaded: vec![("m".parse().expect("a name"), WeightsVersion(1))],
+            loading: false,
+            leaving: false,
+            fence: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/support/least.rs
@@ -0,0 +1,110 @@
+//! A placer that knows load and nothing of caches, so that tests of load depend on load alone.
+
+use rand::Rng;
+use sesamegap_policy::placing::{Ask, Need, Placed, Placement, Placer, Room};
+use sesamegap_wire::engine::{CacheBatch, EngineEntry, Listing, LoadReport};
+use sesamegap_wire::peer::{Digest, Warmth};
+use sesamegap_wire::{Moment, RequestId, Tokens, UpstreamId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Picks the engine with the least prefill, reported or sent since.
+#[derive(Debug, Default)]
+pub struct LeastPlacer {
+    engines: BTreeMap<UpstreamId, Option<LoadReport>>,
+    sent: BTreeMap<RequestId, (UpstreamId, u64)>,
+}
+
+impl LeastPlacer {
+    fn load(&self, engine: &UpstreamId, report: &LoadReport) -> u64 {
+        let own = self.sent.values().filter(|(at, _)| at == engine);
+        let own: u64 = own.map(|(_, tokens)| tokens).sum();
+        own.max(report.prefill.0) + u64::from(report.running + report.waiting) * 500
+    }
+}
+
+impl Placer for LeastPlacer {
+    fn fleet(&mut self, engines: &[EngineEntry], _now: Moment) {
+        self.engines = engines
+            .iter()
+            .map(|entry| (entry.id.clone(), None))
+            .collect();
+    }
+
+    fn report(&mut self, engine: &UpstreamId, report: &LoadReport, _now: Moment) {
+        self.engines.insert(engine.clone(), Some(report.clone()));
+    }
+
+    fn cache(&mut self, _engine: &UpstreamId, _batch: &CacheBatch, _now: Moment) -> Need {
+        Need::Nothing
+    }
+
+    fn listing(&mut self, _engine: &UpstreamId, _listing: &Listing, _now: Moment) {}
+
+    fn place(
+        &mut self,
+        ask: &Ask<'_>,
+        room: &dyn Room,
+        _now: Moment,
+        _rng: &mut dyn Rng,
+    ) -> Placed {
+        let live = self
+            .engines
+            .iter()
+            .filter(|(id, _)| !ask.barred.contains(id));
+        let live: Vec<_> = live
+            .filter_map(|(id, report)| Some((id, report.as_ref()?)))
+            .collect();
+        if live.is_empty() {
+            return Placed::Nowhere;
+        }
+        let free = live
+            .into_iter()
+            .filter(|(id, _)| room.has(id, ask.chain.tokens));
+        let best = free.min_by_key(|(id, report)| self.load(id, report));
+        best.map_or(Placed::Full(Duration::from_millis(50)), |(id, report)| {
+            Placed::At(Placement {
+                engine: id.clone(),
+                incarnation: report.incarnation,
+                cached: Tokens(0),
+                wait: Duration::ZERO,
+                import: None,
+            })
+        })
+    }
+
+    fn sent(&mut self, ask: &Ask<'_>, at: &Placement, _now: Moment) {
+        let booked = (at.engine.clone(), ask.chain.tokens.0);
+        self.sent.insert(ask.request.clone(), booked);
+    }
+
+    fn started(&mut self, _request: &RequestId, _cached: Tokens, _now: Moment) {}
+
+    fn first(&mut self, request: &RequestId, _now: Moment) {
+        if let Some((_, tokens)) = self.sent.get_mut(request) {
+            *tokens = 500;
+        }
+    }
+
+    fn finished(&mut self, request: &RequestId, _whole: bool, _now: Moment) {
+        self.sent.remove(request);
+    }
+
+    fn failed(&mut self, engine: &UpstreamId, _now: Moment) {
+        self.engines.insert(engine.clone(), None);
+    }
+
+    fn peer(&mut self, _from: &str, _digest: &Digest, _now: Moment) {}
+
+    fn digest(&mut self, _digest: &mut Digest, _now: Moment) {}
+
+    fn warm(&mut self, _warmth: &Warmth, _now: Moment) {}
+
+    fn warmth(&self, _now: Moment) -> Warmth {
+        Warmth::default()
+    }
+
+    fn dump(&self, _now: Moment) -> serde_json::Value {
+        serde_json::Value::Null
+    }
+}
