Learn what part of a backlog a priority waits for, and keep slow engines' weight down longer

Change: speeds fade over a minute and trust one short prompt; each unit of slowness above 1.5 costs a second; a class's part of the backlog is learned from its answers.

--- a/crates/sesamegap-policy/src/placing/builder.rs
+++ b/crates/sesamegap-policy/src/placing/builder.rs
@@ -8,6 +8,7 @@
 use super::index::Index;
 use super::peers::Peers;
 use super::prefix::PrefixPlacer;
+use super::turns::Turns;
 use rustc_hash::FxHashMap;
 use sesamegap_wire::{DomainId, Moment};
 
@@ -47,6 +48,7 @@
             heat: Heat::default(),
             flights: Flights::default(),
             peers: Peers::default(),
+            turns: Turns::default(),
             feed: Feed::default(),
             candidates: Candidates::default(),
             blocks: FxHashMap::default(),
--- a/crates/sesamegap-policy/src/placing/cost.rs
+++ b/crates/sesamegap-policy/src/placing/cost.rs
@@ -10,6 +10,15 @@
 
 use sesamegap_wire::Tokens;
 
+/// Slowness that counts as ordinary for uneven hardware.
+const SLOW_FROM: f64 = 1.5;
+
+/// Slowness beyond which an engine is no worse.
+const SLOW_MOST: f64 = 8.0;
+
+/// Seconds that each unit of slowness costs.
+const SLOW: f64 = 1.0;
+
 /// Part of evicted blocks that will be computed again, under the usual pressure.
 const EVICT: f64 = 1.0;
 
@@ -37,6 +46,8 @@
     pub missing: Tokens,
     /// Seconds a token takes there.
     pub per_token: f64,
+    /// Its seconds per token in relation to the fleet's.
+    pub slowness: f64,
     /// Part of the missing blocks for which others are evicted.
     pub evicting: f64,
     /// Pressure on the cache: 1 where blocks are evicted at the age typical of the fleet.
@@ -60,7 +71,8 @@
         let rank = compute * RANK * self.rank as f64;
         let evict = compute * EVICT * self.evicting * self.pressure;
         let across = if self.across { ACROSS } else { 0.0 };
-        self.wait + compute + evict + rank + across
+        let slow = (self.slowness - SLOW_FROM).clamp(0.0, SLOW_MOST) * SLOW;
+        slow + self.wait + compute + evict + rank + across
     }
 }
 
--- a/crates/sesamegap-policy/src/placing/flights.rs
+++ b/crates/sesamegap-policy/src/placing/flights.rs
@@ -34,6 +34,10 @@
     pub prompt: Tokens,
     /// Tokens to compute, as booked on the engine.
     pub missing: Tokens,
+    /// Priority of its class.
+    pub priority: u8,
+    /// When it was sent, and the seconds of backlog found then.
+    pub sent: (Moment, f64),
     /// Whether it counts as a cold prefill.
     pub cold: bool,
     /// How far it has come.
--- a/crates/sesamegap-policy/src/placing/mod.rs
+++ b/crates/sesamegap-policy/src/placing/mod.rs
@@ -25,6 +25,7 @@
 mod prefix;
 pub mod ring;
 pub mod speed;
+mod turns;
 
 pub use builder::PrefixBuilder;
 pub use plain::PlainPlacer;
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -15,6 +15,7 @@
 use super::index::Index;
 use super::peers::Peers;
 use super::ring::EngineNo;
+use super::turns::Turns;
 use super::{Ask, Need, Placed, Placement, Placer, PrefixBuilder, Room};
 use rand::Rng;
 use rustc_hash::FxHashMap;
@@ -90,6 +91,7 @@
     pub(super) heat: Heat,
     pub(super) flights: Flights,
     pub(super) peers: Peers,
+    pub(super) turns: Turns,
     pub(super) feed: Feed,
     pub(super) candidates: Candidates,
     pub(super) blocks: FxHashMap<ModelId, Tokens>,
@@ -150,7 +152,10 @@
             .saturating_sub(self.index.held(engine.slot));
         let evicted = (stored as u64).saturating_sub(free);
         Offer {
-            wait: engine.backlog.wait(now, per_token).as_secs_f64() + engine.silence(now),
+            wait: engine.backlog.wait(now, per_token).as_secs_f64()
+                * self.turns.part(ask.class.priority)
+                + engine.silence(now),
+            slowness: per_token / self.engines.typical,
             missing: ask.chain.tokens - held,
             per_token,
             evicting: evicted as f64 / stored.max(1) as f64,
@@ -183,8 +188,10 @@
                 weighed.open.push((cost, found.engine, offer));
                 weighed.best = weighed.best.min(cost);
             } else if !engine.stalled(now) {
-                weighed.full = weighed.full.min(cost);
-                weighed.wait = weighed.wait.min(offer.wait);
+                // Room comes when own work is done, whatever the request's priority.
+                let own = engine.backlog.own().0 as f64 * offer.per_token;
+                weighed.full = weighed.full.min(cost + (own - offer.wait).max(0.0));
+                weighed.wait = weighed.wait.min(own);
             }
         }
         weighed
@@ -340,6 +347,7 @@
         if engine.backlog.own().0 == 0 {
             engine.heard = now;
         }
+        let backlog = engine.backlog.wait(now, per_token).as_secs_f64();
         engine.backlog.send(missing, now, per_token);
         engine.cold += u32::from(cold);
         let slot = engine.slot;
@@ -353,6 +361,8 @@
             keys: Arc::clone(&ask.chain.keys),
             prompt: ask.chain.tokens,
             missing,
+            priority: ask.class.priority,
+            sent: (now, backlog),
             cold,
             stage: Stage::Sent,
         };
@@ -402,6 +412,10 @@
             return;
         };
         engine.heard = now;
+        let compute = before.missing.0 as f64 * engine.speed.per_token(typical, now);
+        let (sent, foretold) = before.sent;
+        let waited = now.since(sent).as_secs_f64() - compute;
+        self.turns.learn(before.priority, waited, foretold);
         if let Stage::Started { at, alone: true } = before.stage {
             let took = now.since(at);
             engine.speed.learn(before.missing, took, typical, now);
--- a/crates/sesamegap-policy/src/placing/speed.rs
+++ b/crates/sesamegap-policy/src/placing/speed.rs
@@ -12,10 +12,10 @@
 pub const AT_FIRST: f64 = 5e-5;
 
 /// Time in which what was seen loses half its weight: long against a queue, short against a shift.
-const HALF_LIFE: Duration = Duration::from_secs(20);
+const HALF_LIFE: Duration = Duration::from_secs(60);
 
-/// Tokens' worth of trust in the typical speed: one cache block.
-const PRIOR: f64 = 4096.0;
+/// Tokens' worth of trust in the typical speed: one short prompt whose prefix is cached.
+const PRIOR: f64 = 1024.0;
 
 /// Tokens seen that count at most; older ones are scaled down.
 const MEMORY: f64 = 65_536.0;
