--- a/crates/sesamegap-policy/src/placing/speed.rs
+++ b/crates/sesamegap-policy/src/placing/speed.rs
@@ -12,7 +12,7 @@
 pub const AT_FIRST: f64 = 5e-5;
 
 /// Time in which what was seen loses half its weight: long against a queue, short against a shift.
-const HALF_LIFE: Duration = Duration::from_secs(60);
+const HALF_LIFE: Duration = Duration::from_mins(1);
 
 /// Tokens' worth of trust in the typical speed: one short prompt whose prefix is cached.
 const PRIOR: f64 = 1024.0;
