--- a/crates/sesamegap-policy/src/placing/speed.rs
+++ b/crates/sesamegap-policy/src/placing/speed.rs
@@ -12,19 +12,23 @@
 pub const AT_FIRST: f64 = 5e-5;
 
 /// Time in which what was seen loses half its weight: long against a queue, short against a shift.
-const HALF_LIFE: Duration = Duration::from_secs(20);
+const HALF_LIFE: Duration = Duration::from_mins(1);
 
-/// Tokens' worth of trust in the typical speed: one cache block.
-const PRIOR: f64 = 4096.0;
+/// Tokens' worth of trust in the typical speed: one short prompt whose prefix is cached.
+const PRIOR: f64 = 1024.0;
 
 /// Tokens seen that count at most; older ones are scaled down.
 const MEMORY: f64 = 65_536.0;
 
+/// What is kept of the past at each prompt: about the last 12 count, so that a drift shows within
+/// as many prompts, however short they are.
+const KEPT: f64 = 11.0 / 12.0;
+
 /// Tokens that stand for the fixed cost of starting a prompt.
 const START: f64 = 256.0;
 
 /// A sample this many times over the present speed counts as so many: a pause is no drift.
-const CLIP: f64 = 8.0;
+const CLIP: f64 = 3.0;
 
 /// Learned speed of one engine.
 #[derive(Debug, Clone, Default)]
@@ -46,7 +50,7 @@
         let tokens = tokens.0 as f64 + START;
         let most = self.per_token(typical, now) * CLIP * tokens;
         let time = took.as_secs_f64().min(most);
-        let faded = self.faded(now);
+        let faded = self.faded(now) * KEPT;
         let room = (MEMORY / (self.tokens * faded + tokens)).min(1.0);
         self.time = (self.time * faded + time) * room;
         self.tokens = (self.tokens * faded + tokens) * room;
