--- a/crates/sesamegap/src/router/tree/mod.rs
+++ b/crates/sesamegap/src/router/tree/mod.rs
@@ -128,19 +128,21 @@
         adopted.then_some(next)
     }
 
+    /// Puts the fold's settings in force, for the decider before callers' requests.
+    ///
+    /// The other way round, a request checked against a new class or model would reach a decider
+    /// that does not know it yet, and be refused. The lock keeps two threads from overtaking.
     fn put_in_force(&self) {
-        let (next, catalogue) = {
-            let fold = lock(&self.fold);
-            (fold.next(), fold.catalogue())
-        };
-        let former = self.in_force.swap(Arc::clone(&catalogue));
-        self.moved.send_replace(next);
-        if former.revision == catalogue.revision {
-            return;
-        }
+        let fold = lock(&self.fold);
+        let catalogue = fold.catalogue();
         let revision = catalogue.revision;
-        tracing::info!(event = events::SETTINGS_IN_FORCE.number, %revision, "settings in force");
-        self.decider.tell(Observation::Settings(catalogue));
+        if revision != self.in_force.load().revision {
+            self.decider
+                .tell(Observation::Settings(Arc::clone(&catalogue)));
+            self.in_force.store(catalogue);
+            tracing::info!(event = events::SETTINGS_IN_FORCE.number, %revision, "settings in force");
+        }
+        self.moved.send_replace(fold.next());
     }
 }
 
