Show that a reused connection does not make a request run twice

Cause: an HTTP library may take a request that was read for one that met a connection closed while idle, and send it again. Change: a test in which the target reads the second request on a connection and hangs up. Conclusion: below the router nothing is sent again.

--- a/crates/sesamegap-http/tests/testsuite/pool.rs
+++ b/crates/sesamegap-http/tests/testsuite/pool.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-const HELLO: Manner = Manner::Answer("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello");
+const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+const HELLO: Manner = Manner::Answer(ANSWER);
 
 fn settings() -> Builder {
     Settings::builder()
@@ -74,6 +75,18 @@
     assert_eq!(server.requests(), 1);
 }
 
+/// The target reads a request on a connection used before and hangs up. A library that takes this
+/// for a connection closed while idle would send the request again on a new one.
+#[tokio::test]
+async fn nor_is_it_on_a_connection_used_before() {
+    let server = Server::start(Manner::AnswerOnce(ANSWER)).await;
+    let pool = Pool::new(server.url(), settings().build());
+    get(&pool).await.unwrap();
+    let failure = get(&pool).await.unwrap_err();
+    assert!(matches!(failure, Failure::Broken(_)), "{failure}");
+    assert_eq!((server.connections(), server.requests()), (1, 2));
+}
+
 /// A redirect would write the same request to a second place.
 #[tokio::test]
 async fn a_redirect_is_not_followed() {
--- a/crates/sesamegap-http/tests/testsuite/server.rs
+++ b/crates/sesamegap-http/tests/testsuite/server.rs
@@ -17,6 +17,8 @@
     Mute,
     /// Closes the connection.
     Close,
+    /// Writes this to the first request on a connection, and closes it at the second.
+    AnswerOnce(&'static str),
 }
 
 #[derive(Debug)]
@@ -60,6 +62,7 @@
 
 async fn serve(mut tcp: TcpStream, manner: Manner, requests: Arc<AtomicUsize>) {
     let mut head = Vec::new();
+    let mut answered = false;
     while let Ok(byte) = tcp.read_u8().await {
         head.push(byte);
         if !head.ends_with(b"\r\n\r\n") {
@@ -75,6 +78,11 @@
             }
             Manner::Mute => {}
             Manner::Close => return,
+            Manner::AnswerOnce(_) if answered => return,
+            Manner::AnswerOnce(text) => {
+                answered = true;
+                drop(tcp.write_all(text.as_bytes()).await);
+            }
         }
     }
 }
--- a/crates/sesamegap-standin/src/faults/mod.rs
+++ b/crates/sesamegap-standin/src/faults/mod.rs
@@ -1,7 +1,8 @@
 //! The failures that a stand-in can be told to bring about.
 //!
 //! A fault is switched on for the next occasion only, which suits tests, or for a span of time,
-//! which suits a demonstration and a soak. [`Switches`] is what a stand-in asks at each occasion.
+//! which suits a demonstration and a soak. A stand-in asks its switches at
+//! each occasion.
 
 mod kind;
 
