--- a/crates/sesamegap-policy/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/support/mod.rs
@@ -77,7 +77,7 @@
             .map(|(n, c)| (n.parse().expect("valid"), c))
             .collect(),
         models: [(named("m"), model)].into(),
-        services: std::collections::BTreeMap::new(),
+        ..Catalogue::default()
     }
 }
 
