Kill a router's server before its ports are used again

Cause: the local deployment waits for a kill; it was made not to be waited for. Change: kill waits until the server is dropped, as before.

--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -301,10 +301,9 @@
     }
 
     /// Stops at once, as a crash would.
-    ///
-    /// The port is free once the runtime has dropped the server, a moment later.
-    pub fn kill(self) {
+    pub async fn kill(mut self) {
         self.server.abort();
+        drop((&mut self.server).await);
         self.end();
     }
 
--- a/crates/sesamegap/tests/testsuite/router/stops.rs
+++ b/crates/sesamegap/tests/testsuite/router/stops.rs
@@ -1,6 +1,8 @@
 //! Planned stops and restarts.
 
-use crate::support::{ALPHA, Got, PATIENCE, Site, answer, plan, question, read, timing, url};
+use crate::support::{
+    ALPHA, Got, PATIENCE, Site, answer, plan, plan_with, question, read, timing, url,
+};
 use reqwest::{Method, StatusCode};
 use std::time::Duration;
 
--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -139,16 +139,10 @@
     pub async fn restart(&mut self, number: usize) {
         let old = self.routers.remove(number);
         let at = old.addr();
-        old.kill();
+        old.kill().await;
         let config = self.config(number, Some(at), timing());
-        let running = loop {
-            let router = Router::new(config.clone(), Links::http(&config));
-            // The port of the former life is freed by a task of this very runtime.
-            match router.start().await {
-                Ok(running) => break running,
-                Err(_) => tokio::task::yield_now().await,
-            }
-        };
+        let running = Router::new(config.clone(), Links::http(&config));
+        let running = running.start().await.unwrap();
         self.routers.insert(number, running);
     }
 
