--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -35,9 +35,14 @@
 }
 
 pub fn plan() -> Builder {
+    plan_with(Duration::from_millis(1))
+}
+
+/// A plan whose engines take so long between two tokens.
+pub fn plan_with(decode: Duration) -> Builder {
     let engine = EngineLimits {
         prefill: Duration::from_micros(1),
-        decode: Duration::from_millis(1),
+        decode,
         beat: Duration::from_millis(20),
         events: Duration::ZERO,
         report: Duration::from_millis(10),
