Order engines under a lease, one controller acting

Cause: nobody loaded a new version of weights or a model in demand. Change: controllers on every entry VM; the holder of the lease looks at the engines, asks routers for settings and demand, and gives the planner's orders, asking the lease by a clock that goes on through suspension right before each. Routers count demand by model, refused requests included.

--- a/crates/sesamegap/src/events/mod.rs
+++ b/crates/sesamegap/src/events/mod.rs
@@ -52,4 +52,8 @@
     CLAIM_RELEASED = 151, "A claim that was never dispatched is released.";
     WARM_START = 160, "Knowledge of caches and heat was taken over from a peer.";
     PEER_REFUSED = 161, "A message without the shared secret was refused.";
+    LEASE_HELD = 170, "A controller holds the lease and gives orders from now on.";
+    LEASE_LOST = 171, "A controller lost the lease and gives no orders any longer.";
+    ORDER_GIVEN = 172, "A controller gave an order to an engine; its outcome is logged with it.";
+    ORDER_FENCED = 173, "An engine refused an order since one with a higher fencing number came before.";
 }
--- a/crates/sesamegap/src/lib.rs
+++ b/crates/sesamegap/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod config;
+pub mod controller;
 pub mod ctl;
 pub mod events;
 pub mod local;
--- a/crates/sesamegap/src/local/deployment.rs
+++ b/crates/sesamegap/src/local/deployment.rs
@@ -4,6 +4,7 @@
 use super::traffic::demo_key;
 use crate::admin::{ChangeAnswer, TreeAnswer};
 use crate::config::{CtlConfig, ProcessConfig, Timing};
+use crate::controller;
 use crate::ctl::client::Client;
 use crate::ctl::file::Publishable;
 use crate::ctl::publish::{Publication, edits, fresh_id};
@@ -44,6 +45,7 @@
     standins: Arc<Standins>,
     routers: Arc<Routers>,
     locators: Vec<locator::Running>,
+    controllers: Vec<controller::Running>,
 }
 
 impl Deployment {
@@ -58,6 +60,7 @@
         let standins = Arc::new(Standins::start(plan).await?);
         let routers = Arc::new(Routers::start(&site, &standins).await?);
         let locators = start_locators(&site, &standins, &routers).await?;
+        let controllers = start_controllers(&site, &standins).await?;
         standins.on_restart(Arc::clone(&routers) as Arc<dyn Restart>);
         let deployment = Self {
             site,
@@ -66,6 +69,7 @@
             standins,
             routers,
             locators,
+            controllers,
         };
         let tree = deployment.site.tree.clone();
         deployment.publish(tree).await?;
@@ -102,6 +106,14 @@
         self.locators.iter().map(locator::Running::addr).collect()
     }
 
+    /// The controllers' states after their last rounds.
+    pub fn controllers(&self) -> Vec<Value> {
+        self.controllers
+            .iter()
+            .map(controller::Running::dump)
+            .collect()
+    }
+
     /// What a person or another program needs to use the deployment.
     pub fn greeting(&self) -> Value {
         let urls = |addrs: Vec<SocketAddr>| -> Vec<String> {
@@ -124,6 +136,7 @@
 
     /// Stops as planned: no request in flight is cut.
     pub async fn stop(self) {
+        join_all(self.controllers.into_iter().map(controller::Running::stop)).await;
         self.routers.stop().await;
         join_all(self.locators.into_iter().map(locator::Running::stop)).await;
     }
@@ -409,6 +422,16 @@
     Ok(locators)
 }
 
+async fn start_controllers(site: &Site, standins: &Standins) -> Result<Vec<controller::Running>> {
+    let mut controllers = Vec::new();
+    for index in 0..site.routers {
+        let config = process(site, standins, index, "controller")?;
+        let links = controller::Links::http(&config);
+        controllers.push(controller::start(config, links).await?);
+    }
+    Ok(controllers)
+}
+
 fn process(site: &Site, standins: &Standins, index: usize, what: &str) -> Result<ProcessConfig> {
     let vm: VmId = format!("entry-{}", index + 1)
         .parse()
--- a/crates/sesamegap/src/router/callers/chat.rs
+++ b/crates/sesamegap/src/router/callers/chat.rs
@@ -132,6 +132,7 @@
     if chain.tokens > spec.longest {
         return Err(too_long(chain.tokens, spec.longest));
     }
+    core.demand.asked(&model, chain.tokens);
     let wanted = body.max_completion_tokens.or(body.max_tokens);
     let answer = wanted.map_or(spec.answer, |wanted| Tokens(wanted.max(1)).min(spec.answer));
     let repeatable = asked.repeatable.unwrap_or(asked.key.is_none());
--- a/crates/sesamegap/src/router/core.rs
+++ b/crates/sesamegap/src/router/core.rs
@@ -2,6 +2,7 @@
 
 use super::clock::Clock;
 use super::deciding::DeciderHandle;
+use super::demand::Demand;
 use super::fleet::Fleet;
 use super::once::Once;
 use super::peers::{PeerClient, Peers, ProbedPeers};
@@ -47,6 +48,8 @@
     pub members: Arc<ProbedPeers>,
     /// Speaks to other routers.
     pub peer_client: PeerClient,
+    /// How much of each model is asked for.
+    pub demand: Demand,
     /// The platform's log.
     pub log: Arc<dyn Log>,
     /// Metrics.
--- a/crates/sesamegap/src/router/mod.rs
+++ b/crates/sesamegap/src/router/mod.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod core;
 pub mod deciding;
+pub mod demand;
 mod door;
 pub mod fleet;
 pub mod follow_log;
@@ -28,6 +29,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Locks, whatever a panicking holder left: every holder leaves the data whole at each step.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sesamegap/src/router/peers/client.rs
+++ b/crates/sesamegap/src/router/peers/client.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sesamegap_wire::peer::Warmth;
-use sesamegap_wire::{VmId, codec};
+use sesamegap_wire::{ModelId, VmId, codec};
 use smol_str::SmolStr;
 use std::error::Error;
 use std::fmt;
@@ -92,6 +92,14 @@
         self.ask(to, "warmth", &()).await
     }
 
+    /// Fetches the demand for each model, in prompt tokens a second.
+    ///
+    /// # Errors
+    /// If no usable answer comes in time.
+    pub async fn demand(&self, to: SocketAddr) -> Result<Vec<(ModelId, f64)>, PeerError> {
+        self.ask(to, "demand", &()).await
+    }
+
     /// Fetches newer settings.
     ///
     /// # Errors
--- a/crates/sesamegap/src/router/peers/endpoints.rs
+++ b/crates/sesamegap/src/router/peers/endpoints.rs
@@ -22,6 +22,7 @@
         .at("/peer/probe", post(on_probe))
         .at("/peer/probe-for", post(on_probe_for))
         .at("/peer/warmth", post(on_warmth))
+        .at("/peer/demand", post(on_demand))
         .at("/peer/settings", post(on_settings))
         .at("/peer/relay", post(on_relay))
         .at("/peer/resume", post(on_resume))
@@ -79,6 +80,16 @@
     answer(&warmth.unwrap_or_default())
 }
 
+#[handler]
+async fn on_demand(
+    request: &Request,
+    body: Body,
+    Data(core): Data<&Shared>,
+) -> Result<Response, ApiError> {
+    let (): () = read(core, request, body).await?;
+    answer(&core.demand.now())
+}
+
 #[handler]
 async fn on_settings(
     request: &Request,
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -4,6 +4,7 @@
 use super::clock::{Clock, unix_ms};
 use super::core::Core;
 use super::deciding::{self, DeciderThread};
+use super::demand::Demand;
 use super::door::Door;
 use super::fleet::{Connect, Fleet, HttpConnect, follow, http_settings};
 use super::follow_log;
@@ -144,6 +145,7 @@
             peers,
             members,
             peer_client: PeerClient::new(&config)?,
+            demand: Demand::new(clock),
             log: Arc::clone(&links.log),
             telemetry: Telemetry::new()?,
             tree: SettingsTree::new(handle),
