Keep a placement's cost off the fleet's size

Change: 2,048 index shards swept within a minute, a table over the ring, seeds, ring members and slots in arrays, upkeep on reports and digests only.

--- a/crates/sesamegap-policy/src/placing/candidates.rs
+++ b/crates/sesamegap-policy/src/placing/candidates.rs
@@ -50,11 +50,11 @@
         let Some(ring) = engines.ring(ask.model, ask.version) else {
             return false;
         };
-        let seeds = |no| engines.get(no).map_or(0, |e| e.seed);
+        let seeds = |no| engines.seed(no);
         self.finder
             .find(ask.chain, ring, heat, seeds, &mut self.homes);
         index.depths(&ask.chain.keys, now, &mut self.depths);
-        self.add_holders(ask, engines, draws.0);
+        self.add_holders(ring, engines, draws.0);
         for at in 0..self.homes.len().min(HOMES) {
             self.add(self.homes[at], engines);
         }
@@ -63,7 +63,7 @@
     }
 
     /// Adds the holders of the longest prefixes, ties in an order that each request draws anew.
-    fn add_holders(&mut self, ask: &Ask<'_>, engines: &Engines, draw: u64) {
+    fn add_holders(&mut self, ring: &Ring, engines: &Engines, draw: u64) {
         let turn = usize::try_from(draw >> 32).unwrap_or(0) % self.depths.len().max(1);
         self.depths.rotate_left(turn);
         self.depths.sort_by_key(|d| std::cmp::Reverse(d.blocks));
@@ -72,7 +72,7 @@
             let Some(no) = engines.of_slot(self.depths[at].slot) else {
                 continue;
             };
-            if !engines.serves(no, ask.model, ask.version) {
+            if !ring.has(no) {
                 continue;
             }
             self.add(no, engines);
--- a/crates/sesamegap-policy/src/placing/engines.rs
+++ b/crates/sesamegap-policy/src/placing/engines.rs
@@ -125,8 +125,11 @@
 #[derive(Debug)]
 pub struct Engines {
     all: Vec<Option<Engine>>,
+    /// Seeds by number, close together: a home set reads many of them.
+    seeds: Vec<u64>,
     numbers: FxHashMap<UpstreamId, EngineNo>,
-    by_slot: FxHashMap<Slot, EngineNo>,
+    /// The engine of each slot, by the slot's number.
+    by_slot: Vec<Option<EngineNo>>,
     rings: FxHashMap<ModelId, Vec<(WeightsVersion, Ring)>>,
     /// Seconds a token takes on the middle engine.
     pub typical: f64,
@@ -138,8 +141,9 @@
     fn default() -> Self {
         Self {
             all: Vec::new(),
+            seeds: Vec::new(),
             numbers: FxHashMap::default(),
-            by_slot: FxHashMap::default(),
+            by_slot: Vec::new(),
             rings: FxHashMap::default(),
             typical: speed::AT_FIRST,
             typical_age: 1.0,
@@ -225,8 +229,15 @@
         };
         let old = engine.slot;
         engine.slot = slot;
-        self.by_slot.remove(&old);
-        self.by_slot.insert(slot, no);
+        self.by_slot[old.at()] = None;
+        self.enter_slot(slot, no);
+    }
+
+    fn enter_slot(&mut self, slot: Slot, no: EngineNo) {
+        if self.by_slot.len() <= slot.at() {
+            self.by_slot.resize(slot.at() + 1, None);
+        }
+        self.by_slot[slot.at()] = Some(no);
     }
 
     /// The number of an engine.
@@ -236,7 +247,7 @@
 
     /// The engine whose cache has a slot.
     pub fn of_slot(&self, slot: Slot) -> Option<EngineNo> {
-        self.by_slot.get(&slot).copied()
+        self.by_slot.get(slot.at()).copied().flatten()
     }
 
     /// An engine by its number.
@@ -249,6 +260,11 @@
         self.all.get_mut(no.at())?.as_mut()
     }
 
+    /// A number for hashing that an engine has in every router.
+    pub fn seed(&self, no: EngineNo) -> u64 {
+        self.seeds.get(no.at()).copied().unwrap_or(0)
+    }
+
     /// All engines with their numbers.
     pub fn iter(&self) -> impl Iterator<Item = (EngineNo, &Engine)> {
         let all = self.all.iter().enumerate();
@@ -262,14 +278,6 @@
         (!ring.is_empty()).then_some(ring)
     }
 
-    /// Whether an engine holds some weights and takes work.
-    pub fn serves(&self, no: EngineNo, model: &ModelId, version: WeightsVersion) -> bool {
-        self.get(no).is_some_and(|engine| {
-            let loaded = engine.report.as_ref().map_or(&[][..], |r| &r.loaded);
-            engine.usable() && loaded.iter().any(|(m, v)| m == model && *v == version)
-        })
-    }
-
     /// Seconds a token takes on an engine.
     pub fn per_token(&self, engine: &Engine, now: Moment) -> f64 {
         engine.speed.per_token(self.typical, now)
@@ -320,10 +328,12 @@
         };
         if at == self.all.len() {
             self.all.push(None);
+            self.seeds.push(0);
         }
+        self.seeds[at] = engine.seed;
         self.all[at] = Some(engine);
         self.numbers.insert(entry.id.clone(), no);
-        self.by_slot.insert(slot, no);
+        self.enter_slot(slot, no);
         Some(no)
     }
 
@@ -332,7 +342,7 @@
             return;
         };
         index.close(engine.slot);
-        self.by_slot.remove(&engine.slot);
+        self.by_slot[engine.slot.at()] = None;
         self.numbers.remove(&engine.id);
         for (_, ring) in self.rings.values_mut().flatten() {
             ring.remove(no);
--- a/crates/sesamegap-policy/src/placing/index.rs
+++ b/crates/sesamegap-policy/src/placing/index.rs
@@ -21,11 +21,12 @@
 /// time in an engine's queue, with its event's delay.
 pub const EXPECT: Duration = Duration::from_secs(10);
 
-/// Shards: one is swept at a time, which keeps the longest pause to a few microseconds.
-const SHARDS: usize = 256;
+/// Shards: one is swept at a time, which keeps the longest pause to about a microsecond at a
+/// daemon's share of 353,000 blocks.
+const SHARDS: usize = 2048;
 
 /// Time for a sweep over all shards; the slots of dead engines come free after two.
-const SWEEP: Duration = Duration::from_secs(4);
+const SWEEP: Duration = Duration::from_mins(1);
 
 /// Length of a tick; 15 bits of ticks are 68 minutes, longer than any block is left unused.
 const TICK_MICROS: u64 = 125_000;
@@ -46,6 +47,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Slot(pub(super) u16);
 
+impl Slot {
+    /// The number as an index.
+    pub fn at(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
 /// What is known of a slot.
 #[derive(Debug, Clone)]
 struct Life {
@@ -283,12 +291,12 @@
 
     /// Seconds from last use to eviction, learned.
     pub fn age(&self, slot: Slot) -> f64 {
-        self.lives[usize::from(slot.0)].age
+        self.lives[slot.at()].age
     }
 
     /// Blocks entered for a slot.
     pub fn held(&self, slot: Slot) -> u64 {
-        u64::from(self.lives[usize::from(slot.0)].held)
+        u64::from(self.lives[slot.at()].held)
     }
 
     /// Keys a slot holds, the most recently used first; only their upper halves are known.
@@ -311,7 +319,7 @@
     }
 
     fn place(key: BlockKey) -> usize {
-        usize::try_from(key.0 >> 120).unwrap_or(0) % SHARDS
+        usize::try_from(key.0 >> 112).unwrap_or(0) % SHARDS
     }
 
     fn holders(&self, key: BlockKey) -> Option<&Holders> {
@@ -319,7 +327,7 @@
     }
 
     fn life(&mut self, slot: Slot) -> &mut Life {
-        &mut self.lives[usize::from(slot.0)]
+        &mut self.lives[slot.at()]
     }
 
     /// Last use of a block whose holding was confirmed.
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -313,7 +313,8 @@
     }
 
     fn place(&mut self, ask: &Ask<'_>, room: &dyn Room, now: Moment, rng: &mut dyn Rng) -> Placed {
-        self.tend(now);
+        // Upkeep that grows with the fleet is left to reports and digests.
+        self.index.tend(now);
         let known = self.candidates.gather(
             ask,
             &self.engines,
--- a/crates/sesamegap-policy/src/placing/ring.rs
+++ b/crates/sesamegap-policy/src/placing/ring.rs
@@ -3,8 +3,8 @@
 //! Each engine stands at points of a ring, more of them the larger its cache. A key probes the ring at a
 //! sequence of places of its own; the engines met, without repetition, are its order of
 //! preference. All routers that know the same engines get the same order, an engine that comes or
-//! goes moves only its own share of keys, and a probe costs a binary search whatever the fleet's
-//! size. Plain weighted rendezvous hashing gives the same for a scan of all engines, which at
+//! goes moves only its own share of keys, and a probe costs a look at a table and at the one or two
+//! points after it, whatever the fleet's size. Plain weighted rendezvous hashing gives the same for a scan of all engines, which at
 //! 1,700 engines takes longer than all the rest of a placement.
 
 use sesamegap_wire::{BlockKey, UpstreamId};
@@ -33,7 +33,11 @@
 #[derive(Debug, Default, Clone)]
 pub struct Ring {
     points: Vec<(u64, EngineNo)>,
+    /// For each equal part of the ring the first point in it or after it.
+    starts: Vec<u32>,
     members: Vec<(EngineNo, f64)>,
+    /// A bit for each number, set for members.
+    bits: Vec<u64>,
 }
 
 /// Mixes all bits of a number into all bits.
@@ -71,6 +75,11 @@
         }
         self.remove(no);
         self.members.push((no, weight));
+        let word = no.at() / 64;
+        if self.bits.len() <= word {
+            self.bits.resize(word + 1, 0);
+        }
+        self.bits[word] |= 1 << (no.at() % 64);
         // A lone point at least, so that the smallest engine still gets work.
         let mut left = (POINTS * weight).round().max(1.0);
         let mut at = seed;
@@ -80,6 +89,7 @@
             left -= 1.0;
         }
         self.points.sort_unstable();
+        self.index();
     }
 
     /// Takes an engine off the ring.
@@ -88,6 +98,22 @@
         self.members.retain(|(member, _)| *member != no);
         if self.members.len() < before {
             self.points.retain(|(_, member)| *member != no);
+            self.bits[no.at() / 64] &= !(1 << (no.at() % 64));
+            self.index();
+        }
+    }
+
+    /// Divides the ring into about as many parts as there are points.
+    fn index(&mut self) {
+        let parts = self.points.len().next_power_of_two().max(2);
+        self.starts.clear();
+        let mut point = 0;
+        for part in 0..parts as u64 {
+            let begin = part << (64 - parts.ilog2());
+            while self.points.get(point).is_some_and(|(at, _)| *at < begin) {
+                point += 1;
+            }
+            self.starts.push(u32::try_from(point).unwrap_or(u32::MAX));
         }
     }
 
@@ -101,6 +127,12 @@
         self.members.is_empty()
     }
 
+    /// Whether an engine is on the ring.
+    pub fn has(&self, no: EngineNo) -> bool {
+        let word = self.bits.get(no.at() / 64);
+        word.is_some_and(|word| word & (1 << (no.at() % 64)) != 0)
+    }
+
     /// Engines on the ring, in no order.
     pub fn members(&self) -> impl Iterator<Item = EngineNo> + '_ {
         self.members.iter().map(|(no, _)| *no)
@@ -136,7 +168,12 @@
     }
 
     fn successor(&self, place: u64) -> EngineNo {
-        let at = self.points.partition_point(|(point, _)| *point < place);
+        let part = place >> (64 - self.starts.len().ilog2());
+        let start = self.starts[usize::try_from(part).unwrap_or(0)];
+        let mut at = usize::try_from(start).unwrap_or(0);
+        while self.points.get(at).is_some_and(|(point, _)| *point < place) {
+            at += 1;
+        }
         self.points[at % self.points.len()].1
     }
 }
