Bound relayed answers by their beats, and tell a hedge that may have run

Cause: a whole answer relayed for longer than 15 s was cut, and a refusal could have said ran: no when only the second attempt may have run. Change: silence is judged on relayed streams only; a request with a second attempt says unknown; ends told to a stopped decider are no errors.

--- a/crates/sesamegap/src/router/callers/relay.rs
+++ b/crates/sesamegap/src/router/callers/relay.rs
@@ -18,6 +18,11 @@
 use sesamegap_policy::agreement::Holder;
 use sesamegap_wire::{RequestId, TeamId};
 use std::io;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Silence on a relayed stream after which its holder is taken as lost; it beats every 5 s.
+const SILENCE: Duration = Duration::from_secs(15);
 
 /// A request on its way to the router that holds its key.
 #[derive(Debug)]
@@ -139,7 +144,13 @@
     let events = content.is_some_and(|content| content == "text/event-stream");
     let mut bytes = response.bytes_stream();
     let body = stream! {
-        while let Some(part) = bytes.next().await {
+        loop {
+            let part = match timeout(SILENCE, bytes.next()).await {
+                Ok(Some(part)) => part.map_err(io::Error::other),
+                Ok(None) => return,
+                Err(_) if !events => continue,
+                Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            };
             match part {
                 Ok(part) => yield Ok(part),
                 Err(_) if events => {
@@ -147,7 +158,7 @@
                     return;
                 }
                 Err(error) => {
-                    yield Err(io::Error::other(error));
+                    yield Err(error);
                     return;
                 }
             }
--- a/crates/sesamegap/src/router/deciding/mod.rs
+++ b/crates/sesamegap/src/router/deciding/mod.rs
@@ -8,7 +8,7 @@
 
 mod thread;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use sesamegap_policy::{Decider, Observation, Placement, Refusal, Work};
 use sesamegap_wire::peer::{Digest, Warmth};
 use sesamegap_wire::{RequestId, UpstreamId};
@@ -215,7 +215,8 @@
     }
 
     fn end(&self, ended: Ended) {
-        if self.ends.try_send(ended).is_err() {
+        // A thread that has stopped needs to hear of no end.
+        if let Err(TrySendError::Full(_)) = self.ends.try_send(ended) {
             tracing::error!(
                 event = crate::events::END_LOST.number,
                 "end of a request lost"
--- a/crates/sesamegap/src/router/peers/client.rs
+++ b/crates/sesamegap/src/router/peers/client.rs
@@ -17,8 +17,8 @@
 /// Carries the shared secret.
 pub const SECRET: &str = "sesamegap-secret";
 
-/// Silence on a relayed stream after which the holder is taken as lost; it beats every 5 s.
-const RELAY_SILENCE: Duration = Duration::from_secs(15);
+/// Longest time for one relayed answer, whole or as a stream; longer than any class allows.
+const RELAY_LONGEST: Duration = Duration::from_mins(10);
 
 /// A peer that could not be asked.
 #[derive(Debug, Clone)]
@@ -48,7 +48,6 @@
     pub fn new(config: &ProcessConfig) -> Result<Self, PeerError> {
         let http = Client::builder()
             .connect_timeout(config.timing.connect)
-            .read_timeout(RELAY_SILENCE)
             .pool_idle_timeout(config.timing.age)
             .no_proxy()
             .build()
@@ -162,6 +161,7 @@
             .http
             .post(format!("http://{to}/peer/{path}"))
             .header(SECRET, self.secret.as_str())
+            .timeout(RELAY_LONGEST)
             .body(body);
         request.send().await.map_err(wrong)
     }
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -37,8 +37,8 @@
 const LISTS: usize = 256;
 
 /// Idle connections are closed after this, so that a caller that sends half a request and stops
-/// cannot hold one for good.
-const IDLE: Duration = Duration::from_mins(2);
+/// cannot hold one for good; longer than any class waits for a whole answer.
+const IDLE: Duration = Duration::from_mins(10);
 
 /// Rounds of probes within which every locator has heard that a router is leaving.
 const LOCATOR_ROUNDS: u32 = 2;
--- a/crates/sesamegap/src/router/streams/model/flight.rs
+++ b/crates/sesamegap/src/router/streams/model/flight.rs
@@ -44,6 +44,8 @@
     pub(super) on: RequestId,
     /// Whether any engine may have run it.
     pub(super) written: bool,
+    /// Whether a second attempt was started beside a first one.
+    pub(super) hedged: bool,
 }
 
 impl Flight {
@@ -57,6 +59,7 @@
             attempt: 0,
             barred: Vec::new(),
             written: false,
+            hedged: false,
         }
     }
 
@@ -177,7 +180,7 @@
         let (chunks, rest) = match opened {
             Ok(Opened { chunks, rest }) => (chunks, Some(rest)),
             Err(Unopened::NotRun(error)) => {
-                self.written = before;
+                self.written = before || self.hedged;
                 booking.not_run();
                 return self.not_run(at, &error);
             }
--- a/crates/sesamegap/src/router/streams/model/race.rs
+++ b/crates/sesamegap/src/router/streams/model/race.rs
@@ -21,8 +21,10 @@
 
 impl Flight {
     /// Waits for the first token of the first attempt, or of a second one that starts meanwhile.
+    ///
+    /// A second attempt may have run, also if it gave nothing and the first one certainly did not.
     pub(super) async fn race(
-        &self,
+        &mut self,
         first: impl Future<Output = Result<Opened, Unopened>>,
         hedge: oneshot::Receiver<Hedge>,
     ) -> (Result<Opened, Unopened>, Option<Twin>) {
@@ -35,6 +37,7 @@
             return (first.await, None);
         };
         let dispatch = self.dispatch(&twin.id, &twin.at, twin.priority);
+        self.hedged = true;
         let second = opening::open(Arc::clone(&twin.engine), dispatch, self.limits());
         tokio::pin!(second);
         tokio::select! {
