Serve old weights until engines hold the new ones, and leave no engine idle

Cause: a roll tried by hand on 12 engines refused a caller at once (503 no engine) and loaded the new version on 2 engines only, the fewest that settings ask for, so that ten would have stood idle after it.

--- a/crates/sesamegap-policy/src/shifting/mod.rs
+++ b/crates/sesamegap-policy/src/shifting/mod.rs
@@ -21,9 +21,13 @@
 //!   the old one goes when enough engines hold the new one. Without room for both, one engine at
 //!   a time gives up the old one first, while the others go on serving it. An engine that alone
 //!   holds a model, with room for one, is never rolled: that takes a second engine.
+//!
+//! While a version is rolled, [`serving`] says which one answers a request.
 
+mod serving;
 mod targets;
 
+pub use serving::serving;
 pub use targets::{Targets, targets};
 
 use sesamegap_settings::ModelSpec;
--- a/crates/sesamegap-policy/src/shifting/targets.rs
+++ b/crates/sesamegap-policy/src/shifting/targets.rs
@@ -3,7 +3,7 @@
 use super::{EngineView, Fleet};
 use sesamegap_settings::ModelSpec;
 use sesamegap_wire::{DomainId, ModelId, UpstreamId};
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Capacity kept for a model above its demand: what one of four engines failing takes away.
@@ -18,6 +18,7 @@
 
 /// Works out which engines should hold each model.
 ///
+/// An engine that no model needs holds one all the same, so that it is no worse off for a burst.
 /// Each model first gets the fewest engines that settings ask for, then the one that is
 /// furthest from its need gets the next engine, until needs are met or slots used up. So when
 /// there are too few slots, all models are short by a like part and none is left without.
@@ -38,6 +39,7 @@
         let short = short.filter(|(count, model)| *count < needs[*model]);
         let furthest = short.min_by_key(|(count, model)| (count * 1_000 / needs[*model], *model));
         let Some((_, model)) = furthest else {
+            draft.spread();
             return draft.targets;
         };
         if !draft.add(model) {
@@ -118,6 +120,35 @@
         true
     }
 
+    /// Gives each engine that holds nothing a model.
+    ///
+    /// Made for the quiet hours: an engine that stands idle computes nothing and caches nothing,
+    /// and the first minute of the next burst would find it empty. One that holds a model already
+    /// keeps it; else it gets the model with most demand for each of its engines.
+    fn spread(&mut self) {
+        let fleet = self.fleet;
+        let idle = |engine: &&EngineView| !engine.leaving && self.free[&engine.id] == engine.slots;
+        let idle: Vec<&EngineView> = fleet.engines.iter().filter(idle).collect();
+        for engine in idle {
+            let models = fleet.models.iter();
+            let fits = models
+                .filter(|(_, spec)| spec.engines.is_empty() || spec.engines.contains(&engine.id));
+            let best = fits.map(|(model, _)| model).max_by(|a, b| {
+                let key = |model| (engine.holds(model), self.pressure(model));
+                key(a).partial_cmp(&key(b)).unwrap_or(Ordering::Equal)
+            });
+            if let Some(chosen) = best.and_then(|model| self.targets.get_mut(model)) {
+                chosen.insert(engine.id.clone());
+            }
+        }
+    }
+
+    /// Demand for each engine of a model.
+    fn pressure(&self, model: &ModelId) -> f64 {
+        let demand = self.fleet.demand.get(model).copied().unwrap_or(0.0);
+        (demand + 1.0) / (self.count(model) + 1) as f64
+    }
+
     fn copies(&self, model: &ModelId, domain: &DomainId) -> usize {
         let engines = self.fleet.engines.iter();
         let there = engines.filter(|engine| engine.domain == *domain);
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -6,5 +6,6 @@
     reason = "a test ends where a helper cannot go on"
 )]
 mod placing;
+mod serving;
 mod shifting;
 mod support;
--- a/crates/sesamegap/src/router/callers/chat.rs
+++ b/crates/sesamegap/src/router/callers/chat.rs
@@ -15,9 +15,10 @@
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 use serde::Deserialize;
+use sesamegap_policy::shifting::serving;
 use sesamegap_settings::{Catalogue, ClassSpec};
 use sesamegap_wire::chain::Seed;
-use sesamegap_wire::{Chain, ClassId, ModelId, TeamId, Tokens};
+use sesamegap_wire::{Chain, ClassId, ModelId, TeamId, Tokens, WeightsVersion};
 
 /// The body of a model request; what an engine here cannot honour is ignored.
 #[derive(Debug, Deserialize)]
@@ -123,10 +124,11 @@
     let (class, promises) = class(catalogue, &asked)?;
     let parts = parts(&body, shape)?;
     let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+    let version = version(core, &asked.team, &model, spec.version, &parts);
     let seed = Seed {
         team: &asked.team,
         model: &model,
-        version: spec.version,
+        version,
     };
     let chain = Chain::of_parts(seed, &parts, spec.block);
     if chain.tokens > spec.longest {
@@ -144,7 +146,7 @@
         ModelJob {
             class,
             model,
-            version: spec.version,
+            version,
             chain,
             prompt: parts.concat(),
             answer,
@@ -157,6 +159,37 @@
     ))
 }
 
+/// Which weights answer, while the wanted ones are still being loaded.
+fn version(
+    core: &Core,
+    team: &TeamId,
+    model: &ModelId,
+    wanted: WeightsVersion,
+    parts: &[&str],
+) -> WeightsVersion {
+    let holders = core.fleet.holders();
+    let Some(versions) = holders.get(model) else {
+        return wanted;
+    };
+    if versions.keys().all(|version| *version == wanted) {
+        return wanted;
+    }
+    serving(wanted, versions, point(team, parts))
+}
+
+/// A number in 0..1 that all requests with the same outer levels share.
+fn point(team: &TeamId, parts: &[&str]) -> f64 {
+    let outer = parts.len().saturating_sub(1).max(1);
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(team.as_str().as_bytes());
+    for part in parts.iter().take(outer) {
+        hasher.update(part.as_bytes());
+    }
+    let mut quarter = [0; 4];
+    quarter.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
+    f64::from(u32::from_le_bytes(quarter)) / (f64::from(u32::MAX) + 1.0)
+}
+
 fn allowed(catalogue: &Catalogue, team: &TeamId, model: &ModelId) -> Result<(), ApiError> {
     let spec = catalogue.teams.get(team);
     if spec.is_some_and(|spec| may_ask(spec, model)) {
--- a/crates/sesamegap/src/router/fleet/follow.rs
+++ b/crates/sesamegap/src/router/fleet/follow.rs
@@ -11,6 +11,7 @@
 use sesamegap_platform::VmList;
 use sesamegap_policy::Observation;
 use sesamegap_upstream::Engine;
+use sesamegap_wire::engine::LoadReport;
 use sesamegap_wire::{Incarnation, UpstreamId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -143,7 +144,7 @@
         if let Some(engine) = core.fleet.engine(&id)
             && let Ok(report) = engine.load().await
         {
-            core.fleet.reported(&id);
+            core.fleet.reported(&id, Some(&report));
             core.decider.observe(Observation::Report(id, report));
         }
     });
@@ -156,23 +157,27 @@
     let timing = &core.config.timing;
     let limit = timing.connect + timing.silence;
     loop {
-        match timeout(limit, client.load()).await {
-            Ok(Ok(report)) => {
-                if report.leaving {
-                    core.fleet.leaving(&id, &core.decider);
-                } else if core.fleet.staying(&id) {
-                    core.decider.tell(Observation::Fleet(core.fleet.engines()));
-                }
-                core.decider
-                    .observe(Observation::Report(id.clone(), report));
-                core.fleet.reported(&id);
-            }
-            Ok(Err(_)) | Err(_) => core.decider.observe(Observation::Failed(id.clone())),
+        if let Ok(Ok(report)) = timeout(limit, client.load()).await {
+            take_report(&core, &id, report);
+        } else {
+            core.fleet.reported(&id, None);
+            core.decider.observe(Observation::Failed(id.clone()));
         }
         tokio::time::sleep(timing.report).await;
     }
 }
 
+fn take_report(core: &Core, id: &UpstreamId, report: LoadReport) {
+    if report.leaving {
+        core.fleet.leaving(id, &core.decider);
+    } else if core.fleet.staying(id) {
+        core.decider.tell(Observation::Fleet(core.fleet.engines()));
+    }
+    core.fleet.reported(id, Some(&report));
+    core.decider
+        .observe(Observation::Report(id.clone(), report));
+}
+
 async fn cache(core: Arc<Core>, client: Arc<dyn Engine>, id: UpstreamId) {
     let mut after = 0;
     let mut life: Option<Incarnation> = None;
--- a/crates/sesamegap/src/router/fleet/mod.rs
+++ b/crates/sesamegap/src/router/fleet/mod.rs
@@ -15,8 +15,8 @@
 use sesamegap_platform::{VmEntry, VmRole, VmState};
 use sesamegap_policy::Observation;
 use sesamegap_upstream::{Engine, PlainService};
-use sesamegap_wire::engine::EngineEntry;
-use sesamegap_wire::{DomainId, ServiceId, UpstreamId, VmId};
+use sesamegap_wire::engine::{EngineEntry, LoadReport};
+use sesamegap_wire::{DomainId, ModelId, ServiceId, UpstreamId, VmId, WeightsVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -68,6 +68,9 @@
     entries: Vec<EntryVm>,
 }
 
+/// Engines that hold each version of each model.
+pub type Holders = BTreeMap<ModelId, BTreeMap<WeightsVersion, usize>>;
+
 /// All upstreams and entry VMs, shared read-only and replaced as a whole.
 #[derive(Debug)]
 pub struct Fleet {
@@ -76,7 +79,8 @@
     /// Engines that said themselves that they are leaving.
     said: Mutex<BTreeSet<UpstreamId>>,
     /// Engines whose report was read.
-    reported: Mutex<BTreeSet<UpstreamId>>,
+    reported: Mutex<BTreeMap<UpstreamId, Vec<(ModelId, WeightsVersion)>>>,
+    holders: ArcSwap<Holders>,
 }
 
 impl Fleet {
@@ -87,6 +91,7 @@
             members: ArcSwap::default(),
             said: Mutex::default(),
             reported: Mutex::default(),
+            holders: ArcSwap::default(),
         }
     }
 
@@ -220,12 +225,28 @@
         Some(WorkerSlot(Arc::clone(best)))
     }
 
-    /// Notes that an engine's report was read.
-    pub fn reported(&self, engine: &UpstreamId) {
+    /// Notes which weights an engine reports, `None` if it does not answer.
+    pub fn reported(&self, engine: &UpstreamId, report: Option<&LoadReport>) {
+        let weights = report.map(|report| report.loaded.clone());
         let mut reported = lock(&self.reported);
-        if !reported.contains(engine) {
-            reported.insert(engine.clone());
+        if reported.get(engine) == weights.as_ref() {
+            return;
+        }
+        match weights {
+            Some(weights) => reported.insert(engine.clone(), weights),
+            None => reported.remove(engine),
+        };
+        let mut holders = Holders::new();
+        for (model, version) in reported.values().flatten() {
+            let versions = holders.entry(model.clone()).or_default();
+            *versions.entry(*version).or_insert(0) += 1;
         }
+        self.holders.store(Arc::new(holders));
+    }
+
+    /// How many engines that answer hold each version of each model.
+    pub fn holders(&self) -> Arc<Holders> {
+        self.holders.load_full()
     }
 
     /// Describes the upstreams for a dump.
