--- a/crates/sesamegap-settings/benches/fold.rs
+++ b/crates/sesamegap-settings/benches/fold.rs
@@ -9,6 +9,7 @@
     BatchSize, BenchmarkGroup, BenchmarkId, Criterion, criterion_group, criterion_main,
 };
 use serde_json::{Value, json};
+use sesamegap_settings::fold::{IDS, TOUCHED};
 use sesamegap_settings::{Change, ChangeId, Edit, Fold, Outcome};
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::hint::black_box;
@@ -126,6 +127,8 @@
         let record = change(&fold, vec![edit(&(team(0) + "/burst"), json!(7))]);
         let (kept, sent) = (snapshot.len(), record.len());
         println!("teams {teams}: fold {bytes} B, snapshot {kept} B, change {sent} B");
+        let full = remembering(fold.clone(), teams).snapshot().len();
+        println!("teams {teams}: snapshot {full} B with memories at their bounds");
         days(&fold, teams);
         changes(&mut group, &fold, teams);
         starts(&mut group, &fold, &snapshot, teams);
@@ -133,6 +136,22 @@
     group.finish();
 }
 
+/// Fills the memories of ids and of touched paths, as far as there are paths.
+fn remembering(mut fold: Fold, teams: usize) -> Fold {
+    const EDITS: usize = TOUCHED / IDS;
+    for turn in 0..IDS {
+        let index = |part: usize| (turn * EDITS + part) % (2 * teams);
+        let one = |at: usize| {
+            edit(
+                &format!("{}/{}", team(at / 2), ["burst", "rate"][at % 2]),
+                json!(7),
+            )
+        };
+        append(&mut fold, (0..EDITS).map(|part| one(index(part))).collect());
+    }
+    fold
+}
+
 fn days(fold: &Fold, teams: usize) {
     for shared in [false, true] {
         let mut fold = fold.clone();
--- a/crates/sesamegap-settings/tests/testsuite/fuzz.rs
+++ b/crates/sesamegap-settings/tests/testsuite/fuzz.rs
@@ -372,3 +372,43 @@
     }
     assert!(seen.iter().all(|count| *count > 100), "{seen:?}");
 }
+
+/// Rehearses each change of a script right before it is judged.
+fn rehearses(script: &Script, rehearse: fn(&mut Fold, &Change) -> Outcome) -> Result<(), String> {
+    let mut world = World::new(Fault::None);
+    script.0.iter().for_each(|act| world.act(act));
+    let mut fold = Fold::default();
+    for (offset, body) in (0..).map(Offset).zip(&world.log) {
+        if let Ok(change) = Change::decode(body) {
+            let before = (fold.snapshot(), fold.catalogue());
+            let told = rehearse(&mut fold, &change);
+            if (fold.snapshot(), fold.catalogue()) != before {
+                return Err(format!("the rehearsal at {offset} left something behind"));
+            }
+            let judged = fold.apply(offset, 0, body);
+            if told != judged {
+                return Err(format!("told {told}, judged {judged}"));
+            }
+        } else {
+            fold.apply(offset, 0, body);
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_rehearsal_tells_the_outcome_and_changes_nothing() {
+    let sound: fn(Script) -> Result<(), String> = |script| rehearses(&script, Fold::rehearse);
+    quick(0x5e7a, 300, 60).quickcheck(sound);
+}
+
+#[test]
+fn a_rehearsal_that_takes_effect_is_caught() {
+    let broken: fn(Script) -> Result<(), String> = |script| {
+        rehearses(&script, |fold, change| {
+            let body = change.encode().expect("within bounds");
+            fold.apply(fold.next(), 0, &body)
+        })
+    };
+    assert!(quick(0x5e7b, 300, 60).quicktest(broken).is_err());
+}
