Copy the table of keys only when a key changes

Cause: reading the change once more showed that putting a team in still added its keys each time, so the table of keys was copied at each change. Change: keys are up to the caller, which compares before and after; names are checked by the identifiers' own reader instead of a copy of their rule.

--- a/crates/sesamegap-settings/src/catalogue/resolve.rs
+++ b/crates/sesamegap-settings/src/catalogue/resolve.rs
@@ -145,6 +145,7 @@
         }
     }
 
+    /// Replaces the objects, but not the keys of teams.
     fn replace(self, catalogue: &mut Catalogue, homes: &mut Homes) {
         let mut gone = self.before;
         for ((kind, name, group), spec) in self.after {
@@ -181,14 +182,11 @@
 }
 
 impl Catalogue {
+    /// Puts an object in; a team's keys are up to the caller.
     fn insert(&mut self, name: &str, spec: Spec) {
         match spec {
             Spec::Team(spec) => {
-                let team: TeamId = id(name);
-                spec.key_hashes
-                    .iter()
-                    .for_each(|hash| self.keys.add(hash, &team));
-                self.teams.insert(team, spec);
+                self.teams.insert(id::<TeamId>(name), spec);
             }
             Spec::Class(spec) => {
                 self.classes.insert(id::<ClassId>(name), spec);
--- a/crates/sesamegap-settings/src/schema/shape.rs
+++ b/crates/sesamegap-settings/src/schema/shape.rs
@@ -3,6 +3,7 @@
 use super::units;
 use crate::findings::shown;
 use serde_json::Value;
+use sesamegap_wire::TeamId;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -143,12 +144,9 @@
     }
 }
 
-/// Whether text is an identifier of `sesamegap-wire`.
+/// Whether text is an identifier; the kinds of `sesamegap-wire` all allow the same.
 pub fn is_name(text: &str) -> bool {
-    let fits = (1..=MAX_NAME).contains(&text.len());
-    fits && text
-        .bytes()
-        .all(|b| b.is_ascii_alphanumeric() || b"-_.:".contains(&b))
+    text.parse::<TeamId>().is_ok()
 }
 
 fn is_hash(text: &str) -> bool {
