Test refusals, stops and crashes in the middle of a save

Change: tests of bounds, missing weights, a rolling restart under load, all routers down with the log, claims given back, a crash while a save runs.

--- a/crates/sesamegap/tests/testsuite/router/mod.rs
+++ b/crates/sesamegap/tests/testsuite/router/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod once;
 mod pages;
+mod refusals;
 mod settings;
 mod stops;
 mod streams;
--- a/crates/sesamegap/tests/testsuite/router/once.rs
+++ b/crates/sesamegap/tests/testsuite/router/once.rs
@@ -1,8 +1,9 @@
 //! What must run at most once.
 
-use crate::support::{ALPHA, BETA, Site, answer, plan, question, read, timing};
+use crate::support::{ALPHA, BETA, PATIENCE, Site, answer, plan, question, read};
 use reqwest::{Method, RequestBuilder, StatusCode};
 use serde_json::Value;
+use sesamegap::config::ProcessConfig;
 use sesamegap_standin::{Fault, Hit};
 use std::time::Duration;
 use uuid::{NoContext, Timestamp, Uuid};
@@ -21,6 +22,11 @@
     read(request.send().await.expect("a router answers")).await
 }
 
+/// Gives up on the log soon.
+fn hasty(config: &mut ProcessConfig) {
+    config.timing.log = Duration::from_millis(600);
+}
+
 async fn ticket(site: &Site, router: usize) -> String {
     let request = site.ask(router, Method::POST, "/v1/tickets", ALPHA);
     let (status, body) = send(request).await;
@@ -74,9 +80,7 @@
 /// tickets and repeatable requests go on. When the log is back the same key runs, once.
 #[tokio::test]
 async fn without_the_log_tickets_and_repeatable_requests_go_on() {
-    let mut timing = timing();
-    timing.log = Duration::from_millis(600);
-    let site = Site::start_with(plan(), 2, timing).await;
+    let site = Site::start_tuned(plan(), 2, hasty).await;
     site.deployment.set_log_down(true);
     let own = key();
     let (status, refused) = send(save(&site, 0, &own)).await;
@@ -193,3 +197,64 @@
     }
     assert_eq!(site.deployment.executions().of_key(&key), 1);
 }
+
+/// The log answers so late that a router gives its claim up and tells the caller that nothing ran.
+/// The claim stands in the log all the same. When the router stops as planned it gives the claim
+/// back, so that another one can run the key; else the key would answer `ran: unknown` for good.
+#[tokio::test]
+async fn a_stopping_router_gives_back_claims_under_which_nothing_ran() {
+    let mut site = Site::start_tuned(plan(), 2, hasty).await;
+    let key = key();
+    // Slower than the router's patience, for long enough to be hit by this very append.
+    let slow = Hit::lasting(Fault::LogSlow, Duration::from_millis(500));
+    site.hit(slow, None);
+    let (status, refused) = send(save(&site, 0, &key)).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{refused}");
+    assert_eq!(refused["ran"], "no");
+    let (team, text) = ("alpha".parse().unwrap(), key.as_str().into());
+    site.until(1, "the claim in the log", |_| {
+        site.routers[1].core().once.holder(&team, &text).is_some()
+    })
+    .await;
+    site.routers.remove(0).stop().await;
+    let other = &site.routers[0];
+    let started = std::time::Instant::now();
+    while other.core().once.holder(&team, &text).is_some() {
+        assert!(started.elapsed() < PATIENCE, "never given back");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let (status, reply) = send(save(&site, 0, &key)).await;
+    assert_eq!(status, StatusCode::OK, "{reply}");
+    assert_eq!(site.deployment.executions().of_key(&key), 1);
+}
+
+/// A router dies while a save is on its way to the worker, and the caller asks another router at
+/// once. Whether the save ran cannot be known, and it must not run again.
+#[tokio::test]
+async fn a_crash_in_the_middle_of_a_save_does_not_run_it_twice() {
+    let slow = plan().work(Duration::from_millis(300));
+    let mut site = Site::start(slow, 2).await;
+    for minted in [false, true] {
+        let key = if minted {
+            ticket(&site, 0).await
+        } else {
+            key()
+        };
+        let under_way = tokio::spawn(save(&site, 0, &key).send());
+        let started = std::time::Instant::now();
+        while site.deployment.executions().of_key(&key) == 0 {
+            assert!(started.elapsed() < PATIENCE, "never ran");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        site.restart(0).await;
+        assert!(under_way.await.unwrap().is_err(), "the connection broke");
+        for router in [1, 0] {
+            let (status, body) = send(save(&site, router, &key)).await;
+            assert_eq!(
+                (status, &body["ran"]),
+                (StatusCode::GONE, &"unknown".into())
+            );
+        }
+        assert_eq!(site.deployment.executions().of_key(&key), 1);
+    }
+}
--- a/crates/sesamegap/tests/testsuite/router/stops.rs
+++ b/crates/sesamegap/tests/testsuite/router/stops.rs
@@ -1,8 +1,6 @@
 //! Planned stops and restarts.
 
-use crate::support::{
-    ALPHA, Got, PATIENCE, Site, answer, plan, plan_with, question, read, timing, url,
-};
+use crate::support::{ALPHA, Got, PATIENCE, Site, answer, plan, plan_with, question, read, url};
 use reqwest::{Method, StatusCode};
 use std::time::Duration;
 
@@ -10,12 +8,13 @@
 /// its address are served for that address's time to live, and after that are sent elsewhere.
 #[tokio::test]
 async fn a_planned_stop_cuts_nothing_and_then_names_others() {
-    let mut timing = timing();
-    timing.address = Duration::from_millis(300);
     // The answer under way takes far longer than the address lives, so that the router is seen
     // refusing while it finishes.
     let slow = plan_with(Duration::from_millis(8));
-    let mut site = Site::start_with(slow, 2, timing).await;
+    let mut site = Site::start_tuned(slow, 2, |config| {
+        config.timing.address = Duration::from_millis(300);
+    })
+    .await;
     let running = site
         .chat(0, &question("hello", 400, true))
         .send()
@@ -123,3 +122,82 @@
         }
     }
 }
+
+/// All routers die at once while the log is down. Nobody has the settings any longer, so callers
+/// are refused as not run, not told that their keys are wrong; once the log is back all is well.
+#[tokio::test]
+async fn without_log_and_peers_callers_are_told_to_wait() {
+    let mut site = Site::start_tuned(plan(), 2, |config| {
+        config.timing.log = Duration::from_millis(600);
+    })
+    .await;
+    site.deployment.set_log_down(true);
+    let at = [site.crash(0).await, site.crash(0).await];
+    for (number, at) in at.into_iter().enumerate() {
+        site.revive(number, at).await;
+    }
+    let body = question("hello", 2, false);
+    let (status, refused) = read(site.chat(0, &body).send().await.unwrap()).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(
+        (&refused["code"], &refused["ran"]),
+        (&"starting".into(), &"no".into())
+    );
+    site.deployment.set_log_down(false);
+    let started = std::time::Instant::now();
+    while site.chat(0, &body).send().await.unwrap().status() != StatusCode::OK {
+        assert!(started.elapsed() < PATIENCE, "never served again");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Operators restart all routers one after another while callers go on. A caller that is refused
+/// as not run, or finds a port closed, asks another router; none may lose an answer.
+#[tokio::test]
+async fn a_rolling_restart_loses_no_request() {
+    let mut site = Site::start(plan(), 3).await;
+    let addresses: Vec<_> = site
+        .routers
+        .iter()
+        .map(|router| url(router.addr()))
+        .collect();
+    let http = site.http.clone();
+    let stop = tokio_util::sync::CancellationToken::new();
+    let stopped = stop.clone();
+    let caller = tokio::spawn(async move {
+        let mut whole = 0;
+        while !stopped.is_cancelled() {
+            let text = format!("question {whole}");
+            let router = &addresses[whole % addresses.len()];
+            let request = http.post(format!("{router}/v1/chat/completions"));
+            let request = request.bearer_auth(ALPHA).json(&question(&text, 30, true));
+            let sent = match request.send().await {
+                Ok(sent) if sent.status().is_success() => sent,
+                Ok(refused) => {
+                    let (_, body) = read(refused).await;
+                    assert_eq!(body["ran"], "no", "{body}");
+                    whole += 1;
+                    continue;
+                }
+                Err(error) => {
+                    assert!(error.is_connect(), "cut: {error:?}");
+                    whole += 1;
+                    continue;
+                }
+            };
+            let got = Got::all(sent).await;
+            assert_eq!(got.text, answer(&text, 30), "{:?}", got.error);
+            assert!(got.done);
+            whole += 1;
+        }
+        whole
+    });
+    for number in 0..3 {
+        let old = site.routers.remove(number);
+        let at = old.addr();
+        old.stop().await;
+        site.revive(number, at).await;
+    }
+    stop.cancel();
+    assert!(caller.await.unwrap() > 0);
+}
--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -67,14 +67,19 @@
     pub deployment: Deployment,
     pub routers: Vec<Running>,
     pub http: Client,
+    tune: Tune,
 }
 
+/// Changes a router's settings before it starts.
+pub type Tune = fn(&mut ProcessConfig);
+
 impl Site {
     pub async fn start(plan: Builder, routers: usize) -> Self {
-        Self::start_with(plan, routers, timing()).await
+        Self::start_tuned(plan, routers, |_| {}).await
     }
 
-    pub async fn start_with(plan: Builder, routers: usize, timing: Timing) -> Self {
+    /// Starts a site whose routers have other settings than usual.
+    pub async fn start_tuned(plan: Builder, routers: usize, tune: Tune) -> Self {
         let deployment = Deployment::start(plan.operator(OPERATOR).build())
             .await
             .unwrap();
@@ -82,9 +87,10 @@
             deployment,
             routers: Vec::new(),
             http: Client::builder().no_proxy().build().unwrap(),
+            tune,
         };
         for number in 0..routers {
-            let config = site.config(number, None, timing.clone());
+            let config = site.config(number, None);
             let running = Router::new(config.clone(), Links::http(&config));
             let running = running.start().await.unwrap();
             site.enlist(&config, running.addr());
@@ -108,19 +114,20 @@
         self.deployment.addresses().engines.len()
     }
 
-    pub fn config(&self, number: usize, at: Option<SocketAddr>, timing: Timing) -> ProcessConfig {
+    pub fn config(&self, number: usize, at: Option<SocketAddr>) -> ProcessConfig {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let vm = format!("vm-{number}").parse().unwrap();
         let addresses = self.deployment.addresses();
-        ProcessConfig::builder(vm, domain(), at.unwrap_or(any))
+        let builder = ProcessConfig::builder(vm, domain(), at.unwrap_or(any))
             .log(url(addresses.log))
             .vms(url(addresses.vms))
             .weights(url(addresses.weights))
             .secret(SECRET)
             .operator(key_hash(OPERATOR))
-            .timing(timing)
-            .build()
-            .unwrap()
+            .timing(timing());
+        let mut config = builder.build().unwrap();
+        (self.tune)(&mut config);
+        config
     }
 
     fn enlist(&self, config: &ProcessConfig, router: SocketAddr) {
@@ -137,10 +144,21 @@
 
     /// Ends a router as a crash would, and starts another life of it at the same address.
     pub async fn restart(&mut self, number: usize) {
+        let at = self.crash(number).await;
+        self.revive(number, at).await;
+    }
+
+    /// Ends a router as a crash would and tells where it was; those after it move up.
+    pub async fn crash(&mut self, number: usize) -> SocketAddr {
         let old = self.routers.remove(number);
         let at = old.addr();
         old.kill().await;
-        let config = self.config(number, Some(at), timing());
+        at
+    }
+
+    /// Starts another life of a router at its former address.
+    pub async fn revive(&mut self, number: usize, at: SocketAddr) {
+        let config = self.config(number, Some(at));
         let running = Router::new(config.clone(), Links::http(&config));
         let running = running.start().await.unwrap();
         self.routers.insert(number, running);
