Bound the bytes of all prompts in flight

Cause: 4,096 requests of 8 MiB each were allowed at once, far beyond any VM. Change: a body takes its share of the room for 32 of the largest ones before it is read, and holds it until the request is done; without room it is refused as overload, ran: no.

--- a/crates/sesamegap/src/router/callers/admit.rs
+++ b/crates/sesamegap/src/router/callers/admit.rs
@@ -20,6 +20,7 @@
 use sesamegap_wire::{ModelId, RequestId, TeamId, Tokens};
 use smol_str::SmolStr;
 use std::sync::Arc;
+use tokio::sync::OwnedSemaphorePermit;
 
 /// A request that was checked and may be let in.
 #[derive(Debug)]
@@ -30,6 +31,7 @@
     created: u64,
     repeatable: bool,
     job: Job,
+    room: Option<OwnedSemaphorePermit>,
 }
 
 #[derive(Debug)]
@@ -48,6 +50,7 @@
             created,
             repeatable: job.repeatable,
             job: Job::Model(Box::new(job)),
+            room: None,
         }
     }
 
@@ -60,9 +63,17 @@
             created,
             repeatable: job.repeatable,
             job: Job::Service(Box::new(job)),
+            room: None,
         }
     }
 
+    /// Holds the body's share of the room for bodies until the request is done.
+    #[must_use]
+    pub fn holding(mut self, room: OwnedSemaphorePermit) -> Self {
+        self.room = Some(room);
+        self
+    }
+
     /// The key under which it runs at most once, if there is one.
     fn once_key(&self) -> Option<SmolStr> {
         self.asked.key.clone().filter(|_| !self.repeatable)
@@ -153,7 +164,7 @@
 fn start(core: &Shared, admit: Admit, answer: &Arc<Answer>) {
     let (core, answer) = (Arc::clone(core), Arc::clone(answer));
     let key = admit.asked.key;
-    let job = admit.job;
+    let (job, room) = (admit.job, admit.room);
     let tracker = core.flights.clone();
     let cut = core.cut.clone();
     let request = answer.head.request.clone();
@@ -170,6 +181,7 @@
             }
         }
         core.kept.close(&request);
+        drop(room);
     };
     tracker.spawn(async move { cut.run_until_cancelled(work).await });
 }
--- a/crates/sesamegap/src/router/callers/chat.rs
+++ b/crates/sesamegap/src/router/callers/chat.rs
@@ -4,7 +4,7 @@
 //! dossier or project, then the form or room, so the levels are where prompts part ways.
 
 use super::admit::{self, Admit};
-use super::intake::{self, Asked};
+use super::intake::{self, Asked, Held};
 use super::models::{may_ask, unknown};
 use super::{ApiError, Shared};
 use crate::router::clock::unix_ms;
@@ -95,9 +95,9 @@
 ) -> Result<Response, ApiError> {
     intake::open(core)?;
     let asked = Asked::read(core, request)?;
-    let body = intake::body(core, body).await?;
-    let admit = prepare(core, asked, &body, shape)?;
-    admit::run(core, admit, request.uri().path(), body).await
+    let Held { bytes, room } = intake::body(core, request.headers(), body).await?;
+    let admit = prepare(core, asked, &bytes, shape)?.holding(room);
+    admit::run(core, admit, request.uri().path(), bytes).await
 }
 
 /// Checks a request against the settings and cuts its prompt.
--- a/crates/sesamegap/src/router/callers/intake.rs
+++ b/crates/sesamegap/src/router/callers/intake.rs
@@ -8,6 +8,8 @@
 use poem::{Body, Request};
 use sesamegap_wire::{ClassId, TeamId};
 use smol_str::SmolStr;
+use std::sync::Arc;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 /// Names the traffic class.
@@ -90,8 +92,38 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
 
+/// A caller's body, which holds its share of the room for bodies until it is dropped.
+#[derive(Debug)]
+pub struct Held {
+    /// The body.
+    pub bytes: Bytes,
+    /// Its share of the room.
+    pub room: OwnedSemaphorePermit,
+}
+
 /// Reads a body within the bounds of size and time.
-pub async fn body(core: &Core, body: Body) -> Result<Bytes, ApiError> {
+///
+/// Room for as many bytes as it may have is taken before the first one is read: a burst of large
+/// prompts would else fill the memory long before the bound on requests is reached.
+pub async fn body(core: &Core, headers: &HeaderMap, body: Body) -> Result<Held, ApiError> {
+    let bounds = &core.config.bounds;
+    let length = headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+    let most = length.unwrap_or(bounds.body).min(bounds.body);
+    let room = Arc::clone(&core.bodies).try_acquire_many_owned(kibibytes(most));
+    let mut room = room.map_err(|_| ApiError::overload("the router has too many large prompts"))?;
+    let bytes = read(core, body).await?;
+    // What was reserved beyond the body's real length is given back.
+    drop(room.split(kibibytes(most).saturating_sub(kibibytes(bytes.len())) as usize));
+    Ok(Held { bytes, room })
+}
+
+/// Whole kibibytes, in which room is counted.
+fn kibibytes(bytes: usize) -> u32 {
+    u32::try_from(bytes.div_ceil(1024)).unwrap_or(u32::MAX)
+}
+
+async fn read(core: &Core, body: Body) -> Result<Bytes, ApiError> {
     let bounds = &core.config.bounds;
     let read = timeout(bounds.receive, body.into_bytes_limit(bounds.body)).await;
     match read {
--- a/crates/sesamegap/src/router/callers/services.rs
+++ b/crates/sesamegap/src/router/callers/services.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
 use super::admit::{self, Admit};
-use super::intake::{self, Asked};
+use super::intake::{self, Asked, Held};
 use super::{ApiError, Shared};
 use crate::router::clock::unix_ms;
 use crate::router::core::Core;
@@ -27,7 +27,7 @@
 ) -> Result<Response, ApiError> {
     intake::open(core)?;
     let asked = Asked::read(core, request)?;
-    let body = intake::body(core, body).await?;
+    let Held { bytes: body, room } = intake::body(core, request.headers(), body).await?;
     let content = request.headers().get(header::CONTENT_TYPE);
     let content = content.and_then(|content| content.to_str().ok());
     let target = request.uri().path_and_query();
@@ -37,7 +37,7 @@
         path,
         content,
     };
-    let admit = prepare(core, asked, &call, body.clone())?;
+    let admit = prepare(core, asked, &call, body.clone())?.holding(room);
     admit::run(core, admit, &call.line(), body).await
 }
 
--- a/crates/sesamegap/src/router/core.rs
+++ b/crates/sesamegap/src/router/core.rs
@@ -9,7 +9,7 @@
 use super::phase::Phases;
 use super::streams::Kept;
 use super::tree::SettingsTree;
-use crate::config::ProcessConfig;
+use crate::config::{Bounds, ProcessConfig};
 use crate::telemetry::Telemetry;
 use sesamegap_platform::Log;
 use sesamegap_settings::Catalogue;
@@ -17,12 +17,22 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Silence limits for which a request that nobody reads goes on, so that its caller can resume.
 const LINGER_FACTOR: u32 = 10;
 
+/// Bodies of the largest size for which there is room at once.
+const LARGEST_BODIES: usize = 32;
+
+/// Room for the bodies of all requests in flight, in kibibytes.
+pub fn body_room(bounds: &Bounds) -> Arc<Semaphore> {
+    let room = (bounds.body / 1024 + 1).saturating_mul(LARGEST_BODIES);
+    Arc::new(Semaphore::new(room.min(Semaphore::MAX_PERMITS)))
+}
+
 /// The shared parts of one router.
 #[derive(Debug)]
 pub struct Core {
@@ -58,6 +68,8 @@
     pub phases: Phases,
     /// Requests being worked on.
     pub flights: TaskTracker,
+    /// Room for callers' bodies, in kibibytes.
+    pub bodies: Arc<Semaphore>,
     /// Ends all work and all connections.
     pub cut: CancellationToken,
     /// Requests minted so far.
--- a/crates/sesamegap/src/router/operators.rs
+++ b/crates/sesamegap/src/router/operators.rs
@@ -46,8 +46,8 @@
     Data(core): Data<&Shared>,
 ) -> Result<Response, ApiError> {
     check(core, request)?;
-    let body = read_body(core, body).await?;
-    let asked: ChangeRequest = serde_json::from_slice(&body)
+    let body = read_body(core, request.headers(), body).await?;
+    let asked: ChangeRequest = serde_json::from_slice(&body.bytes)
         .map_err(|error| ApiError::bad("bad_json", format!("the body is no change: {error}")))?;
     let id = asked.id.unwrap_or_else(|| ChangeId(rand::random()));
     let answer = match asked.into_change(id) {
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -2,7 +2,7 @@
 
 use super::callers;
 use super::clock::{Clock, unix_ms};
-use super::core::Core;
+use super::core::{Core, body_room};
 use super::deciding::{self, DeciderThread};
 use super::demand::Demand;
 use super::door::Door;
@@ -151,6 +151,7 @@
             tree: SettingsTree::new(handle),
             phases: Phases::default(),
             flights: TaskTracker::new(),
+            bodies: body_room(&config.bounds),
             cut: CancellationToken::new(),
             minted: std::sync::atomic::AtomicU64::new(0),
             config,
--- a/crates/sesamegap/tests/testsuite/router/refusals.rs
+++ b/crates/sesamegap/tests/testsuite/router/refusals.rs
@@ -79,3 +79,30 @@
     assert_eq!(body["ran"], "no", "{body}");
     assert_eq!(site.deployment.executions().of_request(&id), 0);
 }
+
+/// Many large prompts come at once. Without a bound on all of them together they would fill the
+/// memory long before there are too many requests; over it, a caller is refused as not run.
+#[tokio::test]
+async fn prompts_over_the_room_for_all_of_them_are_refused() {
+    let slow = plan_with(Duration::from_millis(5));
+    let site = Site::start_tuned(slow, 1, |config| config.bounds.body = 4096).await;
+    let large = question(&"x".repeat(3900), 400, true);
+    // Room for 40 of them, each of which takes seconds.
+    let sent = (0..60).map(|_| site.chat(0, &large).send());
+    let sent = futures_util::future::join_all(sent).await;
+    let mut refused = 0;
+    for sent in sent.into_iter().map(Result::unwrap) {
+        if sent.status() == StatusCode::OK {
+            continue;
+        }
+        let (status, body) = read(sent).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(
+            (&body["code"], &body["ran"]),
+            (&"overload".into(), &"no".into())
+        );
+        assert_eq!(body["message"], "the router has too many large prompts");
+        refused += 1;
+    }
+    assert!(refused > 0, "no bound");
+}
