Remove what nothing of the settings uses

Cause: three functions were written ahead of a need that did not come. Conclusion: no behaviour changes.

--- a/crates/sesamegap-settings/src/findings/mod.rs
+++ b/crates/sesamegap-settings/src/findings/mod.rs
@@ -110,14 +110,6 @@
         self.list.sort_by_key(place);
     }
 
-    /// Takes in another collection.
-    pub fn extend(&mut self, other: Self) {
-        self.more += other.more;
-        for finding in other.list {
-            self.push(finding);
-        }
-    }
-
     /// Keeps only the first `most`, counting the rest.
     #[must_use]
     pub fn shortened(&self, most: usize) -> Self {
--- a/crates/sesamegap-settings/src/fold/snapshot.rs
+++ b/crates/sesamegap-settings/src/fold/snapshot.rs
@@ -80,11 +80,6 @@
     }
 }
 
-/// The offset up to which a record body covers all before it, if it is a snapshot.
-pub fn covers(body: &[u8]) -> Option<Offset> {
-    unseal(body).ok().map(|sealed| sealed.next)
-}
-
 fn unseal(body: &[u8]) -> Result<Sealed, SettingsError> {
     if body.len() > MAX_SNAPSHOT {
         return Err(SettingsError::Oversized(
--- a/crates/sesamegap-settings/src/tree/inherit.rs
+++ b/crates/sesamegap-settings/src/tree/inherit.rs
@@ -171,13 +171,4 @@
         }
         Some(all)
     }
-
-    /// What stands at a path, as operators wrote it.
-    pub fn at(&self, path: &TreePath) -> Option<Value> {
-        let mut value = &self.to_value();
-        for part in path.as_str().split('/') {
-            value = value.get(part)?;
-        }
-        Some(value.clone())
-    }
 }
--- a/crates/sesamegap-settings/tests/testsuite/input.rs
+++ b/crates/sesamegap-settings/tests/testsuite/input.rs
@@ -3,7 +3,6 @@
 use crate::support::{change, quick, started};
 use quickcheck::TestResult;
 use serde_json::{Value, json};
-use sesamegap_settings::fold::snapshot::covers;
 use sesamegap_settings::{Catalogue, Change, Document, Findings, Fold, SettingsError, Tree};
 use sesamegap_settings::{ChangeId, key_hash, matches};
 
@@ -90,7 +89,6 @@
         let mut fold = Fold::default();
         for body in [bytes.clone(), framed(b'c'), framed(b's')] {
             let _ = Change::decode(&body);
-            let _ = covers(&body);
             let _ = fold.adopt(&body);
             let next = fold.next();
             fold.apply(next, 0, &body);
