--- a/crates/sesamegap-settings/benches/fold.rs
+++ b/crates/sesamegap-settings/benches/fold.rs
@@ -127,6 +127,7 @@
         let record = change(&fold, vec![edit(&(team(0) + "/burst"), json!(7))]);
         let (kept, sent) = (snapshot.len(), record.len());
         println!("teams {teams}: fold {bytes} B, snapshot {kept} B, change {sent} B");
+        println!("teams {teams}: fold {} B after a start", started(&snapshot));
         let full = remembering(fold.clone(), teams).snapshot().len();
         println!("teams {teams}: snapshot {full} B with memories at their bounds");
         days(&fold, teams);
@@ -136,6 +137,14 @@
     group.finish();
 }
 
+/// Bytes of a fold that started from a snapshot.
+fn started(snapshot: &[u8]) -> usize {
+    let before = IN_USE.load(Ordering::Relaxed);
+    let mut fresh = Fold::default();
+    assert_eq!(fresh.adopt(snapshot), Ok(true));
+    IN_USE.load(Ordering::Relaxed) - before
+}
+
 /// Fills the memories of ids and of touched paths, as far as there are paths.
 fn remembering(mut fold: Fold, teams: usize) -> Fold {
     const EDITS: usize = TOUCHED / IDS;
