Tell peers of cold prompts under way, and rank homes by soundness

Cause: after a lost failure domain several routers had the same dossier computed, each on an engine of its choice, since the event that tells of the first comes seconds later; and a strong rank kept work on a first home that had become slow. Change: Digest::cold names long prompts under way with their blocks, which peers expect; each place down the home set costs as much as computing what is missing; a slow home's place goes smoothly to the next.

--- a/crates/sesamegap-policy/src/placing/candidates.rs
+++ b/crates/sesamegap-policy/src/placing/candidates.rs
@@ -15,14 +15,15 @@
 const HOMES: usize = 6;
 
 /// An engine to weigh.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
     /// The engine.
     pub engine: EngineNo,
     /// Leading blocks it is believed to hold.
     pub blocks: u16,
-    /// Place in the home set, the set's length if it is not in it.
-    pub rank: usize,
+    /// Place in the home set, beyond its end if it is not in it; slow engines before it count for
+    /// less than a place.
+    pub rank: f64,
 }
 
 /// Gathers candidates into buffers that are used again.
@@ -32,6 +33,8 @@
     pub found: Vec<Candidate>,
     depths: Vec<Depth>,
     homes: Vec<EngineNo>,
+    /// Rank of each home, and of all other engines at the end.
+    ranks: Vec<f64>,
     finder: Homes,
 }
 
@@ -53,6 +56,7 @@
         let seeds = |no| engines.seed(no);
         self.finder
             .find(ask.chain, ring, heat, seeds, &mut self.homes);
+        self.rank_homes(engines, now);
         index.depths(&ask.chain.keys, now, &mut self.depths);
         self.add_holders(ring, engines, draws.0);
         for at in 0..self.homes.len().min(HOMES) {
@@ -62,6 +66,34 @@
         true
     }
 
+    /// Ranks the homes by their places.
+    ///
+    /// Load: the first home of a prefix has become slow. Harm prevented: work that stays there
+    /// because it is the first home; as an engine slows down, its place smoothly goes to the next.
+    fn rank_homes(&mut self, engines: &Engines, now: Moment) {
+        self.ranks.clear();
+        let mut rank = 0.0;
+        for home in &self.homes {
+            let health = engines.health(*home, now);
+            self.ranks.push(rank + 1.0 - health);
+            rank += health;
+        }
+        self.ranks.push(rank);
+    }
+
+    /// What is known of any engine for the request gathered for last.
+    pub fn describe(&self, no: EngineNo, engines: &Engines) -> Option<Candidate> {
+        let slot = engines.get(no)?.slot;
+        let depth = self.depths.iter().find(|d| d.slot == slot);
+        let home = self.homes.iter().position(|home| *home == no);
+        let rank = home.unwrap_or(self.homes.len());
+        Some(Candidate {
+            engine: no,
+            blocks: depth.map_or(0, |d| d.blocks),
+            rank: self.ranks.get(rank).copied().unwrap_or(0.0),
+        })
+    }
+
     /// Adds the holders of the longest prefixes, ties in an order that each request draws anew.
     fn add_holders(&mut self, ring: &Ring, engines: &Engines, draw: u64) {
         let turn = usize::try_from(draw >> 32).unwrap_or(0) % self.depths.len().max(1);
@@ -95,15 +127,8 @@
         if self.found.iter().any(|c| c.engine == no) {
             return;
         }
-        let Some(engine) = engines.get(no) else {
-            return;
-        };
-        let depth = self.depths.iter().find(|d| d.slot == engine.slot);
-        let rank = self.homes.iter().position(|home| *home == no);
-        self.found.push(Candidate {
-            engine: no,
-            blocks: depth.map_or(0, |d| d.blocks),
-            rank: rank.unwrap_or(self.homes.len()),
-        });
+        if let Some(found) = self.describe(no, engines) {
+            self.found.push(found);
+        }
     }
 }
--- a/crates/sesamegap-policy/src/placing/cost.rs
+++ b/crates/sesamegap-policy/src/placing/cost.rs
@@ -11,7 +11,7 @@
 use sesamegap_wire::Tokens;
 
 /// Slowness that counts as ordinary for uneven hardware.
-const SLOW_FROM: f64 = 1.5;
+pub const SLOW_FROM: f64 = 1.5;
 
 /// Slowness beyond which an engine is no worse.
 const SLOW_MOST: f64 = 8.0;
@@ -25,8 +25,9 @@
 /// Requests held up per second of queue, by each second computed.
 const CROWD: f64 = 0.5;
 
-/// Part of the cost of missing tokens that each place down the home set adds.
-const RANK: f64 = 0.2;
+/// Part of the cost of missing tokens that each place down the home set adds: as much again, so
+/// that only a queue longer than the computing itself sends a cold prefix to its second home.
+const RANK: f64 = 1.0;
 
 /// Seconds that a round trip to another failure domain adds.
 const ACROSS: f64 = 0.003;
@@ -52,8 +53,8 @@
     pub evicting: f64,
     /// Pressure on the cache: 1 where blocks are evicted at the age typical of the fleet.
     pub pressure: f64,
-    /// Place in the home set, its length if the engine is not in it.
-    pub rank: usize,
+    /// Place in the home set, beyond its end if the engine is not in it.
+    pub rank: f64,
     /// Whether it stands in another failure domain.
     pub across: bool,
 }
@@ -68,7 +69,7 @@
     pub fn cost(&self, thrift: f64) -> f64 {
         let crowd = 1.0 + CROWD * self.wait;
         let compute = self.missing.0 as f64 * self.per_token * thrift.max(1.0) * crowd;
-        let rank = compute * RANK * self.rank as f64;
+        let rank = compute * RANK * self.rank;
         let evict = compute * EVICT * self.evicting * self.pressure;
         let across = if self.across { ACROSS } else { 0.0 };
         let slow = (self.slowness - SLOW_FROM).clamp(0.0, SLOW_MOST) * SLOW;
--- a/crates/sesamegap-policy/src/placing/engines.rs
+++ b/crates/sesamegap-policy/src/placing/engines.rs
@@ -4,6 +4,7 @@
 //! shows the weights, and nothing has failed there since that report.
 
 use super::backlog::Backlog;
+use super::cost::SLOW_FROM;
 use super::index::{Index, Slot};
 use super::ring::{EngineNo, Ring, seed_of};
 use super::speed::{self, Speed};
@@ -283,6 +284,15 @@
         engine.speed.per_token(self.typical, now)
     }
 
+    /// How far an engine counts as sound: 1 at an ordinary speed, less as it gets slower.
+    pub fn health(&self, no: EngineNo, now: Moment) -> f64 {
+        let Some(engine) = self.get(no) else {
+            return 0.0;
+        };
+        let slowness = self.per_token(engine, now) / self.typical;
+        (1.0 + SLOW_FROM - slowness).clamp(0.0, 1.0)
+    }
+
     /// How soon an engine evicts, that does so at some age, in relation to the others.
     pub fn pressure(&self, age: f64) -> f64 {
         (self.typical_age / age.max(1.0)).clamp(PRESSURE.0, PRESSURE.1)
--- a/crates/sesamegap-policy/src/placing/flights.rs
+++ b/crates/sesamegap-policy/src/placing/flights.rs
@@ -76,6 +76,12 @@
         self.all.values().filter(move |f| f.engine == engine)
     }
 
+    /// Long prompts not yet computed.
+    pub fn cold(&self) -> impl Iterator<Item = &Flight> {
+        let all = self.all.values();
+        all.filter(|f| f.cold && f.stage != Stage::Answering)
+    }
+
     /// Number of requests.
     pub fn count(&self) -> usize {
         self.all.len()
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -44,6 +44,10 @@
 /// Engines named in a digest at most, those with the most waiting.
 const NAMED: usize = 64;
 
+/// Long prompts under way named in a digest, and blocks of each: a few kilobytes at the most.
+const COLD_NAMED: usize = 8;
+const COLD_KEYS: usize = 64;
+
 /// Keys handed to a peer that starts, which keeps the message under its largest size.
 const WARM_KEYS: usize = 300_000;
 
@@ -139,6 +143,14 @@
         }
     }
 
+    /// Cost in seconds of the request placed last, on any engine; for tests and explanations.
+    pub fn cost(&self, ask: &Ask<'_>, id: &UpstreamId, now: Moment) -> Option<f64> {
+        let no = self.engines.number(id)?;
+        let found = self.candidates.describe(no, &self.engines)?;
+        let offer = self.offer(ask, self.engines.get(no)?, found, now);
+        Some(offer.cost(ask.class.thrift))
+    }
+
     fn offer(&self, ask: &Ask<'_>, engine: &Engine, found: Candidate, now: Moment) -> Offer {
         let per_token = self.engines.per_token(engine, now);
         let held = Tokens(u64::from(found.blocks) * self.block(ask.model).0);
@@ -230,6 +242,23 @@
         })
     }
 
+    /// Enters what engines are computing for a peer.
+    ///
+    /// Load: a dossier is lost with its engine, and requests for it come to several routers.
+    /// Harm prevented: each router has it computed on an engine of its own choice, because the
+    /// event that tells of the first comes only when that is done, seconds later.
+    fn expect_cold(&mut self, digest: &Digest, now: Moment) {
+        for (id, keys) in digest.cold.iter().take(COLD_NAMED) {
+            let engine = self.engines.number(id).and_then(|no| self.engines.get(no));
+            let Some(slot) = engine.filter(|e| !e.suspect).map(|e| e.slot) else {
+                continue;
+            };
+            for key in keys.iter().take(COLD_KEYS) {
+                self.index.expect(slot, *key, now);
+            }
+        }
+    }
+
     fn count_heat(&mut self, chain: &Chain) {
         for end in chain.levels.iter() {
             let at = usize::from(*end).checked_sub(1);
@@ -445,6 +474,7 @@
         for engine in self.peers.hear(from, waiting, now) {
             self.note_peers(engine, now);
         }
+        self.expect_cold(digest, now);
     }
 
     fn digest(&mut self, digest: &mut Digest, now: Moment) {
@@ -455,6 +485,13 @@
         waiting.sort_unstable_by(|a, b| b.cmp(a));
         let named = waiting.into_iter().take(NAMED);
         digest.prefill = named.map(|(tokens, id)| (id.clone(), tokens)).collect();
+        let cold = self.flights.cold().take(COLD_NAMED);
+        let cold = cold.filter_map(|flight| {
+            let id = self.engines.get(flight.engine)?.id.clone();
+            let keys = flight.keys.iter().take(COLD_KEYS);
+            Some((id, keys.copied().collect()))
+        });
+        digest.cold = cold.collect();
     }
 
     fn warm(&mut self, warmth: &Warmth, now: Moment) {
--- a/crates/sesamegap-policy/tests/testsuite/placing/scan.rs
+++ b/crates/sesamegap-policy/tests/testsuite/placing/scan.rs
@@ -1,8 +1,7 @@
 //! The handful of candidates against a scan of all engines.
 
 use super::support::{
-    BLOCK, Everywhere, ask, chain, class, engine, first_failure, listing, model, placer, report,
-    request,
+    Everywhere, ask, chain, class, engine, first_failure, listing, model, placer, report, request,
 };
 use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
@@ -13,10 +12,9 @@
 
 const NOW: Moment = Moment(1_000_000_000);
 
-/// How much dearer the chosen engine may be than the best of all, in the mean over a case. The
-/// part added for each place down a home set alone may make a fifth; the rest is for the
-/// engines not looked at.
-const MEAN: f64 = 1.3;
+/// How much dearer the chosen engine may be than the best of all, in the mean over a case: near
+/// ties are drawn at random, and not all engines are looked at.
+const MEAN: f64 = 1.05;
 
 /// Requests placed in a case.
 const ASKS: u64 = 60;
@@ -43,12 +41,7 @@
 }
 
 fn cost(placer: &PrefixPlacer, id: &UpstreamId, ask: &Ask<'_>) -> f64 {
-    let engines = placer.engines();
-    let engine = engines.get(engines.number(id).unwrap()).unwrap();
-    let per_token = engines.per_token(engine, NOW);
-    let held = u64::from(placer.index().depth(engine.slot, &ask.chain.keys, NOW)) * BLOCK;
-    let missing = (ask.chain.tokens.0 - held) as f64;
-    engine.backlog.wait(NOW, per_token).as_secs_f64() + missing * per_token * ask.class.thrift
+    placer.cost(ask, id, NOW).unwrap()
 }
 
 /// Mean ratio of the chosen engine's cost to the least of all engines.
@@ -100,7 +93,8 @@
 fn the_scan_finds_a_placer_that_looks_at_one_engine() {
     let failure = first_failure(|seed: &u16| {
         let seed = u64::from(*seed);
-        let random = ratio(seed, |_, _, rng| {
+        let random = ratio(seed, |placer, ask, rng| {
+            place(placer, ask, rng);
             let at = usize::try_from(rng.next_u32()).unwrap() % 12;
             engine(at)
         });
--- a/crates/sesamegap-wire/src/peer.rs
+++ b/crates/sesamegap-wire/src/peer.rs
@@ -14,6 +14,9 @@
     pub demand: Vec<(TeamId, f64)>,
     /// Prompt tokens this router has sent to each engine and that are not yet computed.
     pub prefill: Vec<(UpstreamId, Tokens)>,
+    /// Long prompts that an engine is computing for this router, with their blocks.
+    #[serde(default)]
+    pub cold: Vec<(UpstreamId, Vec<BlockKey>)>,
 }
 
 /// Cache contents a router believes in, for a peer that has just started.
