--- a/crates/sesamegap-measure/src/main.rs
+++ b/crates/sesamegap-measure/src/main.rs
@@ -5,7 +5,9 @@
 //! baseline plugs as another placer.
 
 mod baselines;
+mod news;
 mod outcome;
+mod setup;
 mod site;
 mod worker;
 mod workload;
--- a/crates/sesamegap-measure/src/world.rs
+++ b/crates/sesamegap-measure/src/world.rs
@@ -1,42 +1,33 @@
 //! One run: routers with the real decider, fake engines, and the news between them, late.
 
 use crate::baselines::Policy;
+use crate::news::DIGESTS;
 use crate::outcome::{Ledger, Outcome};
-use crate::site::{BLOCK, Site, TEAMS};
+use crate::setup::{catalogue, domain, moment, name};
+use crate::site::Site;
 use crate::worker::{Task, Worker};
-use crate::workload::{Arrival, END, FAULT, SECOND, Scenario, WARM};
+use crate::workload::{Arrival, END, Scenario};
+use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
-use rand::{RngExt, SeedableRng};
 use rustc_hash::FxHashMap;
 use sesamegap_policy::{Decider, DeciderBuilder, Decision, Observation, Work};
-use sesamegap_settings::{Catalogue, ClassSpec, ModelSpec, TeamSpec};
+use sesamegap_settings::Catalogue;
 use sesamegap_wire::engine::EngineEntry;
 use sesamegap_wire::{
-    ClassId, DomainId, Incarnation, ModelId, Moment, RequestId, Tokens, UpstreamId, VmId,
-    WeightsVersion,
+    ClassId, DomainId, Incarnation, ModelId, Moment, RequestId, Tokens, UpstreamId, WeightsVersion,
 };
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Seconds between two load reports of an engine, and their usual age on arrival.
-const REPORTS: (f64, f64) = (0.5, 0.3);
-/// Seconds between two batches of cache events, and their usual delay.
-const EVENTS: (f64, f64) = (0.2, 0.3);
-/// Seconds between two digests of a router.
-const DIGESTS: f64 = 1.0;
 /// Seconds within a failure domain.
 const NEAR: f64 = 0.0002;
 /// Seconds until a router notices that a connection is gone.
-const NOTICE: f64 = 0.1;
-/// Seconds that an engine is down after a crash.
-const DOWN: f64 = 3.0;
-/// Seconds of the fault in which events are lost and late.
-const GAPS: f64 = 20.0;
-
+pub const NOTICE: f64 = 0.1;
+/// What happens next.
 #[derive(Debug)]
-enum Event {
+pub enum Event {
     Arrive(usize),
     Reach(usize, Incarnation, Task),
     Computed(usize, u64),
@@ -52,91 +43,34 @@
     Herd,
 }
 
-struct Router {
-    decider: Decider,
-    life: u64,
+/// A router with the real decider.
+pub struct Router {
+    pub decider: Decider,
+    pub life: u64,
     domain: DomainId,
     waking: Option<Moment>,
     /// When the last batch of each engine's events arrives, so that none overtakes another.
-    fed: Vec<f64>,
+    pub fed: Vec<f64>,
 }
 
 /// A run under way.
 pub struct World<'a> {
-    site: &'a Site,
-    scenario: Scenario,
+    pub site: &'a Site,
+    pub scenario: Scenario,
     policy: Policy,
-    arrivals: &'a [Arrival],
+    pub arrivals: &'a [Arrival],
     catalogue: Arc<Catalogue>,
-    model: ModelId,
-    routers: Vec<Router>,
-    workers: Vec<Worker>,
+    pub model: ModelId,
+    pub routers: Vec<Router>,
+    pub workers: Vec<Worker>,
     by_id: FxHashMap<UpstreamId, usize>,
     twins: FxHashMap<RequestId, usize>,
     events: BinaryHeap<Reverse<(u64, u64)>>,
     bodies: FxHashMap<u64, Event>,
     count: u64,
-    now: f64,
-    rng: ChaCha12Rng,
-    ledger: Ledger,
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "virtual time is a few minutes, never negative"
-)]
-fn moment(seconds: f64) -> Moment {
-    // Far from zero, so that nothing leans on the clock's start.
-    Moment((seconds * 1e6) as u64 + 1_000_000_000)
-}
-
-fn name<T: std::str::FromStr>(text: &str) -> T {
-    let Ok(name) = text.parse() else {
-        unreachable!("names here are short and plain")
-    };
-    name
-}
-
-fn domain(at: usize) -> DomainId {
-    name(&format!("d{}", at % 3))
-}
-
-fn catalogue(site: &Site, model: &ModelId) -> Catalogue {
-    let mut catalogue = Catalogue::default();
-    for kind in &site.kinds {
-        let spec = ClassSpec {
-            priority: kind.priority,
-            deadline: kind.deadline,
-            total: kind.deadline + Duration::from_secs(30),
-            retries: 2,
-            queue: Tokens(4_000_000),
-            thrift: kind.thrift,
-            hedge: false,
-        };
-        catalogue.classes.insert(name(kind.class), spec);
-    }
-    for team in 0..TEAMS.len() {
-        let spec = TeamSpec {
-            key_hashes: Vec::new(),
-            weight: 1.0,
-            rate: None,
-            burst: Tokens(0),
-            class: name(site.kinds[0].class),
-            models: Vec::new(),
-        };
-        catalogue.teams.insert(name(&format!("t{team}")), spec);
-    }
-    let spec = ModelSpec {
-        version: WeightsVersion(1),
-        block: Tokens(BLOCK),
-        longest: Tokens(200_000),
-        answer: Tokens(1000),
-        least: 1,
-        engines: Vec::new(),
-    };
-    catalogue.models.insert(model.clone(), spec);
-    catalogue
+    pub now: f64,
+    pub rng: ChaCha12Rng,
+    pub ledger: Ledger,
 }
 
 impl<'a> World<'a> {
@@ -211,38 +145,23 @@
         self.ledger.close(self.site, self.arrivals)
     }
 
-    fn faults(&mut self) {
-        match self.scenario {
-            Scenario::Crash => {
-                self.at(FAULT, Event::Down(0));
-                for at in (0..self.workers.len()).filter(|at| at % 3 == 1) {
-                    self.at(SECOND, Event::Down(at));
-                }
-            }
-            Scenario::Herd => self.at(FAULT, Event::Herd),
-            // One upstream at a quarter of its speed, from before measuring starts.
-            Scenario::Slow => self.workers[1].per_token *= 4.0,
-            _ => {}
-        }
-    }
-
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "virtual time is a few minutes, never negative"
     )]
-    fn at(&mut self, seconds: f64, event: Event) {
+    pub fn at(&mut self, seconds: f64, event: Event) {
         self.count += 1;
         let key = (seconds.max(self.now) * 1e6).ceil() as u64;
         self.events.push(Reverse((key, self.count)));
         self.bodies.insert(self.count, event);
     }
 
-    fn after(&mut self, seconds: f64, event: Event) {
+    pub fn after(&mut self, seconds: f64, event: Event) {
         self.at(self.now + seconds, event);
     }
 
-    fn router(&self, at: usize, life: u64) -> Router {
+    pub fn router(&self, at: usize, life: u64) -> Router {
         let domain = domain(at);
         let decider = DeciderBuilder::new(name(&format!("vm-{at}")), domain.clone())
             .seed(at as u64 * 1000 + life)
@@ -258,25 +177,6 @@
         }
     }
 
-    /// Tells a router that starts what it asks for first: the fleet and each engine's state.
-    fn greet(&mut self, at: usize) {
-        let routers = u32::try_from(self.site.routers).unwrap_or(1);
-        let fleet = self.workers.iter().map(|w| w.entry.clone()).collect();
-        let life = self.routers[at].life;
-        self.after(0.001, Event::Tell(at, life, Observation::Routers(routers)));
-        self.after(0.001, Event::Tell(at, life, Observation::Fleet(fleet)));
-        for worker in 0..self.workers.len() {
-            if self.workers[worker].up {
-                let report = self.workers[worker].report(&self.model, 0.004);
-                let id = self.workers[worker].entry.id.clone();
-                self.after(
-                    0.005,
-                    Event::Tell(at, life, Observation::Report(id, report)),
-                );
-            }
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(job) => self.submit(self.arrivals[job].router, job),
@@ -476,7 +376,7 @@
     }
 
     /// Tells a router that an attempt is lost, and submits it again as the router would.
-    fn lose(&mut self, worker: usize, task: Task, delay: f64) {
+    pub fn lose(&mut self, worker: usize, task: Task, delay: f64) {
         let engine = self.workers[worker].entry.id.clone();
         let job = self.job(&task.request);
         let (router, life) = (task.router, task.life);
@@ -487,74 +387,4 @@
         self.ledger.lose(job, engine);
         self.after(delay, Event::Again(router, life, job));
     }
-
-    fn report(&mut self, worker: usize) {
-        self.after(REPORTS.0, Event::Report(worker));
-        if !self.workers[worker].up {
-            return;
-        }
-        // Lag: reports are two seconds old.
-        let lag = if self.scenario == Scenario::Lag {
-            2.0
-        } else {
-            REPORTS.1
-        };
-        let report = self.workers[worker].report(&self.model, lag);
-        let id = self.workers[worker].entry.id.clone();
-        for router in 0..self.routers.len() {
-            let news = Observation::Report(id.clone(), report.clone());
-            let life = self.routers[router].life;
-            self.after(lag, Event::Tell(router, life, news));
-        }
-    }
-
-    fn feed(&mut self, worker: usize) {
-        self.after(EVENTS.0, Event::Events(worker));
-        if !self.workers[worker].up {
-            return;
-        }
-        let batch = self.workers[worker].events();
-        let id = self.workers[worker].entry.id.clone();
-        let faulty = self.scenario == Scenario::Gaps && (FAULT..FAULT + GAPS).contains(&self.now);
-        for router in 0..self.routers.len() {
-            // Gaps: a third of the batches is lost to each router, the rest comes 2 s late.
-            if faulty && self.rng.random::<f64>() < 0.33 {
-                continue;
-            }
-            let delay = EVENTS.1 + if faulty { 2.0 } else { 0.0 };
-            let arrives = (self.now + delay).max(self.routers[router].fed[worker]);
-            self.routers[router].fed[worker] = arrives;
-            let news = Observation::Cache(id.clone(), batch.clone());
-            let life = self.routers[router].life;
-            self.at(arrives, Event::Tell(router, life, news));
-        }
-    }
-
-    fn digest(&mut self, router: usize) {
-        self.after(DIGESTS, Event::Digest(router));
-        let digest = self.routers[router].decider.digest(moment(self.now));
-        let vm: VmId = name(&format!("vm-{router}"));
-        for peer in (0..self.routers.len()).filter(|peer| *peer != router) {
-            let news = Observation::Peer(vm.clone(), digest.clone());
-            let life = self.routers[peer].life;
-            self.after(self.site.across, Event::Tell(peer, life, news));
-        }
-    }
-
-    fn down(&mut self, worker: usize) {
-        for task in self.workers[worker].crash() {
-            self.lose(worker, task, NOTICE);
-        }
-        self.after(DOWN, Event::Up(worker));
-    }
-
-    /// Restarts all routers at once; what they had under way is cut.
-    fn herd(&mut self) {
-        for at in 0..self.routers.len() {
-            let life = self.routers[at].life + 1;
-            self.routers[at] = self.router(at, life);
-            self.greet(at);
-        }
-        self.ledger.cut(self.arrivals, WARM, self.now);
-    }
 }
--- a/crates/sesamegap-policy/src/placing/heat.rs
+++ b/crates/sesamegap-policy/src/placing/heat.rs
@@ -7,7 +7,7 @@
 //! from flapping at the edge of a size.
 
 use rustc_hash::FxHashMap;
-use sesamegap_wire::{BlockKey, Moment};
+use sesamegap_wire::{BlockKey, Chain, Moment};
 use smol_str::SmolStr;
 use std::time::Duration;
 
@@ -75,6 +75,16 @@
         self.counts.insert(key, start);
     }
 
+    /// Counts a request for each nested prefix of its prompt.
+    pub fn count_levels(&mut self, chain: &Chain) {
+        for end in chain.levels.iter() {
+            let at = usize::from(*end).checked_sub(1);
+            if let Some(key) = at.and_then(|at| chain.keys.get(at)) {
+                self.count(*key);
+            }
+        }
+    }
+
     /// Learns the seconds that one request took of an engine.
     pub fn took(&mut self, seconds: f64) {
         self.work += (seconds - self.work) * GAIN;
--- a/crates/sesamegap-policy/src/placing/index.rs
+++ b/crates/sesamegap-policy/src/placing/index.rs
@@ -13,6 +13,7 @@
 //! Memory is bounded: a shard that is full forgets the quarter of its blocks unused the longest.
 
 use super::holders::{Entered, Holders, Holding};
+use super::ticks::{TICKS, seconds, tick, ticks_since};
 use rustc_hash::FxHashMap;
 use sesamegap_wire::{BlockKey, Moment};
 use std::time::Duration;
@@ -28,12 +29,6 @@
 /// Time for a sweep over all shards; the slots of dead engines come free after two.
 const SWEEP: Duration = Duration::from_mins(1);
 
-/// Length of a tick; 15 bits of ticks are 68 minutes, longer than any block is left unused.
-const TICK_MICROS: u64 = 125_000;
-
-/// Ticks are kept in 15 bits, the sixteenth tells a confirmed holding.
-const TICKS: u16 = 0x7fff;
-
 /// Ages beyond this are clipped by the sweep, before the ticks wrap.
 const OLDEST: u16 = TICKS / 2;
 
@@ -94,18 +89,6 @@
     u64::try_from(key.0 >> 64).unwrap_or(0)
 }
 
-fn tick(now: Moment) -> u16 {
-    u16::try_from((now.0 / TICK_MICROS) & u64::from(TICKS)).unwrap_or(0)
-}
-
-fn ticks_since(now: u16, then: u16) -> u16 {
-    now.wrapping_sub(then) & TICKS
-}
-
-fn seconds(ticks: u16) -> f64 {
-    f64::from(ticks) * (TICK_MICROS as f64) / 1e6
-}
-
 impl Index {
     /// Makes an index that keeps at most about so many blocks.
     pub fn new(most: usize) -> Self {
--- a/crates/sesamegap-policy/src/placing/mod.rs
+++ b/crates/sesamegap-policy/src/placing/mod.rs
@@ -11,6 +11,7 @@
 pub mod backlog;
 mod builder;
 mod candidates;
+mod choose;
 mod cost;
 mod dump;
 pub mod engines;
@@ -25,6 +26,7 @@
 mod prefix;
 pub mod ring;
 pub mod speed;
+mod ticks;
 mod turns;
 
 pub use builder::PrefixBuilder;
