--- /dev/null
+++ b/crates/sesamegap-measure/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the measuring programs.
+
+mod slopes;
