--- a/crates/sesamegap-measure/src/slopes/messages.rs
+++ b/crates/sesamegap-measure/src/slopes/messages.rs
@@ -88,6 +88,7 @@
         prefill: (0..prefill)
             .map(|n| (fleet::engine(n), Tokens(40_000)))
             .collect(),
+        ..Digest::default()
     }
 }
 
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the decisions, by subject.
 
 mod load;
-#[expect(clippy::unwrap_used, reason = "a test ends where a helper cannot go on")]
+#[expect(
+    clippy::unwrap_used,
+    reason = "a test ends where a helper cannot go on"
+)]
 mod placing;
 mod queue;
 mod serving;
