Try other teams first at the next poll

Cause: teams passed over for want of room went back to the front of their ring, so that each poll tried the same ones in vain while others had room. Change: they stay at the back with their credit; eight tries find a full lane, not four.

--- a/crates/sesamegap-policy/src/load/queue/lane.rs
+++ b/crates/sesamegap-policy/src/load/queue/lane.rs
@@ -123,16 +123,15 @@
         self.ring.push_back(team);
     }
 
-    /// Ends a round: teams passed over are back in front and keep their turn.
+    /// Ends a round: nothing is passed over any more.
     ///
-    /// Were they left at the back, or were others given credit for standing in, each poll without
-    /// room would forgive heavy teams their debt and cost light ones their turn.
+    /// Teams passed over keep their credit and stay at the back, so that the next round tries
+    /// others. Those who stood in got none: if they did, each poll without room would forgive
+    /// heavy teams their debt.
     pub fn rewind(&mut self) {
         while let Some(team) = self.passed.pop() {
             if let Some(share) = self.shares.get_mut(&team) {
                 share.skip = 0;
-                self.leave(&team);
-                self.ring.push_front(team);
             }
         }
     }
--- a/crates/sesamegap-policy/src/load/queue/mod.rs
+++ b/crates/sesamegap-policy/src/load/queue/mod.rs
@@ -30,8 +30,8 @@
 pub const LONG: Tokens = Tokens(16_384);
 
 /// Placements tried in a lane without room: different teams and prefixes want different engines,
-/// so one failure says little, and four say that the lane is full.
-pub const TRIES: u32 = 4;
+/// so one failure says little, and some say that the lane is full.
+pub const TRIES: u32 = 8;
 
 /// Requests one router queues at most: 2 KB each keep the queue under a quarter of 64 MB.
 pub const MOST_REQUESTS: usize = 8_192;
