--- a/crates/sesamegap-settings/src/catalogue/resolve.rs
+++ b/crates/sesamegap-settings/src/catalogue/resolve.rs
@@ -145,6 +145,23 @@
         }
     }
 
+    /// Makes a catalogue of all objects; maps made at once are denser than those that grew.
+    fn whole(self) -> (Catalogue, Homes) {
+        let mut catalogue = Catalogue::default();
+        let mut homes: [Vec<(SmolStr, SmolStr)>; 4] = Default::default();
+        let mut teams = Vec::new();
+        for ((kind, name, group), spec) in self.after {
+            match spec {
+                Spec::Team(team) => teams.push((id::<TeamId>(&name), team)),
+                other => catalogue.insert(&name, other),
+            }
+            homes[kind as usize].push((name, group));
+        }
+        catalogue.keys = teams.iter().collect();
+        catalogue.teams = teams.into_iter().collect();
+        (catalogue, homes.map(|homes| homes.into_iter().collect()))
+    }
+
     /// Replaces the objects, but not the keys of teams.
     fn replace(self, catalogue: &mut Catalogue, homes: &mut Homes) {
         let mut gone = self.before;
@@ -225,8 +242,6 @@
 
 /// Resolves a whole tree and says where each object stands.
 pub(crate) fn resolve_all(tree: &Tree, findings: &mut Findings) -> (Catalogue, Homes) {
-    let mut catalogue = Catalogue::default();
-    let mut homes = Homes::default();
     let mut layers = Layers::default();
     layers.push("", &tree.root);
     let mut after = Vec::new();
@@ -243,7 +258,6 @@
         before: Items::new(),
         after,
     };
-    staged.check_all(&catalogue, &homes, findings);
-    staged.commit(&mut catalogue, &mut homes);
-    (catalogue, homes)
+    staged.check_all(&Catalogue::default(), &Homes::default(), findings);
+    staged.whole()
 }
--- a/crates/sesamegap-settings/src/keys/mod.rs
+++ b/crates/sesamegap-settings/src/keys/mod.rs
@@ -4,6 +4,7 @@
 //! hashes may take longer for one hash than for another, but a caller cannot choose the hash of a
 //! key it does not know, so that tells it nothing; the last comparison takes constant time.
 
+use crate::catalogue::TeamSpec;
 use blake3::Hash;
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::TeamId;
@@ -55,3 +56,15 @@
         }
     }
 }
+
+impl<'a> FromIterator<&'a (TeamId, TeamSpec)> for Keys {
+    /// Takes the keys of teams; a malformed hash is left out, as it matches nothing.
+    fn from_iter<I: IntoIterator<Item = &'a (TeamId, TeamSpec)>>(teams: I) -> Self {
+        let hashes = |(id, team): &'a (TeamId, TeamSpec)| {
+            let parse = |hash: &String| Hash::from_hex(hash).ok();
+            let hashes = team.key_hashes.iter().filter_map(parse);
+            hashes.map(move |hash| (*hash.as_bytes(), id.clone()))
+        };
+        Self(Arc::new(teams.into_iter().flat_map(hashes).collect()))
+    }
+}
--- a/crates/sesamegap-settings/src/tree/group.rs
+++ b/crates/sesamegap-settings/src/tree/group.rs
@@ -53,16 +53,16 @@
             match (key.as_str(), Kind::from_plural(key)) {
                 ("defaults", _) => group.read_defaults(value, &path, findings),
                 ("groups", _) => {
-                    for_each(value, &path, findings, |name, value, path, findings| {
-                        let below = Self::read_below(value, path, depth + 1, findings);
-                        group.groups.insert(SmolStr::new(name), below);
-                    });
+                    let below = |value: &Value, path: &str, findings: &mut Findings| {
+                        Self::read_below(value, path, depth + 1, findings)
+                    };
+                    group.groups = read_each(value, &path, findings, below);
                 }
                 (_, Some(kind)) => {
-                    for_each(value, &path, findings, |name, value, path, findings| {
-                        let values = reader::read(kind.fields(), value, path, findings);
-                        group.items[kind as usize].insert(SmolStr::new(name), values);
-                    });
+                    let own = |value: &Value, path: &str, findings: &mut Findings| {
+                        reader::read(kind.fields(), value, path, findings)
+                    };
+                    group.items[kind as usize] = read_each(value, &path, findings, own);
                 }
                 _ => findings.add(&path, format!("unknown key `{}`", shown(key)), KEYS),
             }
@@ -143,26 +143,24 @@
     object
 }
 
-fn for_each(
+/// Reads each child of an object; a map made at once is denser than one that grew.
+fn read_each<T>(
     value: &Value,
     path: &str,
     findings: &mut Findings,
-    mut read: impl FnMut(&str, &Value, &str, &mut Findings),
-) {
-    let Some(object) = as_object(value, path, "an object with a key for each name", findings)
-    else {
-        return;
-    };
-    for (name, value) in object {
+    mut read: impl FnMut(&Value, &str, &mut Findings) -> T,
+) -> BTreeMap<SmolStr, T> {
+    let allowed = "an object with a key for each name";
+    let object = as_object(value, path, allowed, findings);
+    let mut children = Vec::new();
+    for (name, value) in object.into_iter().flatten() {
         let path = join(path, name);
         if is_name(name) {
-            read(name, value, &path, findings);
+            children.push((SmolStr::new(name), read(value, &path, findings)));
         } else {
-            findings.add(
-                &path,
-                format!("`{}` is not a valid name", shown(name)),
-                NAMES,
-            );
+            let wrong = format!("`{}` is not a valid name", shown(name));
+            findings.add(&path, wrong, NAMES);
         }
     }
+    children.into_iter().collect()
 }
