--- a/crates/sesamegap-measure/src/baselines.rs
+++ b/crates/sesamegap-measure/src/baselines.rs
@@ -14,6 +14,9 @@
 use sesamegap_wire::{DomainId, Moment, RequestId, Tokens, UpstreamId};
 use std::time::Duration;
 
+/// Longest wait for the engine with the longest prefix, when its window is full.
+const LONGEST: Duration = Duration::from_millis(1500);
+
 /// A way to place requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum Policy {
@@ -88,6 +91,17 @@
         Some(Choice { order, at, missing })
     }
 
+    /// Time to wait for the engine that holds the longest prefix, if all that hold as much are full.
+    ///
+    /// Measured, going elsewhere at once or waiting without bound is worse.
+    fn waits(&self, choices: &[Choice], room: &dyn Room) -> Option<Duration> {
+        let best = choices.iter().min_by_key(|c| c.order)?;
+        let mut alike = choices.iter().filter(|c| c.order.0 == best.order.0);
+        let open = alike.any(|c| room.has(&c.at.engine, c.missing));
+        let waits = self.policy == Policy::LongestPrefix && !open && best.at.wait < LONGEST;
+        waits.then_some(best.at.wait)
+    }
+
     /// All engines that serve the model, in the order that the policy first asks them.
     fn ordered(&mut self, ask: &Ask<'_>, rng: &mut dyn Rng) -> Vec<EngineNo> {
         let Some(members) = self.inner.engines().ring(ask.model, ask.version) else {
@@ -119,6 +133,9 @@
         if choices.is_empty() {
             return Placed::Nowhere;
         }
+        if let Some(wait) = self.waits(&choices, room) {
+            return Placed::Full(wait);
+        }
         let shortest = choices.iter().map(|c| c.at.wait).min().unwrap_or_default();
         let free = choices
             .into_iter()
