Give back every claim under which nothing ran, and count what is queued

Cause: a claim that held but whose request found no room was not given back at a planned stop, and its key answered ran: unknown for good afterwards; metrics did not show how many requests wait for a decision. Change: each claim that holds is noted with its release until something ran under it; a gauge counts requests waiting for a decision.

--- a/crates/sesamegap/src/router/core.rs
+++ b/crates/sesamegap/src/router/core.rs
@@ -15,7 +15,7 @@
 use sesamegap_settings::Catalogue;
 use sesamegap_wire::{Incarnation, RequestId};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -72,6 +72,8 @@
     pub bodies: Arc<Semaphore>,
     /// Ends all work and all connections.
     pub cut: CancellationToken,
+    /// Requests waiting for a decision.
+    pub queued: AtomicUsize,
     /// Requests minted so far.
     pub minted: AtomicU64,
 }
--- a/crates/sesamegap/src/router/once/mod.rs
+++ b/crates/sesamegap/src/router/once/mod.rs
@@ -26,7 +26,7 @@
 use runs::Runs;
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::claims::{
-    Appended, ClaimId, ClaimKey, Claimant, KeyAge, KeyLife, Standing, Step, Verdict,
+    Appended, ClaimId, ClaimKey, ClaimRecord, Claimant, KeyAge, KeyLife, Standing, Step, Verdict,
 };
 use sesamegap_policy::agreement::tickets::{Admission, Ticket, Tickets};
 use sesamegap_wire::{RequestId, TeamId};
@@ -210,9 +210,14 @@
                     }
                 }
                 Step::Wait => drop(timeout_at(until, moved.changed()).await),
-                Step::Done(Verdict::Run | Verdict::Earlier(_)) => {
-                    return Ok(Place::Here);
+                Step::Done(Verdict::Run) => {
+                    let release = ClaimRecord::Release {
+                        key: key.clone(),
+                        claim: id,
+                    };
+                    return self.won(key, release).await;
                 }
+                Step::Done(Verdict::Earlier(_)) => return Ok(Place::Here),
                 Step::Done(Verdict::Other(holder)) => return Ok(Place::There(holder)),
                 Step::Done(Verdict::GivenUp(release)) => {
                     // The claim may stand: this router goes on holding the key and runs it if the
@@ -224,6 +229,15 @@
         }
     }
 
+    /// Notes a claim that holds, or gives it back if this router lets nothing in any longer.
+    async fn won(&self, key: ClaimKey, release: ClaimRecord) -> Result<Place, ApiError> {
+        if lock(&self.runs).unused(key, release.clone()) {
+            return Ok(Place::Here);
+        }
+        self.appender.append(release).await?;
+        Err(ApiError::overload("this router is stopping"))
+    }
+
     /// Which life holds a key, as far as the log was read.
     pub fn holder(&self, team: &TeamId, key: &SmolStr) -> Option<Holder> {
         let key = ClaimKey {
--- a/crates/sesamegap/src/router/once/runs.rs
+++ b/crates/sesamegap/src/router/once/runs.rs
@@ -65,12 +65,20 @@
         self.known.contains_key(key)
     }
 
-    /// Remembers how to give back a claim under which nothing ran yet.
-    pub(super) fn unused(&mut self, key: ClaimKey, release: ClaimRecord) {
+    /// Remembers how to give back a claim under which nothing ran yet; `false` if it is too late.
+    pub(super) fn unused(&mut self, key: ClaimKey, release: ClaimRecord) -> bool {
+        if self.closed {
+            return false;
+        }
+        if self.unused.len() >= UNUSED {
+            let known = &self.known;
+            self.unused.retain(|(key, _)| !known.contains_key(key));
+        }
         if self.unused.len() >= UNUSED {
             self.unused.pop_front();
         }
         self.unused.push_back((key, release));
+        true
     }
 
     /// Lets nothing in any longer and says how to give back what was never used.
--- a/crates/sesamegap/src/router/operators.rs
+++ b/crates/sesamegap/src/router/operators.rs
@@ -11,6 +11,7 @@
 use poem::{Body, IntoResponse, Request, Response, Route, get, handler, post};
 use serde_json::{Value, json};
 use sesamegap_settings::{ChangeId, TreePath};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The routes that operators use.
@@ -137,6 +138,7 @@
     let (answers, bytes) = core.kept.size();
     let gauges = Gauges {
         flights: core.flights.len(),
+        queued: core.queued.load(Ordering::Relaxed),
         ring: core.decider.waiting(),
         answers,
         bytes,
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -153,6 +153,7 @@
             flights: TaskTracker::new(),
             bodies: body_room(&config.bounds),
             cut: CancellationToken::new(),
+            queued: std::sync::atomic::AtomicUsize::new(0),
             minted: std::sync::atomic::AtomicU64::new(0),
             config,
         });
--- a/crates/sesamegap/src/router/streams/booking.rs
+++ b/crates/sesamegap/src/router/streams/booking.rs
@@ -8,6 +8,7 @@
 use sesamegap_upstream::Engine;
 use sesamegap_wire::RequestId;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// A place in the decider's queue.
 #[derive(Debug)]
@@ -19,6 +20,7 @@
 
 impl Queued {
     pub(super) fn new(core: &Arc<Core>, request: &RequestId) -> Self {
+        core.queued.fetch_add(1, Ordering::Relaxed);
         Self {
             core: Arc::clone(core),
             request: request.clone(),
@@ -34,6 +36,7 @@
 
 impl Drop for Queued {
     fn drop(&mut self) {
+        self.core.queued.fetch_sub(1, Ordering::Relaxed);
         if !self.decided {
             self.core.decider.cancelled(self.request.clone());
         }
--- a/crates/sesamegap/src/telemetry/mod.rs
+++ b/crates/sesamegap/src/telemetry/mod.rs
@@ -27,6 +27,8 @@
 pub struct Gauges {
     /// Requests being worked on.
     pub flights: usize,
+    /// Requests waiting for a decision.
+    pub queued: usize,
     /// Messages waiting for the decider.
     pub ring: usize,
     /// Answers kept.
@@ -105,6 +107,7 @@
     pub fn set(&self, gauges: &Gauges) {
         let figures = [
             ("flights", gauges.flights as f64),
+            ("queued", gauges.queued as f64),
             ("decider_ring", gauges.ring as f64),
             ("answers_kept", gauges.answers as f64),
             ("answer_bytes_kept", gauges.bytes as f64),
--- a/crates/sesamegap/tests/testsuite/router/pages.rs
+++ b/crates/sesamegap/tests/testsuite/router/pages.rs
@@ -39,6 +39,7 @@
         "sesamegap_first_token_seconds_bucket{",
         "what=\"log_age_seconds\"",
         "what=\"peers\"",
+        "what=\"queued\"",
     ] {
         assert!(metrics.contains(name), "{name} is not in {metrics}");
     }
