Hear of a start when it comes, not with the first token

The router read an answer up to its first token before it passed anything on, so the decider heard start and first token together and learned 0.001 us a token where the stand-ins take 5. Ruled out: late cache events, missing listings (the index was right). Change: the start is observed as it is read. Conclusion: kept; a test over sockets fails without it.

--- a/crates/sesamegap/src/router/streams/model/flight.rs
+++ b/crates/sesamegap/src/router/streams/model/flight.rs
@@ -170,7 +170,8 @@
         booking.sent(&engine);
         let before = std::mem::replace(&mut self.written, true);
         let dispatch = self.dispatch(&self.on, at, priority);
-        let first = opening::open(Arc::clone(&engine), dispatch, self.limits());
+        let decider = self.core.decider.clone();
+        let first = opening::open(Arc::clone(&engine), dispatch, self.limits(), decider);
         let (opened, twin) = self.race(first, hedge).await;
         if let Some(twin) = twin {
             // Dropping the late attempt's booking cancels it at its engine.
--- a/crates/sesamegap/src/router/streams/model/opening.rs
+++ b/crates/sesamegap/src/router/streams/model/opening.rs
@@ -3,7 +3,9 @@
 //! Until then nothing has reached the caller, so two attempts at one request may run beside each
 //! other, and the one that gives a token first is gone on with.
 
+use crate::router::deciding::DeciderHandle;
 use futures_util::StreamExt;
+use sesamegap_policy::Observation;
 use sesamegap_upstream::{ChunkStream, Engine, Ran, UpstreamError};
 use sesamegap_wire::engine::{Chunk, Dispatch};
 use std::sync::Arc;
@@ -37,11 +39,16 @@
 }
 
 /// Sends a request and reads up to the first token.
+///
+/// The decider hears of the start as it comes, not with the first token: it learns the engine's
+/// speed from the time between the two.
 pub(super) async fn open(
     engine: Arc<dyn Engine>,
     dispatch: Dispatch,
     limits: Limits,
+    decider: DeciderHandle,
 ) -> Result<Opened, Unopened> {
+    let request = dispatch.request.clone();
     let mut rest = match timeout(limits.taking, engine.generate(dispatch)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.ran() == Ran::No => return Err(Unopened::NotRun(error)),
@@ -52,6 +59,9 @@
         let Ok(Some(Ok(chunk))) = timeout(limits.silence, rest.next()).await else {
             return Err(Unopened::Broken);
         };
+        if let Chunk::Start { cached } = &chunk {
+            decider.observe(Observation::Started(request.clone(), *cached));
+        }
         let begun = matches!(chunk, Chunk::Token { .. } | Chunk::End { .. });
         if !matches!(chunk, Chunk::Beat) {
             chunks.push(chunk);
--- a/crates/sesamegap/src/router/streams/model/race.rs
+++ b/crates/sesamegap/src/router/streams/model/race.rs
@@ -38,7 +38,8 @@
         };
         let dispatch = self.dispatch(&twin.id, &twin.at, twin.priority);
         self.hedged = true;
-        let second = opening::open(Arc::clone(&twin.engine), dispatch, self.limits());
+        let decider = self.core.decider.clone();
+        let second = opening::open(Arc::clone(&twin.engine), dispatch, self.limits(), decider);
         tokio::pin!(second);
         tokio::select! {
             opened = &mut first => match opened {
--- a/crates/sesamegap/tests/testsuite/router/upstreams.rs
+++ b/crates/sesamegap/tests/testsuite/router/upstreams.rs
@@ -2,8 +2,10 @@
 
 use crate::support::{ALPHA, BETA, Got, PATIENCE, Site, answer, plan, question, read, request_id};
 use reqwest::{Method, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
+use sesamegap_standin::plan::EngineLimits;
 use sesamegap_standin::{Fault, Hit};
+use std::time::Duration;
 
 /// An engine is about to go and says so only itself, while the VM list still names it as live. It
 /// must get no new work, and no caller may notice.
@@ -170,3 +172,26 @@
     })
     .await;
 }
+
+/// An engine takes its time between taking a prompt and the first token. A router that heard of
+/// both together would hold every engine for infinitely fast, recompute prompts that others have
+/// cached, and send long prompts where others wait; callers would wait several times as long.
+#[tokio::test]
+async fn the_time_an_engine_computes_is_learned() {
+    let slow = EngineLimits {
+        prefill: Duration::from_micros(500),
+        beat: Duration::from_millis(20),
+        ..EngineLimits::default()
+    };
+    let site = Site::start(plan().engines(1).engine(slow), 1).await;
+    let prompt = "a prompt of about a thousand tokens ".repeat(110);
+    let sent = site.chat(0, &question(&prompt, 1, false)).send().await;
+    assert!(sent.unwrap().status().is_success());
+    let learned = |dump: &Value| {
+        let engine = &dump["decider"]["placing"]["engines"][0];
+        engine["us_per_token"].as_f64().unwrap_or(0.0)
+    };
+    // The stand-in sleeps at least that long, so a busy machine can only raise what is learned.
+    site.until(0, "what a token takes", |dump| learned(dump) > 150.0)
+        .await;
+}
