--- /dev/null
+++ b/crates/sesamegap-policy/benches/load.rs
@@ -0,0 +1,92 @@
+//! Cost of a request's way through the queue at three lengths, and of a poll without room.
+//!
+//! Load: eight teams, two classes and one model; what is sent is replaced, so that the length
+//! stays the same. Placing is left out; its cost is measured by itself.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use sesamegap_policy::Work;
+use sesamegap_policy::load::queue::{Item, Offer, Queue, Rank};
+use sesamegap_wire::{Chain, Incarnation, Moment, RequestId, Tokens, WeightsVersion};
+use std::hint::black_box;
+use std::time::Duration;
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("{text} is no name"))
+}
+
+fn item(seq: u64) -> Item {
+    let deadline = Moment(1_000_000 + seq * 7_919 % 5_000_000);
+    let tokens = Tokens(if seq.is_multiple_of(3) { 40_000 } else { 4_000 });
+    Item {
+        rank: Rank::new(seq.is_multiple_of(5), u8::from(seq.is_multiple_of(2))),
+        deadline,
+        hopeless: deadline,
+        weight: 1.0,
+        cost: tokens.0,
+        seq: 0,
+        work: Work {
+            request: RequestId {
+                vm: name("vm"),
+                incarnation: Incarnation(1),
+                seq,
+            },
+            team: name(&format!("team-{}", seq % 8)),
+            class: name("check"),
+            model: name("model"),
+            version: WeightsVersion(1),
+            chain: Chain {
+                keys: Vec::new().into(),
+                levels: Vec::new().into(),
+                tokens,
+            },
+            answer: Tokens(100),
+            arrived: Moment(1),
+            attempt: 0,
+            barred: Vec::new(),
+            repeatable: true,
+        },
+    }
+}
+
+fn filled(length: u64) -> Queue {
+    let mut queue = Queue::default();
+    (0..length).for_each(|seq| queue.push(item(seq)));
+    queue
+}
+
+fn through(c: &mut Criterion) {
+    let mut group = c.benchmark_group("queue");
+    group.sample_size(20);
+    group.measurement_time(Duration::from_secs(2));
+    for length in [10, 500, 8_000] {
+        let mut queue = filled(length);
+        let mut seq = length;
+        group.bench_function(BenchmarkId::new("in and out", length), |b| {
+            b.iter(|| {
+                queue.push(item(seq));
+                seq += 1;
+                let mut sent = false;
+                queue.room();
+                queue.serve(|item| {
+                    if std::mem::replace(&mut sent, true) {
+                        return Offer::Full;
+                    }
+                    Offer::Sent(black_box(item.cost))
+                });
+            });
+        });
+        group.bench_function(BenchmarkId::new("no room", length), |b| {
+            b.iter(|| {
+                queue.room();
+                queue.serve(|item| {
+                    black_box(item.cost);
+                    Offer::Full
+                })
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, through);
+criterion_main!(benches);
