--- a/crates/sesamegap-policy/src/decider/arrivals.rs
+++ b/crates/sesamegap-policy/src/decider/arrivals.rs
@@ -6,7 +6,7 @@
 
 use super::{Decider, Decision, Refusal, RefusalCode, Work};
 use crate::load::limits::{Claim, spread};
-use crate::load::queue::{ANSWER_COST, Item, Rank};
+use crate::load::queue::{ANSWER_COST, Item, LEAST_WEIGHT, Rank};
 use sesamegap_settings::{Catalogue, ClassSpec, TeamSpec};
 use sesamegap_wire::Moment;
 use std::sync::Arc;
@@ -119,10 +119,11 @@
 
     fn item(&mut self, work: Work, terms: Terms<'_>, now: Moment) -> Item {
         let cost = work.chain.tokens.0 + ANSWER_COST * work.answer.0;
+        let weight = terms.team.weight.max(LEAST_WEIGHT);
         let claim = Claim {
             model: &work.model,
             team: &work.team,
-            weight: terms.team.weight,
+            weight,
             priority: terms.class.priority,
             cost,
         };
@@ -141,7 +142,7 @@
             rank,
             deadline,
             hopeless: now + left,
-            weight: terms.team.weight,
+            weight,
             cost,
             seq: 0,
             work,
--- a/crates/sesamegap-policy/src/decider/outlook.rs
+++ b/crates/sesamegap-policy/src/decider/outlook.rs
@@ -108,7 +108,7 @@
             .off
             .get(&rank)
             .map_or(1.0, |off| off.came / off.expected);
-        expected.mul_f64(off.clamp(OFF.0, OFF.1))
+        expected.min(LONGEST).mul_f64(off.clamp(OFF.0, OFF.1))
     }
 
     /// Notes finished work.
--- a/crates/sesamegap-policy/src/load/limits/teams.rs
+++ b/crates/sesamegap-policy/src/load/limits/teams.rs
@@ -23,6 +23,9 @@
 /// Teams told of in a digest; at 30 bytes each this stays within 4 KB a second.
 const MOST_TOLD: usize = 128;
 
+/// Longest wait told: a team whose rate is next to nothing had better look at its settings.
+const LONGEST: Duration = Duration::from_hours(1);
+
 /// Demand below which a team is not worth telling of, in tokens a second.
 const LEAST_TOLD: f64 = 1.0;
 
@@ -98,7 +101,8 @@
         if missing <= 0.0 {
             return Ok(());
         }
-        Err(Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX))
+        let wait = Duration::try_from_secs_f64(missing / rate);
+        Err(wait.map_or(LONGEST, |wait| wait.min(LONGEST)))
     }
 
     /// The part of a team's rate that this router may give out.
--- a/crates/sesamegap-policy/src/load/queue/mod.rs
+++ b/crates/sesamegap-policy/src/load/queue/mod.rs
@@ -16,7 +16,7 @@
 mod lane;
 mod level;
 
-pub use lane::Due;
+pub use lane::{Due, LEAST_WEIGHT};
 
 use crate::decider::Work;
 use level::{Level, heft};
--- a/crates/sesamegap-policy/tests/testsuite/load/limits.rs
+++ b/crates/sesamegap-policy/tests/testsuite/load/limits.rs
@@ -95,6 +95,30 @@
     assert_eq!(again, Ok(()));
 }
 
+/// An operator gives a team a rate of nothing, or a weight of nothing. Its callers are refused with
+/// a time that can be told, and no one else's request is held up by it.
+#[test]
+fn a_team_with_nothing_is_refused_plainly() {
+    let mut settings = catalogue(&[("a", 1.0), ("none", 0.0)]);
+    let team = "none".parse().expect("valid");
+    settings.teams.insert(team, limited(0.0, 0));
+    let mut decider = decider(settings);
+    let mut refused = 0;
+    for seq in 0..20 {
+        let now = at(100 + seq);
+        let name = if seq % 2 == 0 { "none" } else { "a" };
+        decider.submit(work(seq, name, "check", 1_000, now), now);
+        for decision in decider.poll(now) {
+            if let Decision::Refuse { refusal, .. } = decision {
+                refused += 1;
+                assert_eq!(refusal.code, RefusalCode::TeamLimit);
+                assert!(refusal.after <= Duration::from_hours(2));
+            }
+        }
+    }
+    assert!((9..=10).contains(&refused), "{refused}");
+}
+
 /// Everything fails for an hour. Retries add at most a tenth, and what a quiet hour saved up
 /// does not pay for a storm.
 #[test]
