--- a/crates/sesamegap-policy/src/decider/arrivals.rs
+++ b/crates/sesamegap-policy/src/decider/arrivals.rs
@@ -62,7 +62,8 @@
     pub(super) fn arrive(&mut self, work: Work, now: Moment) {
         let catalogue = Arc::clone(&self.catalogue);
         let Some(terms) = Terms::of(&work, &catalogue) else {
-            self.refuse_after(&work, RefusalCode::Unknown, SOON);
+            let after = spread(SOON, &mut self.rng);
+            self.refuse_after(&work, RefusalCode::Unknown, after);
             return;
         };
         let paid = match work.attempt {
