--- a/crates/sesamegap-policy/src/decider/arrivals.rs
+++ b/crates/sesamegap-policy/src/decider/arrivals.rs
@@ -6,7 +6,7 @@
 
 use super::{Decider, Decision, Refusal, RefusalCode, Work};
 use crate::load::limits::{Claim, spread};
-use crate::load::queue::{ANSWER_COST, Item, Rank};
+use crate::load::queue::{ANSWER_COST, Item, LEAST_WEIGHT, Rank};
 use sesamegap_settings::{Catalogue, ClassSpec, TeamSpec};
 use sesamegap_wire::Moment;
 use std::sync::Arc;
@@ -62,7 +62,8 @@
     pub(super) fn arrive(&mut self, work: Work, now: Moment) {
         let catalogue = Arc::clone(&self.catalogue);
         let Some(terms) = Terms::of(&work, &catalogue) else {
-            self.refuse_after(&work, RefusalCode::Unknown, SOON);
+            let after = spread(SOON, &mut self.rng);
+            self.refuse_after(&work, RefusalCode::Unknown, after);
             return;
         };
         let paid = match work.attempt {
@@ -119,10 +120,11 @@
 
     fn item(&mut self, work: Work, terms: Terms<'_>, now: Moment) -> Item {
         let cost = work.chain.tokens.0 + ANSWER_COST * work.answer.0;
+        let weight = terms.team.weight.max(LEAST_WEIGHT);
         let claim = Claim {
             model: &work.model,
             team: &work.team,
-            weight: terms.team.weight,
+            weight,
             priority: terms.class.priority,
             cost,
         };
@@ -141,7 +143,7 @@
             rank,
             deadline,
             hopeless: now + left,
-            weight: terms.team.weight,
+            weight,
             cost,
             seq: 0,
             work,
