Let a new life of an engine report before it is chosen, and ignore late news of the old

Change: a new life drops the report and the queue, bookings settle one by one; flights and peers' cold prompts carry the incarnation. The unused plain placer is gone; the driver has its own.

--- a/crates/sesamegap-policy/src/placing/backlog.rs
+++ b/crates/sesamegap-policy/src/placing/backlog.rs
@@ -44,6 +44,12 @@
 }
 
 impl Backlog {
+    /// Forgets what a former life of the engine had; own requests there are settled one by one.
+    pub fn restart(&mut self) {
+        self.queue = Queue::default();
+        self.sent.clear();
+    }
+
     /// Takes a report of what waited at a moment.
     pub fn report(&mut self, waiting: Tokens, as_of: Moment, per_token: f64) {
         while self.sent.front().is_some_and(|(sent, _)| *sent <= as_of) {
--- a/crates/sesamegap-policy/src/placing/choose.rs
+++ b/crates/sesamegap-policy/src/placing/choose.rs
@@ -10,6 +10,9 @@
 use sesamegap_wire::{Moment, Tokens};
 use std::time::Duration;
 
+/// Blocks to compute from which a request is a cold prefill.
+pub(super) const COLD_BLOCKS: u64 = 4;
+
 /// Own cold prefills on one engine at a time: one is computed, one waits, the rest go elsewhere.
 ///
 /// Load: an engine comes back empty and is first home to many hot prefixes. Without a limit all
@@ -52,6 +55,10 @@
 }
 
 impl PrefixPlacer {
+    pub(super) fn is_cold(&self, ask: &Ask<'_>, missing: Tokens) -> bool {
+        missing.0 >= COLD_BLOCKS * self.block(ask.model).0
+    }
+
     pub(super) fn offer(
         &self,
         ask: &Ask<'_>,
--- a/crates/sesamegap-policy/src/placing/engines.rs
+++ b/crates/sesamegap-policy/src/placing/engines.rs
@@ -205,7 +205,9 @@
             return;
         }
         engine.incarnation = incarnation;
-        engine.backlog = Backlog::default();
+        engine.backlog.restart();
+        // What the former life had loaded says nothing of this one.
+        engine.report = None;
         engine.speed = Speed::default();
         engine.newest = None;
         engine.unlisted = false;
@@ -213,6 +215,7 @@
             index.close(engine.slot);
             self.reslot(no, slot);
         }
+        self.seat(no);
     }
 
     /// Notes that an engine failed, so that nothing goes there until it reports again.
--- a/crates/sesamegap-policy/src/placing/flights.rs
+++ b/crates/sesamegap-policy/src/placing/flights.rs
@@ -2,7 +2,7 @@
 
 use super::ring::EngineNo;
 use rustc_hash::FxHashMap;
-use sesamegap_wire::{BlockKey, Moment, RequestId, Tokens};
+use sesamegap_wire::{BlockKey, Incarnation, Moment, RequestId, Tokens};
 use std::sync::Arc;
 
 /// How far an engine has come with a request.
@@ -26,6 +26,8 @@
 pub struct Flight {
     /// The engine.
     pub engine: EngineNo,
+    /// Incarnation of the engine that it was sent to.
+    pub incarnation: Incarnation,
     /// Block size of its model.
     pub block: Tokens,
     /// The prompt's blocks.
--- a/crates/sesamegap-policy/src/placing/mod.rs
+++ b/crates/sesamegap-policy/src/placing/mod.rs
@@ -22,7 +22,6 @@
 pub mod homes;
 pub mod index;
 mod peers;
-mod plain;
 mod prefix;
 pub mod ring;
 pub mod speed;
@@ -30,7 +29,6 @@
 mod turns;
 
 pub use builder::PrefixBuilder;
-pub use plain::PlainPlacer;
 pub use prefix::{BLOCK, PrefixPlacer};
 
 use rand::Rng;
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -7,6 +7,7 @@
 //! booked at once on the engine's backlog and in the index, long before reports and events tell.
 
 use super::candidates::Candidates;
+use super::choose::COLD_BLOCKS;
 use super::engines::Engines;
 use super::feed::Feed;
 use super::flights::{Flight, Flights, Stage};
@@ -20,7 +21,7 @@
 use rustc_hash::FxHashMap;
 use sesamegap_settings::Catalogue;
 use sesamegap_wire::engine::{CacheBatch, EngineEntry, Listing, LoadReport};
-use sesamegap_wire::peer::{Digest, EngineCache, Warmth};
+use sesamegap_wire::peer::{ColdPrompt, Digest, EngineCache, Warmth};
 use sesamegap_wire::{DomainId, ModelId, Moment, RequestId, Tokens, UpstreamId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,9 +29,6 @@
 /// Block size of a model that settings do not tell.
 pub const BLOCK: Tokens = Tokens(4096);
 
-/// Blocks to compute from which a request is a cold prefill.
-pub(super) const COLD_BLOCKS: u64 = 4;
-
 /// Pace of what is learned over the whole fleet.
 const TEND: Duration = Duration::from_secs(1);
 
@@ -109,22 +107,20 @@
         Some(offer.cost(ask.class.thrift))
     }
 
-    pub(super) fn is_cold(&self, ask: &Ask<'_>, missing: Tokens) -> bool {
-        missing.0 >= COLD_BLOCKS * self.block(ask.model).0
-    }
-
     /// Enters what engines are computing for a peer.
     ///
     /// Load: a dossier is lost with its engine, and requests for it come to several routers.
     /// Harm prevented: each router has it computed on an engine of its own choice, because the
     /// event that tells of the first comes only when that is done, seconds later.
     fn expect_cold(&mut self, digest: &Digest, now: Moment) {
-        for (id, keys) in digest.cold.iter().take(COLD_NAMED) {
-            let engine = self.engines.number(id).and_then(|no| self.engines.get(no));
-            let Some(slot) = engine.filter(|e| !e.suspect).map(|e| e.slot) else {
+        for cold in digest.cold.iter().take(COLD_NAMED) {
+            let number = self.engines.number(&cold.engine);
+            let engine = number.and_then(|no| self.engines.get(no));
+            let engine = engine.filter(|e| !e.suspect && e.incarnation == cold.incarnation);
+            let Some(slot) = engine.map(|e| e.slot) else {
                 continue;
             };
-            for key in keys.iter().take(COLD_KEYS) {
+            for key in cold.keys.iter().take(COLD_KEYS) {
                 self.index.expect(slot, *key, now);
             }
         }
@@ -193,10 +189,11 @@
         }
         // Blocks of requests under way are not in a listing yet; without this the next request
         // for the same prefix would be sent elsewhere and computed twice.
-        let Some(slot) = self.engines.get(no).map(|e| e.slot) else {
+        let Some((slot, life)) = self.engines.get(no).map(|e| (e.slot, e.incarnation)) else {
             return;
         };
-        for flight in self.flights.on(no) {
+        let here = self.flights.on(no).filter(|f| f.incarnation == life);
+        for flight in here {
             for key in flight.keys.iter() {
                 self.index.expect(slot, *key, now);
             }
@@ -249,6 +246,7 @@
         self.heat.count_levels(ask.chain);
         let flight = Flight {
             engine: no,
+            incarnation: at.incarnation,
             block: self.block(ask.model),
             keys: Arc::clone(&ask.chain.keys),
             prompt: ask.chain.tokens,
@@ -286,6 +284,10 @@
             engine.unlisted = true;
             self.index.doubt(engine.slot, now);
         }
+        if engine.incarnation != flight.incarnation {
+            // The answer overtook the news of a restart: what was cached then is gone.
+            return;
+        }
         let blocks = usize::try_from(cached.0 / flight.block.0).unwrap_or(usize::MAX);
         for key in flight.keys.iter().take(blocks) {
             self.index.stored(engine.slot, *key, now);
@@ -349,9 +351,11 @@
         digest.prefill = named.map(|(tokens, id)| (id.clone(), tokens)).collect();
         let cold = self.flights.cold().take(COLD_NAMED);
         let cold = cold.filter_map(|flight| {
-            let id = self.engines.get(flight.engine)?.id.clone();
-            let keys = flight.keys.iter().take(COLD_KEYS);
-            Some((id, keys.copied().collect()))
+            Some(ColdPrompt {
+                engine: self.engines.get(flight.engine)?.id.clone(),
+                incarnation: flight.incarnation,
+                keys: flight.keys.iter().take(COLD_KEYS).copied().collect(),
+            })
         });
         digest.cold = cold.collect();
     }
--- a/crates/sesamegap-policy/tests/testsuite/placing/faults.rs
+++ b/crates/sesamegap-policy/tests/testsuite/placing/faults.rs
@@ -1,10 +1,11 @@
 //! What callers get when demand is skewed and when engines are slow, crash or lose events.
 
-use super::support::{chain, engine, entry, listing, report};
+use super::support::{chain, engine, entry, listing, report, request};
 use super::world::{World, quantile};
 use sesamegap_policy::{Need, Placed, Placer};
 use sesamegap_wire::engine::{CacheBatch, CacheEvent};
-use sesamegap_wire::{Incarnation, Moment, WeightsVersion};
+use sesamegap_wire::peer::{ColdPrompt, Digest};
+use sesamegap_wire::{Incarnation, Moment, Tokens, WeightsVersion};
 use std::collections::HashSet;
 
 /// One busy substation's dossier draws nearly all requests of an hour. If all of them went to
@@ -80,6 +81,57 @@
     assert!(world.ask(&prompt).cached > 0);
 }
 
+/// An engine restarts, and its first cache event comes before its first report. What it had
+/// loaded is not known then: a request sent there could be answered by other weights.
+#[test]
+fn a_new_life_must_report_first() {
+    let mut world = World::new(2);
+    let now = Moment(world.now);
+    let batch = CacheBatch {
+        incarnation: Incarnation(2),
+        events: Vec::new(),
+        newest: 0,
+    };
+    world.placer.cache(&engine(0), &batch, now);
+    for seq in 0..50 {
+        let Placed::At(at) = world.place(&chain(seq, seq, 3, 0)) else {
+            panic!("the other engine is fit");
+        };
+        assert_eq!(at.engine, engine(1));
+    }
+    world.placer.report(&engine(0), &report(2, 0), now);
+    let again = (0..50).filter(|seq| match world.place(&chain(*seq, *seq, 3, 0)) {
+        Placed::At(at) => at.engine == engine(0) && at.incarnation == Incarnation(2),
+        _ => false,
+    });
+    assert!(again.count() > 0);
+}
+
+/// An answer of an engine's former life, or a peer's word of it, comes late. Its blocks are gone,
+/// and a request placed on them would be computed from nothing.
+#[test]
+fn late_news_of_a_former_life_is_not_believed() {
+    let mut world = World::new(1);
+    let prompt = chain(0, 0, 6, 0);
+    world.ask(&prompt);
+    world.restart(0);
+    let now = Moment(world.now);
+    world.placer.started(&request(0), Tokens(7 * 4096), now);
+    let digest = Digest {
+        cold: vec![ColdPrompt {
+            engine: engine(0),
+            incarnation: Incarnation(1),
+            keys: prompt.keys.to_vec(),
+        }],
+        ..Digest::default()
+    };
+    world.placer.peer("vm-2", &digest, now);
+    let Placed::At(at) = world.place(&prompt) else {
+        panic!("the engine is there");
+    };
+    assert_eq!((at.incarnation, at.cached), (Incarnation(2), Tokens(0)));
+}
+
 /// Events are lost on the way, evictions among them. The router would send requests to blocks
 /// that are gone, again and again, if it did not notice the gap and ask what is there.
 #[test]
--- a/crates/sesamegap-wire/src/peer.rs
+++ b/crates/sesamegap-wire/src/peer.rs
@@ -16,7 +16,18 @@
     pub prefill: Vec<(UpstreamId, Tokens)>,
     /// Long prompts that an engine is computing for this router, with their blocks.
     #[serde(default)]
-    pub cold: Vec<(UpstreamId, Vec<BlockKey>)>,
+    pub cold: Vec<ColdPrompt>,
+}
+
+/// A long prompt under way.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ColdPrompt {
+    /// The engine that computes it.
+    pub engine: UpstreamId,
+    /// Incarnation of the engine it was sent to.
+    pub incarnation: Incarnation,
+    /// The prompt's blocks, outermost first.
+    pub keys: Vec<BlockKey>,
 }
 
 /// Cache contents a router believes in, for a peer that has just started.
