Ask a few random peers at once for warmth and settings

Cause: peers were asked for warmth one after another, which a mute one delays, and always in the same order, so a herd of starting routers asked the same one. Change: three at random for warmth, eight at random for settings.

--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -19,7 +19,10 @@
 use crate::events;
 use crate::telemetry::Telemetry;
 use anyhow::Context;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use poem::{EndpointExt, Route, Server};
+use rand::seq::SliceRandom;
 use sesamegap_platform::{HttpLog, HttpVms, Log, VmList};
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::{DeciderBuilder, Observation};
@@ -37,6 +40,9 @@
 /// Listings of engines that may wait to be asked for.
 const LISTS: usize = 256;
 
+/// Peers asked at once for what they know of caches and heat; the first answer counts.
+const WARMTH_ASKED: usize = 3;
+
 /// Idle connections are closed after this, so that a caller that sends half a request and stops
 /// cannot hold one for good; longer than any class waits for a whole answer.
 const IDLE: Duration = Duration::from_mins(10);
@@ -232,9 +238,18 @@
 }
 
 async fn warm_up(core: &Core) {
-    for peer in core.peers.live(&core.fleet.entries()) {
-        if let Ok(warmth) = core.peer_client.warmth(peer.router).await {
-            tracing::info!(event = events::WARM_START.number, from = %peer.vm, "knowledge taken over");
+    // Other peers than those that each router asks first: routers also restart in herds.
+    let mut peers = core.peers.live(&core.fleet.entries());
+    peers.shuffle(&mut rand::rng());
+    peers.truncate(WARMTH_ASKED);
+    let asked = peers.into_iter().map(|peer| async move {
+        let warmth = core.peer_client.warmth(peer.router).await;
+        warmth.map(|warmth| (peer.vm, warmth))
+    });
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    while let Some(answer) = answers.next().await {
+        if let Ok((from, warmth)) = answer {
+            tracing::info!(event = events::WARM_START.number, %from, "knowledge taken over");
             core.decider.observe(Observation::Warm(warmth));
             return;
         }
--- a/crates/sesamegap/src/router/tree/sync.rs
+++ b/crates/sesamegap/src/router/tree/sync.rs
@@ -5,6 +5,7 @@
 use crate::router::peers::message::WantSettings;
 use futures_util::StreamExt;
 use futures_util::stream;
+use rand::seq::SliceRandom;
 
 /// Peers asked at once when this router knows nothing yet.
 const ASKED: usize = 8;
@@ -16,7 +17,9 @@
     let next = core.tree.next();
     let peers = core.peers.live(&core.fleet.entries()).into_iter();
     let ahead = peers.filter(|peer| !only_ahead || peer.settings > next);
-    let asked: Vec<_> = ahead.take(ASKED).collect();
+    let mut asked: Vec<_> = ahead.collect();
+    asked.shuffle(&mut rand::rng());
+    asked.truncate(ASKED);
     let answers = stream::iter(asked).map(|peer| async move {
         let want = WantSettings { next };
         core.peer_client.settings(peer.router, want).await
