Split the start of a router into parts, learning and running

Change: the parts are made, the followers spawned and others asked in a function each; stopping has a module of its own. No change of behaviour.

--- a/crates/sesamegap/src/router/mod.rs
+++ b/crates/sesamegap/src/router/mod.rs
@@ -16,15 +16,18 @@
 mod door;
 pub mod fleet;
 pub mod follow_log;
+mod learn;
 pub mod once;
 mod operators;
 pub mod peers;
 pub mod phase;
+mod running;
 mod start;
 pub mod streams;
 pub mod tree;
 
-pub use start::{Links, Router, Running};
+pub use running::Running;
+pub use start::{Links, Router};
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/sesamegap/src/router/once/mod.rs
+++ b/crates/sesamegap/src/router/once/mod.rs
@@ -12,7 +12,7 @@
 pub mod follow;
 mod runs;
 
-pub use appender::{Appender, append};
+pub use appender::{Appender, Pending, append};
 pub use runs::Entry;
 
 use super::callers::ApiError;
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -1,4 +1,4 @@
-//! Starts a router and stops it.
+//! Starts a router: makes its parts, learns what others know, and opens its port.
 
 use super::callers;
 use super::clock::{Clock, unix_ms};
@@ -8,48 +8,41 @@
 use super::door::Door;
 use super::fleet::{Connect, Fleet, HttpConnect, follow, http_settings};
 use super::follow_log;
+use super::learn;
 use super::once::follow::SharedClaims;
-use super::once::{self, Appender, Once};
+use super::once::{self, Appender, Once, Pending};
 use super::operators;
 use super::peers::{PeerClient, Peers, ProbedPeers, endpoints, gossip, probing};
-use super::phase::{Phase, Phases};
+use super::phase::Phases;
+use super::running::Running;
 use super::streams::Kept;
-use super::tree::{SettingsTree, TreeReader, snapshots, sync};
+use super::tree::{SettingsTree, TreeReader, snapshots};
 use crate::config::ProcessConfig;
 use crate::events;
 use crate::telemetry::Telemetry;
 use anyhow::Context;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use poem::{EndpointExt, Route, Server};
-use rand::seq::SliceRandom;
 use sesamegap_platform::{HttpLog, HttpVms, Log, VmList};
+use sesamegap_policy::DeciderBuilder;
 use sesamegap_policy::agreement::Holder;
-use sesamegap_policy::{DeciderBuilder, Observation};
-use sesamegap_wire::Incarnation;
+use sesamegap_wire::{Incarnation, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Listings of engines that may wait to be asked for.
 const LISTS: usize = 256;
 
-/// Peers asked at once for what they know of caches and heat; the first answer counts.
-const WARMTH_ASKED: usize = 3;
-
 /// Idle connections are closed after this, so that a caller that sends half a request and stops
 /// cannot hold one for good; longer than any class waits for a whole answer.
 const IDLE: Duration = Duration::from_mins(10);
 
-/// Rounds of probes within which every locator has heard that a router is leaving.
-const LOCATOR_ROUNDS: u32 = 2;
-
 /// Time for the last bytes to reach callers once every request is done.
 const FLUSH: Duration = Duration::from_secs(5);
 
@@ -86,18 +79,6 @@
     links: Links,
 }
 
-/// A router that serves.
-#[derive(Debug)]
-pub struct Running {
-    core: Arc<Core>,
-    addr: SocketAddr,
-    decider: DeciderThread,
-    followers: CancellationToken,
-    close: CancellationToken,
-    server: JoinHandle<std::io::Result<()>>,
-    gossip: JoinHandle<()>,
-}
-
 impl Router {
     /// Takes the process's settings and what it is joined to.
     pub fn new(config: ProcessConfig, links: Links) -> Self {
@@ -119,36 +100,73 @@
 
     async fn start_on(self, listener: TcpListener, addr: SocketAddr) -> anyhow::Result<Running> {
         let Self { config, links } = self;
-        let incarnation = Incarnation(unix_ms());
+        let parts = Parts::new(config, &links, addr)?;
+        let core = Arc::clone(&parts.core);
+        follow::read_list(&core, links.vms.as_ref()).await;
+        let followers = CancellationToken::new();
+        let decider = parts.follow(links, &followers)?;
+        learn::all(&core).await;
+        let close = CancellationToken::new();
+        let server = serve(&core, listener, close.clone())?;
+        let gossip = tokio::spawn(speak(Arc::clone(&core)));
+        tracing::info!(
+            event = events::ROUTER_STARTED.number,
+            %addr,
+            vm = %core.config.vm,
+            "router serves"
+        );
+        Ok(Running {
+            core,
+            addr,
+            decider,
+            followers,
+            close,
+            server,
+            gossip,
+        })
+    }
+}
+
+/// Speaks to other routers until the task is dropped.
+async fn speak(core: Arc<Core>) {
+    tokio::join!(gossip::run(Arc::clone(&core)), probing::run(core));
+}
+
+/// The parts of a router before anything follows the world.
+struct Parts {
+    core: Arc<Core>,
+    decider: DeciderThread,
+    lists: mpsc::Receiver<UpstreamId>,
+    claims: SharedClaims,
+    records: mpsc::Receiver<Pending>,
+}
+
+impl Parts {
+    fn new(config: ProcessConfig, links: &Links, addr: SocketAddr) -> anyhow::Result<Self> {
+        let me = Holder {
+            vm: config.vm.clone(),
+            incarnation: Incarnation(unix_ms()),
+        };
         let clock = Clock::start();
-        let (lists, wanted_lists) = mpsc::channel(LISTS);
+        let (to_list, lists) = mpsc::channel(LISTS);
         let decider = DeciderBuilder::new(config.vm.clone(), config.domain.clone())
             .seed(rand::random())
             .build();
-        let (handle, thread) = deciding::start(decider, clock, &config.bounds, lists)?;
+        let (handle, decider) = deciding::start(decider, clock, &config.bounds, to_list)?;
         let (appender, records) = Appender::new();
-        let me = Holder {
-            vm: config.vm.clone(),
-            incarnation,
-        };
         let claims = SharedClaims::new(config.timing.retention);
-        let members = Arc::new(ProbedPeers::new(
-            me.clone(),
-            reached_at(&config, addr),
-            clock,
-            config.timing.gossip,
-        ));
-        let peers = links
-            .peers
-            .unwrap_or_else(|| Arc::clone(&members) as Arc<dyn Peers>);
+        let at = reached_at(&config, addr);
+        let members = ProbedPeers::new(me.clone(), at, clock, config.timing.gossip);
+        let members = Arc::new(members);
+        let probed = || Arc::clone(&members) as Arc<dyn Peers>;
         let core = Arc::new(Core {
-            incarnation,
+            incarnation: me.incarnation,
             clock,
             decider: handle.clone(),
             fleet: Fleet::new(Arc::clone(&links.connect)),
             kept: Kept::new(config.timing.keep, config.bounds.kept),
             once: Once::new(me, claims.clone(), appender, &config.timing),
-            peers,
+            peers: links.peers.clone().unwrap_or_else(probed),
             members,
             peer_client: PeerClient::new(&config)?,
             demand: Demand::new(clock),
@@ -159,56 +177,44 @@
             flights: TaskTracker::new(),
             bodies: body_room(&config.bounds),
             cut: CancellationToken::new(),
-            queued: std::sync::atomic::AtomicUsize::new(0),
-            minted: std::sync::atomic::AtomicU64::new(0),
+            queued: AtomicUsize::new(0),
+            minted: AtomicU64::new(0),
             config,
         });
-        let followers = CancellationToken::new();
-        let limit = core.config.timing.log;
-        follow::read_list(&core, links.vms.as_ref()).await;
-        follow::spawn("fleet", followers.clone(), {
-            let core = Arc::clone(&core);
-            async move {
-                tokio::join!(
-                    follow::list(Arc::clone(&core), links.vms),
-                    follow::engines(core, links.connect, wanted_lists),
-                );
-            }
-        })?;
-        follow::spawn("log", followers.clone(), {
-            let log = Arc::clone(&links.log);
-            let core = Arc::clone(&core);
-            let tree = TreeReader(Arc::clone(&core));
-            let source = core.tree.source().clone();
-            async move {
-                tokio::join!(
-                    follow_log::follow(Arc::clone(&log), source, limit, tree),
-                    follow_log::follow(Arc::clone(&log), once::follow::source(), limit, claims),
-                    once::append(log, records, limit),
-                    snapshots::run(core),
-                );
-            }
-        })?;
-        learn(&core).await;
-        let close = CancellationToken::new();
-        let server = serve(&core, listener, close.clone())?;
-        let gossip = tokio::spawn({
-            let core = Arc::clone(&core);
-            async move {
-                tokio::join!(gossip::run(Arc::clone(&core)), probing::run(core));
-            }
-        });
-        tracing::info!(event = events::ROUTER_STARTED.number, %addr, vm = %core.config.vm, "router serves");
-        Ok(Running {
+        Ok(Self {
             core,
-            addr,
-            decider: thread,
-            followers,
-            close,
-            server,
-            gossip,
+            decider,
+            lists,
+            claims,
+            records,
         })
     }
+
+    /// Follows fleet and log, each on a thread of its own, until the token is cancelled.
+    fn follow(self, links: Links, stop: &CancellationToken) -> anyhow::Result<DeciderThread> {
+        let core = Arc::clone(&self.core);
+        let lists = self.lists;
+        follow::spawn("fleet", stop.clone(), async move {
+            tokio::join!(
+                follow::list(Arc::clone(&core), links.vms),
+                follow::engines(core, links.connect, lists),
+            );
+        })?;
+        let (core, log) = (self.core, links.log);
+        let limit = core.config.timing.log;
+        let source = core.tree.source().clone();
+        let tree = TreeReader(Arc::clone(&core));
+        let (claims, records) = (self.claims, self.records);
+        follow::spawn("log", stop.clone(), async move {
+            tokio::join!(
+                follow_log::follow(Arc::clone(&log), source, limit, tree),
+                follow_log::follow(Arc::clone(&log), once::follow::source(), limit, claims),
+                once::append(log, records, limit),
+                snapshots::run(core),
+            );
+        })?;
+        Ok(self.decider)
+    }
 }
 
 /// Where others reach the router: as advertised, or where it listens on a port of its own choice.
@@ -220,42 +226,6 @@
     }
 }
 
-/// Learns what peers know, so that the first request is served as well as any later one.
-///
-/// Settings come from whoever answers first, a peer or the log; without either the router serves
-/// all the same, and refuses until it has them.
-async fn learn(core: &Arc<Core>) {
-    let engines = async {
-        follow::first_reports(core).await;
-        // What engines hold can be believed only once their incarnations are known.
-        warm_up(core).await;
-    };
-    let settings = async {
-        sync::from_peers(core, false).await;
-        drop(timeout(core.config.timing.log, core.tree.known()).await);
-    };
-    tokio::join!(engines, settings);
-}
-
-async fn warm_up(core: &Core) {
-    // Other peers than those that each router asks first: routers also restart in herds.
-    let mut peers = core.peers.live(&core.fleet.entries());
-    peers.shuffle(&mut rand::rng());
-    peers.truncate(WARMTH_ASKED);
-    let asked = peers.into_iter().map(|peer| async move {
-        let warmth = core.peer_client.warmth(peer.router).await;
-        warmth.map(|warmth| (peer.vm, warmth))
-    });
-    let mut answers: FuturesUnordered<_> = asked.collect();
-    while let Some(answer) = answers.next().await {
-        if let Ok((from, warmth)) = answer {
-            tracing::info!(event = events::WARM_START.number, %from, "knowledge taken over");
-            core.decider.observe(Observation::Warm(warmth));
-            return;
-        }
-    }
-}
-
 fn serve(
     core: &Arc<Core>,
     listener: TcpListener,
@@ -275,63 +245,3 @@
             .await
     }))
 }
-
-impl Running {
-    /// Where the router listens.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// The shared parts, for tests and for programs that run routers as threads.
-    pub fn core(&self) -> &Arc<Core> {
-        &self.core
-    }
-
-    /// Stops as planned: leaving, refusing, the last request done.
-    ///
-    /// No request in flight is cut unless it takes longer than the configured stop.
-    pub async fn stop(mut self) {
-        let timing = self.core.config.timing.clone();
-        tracing::info!(event = events::ROUTER_LEAVING.number, "router is leaving");
-        self.core.phases.enter(Phase::Leaving);
-        gossip::round(&self.core).await;
-        // Callers keep this address for its time to live and must be served meanwhile. A locator
-        // may name it once more until its next round of probes has ended.
-        tokio::time::sleep(timing.address + timing.gossip * LOCATOR_ROUNDS).await;
-        tracing::info!(
-            event = events::ROUTER_REFUSING.number,
-            "router refuses new requests"
-        );
-        self.core.phases.enter(Phase::Refusing);
-        self.core.once.close(timing.log).await;
-        self.core.flights.close();
-        if timeout(timing.stop, self.core.flights.wait())
-            .await
-            .is_err()
-        {
-            tracing::warn!(
-                event = events::ROUTER_CUT.number,
-                "requests still in flight"
-            );
-        }
-        self.close.cancel();
-        drop((&mut self.server).await);
-        self.end();
-    }
-
-    /// Stops at once, as a crash would.
-    pub async fn kill(mut self) {
-        self.server.abort();
-        drop((&mut self.server).await);
-        self.end();
-    }
-
-    fn end(self) {
-        self.core.cut.cancel();
-        self.gossip.abort();
-        self.followers.cancel();
-        self.core.decider.stop();
-        self.decider.join();
-        tracing::info!(event = events::ROUTER_STOPPED.number, "router stopped");
-    }
-}
