Say once that the VM list is down, and once that it is back

Cause: a router without its VM list logged event 120 twice a second. Change: the outage and its end are told once each; the end is event 123.

--- a/crates/sesamegap/src/events/mod.rs
+++ b/crates/sesamegap/src/events/mod.rs
@@ -36,6 +36,7 @@
     LIST_FAILED = 120, "The VM list could not be read; the last one stays in use.";
     LIST_CHANGED = 121, "The VM list names other upstreams or entry VMs than before.";
     ENGINE_LEAVING = 122, "An engine said itself that it is leaving.";
+    LIST_BACK = 123, "The VM list can be read again.";
     ENGINE_MUTE = 130, "An engine's stream went silent and is taken up on a new connection.";
     STREAM_GAP = 131, "Chunks of an answer were missing and are asked for again.";
     STREAM_CROSSED = 132, "An answer named another request and was discarded.";
--- a/crates/sesamegap/src/router/fleet/follow.rs
+++ b/crates/sesamegap/src/router/fleet/follow.rs
@@ -37,34 +37,42 @@
 /// Follows the VM list until the task is dropped.
 pub async fn list(core: Arc<Core>, vms: Arc<dyn VmList>) {
     let span = core.config.timing.list;
+    let mut down = false;
     loop {
-        read_list(&core, vms.as_ref()).await;
+        let read = read_list(&core, vms.as_ref()).await;
+        // An outage is told once, not at every read of it.
+        match &read {
+            Err(error) if !down => {
+                tracing::warn!(
+                    event = events::LIST_FAILED.number,
+                    error,
+                    "VM list not read"
+                );
+            }
+            Ok(()) if down => tracing::info!(event = events::LIST_BACK.number, "VM list read"),
+            _ => {}
+        }
+        down = read.is_err();
         tokio::time::sleep(span).await;
     }
 }
 
-/// Reads the VM list once; `true` if it could be read.
-pub async fn read_list(core: &Core, vms: &dyn VmList) -> bool {
+/// Reads the VM list once.
+///
+/// # Errors
+/// With the cause in words if it could not be read; the last one stays in use.
+pub async fn read_list(core: &Core, vms: &dyn VmList) -> Result<(), String> {
     let limit = core.config.timing.log;
     let list = match timeout(limit, vms.list()).await {
         Ok(Ok(list)) => list,
-        Ok(Err(error)) => {
-            tracing::warn!(event = events::LIST_FAILED.number, %error, "VM list not read");
-            return false;
-        }
-        Err(_) => {
-            tracing::warn!(
-                event = events::LIST_FAILED.number,
-                "VM list not read in time"
-            );
-            return false;
-        }
+        Ok(Err(error)) => return Err(error.to_string()),
+        Err(_) => return Err(format!("no answer within {limit:?}")),
     };
     if core.fleet.update(&list) {
         tracing::info!(event = events::LIST_CHANGED.number, "VM list changed");
         core.decider.tell(Observation::Fleet(core.fleet.engines()));
     }
-    true
+    Ok(())
 }
 
 /// Follows every engine of the list until the task is dropped.
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -102,7 +102,8 @@
         let Self { config, links } = self;
         let parts = Parts::new(config, &links, addr)?;
         let core = Arc::clone(&parts.core);
-        follow::read_list(&core, links.vms.as_ref()).await;
+        // If it cannot be read now, its follower goes on trying and says so.
+        drop(follow::read_list(&core, links.vms.as_ref()).await);
         let followers = CancellationToken::new();
         let decider = parts.follow(links, &followers)?;
         learn::all(&core).await;
