--- a/crates/sesamegap-measure/src/site.rs
+++ b/crates/sesamegap-measure/src/site.rs
@@ -66,7 +66,8 @@
     pub memory: usize,
     /// Seconds a prompt token takes on each worker, in turn: donated hardware is uneven.
     pub speeds: &'static [f64],
-    /// Requests a second: about half of what the workers can do with good placement.
+    /// Requests a second: a quarter to a third of what the workers can do with good placement,
+    /// and more than they can do with the prefixes computed anew each time.
     pub rate: f64,
     /// Seconds between failure domains.
     pub across: f64,
--- a/crates/sesamegap-policy/src/placing/cost.rs
+++ b/crates/sesamegap-policy/src/placing/cost.rs
@@ -1,12 +1,12 @@
 //! What it costs to answer a request on one engine, in seconds.
 //!
 //! The cost is the wait until the engine turns to the request, plus the time to compute what its
-//! cache lacks, which counts `thrift` times: computing a block again also evicts another block and
-//! holds up the requests behind, the more of them the longer the queue. Blocks that must be evicted for it
-//! cost more where the cache is under pressure, that is, where blocks are evicted soon after their
-//! last use; so memory fills evenly, whatever the hashing. An engine far down the home set costs a part of the missing
-//! tokens more, so that routers which know nothing of each other's dispatch still send a cold prefix
-//! to the same engine. Another failure domain costs its round trip.
+//! cache lacks, which counts `thrift` times: computing a block again also holds up the requests
+//! behind, the more of them the longer the queue. Blocks that must be evicted for it cost more
+//! where the cache is under pressure, that is, where blocks are evicted soon after their last use;
+//! so memory fills evenly, whatever the hashing. Each place down the home set costs more too, so
+//! that routers which know nothing of each other's dispatches still send a cold prefix to the same
+//! engine. A slow engine costs by its slowness, another failure domain its round trip.
 
 use sesamegap_wire::Tokens;
 
