Import blocks from the kept-KV store or another holder

Cause: blocks that had been evicted, or were held by an engine without room, were computed again; the placer named no source to import from. Change: if computing a block takes more than twice a fetch, a placement names the engine believed to hold most of the prefix, else the kept-KV store.

--- a/crates/sesamegap-policy/src/decider/work.rs
+++ b/crates/sesamegap-policy/src/decider/work.rs
@@ -126,6 +126,8 @@
     Settings(Arc<Catalogue>),
     /// The engines in use.
     Fleet(Vec<EngineEntry>),
+    /// The kept-KV store in use.
+    Store(Option<UpstreamId>),
     /// An engine's report of itself.
     Report(UpstreamId, LoadReport),
     /// Cache events of an engine.
--- a/crates/sesamegap-policy/src/placing/builder.rs
+++ b/crates/sesamegap-policy/src/placing/builder.rs
@@ -53,6 +53,7 @@
             candidates: Candidates::default(),
             blocks: FxHashMap::default(),
             tended: Moment(0),
+            store: None,
         }
     }
 }
--- a/crates/sesamegap-policy/src/placing/choose.rs
+++ b/crates/sesamegap-policy/src/placing/choose.rs
@@ -124,7 +124,13 @@
     /// Load: an engine that holds a dossier has its window full for a moment. Harm prevented: the
     /// whole dossier computed again on an engine that happens to have room; so the request waits
     /// here where that is cheaper, unless the engine shows no progress.
-    pub(super) fn choose(&self, ask: &Ask<'_>, weighed: &Weighed, rng: &mut dyn Rng) -> Placed {
+    pub(super) fn choose(
+        &self,
+        ask: &Ask<'_>,
+        weighed: &Weighed,
+        now: Moment,
+        rng: &mut dyn Rng,
+    ) -> Placed {
         if weighed.full + ROOM_SECONDS < weighed.best {
             return Placed::Full(Duration::from_secs_f64(weighed.wait.min(ROOM_MOST)));
         }
@@ -134,12 +140,12 @@
         let draw = usize::try_from(rng.next_u32()).unwrap_or(0) % count;
         let mut ties = ties;
         match ties.nth(draw) {
-            Some((_, no, offer)) => self.placement(ask, *no, offer),
+            Some((_, no, offer)) => self.placement(ask, *no, offer, now),
             None => Placed::Nowhere,
         }
     }
 
-    fn placement(&self, ask: &Ask<'_>, no: EngineNo, offer: &Offer) -> Placed {
+    fn placement(&self, ask: &Ask<'_>, no: EngineNo, offer: &Offer, now: Moment) -> Placed {
         let Some(engine) = self.engines.get(no) else {
             return Placed::Nowhere;
         };
@@ -148,7 +154,7 @@
             incarnation: engine.incarnation,
             cached: ask.chain.tokens - offer.missing,
             wait: Duration::from_secs_f64(offer.first_token()),
-            import: None,
+            import: self.import(ask, no, offer, now),
         })
     }
 }
--- a/crates/sesamegap-policy/src/placing/mod.rs
+++ b/crates/sesamegap-policy/src/placing/mod.rs
@@ -20,6 +20,7 @@
 pub mod heat;
 mod holders;
 pub mod homes;
+mod import;
 pub mod index;
 mod peers;
 mod prefix;
@@ -113,6 +114,9 @@
     /// Takes cache events of an engine and says what is needed to trust its entries.
     fn cache(&mut self, engine: &UpstreamId, batch: &CacheBatch, now: Moment) -> Need;
 
+    /// Takes the kept-KV store in use, if there is one.
+    fn store(&mut self, _store: Option<UpstreamId>) {}
+
     /// An engine of which a listing is wanted now, without an event that tells so.
     fn wants(&mut self, _now: Moment) -> Option<UpstreamId> {
         None
--- a/crates/sesamegap-policy/src/placing/prefix.rs
+++ b/crates/sesamegap-policy/src/placing/prefix.rs
@@ -56,6 +56,8 @@
     pub(super) candidates: Candidates,
     pub(super) blocks: FxHashMap<ModelId, Tokens>,
     pub(super) tended: Moment,
+    /// The kept-KV store.
+    pub(super) store: Option<UpstreamId>,
 }
 
 impl PrefixPlacer {
@@ -176,6 +178,10 @@
             .events(no, batch, &mut self.engines, &mut self.index, now)
     }
 
+    fn store(&mut self, store: Option<UpstreamId>) {
+        self.store = store;
+    }
+
     fn wants(&mut self, now: Moment) -> Option<UpstreamId> {
         self.feed.wants(&mut self.engines, now)
     }
@@ -216,10 +222,10 @@
         }
         let within = self.weigh(ask, room, now, false);
         if !within.is_empty() {
-            return self.choose(ask, &within, rng);
+            return self.choose(ask, &within, now, rng);
         }
         let over = self.weigh(ask, room, now, true);
-        self.choose(ask, &over, rng)
+        self.choose(ask, &over, now, rng)
     }
 
     fn sent(&mut self, ask: &Ask<'_>, at: &Placement, now: Moment) {
--- a/crates/sesamegap/src/router/fleet/follow.rs
+++ b/crates/sesamegap/src/router/fleet/follow.rs
@@ -71,6 +71,7 @@
     if core.fleet.update(&list) {
         tracing::info!(event = events::LIST_CHANGED.number, "VM list changed");
         core.decider.tell(Observation::Fleet(core.fleet.engines()));
+        core.decider.tell(Observation::Store(core.fleet.store()));
     }
     Ok(())
 }
--- a/crates/sesamegap/src/router/fleet/mod.rs
+++ b/crates/sesamegap/src/router/fleet/mod.rs
@@ -66,6 +66,7 @@
     engines: BTreeMap<UpstreamId, Arc<EngineLink>>,
     workers: BTreeMap<ServiceId, Vec<Arc<Worker>>>,
     entries: Vec<EntryVm>,
+    store: Option<UpstreamId>,
 }
 
 /// Engines that hold each version of each model.
@@ -132,6 +133,7 @@
                 let workers = new.workers.entry(service.clone()).or_default();
                 workers.push(worker);
             }
+            VmRole::Store { id } if !leaving => new.store = Some(id.clone()),
             VmRole::Store { .. } => {}
         }
     }
@@ -184,6 +186,11 @@
         entries.collect()
     }
 
+    /// The kept-KV store in use.
+    pub fn store(&self) -> Option<UpstreamId> {
+        self.members.load().store.clone()
+    }
+
     /// Addresses of the engines, for those that follow them.
     pub fn addresses(&self) -> Vec<(UpstreamId, SocketAddr)> {
         let members = self.members.load();
@@ -300,6 +307,7 @@
                 .collect()
         };
         self.entries == other.entries
+            && self.store == other.store
             && engines(self) == engines(other)
             && workers(self) == workers(other)
     }
