Tell the decider once that a stream started

Cause: since the start is observed as it comes, it was observed a second time with the first token, and again by each resumption.

--- a/crates/sesamegap/src/router/streams/model/follow.rs
+++ b/crates/sesamegap/src/router/streams/model/follow.rs
@@ -118,13 +118,9 @@
     }
 
     pub(super) fn started(&self, cached: Tokens) {
-        let request = self.on.clone();
         if self.answer.started(cached) {
             self.core.telemetry.cached(self.job.chain.tokens, cached);
         }
-        self.core
-            .decider
-            .observe(Observation::Started(request, cached));
     }
 
     pub(super) fn text(&self, text: SmolStr) -> Result<(), ApiError> {
