--- a/crates/sesamegap/src/bin/sesamegap-controller/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-controller/main.rs
@@ -1,9 +1,7 @@
 //! `sesamegap-controller`: orders engines to hold models, while it holds the lease.
 
-use anyhow::Result;
 use clap::Parser;
-use sesamegap::config::{Config, ProcessConfig};
-use sesamegap::controller::{self, Links};
+use sesamegap::controller::{self, Links, Running};
 use sesamegap::process;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -22,15 +20,10 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    process::exit(run(&Cli::parse()).await)
-}
-
-async fn run(cli: &Cli) -> Result<ExitCode> {
-    let config = ProcessConfig::load(&cli.config)?;
-    process::log(config.json_logs);
-    let links = Links::http(&config);
-    let running = controller::start(config, links).await?;
-    process::told_to_stop().await?;
-    running.stop().await;
-    Ok(ExitCode::SUCCESS)
+    let config = Cli::parse().config;
+    let start = |config| {
+        let links = Links::http(&config);
+        controller::start(config, links)
+    };
+    process::exit(process::serve(&config, start, Running::stop).await)
 }
--- a/crates/sesamegap/src/bin/sesamegap-locator/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-locator/main.rs
@@ -1,10 +1,9 @@
 //! `sesamegap-locator`: tells callers which routers to use.
 
-use anyhow::Result;
 use clap::Parser;
-use sesamegap::config::{Config, ProcessConfig};
+use sesamegap::locator::{self, Running};
+use sesamegap::process;
 use sesamegap::router::Links;
-use sesamegap::{locator, process};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -22,15 +21,10 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    process::exit(run(&Cli::parse()).await)
-}
-
-async fn run(cli: &Cli) -> Result<ExitCode> {
-    let config = ProcessConfig::load(&cli.config)?;
-    process::log(config.json_logs);
-    let vms = Links::http(&config).vms;
-    let running = locator::start(config, vms).await?;
-    process::told_to_stop().await?;
-    running.stop().await;
-    Ok(ExitCode::SUCCESS)
+    let config = Cli::parse().config;
+    let start = |config| {
+        let vms = Links::http(&config).vms;
+        locator::start(config, vms)
+    };
+    process::exit(process::serve(&config, start, Running::stop).await)
 }
--- a/crates/sesamegap/src/bin/sesamegap-router/main.rs
+++ b/crates/sesamegap/src/bin/sesamegap-router/main.rs
@@ -1,10 +1,8 @@
 //! `sesamegap-router`: takes callers' requests and routes them to engines and plain services.
 
-use anyhow::Result;
 use clap::Parser;
-use sesamegap::config::{Config, ProcessConfig};
 use sesamegap::process;
-use sesamegap::router::{Links, Router};
+use sesamegap::router::{Links, Router, Running};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -22,15 +20,10 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    process::exit(run(&Cli::parse()).await)
-}
-
-async fn run(cli: &Cli) -> Result<ExitCode> {
-    let config = ProcessConfig::load(&cli.config)?;
-    process::log(config.json_logs);
-    let links = Links::http(&config);
-    let running = Router::new(config, links).start().await?;
-    process::told_to_stop().await?;
-    running.stop().await;
-    Ok(ExitCode::SUCCESS)
+    let config = Cli::parse().config;
+    let start = |config| {
+        let links = Links::http(&config);
+        Router::new(config, links).start()
+    };
+    process::exit(process::serve(&config, start, Running::stop).await)
 }
--- a/crates/sesamegap/src/process/mod.rs
+++ b/crates/sesamegap/src/process/mod.rs
@@ -1,8 +1,10 @@
 //! What the main functions of all programs share.
 
+use crate::config::{Config, ProcessConfig};
 use crate::telemetry::{self, Format};
 use anyhow::{Context, Result};
 use sesamegap_settings::SettingsError;
+use std::path::Path;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -27,6 +29,27 @@
     telemetry::init(if json { Format::Json } else { Format::Text });
 }
 
+/// Reads a process's settings, starts it, and stops it as planned once it is told to.
+///
+/// # Errors
+/// With all findings in the settings, or if the process cannot be started.
+pub async fn serve<T, S, E>(
+    file: &Path,
+    start: impl FnOnce(ProcessConfig) -> S,
+    stop: impl FnOnce(T) -> E,
+) -> Result<ExitCode>
+where
+    S: Future<Output = Result<T>>,
+    E: Future<Output = ()>,
+{
+    let config = ProcessConfig::load(file)?;
+    log(config.json_logs);
+    let running = start(config).await?;
+    told_to_stop().await?;
+    stop(running).await;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Waits until the process is told to stop, by SIGTERM or SIGINT.
 ///
 /// # Errors
