Read load reports four times a second instead of ten

Cause: following reports took 64 us a read by measurement (docs/CAPACITY.md), 0.58% of a core at 9 engines of the 1.1% that control may take. Change: timing.report is 250ms by default.

--- a/crates/sesamegap/src/config/fields.rs
+++ b/crates/sesamegap/src/config/fields.rs
@@ -50,7 +50,7 @@
     field(
         "report",
         Shape::Span(5, 60_000),
-        "\"100ms\"",
+        "\"250ms\"",
         "between two load reports read from one engine",
     ),
     field(
