--- a/crates/sesamegap/src/local/mod.rs
+++ b/crates/sesamegap/src/local/mod.rs
@@ -18,6 +18,6 @@
 
 pub use demand::Demand;
 pub use deployment::Deployment;
-pub use drive::{Drive, Extent, drive};
+pub use drive::{Drive, Extent, Sent, drive};
 pub use report::Report;
 pub use routers::Routers;
--- a/crates/sesamegap/src/local/soak.rs
+++ b/crates/sesamegap/src/local/soak.rs
@@ -84,10 +84,7 @@
     let faults = trouble(deployment, plan);
     let (sent, faults, mut broken) = tokio::join!(drive(deployment, traffic), faults, watch);
     let sent = sent?;
-    let executions = deployment.standins().executions();
-    broken.extend(sent.iter().filter_map(wrong));
-    broken.extend(run_twice(&executions));
-    broken.extend(sent.iter().filter_map(|s| untrue(&s.fared, &executions)));
+    broken.extend(judge(&sent, &deployment.standins().executions()));
     Ok(Found {
         report: Report::new("soak", plan.seed, &sent),
         faults,
@@ -168,6 +165,13 @@
     broken
 }
 
+/// Compares what callers were told with what the stand-ins ran; each broken promise is a sentence.
+pub fn judge(sent: &[Sent], executions: &Executions) -> Vec<String> {
+    let wrong = sent.iter().filter_map(wrong);
+    let untrue = sent.iter().filter_map(|s| untrue(&s.fared, executions));
+    wrong.chain(run_twice(executions)).chain(untrue).collect()
+}
+
 fn wrong(sent: &Sent) -> Option<String> {
     let Outcome::Wrong(what) = &sent.fared.outcome else {
         return None;
