--- a/crates/sesamegap/tests/testsuite/router/streams.rs
+++ b/crates/sesamegap/tests/testsuite/router/streams.rs
@@ -79,9 +79,8 @@
         .await
         .unwrap();
     let id = request_id(&sent);
-    let runs = site.deployment.executions().requests;
-    let on = runs.iter().find(|run| run.request == id).unwrap();
-    site.hit(Hit::once(Fault::EngineCrash), Some(on.upstream.as_str()));
+    let on = site.runs_at(&id);
+    site.hit(Hit::once(Fault::EngineCrash), Some(on.as_str()));
     let got = Got::all(sent).await;
     assert_eq!(got.text, answer("hello", 400));
     assert!(got.done && got.error.is_none());
@@ -100,9 +99,8 @@
         .await
         .unwrap();
     let id = request_id(&sent);
-    let runs = site.deployment.executions().requests;
-    let on = runs.iter().find(|run| run.request == id).unwrap();
-    site.hit(Hit::once(Fault::EngineCrash), Some(on.upstream.as_str()));
+    let on = site.runs_at(&id);
+    site.hit(Hit::once(Fault::EngineCrash), Some(on.as_str()));
     let got = Got::all(sent).await;
     assert!(answer("hello", 400).starts_with(&got.text));
     assert!(!got.done);
--- a/crates/sesamegap/tests/testsuite/router/upstreams.rs
+++ b/crates/sesamegap/tests/testsuite/router/upstreams.rs
@@ -86,10 +86,9 @@
         .await
         .unwrap();
     let id = request_id(&sent);
-    let runs = site.deployment.executions().requests;
-    let on = runs.iter().find(|run| run.request == id).unwrap();
-    site.deployment.refuse(on.upstream.as_str(), true).unwrap();
-    site.hit(Hit::once(Fault::EngineSilent), Some(on.upstream.as_str()));
+    let on = site.runs_at(&id);
+    site.deployment.refuse(on.as_str(), true).unwrap();
+    site.hit(Hit::once(Fault::EngineSilent), Some(on.as_str()));
     let got = Got::all(sent).await;
     assert_eq!(got.text, answer("hello", 400), "{:?}", got.error);
     assert!(got.done);
--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -9,7 +9,7 @@
 use sesamegap_settings::key_hash;
 use sesamegap_standin::plan::{Builder, EngineLimits, PlatformLimits};
 use sesamegap_standin::{Deployment, Hit, Plan, expected_answer};
-use sesamegap_wire::{DomainId, RequestId, Tokens};
+use sesamegap_wire::{DomainId, RequestId, Tokens, UpstreamId};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -203,6 +203,13 @@
         }
     }
 
+    /// The upstream that runs a request.
+    pub fn runs_at(&self, id: &RequestId) -> UpstreamId {
+        let runs = self.deployment.executions().requests;
+        let run = runs.into_iter().find(|run| run.request == *id);
+        run.unwrap().upstream
+    }
+
     pub fn hit(&self, hit: Hit, target: Option<&str>) {
         self.deployment.fault(hit, target).unwrap();
     }
