--- a/crates/sesamegap/tests/testsuite/router/settings.rs
+++ b/crates/sesamegap/tests/testsuite/router/settings.rs
@@ -1,9 +1,17 @@
 //! Settings in force on every router, whatever happens to the log.
 
 use crate::support::{OPERATOR, Site, plan, read};
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt, pending, ready};
 use reqwest::{Method, StatusCode};
 use serde_json::{Value, json};
+use sesamegap::router::peers::ListedPeers;
+use sesamegap::router::{Links, Router};
+use sesamegap_platform::{Log, Page, PlatformError, VmEntry, VmList};
 use sesamegap_standin::{Fault, Hit};
+use sesamegap_wire::{Offset, StreamId};
+use std::sync::Arc;
+use std::time::Duration;
 
 fn weight(team: &str, weight: u32) -> Value {
     json!([{ "path": format!("teams/{team}/weight"), "value": weight }])
@@ -130,3 +138,66 @@
     site.restart(0).await;
     assert_eq!(revision(&site, 0).await, before);
 }
+
+/// A log whose waiting reads hang, as when a follower's connection has gone mute.
+#[derive(Debug)]
+struct MuteFollower(Arc<dyn Log>);
+
+impl Log for MuteFollower {
+    fn append<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        records: Vec<Bytes>,
+    ) -> BoxFuture<'a, Result<Offset, PlatformError>> {
+        self.0.append(stream, records)
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        from: Offset,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Page, PlatformError>> {
+        if wait > Duration::ZERO {
+            return pending().boxed();
+        }
+        self.0.read(stream, from, wait)
+    }
+}
+
+/// A router is behind the log, and an operator brings it a change that builds on what it has not
+/// read. If it refused, the operator would be told that nothing took effect of a change whose
+/// first append may stand in the log.
+#[tokio::test]
+async fn a_router_behind_the_log_refuses_no_change() {
+    let mut site = Site::start(plan(), 1).await;
+    let mut config = site.config(1, None);
+    config.timing.log = Duration::from_millis(600);
+    let links = Links::http(&config);
+    let log = Arc::new(MuteFollower(Arc::clone(&links.log)));
+    // Without peers to learn from it stays where it is.
+    let alone = Arc::new(ListedPeers::new(config.vm.clone(), Duration::ZERO));
+    let links = Links {
+        log,
+        vms: Arc::new(NoVms),
+        peers: Some(alone),
+        ..links
+    };
+    let behind = Router::new(config, links).start().await.unwrap();
+    site.routers.push(behind);
+    // The class stands in the log, which this router has not read.
+    let edits = json!([{ "path": "teams/gamma", "value": { "class": "standard" } }]);
+    let (status, answer) = site.publish(1, 0, &edits).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+    assert_eq!(answer["outcome"], "unavailable", "{answer}");
+}
+
+/// A list that names nobody.
+#[derive(Debug)]
+struct NoVms;
+
+impl VmList for NoVms {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<VmEntry>, PlatformError>> {
+        ready(Ok(Vec::new())).boxed()
+    }
+}
