--- a/crates/sesamegap-measure/src/slopes/placing.rs
+++ b/crates/sesamegap-measure/src/slopes/placing.rs
@@ -199,7 +199,7 @@
 
 /// A decider that knows so many idle engines.
 pub fn ready(engines: usize, teams: usize) -> Decider {
-    let mut decider = DeciderBuilder::new(id("vm"), id("domain-0"))
+    let mut decider = DeciderBuilder::new(id("domain-0"))
         .catalogue(Arc::new(fleet::catalogue(teams)))
         .build();
     decider.observe(Observation::Fleet(fleet::entries(engines)), START);
--- a/crates/sesamegap-measure/src/world.rs
+++ b/crates/sesamegap-measure/src/world.rs
@@ -163,7 +163,7 @@
 
     pub fn router(&self, at: usize, life: u64) -> Router {
         let domain = domain(at);
-        let decider = DeciderBuilder::new(name(&format!("vm-{at}")), domain.clone())
+        let decider = DeciderBuilder::new(domain.clone())
             .seed(at as u64 * 1000 + life)
             .catalogue(Arc::clone(&self.catalogue))
             .placer(self.policy.placer(&domain))
--- a/crates/sesamegap-policy/src/agreement/lease/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/lease/mod.rs
@@ -74,7 +74,6 @@
 #[derive(Debug, Default)]
 pub struct Leases {
     next: Offset,
-    newest: u64,
     current: Option<Lease>,
 }
 
@@ -84,11 +83,6 @@
         self.next
     }
 
-    /// Time of the newest record, in Unix milliseconds by the log's clock.
-    pub fn newest(&self) -> u64 {
-        self.newest
-    }
-
     /// The lease that the newest valid record gave, lapsed or not.
     pub fn current(&self) -> Option<&Lease> {
         self.current.as_ref()
@@ -108,7 +102,6 @@
             return;
         }
         self.next = offset.next();
-        self.newest = self.newest.max(time);
         match record {
             Some(LeaseRecord::Acquire {
                 holder,
--- a/crates/sesamegap-policy/src/decider/builder.rs
+++ b/crates/sesamegap-policy/src/decider/builder.rs
@@ -11,13 +11,12 @@
 use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
 use sesamegap_settings::Catalogue;
-use sesamegap_wire::{DomainId, Moment, VmId};
+use sesamegap_wire::{DomainId, Moment};
 use std::sync::Arc;
 
 /// Gathers what a decider needs.
 #[derive(Debug)]
 pub struct DeciderBuilder {
-    vm: VmId,
     domain: DomainId,
     seed: u64,
     catalogue: Arc<Catalogue>,
@@ -26,10 +25,9 @@
 }
 
 impl DeciderBuilder {
-    /// Starts with the router's own VM and failure domain.
-    pub fn new(vm: VmId, domain: DomainId) -> Self {
+    /// Starts with the router's own failure domain.
+    pub fn new(domain: DomainId) -> Self {
         Self {
-            vm,
             domain,
             seed: 0,
             catalogue: Arc::default(),
@@ -68,7 +66,6 @@
 
     /// Makes the decider.
     pub fn build(self) -> Decider {
-        let _ = self.vm;
         let domain = self.domain;
         let placer = self
             .placer
--- a/crates/sesamegap-policy/tests/testsuite/load/limits.rs
+++ b/crates/sesamegap-policy/tests/testsuite/load/limits.rs
@@ -181,8 +181,7 @@
 }
 
 fn decider(settings: Catalogue) -> Decider {
-    let vm = "vm0".parse().expect("valid");
-    let mut decider = DeciderBuilder::new(vm, "a".parse().expect("valid"))
+    let mut decider = DeciderBuilder::new("a".parse().expect("valid"))
         .catalogue(Arc::new(settings))
         .placer(Box::new(crate::support::least::LeastPlacer::default()))
         .build();
--- a/crates/sesamegap-policy/tests/testsuite/support/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/support/world.rs
@@ -73,8 +73,7 @@
     pub fn new(setup: Setup) -> Self {
         let catalogue = Arc::new(setup.catalogue);
         let routers = (0..setup.routers).map(|n| {
-            let vm = format!("vm{n}").parse().expect("valid");
-            DeciderBuilder::new(vm, "a".parse().expect("valid"))
+            DeciderBuilder::new("a".parse().expect("valid"))
                 .seed(n as u64)
                 .catalogue(Arc::clone(&catalogue))
                 .placer(Box::new(LeastPlacer::default()))
--- a/crates/sesamegap/src/controller/http.rs
+++ b/crates/sesamegap/src/controller/http.rs
@@ -1,11 +1,10 @@
 //! Shows a controller's state to operators.
 
 use super::Shown;
+use crate::router::callers::is_operator;
 use poem::http::StatusCode;
-use poem::http::header::AUTHORIZATION;
 use poem::web::{Data, Json};
 use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler};
-use sesamegap_settings::matches;
 use smol_str::SmolStr;
 use std::sync::Arc;
 
@@ -32,9 +31,7 @@
     Data(shown): Data<&Arc<Shown>>,
     Data(operator): Data<&Operator>,
 ) -> Response {
-    let given = request.header(AUTHORIZATION);
-    let key = given.and_then(|value| value.strip_prefix("Bearer "));
-    if key.is_some_and(|key| matches(key, &operator.0)) {
+    if is_operator(request.headers(), &operator.0) {
         return Json(shown.get()).into_response();
     }
     StatusCode::UNAUTHORIZED.into()
--- a/crates/sesamegap/src/controller/mod.rs
+++ b/crates/sesamegap/src/controller/mod.rs
@@ -15,8 +15,9 @@
 
 use crate::config::ProcessConfig;
 use crate::events;
+use crate::router;
 use crate::router::clock::unix_ms;
-use crate::router::fleet::{Connect, HttpConnect, http_settings};
+use crate::router::fleet::Connect;
 use crate::router::lock;
 use crate::router::peers::PeerClient;
 use anyhow::Context;
@@ -24,7 +25,7 @@
 use lease::LeaseKeeper;
 use poem::Server;
 use poem::listener::TcpAcceptor;
-use sesamegap_platform::{HttpLog, HttpVms, Log, VmList};
+use sesamegap_platform::{Log, VmList};
 use sesamegap_policy::agreement::Holder;
 use sesamegap_wire::Incarnation;
 use std::net::SocketAddr;
@@ -56,12 +57,10 @@
 impl Links {
     /// Joins a controller over HTTP to what its settings name.
     pub fn http(config: &ProcessConfig) -> Self {
-        let settings = http_settings(config);
-        Self {
-            log: Arc::new(HttpLog::new(config.log.as_str(), settings.clone())),
-            vms: Arc::new(HttpVms::new(config.vms.as_str(), settings)),
-            connect: Arc::new(HttpConnect::new(config)),
-        }
+        let router::Links {
+            log, vms, connect, ..
+        } = router::Links::http(config);
+        Self { log, vms, connect }
     }
 }
 
--- a/crates/sesamegap/src/router/callers/intake.rs
+++ b/crates/sesamegap/src/router/callers/intake.rs
@@ -92,6 +92,11 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
 
+/// Whether a request carries the operators' key, of which only the hash is known.
+pub fn is_operator(headers: &HeaderMap, hash: &str) -> bool {
+    bearer(headers).is_some_and(|key| sesamegap_settings::matches(key, hash))
+}
+
 /// A caller's body, which holds its share of the room for bodies until it is dropped.
 #[derive(Debug)]
 pub struct Held {
--- a/crates/sesamegap/src/router/callers/mod.rs
+++ b/crates/sesamegap/src/router/callers/mod.rs
@@ -18,7 +18,8 @@
 mod tickets;
 
 pub use error::{ApiError, from_library};
-pub(super) use intake::{bearer, body as read_body};
+pub(super) use intake::body as read_body;
+pub use intake::is_operator;
 pub(super) use relay::run_relayed;
 pub(super) use reply::{Form, resume_response};
 pub(super) use requests::find as find_answer;
--- a/crates/sesamegap/src/router/operators.rs
+++ b/crates/sesamegap/src/router/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' side: settings, dump, metrics, health.
 
-use super::callers::{ApiError, Shared, bearer, read_body};
+use super::callers::{ApiError, Shared, is_operator, read_body};
 use super::core::Core;
 use super::phase::Phase;
 use super::tree::publish;
@@ -28,8 +28,7 @@
 
 /// Lets only the operators' key pass.
 fn check(core: &Core, request: &Request) -> Result<(), ApiError> {
-    let key = bearer(request.headers());
-    if key.is_some_and(|key| sesamegap_settings::matches(key, &core.config.operator)) {
+    if is_operator(request.headers(), &core.config.operator) {
         return Ok(());
     }
     Err(ApiError::not_run(
--- a/crates/sesamegap/src/router/peers/gossip.rs
+++ b/crates/sesamegap/src/router/peers/gossip.rs
@@ -57,12 +57,10 @@
 }
 
 async fn exchange(core: &Core, peer: Peer, own: &Hello) {
-    match core.peer_client.hello(peer.router, own).await {
-        Ok(hello) => {
-            core.peers.heard(&hello);
-            core.decider
-                .observe(Observation::Peer(hello.vm, hello.digest));
-        }
-        Err(_) => core.peers.missed(&peer.vm),
+    // One message without an answer is no reason for suspicion; probes decide.
+    if let Ok(hello) = core.peer_client.hello(peer.router, own).await {
+        core.peers.heard(&hello);
+        core.decider
+            .observe(Observation::Peer(hello.vm, hello.digest));
     }
 }
--- a/crates/sesamegap/src/router/peers/mod.rs
+++ b/crates/sesamegap/src/router/peers/mod.rs
@@ -46,9 +46,6 @@
 
     /// Takes in what a peer says of itself.
     fn heard(&self, hello: &Hello);
-
-    /// Takes in that a peer did not answer.
-    fn missed(&self, vm: &VmId);
 }
 
 /// Trusts the VM list and adds what peers say of themselves.
@@ -113,6 +110,4 @@
         };
         all.insert(hello.vm.clone(), heard);
     }
-
-    fn missed(&self, _vm: &VmId) {}
 }
--- a/crates/sesamegap/src/router/peers/probing.rs
+++ b/crates/sesamegap/src/router/peers/probing.rs
@@ -140,10 +140,6 @@
     fn heard(&self, hello: &Hello) {
         self.said.heard(hello);
     }
-
-    fn missed(&self, _vm: &VmId) {
-        // One message without an answer is no reason for suspicion; probes decide.
-    }
 }
 
 /// Probes one peer a round until the task is dropped.
--- a/crates/sesamegap/src/router/start.rs
+++ b/crates/sesamegap/src/router/start.rs
@@ -150,7 +150,7 @@
         };
         let clock = Clock::start();
         let (to_list, lists) = mpsc::channel(LISTS);
-        let decider = DeciderBuilder::new(config.vm.clone(), config.domain.clone())
+        let decider = DeciderBuilder::new(config.domain.clone())
             .seed(rand::random())
             .build();
         let (handle, decider) = deciding::start(decider, clock, &config.bounds, to_list)?;
--- a/crates/sesamegap/tests/testsuite/router/callers.rs
+++ b/crates/sesamegap/tests/testsuite/router/callers.rs
@@ -24,11 +24,7 @@
 #[tokio::test]
 async fn a_stream_gives_the_same_text_and_says_that_it_is_whole() {
     let site = Site::start(plan(), 1).await;
-    let sent = site
-        .chat(0, &question("hello", 50, true))
-        .send()
-        .await
-        .unwrap();
+    let sent = site.stream("hello", 50).await;
     let got = Got::all(sent).await;
     assert_eq!(got.text, answer("hello", 50));
     assert!(got.done && got.error.is_none());
--- a/crates/sesamegap/tests/testsuite/router/refusals.rs
+++ b/crates/sesamegap/tests/testsuite/router/refusals.rs
@@ -13,12 +13,7 @@
     let site = Site::start_tuned(slow, 1, |config| config.bounds.flights = 2).await;
     let mut under_way = Vec::new();
     for _ in 0..2 {
-        under_way.push(
-            site.chat(0, &question("hello", 200, true))
-                .send()
-                .await
-                .unwrap(),
-        );
+        under_way.push(site.stream("hello", 200).await);
     }
     let runs = site.deployment.executions().requests.len();
     let sent = site
--- a/crates/sesamegap/tests/testsuite/router/stops.rs
+++ b/crates/sesamegap/tests/testsuite/router/stops.rs
@@ -15,11 +15,7 @@
         config.timing.address = Duration::from_millis(300);
     })
     .await;
-    let running = site
-        .chat(0, &question("hello", 400, true))
-        .send()
-        .await
-        .unwrap();
+    let running = site.stream("hello", 400).await;
     let chat = site.url(0, "/v1/chat/completions");
     let other = site.url(1, "");
     let at = site.routers[0].addr();
--- a/crates/sesamegap/tests/testsuite/router/streams.rs
+++ b/crates/sesamegap/tests/testsuite/router/streams.rs
@@ -9,11 +9,7 @@
 async fn whole_after(hit: Hit) {
     let site = Site::start(plan(), 1).await;
     site.hit(hit, None);
-    let sent = site
-        .chat(0, &question("hello", TOKENS, true))
-        .send()
-        .await
-        .unwrap();
+    let sent = site.stream("hello", TOKENS).await;
     let got = Got::all(sent).await;
     assert_eq!(got.text, answer("hello", TOKENS), "{hit:?} {got:?}");
     assert!(got.done && got.error.is_none(), "{hit:?}");
@@ -57,11 +53,7 @@
 #[tokio::test]
 async fn a_mute_connection_is_replaced_by_a_new_one() {
     let site = Site::start(plan(), 1).await;
-    let sent = site
-        .chat(0, &question("hello", 400, true))
-        .send()
-        .await
-        .unwrap();
+    let sent = site.stream("hello", 400).await;
     site.hit(Hit::once(Fault::EngineSilent), None);
     let got = Got::all(sent).await;
     assert_eq!(got.text, answer("hello", 400));
@@ -73,11 +65,7 @@
 #[tokio::test]
 async fn another_engine_goes_on_when_one_dies() {
     let site = Site::start(plan(), 1).await;
-    let sent = site
-        .chat(0, &question("hello", 400, true))
-        .send()
-        .await
-        .unwrap();
+    let sent = site.stream("hello", 400).await;
     let id = request_id(&sent);
     let on = site.runs_at(&id);
     site.hit(Hit::once(Fault::EngineCrash), Some(on.as_str()));
@@ -116,11 +104,7 @@
 async fn a_caller_resumes_at_any_router() {
     let site = Site::start(plan(), 2).await;
     for router in 0..2 {
-        let sent = site
-            .chat(0, &question("hello", 200, true))
-            .send()
-            .await
-            .unwrap();
+        let sent = site.stream("hello", 200).await;
         let id = request_id(&sent);
         let mut got = Got::default();
         got.read(sent, 4).await;
--- a/crates/sesamegap/tests/testsuite/router/upstreams.rs
+++ b/crates/sesamegap/tests/testsuite/router/upstreams.rs
@@ -80,11 +80,7 @@
 #[tokio::test]
 async fn a_mute_connection_to_a_leaving_engine_is_replaced() {
     let site = Site::start(plan(), 1).await;
-    let sent = site
-        .chat(0, &question("hello", 400, true))
-        .send()
-        .await
-        .unwrap();
+    let sent = site.stream("hello", 400).await;
     let id = request_id(&sent);
     let on = site.runs_at(&id);
     site.deployment.refuse(on.as_str(), true).unwrap();
@@ -97,11 +93,7 @@
 #[tokio::test]
 async fn a_cancelled_request_ends_at_its_engine() {
     let site = Site::start(plan(), 1).await;
-    let sent = site
-        .chat(0, &question("hello", 400, true))
-        .send()
-        .await
-        .unwrap();
+    let sent = site.stream("hello", 400).await;
     let path = format!("/v1/requests/{}", request_id(&sent));
     let cancel = site
         .ask(0, Method::DELETE, &path, ALPHA)
--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -179,6 +179,12 @@
         request.json(body)
     }
 
+    /// Sends team alpha's question to the first router and returns its stream.
+    pub async fn stream(&self, text: &str, tokens: u64) -> Response {
+        let request = self.chat(0, &question(text, tokens, true));
+        request.send().await.unwrap()
+    }
+
     pub async fn publish(&self, router: usize, base: u64, edits: &Value) -> (StatusCode, Value) {
         let body = json!({ "base": base, "by": "tester", "edits": edits });
         let request = self.ask(router, Method::POST, "/admin/changes", OPERATOR);
