--- /dev/null
+++ b/crates/sesamegap-entry/src/core.rs
@@ -0,0 +1,158 @@
+//! What all tasks of a process share.
+
+use crate::catalogue::{Catalogue, Document, Revision};
+use crate::clock;
+use crate::fleet::{Fleet, Rules, SharedFleet};
+use crate::peers::Peers;
+use crate::ports::Ports;
+use crate::settings::Settings;
+use crate::telemetry::events;
+use arc_swap::ArcSwapOption;
+use rustc_hash::FxHashMap;
+use sesamegap_policy::routing::budget::Budget;
+use sesamegap_wire::ServiceId;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::{Notify, Semaphore, watch};
+use tracing::info;
+
+/// Where a process is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It was told to stop: it names others and closes connections after their next answer.
+    Leaving,
+    /// It closes idle connections.
+    Closing,
+    /// It takes no more connections.
+    Ended,
+}
+
+/// What all tasks of a process share.
+#[derive(Debug)]
+pub struct Core {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// The platform.
+    pub ports: Ports,
+    /// The upstreams.
+    pub fleet: SharedFleet,
+    /// The other entry VMs.
+    pub peers: Peers,
+    /// Wakes the roll when weights were named.
+    pub named: Notify,
+    /// Requests being worked on.
+    pub active: AtomicUsize,
+    /// Room for request bodies, in KiB.
+    pub bodies: Arc<Semaphore>,
+    catalogue: ArcSwapOption<Catalogue>,
+    budgets: Mutex<FxHashMap<ServiceId, Budget>>,
+    phase: watch::Sender<Phase>,
+}
+
+impl Core {
+    /// Sets up a process that knows nothing yet.
+    pub fn new(settings: Settings, ports: Ports) -> Self {
+        let rules = Rules {
+            lapse: settings.spans.lapse,
+        };
+        Self {
+            fleet: SharedFleet::new(Fleet::new(rules)),
+            peers: Peers::new(&settings),
+            named: Notify::new(),
+            active: AtomicUsize::new(0),
+            bodies: Arc::new(Semaphore::new(settings.body_memory >> 10)),
+            catalogue: ArcSwapOption::empty(),
+            budgets: Mutex::default(),
+            phase: watch::channel(Phase::Serving).0,
+            settings,
+            ports,
+        }
+    }
+
+    /// The document in force.
+    pub fn catalogue(&self) -> Option<Arc<Catalogue>> {
+        self.catalogue.load_full()
+    }
+
+    /// The revision in force; zero if there is none.
+    pub fn revision(&self) -> Revision {
+        let catalogue = self.catalogue.load();
+        catalogue
+            .as_ref()
+            .map_or(Revision::default(), |catalogue| catalogue.revision())
+    }
+
+    /// Puts a document in force unless one as new already is.
+    ///
+    /// The store's history can be shown stale, and a peer may be behind: without this check a
+    /// revoked key would work again for a while.
+    pub fn adopt(&self, document: &Arc<Document>, source: &str) -> bool {
+        if document.revision <= self.revision() {
+            return false;
+        }
+        let catalogue = Catalogue::new(Arc::clone(document));
+        self.catalogue.store(Some(Arc::new(catalogue)));
+        info!(
+            event = events::DOCUMENT,
+            revision = document.revision.0,
+            source,
+            routes = document.routes.len(),
+            teams = document.teams.len(),
+            "document in force"
+        );
+        true
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn count_request(&self, service: &ServiceId) {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.settings.repeats));
+        budget.request(clock::now());
+    }
+
+    /// Whether one more repeat to a service fits into the fleet's bound; counts it if so.
+    pub fn may_repeat(&self, service: &ServiceId) -> bool {
+        let vms = self.peers.count();
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets
+            .get_mut(service)
+            .is_some_and(|budget| budget.repeat(clock::now(), vms))
+    }
+
+    /// The phase.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Follows the phase.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Goes on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|now| {
+            let later = phase > *now;
+            if later {
+                *now = phase;
+            }
+            later
+        });
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let known = self.catalogue.load().is_some();
+        let fleet = self.fleet.lock().upstreams().next().is_some();
+        known && fleet && self.phase() == Phase::Serving
+    }
+
+    /// Requests being worked on.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -0,0 +1,87 @@
+//! A request at an upstream, counted there until it is dropped.
+
+use super::SharedFleet;
+use crate::ports::Load;
+use sesamegap_wire::{DomainId, Moment, UpstreamId, WeightsVersion};
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+
+/// A request that is at an upstream.
+#[derive(Debug)]
+pub struct Flight {
+    pub(super) fleet: SharedFleet,
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Weights that it is believed to hold.
+    pub weights: Option<WeightsVersion>,
+    /// Engine that holds the shared prefix, if another.
+    pub source: Option<SocketAddr>,
+    /// Requests running there when it was chosen.
+    pub running: u32,
+    pub(super) unread: u64,
+}
+
+impl Flight {
+    /// Notes that bytes came, and on the first call that the prompt was read.
+    pub fn heard(&mut self, now: Moment) {
+        let unread = std::mem::take(&mut self.unread);
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.hear(now);
+            upstream.unread = upstream.unread.saturating_sub(unread);
+        }
+    }
+
+    /// When any byte last came from the upstream, on any connection.
+    pub fn last_heard(&self) -> Moment {
+        let fleet = self.fleet.lock();
+        fleet.get(&self.id).map(|upstream| upstream.heard).unwrap_or_default()
+    }
+
+    /// Notes the load that the answer told.
+    pub fn loaded(&self, load: Load, now: Moment) {
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.loaded(load, now);
+        }
+    }
+
+    /// Notes the weights that the answer told.
+    pub fn holds(&self, model: &SmolStr, version: WeightsVersion) {
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.holds(model, version);
+        }
+    }
+
+    /// Notes that the upstream could not be reached or went silent.
+    pub fn failed(&self, now: Moment) {
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.fail(now);
+        }
+    }
+
+    /// Sends nothing there until a moment.
+    pub fn paused(&self, until: Moment) {
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.pause(until);
+        }
+    }
+
+    /// Notes the time and outcome of a plain answer.
+    pub fn answered(&self, took: std::time::Duration, failed: bool) {
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.answered(took, failed);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+            upstream.running = upstream.running.saturating_sub(1);
+            upstream.unread = upstream.unread.saturating_sub(self.unread);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -0,0 +1,227 @@
+//! The upstreams as this VM knows them.
+//!
+//! Entries come from the fleet list, which lags and loses entries while the store is away. What
+//! this VM sees itself is newer: an upstream that cannot be reached is avoided for a while, one
+//! that says it holds other weights is believed, and its load is what its last answer said plus
+//! what was sent there since.
+
+mod flight;
+mod upstream;
+mod view;
+
+pub use flight::Flight;
+pub use upstream::{Entry, Upstream};
+pub use view::{Pick, Wanted};
+
+use crate::ports::Weights;
+use rustc_hash::FxHashMap;
+use sesamegap_wire::{Moment, ServiceId, UpstreamId, WeightsVersion};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a removed entry's last heartbeat is remembered, so that a late one does not bring the
+/// upstream back; longer than any heartbeat is held up.
+const TOMBSTONE: Duration = Duration::from_secs(60);
+
+/// Part of a service that lapses at once only when the list is wrong: upstreams leave a few at a
+/// time, while an outage of the store drops all whose heartbeats it could not take.
+const MASS: f64 = 0.4;
+
+/// Spans that decide about lapsed entries.
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    /// How long an entry that lapsed with the store away may take to come back.
+    pub lapse: Duration,
+}
+
+/// What a change of the list did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// An upstream that was not known.
+    New,
+    /// An upstream is leaving.
+    Leaving,
+    /// An entry is gone, and the upstream with it.
+    Gone,
+    /// An entry is gone, but may come back.
+    Lapsed,
+    /// Nothing that matters to requests.
+    Same,
+}
+
+/// All upstreams.
+#[derive(Debug)]
+pub struct Fleet {
+    rules: Rules,
+    upstreams: BTreeMap<UpstreamId, Upstream>,
+    gone: FxHashMap<UpstreamId, (u64, Moment)>,
+    named: BTreeMap<SmolStr, WeightsVersion>,
+    store_back: Option<Moment>,
+    store_away: bool,
+    lapses: Vec<Moment>,
+}
+
+impl Fleet {
+    /// Starts with nobody known.
+    pub fn new(rules: Rules) -> Self {
+        Self {
+            rules,
+            upstreams: BTreeMap::new(),
+            gone: FxHashMap::default(),
+            named: BTreeMap::new(),
+            store_back: None,
+            store_away: false,
+            lapses: Vec::new(),
+        }
+    }
+
+    /// All upstreams known.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// One upstream.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
+    /// One upstream, to note what was seen of it.
+    pub fn get_mut(&mut self, id: &UpstreamId) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(id)
+    }
+
+    /// Upstreams of a service.
+    pub fn of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams
+            .values()
+            .filter(move |upstream| upstream.entry.service == *service)
+    }
+
+    /// Notes whether the store answers; while it is away, entries lapse of themselves.
+    pub fn store(&mut self, answers: bool, now: Moment) {
+        if answers && self.store_away {
+            self.store_back = Some(now);
+        }
+        self.store_away = !answers;
+    }
+
+    /// Takes in an entry of the list.
+    pub fn apply(&mut self, id: &UpstreamId, entry: Entry, now: Moment) -> Change {
+        let late = self.gone.get(id).is_some_and(|(beat, _)| entry.beat <= *beat);
+        if late {
+            return Change::Same;
+        }
+        self.gone.remove(id);
+        let Some(known) = self.upstreams.get_mut(id) else {
+            let upstream = Upstream::new(id.clone(), entry);
+            self.upstreams.insert(id.clone(), upstream);
+            return Change::New;
+        };
+        known.update(entry, now)
+    }
+
+    /// Takes in that an entry is gone from the list.
+    pub fn remove(&mut self, id: &UpstreamId, now: Moment) -> Change {
+        let Some(known) = self.upstreams.get(id) else {
+            return Change::Same;
+        };
+        let service = known.entry.service.clone();
+        self.lapses
+            .retain(|at| now.since(*at) < self.rules.lapse);
+        self.lapses.push(now);
+        let count = self.of(&service).count();
+        let mass = self.lapses.len() > 1 && self.lapses.len() as f64 > MASS * count as f64;
+        let back = self.store_back;
+        let outage = self.store_away || back.is_some_and(|at| now.since(at) < self.rules.lapse);
+        if mass || outage {
+            if let Some(known) = self.upstreams.get_mut(id) {
+                known.lapsed.get_or_insert(now);
+            }
+            return Change::Lapsed;
+        }
+        self.drop_upstream(id, now);
+        Change::Gone
+    }
+
+    /// Drops lapsed entries that did not come back, and old tombstones.
+    pub fn expire(&mut self, now: Moment) -> Vec<UpstreamId> {
+        self.gone.retain(|_, (_, at)| now.since(*at) < TOMBSTONE);
+        if self.store_away {
+            return Vec::new();
+        }
+        let back = self.store_back.unwrap_or_default();
+        let lapse = self.rules.lapse;
+        let overdue = |at: Moment| now.since(at.max(back)) >= lapse;
+        let due: Vec<UpstreamId> = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.lapsed.is_some_and(overdue))
+            .map(|upstream| upstream.id.clone())
+            .collect();
+        for id in &due {
+            self.drop_upstream(id, now);
+        }
+        due
+    }
+
+    /// Replaces the whole list: what it does not name is gone.
+    pub fn keep_only(&mut self, listed: &[UpstreamId], now: Moment) -> Vec<UpstreamId> {
+        let missing: Vec<UpstreamId> = self
+            .upstreams
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in &missing {
+            self.remove(id, now);
+        }
+        missing
+    }
+
+    /// Notes that weights were named; older names change nothing.
+    pub fn name_weights(&mut self, weights: &Weights) -> bool {
+        let known = self.named.entry(weights.model.clone()).or_default();
+        let newer = weights.version > *known;
+        if newer {
+            *known = weights.version;
+        }
+        newer
+    }
+
+    /// The newest weights named, by model.
+    pub fn named(&self) -> impl Iterator<Item = Weights> {
+        self.named.iter().map(|(model, version)| Weights {
+            model: model.clone(),
+            version: *version,
+        })
+    }
+
+    /// The newest version named of a model.
+    pub fn newest(&self, model: &str) -> Option<WeightsVersion> {
+        self.named.get(model).copied()
+    }
+
+    fn drop_upstream(&mut self, id: &UpstreamId, now: Moment) {
+        if let Some(upstream) = self.upstreams.remove(id) {
+            self.gone.insert(id.clone(), (upstream.entry.beat, now));
+        }
+    }
+}
+
+/// The fleet, shared by all tasks of a process.
+#[derive(Debug, Clone)]
+pub struct SharedFleet(Arc<Mutex<Fleet>>);
+
+impl SharedFleet {
+    /// Shares a fleet.
+    pub fn new(fleet: Fleet) -> Self {
+        Self(Arc::new(Mutex::new(fleet)))
+    }
+
+    /// The fleet, for a moment; never held over a wait.
+    pub fn lock(&self) -> MutexGuard<'_, Fleet> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -0,0 +1,192 @@
+//! One upstream and what was seen of it.
+
+use super::Change;
+use crate::ports::{Load, Weights};
+use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId, WeightsVersion};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an upstream that failed to answer is avoided at first; doubled with each failure.
+const AVOIDED: Duration = Duration::from_millis(600);
+
+/// Doublings at most, which gives about 5 s: a restart takes as long.
+const DOUBLINGS: u32 = 3;
+
+/// Age at which a load that was told no longer says anything; requests last about a second.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+
+/// Weight of the newest answer in the averages of pace and failures.
+const NEWEST: f64 = 0.15;
+
+/// An upstream's entry in the fleet list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it has said that it leaves.
+    pub leaving: bool,
+    /// Weights that it held when it wrote the entry.
+    pub weights: Vec<Weights>,
+    /// Number of the heartbeat.
+    pub beat: u64,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its id; a restart takes a new one.
+    pub id: UpstreamId,
+    /// Its newest entry.
+    pub entry: Entry,
+    /// Number that is the same in all VMs.
+    pub seed: u64,
+    /// When its entry lapsed, if it did.
+    pub lapsed: Option<Moment>,
+    /// When any byte last came from it.
+    pub heard: Moment,
+    pub(super) running: u32,
+    pub(super) unread: u64,
+    pub(super) pace: Option<f64>,
+    pub(super) faults: f64,
+    load: Option<(Load, Moment)>,
+    sent: u32,
+    failures: u32,
+    avoided: Moment,
+    paused: Moment,
+}
+
+impl Upstream {
+    /// An upstream of which nothing was seen yet.
+    pub fn new(id: UpstreamId, entry: Entry) -> Self {
+        let seed = id.as_str().bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        Self {
+            id,
+            entry,
+            seed,
+            lapsed: None,
+            heard: Moment(0),
+            running: 0,
+            unread: 0,
+            pace: None,
+            faults: 0.0,
+            load: None,
+            sent: 0,
+            failures: 0,
+            avoided: Moment(0),
+            paused: Moment(0),
+        }
+    }
+
+    /// Takes in a newer entry of the same upstream.
+    pub(super) fn update(&mut self, entry: Entry, _now: Moment) -> Change {
+        if entry.beat < self.entry.beat {
+            return Change::Same;
+        }
+        self.lapsed = None;
+        let was = self.entry.leaving;
+        let mut entry = entry;
+        // An upstream never takes back that it leaves, but a late heartbeat may seem to.
+        entry.leaving |= was;
+        for weights in &mut entry.weights {
+            let held = self.entry.weights.iter().find(|w| w.model == weights.model);
+            // Answers and the roll tell of new weights before the next heartbeat does.
+            if let Some(held) = held {
+                weights.version = weights.version.max(held.version);
+            }
+        }
+        let leaves = entry.leaving && !was;
+        self.entry = entry;
+        if leaves { Change::Leaving } else { Change::Same }
+    }
+
+    /// The version of a model's weights that it holds, as far as is known.
+    pub fn version(&self, model: &str) -> Option<WeightsVersion> {
+        let found = self.entry.weights.iter().find(|w| w.model == model);
+        found.map(|weights| weights.version)
+    }
+
+    /// Notes the version that it says it holds.
+    pub fn holds(&mut self, model: &str, version: WeightsVersion) {
+        let weights = &mut self.entry.weights;
+        if let Some(held) = weights.iter_mut().find(|w| w.model == model) {
+            held.version = version;
+        }
+    }
+
+    /// Notes its load.
+    pub fn loaded(&mut self, load: Load, now: Moment) {
+        self.load = Some((load, now));
+        self.sent = 0;
+    }
+
+    /// Notes that a request went there.
+    pub(super) fn begin(&mut self, unread: u64) {
+        self.running += 1;
+        self.unread += unread;
+        self.sent += 1;
+    }
+
+    /// Notes that a byte came from it.
+    pub fn hear(&mut self, now: Moment) {
+        self.heard = now;
+        self.failures = 0;
+        self.avoided = Moment(0);
+    }
+
+    /// Notes that it could not be reached or went silent.
+    pub fn fail(&mut self, now: Moment) {
+        let doublings = self.failures.min(DOUBLINGS);
+        self.failures += 1;
+        self.avoided = now + AVOIDED * 2u32.pow(doublings);
+    }
+
+    /// Sends nothing there for a while.
+    pub fn pause(&mut self, until: Moment) {
+        self.paused = until;
+    }
+
+    /// Notes an answer of a plain service.
+    pub fn answered(&mut self, took: Duration, failed: bool) {
+        let fault = f64::from(u8::from(failed));
+        self.faults += NEWEST * (fault - self.faults);
+        let ms = took.as_secs_f64() * 1000.0;
+        let pace = self.pace.get_or_insert(ms);
+        *pace += NEWEST * (ms - *pace);
+    }
+
+    /// Whether it lately failed to answer.
+    pub fn is_suspect(&self, now: Moment) -> bool {
+        now < self.avoided
+    }
+
+    /// Whether nothing new may go there.
+    pub fn is_paused(&self, now: Moment) -> bool {
+        self.entry.leaving || now < self.paused
+    }
+
+    /// Requests running there, as far as is known.
+    pub fn running_now(&self, now: Moment) -> u32 {
+        match self.load {
+            Some((load, at)) if now.since(at) < LOAD_AGE => {
+                self.running.max(load.running + self.sent)
+            }
+            _ => self.running,
+        }
+    }
+
+    /// Requests waiting there, as far as is known.
+    pub fn waiting_now(&self, now: Moment) -> u32 {
+        match self.load {
+            Some((load, at)) if now.since(at) < LOAD_AGE => load.waiting,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -0,0 +1,104 @@
+//! What the decisions see of the fleet, and the flight that comes of one.
+
+use super::{Flight, SharedFleet, Upstream};
+use sesamegap_policy::routing::{engines, plain};
+use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
+use smol_str::SmolStr;
+
+/// A prompt's shape for placing.
+#[derive(Debug, Clone)]
+pub struct Pick {
+    /// The model, if the request names one.
+    pub model: SmolStr,
+    /// Its shared parts.
+    pub prompt: engines::Prompt,
+    /// All its tokens.
+    pub tokens: u64,
+}
+
+/// What a request wants of an upstream.
+#[derive(Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// This VM's failure domain.
+    pub domain: &'a DomainId,
+    /// Set for prompts.
+    pub pick: Option<&'a Pick>,
+    /// Upstreams already tried.
+    pub tried: &'a [UpstreamId],
+    /// Tells equals apart.
+    pub spread: usize,
+}
+
+impl SharedFleet {
+    /// Chooses an upstream and counts the request there.
+    pub fn choose(&self, wanted: &Wanted<'_>, now: Moment) -> Option<Flight> {
+        let mut fleet = self.lock();
+        let newest = wanted.pick.and_then(|pick| fleet.newest(&pick.model));
+        let open: Vec<&Upstream> = fleet
+            .of(wanted.service)
+            .filter(|upstream| !wanted.tried.contains(&upstream.id))
+            .collect();
+        let near = |upstream: &Upstream| upstream.entry.domain == *wanted.domain;
+        let (at, source) = match wanted.pick {
+            Some(pick) => {
+                let views: Vec<engines::Engine> = open
+                    .iter()
+                    .map(|upstream| engines::Engine {
+                        seed: upstream.seed,
+                        near: near(upstream),
+                        running: upstream.running_now(now),
+                        waiting: upstream.waiting_now(now),
+                        unread: upstream.unread,
+                        newest: newest.is_none() || upstream.version(&pick.model) >= newest,
+                        suspect: upstream.is_suspect(now),
+                        paused: upstream.is_paused(now),
+                    })
+                    .collect();
+                let choice = engines::choose(pick.prompt, &views)?;
+                let source = choice.source.map(|no| open[no].entry.addr);
+                (choice.at, source)
+            }
+            None => (choose_plain(&open, wanted, now, near)?, None),
+        };
+        let chosen = open[at];
+        let flight = Flight {
+            fleet: self.clone(),
+            id: chosen.id.clone(),
+            addr: chosen.entry.addr,
+            domain: chosen.entry.domain.clone(),
+            weights: wanted.pick.and_then(|pick| chosen.version(&pick.model)),
+            source,
+            running: chosen.running_now(now),
+            unread: wanted.pick.map_or(0, |pick| pick.tokens),
+        };
+        if let Some(upstream) = fleet.get_mut(&flight.id) {
+            upstream.begin(flight.unread);
+        }
+        Some(flight)
+    }
+}
+
+fn choose_plain(
+    open: &[&Upstream],
+    wanted: &Wanted<'_>,
+    now: Moment,
+    near: impl Fn(&Upstream) -> bool,
+) -> Option<usize> {
+    let paces = open.iter().filter_map(|upstream| upstream.pace);
+    let fastest = paces.fold(f64::INFINITY, f64::min);
+    let views: Vec<plain::Worker> = open
+        .iter()
+        .map(|upstream| plain::Worker {
+            near: near(upstream),
+            busy: upstream.running_now(now) + upstream.waiting_now(now),
+            slots: upstream.entry.slots,
+            slowness: upstream.pace.map_or(1.0, |pace| pace / fastest),
+            faults: upstream.faults,
+            suspect: upstream.is_suspect(now),
+            paused: upstream.is_paused(now),
+        })
+        .collect();
+    plain::choose(&views, wanted.spread)
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -0,0 +1,56 @@
+//! Takes records of the store in.
+
+use crate::clock;
+use crate::core::Core;
+use crate::fleet::Change;
+use crate::peers::learn_weights;
+use crate::ports::{Batch, Record, Table};
+use crate::telemetry::events;
+use sesamegap_wire::UpstreamId;
+use tracing::{info, warn};
+
+/// Takes in the newest record of each key of a table, in place of what was known.
+pub fn replace(core: &Core, table: Table, batch: Batch) {
+    let mut listed = Vec::new();
+    for (_, record) in batch.records {
+        if let Record::Upstream(id, _) = &record {
+            listed.push(id.clone());
+        }
+        apply(core, record);
+    }
+    if table == Table::Fleet {
+        let missing = core.fleet.lock().keep_only(&listed, clock::now());
+        for id in missing {
+            tell(&id, Change::Gone);
+        }
+    }
+}
+
+/// Takes in one record.
+pub fn apply(core: &Core, record: Record) {
+    let now = clock::now();
+    match record {
+        Record::Document(document) => {
+            core.adopt(&document, "store");
+        }
+        Record::Weights(weights) => learn_weights(core, &weights, "store"),
+        Record::Upstream(id, entry) => {
+            let change = core.fleet.lock().apply(&id, *entry, now);
+            tell(&id, change);
+        }
+        Record::Removed(id) => {
+            let change = core.fleet.lock().remove(&id, now);
+            tell(&id, change);
+        }
+        Record::Vm(..) => {}
+        Record::Unreadable(key, why) => {
+            warn!(event = events::UNREADABLE, key = %key, why, "a record cannot be read and is passed over");
+        }
+    }
+}
+
+fn tell(id: &UpstreamId, change: Change) {
+    if change != Change::Same {
+        info!(event = events::UPSTREAM, upstream = %id, change = ?change, "belief about an upstream changed");
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/intake/mod.rs
@@ -0,0 +1,48 @@
+//! Takes callers' connections and requests.
+//!
+//! poem's server offers neither bounds that change while it runs nor a close between requests, so
+//! this is on hyper's connection interface, the library beneath it.
+
+mod activity;
+mod connection;
+mod reply;
+mod request;
+
+pub use reply::{Body, Refusal, full, refuse};
+
+use crate::core::{Core, Phase};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tracing::warn;
+
+/// Pause after a failed accept, which mostly means that descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Waits until the process has reached a phase.
+async fn reached(phases: &mut watch::Receiver<Phase>, phase: Phase) {
+    if phases.wait_for(|now| *now >= phase).await.is_err() {
+        // The sender lives as long as the process; without it there is nothing to wait for.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Accepts connections until the process ends.
+pub async fn serve(core: Arc<Core>, listener: TcpListener) {
+    let mut phases = core.phases();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(connection::serve(Arc::clone(&core), stream));
+                }
+                Err(error) => {
+                    warn!(event = crate::telemetry::events::BOUND, %error, "accept failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            () = reached(&mut phases, Phase::Ended) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -0,0 +1,144 @@
+//! Rounds of probes, and news pushed to all.
+
+use super::message::{EngineNews, Hello, Welcome, learn};
+use crate::clock;
+use crate::core::{Core, Phase};
+use crate::telemetry::events;
+use futures_util::future::join_all;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sesamegap_policy::agreement::membership::News;
+use smol_str::ToSmolStr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+/// Time between rounds: a dead VM is noticed by one of its peers within about this time, and each
+/// VM sends one probe a round however many there are.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// Longest wait for a peer's answer; some hundred times the delay within a region.
+const ANSWER: Duration = Duration::from_millis(350);
+
+/// Longest wait for peers to hear news that an order must not overtake.
+const PUSH: Duration = Duration::from_millis(120);
+
+/// The client for all peers.
+///
+/// # Panics
+/// Never: a client without TLS and proxy has nothing to fail on.
+pub fn build() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .connect_timeout(ANSWER)
+        .timeout(ANSWER)
+        .pool_idle_timeout(Duration::from_secs(20))
+        .tcp_nodelay(true)
+        .build()
+        .expect("a client without TLS and proxy has nothing to fail on")
+}
+
+/// Probes peers until the process ends.
+pub async fn rounds(core: Arc<Core>) {
+    let mut seeds_asked = false;
+    let mut rng = rand::rngs::StdRng::seed_from_u64(clock::now().0);
+    while core.phase() < Phase::Ended {
+        if !seeds_asked || core.peers.count() == 1 {
+            seeds_asked = true;
+            ask_seeds(&core).await;
+        }
+        let probe = core.peers.tick(&mut rng);
+        if let Some(probe) = probe {
+            let core = Arc::clone(&core);
+            tokio::spawn(async move {
+                let found = ask(&core, probe.addr, probe.news).await;
+                if let Err(error) = found {
+                    warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
+                    core.peers.lock().missed(&probe.target, clock::now());
+                }
+            });
+        }
+        let spread = rng.random_range(0.9..1.1);
+        sleep(ROUND.mul_f64(spread)).await;
+    }
+}
+
+/// Asks the VMs that the settings name, which is how a new one is heard of at all.
+async fn ask_seeds(core: &Core) {
+    let me = core.settings.listen.peers;
+    let seeds = core.settings.seeds.iter().filter(|seed| **seed != me);
+    let asked = seeds.map(|seed| ask(core, *seed, Vec::new()));
+    for outcome in join_all(asked).await {
+        if let Err(error) = outcome {
+            info!(event = events::PEER, error, "a seed did not answer");
+        }
+    }
+}
+
+/// Tells all peers of this process's own state, as when it is about to stop.
+pub async fn tell_all(core: &Core) {
+    let peers = core.peers.known().alive;
+    let told = peers.into_iter().map(|peer| ask(core, peer, Vec::new()));
+    for outcome in join_all(told).await {
+        if let Err(error) = outcome {
+            info!(event = events::PEER, error, "a peer did not hear");
+        }
+    }
+}
+
+/// Pushes news of engines to all peers, and waits a moment for them to hear.
+pub async fn push(core: &Core, news: &[EngineNews]) {
+    super::server::take_engines(core, news);
+    let peers = core.peers.known().alive;
+    let told = peers.into_iter().map(|peer| async move {
+        let sent = post::<_, ()>(core, peer, "engines", &news);
+        if let Err(error) = sent.await {
+            info!(event = events::PEER, peer = %peer, error, "a peer did not hear of an engine");
+        }
+    });
+    // Whoever has not heard by then finds out from the engine's refusal.
+    drop(tokio::time::timeout(PUSH, join_all(told)).await);
+}
+
+async fn ask(core: &Core, addr: SocketAddr, news: Vec<News>) -> Result<(), String> {
+    let hello = Hello {
+        me: core.peers.me_now(),
+        news,
+        revision: core.revision(),
+        weights: core.fleet.lock().named().collect(),
+    };
+    let welcome: Welcome = post(core, addr, "hello", &hello).await?;
+    let now = clock::now();
+    let source = welcome.me.who.vm.to_smolstr();
+    {
+        let mut members = core.peers.lock();
+        members.heard(&welcome.me, now);
+        members.take(&welcome.news, now);
+    }
+    learn(core, welcome.document, &welcome.weights, &source);
+    Ok(())
+}
+
+async fn post<Q: Serialize, A: DeserializeOwned>(
+    core: &Core,
+    addr: SocketAddr,
+    name: &str,
+    message: &Q,
+) -> Result<A, String> {
+    let body = rmp_serde::to_vec(message).map_err(|error| error.to_string())?;
+    let sent = core
+        .peers
+        .client
+        .post(format!("http://{addr}/peers/{name}"))
+        .body(body)
+        .send();
+    let answer = sent.await.map_err(|error| error.to_string())?;
+    if !answer.status().is_success() {
+        return Err(format!("{addr} answered {}", answer.status()));
+    }
+    let bytes = answer.bytes().await.map_err(|error| error.to_string())?;
+    rmp_serde::from_slice(&bytes).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -0,0 +1,70 @@
+//! Messages between entry VMs.
+
+use crate::catalogue::{Document, Revision};
+use crate::core::Core;
+use crate::ports::Weights;
+use crate::telemetry::events;
+use serde::{Deserialize, Serialize};
+use sesamegap_policy::agreement::membership::News;
+use sesamegap_wire::UpstreamId;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use tracing::info;
+
+/// A probe: who asks, what it heard, and what it knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender.
+    pub me: News,
+    /// What it heard of others.
+    pub news: Vec<News>,
+    /// Revision of its document.
+    pub revision: Revision,
+    /// Newest weights named to it.
+    pub weights: Vec<Weights>,
+}
+
+/// The answer to a probe.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The sender.
+    pub me: News,
+    /// What it heard of others.
+    pub news: Vec<News>,
+    /// Revision of its document.
+    pub revision: Revision,
+    /// Its document, if newer than the asker's.
+    pub document: Option<Document>,
+    /// Newest weights named to it.
+    pub weights: Vec<Weights>,
+}
+
+/// What the VM that rolls weights says of an engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EngineNews {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Milliseconds for which nothing should go there; zero if it takes work.
+    pub out_ms: u32,
+    /// Weights that it holds, once they are loaded.
+    pub weights: Option<Weights>,
+}
+
+/// Takes in named weights, from the store or a peer.
+pub fn learn_weights(core: &Core, weights: &Weights, source: &str) {
+    let newer = core.fleet.lock().name_weights(weights);
+    if newer {
+        info!(event = events::WEIGHTS, model = %weights.model, version = weights.version.0, source, "weights named");
+        core.named.notify_one();
+    }
+}
+
+/// Takes in what a peer knows.
+pub fn learn(core: &Core, document: Option<Document>, weights: &[Weights], from: &SmolStr) {
+    if let Some(document) = document {
+        core.adopt(&Arc::new(document), from);
+    }
+    for named in weights {
+        learn_weights(core, named, from);
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -0,0 +1,123 @@
+//! The other entry VMs.
+//!
+//! Rounds of probes keep a table of who is alive ([`Members`]). Each probe and its answer carry
+//! what one side knows and the other does not: a newer document, newer weights. So a VM that the
+//! store turns away goes on with what its peers know, at the cost of one small exchange a round.
+//! News of engines that are about to load weights is pushed to all.
+
+mod client;
+mod message;
+mod server;
+
+pub use client::{push, rounds, tell_all};
+pub use message::{EngineNews, learn_weights};
+pub use server::endpoints;
+
+use crate::clock;
+use crate::settings::Settings;
+use rand::Rng;
+use sesamegap_policy::agreement::Holder;
+use sesamegap_policy::agreement::membership::{Members, News, Probe, Rules, Status};
+use sesamegap_wire::{Incarnation, VmId};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a suspected peer has to refute it; callers are not sent to it meanwhile.
+const SUSPICION: Duration = Duration::from_millis(1_500);
+
+/// How long a dead peer is remembered.
+const MEMORY: Duration = Duration::from_secs(20);
+
+/// Peers by what is believed of them.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Those that answer.
+    pub alive: Vec<SocketAddr>,
+    /// Those that did not answer lately.
+    pub doubted: Vec<SocketAddr>,
+}
+
+/// The table of peers, shared.
+#[derive(Debug)]
+pub struct Peers {
+    me: Holder,
+    members: Mutex<Members>,
+    client: reqwest::Client,
+}
+
+impl Peers {
+    /// Starts with nobody known.
+    pub fn new(settings: &Settings) -> Self {
+        let me = Holder {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(clock::unix_ms()),
+        };
+        let rules = Rules {
+            suspicion: SUSPICION,
+            memory: MEMORY,
+            indirect: 0,
+        };
+        let members = Members::new(me.clone(), settings.listen.peers, rules);
+        Self {
+            me,
+            members: Mutex::new(members),
+            client: client::build(),
+        }
+    }
+
+    /// This process.
+    pub fn me(&self) -> &Holder {
+        &self.me
+    }
+
+    /// Entry VMs that there are, this one and those in doubt included.
+    ///
+    /// Shares of fleet-wide bounds are divided by it; one in doubt may still spend its share.
+    pub fn count(&self) -> usize {
+        self.lock().peers().count() + 1
+    }
+
+    /// Peers by what is believed of them.
+    pub fn known(&self) -> Known {
+        let members = self.lock();
+        let mut known = Known::default();
+        for peer in members.peers() {
+            match peer.news.status {
+                Status::Alive => known.alive.push(peer.news.addr),
+                Status::Suspect | Status::Dead => known.doubted.push(peer.news.addr),
+                Status::Leaving => {}
+            }
+        }
+        known
+    }
+
+    /// VMs that answer, this one included.
+    pub fn alive(&self) -> Vec<VmId> {
+        let members = self.lock();
+        let others = members.alive().map(|peer| peer.news.who.vm.clone());
+        others.chain([self.me.vm.clone()]).collect()
+    }
+
+    /// Takes the store's list of entry VMs.
+    pub fn list(&self, vms: Vec<(VmId, SocketAddr)>) {
+        self.lock().seed(vms);
+    }
+
+    /// Says from now on that this process is about to stop.
+    pub fn leave(&self) {
+        self.lock().leave();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tick(&self, rng: &mut dyn Rng) -> Option<Probe> {
+        self.lock().tick(clock::now(), rng)
+    }
+
+    fn me_now(&self) -> News {
+        self.lock().me().clone()
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -0,0 +1,285 @@
+//! What an adapter implements for the platform that the process runs on.
+
+use crate::catalogue::Document;
+use crate::fleet::Entry;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::HeaderMap;
+use http::header::HeaderName;
+use serde::{Deserialize, Serialize};
+use sesamegap_wire::{Fence, Offset, TeamId, Tokens, UpstreamId, VmId, WeightsVersion};
+use smol_str::SmolStr;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A table of the store: the newest record of each key, and a log of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Table {
+    /// Documents and named weights.
+    Settings,
+    /// Upstreams.
+    Fleet,
+    /// Entry VMs.
+    Vms,
+}
+
+/// A record of a table, decoded.
+#[derive(Debug, Clone)]
+pub enum Record {
+    /// The operator published a document.
+    Document(Arc<Document>),
+    /// The operator named weights.
+    Weights(Weights),
+    /// An upstream's entry.
+    Upstream(UpstreamId, Box<Entry>),
+    /// An upstream's entry is gone.
+    Removed(UpstreamId),
+    /// Where an entry VM's peers' address is.
+    Vm(VmId, SocketAddr),
+    /// A record that cannot be read, with the reason.
+    Unreadable(SmolStr, String),
+}
+
+/// A version of a model's weights.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Weights {
+    /// The model.
+    pub model: SmolStr,
+    /// The version.
+    pub version: WeightsVersion,
+}
+
+/// Records of a table, and where to read on.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    /// Records in the order of the log.
+    pub records: Vec<(Offset, Record)>,
+    /// Offset to read from next.
+    pub next: Offset,
+}
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// Nothing was done: it is over its rate or turns callers away.
+    Busy,
+    /// The records asked for are gone; the oldest kept one is this.
+    Compacted(Offset),
+    /// The condition of an append did not hold; the log ends here.
+    Conflict(Offset),
+    /// No connection.
+    Unreached(String),
+    /// An append may have been done or may yet be.
+    Unanswered(String),
+    /// An answer that cannot be read.
+    Malformed(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Busy => f.write_str("the store turned the call away"),
+            Self::Compacted(first) => write!(f, "records before {first} are gone"),
+            Self::Conflict(end) => write!(f, "the log ends at {end}"),
+            Self::Unreached(why) => write!(f, "no connection: {why}"),
+            Self::Unanswered(why) => write!(f, "no answer: {why}"),
+            Self::Malformed(why) => write!(f, "unreadable answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// The future of a call to the store.
+pub type Call<'a, T> = BoxFuture<'a, Result<T, StoreError>>;
+
+/// The store that keeps what must last.
+pub trait Store: fmt::Debug + Send + Sync {
+    /// The newest record of each key of a table.
+    fn snapshot(&self, table: Table) -> Call<'_, Batch>;
+
+    /// Changes from an offset on; waits at most `wait` for the first.
+    fn changes(&self, table: Table, from: Offset, wait: Duration) -> Call<'_, Batch>;
+
+    /// Writes this VM's entry.
+    fn announce(&self, vm: &VmId, peers: SocketAddr) -> Call<'_, ()>;
+
+    /// Records of the lease log from an offset on, and where it ends.
+    fn lease_records(&self, from: Offset) -> Call<'_, (Vec<Bytes>, Offset)>;
+
+    /// Appends to the lease log if it ends at this offset.
+    fn lease_append(&self, record: Bytes, at: Offset) -> Call<'_, Offset>;
+}
+
+/// A named part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// Its name, the same for all who share it.
+    pub name: SmolStr,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// What the head of a caller's request says.
+#[derive(Debug, Clone, Default)]
+pub struct Asked {
+    /// The attempt's id.
+    pub id: SmolStr,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The key that it shows.
+    pub key: Option<SmolStr>,
+    /// The model it asks for.
+    pub model: Option<SmolStr>,
+    /// The parts of its prompt, in order; the last one is its own.
+    pub parts: Vec<Part>,
+}
+
+/// What the process tells an upstream with a request.
+#[derive(Debug, Clone, Default)]
+pub struct Told {
+    /// Time left to the caller.
+    pub left: Duration,
+    /// The instance that is meant.
+    pub upstream: Option<UpstreamId>,
+    /// The team of the caller.
+    pub team: Option<TeamId>,
+    /// Cache namespace.
+    pub namespace: Option<SmolStr>,
+    /// Weights that the engine must hold.
+    pub weights: Option<WeightsVersion>,
+    /// Where to fetch cached parts from.
+    pub fetch: Option<SocketAddr>,
+    /// Where to save parts to.
+    pub save: Option<SocketAddr>,
+    /// Rank, 0 the most urgent.
+    pub priority: Option<u8>,
+    /// Event to go on after, in place of the caller's.
+    pub after: Option<u64>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Debug, Clone, Default)]
+pub struct Said {
+    /// The attempt that it answers.
+    pub id: Option<SmolStr>,
+    /// Whether the request was not run.
+    pub not_run: bool,
+    /// The instance that answers.
+    pub upstream: Option<UpstreamId>,
+    /// Its load.
+    pub load: Option<Load>,
+    /// The weights that it holds.
+    pub weights: Option<WeightsVersion>,
+    /// Whether the answer carries the upstream's seal.
+    pub sealed: bool,
+}
+
+/// Load that an upstream tells with its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// Why the head of a request cannot be taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadHead(pub &'static str);
+
+/// Turns headers into messages and back.
+pub trait Headers: fmt::Debug + Send + Sync {
+    /// Reads a caller's head.
+    ///
+    /// # Errors
+    /// If a header that must be there is missing or unreadable.
+    fn asked(&self, headers: &HeaderMap) -> Result<Asked, BadHead>;
+
+    /// Headers that only the process sets, and those that it keeps to itself.
+    fn reserved(&self) -> &[HeaderName];
+
+    /// Headers that belong to the request itself even if a caller ties them to its connection.
+    fn essential(&self) -> &[HeaderName];
+
+    /// Adds what an upstream is told.
+    fn tell(&self, told: &Told, headers: &mut HeaderMap);
+
+    /// Reads an upstream's head.
+    fn said(&self, status: u16, headers: &HeaderMap) -> Said;
+}
+
+/// State of an engine as it reports itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Weights that it holds.
+    pub weights: Vec<Weights>,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Number of orders taken.
+    pub orders: u64,
+    /// Requests running.
+    pub running: u32,
+}
+
+/// An order to load weights.
+#[derive(Debug, Clone)]
+pub struct LoadOrder {
+    /// What to load.
+    pub weights: Weights,
+    /// Who orders.
+    pub holder: VmId,
+    /// Under which fencing number.
+    pub fence: Fence,
+    /// Number of orders that the engine must have taken before.
+    pub expected: u64,
+}
+
+/// What an engine said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Taken,
+    /// It already holds.
+    Holds,
+    /// Another order is under way or came in between.
+    Conflict,
+    /// A higher fencing number was seen.
+    Fenced,
+    /// Another instance has the address.
+    Elsewhere,
+    /// The engine refuses it for good.
+    Invalid,
+}
+
+/// The future of a call to an engine; the error says why there was no answer.
+pub type EngineCall<'a, T> = BoxFuture<'a, Result<T, String>>;
+
+/// Asks and orders engines.
+pub trait Engines: fmt::Debug + Send + Sync {
+    /// Asks an engine for its state.
+    fn report(&self, addr: SocketAddr) -> EngineCall<'_, Report>;
+
+    /// Orders an engine to load weights.
+    fn load(
+        &self,
+        addr: SocketAddr,
+        engine: UpstreamId,
+        order: LoadOrder,
+    ) -> EngineCall<'_, OrderAnswer>;
+}
+
+/// All that an adapter gives to a process.
+#[derive(Debug, Clone)]
+pub struct Ports {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// Headers.
+    pub headers: Arc<dyn Headers>,
+    /// Engines.
+    pub engines: Arc<dyn Engines>,
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/process.rs
@@ -0,0 +1,124 @@
+//! Starts a process, and stops it without cutting a request.
+
+use crate::core::{Core, Phase};
+use crate::follow;
+use crate::intake;
+use crate::peers;
+use crate::ports::Table;
+use crate::roll;
+use crate::telemetry::events;
+use anyhow::Context;
+use poem::endpoint::BoxEndpoint;
+use poem::listener::TcpAcceptor;
+use poem::{IntoEndpoint, Server};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, sleep};
+use tracing::{info, warn};
+
+/// How long a stopping process still keeps idle connections: callers that asked just before it
+/// said that it leaves come within the time that they keep an answer.
+const LINGER: Duration = Duration::from_millis(1_200);
+
+/// How long before the platform kills it a process takes no more connections, so that the last
+/// requests have time to end.
+const LAST_REQUESTS: Duration = Duration::from_millis(4_500);
+
+/// Time kept back for the exit itself.
+const EXIT: Duration = Duration::from_millis(300);
+
+/// Time without a request after which a process that leaves has nothing to wait for.
+const QUIET: Duration = Duration::from_millis(1_500);
+
+/// How often a stopping process looks at what it waits for.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What the platform asks a process, served by its adapter.
+pub struct Doors {
+    /// Readiness checks.
+    pub ready: BoxEndpoint<'static>,
+    /// Callers that ask which address to use.
+    pub locator: BoxEndpoint<'static>,
+}
+
+impl std::fmt::Debug for Doors {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Doors").finish_non_exhaustive()
+    }
+}
+
+/// Runs a process until it is told to stop.
+///
+/// # Errors
+/// If it cannot listen.
+pub async fn run(core: Arc<Core>, doors: Doors) -> anyhow::Result<()> {
+    let listen = core.settings.listen;
+    let callers = bind(listen.callers).await?;
+    serve(listen.ready, doors.ready).await?;
+    serve(listen.locator, doors.locator).await?;
+    let peers = peers::endpoints(Arc::clone(&core)).into_endpoint();
+    serve(listen.peers, peers).await?;
+    info!(event = events::STARTED, vm = %core.settings.vm, domain = %core.settings.domain, callers = %listen.callers, "started");
+    for table in [Table::Settings, Table::Fleet] {
+        tokio::spawn(follow::follow(Arc::clone(&core), table));
+    }
+    tokio::spawn(follow::vms(Arc::clone(&core)));
+    tokio::spawn(peers::rounds(Arc::clone(&core)));
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    tokio::spawn(intake::serve(Arc::clone(&core), callers));
+    signal(SignalKind::terminate())
+        .context("cannot wait for SIGTERM")?
+        .recv()
+        .await;
+    stop(&core).await;
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("cannot listen on {addr}"))
+}
+
+async fn serve<E>(addr: SocketAddr, endpoint: E) -> anyhow::Result<()>
+where
+    E: poem::Endpoint + 'static,
+{
+    let acceptor = TcpAcceptor::from_tokio(bind(addr).await?)?;
+    tokio::spawn(async move {
+        if let Err(error) = Server::new_with_acceptor(acceptor).run(endpoint).await {
+            warn!(event = events::BOUND, %addr, %error, "a server ended");
+        }
+    });
+    Ok(())
+}
+
+/// Ends all requests, as far as the platform gives time for.
+async fn stop(core: &Core) {
+    let told = Instant::now();
+    let grace = core.settings.spans.grace;
+    info!(event = events::STOPPING, active = core.active(), grace_s = grace.as_secs_f64(), "told to stop");
+    core.enter(Phase::Leaving);
+    core.peers.leave();
+    peers::tell_all(core).await;
+    sleep(LINGER.saturating_sub(told.elapsed())).await;
+    core.enter(Phase::Closing);
+    let mut busy = Instant::now();
+    while told.elapsed() + LAST_REQUESTS < grace && busy.elapsed() < QUIET {
+        if core.active() > 0 {
+            busy = Instant::now();
+        }
+        sleep(LOOK).await;
+    }
+    core.enter(Phase::Ended);
+    while core.active() > 0 && told.elapsed() + EXIT < grace {
+        sleep(LOOK).await;
+    }
+    if core.active() > 0 {
+        warn!(event = events::CUT, active = core.active(), "stopped with requests in flight");
+    }
+    info!(event = events::STOPPED, took_ms = told.elapsed().as_millis(), "stopped");
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -0,0 +1,316 @@
+//! One request at one upstream, up to the head of the answer.
+
+use super::Job;
+use super::head::for_upstream;
+use crate::catalogue::Kind;
+use crate::clock;
+use crate::core::Core;
+use crate::fleet::{Flight, Pick, Wanted};
+use crate::ports::{Said, Told};
+use crate::telemetry::events;
+use crate::upstream::{self, Exchange, SendError};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use sesamegap_wire::{ServiceId, UpstreamId, WeightsVersion};
+use smol_str::{SmolStr, format_smolstr};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+use tracing::{info, warn};
+
+/// How long nothing goes to an upstream that refused work for the moment.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long nothing goes to an address that another instance has taken over; the list drops the
+/// entry within that time.
+const MOVED_PAUSE: Duration = Duration::from_secs(6);
+
+/// Time with which an attempt is still worth beginning.
+pub const LEAST_LEFT: Duration = Duration::from_millis(30);
+
+/// Refusals by upstreams after which a request is refused itself: with that many full, the next
+/// one is most likely full too, and each costs a place in the fleet's budget.
+const MOST_REFUSALS: u32 = 3;
+
+/// Failed connects after which a request is refused itself.
+const MOST_UNREACHED: u32 = 4;
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The head of its answer came.
+    Answered(Box<Answered>),
+    /// It was not run and will not be.
+    NotRun(NotRun),
+    /// It may have run, or may be running.
+    Lost(String),
+}
+
+/// Why an attempt was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRun {
+    /// No connection.
+    Unreached,
+    /// The upstream said so.
+    Refused,
+}
+
+/// The head of an answer, with the body to come.
+#[derive(Debug)]
+pub struct Answered {
+    /// The upstream, counted there.
+    pub flight: Flight,
+    /// The answer.
+    pub exchange: Exchange,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+/// A request's way through upstreams so far.
+#[derive(Debug)]
+pub struct Course {
+    /// The service.
+    pub service: ServiceId,
+    /// Its prompt's shape.
+    pub pick: Option<Pick>,
+    /// Attempts that may have run.
+    pub runs: u32,
+    tried: Vec<UpstreamId>,
+    refusals: u32,
+    unreached: u32,
+}
+
+impl Course {
+    /// The course of a request that was not sent yet.
+    pub fn new(job: &Job) -> Self {
+        Self {
+            service: job.service().clone(),
+            pick: job.pick(),
+            runs: 0,
+            tried: Vec::new(),
+            refusals: 0,
+            unreached: 0,
+        }
+    }
+
+    /// Chooses the next upstream.
+    pub fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
+        let spread = usize::try_from(job.hash() >> 40).unwrap_or(0);
+        let wanted = Wanted {
+            service: &self.service,
+            domain: &core.settings.domain,
+            pick: self.pick.as_ref(),
+            tried: &self.tried,
+            spread,
+        };
+        core.fleet.choose(&wanted, clock::now())
+    }
+
+    /// Whether a request that was not run at `at` goes to another upstream.
+    pub fn after_not_run(&mut self, core: &Core, at: UpstreamId, why: NotRun) -> bool {
+        self.tried.push(at);
+        match why {
+            NotRun::Unreached => {
+                self.unreached += 1;
+                self.unreached < MOST_UNREACHED
+            }
+            NotRun::Refused => {
+                self.refusals += 1;
+                self.refusals < MOST_REFUSALS && core.may_repeat(&self.service)
+            }
+        }
+    }
+
+    /// Whether a request that may have run at `at` may be sent again.
+    pub fn after_run(&mut self, core: &Core, job: &Job, at: UpstreamId) -> bool {
+        self.tried.push(at);
+        self.runs += 1;
+        let allowed = job.route.kind.repeats() && self.runs < job.route.attempts;
+        allowed && job.left() > LEAST_LEFT && core.may_repeat(&self.service)
+    }
+}
+
+/// Sends a request to an upstream and waits for the head of the answer.
+pub async fn send(
+    core: &Core,
+    job: &Job,
+    flight: Flight,
+    patience: Duration,
+    after: Option<u64>,
+) -> (UpstreamId, Outcome) {
+    let id = flight.id.clone();
+    let outcome = exchange(core, job, flight, patience, after).await;
+    match &outcome {
+        Outcome::Answered(_) => {}
+        Outcome::NotRun(why) => {
+            info!(event = events::ATTEMPT, request = %job.asked.id, upstream = %id, why = ?why, "not run");
+        }
+        Outcome::Lost(why) => {
+            warn!(event = events::ATTEMPT, request = %job.asked.id, upstream = %id, why, "no answer");
+        }
+    }
+    (id, outcome)
+}
+
+async fn exchange(
+    core: &Core,
+    job: &Job,
+    flight: Flight,
+    patience: Duration,
+    after: Option<u64>,
+) -> Outcome {
+    let sent = Instant::now();
+    let told = tell(job, &flight, after);
+    info!(
+        event = events::PLACED,
+        request = %job.asked.id,
+        route = %job.route.name,
+        revision = job.catalogue.revision().0,
+        upstream = %flight.id,
+        running = flight.running,
+        weights = flight.weights.map(|version| version.0),
+        fetch = told.fetch.map(tracing::field::display),
+        left_ms = told.left.as_millis(),
+        "sent"
+    );
+    let request = match build(core, job, &told) {
+        Ok(request) => request,
+        Err(error) => return Outcome::Lost(error.to_string()),
+    };
+    let until = job.ends.min(sent + patience);
+    let exchange = match timeout_at(until, upstream::send(flight.addr, request)).await {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(SendError::Unreached(_))) => {
+            flight.failed(clock::now());
+            return Outcome::NotRun(NotRun::Unreached);
+        }
+        Ok(Err(SendError::Broken(why))) => {
+            flight.failed(clock::now());
+            return Outcome::Lost(why);
+        }
+        Err(_) => {
+            if flight.last_heard() < clock::now_less(patience) {
+                flight.failed(clock::now());
+            }
+            return Outcome::Lost("no head in time".to_owned());
+        }
+    };
+    judge(core, job, flight, exchange, sent)
+}
+
+/// Decides whether an answer is one to this request, and whether the request was run.
+fn judge(
+    core: &Core,
+    job: &Job,
+    mut flight: Flight,
+    exchange: Exchange,
+    sent: Instant,
+) -> Outcome {
+    let now = clock::now();
+    let status = exchange.response.status();
+    let said = core
+        .ports
+        .headers
+        .said(status.as_u16(), exchange.response.headers());
+    if let Some(load) = said.load {
+        flight.loaded(load, now);
+    }
+    if said.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        refused(job, &flight, &said, status);
+        return Outcome::NotRun(NotRun::Refused);
+    }
+    // A late or extra answer to another request would otherwise reach this caller.
+    if said.id.as_ref().is_some_and(|id| *id != job.asked.id) {
+        return Outcome::Lost("an answer to another request".to_owned());
+    }
+    if status.is_success() && !said.sealed {
+        return Outcome::Lost("a success without a seal".to_owned());
+    }
+    flight.heard(now);
+    if let (Some(version), Some(model)) = (said.weights, &job.asked.model) {
+        flight.holds(model, version);
+    }
+    Outcome::Answered(Box::new(Answered {
+        flight,
+        exchange,
+        sent,
+    }))
+}
+
+/// Learns from an upstream's refusal.
+fn refused(job: &Job, flight: &Flight, said: &Said, status: StatusCode) {
+    let now = clock::now();
+    let moved = status == StatusCode::MISDIRECTED_REQUEST
+        && said.upstream.as_ref().is_some_and(|id| *id != flight.id);
+    if moved {
+        flight.paused(now + MOVED_PAUSE);
+        return;
+    }
+    if let (Some(version), Some(model)) = (said.weights, &job.asked.model) {
+        flight.holds(model, version);
+    }
+    flight.paused(now + REFUSED_PAUSE);
+}
+
+fn tell(job: &Job, flight: &Flight, after: Option<u64>) -> Told {
+    let isolated = job.team.as_ref().filter(|team| team.isolated);
+    let is_prompt = job.asked.model.is_some();
+    let priority = job.team.as_ref().and_then(|team| team.priority);
+    let priority = priority.unwrap_or(job.route.priority);
+    let save = job.catalogue.kv_store().map(|store| store.addr);
+    let fetch = flight.source.or(save);
+    Told {
+        left: job.left(),
+        upstream: Some(flight.id.clone()),
+        team: job.team.as_ref().map(|team| team.name.clone()),
+        namespace: is_prompt.then(|| namespace(flight.weights, isolated.map(|team| team.name.as_str()))),
+        weights: flight.weights.filter(|_| is_prompt),
+        fetch: fetch.filter(|_| is_prompt),
+        save: save.filter(|_| is_prompt),
+        priority: is_prompt.then_some(priority),
+        after,
+    }
+}
+
+/// Cache entries are found only under the weights that made them and, for isolated teams, the team.
+fn namespace(weights: Option<WeightsVersion>, team: Option<&str>) -> SmolStr {
+    let version = weights.unwrap_or_default();
+    match team {
+        Some(team) => format_smolstr!("w{version}.{team}"),
+        None => format_smolstr!("w{version}"),
+    }
+}
+
+fn build(
+    core: &Core,
+    job: &Job,
+    told: &Told,
+) -> Result<Request<Full<hyper::body::Bytes>>, http::Error> {
+    let target = job.uri.path_and_query().map_or("/", |target| target.as_str());
+    let mut request = Request::builder()
+        .method(job.method.clone())
+        .uri(target)
+        .body(Full::new(job.body.clone()))?;
+    *request.headers_mut() = for_upstream(&job.headers, told, core.ports.headers.as_ref());
+    Ok(request)
+}
+
+/// Whether a status promises that nothing was run, which only an upstream that says so may do.
+pub fn is_false_promise(kind: Kind, status: StatusCode) -> bool {
+    let promises = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+    ];
+    kind != Kind::Idempotent && promises.contains(&status)
+}
+
+impl fmt::Display for NotRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreached => "no connection",
+            Self::Refused => "refused by the upstream",
+        })
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -0,0 +1,117 @@
+//! Sends a request to upstreams and its answer back.
+//!
+//! [`plain`] relays whole answers, [`stream`] events as they come. Both go through [`attempt`]:
+//! what became of a request at one upstream decides what may follow. What was not run may always
+//! go to another upstream; what may have run is sent again only where the route allows it and the
+//! fleet's budget for repeats has room.
+
+mod attempt;
+mod head;
+mod plain;
+mod sse;
+mod story;
+mod stream;
+mod waiting;
+
+use crate::catalogue::{Catalogue, Route, Team};
+use crate::core::Core;
+use crate::fleet::Pick;
+use crate::intake::Body;
+use crate::ports::Asked;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response, Uri};
+use rustc_hash::FxHasher;
+use sesamegap_policy::routing::engines::Prompt;
+use sesamegap_wire::ServiceId;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
+
+/// A request that was taken in.
+#[derive(Debug)]
+pub struct Job {
+    /// What its head says.
+    pub asked: Asked,
+    /// The document that it is handled under.
+    pub catalogue: Arc<Catalogue>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its team, if it showed a key.
+    pub team: Option<Arc<Team>>,
+    /// Its method.
+    pub method: Method,
+    /// Its target.
+    pub uri: Uri,
+    /// Its headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Room that its body takes.
+    pub _room: Option<OwnedSemaphorePermit>,
+    /// When it came.
+    pub arrived: Instant,
+    /// When its caller or its route gives up.
+    pub ends: Instant,
+}
+
+impl Job {
+    /// Time left.
+    pub fn left(&self) -> Duration {
+        self.ends.saturating_duration_since(Instant::now())
+    }
+
+    /// A number that is the same for all attempts of this request.
+    fn hash(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        self.asked.id.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// The service that it goes to, by the shares of its route.
+    fn service(&self) -> &ServiceId {
+        let targets = &self.route.targets;
+        let total: u32 = targets.iter().map(|target| target.weight).sum();
+        let mut point = u32::try_from(self.hash() >> 32).unwrap_or(0) % total.max(1);
+        for target in targets {
+            if point < target.weight {
+                return &target.service;
+            }
+            point -= target.weight;
+        }
+        &targets[0].service
+    }
+
+    /// Its prompt's shape, if it names a model.
+    fn pick(&self) -> Option<Pick> {
+        let model = self.asked.model.clone()?;
+        let parts = &self.asked.parts;
+        let (own, shared) = parts.split_last()?;
+        let mut hasher = FxHasher::default();
+        // A prompt with nothing shared goes anywhere, which its own part decides as well as any.
+        let named = if shared.is_empty() { parts } else { shared };
+        for part in named {
+            part.name.hash(&mut hasher);
+        }
+        let shared = shared.iter().map(|part| part.tokens.0).sum();
+        Some(Pick {
+            model,
+            prompt: Prompt {
+                home: hasher.finish(),
+                shared,
+            },
+            tokens: own.tokens.0 + shared,
+        })
+    }
+}
+
+/// Serves a request.
+pub async fn run(core: &Arc<Core>, job: Job) -> Response<Body> {
+    core.count_request(job.service());
+    if job.route.kind.streams() {
+        stream::run(Arc::clone(core), job).await
+    } else {
+        plain::run(core, &job).await
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -0,0 +1,135 @@
+//! Whole answers of plain services.
+//!
+//! An answer is read whole before its head goes to the caller, so that one that breaks off is
+//! never begun: it is asked for again where that is allowed, and is a plain failure elsewhere.
+
+use super::Job;
+use super::attempt::{Answered, Course, Outcome, is_false_promise, send};
+use super::head::for_caller;
+use super::story::Story;
+use super::waiting::upstream;
+use crate::core::Core;
+use crate::intake::{Body, Refusal, full, refuse};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, BodyStream, StreamBody};
+use hyper::body::{Frame, Incoming};
+use sesamegap_policy::routing::patience;
+use std::time::Duration;
+use tokio::time::timeout_at;
+
+/// Bytes of an answer that are held; of a longer one, what comes after them goes on as it comes.
+const HELD: usize = 256 << 10;
+
+/// When a caller may come back that found no upstream: a worker that restarts or a full queue
+/// needs about this long, and it leaves time for the second try.
+pub const COME_BACK: Duration = Duration::from_millis(400);
+
+/// Relays a plain request.
+pub async fn run(core: &Core, job: &Job) -> Response<Body> {
+    let mut story = Story::new(job.asked.id.clone(), job.route.name.clone(), job.arrived);
+    let mut course = Course::new(job);
+    let answer = answer(core, job, &mut course).await;
+    let (response, why) = match answer {
+        Ok(response) => (response, String::new()),
+        Err(refusal) => {
+            let back = (refusal == Refusal::NoUpstream).then_some(COME_BACK);
+            (refuse(refusal, back), refusal.to_string())
+        }
+    };
+    story.end(response.status().as_u16(), course.runs + 1, why);
+    response
+}
+
+async fn answer(core: &Core, job: &Job, course: &mut Course) -> Result<Response<Body>, Refusal> {
+    let mut failure: Option<Response<Body>> = None;
+    loop {
+        let Some(flight) = upstream(core, job, course).await else {
+            return failure.ok_or(Refusal::NoUpstream);
+        };
+        let last = !job.route.kind.repeats() || course.runs + 1 >= job.route.attempts;
+        let time = if last {
+            job.left()
+        } else {
+            patience::plain(job.route.objective)
+        };
+        let (id, outcome) = send(core, job, flight, time, None).await;
+        let lost = match outcome {
+            Outcome::Answered(answered) => match whole(job, *answered).await {
+                Some(response) if !worth_another(&response) => return Ok(response),
+                Some(response) => {
+                    failure = Some(response);
+                    true
+                }
+                None => true,
+            },
+            Outcome::NotRun(why) => {
+                if !course.after_not_run(core, id.clone(), why) {
+                    return failure.ok_or(Refusal::NoUpstream);
+                }
+                false
+            }
+            Outcome::Lost(_) => true,
+        };
+        if lost && !course.after_run(core, job, id) {
+            let ended = job.left().is_zero();
+            let refusal = if ended { Refusal::Timeout } else { Refusal::Lost };
+            return failure.ok_or(refusal);
+        }
+    }
+}
+
+/// A failure of the upstream itself, which another may not share.
+fn worth_another(response: &Response<Body>) -> bool {
+    response.status().is_server_error()
+}
+
+/// Reads an answer whole; none if it broke off.
+async fn whole(job: &Job, answered: Answered) -> Option<Response<Body>> {
+    let (head, mut body) = answered.exchange.response.into_parts();
+    if is_false_promise(job.route.kind, head.status) {
+        // An upstream that ran the request and answers so would have its caller send it again.
+        return None;
+    }
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = match timeout_at(job.ends, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(_))) | Err(_) => {
+                answered.flight.answered(answered.sent.elapsed(), true);
+                return None;
+            }
+        };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > HELD {
+            let rest = (body, answered.exchange.connection, answered.flight);
+            return Some(respond(head.status, &head.headers, flowing(bytes.freeze(), rest)));
+        }
+    }
+    let failed = head.status.is_server_error();
+    answered.flight.answered(answered.sent.elapsed(), failed);
+    Some(respond(head.status, &head.headers, full(bytes.freeze())))
+}
+
+/// A body of which the beginning was read; the rest of the tuple lives as long as it.
+fn flowing<G: Send + 'static>(begun: Bytes, rest: (Incoming, G, crate::fleet::Flight)) -> Body {
+    let (body, connection, flight) = rest;
+    let first = futures_util::stream::once(async move { Ok(Frame::data(begun)) });
+    let more = BodyStream::new(body).map(move |frame| {
+        let _held = (&connection, &flight);
+        frame.map_err(std::io::Error::other)
+    });
+    StreamBody::new(first.chain(more)).boxed_unsync()
+}
+
+/// An answer as the caller gets it.
+pub fn respond(status: StatusCode, headers: &HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = for_caller(headers);
+    response
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -0,0 +1,316 @@
+//! Streams of events, passed on as they come.
+//!
+//! The head goes to the caller with the first whole event, since until then a request that may be
+//! repeated can still go elsewhere unseen. A resumable stream that breaks off is gone on with at
+//! another upstream after the last event that was passed on; any other is broken off to the
+//! caller, which must not look like its end.
+
+use super::Job;
+use super::attempt::{Answered, Course, Outcome, is_false_promise, send};
+use super::plain::{COME_BACK, respond};
+use super::sse::{Cutter, Events};
+use super::story::Story;
+use super::waiting::upstream;
+use crate::catalogue::Kind;
+use crate::clock;
+use crate::core::Core;
+use crate::fleet::Flight;
+use crate::intake::{Body, Refusal, full, refuse};
+use crate::telemetry::events;
+use crate::upstream::Connection;
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use sesamegap_policy::routing::patience;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+use tracing::warn;
+
+/// A stream that has begun at an upstream.
+#[derive(Debug)]
+struct Live {
+    flight: Flight,
+    body: Incoming,
+    _connection: Connection,
+    cutter: Cutter,
+    status: StatusCode,
+    headers: HeaderMap,
+    first: Option<Events>,
+    started: bool,
+}
+
+/// What an upstream came up with.
+#[derive(Debug)]
+enum Opened {
+    /// Events.
+    Live(Box<Live>),
+    /// A whole answer that is not a stream.
+    Whole(Response<Body>),
+}
+
+/// A request for a stream on its way.
+#[derive(Debug)]
+struct Relay {
+    core: Arc<Core>,
+    job: Job,
+    course: Course,
+    /// Last event that was passed on.
+    passed: Option<u64>,
+}
+
+/// Relays a request for a stream.
+pub async fn run(core: Arc<Core>, job: Job) -> Response<Body> {
+    let mut story = Story::new(job.asked.id.clone(), job.route.name.clone(), job.arrived);
+    let course = Course::new(&job);
+    let mut relay = Relay {
+        core,
+        job,
+        course,
+        passed: None,
+    };
+    match relay.open().await {
+        Ok(Opened::Live(live)) => {
+            let status = live.status;
+            let headers = live.headers.clone();
+            let body = StreamBody::new(flow(relay, *live, story)).boxed_unsync();
+            respond(status, &headers, body)
+        }
+        Ok(Opened::Whole(response)) => {
+            story.end(response.status().as_u16(), relay.course.runs + 1, "");
+            response
+        }
+        Err(refusal) => {
+            let back = (refusal == Refusal::NoUpstream).then_some(COME_BACK);
+            let status = refusal.status().as_u16();
+            story.end(status, relay.course.runs, refusal.to_string());
+            refuse(refusal, back)
+        }
+    }
+}
+
+/// The body of the answer: events of one upstream after another.
+fn flow(
+    mut relay: Relay,
+    mut live: Live,
+    mut story: Story,
+) -> impl futures_util::Stream<Item = io::Result<Frame<Bytes>>> + Send {
+    async_stream::stream! {
+        loop {
+            match relay.next(&mut live).await {
+                Ok(Some(bytes)) => yield Ok(Frame::data(bytes)),
+                Ok(None) => {
+                    story.end(live.status.as_u16(), relay.course.runs + 1, "");
+                    return;
+                }
+                Err(why) => {
+                    let next = relay.go_on(live, &why).await;
+                    let Some(next) = next else {
+                        story.end(live_status(), relay.course.runs, why.clone());
+                        yield Err(io::Error::other(why));
+                        return;
+                    };
+                    live = next;
+                }
+            }
+        }
+    }
+}
+
+/// The status that a stream broken off is logged with: its head was a success.
+fn live_status() -> u16 {
+    StatusCode::OK.as_u16()
+}
+
+impl Relay {
+    /// Sends the request until an upstream begins to answer.
+    async fn open(&mut self) -> Result<Opened, Refusal> {
+        loop {
+            let flight = upstream(&self.core, &self.job, &self.course).await;
+            let Some(flight) = flight else {
+                return Err(self.unserved());
+            };
+            let time = self.head_patience();
+            let (id, outcome) = send(&self.core, &self.job, flight, time, self.passed).await;
+            match outcome {
+                Outcome::Answered(answered) => match self.begin(*answered).await {
+                    Ok(opened) => return Ok(opened),
+                    Err(why) => {
+                        warn!(event = events::ATTEMPT, request = %self.job.asked.id, upstream = %id, why, "no stream");
+                    }
+                },
+                Outcome::NotRun(why) => {
+                    if !self.course.after_not_run(&self.core, id, why) {
+                        return Err(self.unserved());
+                    }
+                    continue;
+                }
+                Outcome::Lost(_) => {}
+            }
+            if !self.course.after_run(&self.core, &self.job, id) {
+                return Err(self.lost());
+            }
+        }
+    }
+
+    /// What to answer when nothing could take the request.
+    fn unserved(&self) -> Refusal {
+        // Once it may have run, or events were passed on, "not run" would be false.
+        if self.course.runs == 0 && self.passed.is_none() {
+            Refusal::NoUpstream
+        } else {
+            Refusal::Lost
+        }
+    }
+
+    fn lost(&self) -> Refusal {
+        if self.job.left().is_zero() {
+            Refusal::Timeout
+        } else {
+            Refusal::Lost
+        }
+    }
+
+    fn head_patience(&self) -> Duration {
+        if self.may_move() {
+            patience::FIRST_EVENT_BUSY
+        } else {
+            self.job.left()
+        }
+    }
+
+    fn may_move(&self) -> bool {
+        let route = &self.job.route;
+        route.kind == Kind::ResumableStream && self.course.runs + 1 < route.attempts
+    }
+
+    /// Reads up to the first whole event.
+    async fn begin(&mut self, answered: Answered) -> Result<Opened, String> {
+        let Answered {
+            flight, exchange, ..
+        } = answered;
+        let (head, body) = exchange.response.into_parts();
+        if is_false_promise(self.job.route.kind, head.status) {
+            return Err(format!("{} from an upstream that may have run it", head.status));
+        }
+        if !head.status.is_success() {
+            let read = timeout_at(self.job.ends, body.collect()).await;
+            let body = read.map_err(|_| "no body in time".to_owned())?;
+            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            return Ok(Opened::Whole(respond(head.status, &head.headers, full(body))));
+        }
+        let mut live = Live {
+            flight,
+            body,
+            _connection: exchange.connection,
+            cutter: Cutter::default(),
+            status: head.status,
+            headers: head.headers,
+            first: None,
+            started: false,
+        };
+        let first = self.read(&mut live).await?;
+        live.first = Some(first.unwrap_or(Events {
+            bytes: Bytes::new(),
+            ids: Vec::new(),
+        }));
+        Ok(Opened::Live(Box::new(live)))
+    }
+
+    /// The next events to pass on; none at the end of the stream.
+    async fn next(&mut self, live: &mut Live) -> Result<Option<Bytes>, String> {
+        let events = match live.first.take() {
+            Some(events) => Some(events),
+            None => self.read(live).await?,
+        };
+        let Some(events) = events else {
+            return Ok(None);
+        };
+        self.follows(&events)?;
+        Ok(Some(events.bytes))
+    }
+
+    /// Checks that events go on where the last ones ended.
+    fn follows(&mut self, events: &Events) -> Result<(), String> {
+        for id in &events.ids {
+            if let Some(passed) = self.passed
+                && *id != passed + 1
+            {
+                return Err(format!("event {id} after event {passed}"));
+            }
+            self.passed = Some(*id);
+        }
+        Ok(())
+    }
+
+    /// Reads events from an upstream.
+    async fn read(&self, live: &mut Live) -> Result<Option<Events>, String> {
+        let mut since = Instant::now();
+        loop {
+            let until = self.silent_until(live, since);
+            let frame = match timeout_at(until, live.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(None) if live.cutter.is_partial() => {
+                    return Err("ended within an event".to_owned());
+                }
+                Ok(None) => return Ok(None),
+                Err(_) if Instant::now() >= self.job.ends => return Err("time is over".to_owned()),
+                Err(_) if self.is_heard(live, since) => {
+                    if Instant::now() < self.silent_until(live, since) {
+                        continue;
+                    }
+                    return Err("its stream went silent".to_owned());
+                }
+                Err(_) => {
+                    live.flight.failed(clock::now());
+                    return Err("the upstream went silent".to_owned());
+                }
+            };
+            live.flight.heard(clock::now());
+            since = Instant::now();
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let events = live.cutter.push(&data);
+            if let Some(events) = events.map_err(|_| "an event is too long".to_owned())? {
+                live.started = true;
+                return Ok(Some(events));
+            }
+        }
+    }
+
+    /// Until when silence is borne.
+    fn silent_until(&self, live: &Live, since: Instant) -> Instant {
+        if !self.may_move() {
+            return self.job.ends;
+        }
+        let heard = self.is_heard(live, since);
+        let borne = patience::stream(live.started, heard);
+        self.job.ends.min(since + borne)
+    }
+
+    /// Whether the upstream was heard on another connection since.
+    fn is_heard(&self, live: &Live, since: Instant) -> bool {
+        let silent = clock::now().since(live.flight.last_heard());
+        silent + Duration::from_millis(1) < since.elapsed()
+    }
+
+    /// Goes on at another upstream after a stream broke off.
+    async fn go_on(&mut self, live: Live, why: &str) -> Option<Live> {
+        let id = live.flight.id.clone();
+        warn!(event = events::ATTEMPT, request = %self.job.asked.id, upstream = %id, why, passed = self.passed, "stream broke off");
+        // Closes the connection first: two upstreams must not work on one request.
+        drop(live);
+        let whole = self.passed.is_some();
+        if !whole || !self.course.after_run(&self.core, &self.job, id) {
+            return None;
+        }
+        match self.open().await {
+            Ok(Opened::Live(live)) => Some(*live),
+            Ok(Opened::Whole(_)) | Err(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/roll/lease.rs
@@ -0,0 +1,152 @@
+//! The lease under which engines are ordered, kept in the store.
+
+use crate::clock;
+use crate::core::Core;
+use crate::ports::StoreError;
+use crate::telemetry::events;
+use bytes::Bytes;
+use sesamegap_policy::agreement::Holder;
+use sesamegap_policy::agreement::cas_lease::{CasLease, Claim, Step, Terms};
+use sesamegap_wire::{Fence, Moment, Offset};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// How long one record gives the lease: a few store calls at their slowest.
+const TERM: Duration = Duration::from_millis(1_500);
+
+/// Pause before looking again whether the lease is free; calls are priced.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// The lease of one process, shared with the tasks that order.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    state: Arc<Mutex<CasLease>>,
+    free: Option<Moment>,
+}
+
+impl Lease {
+    /// Starts without it.
+    pub fn new(core: &Core) -> Self {
+        let terms = Terms {
+            term: TERM,
+            rest: core.settings.spans.lease,
+        };
+        let lease = CasLease::new(core.peers.me().clone(), terms);
+        Self {
+            state: Arc::new(Mutex::new(lease)),
+            free: None,
+        }
+    }
+
+    /// The same lease for a task that orders.
+    pub fn shared(&self) -> Self {
+        self.clone()
+    }
+
+    /// Who held it by the last record seen.
+    pub fn last_holder(&self) -> Option<Holder> {
+        self.lock().holder().cloned()
+    }
+
+    /// The fencing number, if an order sent now falls into the lease.
+    pub fn may_order(&self) -> Option<Fence> {
+        self.lock().may_order(clock::now())
+    }
+
+    /// Gives it up, as when an engine has seen a higher fencing number.
+    pub fn lose(&self) {
+        self.lock().lose();
+    }
+
+    /// How long to wait before trying again.
+    pub fn pause(&self) -> Duration {
+        let left = self.free.map(|free| free.since(clock::now()));
+        left.unwrap_or(LOOK).clamp(LOOK / 5, LOOK * 4)
+    }
+
+    /// Reads the log once, so that its last record ages from now.
+    pub async fn look(&mut self, core: &Core) {
+        let from = self.lock().end();
+        self.read(core, from).await;
+    }
+
+    /// Takes or keeps the lease; the fencing number if it is held.
+    pub async fn hold(&mut self, core: &Core) -> Option<Fence> {
+        self.free = None;
+        // A claim follows a read, and a read that shows another's record ends the try.
+        for _ in 0..3 {
+            let step = self.lock().step(clock::now());
+            match step {
+                Step::Hold => return self.may_order(),
+                Step::Wait(until) => {
+                    self.free = Some(until);
+                    // Its holder may have gone on since; the next try reads again.
+                    self.lock().doubt();
+                    return None;
+                }
+                Step::Read(from) => {
+                    if !self.read(core, from).await {
+                        return None;
+                    }
+                }
+                Step::Append(claim, at) => {
+                    self.append(core, claim, at).await;
+                    return self.may_order();
+                }
+            }
+        }
+        None
+    }
+
+    async fn read(&self, core: &Core, from: Offset) -> bool {
+        let outcome = core.ports.store.lease_records(from).await;
+        let (records, end) = match outcome {
+            Ok(found) => found,
+            Err(StoreError::Compacted(first)) => (Vec::new(), first),
+            Err(error) => {
+                info!(event = events::LEASE, %error, "lease not read");
+                return false;
+            }
+        };
+        let claims: Vec<Claim> = records.iter().filter_map(decode).collect();
+        self.lock().observe(&claims, end, clock::now());
+        true
+    }
+
+    async fn append(&self, core: &Core, claim: Claim, at: Offset) {
+        let began = clock::now();
+        let record = match rmp_serde::to_vec(&claim) {
+            Ok(record) => Bytes::from(record),
+            Err(error) => {
+                warn!(event = events::LEASE, %error, "a claim cannot be written");
+                return;
+            }
+        };
+        let renews = claim.renews;
+        match core.ports.store.lease_append(record, at).await {
+            Ok(offset) => {
+                self.lock().appended(claim, offset, began);
+                if renews.is_none() {
+                    info!(event = events::LEASE, fence = offset.0 + 1, "lease taken");
+                }
+            }
+            Err(error) => {
+                self.lock().lose();
+                info!(event = events::LEASE, %error, at = at.0, "lease not held");
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CasLease> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn decode(record: &Bytes) -> Option<Claim> {
+    let claim = rmp_serde::from_slice(record);
+    if let Err(error) = &claim {
+        warn!(event = events::UNREADABLE, %error, "a lease record cannot be read");
+    }
+    claim.ok()
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -0,0 +1,155 @@
+//! Brings engines to the newest weights, from one entry VM at a time.
+//!
+//! The VM that holds the lease orders; others stand by, the next in line first. Engines that are
+//! about to load are named to all VMs before the order, so that their work goes elsewhere and they
+//! drain in the time of an answer.
+
+mod engine;
+mod lease;
+
+use crate::clock;
+use crate::core::{Core, Phase};
+use engine::bring;
+use lease::Lease;
+use sesamegap_policy::routing::engines::rank;
+use sesamegap_policy::routing::rolls;
+use sesamegap_wire::{Fence, Moment, UpstreamId, WeightsVersion};
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How often a roll under way is looked at.
+const STEP: Duration = Duration::from_millis(40);
+
+/// How often it is looked whether there is anything to roll; naming wakes it at once.
+const IDLE: Duration = Duration::from_millis(1_000);
+
+/// How much longer the next VM in line waits before it takes over a roll that does not move; a
+/// live holder orders its first engine much sooner.
+const STAND_BY: Duration = Duration::from_millis(1_500);
+
+/// Engines with an order under way.
+type Ordered = Arc<Mutex<BTreeSet<UpstreamId>>>;
+
+/// An engine whose weights are old.
+#[derive(Debug, Clone)]
+struct Behind {
+    engine: UpstreamId,
+    model: SmolStr,
+    version: WeightsVersion,
+}
+
+/// Rolls weights until the process ends.
+pub async fn run(core: Arc<Core>) {
+    let mut lease = Lease::new(&core);
+    lease.look(&core).await;
+    let ordered = Ordered::default();
+    let mut since: Option<Moment> = None;
+    while core.phase() == Phase::Serving {
+        let behind = behind(&core);
+        if behind.is_empty() {
+            since = None;
+            drop(timeout(IDLE, core.named.notified()).await);
+            continue;
+        }
+        let began = *since.get_or_insert_with(clock::now);
+        let turn = STAND_BY * place_in_line(&core, &lease);
+        if clock::now().since(began) < turn {
+            sleep(STEP * 2).await;
+            continue;
+        }
+        match lease.hold(&core).await {
+            Some(fence) => order(&core, &lease, fence, &ordered, behind),
+            None => sleep(lease.pause()).await,
+        }
+        sleep(STEP).await;
+    }
+}
+
+/// Engines that do not hold the newest weights of their model.
+fn behind(core: &Core) -> Vec<Behind> {
+    let fleet = core.fleet.lock();
+    let named: Vec<_> = fleet.named().collect();
+    let mut behind = Vec::new();
+    for upstream in fleet.upstreams() {
+        for weights in &named {
+            let held = upstream.version(&weights.model);
+            if held.is_some_and(|held| held < weights.version) && !upstream.entry.leaving {
+                behind.push(Behind {
+                    engine: upstream.id.clone(),
+                    model: weights.model.clone(),
+                    version: weights.version,
+                });
+            }
+        }
+    }
+    behind
+}
+
+/// How many VMs should try before this one: none before the last holder, then by hash.
+fn place_in_line(core: &Core, lease: &Lease) -> u32 {
+    let me = &core.settings.vm;
+    if lease.last_holder().is_some_and(|holder| holder.vm == *me) {
+        return 0;
+    }
+    let mut alive = core.peers.alive();
+    let hash = |vm: &sesamegap_wire::VmId| {
+        let seed = vm.as_str().bytes().fold(7, |h: u64, b| h.wrapping_mul(31) + u64::from(b));
+        rank(0, seed)
+    };
+    alive.sort_by_key(hash);
+    let held = lease.last_holder().map(|holder| holder.vm.clone());
+    if let Some(holder) = held
+        && alive.contains(&holder)
+    {
+        alive.retain(|vm| *vm != holder);
+        alive.insert(0, holder);
+    }
+    let at = alive.iter().position(|vm| vm == me).unwrap_or(0);
+    u32::try_from(at).unwrap_or(u32::MAX)
+}
+
+/// Starts as many orders as the fleet can bear.
+fn order(core: &Arc<Core>, lease: &Lease, fence: Fence, ordered: &Ordered, behind: Vec<Behind>) {
+    let due = {
+        let fleet = core.fleet.lock();
+        let under_way = ordered.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = clock::now();
+        let services: Vec<_> = behind.iter().filter_map(|b| fleet.get(&b.engine)).collect();
+        let mut views: Vec<rolls::Engine> = services
+            .iter()
+            .map(|upstream| rolls::Engine {
+                done: false,
+                ordered: under_way.contains(&upstream.id),
+                running: upstream.running_now(now),
+                suspect: upstream.is_suspect(now),
+            })
+            .collect();
+        let all = fleet.upstreams().filter(|up| !up.entry.weights.is_empty()).count();
+        let done = all.saturating_sub(views.len());
+        views.extend((0..done).map(|_| rolls::Engine {
+            done: true,
+            ordered: false,
+            running: 0,
+            suspect: false,
+        }));
+        rolls::next(&views)
+    };
+    for at in due {
+        let target = behind[at].clone();
+        let set = Arc::clone(ordered);
+        set.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(target.engine.clone());
+        let core = Arc::clone(core);
+        let lease = lease.shared();
+        tokio::spawn(async move {
+            bring(&core, &lease, fence, &target).await;
+            set.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .remove(&target.engine);
+        });
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -0,0 +1,58 @@
+//! Settings that a process is started with.
+
+use sesamegap_policy::routing::budget::Bound;
+use sesamegap_wire::{DomainId, VmId};
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Where a process listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Listen {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Readiness checks.
+    pub ready: SocketAddr,
+    /// Peers.
+    pub peers: SocketAddr,
+    /// Callers that ask which address to use.
+    pub locator: SocketAddr,
+}
+
+/// Spans of time that the operators promise or ask for.
+#[derive(Debug, Clone, Copy)]
+pub struct Spans {
+    /// From SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// How long callers may keep a locator's answer.
+    pub answer_ttl: Duration,
+    /// Shortest time between orders of two lease holders.
+    pub lease: Duration,
+    /// After how long without a heartbeat an upstream is dropped from the fleet list, a third.
+    pub heartbeat: Duration,
+    /// How long a lapsed entry may take to come back after the store's return.
+    pub lapse: Duration,
+}
+
+/// Settings of one process, as its adapter read them.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: SmolStr,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Peers to ask first; may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Region of each failure domain.
+    pub regions: Vec<(DomainId, SmolStr)>,
+    /// Spans promised or asked for.
+    pub spans: Spans,
+    /// The fleet's bound on repeats.
+    pub repeats: Bound,
+    /// Bytes of request bodies held at once.
+    pub body_memory: usize,
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -0,0 +1,46 @@
+//! Numbers of the log lines; `docs/events.md` lists them.
+
+/// A process serves.
+pub const STARTED: u16 = 700;
+/// A process was told to stop.
+pub const STOPPING: u16 = 701;
+/// A process ended its last request and stops.
+pub const STOPPED: u16 = 702;
+/// A process is ready for callers.
+pub const READY: u16 = 703;
+/// A process gave up waiting for requests in flight.
+pub const CUT: u16 = 704;
+/// The settings file changed or could not be read again.
+pub const RELOADED: u16 = 705;
+/// A document came into force.
+pub const DOCUMENT: u16 = 710;
+/// Weights were named.
+pub const WEIGHTS: u16 = 711;
+/// A record cannot be read.
+pub const UNREADABLE: u16 = 712;
+/// The belief about an upstream changed.
+pub const UPSTREAM: u16 = 713;
+/// The store stopped answering.
+pub const STORE_LOST: u16 = 720;
+/// The store answers again.
+pub const STORE_BACK: u16 = 721;
+/// The store dropped records that were not read yet.
+pub const COMPACTED: u16 = 722;
+/// The belief about a peer changed.
+pub const PEER: u16 = 730;
+/// A lease was taken, kept or lost.
+pub const LEASE: u16 = 740;
+/// An engine was ordered to load weights.
+pub const ORDER: u16 = 741;
+/// A request was refused before it was placed.
+pub const REFUSED: u16 = 750;
+/// A request was sent to an upstream.
+pub const PLACED: u16 = 751;
+/// An attempt at an upstream failed.
+pub const ATTEMPT: u16 = 752;
+/// A request ended.
+pub const ENDED: u16 = 753;
+/// A caller left before its answer ended.
+pub const LEFT: u16 = 754;
+/// A caller's connection broke a bound.
+pub const BOUND: u16 = 755;
--- a/crates/sesamegap-policy/src/agreement/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/mod.rs
@@ -6,6 +6,7 @@
 //! machines: what a process hears goes in, what it must do comes out. So a test can pause, crash
 //! and reorder at every step.
 
+pub mod cas_lease;
 pub mod claims;
 pub mod lease;
 pub mod membership;
--- a/crates/sesamegap-policy/src/lib.rs
+++ b/crates/sesamegap-policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod decider;
 pub mod load;
 pub mod placing;
+pub mod routing;
 pub mod shifting;
 
 pub use decider::{Decider, DeciderBuilder, Decision, Observation, Refusal, RefusalCode, Work};
--- /dev/null
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions of an entry VM that knows only its own traffic and what answers tell it.
+//!
+//! [`engines`] picks the engine of a prompt given as named parts, [`plain`] the worker of a plain
+//! service, [`budget`] bounds repeats over all entry VMs without a message between them,
+//! [`patience`] tells a silent upstream from a slow one, and [`rolls`] picks the engines that take
+//! new weights next.
+
+pub mod budget;
+pub mod engines;
+pub mod patience;
+pub mod plain;
+pub mod rolls;
