--- a/crates/sesamegap-entry/src/core.rs
+++ b/crates/sesamegap-entry/src/core.rs
@@ -7,7 +7,7 @@
 use crate::ports::Ports;
 use crate::settings::Settings;
 use crate::telemetry::events;
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::budget::Budget;
 use sesamegap_wire::ServiceId;
@@ -32,8 +32,6 @@
 /// What all tasks of a process share.
 #[derive(Debug)]
 pub struct Core {
-    /// Settings of the process.
-    pub settings: Settings,
     /// The platform.
     pub ports: Ports,
     /// The upstreams.
@@ -46,6 +44,7 @@
     pub active: AtomicUsize,
     /// Room for request bodies, in KiB.
     pub bodies: Arc<Semaphore>,
+    settings: ArcSwap<Settings>,
     catalogue: ArcSwapOption<Catalogue>,
     budgets: Mutex<FxHashMap<ServiceId, Budget>>,
     phase: watch::Sender<Phase>,
@@ -56,6 +55,7 @@
     pub fn new(settings: Settings, ports: Ports) -> Self {
         let rules = Rules {
             lapse: settings.spans.lapse,
+            weights: settings.spans.weights,
         };
         Self {
             fleet: SharedFleet::new(Fleet::new(rules)),
@@ -66,11 +66,39 @@
             catalogue: ArcSwapOption::empty(),
             budgets: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             ports,
         }
     }
 
+    /// Settings of the process.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.load_full()
+    }
+
+    /// Takes settings that changed while the process runs.
+    ///
+    /// Who it is and where it listens stay: callers and peers know it by them.
+    pub fn reload(&self, mut settings: Settings) {
+        let now = self.settings();
+        settings.vm = now.vm.clone();
+        settings.domain = now.domain.clone();
+        settings.listen = now.listen;
+        info!(
+            event = events::RELOADED,
+            seeds = settings.seeds.len(),
+            repeats = settings.repeats.ratio,
+            slack = settings.repeats.slack,
+            "settings of the process read again"
+        );
+        self.budgets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values_mut()
+            .for_each(|budget| budget.set(settings.repeats));
+        self.settings.store(Arc::new(settings));
+    }
+
     /// The document in force.
     pub fn catalogue(&self) -> Option<Arc<Catalogue>> {
         self.catalogue.load_full()
@@ -110,7 +138,7 @@
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.settings.repeats));
+            .or_insert_with(|| Budget::new(self.settings().repeats));
         budget.request(clock::now());
     }
 
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -42,7 +42,7 @@
         let mut fleet = self.fleet.lock();
         let version = self.weights.map_or(0, |version| version.0);
         for prefix in self.prefixes.drain(..) {
-            fleet.recall.note(prefix.hash, self.seed, version);
+            fleet.recall.note(prefix.hash, self.seed, version, now);
         }
         if let Some(upstream) = fleet.get_mut(&self.id) {
             upstream.hear(now);
@@ -59,6 +59,13 @@
             .unwrap_or_default()
     }
 
+    /// When the engine last served the whole shared prefix to this VM.
+    pub fn last_served(&self) -> Option<Moment> {
+        let inner = self.prefixes.last()?;
+        let version = self.weights.map_or(0, |version| version.0);
+        self.fleet.lock().recall.last(inner.hash, self.seed, version)
+    }
+
     /// Notes the load that the answer told.
     pub fn loaded(&self, load: Load, now: Moment) {
         if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
@@ -97,7 +104,8 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
+        let mut fleet = self.fleet.lock();
+        if let Some(upstream) = fleet.get_mut(&self.id) {
             upstream.running = upstream.running.saturating_sub(1);
             upstream.unread = upstream.unread.saturating_sub(self.unread);
         }
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -13,13 +13,14 @@
 pub use upstream::{Entry, Upstream};
 pub use view::{Pick, Wanted};
 
+use crate::kept::{Kept, Moves};
 use crate::peers::Loads;
 use crate::ports::Weights;
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_wire::{Moment, ServiceId, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -40,6 +41,22 @@
 pub struct Rules {
     /// How long an entry that lapsed with the store away may take to come back.
     pub lapse: Duration,
+    /// Time after a naming of weights from which no request may begin on older ones.
+    pub weights: Duration,
+}
+
+/// Time that a request may wait at an engine before it begins, and after which one must begin on
+/// newer weights: the time that a queue takes at its longest.
+const BEGINNING: Duration = Duration::from_millis(1_500);
+
+/// Namings remembered; with one every three seconds they reach back well over the bound.
+const NAMINGS: usize = 16;
+
+/// When weights were named.
+#[derive(Debug)]
+struct Naming {
+    weights: Weights,
+    at: Moment,
 }
 
 /// What a change of the list did.
@@ -69,7 +86,10 @@
     lapses: Vec<Moment>,
     pub(crate) recall: Recall,
     pub(crate) loads: Loads,
+    pub(crate) kept: Kept,
+    pub(crate) moves: Moves,
     named_at: Moment,
+    namings: VecDeque<Naming>,
 }
 
 impl Fleet {
@@ -85,7 +105,10 @@
             lapses: Vec::new(),
             recall: Recall::default(),
             loads: Loads::default(),
+            kept: Kept::default(),
+            moves: Moves::default(),
             named_at: Moment(0),
+            namings: VecDeque::new(),
         }
     }
 
@@ -201,6 +224,13 @@
         if newer {
             *known = weights.version;
             self.named_at = now;
+            self.namings.push_back(Naming {
+                weights: weights.clone(),
+                at: now,
+            });
+            while self.namings.len() > NAMINGS {
+                self.namings.pop_front();
+            }
         }
         newer
     }
@@ -228,6 +258,18 @@
         self.newest(model).unwrap_or_default()
     }
 
+    /// Whether weights are so old that no request may begin on them any more.
+    ///
+    /// An engine that comes back after a crash has the weights that it had before, however many
+    /// were named since.
+    pub fn is_outdated(&self, model: &str, version: WeightsVersion, now: Moment) -> bool {
+        let limit = self.rules.weights.saturating_sub(BEGINNING);
+        self.namings.iter().any(|naming| {
+            let newer = naming.weights.model == model && naming.weights.version > version;
+            newer && now.since(naming.at) >= limit
+        })
+    }
+
     /// When weights were last named.
     pub fn named_at(&self) -> Moment {
         self.named_at
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -1,6 +1,7 @@
 //! What the decisions see of the fleet, and the flight that comes of one.
 
 use super::{Fleet, Flight, SharedFleet, Upstream};
+use crate::peers::STORE;
 use sesamegap_policy::routing::{engines, plain};
 use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
 use smol_str::SmolStr;
@@ -12,8 +13,6 @@
     pub model: SmolStr,
     /// Its shared prefixes.
     pub prompt: engines::Prompt,
-    /// All its tokens.
-    pub tokens: u64,
 }
 
 /// What a request wants of an upstream.
@@ -23,6 +22,8 @@
     pub service: &'a ServiceId,
     /// This VM's failure domain.
     pub domain: &'a DomainId,
+    /// The failure domain of the store of kept cache.
+    pub store: Option<&'a DomainId>,
     /// Set for prompts.
     pub pick: Option<&'a Pick>,
     /// Upstreams already tried.
@@ -32,6 +33,21 @@
 }
 
 impl Fleet {
+    /// Numbers of the engines that long prompts have.
+    pub fn for_long(&self, service: &ServiceId, store: Option<&DomainId>) -> Vec<u64> {
+        let divided: Vec<engines::Divided> = self
+            .of(service)
+            .map(|engine| engines::Divided {
+                seed: engine.seed,
+                by_store: Some(&engine.entry.domain) == store,
+            })
+            .collect();
+        let long = engines::for_long(&divided).into_iter().zip(&divided);
+        long.filter(|(long, _)| *long)
+            .map(|(_, engine)| engine.seed)
+            .collect()
+    }
+
     /// Requests that all VMs have at an upstream, as far as is known.
     pub fn running(&self, upstream: &Upstream, now: Moment) -> u32 {
         let others = self.loads.at(upstream.seed).map_or(0, |held| held.running);
@@ -46,6 +62,12 @@
         upstream.running + others
     }
 
+    /// Tokens that all VMs have just sent through the store of kept cache.
+    pub fn moving(&self, now: Moment) -> u64 {
+        let others = self.loads.at(STORE).map_or(0, |held| held.unread);
+        self.moves.sum(now) + others
+    }
+
     /// Prompt tokens that all VMs have at an upstream and that are not read yet.
     pub fn unread(&self, upstream: &Upstream) -> u64 {
         let others = self.loads.at(upstream.seed).map_or(0, |held| held.unread);
@@ -64,6 +86,9 @@
         let near = |upstream: &Upstream| upstream.entry.domain == *wanted.domain;
         let (at, source) = match wanted.pick {
             Some(pick) => {
+                let version =
+                    |up: &Upstream| up.version(&pick.model).unwrap_or_default();
+                let long = fleet.for_long(wanted.service, wanted.store);
                 let views: Vec<engines::Engine> = open
                     .iter()
                     .map(|upstream| engines::Engine {
@@ -72,9 +97,11 @@
                         running: fleet.running(upstream, now),
                         waiting: upstream.waiting_now(now),
                         unread: fleet.unread(upstream),
-                        version: upstream.version(&pick.model).map_or(0, |version| version.0),
+                        version: version(upstream).0,
                         suspect: upstream.is_suspect(now),
-                        paused: upstream.is_paused(now),
+                        long: long.contains(&upstream.seed),
+                        paused: upstream.is_paused(now)
+                            || fleet.is_outdated(&pick.model, version(upstream), now),
                     })
                     .collect();
                 let newest = fleet.wanted(&pick.model, now).0;
@@ -98,7 +125,7 @@
             prefixes: wanted
                 .pick
                 .map_or_else(Vec::new, |pick| pick.prompt.prefixes.clone()),
-            unread: wanted.pick.map_or(0, |pick| pick.tokens),
+            unread: wanted.pick.map_or(0, |pick| pick.prompt.tokens),
         };
         if let Some(upstream) = fleet.get_mut(&flight.id) {
             upstream.begin(flight.unread);
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -7,8 +7,13 @@
 use crate::ports::{Batch, Record, Table};
 use crate::telemetry::events;
 use sesamegap_wire::UpstreamId;
+use std::time::Duration;
 use tracing::{info, warn};
 
+/// How long ago a naming is taken to be that was found, not heard: half of the time after which its
+/// forerunner may not be used, so that neither all engines are shut out nor old ones used for long.
+const UNKNOWN_AGE: Duration = Duration::from_secs(4);
+
 /// Takes in the newest record of each key of a table, in place of what was known.
 pub fn replace(core: &Core, table: Table, batch: Batch) {
     let mut listed = Vec::new();
@@ -16,7 +21,7 @@
         if let Record::Upstream(id, _) = &record {
             listed.push(id.clone());
         }
-        apply(core, record);
+        apply(core, record, UNKNOWN_AGE);
     }
     if table == Table::Fleet {
         let missing = core.fleet.lock().keep_only(&listed, clock::now());
@@ -26,14 +31,14 @@
     }
 }
 
-/// Takes in one record.
-pub fn apply(core: &Core, record: Record) {
+/// Takes in one record that was written about this long ago.
+pub fn apply(core: &Core, record: Record, age: Duration) {
     let now = clock::now();
     match record {
         Record::Document(document) => {
             core.adopt(&document, "store");
         }
-        Record::Weights(weights) => learn_weights(core, &weights, "store"),
+        Record::Weights(weights) => learn_weights(core, &weights, age, "store"),
         Record::Upstream(id, entry) => {
             let change = core.fleet.lock().apply(&id, *entry, now);
             tell(&id, change);
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -83,7 +83,7 @@
     let batch = core.ports.store.changes(table, from, wait).await?;
     let at = batch.next;
     for (_, record) in batch.records {
-        apply(core, record);
+        apply(core, record, Duration::ZERO);
     }
     Ok(at)
 }
@@ -98,7 +98,6 @@
 
 /// Keeps this VM's entry in the store, and reads the others'.
 pub async fn vms(core: Arc<Core>) {
-    let me = core.settings.listen.peers;
     while core.phase() < Phase::Ended {
         let listed = match core.ports.store.snapshot(Table::Vms).await {
             Ok(batch) => take_vms(&core, batch),
@@ -108,7 +107,7 @@
                 continue;
             }
         };
-        if !listed && let Err(error) = core.ports.store.announce(&core.settings.vm, me).await {
+        if !listed && let Err(error) = announce(&core).await {
             warn!(event = events::STORE_LOST, table = ?Table::Vms, %error, "own entry not written");
             sleep(RETRY * 3).await;
             continue;
@@ -117,6 +116,12 @@
     }
 }
 
+async fn announce(core: &Core) -> Result<(), StoreError> {
+    let settings = core.settings();
+    let store = &core.ports.store;
+    store.announce(&settings.vm, settings.listen.peers).await
+}
+
 /// Takes in the entry VMs; whether this one is among them.
 fn take_vms(core: &Core, batch: Batch) -> bool {
     let records = batch.records.into_iter().map(|(_, record)| record);
@@ -126,7 +131,7 @@
             _ => None,
         })
         .collect();
-    let me = (core.settings.vm.clone(), core.settings.listen.peers);
+    let me = (core.settings().vm.clone(), core.settings().listen.peers);
     let listed = vms.contains(&me);
     core.peers.list(vms);
     listed
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod intake;
+pub mod kept;
 pub mod locator;
 pub mod peers;
 pub mod ports;
--- a/crates/sesamegap-entry/src/locator.rs
+++ b/crates/sesamegap-entry/src/locator.rs
@@ -17,7 +17,7 @@
 
 /// Addresses for callers, and how long to keep them.
 pub fn answer(core: &Core) -> (Vec<SocketAddr>, Duration) {
-    let port = core.settings.listen.callers.port();
+    let port = core.settings().listen.callers.port();
     let known = core.peers.known();
     let mut alive = known.alive;
     let all = alive.len() + known.doubted.len() + 1;
@@ -31,8 +31,8 @@
     // A VM that stops, or that has no settings yet, sends callers elsewhere if it can.
     let serves = core.is_ready() || (addrs.is_empty() && core.phase() == Phase::Serving);
     if serves {
-        addrs.insert(0, core.settings.listen.callers);
+        addrs.insert(0, core.settings().listen.callers);
     }
     addrs.truncate(MOST);
-    (addrs, TTL.min(core.settings.spans.answer_ttl))
+    (addrs, TTL.min(core.settings().spans.answer_ttl))
 }
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -1,6 +1,6 @@
 //! Rounds of probes, and news pushed to all.
 
-use super::message::{EngineNews, Hello, Welcome, learn};
+use super::message::{EngineNews, Hello, Welcome, learn, named};
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::telemetry::events;
@@ -68,8 +68,9 @@
 
 /// Asks the VMs that the settings name, which is how a new one is heard of at all.
 async fn ask_seeds(core: &Core) {
-    let me = core.settings.listen.peers;
-    let seeds = core.settings.seeds.iter().filter(|seed| **seed != me);
+    let me = core.settings().listen.peers;
+    let settings = core.settings();
+    let seeds = settings.seeds.iter().filter(|seed| **seed != me);
     let asked = seeds.map(|seed| ask(core, *seed, Vec::new()));
     for outcome in join_all(asked).await {
         if let Err(error) = outcome {
@@ -108,7 +109,7 @@
         me: core.peers.me_now(),
         news,
         revision: core.revision(),
-        weights: core.fleet.lock().named().collect(),
+        weights: named(core),
     };
     let welcome: Welcome = post(core, addr, "hello", &hello).await?;
     let now = clock::now();
--- a/crates/sesamegap-entry/src/peers/loads.rs
+++ b/crates/sesamegap-entry/src/peers/loads.rs
@@ -34,6 +34,9 @@
 /// Bytes of a datagram at most; some hundred upstreams fit.
 const LONGEST: usize = 1_400;
 
+/// Number under which tokens are told that were just sent through the store of kept cache.
+pub const STORE: u64 = 0;
+
 /// What a VM has at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
@@ -96,7 +99,7 @@
 
 /// Tells peers and hears them until the process ends.
 pub async fn exchange(core: Arc<Core>) {
-    let addr = core.settings.listen.loads;
+    let addr = core.settings().listen.loads;
     let socket = match UdpSocket::bind(addr).await {
         Ok(socket) => Arc::new(socket),
         Err(error) => {
@@ -123,13 +126,21 @@
 /// What this VM has at upstreams.
 fn own(core: &Core) -> Vec<Held> {
     let mut fleet = core.fleet.lock();
-    fleet.loads.sum(clock::now());
-    fleet.upstreams().filter_map(|up| up.held()).collect()
+    let now = clock::now();
+    fleet.loads.sum(now);
+    let moving = fleet.moves.sum(now);
+    let store = (moving > 0).then_some(Held {
+        seed: STORE,
+        running: 0,
+        unread: moving,
+    });
+    let upstreams = fleet.upstreams().filter_map(|up| up.held());
+    upstreams.chain(store).collect()
 }
 
 async fn tell(core: &Core, socket: &UdpSocket, held: &[Held], turn: &mut usize) {
     let datagram = Datagram {
-        vm: core.settings.vm.clone(),
+        vm: core.settings().vm.clone(),
         held: held.to_vec(),
     };
     let bytes = match rmp_serde::to_vec(&datagram) {
@@ -147,7 +158,7 @@
             return;
         }
     };
-    let port = core.settings.listen.loads.port();
+    let port = core.settings().listen.loads.port();
     let peers = core.peers.known().alive;
     for at in 0..peers.len().min(FANOUT) {
         let peer = peers[(*turn + at) % peers.len()];
--- a/crates/sesamegap-entry/src/peers/message.rs
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -10,6 +10,7 @@
 use sesamegap_wire::UpstreamId;
 use smol_str::SmolStr;
 use std::sync::Arc;
+use std::time::Duration;
 use tracing::info;
 
 /// A probe: who asks, what it heard, and what it knows.
@@ -22,7 +23,7 @@
     /// Revision of its document.
     pub revision: Revision,
     /// Newest weights named to it.
-    pub weights: Vec<Weights>,
+    pub weights: Vec<Named>,
 }
 
 /// The answer to a probe.
@@ -37,7 +38,16 @@
     /// Its document, if newer than the asker's.
     pub document: Option<Document>,
     /// Newest weights named to it.
-    pub weights: Vec<Weights>,
+    pub weights: Vec<Named>,
+}
+
+/// Weights, and how long ago they were named.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Named {
+    /// The weights.
+    pub weights: Weights,
+    /// Milliseconds since they were named.
+    pub age_ms: u64,
 }
 
 /// What the VM that rolls weights says of an engine.
@@ -51,9 +61,23 @@
     pub weights: Option<Weights>,
 }
 
+/// The newest weights named, for a peer.
+pub fn named(core: &Core) -> Vec<Named> {
+    let fleet = core.fleet.lock();
+    let age = clock::now().since(fleet.named_at());
+    let named = fleet.named();
+    named
+        .map(|weights| Named {
+            weights,
+            age_ms: clock::ms(age),
+        })
+        .collect()
+}
+
 /// Takes in named weights, from the store or a peer.
-pub fn learn_weights(core: &Core, weights: &Weights, source: &str) {
-    let newer = core.fleet.lock().name_weights(weights, clock::now());
+pub fn learn_weights(core: &Core, weights: &Weights, age: Duration, source: &str) {
+    let at = clock::now_less(age);
+    let newer = core.fleet.lock().name_weights(weights, at);
     if newer {
         info!(event = events::WEIGHTS, model = %weights.model, version = weights.version.0, source, "weights named");
         core.named.notify_one();
@@ -61,11 +85,11 @@
 }
 
 /// Takes in what a peer knows.
-pub fn learn(core: &Core, document: Option<Document>, weights: &[Weights], from: &SmolStr) {
+pub fn learn(core: &Core, document: Option<Document>, weights: &[Named], from: &SmolStr) {
     if let Some(document) = document {
         core.adopt(&Arc::new(document), from);
     }
     for named in weights {
-        learn_weights(core, named, from);
+        learn_weights(core, &named.weights, Duration::from_millis(named.age_ms), from);
     }
 }
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -11,7 +11,7 @@
 mod server;
 
 pub use client::{push, rounds, tell_all};
-pub use loads::{Held, Loads, exchange};
+pub use loads::{Held, Loads, STORE, exchange};
 pub use message::{EngineNews, learn_weights};
 pub use server::endpoints;
 
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -1,6 +1,6 @@
 //! What peers may ask of this process.
 
-use super::message::{EngineNews, Hello, Welcome, learn};
+use super::message::{EngineNews, Hello, Welcome, learn, named};
 use crate::clock;
 use crate::core::Core;
 use poem::http::StatusCode;
@@ -42,7 +42,7 @@
         news,
         revision: core.revision(),
         document: newer.map(|catalogue| catalogue.document().as_ref().clone()),
-        weights: core.fleet.lock().named().collect(),
+        weights: named(&core),
     };
     write(&welcome)
 }
--- a/crates/sesamegap-entry/src/process.rs
+++ b/crates/sesamegap-entry/src/process.rs
@@ -3,9 +3,11 @@
 use crate::core::{Core, Phase};
 use crate::follow;
 use crate::intake;
+use crate::kept;
 use crate::peers;
 use crate::ports::Table;
 use crate::roll;
+use crate::settings::Settings;
 use crate::telemetry::events;
 use anyhow::Context;
 use poem::endpoint::BoxEndpoint;
@@ -27,6 +29,9 @@
 /// requests have time to end.
 const LAST_REQUESTS: Duration = Duration::from_millis(4_500);
 
+/// How often the settings file is read again: it may change without a signal.
+const REREAD: Duration = Duration::from_secs(10);
+
 /// Time kept back for the exit itself.
 const EXIT: Duration = Duration::from_millis(300);
 
@@ -54,14 +59,14 @@
 ///
 /// # Errors
 /// If it cannot listen.
-pub async fn run(core: Arc<Core>, doors: Doors) -> anyhow::Result<()> {
-    let listen = core.settings.listen;
+pub async fn run(core: Arc<Core>, doors: Doors, reload: &Reload<'_>) -> anyhow::Result<()> {
+    let listen = core.settings().listen;
     let callers = bind(listen.callers).await?;
     serve(listen.ready, doors.ready).await?;
     serve(listen.locator, doors.locator).await?;
     let peers = peers::endpoints(Arc::clone(&core)).into_endpoint();
     serve(listen.peers, peers).await?;
-    info!(event = events::STARTED, vm = %core.settings.vm, domain = %core.settings.domain, callers = %listen.callers, "started");
+    info!(event = events::STARTED, vm = %core.settings().vm, domain = %core.settings().domain, callers = %listen.callers, "started");
     for table in [Table::Settings, Table::Fleet] {
         tokio::spawn(follow::follow(Arc::clone(&core), table));
     }
@@ -70,14 +75,36 @@
     tokio::spawn(peers::exchange(Arc::clone(&core)));
     tokio::spawn(roll::run(Arc::clone(&core)));
     tokio::spawn(intake::serve(Arc::clone(&core), callers));
-    signal(SignalKind::terminate())
-        .context("cannot wait for SIGTERM")?
-        .recv()
-        .await;
+    tokio::spawn(kept::follow(Arc::clone(&core)));
+    until_told(&core, reload).await?;
     stop(&core).await;
     Ok(())
 }
 
+/// Reads the settings file again.
+pub type Reload<'a> = dyn Fn() -> anyhow::Result<Settings> + Send + Sync + 'a;
+
+/// Waits until the process is told to stop; takes changed settings meanwhile.
+async fn until_told(core: &Core, reload: &Reload<'_>) -> anyhow::Result<()> {
+    let mut stops = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
+    let mut changes = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = stops.recv() => return Ok(()),
+            _ = changes.recv() => {}
+            () = sleep(REREAD) => {}
+        }
+        match reload() {
+            Ok(settings) if settings == *core.settings() => {}
+            Ok(settings) => core.reload(settings),
+            Err(error) => {
+                // What was read before stays in use.
+                warn!(event = events::RELOADED, error = format!("{error:#}"), "settings file not read");
+            }
+        }
+    }
+}
+
 async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(addr)
         .await
@@ -100,7 +127,7 @@
 /// Ends all requests, as far as the platform gives time for.
 async fn stop(core: &Core) {
     let told = Instant::now();
-    let grace = core.settings.spans.grace;
+    let grace = core.settings().spans.grace;
     info!(
         event = events::STOPPING,
         active = core.active(),
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -14,6 +14,7 @@
 use sesamegap_wire::{ServiceId, UpstreamId, WeightsVersion};
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 use tracing::{info, warn};
@@ -96,9 +97,11 @@
     /// Chooses the next upstream.
     pub fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
         let spread = usize::try_from(job.hash() >> 40).unwrap_or(0);
+        let settings = core.settings();
         let wanted = Wanted {
             service: &self.service,
-            domain: &core.settings.domain,
+            domain: &settings.domain,
+            store: job.catalogue.kv_store().map(|store| &store.domain),
             pick: self.pick.as_ref(),
             tried: &self.tried,
             spread,
@@ -160,7 +163,7 @@
     after: Option<u64>,
 ) -> Outcome {
     let sent = Instant::now();
-    let told = tell(job, &flight, after);
+    let told = tell(core, job, &flight, after);
     info!(
         event = events::PLACED,
         request = %job.asked.id,
@@ -172,6 +175,7 @@
         tokens = flight.tokens(),
         weights = flight.weights.map(|version| version.0),
         fetch = told.fetch.map(tracing::field::display),
+        save = told.save.map(tracing::field::display),
         left_ms = clock::ms(told.left),
         "sent"
     );
@@ -248,25 +252,92 @@
     flight.paused(now + REFUSED_PAUSE);
 }
 
-fn tell(job: &Job, flight: &Flight, after: Option<u64>) -> Told {
+fn tell(core: &Core, job: &Job, flight: &Flight, after: Option<u64>) -> Told {
     let isolated = job.team.as_ref().filter(|team| team.isolated);
     let is_prompt = job.asked.model.is_some();
     let priority = job.team.as_ref().and_then(|team| team.priority);
     let priority = priority.unwrap_or(job.route.priority);
+    let namespace = namespace(flight.weights, isolated.map(|team| team.name.as_str()));
+    let transfer = if is_prompt {
+        transfer(core, job, flight, &namespace)
+    } else {
+        Transfer::default()
+    };
     Told {
         left: job.left(),
         upstream: Some(flight.id.clone()),
         team: job.team.as_ref().map(|team| team.name.clone()),
-        namespace: is_prompt
-            .then(|| namespace(flight.weights, isolated.map(|team| team.name.as_str()))),
+        namespace: is_prompt.then_some(namespace),
         weights: flight.weights.filter(|_| is_prompt),
-        fetch: flight.source.filter(|_| is_prompt),
-        save: None,
+        fetch: transfer.fetch,
+        save: transfer.save,
         priority: is_prompt.then_some(priority),
         after,
     }
 }
 
+/// Where cached parts come from and go to.
+#[derive(Debug, Default)]
+struct Transfer {
+    fetch: Option<SocketAddr>,
+    save: Option<SocketAddr>,
+}
+
+/// Longest own part of a prompt that is sent to be kept along with the shared ones: nobody asks
+/// for it again, and it takes the store's link and room from what is shared.
+const OWN_KEPT: u64 = 4_000;
+
+/// Tokens sent through the store in 0.4 s beyond which it is left alone: its link carries 50 to 100
+/// in a millisecond, less between failure domains.
+const STORE_SPAN: u64 = 600_000;
+
+/// The same for short prompts, which lose little when they are read again, and should not wait.
+const STORE_SPAN_SHORT: u64 = 400_000;
+
+/// The same for saves, which can be made with a later prompt.
+const STORE_SPAN_SAVE: u64 = 300_000;
+
+/// Shared tokens up to which a prompt counts as short here.
+const SHORT: u64 = 1_000;
+
+/// How long an engine surely still holds what it has just served; its memory turns over in several
+/// seconds at full load.
+const STILL_HELD: Duration = Duration::from_secs(2);
+
+/// Decides which transfers a prompt is worth.
+fn transfer(core: &Core, job: &Job, flight: &Flight, namespace: &SmolStr) -> Transfer {
+    let store = job.catalogue.kv_store().map(|store| store.addr);
+    let Some((own, shared)) = job.asked.parts.split_last() else {
+        return Transfer::default();
+    };
+    let now = clock::now();
+    let served = flight.last_served();
+    let has = served.is_some_and(|at| now.since(at) < STILL_HELD);
+    let tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
+    let span = if tokens <= SHORT {
+        STORE_SPAN_SHORT
+    } else {
+        STORE_SPAN
+    };
+    let (held, saves) = {
+        let mut fleet = core.fleet.lock();
+        let busy = fleet.moving(now);
+        let held = fleet.kept.holds(namespace, shared) && busy < span;
+        let worth = !held && own.tokens.0 <= OWN_KEPT && busy < STORE_SPAN_SAVE;
+        (held, worth && fleet.kept.ask(namespace, shared))
+    };
+    let fetches = held && !has;
+    if fetches || saves {
+        let kept = if saves { own.tokens.0 + tokens } else { 0 };
+        let moved = if fetches { tokens } else { kept };
+        core.fleet.lock().moves.note(moved, now);
+    }
+    Transfer {
+        fetch: store.filter(|_| fetches).or(flight.source.filter(|_| !has)),
+        save: store.filter(|_| saves),
+    }
+}
+
 /// Cache entries are found only under the weights that made them and, for isolated teams, the team.
 fn namespace(weights: Option<WeightsVersion>, team: Option<&str>) -> SmolStr {
     let version = weights.unwrap_or_default();
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -103,14 +103,14 @@
                 tokens,
             }
         });
-        let prompt = Prompt {
-            prefixes: prefixes.collect(),
-        };
+        let prefixes = prefixes.collect();
         let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
         Some(Pick {
             model,
-            prompt,
-            tokens: own.tokens.0 + shared,
+            prompt: Prompt {
+                prefixes,
+                tokens: own.tokens.0 + shared,
+            },
         })
     }
 }
--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -147,7 +147,7 @@
     let order = LoadOrder {
         weights: wanted(target),
         running: Running::GoOn,
-        holder: core.settings.vm.clone(),
+        holder: core.settings().vm.clone(),
         fence,
         expected,
     };
--- a/crates/sesamegap-entry/src/roll/lease.rs
+++ b/crates/sesamegap-entry/src/roll/lease.rs
@@ -30,7 +30,7 @@
     pub fn new(core: &Core) -> Self {
         let terms = Terms {
             term: TERM,
-            rest: core.settings.spans.lease,
+            rest: core.settings().spans.lease,
         };
         let lease = CasLease::new(core.peers.me().clone(), terms);
         Self {
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -90,7 +90,7 @@
 
 /// How many VMs should try before this one: none before the last holder, then by hash.
 fn place_in_line(core: &Core, lease: &Lease) -> u32 {
-    let me = &core.settings.vm;
+    let me = &core.settings().vm.clone();
     if lease.last_holder().is_some_and(|holder| holder.vm == *me) {
         return 0;
     }
@@ -120,14 +120,20 @@
         let fleet = core.fleet.lock();
         let now = clock::now();
         let under_way = out.lock().unwrap_or_else(PoisonError::into_inner);
-        let engines = fleet.upstreams().filter(|up| up.is_engine());
+        let engines: Vec<_> = fleet.upstreams().filter(|up| up.is_engine()).collect();
+        let catalogue = core.catalogue();
+        let store = catalogue.as_ref().and_then(|catalogue| catalogue.kv_store());
+        let store = store.map(|store| &store.domain);
         let mut views = Vec::new();
         let mut ids = Vec::new();
         for engine in engines {
+            let long = fleet.for_long(&engine.entry.service, store);
             ids.push(engine.id.clone());
             views.push(rolls::Engine {
                 done: !behind.iter().any(|b| b.engine == engine.id),
                 out: under_way.contains(&engine.id),
+                long: long.contains(&engine.seed),
+                version: engine.entry.weights.first().map_or(0, |held| held.version.0),
                 running: fleet.running(engine, now),
                 suspect: engine.is_suspect(now),
             });
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Where a process listens.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Listen {
     /// Callers.
     pub callers: SocketAddr,
@@ -22,12 +22,14 @@
 }
 
 /// Spans of time that the operators promise or ask for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Spans {
     /// From SIGTERM to SIGKILL.
     pub grace: Duration,
     /// How long callers may keep a locator's answer.
     pub answer_ttl: Duration,
+    /// Time after a naming of weights from which no request may begin on older ones.
+    pub weights: Duration,
     /// Shortest time between orders of two lease holders.
     pub lease: Duration,
     /// After how long without a heartbeat an upstream is dropped from the fleet list, a third.
@@ -37,7 +39,7 @@
 }
 
 /// Settings of one process, as its adapter read them.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// The VM.
     pub vm: VmId,
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -28,6 +28,8 @@
 pub const COMPACTED: u16 = 722;
 /// The belief about a peer changed.
 pub const PEER: u16 = 730;
+/// The belief about the store of kept cache changed.
+pub const KEPT: u16 = 731;
 /// A lease was taken, kept or lost.
 pub const LEASE: u16 = 740;
 /// An engine was ordered to load weights.
--- a/crates/sesamegap-policy/src/routing/budget.rs
+++ b/crates/sesamegap-policy/src/routing/budget.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Takes a bound that changed; what was counted stays.
+    pub fn set(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Counts a caller's request.
     pub fn request(&mut self, now: Moment) {
         self.bucket(now).requests += 1;
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -10,6 +10,11 @@
 //! one. Measured on nine engines with six loads in 34 s, shared tokens computed again fall from
 //! 254,000 to 82,000.
 //!
+//! Load: long prompts and short ones with long answers share the engines. Harm prevented: a long
+//! prompt is read in pieces between the tokens of all streams of its engine, each piece a tenth of
+//! a second; streams slow down, hold their memory for longer, and leave none for cached prefixes.
+//! So each kind has engines of its own, and crosses over only from a queue.
+//!
 //! Load: a few prefixes are hot, bursts come, and engines leave. Harm prevented: a hot prefix that
 //! queues behind one engine. An engine further down the ranking is taken when its wait is shorter
 //! by more than fetching the prefix costs.
@@ -43,6 +48,18 @@
 /// Cost of an engine that did not answer lately: worse than any queue, better than refusing.
 const SUSPECT_MS: f64 = 20_000.0;
 
+/// Prompts from this many tokens on are long; the shared preambles of long ones alone are more.
+const LONG: u64 = 3_000;
+
+/// Part of the engines that long prompts have: their reading takes about half of a full load.
+const LONG_PART: f64 = 0.55;
+
+/// Key under which engines are ranked for the long prompts.
+const LONG_KEY: u64 = 0x6c6f_6e67;
+
+/// Cost of crossing over to engines of the other kind: one piece of a long prompt.
+const CROSS_MS: f64 = 500.0;
+
 /// One engine as this VM sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Engine {
@@ -62,6 +79,8 @@
     pub suspect: bool,
     /// Whether it is about to take new weights or to leave.
     pub paused: bool,
+    /// Whether long prompts have it.
+    pub long: bool,
 }
 
 /// A shared prefix: all parts up to one of them.
@@ -78,9 +97,42 @@
 pub struct Prompt {
     /// Its shared prefixes, the outermost first.
     pub prefixes: Vec<Prefix>,
+    /// All its tokens.
+    pub tokens: u64,
+}
+
+/// An engine for the division between long and short prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Divided {
+    /// The same number in all VMs.
+    pub seed: u64,
+    /// Whether it is in the failure domain of the store of kept cache.
+    pub by_store: bool,
+}
+
+/// Which of these engines long prompts have.
+///
+/// Those beside the store of kept cache come first: transfers between failure domains take twice as
+/// long, and nearly all tokens that are transferred are those of long prompts.
+pub fn for_long(engines: &[Divided]) -> Vec<bool> {
+    let count = (engines.len() as f64 * LONG_PART).round() as usize;
+    let mut order: Vec<usize> = (0..engines.len()).collect();
+    order.sort_by_key(|no| {
+        let engine = &engines[*no];
+        std::cmp::Reverse((engine.by_store, rank(LONG_KEY, engine.seed)))
+    });
+    let mut long = vec![false; engines.len()];
+    for no in order.into_iter().take(count) {
+        long[no] = true;
+    }
+    long
 }
 
 impl Prompt {
+    fn is_long(&self) -> bool {
+        self.tokens >= LONG
+    }
+
     fn outer(&self) -> Prefix {
         self.prefixes
             .first()
@@ -139,9 +191,11 @@
     group: impl Iterator<Item = usize> + Clone,
     recall: &Recall,
 ) -> Option<usize> {
+    let sound = || group.clone().filter(|no| !engines[*no].suspect);
+    let own = || sound().filter(|no| engines[*no].long == prompt.is_long());
     let best = |prefix: u64| {
-        let sound = group.clone().filter(|no| !engines[*no].suspect);
-        sound.max_by_key(|no| rank(prefix, engines[*no].seed))
+        let by_rank = |no: &usize| rank(prefix, engines[*no].seed);
+        own().max_by_key(by_rank).or_else(|| sound().max_by_key(by_rank))
     };
     let first = best(prompt.outer().hash)?;
     if recall.served(prompt.outer().hash, &engines[first]) {
@@ -182,10 +236,15 @@
     } else {
         FETCH_MS + prompt.inner().tokens as f64 / FETCH_PER_MS
     };
+    let cross = if engine.long == prompt.is_long() {
+        0.0
+    } else {
+        CROSS_MS
+    };
     let far = if engine.near { 0.0 } else { FAR_MS };
     let old = if fresh { 0.0 } else { OLD_MS };
     let suspect = if engine.suspect { SUSPECT_MS } else { 0.0 };
-    queue + load + fetch + far + old + suspect
+    queue + load + fetch + cross + far + old + suspect
 }
 
 /// How long an engine may need to read a prompt with nothing cached.
--- a/crates/sesamegap-policy/src/routing/recall.rs
+++ b/crates/sesamegap-policy/src/routing/recall.rs
@@ -5,6 +5,7 @@
 
 use super::engines::Engine;
 use rustc_hash::FxHashMap;
+use sesamegap_wire::Moment;
 
 /// Prefixes recalled at most; some 32 bytes each.
 const MOST: usize = 16_384;
@@ -16,6 +17,7 @@
 struct Served {
     seed: u64,
     version: u32,
+    at: Moment,
 }
 
 #[derive(Debug)]
@@ -33,13 +35,17 @@
 
 impl Recall {
     /// Notes that an engine has read a prefix.
-    pub fn note(&mut self, prefix: u64, seed: u64, version: u32) {
+    pub fn note(&mut self, prefix: u64, seed: u64, version: u32, now: Moment) {
         self.notes += 1;
         if self.prefixes.len() >= MOST {
             let half = self.notes.saturating_sub(MOST as u64 / 2);
             self.prefixes.retain(|_, prefix| prefix.noted >= half);
         }
-        let served = Served { seed, version };
+        let served = Served {
+            seed,
+            version,
+            at: now,
+        };
         let entry = self.prefixes.entry(prefix).or_insert(Prefix {
             noted: self.notes,
             by: Vec::with_capacity(1),
@@ -52,13 +58,15 @@
         entry.by.truncate(ENGINES);
     }
 
+    /// When an engine last served a prefix under these weights.
+    pub fn last(&self, prefix: u64, seed: u64, version: u32) -> Option<Moment> {
+        let known = self.prefixes.get(&prefix)?;
+        let same = |by: &&Served| by.seed == seed && by.version == version;
+        known.by.iter().find(same).map(|by| by.at)
+    }
+
     /// Whether an engine has served a prefix under the weights that it holds now.
     pub fn served(&self, prefix: u64, engine: &Engine) -> bool {
-        let wanted = Served {
-            seed: engine.seed,
-            version: engine.version,
-        };
-        let known = self.prefixes.get(&prefix);
-        known.is_some_and(|known| known.by.contains(&wanted))
+        self.last(prefix, engine.seed, engine.version).is_some()
     }
 }
--- a/crates/sesamegap-policy/src/routing/rolls.rs
+++ b/crates/sesamegap-policy/src/routing/rolls.rs
@@ -36,24 +36,44 @@
     pub done: bool,
     /// Whether it drains or loads.
     pub out: bool,
+    /// Version of its weights.
+    pub version: u32,
+    /// Whether long prompts have it.
+    pub long: bool,
     /// Requests running there, as far as is known.
     pub running: u32,
     /// Whether it lately failed to answer.
     pub suspect: bool,
 }
 
-/// Engines to take out next, the emptiest first since they drain soonest.
+/// Engines to take out next: the oldest first, since requests may soon not begin there any more,
+/// and of these the emptiest, since they drain soonest.
 pub fn next(engines: &[Engine]) -> Vec<usize> {
     let most = ((engines.len() as f64 * AT_ONCE) as usize).max(1);
     let out = engines.iter().filter(|engine| engine.out).count();
     let mut due: Vec<usize> = (0..engines.len())
         .filter(|no| !engines[*no].done && !engines[*no].out)
         .collect();
-    due.sort_by_key(|no| (engines[*no].suspect, engines[*no].running));
+    due.sort_by_key(|no| {
+        let engine = &engines[*no];
+        (engine.suspect, engine.version, engine.running)
+    });
+    due = alternate(&due, engines);
     due.truncate(most.saturating_sub(out));
     due
 }
 
+/// Takes engines of both kinds in turn, so that neither kind of prompt is left with none.
+fn alternate(due: &[usize], engines: &[Engine]) -> Vec<usize> {
+    let (long, short): (Vec<usize>, Vec<usize>) = due.iter().partition(|no| engines[**no].long);
+    let mut mixed = Vec::with_capacity(due.len());
+    for at in 0..long.len().max(short.len()) {
+        mixed.extend(long.get(at));
+        mixed.extend(short.get(at));
+    }
+    mixed
+}
+
 /// How long an engine that is out may still drain, `since` the naming.
 pub fn drain(done: usize, all: usize, since: Duration) -> Duration {
     let enough = done as f64 >= ENOUGH * all as f64;
