--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -63,7 +63,10 @@
     pub fn last_served(&self) -> Option<Moment> {
         let inner = self.prefixes.last()?;
         let version = self.weights.map_or(0, |version| version.0);
-        self.fleet.lock().recall.last(inner.hash, self.seed, version)
+        self.fleet
+            .lock()
+            .recall
+            .last(inner.hash, self.seed, version)
     }
 
     /// Notes the load that the answer told.
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -86,8 +86,7 @@
         let near = |upstream: &Upstream| upstream.entry.domain == *wanted.domain;
         let (at, source) = match wanted.pick {
             Some(pick) => {
-                let version =
-                    |up: &Upstream| up.version(&pick.model).unwrap_or_default();
+                let version = |up: &Upstream| up.version(&pick.model).unwrap_or_default();
                 let long = fleet.for_long(wanted.service, wanted.store);
                 let views: Vec<engines::Engine> = open
                     .iter()
--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -13,8 +13,8 @@
 use crate::telemetry::events;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use sesamegap_policy::routing::engines::rank;
-use smol_str::SmolStr;
 use sesamegap_wire::Moment;
+use smol_str::SmolStr;
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -145,11 +145,7 @@
 }
 
 /// Takes in the next changes; the epoch and number to go on from.
-async fn step(
-    core: &Core,
-    addr: SocketAddr,
-    at: Option<(u64, u64)>,
-) -> Result<(u64, u64), String> {
+async fn step(core: &Core, addr: SocketAddr, at: Option<(u64, u64)>) -> Result<(u64, u64), String> {
     let Some((epoch, since)) = at else {
         let all = core.ports.engines.held(addr).await?;
         let mut fleet = core.fleet.lock();
@@ -176,6 +172,11 @@
         rank(1, hasher.finish())
     };
     let mine = hash(me);
-    let before = core.peers.alive().iter().filter(|vm| hash(vm) > mine).count();
+    let before = core
+        .peers
+        .alive()
+        .iter()
+        .filter(|vm| hash(vm) > mine)
+        .count();
     before < FOLLOWERS
 }
--- a/crates/sesamegap-entry/src/peers/message.rs
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -90,6 +90,11 @@
         core.adopt(&Arc::new(document), from);
     }
     for named in weights {
-        learn_weights(core, &named.weights, Duration::from_millis(named.age_ms), from);
+        learn_weights(
+            core,
+            &named.weights,
+            Duration::from_millis(named.age_ms),
+            from,
+        );
     }
 }
--- a/crates/sesamegap-entry/src/process.rs
+++ b/crates/sesamegap-entry/src/process.rs
@@ -99,7 +99,11 @@
             Ok(settings) => core.reload(settings),
             Err(error) => {
                 // What was read before stays in use.
-                warn!(event = events::RELOADED, error = format!("{error:#}"), "settings file not read");
+                warn!(
+                    event = events::RELOADED,
+                    error = format!("{error:#}"),
+                    "settings file not read"
+                );
             }
         }
     }
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -122,7 +122,9 @@
         let under_way = out.lock().unwrap_or_else(PoisonError::into_inner);
         let engines: Vec<_> = fleet.upstreams().filter(|up| up.is_engine()).collect();
         let catalogue = core.catalogue();
-        let store = catalogue.as_ref().and_then(|catalogue| catalogue.kv_store());
+        let store = catalogue
+            .as_ref()
+            .and_then(|catalogue| catalogue.kv_store());
         let store = store.map(|store| &store.domain);
         let mut views = Vec::new();
         let mut ids = Vec::new();
@@ -133,7 +135,11 @@
                 done: !behind.iter().any(|b| b.engine == engine.id),
                 out: under_way.contains(&engine.id),
                 long: long.contains(&engine.seed),
-                version: engine.entry.weights.first().map_or(0, |held| held.version.0),
+                version: engine
+                    .entry
+                    .weights
+                    .first()
+                    .map_or(0, |held| held.version.0),
                 running: fleet.running(engine, now),
                 suspect: engine.is_suspect(now),
             });
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -58,7 +58,7 @@
 const LONG_KEY: u64 = 0x6c6f_6e67;
 
 /// Cost of crossing over to engines of the other kind: one piece of a long prompt.
-const CROSS_MS: f64 = 500.0;
+const CROSS_MS: f64 = 250.0;
 
 /// One engine as this VM sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -195,7 +195,9 @@
     let own = || sound().filter(|no| engines[*no].long == prompt.is_long());
     let best = |prefix: u64| {
         let by_rank = |no: &usize| rank(prefix, engines[*no].seed);
-        own().max_by_key(by_rank).or_else(|| sound().max_by_key(by_rank))
+        own()
+            .max_by_key(by_rank)
+            .or_else(|| sound().max_by_key(by_rank))
     };
     let first = best(prompt.outer().hash)?;
     if recall.served(prompt.outer().hash, &engines[first]) {
