--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -46,6 +46,16 @@
         matches!(self, Self::Idempotent | Self::ResumableStream)
     }
 
+    /// A name for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::Once => "once",
+            Self::Stream => "stream",
+            Self::ResumableStream => "resumable_stream",
+        }
+    }
+
     /// Whether answers are streams of events.
     pub fn streams(self) -> bool {
         matches!(self, Self::Stream | Self::ResumableStream)
--- a/crates/sesamegap-entry/src/core.rs
+++ b/crates/sesamegap-entry/src/core.rs
@@ -6,7 +6,8 @@
 use crate::peers::Peers;
 use crate::ports::Ports;
 use crate::settings::Settings;
-use crate::telemetry::events;
+use crate::telemetry::metrics::Metrics;
+use crate::telemetry::{Logging, events};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::budget::Budget;
@@ -38,6 +39,10 @@
     pub fleet: SharedFleet,
     /// The other entry VMs.
     pub peers: Peers,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The log.
+    pub logging: Logging,
     /// Wakes the roll when weights were named.
     pub named: Notify,
     /// Requests being worked on.
@@ -52,12 +57,17 @@
 
 impl Core {
     /// Sets up a process that knows nothing yet.
-    pub fn new(settings: Settings, ports: Ports) -> Self {
+    ///
+    /// # Errors
+    /// If metrics cannot be set up.
+    pub fn new(settings: Settings, ports: Ports, logging: Logging) -> anyhow::Result<Self> {
         let rules = Rules {
             lapse: settings.spans.lapse,
             weights: settings.spans.weights,
         };
-        Self {
+        Ok(Self {
+            metrics: Metrics::new()?,
+            logging,
             fleet: SharedFleet::new(Fleet::new(rules)),
             peers: Peers::new(&settings),
             named: Notify::new(),
@@ -68,7 +78,7 @@
             phase: watch::channel(Phase::Serving).0,
             settings: ArcSwap::from_pointee(settings),
             ports,
-        }
+        })
     }
 
     /// Settings of the process.
--- a/crates/sesamegap-entry/src/intake/connection.rs
+++ b/crates/sesamegap-entry/src/intake/connection.rs
@@ -58,7 +58,10 @@
         served.as_mut().graceful_shutdown();
     }
     loop {
-        let due = activity.due(limits(&core));
+        let limits_now = limits(&core);
+        let due = activity.due(limits_now);
+        // A head may begin while this waits for an idle connection's end, and has less time.
+        let recheck = limits_now.head_time / 2;
         tokio::select! {
             // A caller that leaves ends the connection, and with it the request on it.
             ended = served.as_mut() => {
@@ -67,7 +70,7 @@
                 }
                 return;
             }
-            () = tokio::time::sleep(due.wait(RECHECK)) => {
+            () = tokio::time::sleep(due.wait(RECHECK).min(recheck)) => {
                 let due = activity.due(limits(&core));
                 if due.is_over() {
                     debug!(event = events::BOUND, bound = ?due, "connection closed");
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -58,6 +58,7 @@
         Ok(job) => relay::run(&core, job).await,
         Err(refused) => {
             let Refused { refusal, id } = refused;
+            core.metrics.refused(refusal.status().as_u16());
             info!(
                 event = events::REFUSED,
                 request = %id,
--- a/crates/sesamegap-entry/src/process.rs
+++ b/crates/sesamegap-entry/src/process.rs
@@ -8,7 +8,7 @@
 use crate::ports::Table;
 use crate::roll;
 use crate::settings::Settings;
-use crate::telemetry::events;
+use crate::telemetry::{self, events};
 use anyhow::Context;
 use poem::endpoint::BoxEndpoint;
 use poem::listener::TcpAcceptor;
@@ -66,6 +66,8 @@
     serve(listen.locator, doors.locator).await?;
     let peers = peers::endpoints(Arc::clone(&core)).into_endpoint();
     serve(listen.peers, peers).await?;
+    let operators = telemetry::endpoints::endpoints(Arc::clone(&core)).into_endpoint();
+    serve(listen.operators, operators).await?;
     info!(event = events::STARTED, vm = %core.settings().vm, domain = %core.settings().domain, callers = %listen.callers, "started");
     for table in [Table::Settings, Table::Fleet] {
         tokio::spawn(follow::follow(Arc::clone(&core), table));
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -146,9 +146,11 @@
     match &outcome {
         Outcome::Answered(_) => {}
         Outcome::NotRun(why) => {
+            core.metrics.attempt(why.name());
             info!(event = events::ATTEMPT, request = %job.asked.id, upstream = %id, why = ?why, "not run");
         }
         Outcome::Lost(why) => {
+            core.metrics.attempt("lost");
             warn!(event = events::ATTEMPT, request = %job.asked.id, upstream = %id, why, "no answer");
         }
     }
@@ -375,6 +377,16 @@
     kind != Kind::Idempotent && promises.contains(&status)
 }
 
+impl NotRun {
+    /// A name for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unreached => "unreached",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 impl fmt::Display for NotRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -8,7 +8,7 @@
 mod attempt;
 mod head;
 mod plain;
-mod sse;
+pub mod sse;
 mod story;
 mod stream;
 mod waiting;
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sesamegap_policy::routing::patience;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout_at;
 
@@ -27,8 +28,8 @@
 pub const COME_BACK: Duration = Duration::from_millis(400);
 
 /// Relays a plain request.
-pub async fn run(core: &Core, job: &Job) -> Response<Body> {
-    let mut story = Story::new(job.asked.id.clone(), job.route.name.clone(), job.arrived);
+pub async fn run(core: &Arc<Core>, job: &Job) -> Response<Body> {
+    let mut story = Story::new(core, job);
     let mut course = Course::new(job);
     let answer = answer(core, job, &mut course).await;
     let (response, why) = match answer {
--- a/crates/sesamegap-entry/src/relay/story.rs
+++ b/crates/sesamegap-entry/src/relay/story.rs
@@ -1,15 +1,21 @@
 //! The line that tells how a request ended.
 
+use super::Job;
+use crate::catalogue::Kind;
 use crate::clock;
+use crate::core::Core;
 use crate::telemetry::events;
 use smol_str::SmolStr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::info;
 
-/// Logs the end of a request when it is dropped.
+/// Logs and counts the end of a request when it is dropped.
 #[derive(Debug)]
 pub struct Story {
+    core: Arc<Core>,
+    kind: Kind,
     id: SmolStr,
     route: SmolStr,
     arrived: Instant,
@@ -21,11 +27,13 @@
 
 impl Story {
     /// A request that has not ended yet.
-    pub fn new(id: SmolStr, route: SmolStr, arrived: Instant) -> Self {
+    pub fn new(core: &Arc<Core>, job: &Job) -> Self {
         Self {
-            id,
-            route,
-            arrived,
+            core: Arc::clone(core),
+            kind: job.route.kind,
+            id: job.asked.id.clone(),
+            route: job.route.name.clone(),
+            arrived: job.arrived,
             runs: 0,
             first: None,
             status: None,
@@ -48,7 +56,9 @@
 
 impl Drop for Story {
     fn drop(&mut self) {
-        let took = clock::ms(self.arrived.elapsed());
+        let span = self.arrived.elapsed();
+        self.core.metrics.ended(self.kind, self.status, span, self.first);
+        let took = clock::ms(span);
         match self.status {
             Some(status) => info!(
                 event = events::ENDED,
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -63,7 +63,7 @@
 
 /// Relays a request for a stream.
 pub async fn run(core: Arc<Core>, job: Job) -> Response<Body> {
-    let mut story = Story::new(job.asked.id.clone(), job.route.name.clone(), job.arrived);
+    let mut story = Story::new(&core, &job);
     let course = Course::new(&job);
     let mut relay = Relay {
         core,
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -17,6 +17,8 @@
     pub peers: SocketAddr,
     /// Datagrams about loads; the port is the same on all VMs.
     pub loads: SocketAddr,
+    /// Operators that ask for metrics or a dump.
+    pub operators: SocketAddr,
     /// Callers that ask which address to use.
     pub locator: SocketAddr,
 }
--- a/crates/sesamegap-entry/src/telemetry/mod.rs
+++ b/crates/sesamegap-entry/src/telemetry/mod.rs
@@ -3,7 +3,9 @@
 //! Lines are JSON objects. They go through a bounded queue to a thread of their own; when the
 //! reader of the pipe stops, lines are dropped and counted rather than requests held up.
 
+pub mod endpoints;
 pub mod events;
+pub mod metrics;
 
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -14,8 +16,8 @@
 /// Keeps the log going; dropping it writes what is queued.
 #[derive(Debug)]
 pub struct Logging {
-    dropped: ErrorCounter,
-    _guard: WorkerGuard,
+    dropped: Option<ErrorCounter>,
+    _guard: Option<WorkerGuard>,
 }
 
 impl Logging {
@@ -37,13 +39,21 @@
         // A test may have set up its own log, which stays.
         drop(set);
         Self {
-            dropped,
-            _guard: guard,
+            dropped: Some(dropped),
+            _guard: Some(guard),
+        }
+    }
+
+    /// No log at all, for tests.
+    pub fn none() -> Self {
+        Self {
+            dropped: None,
+            _guard: None,
         }
     }
 
     /// Lines dropped so far.
     pub fn dropped(&self) -> usize {
-        self.dropped.dropped_lines()
+        self.dropped.as_ref().map_or(0, ErrorCounter::dropped_lines)
     }
 }
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/fleet.rs
@@ -0,0 +1,129 @@
+use crate::support::{entry, unused};
+use sesamegap_entry::fleet::{Change, Entry, Fleet, Rules};
+use sesamegap_entry::ports::Weights;
+use sesamegap_wire::{Moment, UpstreamId, WeightsVersion};
+use std::time::Duration;
+
+fn fleet() -> Fleet {
+    Fleet::new(Rules {
+        lapse: Duration::from_secs(2),
+        weights: Duration::from_secs(8),
+    })
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(ms * 1_000)
+}
+
+fn beat(number: u64) -> Entry {
+    Entry {
+        beat: number,
+        ..entry("engines", unused())
+    }
+}
+
+fn id(no: u32) -> UpstreamId {
+    format!("e{no}").parse().unwrap()
+}
+
+/// A worker has left, and a heartbeat that was held up arrives after its entry was removed. New
+/// work would go to a worker that is gone.
+#[test]
+fn a_late_heartbeat_does_not_bring_a_worker_back() {
+    let mut fleet = fleet();
+    assert_eq!(fleet.apply(&id(1), beat(5), at(0)), Change::New);
+    assert_eq!(fleet.remove(&id(1), at(10)), Change::Gone);
+    assert_eq!(fleet.apply(&id(1), beat(5), at(20)), Change::Same);
+    assert!(fleet.get(&id(1)).is_none());
+    assert_eq!(fleet.apply(&id(1), beat(6), at(30)), Change::New);
+}
+
+/// A worker says that it leaves, and an older heartbeat of it arrives afterwards.
+#[test]
+fn a_worker_that_leaves_stays_leaving() {
+    let mut fleet = fleet();
+    fleet.apply(&id(1), beat(1), at(0));
+    let mut leaving = beat(3);
+    leaving.leaving = true;
+    assert_eq!(fleet.apply(&id(1), leaving, at(10)), Change::Leaving);
+    fleet.apply(&id(1), beat(2), at(20));
+    fleet.apply(&id(1), beat(4), at(30));
+    assert!(fleet.get(&id(1)).is_some_and(|up| up.is_paused(at(40))));
+}
+
+/// The store was away, and entries lapsed because no heartbeat got through. Dropping all workers
+/// would refuse every caller although they all live.
+#[test]
+fn entries_that_lapsed_with_the_store_away_get_time_to_come_back() {
+    let mut fleet = fleet();
+    for no in 0..4 {
+        fleet.apply(&id(no), beat(1), at(0));
+    }
+    fleet.store(false, at(1_000));
+    fleet.store(true, at(6_000));
+    assert_eq!(fleet.remove(&id(0), at(6_010)), Change::Lapsed);
+    assert_eq!(fleet.remove(&id(1), at(6_020)), Change::Lapsed);
+    fleet.apply(&id(0), beat(2), at(7_000));
+    assert_eq!(fleet.expire(at(7_900)), Vec::<UpstreamId>::new());
+    assert_eq!(fleet.expire(at(8_100)), [id(1)], "what did not come back is gone");
+    assert!(fleet.get(&id(0)).is_some());
+}
+
+/// While the store cannot be read nobody can come back, so nothing may expire.
+#[test]
+fn nothing_expires_while_the_store_is_away() {
+    let mut fleet = fleet();
+    fleet.apply(&id(0), beat(1), at(0));
+    fleet.store(false, at(100));
+    assert_eq!(fleet.remove(&id(0), at(200)), Change::Lapsed);
+    assert_eq!(fleet.expire(at(60_000)), Vec::<UpstreamId>::new());
+    fleet.store(true, at(60_100));
+    assert_eq!(fleet.expire(at(60_200)), Vec::<UpstreamId>::new());
+    assert_eq!(fleet.expire(at(62_200)), [id(0)]);
+}
+
+/// An engine crashes and comes back with the weights that it had, which were overtaken long ago.
+/// Callers would get answers that nobody wants any more.
+#[test]
+fn weights_that_were_overtaken_long_ago_are_outdated() {
+    let mut fleet = fleet();
+    let named = |version| Weights {
+        model: "m".into(),
+        version: WeightsVersion(version),
+    };
+    assert!(fleet.name_weights(&named(2), at(0)));
+    assert!(fleet.name_weights(&named(3), at(4_000)));
+    assert!(!fleet.name_weights(&named(2), at(5_000)));
+    let outdated = |version, ms| fleet.is_outdated("m", WeightsVersion(version), at(ms));
+    assert!(!outdated(1, 5_000));
+    assert!(outdated(1, 7_000));
+    assert!(!outdated(2, 7_000));
+    assert!(outdated(2, 11_000));
+    assert!(!outdated(3, 99_000));
+}
+
+/// An answer tells of new weights before the next heartbeat, which still names the old ones.
+#[test]
+fn a_heartbeat_does_not_take_back_weights_that_were_seen() {
+    let mut fleet = fleet();
+    fleet.apply(&id(1), beat(1), at(0));
+    fleet.get_mut(&id(1)).unwrap().holds("m", WeightsVersion(4));
+    fleet.apply(&id(1), beat(2), at(10));
+    let held = fleet.get(&id(1)).and_then(|up| up.version("m"));
+    assert_eq!(held, Some(WeightsVersion(4)));
+}
+
+/// An upstream fails again and again. Trying it each time anew would hold up each of its requests.
+#[test]
+fn an_upstream_that_fails_is_avoided_for_longer_each_time() {
+    let mut fleet = fleet();
+    fleet.apply(&id(1), beat(1), at(0));
+    let upstream = fleet.get_mut(&id(1)).unwrap();
+    upstream.fail(at(0));
+    assert!(upstream.is_suspect(at(500)) && !upstream.is_suspect(at(700)));
+    upstream.fail(at(700));
+    upstream.fail(at(1_500));
+    assert!(upstream.is_suspect(at(3_000)));
+    upstream.hear(at(3_100));
+    assert!(!upstream.is_suspect(at(3_100)));
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the process of an entry VM, over loopback sockets and stand-ins behind its ports.
+#![expect(clippy::unwrap_used, reason = "a test ends where a helper cannot go on")]
+
+mod catalogue;
+mod fleet;
+mod once;
+mod pages;
+mod pass;
+mod peers;
+mod refusals;
+mod sse;
+mod stops;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/pages.rs
@@ -0,0 +1,24 @@
+use std::collections::BTreeMap;
+
+/// The numbers in the code and those in the page that operators read must be the same.
+#[test]
+fn every_event_is_in_the_catalogue() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let code = std::fs::read_to_string(format!("{root}/crates/sesamegap-entry/src/telemetry/events.rs"));
+    let page = std::fs::read_to_string(format!("{root}/docs/events.md")).unwrap();
+    let mut meaning = "";
+    let code = code.unwrap();
+    let mut numbers = BTreeMap::new();
+    for line in code.lines() {
+        if let Some(doc) = line.strip_prefix("/// ") {
+            meaning = doc;
+        } else if let Some((_, number)) = line.split_once(": u16 = ") {
+            numbers.insert(number.trim_end_matches(';').to_owned(), meaning.to_owned());
+        }
+    }
+    assert!(numbers.len() > 15, "{numbers:?}");
+    for (number, meaning) in &numbers {
+        let row = format!("| {number} | {meaning} |");
+        assert!(page.contains(&row), "docs/events.md lacks {row}");
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/peers.rs
@@ -0,0 +1,67 @@
+use crate::support::{Platform, document, settings};
+use poem::IntoEndpoint;
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use sesamegap_entry::catalogue::Revision;
+use sesamegap_entry::core::Core;
+use sesamegap_entry::peers;
+use sesamegap_entry::ports::Weights;
+use sesamegap_entry::telemetry::Logging;
+use sesamegap_wire::WeightsVersion;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An entry VM of which only the peers' side runs.
+async fn vm(name: &str, seeds: Vec<SocketAddr>) -> Arc<Core> {
+    let platform = Arc::new(Platform::default());
+    let core = Core::new(settings(name, seeds), platform.ports(), Logging::none());
+    let core = Arc::new(core.unwrap());
+    let addr = core.settings().listen.peers;
+    let listener = tokio::net::TcpListener::bind(addr).await.unwrap();
+    let acceptor = TcpAcceptor::from_tokio(listener).unwrap();
+    let endpoints = peers::endpoints(Arc::clone(&core)).into_endpoint();
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoints));
+    tokio::spawn(peers::rounds(Arc::clone(&core)));
+    core
+}
+
+async fn until(mut done: impl FnMut() -> bool) {
+    for _ in 0..2_000 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("it never came to pass");
+}
+
+/// The store turns some VMs away while the operator takes a key back. They would go on serving it
+/// unless those that the store answers pass the news on.
+#[tokio::test]
+async fn a_document_and_weights_reach_a_vm_that_the_store_turns_away() {
+    let one = vm("vm-1", Vec::new()).await;
+    let seed = one.settings().listen.peers;
+    let two = vm("vm-2", vec![seed]).await;
+    let three = vm("vm-3", vec![seed]).await;
+    until(|| two.peers.count() == 3 && three.peers.count() == 3).await;
+    two.adopt(&Arc::new(document(9)), "store");
+    let named = Weights {
+        model: "m".into(),
+        version: WeightsVersion(2),
+    };
+    two.fleet.lock().name_weights(&named, sesamegap_entry::clock::now());
+    until(|| one.revision() == Revision(9) && three.revision() == Revision(9)).await;
+    until(|| three.fleet.lock().newest("m") == Some(WeightsVersion(2))).await;
+}
+
+/// A VM says that it stops. Callers must not be sent to it any more.
+#[tokio::test]
+async fn a_peer_that_leaves_is_no_longer_named() {
+    let one = vm("vm-1", Vec::new()).await;
+    let two = vm("vm-2", vec![one.settings().listen.peers]).await;
+    until(|| one.peers.known().alive.len() == 1).await;
+    two.peers.leave();
+    peers::tell_all(&two).await;
+    until(|| one.peers.known().alive.is_empty()).await;
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/stops.rs
@@ -0,0 +1,68 @@
+use crate::support::{Act, Caller, Process, Upstream, ask};
+use sesamegap_entry::core::Phase;
+use sesamegap_entry::locator;
+use std::time::Duration;
+
+const PULL: &str = "GET /pull/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n\r\n";
+
+/// A process is told to stop while a request is at a worker and another connection is idle. The
+/// request must get its answer, and the idle connection must close between requests.
+#[tokio::test]
+async fn a_planned_stop_ends_requests_and_closes_idle_connections() {
+    let process = Process::new().await;
+    let slow = Act::After(Duration::from_millis(300), Box::new(Act::Answer(200, "late")));
+    let desk = Upstream::start(vec![Act::Answer(200, "ok"), slow]).await;
+    process.add("w1", "desk", desk.addr);
+    let mut idle = Caller::connect(process.callers).await;
+    idle.send(PULL).await;
+    assert_eq!(idle.answer().await.body, "ok");
+    let mut busy = Caller::connect(process.callers).await;
+    busy.send(PULL).await;
+    while desk.seen().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    process.core.enter(Phase::Leaving);
+    assert!(!process.core.is_ready());
+    process.core.enter(Phase::Closing);
+    assert!(idle.is_closed().await);
+    let answer = busy.answer().await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "late"));
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(busy.is_closed().await);
+}
+
+/// Callers that asked before the stop still come. They are served, on connections that close.
+#[tokio::test]
+async fn a_leaving_process_serves_and_asks_callers_to_go() {
+    let process = Process::new().await;
+    let desk = Upstream::start(vec![Act::Answer(200, "ok")]).await;
+    process.add("w1", "desk", desk.addr);
+    process.core.enter(Phase::Leaving);
+    let answer = ask(process.callers, "GET", "/pull/", "", "").await;
+    assert_eq!(answer.body, "ok");
+    assert_eq!(answer.header("connection"), Some("close"));
+}
+
+#[tokio::test]
+async fn the_locator_names_this_process_only_while_it_serves() {
+    let process = Process::new().await;
+    process.add("w1", "desk", crate::support::unused());
+    let (addrs, ttl) = locator::answer(&process.core);
+    assert_eq!(addrs, [process.core.settings().listen.callers]);
+    assert!(ttl > Duration::ZERO);
+    process.core.enter(Phase::Leaving);
+    assert_eq!(locator::answer(&process.core).0, []);
+}
+
+/// A caller sends half of a head and stops. It would hold a connection for ever.
+#[tokio::test]
+async fn a_head_that_does_not_end_is_given_up() {
+    let process = Process::empty().await;
+    let mut document = crate::support::document(1);
+    document.limits.head_time = Duration::from_millis(200);
+    document.limits.idle_time = Duration::from_secs(300);
+    process.core.adopt(&std::sync::Arc::new(document), "test");
+    let mut caller = Caller::connect(process.callers).await;
+    caller.send("GET /pull/ HTTP/1.1\r\nhost: desk").await;
+    assert!(caller.is_closed().await);
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/streams.rs
@@ -0,0 +1,165 @@
+use crate::support::{Act, Caller, Process, Upstream, ask};
+use std::time::Duration;
+
+const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
+
+fn events(range: std::ops::Range<u64>) -> String {
+    range.map(|id| format!("id: {id}\ndata: t{id}\n\n")).collect()
+}
+
+#[tokio::test]
+async fn events_go_to_the_caller_in_order() {
+    let process = Process::new().await;
+    let engine = Upstream::start(vec![Act::Events(1..6)]).await;
+    process.add("e1", "engines", engine.addr);
+    let answer = ask(process.callers, "POST", "/chat/", CHAT, "hello").await;
+    assert_eq!(answer.body, events(1..6));
+    assert!(answer.whole);
+    assert_eq!(answer.header("x-seal"), Some("s-r1"));
+    let seen = engine.seen();
+    assert!(seen[0].contains("x-space: w1"), "the namespace names the weights: {seen:?}");
+}
+
+/// An engine crashes in the middle of an event of a stream that may run only once. The caller
+/// must see that its answer is not whole.
+#[tokio::test]
+async fn a_stream_that_breaks_off_does_not_look_whole() {
+    let process = Process::new().await;
+    let one = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    let two = Upstream::start(vec![Act::Events(1..6)]).await;
+    process.add("e1", "engines", one.addr);
+    let answer = ask(process.callers, "POST", "/chat/", CHAT, "hello").await;
+    assert!(!answer.whole);
+    assert_eq!(answer.body, events(1..4), "no half event is passed on");
+    assert_eq!(two.seen().len(), 0);
+}
+
+/// An engine crashes in the middle of a stream that may go on elsewhere. The caller must see one
+/// stream, with no event missing and none twice.
+#[tokio::test]
+async fn a_resumable_stream_goes_on_at_another_engine() {
+    let process = Process::new().await;
+    let one = Upstream::start(vec![Act::CutEvents(1..4), Act::Events(4..9)]).await;
+    let two = Upstream::start(vec![Act::CutEvents(1..4), Act::Events(4..9)]).await;
+    process.add("e1", "engines", one.addr);
+    process.add("e2", "engines", two.addr);
+    // Whichever engine comes first breaks off; the other has not been asked yet, so it plays its
+    // first act too and breaks off once more, which ends the route's attempts.
+    let answer = ask(process.callers, "POST", "/review/", CHAT, "hello").await;
+    assert!(!answer.whole);
+    assert_eq!(answer.body, events(1..4), "events of a second start are not joined on");
+    let answer = ask(process.callers, "POST", "/review/", CHAT, "hello").await;
+    assert_eq!(answer.body, events(4..9));
+    let resumed = [one.seen(), two.seen()].concat();
+    let after = resumed.iter().filter(|request| request.contains("x-after: 3"));
+    assert_eq!(after.count(), 1, "{resumed:?}");
+}
+
+/// As above, with an engine that goes on where it is asked to.
+#[tokio::test]
+async fn a_resumed_stream_is_joined_without_a_seam() {
+    let process = Process::new().await;
+    let one = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    process.add("e1", "engines", one.addr);
+    let two = Upstream::start(vec![Act::Events(4..9)]).await;
+    let mut caller = Caller::connect(process.callers).await;
+    // The second engine joins once the first has the request.
+    let text = format!(
+        "POST /review/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
+    );
+    caller.send(&text).await;
+    while one.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    process.add("e2", "engines", two.addr);
+    let answer = caller.answer().await;
+    assert_eq!(answer.body, events(1..9));
+    assert!(answer.whole);
+    assert_eq!(answer.header("x-seal"), Some("s-r1"), "the head stays the first engine's");
+}
+
+/// An engine goes silent in the middle of a resumable stream without closing. Its caller would
+/// wait until it gives up.
+#[tokio::test]
+async fn a_silent_engine_is_left_for_another() {
+    let process = Process::new().await;
+    let stuck = Upstream::start(vec![Act::Stuck(1..3)]).await;
+    process.add("e1", "engines", stuck.addr);
+    let other = Upstream::start(vec![Act::Events(3..6)]).await;
+    let mut caller = Caller::connect(process.callers).await;
+    let text = format!(
+        "POST /review/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
+    );
+    caller.send(&text).await;
+    caller.until("t2").await;
+    process.add("e2", "engines", other.addr);
+    let answer = caller.answer().await;
+    assert_eq!(answer.body, events(1..6));
+    assert_eq!(stuck.closed(), 1, "the silent engine's connection is closed first");
+}
+
+/// A caller goes away in the middle of its stream. Its engine would go on working for nobody.
+#[tokio::test]
+async fn an_engine_is_left_when_its_caller_leaves() {
+    let process = Process::new().await;
+    let engine = Upstream::start(vec![Act::Stuck(1..3)]).await;
+    process.add("e1", "engines", engine.addr);
+    let mut caller = Caller::connect(process.callers).await;
+    let text = format!(
+        "POST /chat/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
+    );
+    caller.send(&text).await;
+    caller.until("t2").await;
+    drop(caller);
+    while engine.closed() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(process.core.active(), 0);
+}
+
+/// As above, before the engine has said anything.
+#[tokio::test]
+async fn an_engine_is_left_when_its_caller_leaves_before_the_first_event() {
+    let process = Process::new().await;
+    let engine = Upstream::start(vec![Act::Silent]).await;
+    process.add("e1", "engines", engine.addr);
+    let mut caller = Caller::connect(process.callers).await;
+    let text = format!(
+        "POST /chat/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
+    );
+    caller.send(&text).await;
+    while engine.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(caller);
+    while engine.closed() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A chat was given to an engine that broke off before its first event. It may run only once.
+#[tokio::test]
+async fn a_chat_that_may_have_run_is_not_repeated() {
+    let process = Process::new().await;
+    let one = Upstream::start(vec![Act::Close]).await;
+    let two = Upstream::start(vec![Act::Close]).await;
+    process.add("e1", "engines", one.addr);
+    process.add("e2", "engines", two.addr);
+    let answer = ask(process.callers, "POST", "/chat/", CHAT, "hello").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+}
+
+/// An engine that takes new weights says that it did not run the chat.
+#[tokio::test]
+async fn a_chat_that_was_not_run_goes_to_another_engine() {
+    let process = Process::new().await;
+    let full = Upstream::start(vec![Act::NotRun(503)]).await;
+    let good = Upstream::start(vec![Act::Events(1..3)]).await;
+    process.add("e1", "engines", full.addr);
+    process.add("e2", "engines", good.addr);
+    for _ in 0..4 {
+        let answer = ask(process.callers, "POST", "/chat/", CHAT, "hello").await;
+        assert_eq!(answer.body, events(1..3));
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/support/caller.rs
@@ -0,0 +1,143 @@
+//! A caller that sees each byte of its answer.
+
+use super::{HOST, KEY};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest wait of a test for anything; reached only when something is broken.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    /// The body with its framing undone.
+    pub body: String,
+    /// Whether the body ended as its head promised.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        let mut found = lines.filter(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value.trim())
+    }
+}
+
+/// An open connection of a caller.
+#[derive(Debug)]
+pub struct Caller {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Caller {
+    pub async fn connect(addr: SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(addr).await.unwrap(),
+            bytes: Vec::new(),
+        }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads until this text has come.
+    pub async fn until(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.bytes).contains(text) {
+            assert!(self.more().await, "closed before {text:?}");
+        }
+    }
+
+    /// Reads one answer.
+    pub async fn answer(&mut self) -> Answer {
+        loop {
+            if let Some((answer, used)) = parse(&self.bytes, false) {
+                self.bytes.drain(..used);
+                return answer;
+            }
+            if !self.more().await {
+                let parsed = parse(&self.bytes, true);
+                return parsed.expect("closed without an answer").0;
+            }
+        }
+    }
+
+    /// Whether the other end closes without sending more.
+    pub async fn is_closed(&mut self) -> bool {
+        !self.more().await
+    }
+
+    async fn more(&mut self) -> bool {
+        let mut chunk = [0; 4096];
+        let read = timeout(PATIENCE, self.stream.read(&mut chunk)).await;
+        let count = read.expect("an answer in time").unwrap_or(0);
+        self.bytes.extend_from_slice(&chunk[..count]);
+        count > 0
+    }
+}
+
+/// Sends a request on a connection of its own and reads the answer.
+pub async fn ask(addr: SocketAddr, method: &str, path: &str, more: &str, body: &str) -> Answer {
+    let mut caller = Caller::connect(addr).await;
+    caller.send(&request(method, path, more, body)).await;
+    caller.answer().await
+}
+
+/// A request's text, with the usual key and an id.
+pub fn request(method: &str, path: &str, more: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-id: r1\r\nauthorization: {KEY}\r\n{more}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// An answer and its length, once it is whole or the connection is closed.
+fn parse(bytes: &[u8], closed: bool) -> Option<(Answer, usize)> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut answer = Answer {
+        status,
+        head: head.to_owned(),
+        body: String::new(),
+        whole: false,
+    };
+    let start = head.len() + 4;
+    if answer.header("transfer-encoding").is_some() {
+        let (body, used, whole) = unchunk(rest);
+        answer.body = body;
+        answer.whole = whole;
+        return (whole || closed).then_some((answer, start + used));
+    }
+    let length: usize = answer.header("content-length")?.parse().ok()?;
+    answer.whole = rest.len() >= length;
+    answer.body = rest.chars().take(length).collect();
+    (answer.whole || closed).then_some((answer, start + length.min(rest.len())))
+}
+
+/// A chunked body undone: its content, what it took, and whether it has ended.
+fn unchunk(mut text: &str) -> (String, usize, bool) {
+    let all = text.len();
+    let mut body = String::new();
+    while let Some((size, rest)) = text.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            break;
+        };
+        if rest.len() < size + 2 {
+            break;
+        }
+        body.push_str(&rest[..size]);
+        text = &rest[size + 2..];
+        if size == 0 {
+            return (body, all - text.len(), true);
+        }
+    }
+    (body, all - text.len(), false)
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -0,0 +1,180 @@
+//! A process with stand-ins around it.
+
+mod caller;
+mod platform;
+mod upstream;
+
+pub use caller::{Caller, ask};
+pub use platform::Platform;
+pub use upstream::{Act, Upstream};
+
+use sesamegap_entry::catalogue::{
+    Document, EngineSpec, Kind, Limits, Revision, Route, Service, Target, Team,
+};
+use sesamegap_entry::core::Core;
+use sesamegap_entry::fleet::Entry;
+use sesamegap_entry::intake;
+use sesamegap_entry::ports::Weights;
+use sesamegap_entry::settings::{Listen, Settings, Spans};
+use sesamegap_entry::telemetry::Logging;
+use sesamegap_policy::routing::budget::Bound;
+use sesamegap_wire::{DomainId, Moment, ServiceId, WeightsVersion};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Host of all routes.
+pub const HOST: &str = "desk.example";
+
+/// Key of the team `clerks`.
+pub const KEY: &str = "clerks-key";
+
+/// A process that serves callers.
+#[derive(Debug)]
+pub struct Process {
+    pub core: Arc<Core>,
+    pub callers: SocketAddr,
+}
+
+/// An address with a port that nobody listens on, for what a test does not start.
+pub fn unused() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+pub fn settings(name: &str, seeds: Vec<SocketAddr>) -> Settings {
+    Settings {
+        vm: name.parse().unwrap(),
+        domain: "hall-a".parse().unwrap(),
+        region: "town".into(),
+        listen: Listen {
+            callers: unused(),
+            ready: unused(),
+            peers: unused(),
+            loads: unused(),
+            operators: unused(),
+            locator: unused(),
+        },
+        seeds,
+        regions: Vec::new(),
+        spans: Spans {
+            grace: Duration::from_secs(8),
+            answer_ttl: Duration::from_secs(5),
+            weights: Duration::from_secs(8),
+            lease: Duration::from_secs(3),
+            heartbeat: Duration::from_secs(3),
+            lapse: Duration::from_secs(2),
+        },
+        repeats: Bound {
+            ratio: 0.2,
+            slack: 54.0,
+            window: Duration::from_secs(10),
+        },
+        body_memory: 8 << 20,
+    }
+}
+
+impl Process {
+    /// Serves callers on a free port; knows neither settings nor upstreams yet.
+    pub async fn empty() -> Self {
+        let platform = Arc::new(Platform::default());
+        let core = Core::new(settings("vm-1", Vec::new()), platform.ports(), Logging::none());
+        let core = Arc::new(core.unwrap());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let callers = listener.local_addr().unwrap();
+        tokio::spawn(intake::serve(Arc::clone(&core), listener));
+        Self {
+            core,
+            callers,
+        }
+    }
+
+    /// Serves callers under the usual document.
+    pub async fn new() -> Self {
+        let process = Self::empty().await;
+        process.core.adopt(&Arc::new(document(1)), "test");
+        process
+    }
+
+    /// Adds an upstream to the fleet.
+    pub fn add(&self, id: &str, service: &str, addr: SocketAddr) {
+        let id = id.parse().unwrap();
+        self.core.fleet.lock().apply(&id, entry(service, addr), Moment(1));
+    }
+}
+
+pub fn entry(service: &str, addr: SocketAddr) -> Entry {
+    let is_engine = service == "engines";
+    let weights = is_engine.then(|| Weights {
+        model: "m".into(),
+        version: WeightsVersion(1),
+    });
+    Entry {
+        service: service.parse().unwrap(),
+        addr,
+        domain: DomainId::clone(&"hall-a".parse().unwrap()),
+        slots: 6,
+        leaving: false,
+        weights: weights.into_iter().collect(),
+        beat: 1,
+    }
+}
+
+/// Routes of each kind under paths of their names.
+pub fn document(revision: u64) -> Document {
+    let service = |name: &str, engine: Option<EngineSpec>| Service {
+        name: name.parse().unwrap(),
+        engine,
+    };
+    Document {
+        revision: Revision(revision),
+        routes: vec![
+            route("/pull/", Kind::Idempotent, "desk", 2),
+            route("/save/", Kind::Once, "desk", 1),
+            route("/chat/", Kind::Stream, "engines", 1),
+            route("/review/", Kind::ResumableStream, "engines", 2),
+        ],
+        services: vec![
+            service("desk", None),
+            service(
+                "engines",
+                Some(EngineSpec {
+                    slots: 8,
+                    memory: 80_000,
+                }),
+            ),
+        ],
+        kv_stores: Vec::new(),
+        limits: Limits {
+            head: 16 << 10,
+            body: 64 << 10,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(10),
+        },
+        teams: vec![Team {
+            name: "clerks".parse().unwrap(),
+            keys: vec![KEY.into()],
+            priority: None,
+            isolated: false,
+        }],
+    }
+}
+
+pub fn route(prefix: &str, kind: Kind, service: &str, attempts: u32) -> Route {
+    Route {
+        name: prefix.trim_matches('/').into(),
+        host: HOST.into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(6),
+        objective: Duration::from_millis(800),
+        attempts,
+        priority: 1,
+        targets: vec![Target {
+            service: ServiceId::clone(&service.parse().unwrap()),
+            weight: 100,
+        }],
+        public: false,
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -0,0 +1,186 @@
+//! An upstream that does what a test tells it, down to the bytes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What an upstream does with one request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Answers whole.
+    Answer(u16, &'static str),
+    /// Says that it did not run it.
+    NotRun(u16),
+    /// Answers with a status that promises not run, without saying so.
+    FalsePromise(u16),
+    /// Answers whole, but to another request.
+    OtherId,
+    /// Answers a success without a seal.
+    Unsealed,
+    /// Sends half of the body and closes.
+    Half,
+    /// Sends a whole answer without a length and closes.
+    NoLength(&'static str),
+    /// Sends bytes that are no answer.
+    Garbage,
+    /// Closes without an answer.
+    Close,
+    /// Never answers.
+    Silent,
+    /// Sends these events and ends.
+    Events(std::ops::Range<u64>),
+    /// Sends these events, half of one more, and closes.
+    CutEvents(std::ops::Range<u64>),
+    /// Sends these events and then nothing.
+    Stuck(std::ops::Range<u64>),
+    /// Waits, then does the other thing.
+    After(Duration, Box<Act>),
+}
+
+/// A listening upstream.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    pub addr: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    closed: Arc<Mutex<usize>>,
+}
+
+impl Upstream {
+    /// Plays the acts in turn, the last one for all further requests.
+    pub async fn start(acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = Self {
+            addr: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+            closed: Arc::default(),
+        };
+        let state = upstream.clone();
+        tokio::spawn(async move {
+            let mut acts = acts.into_iter().peekable();
+            while let Ok((stream, _)) = listener.accept().await {
+                let act = acts.next().unwrap();
+                if acts.peek().is_none() {
+                    acts = vec![act.clone()].into_iter().peekable();
+                }
+                tokio::spawn(state.clone().serve(stream, act));
+            }
+        });
+        upstream
+    }
+
+    /// Requests that reached it, as text.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Connections that the other end has closed.
+    pub fn closed(&self) -> usize {
+        *self.closed.lock().unwrap()
+    }
+
+    async fn serve(self, mut stream: TcpStream, act: Act) {
+        let Some(request) = read(&mut stream).await else {
+            return;
+        };
+        let id = header(&request, "x-id").unwrap_or_default();
+        self.seen.lock().unwrap().push(request);
+        self.act(&mut stream, &id, act).await;
+        // Waits for the other end, which must notice a cut and close a stuck connection.
+        let mut byte = [0; 16];
+        while !matches!(stream.read(&mut byte).await, Ok(0) | Err(_)) {}
+        *self.closed.lock().unwrap() += 1;
+    }
+
+    async fn act(&self, stream: &mut TcpStream, id: &str, act: Act) {
+        let head = |status: u16, extra: &str| {
+            format!("HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-seal: s-{id}\r\n{extra}\r\n")
+        };
+        let framed = |status: u16, body: &str| {
+            let length = format!("content-length: {}\r\n", body.len());
+            format!("{}{body}", head(status, &length))
+        };
+        let chunked = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        let (bytes, close) = match act {
+            Act::Answer(status, body) => (framed(status, body), false),
+            Act::NotRun(status) => (
+                format!("HTTP/1.1 {status} X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"),
+                false,
+            ),
+            Act::FalsePromise(status) => (framed(status, "busy"), false),
+            Act::OtherId => (
+                "HTTP/1.1 200 X\r\nx-id: other\r\nx-seal: s\r\ncontent-length: 2\r\n\r\nno".into(),
+                false,
+            ),
+            Act::Unsealed => (
+                format!("HTTP/1.1 200 X\r\nx-id: {id}\r\ncontent-length: 2\r\n\r\nno"),
+                false,
+            ),
+            Act::Half => (format!("{}half", head(200, "content-length: 8\r\n")), true),
+            Act::NoLength(body) => (format!("{}{body}", head(200, "")), true),
+            Act::Garbage => ("\u{1}\u{2} not an answer\r\n\r\n".into(), true),
+            Act::Close => (String::new(), true),
+            Act::Silent => return,
+            Act::Events(range) => (
+                format!("{}{}0\r\n\r\n", head(200, chunked), chunks(range)),
+                false,
+            ),
+            Act::CutEvents(range) => {
+                let half = "9\r\nid: 99\nda\r\n";
+                (format!("{}{}{half}", head(200, chunked), chunks(range)), true)
+            }
+            Act::Stuck(range) => (format!("{}{}", head(200, chunked), chunks(range)), false),
+            Act::After(pause, act) => {
+                tokio::time::sleep(pause).await;
+                return Box::pin(self.act(stream, id, *act)).await;
+            }
+        };
+        // A test may have ended by now.
+        drop(stream.write_all(bytes.as_bytes()).await);
+        if close {
+            drop(stream.shutdown().await);
+        }
+    }
+}
+
+/// Events as chunks of a body.
+fn chunks(range: std::ops::Range<u64>) -> String {
+    range
+        .map(|id| {
+            let event = format!("id: {id}\ndata: t{id}\n\n");
+            format!("{:x}\r\n{event}\r\n", event.len())
+        })
+        .collect()
+}
+
+/// Reads a request with its body.
+async fn read(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let count = stream.read(&mut chunk).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&chunk[..count]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = header(head, "content-length").and_then(|length| length.parse().ok());
+        if body.len() >= length.unwrap_or(0) {
+            return Some(text);
+        }
+    }
+}
+
+/// A header's value in a request's text.
+fn header(text: &str, name: &str) -> Option<String> {
+    let head = text.split("\r\n\r\n").next()?;
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines
+        .filter(|(known, _)| known.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_owned())
+        .next()
+}
--- /dev/null
+++ b/crates/sesamegap-policy/tests/agreement/cas_lease.rs
@@ -0,0 +1,182 @@
+use quickcheck::quickcheck;
+use sesamegap_policy::agreement::Holder;
+use sesamegap_policy::agreement::cas_lease::{CasLease, Claim, Step, Terms};
+use sesamegap_wire::{Fence, Incarnation, Moment, Offset};
+use std::time::Duration;
+
+const TERMS: Terms = Terms {
+    term: Duration::from_millis(1_500),
+    rest: Duration::from_millis(3_000),
+};
+
+fn holder(no: usize) -> Holder {
+    Holder {
+        vm: format!("vm-{no}").parse().expect("a name"),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(ms * 1_000)
+}
+
+/// The log, and processes that read it and append to it.
+struct World {
+    log: Vec<Claim>,
+    leases: Vec<CasLease>,
+    /// Orders as (time, process, fence).
+    orders: Vec<(u64, usize, Fence)>,
+}
+
+/// What happens to a process's append.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Answered,
+    LostAnswer,
+    LostCall,
+}
+
+impl World {
+    fn new(count: usize, terms: Terms) -> Self {
+        Self {
+            log: Vec::new(),
+            leases: (0..count).map(|no| CasLease::new(holder(no), terms)).collect(),
+            orders: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, no: usize, now: u64, fate: Fate) {
+        let end = Offset(self.log.len() as u64);
+        let lease = &mut self.leases[no];
+        match lease.step(at(now)) {
+            Step::Read(from) => {
+                let seen = &self.log[usize::try_from(from.0).expect("small")..];
+                lease.observe(seen, end, at(now));
+            }
+            Step::Append(claim, place) => {
+                let taken = place == end && fate != Fate::LostCall;
+                if taken {
+                    self.log.push(claim.clone());
+                }
+                if taken && fate == Fate::Answered {
+                    lease.appended(claim, place, at(now));
+                } else {
+                    lease.lose();
+                }
+            }
+            Step::Wait(_) => lease.doubt(),
+            Step::Hold => {
+                if let Some(fence) = lease.may_order(at(now)) {
+                    self.orders.push((now, no, fence));
+                }
+            }
+        }
+    }
+
+    /// Whether two processes ordered within the rest of each other, or under one number.
+    fn overlaps(&self) -> Option<String> {
+        for (time, no, fence) in &self.orders {
+            for (other_time, other, other_fence) in &self.orders {
+                let close = time.abs_diff(*other_time) < 3_000;
+                if no != other && (close || fence == other_fence) {
+                    return Some(format!("{no} at {time} and {other} at {other_time}"));
+                }
+            }
+        }
+        None
+    }
+}
+
+/// Two VMs see new weights at the same moment. Both would order the same engines.
+#[test]
+fn only_one_of_two_claims_succeeds() {
+    let mut world = World::new(2, TERMS);
+    for no in [0, 1] {
+        world.step(no, 0, Fate::Answered);
+    }
+    for no in [0, 1] {
+        world.step(no, 1, Fate::Answered);
+    }
+    let held: Vec<bool> = world.leases.iter().map(|l| l.may_order(at(2)).is_some()).collect();
+    assert_eq!(held, [true, false]);
+}
+
+/// A holder is suspended in the middle of a roll and wakes after another has taken over. An order
+/// of it would undo the other's on engines that check nothing.
+#[test]
+fn a_holder_that_slept_may_not_order() {
+    let mut world = World::new(2, TERMS);
+    world.step(0, 0, Fate::Answered);
+    world.step(0, 1, Fate::Answered);
+    assert!(world.leases[0].may_order(at(100)).is_some());
+    assert!(world.leases[0].may_order(at(1_600)).is_none());
+}
+
+/// The answer to a renewal is lost although the record lies in the log.
+#[test]
+fn a_lost_answer_costs_a_read_and_no_overlap() {
+    let mut world = World::new(1, TERMS);
+    world.step(0, 0, Fate::Answered);
+    world.step(0, 1, Fate::Answered);
+    world.step(0, 900, Fate::LostAnswer);
+    assert!(world.leases[0].may_order(at(901)).is_none());
+    world.step(0, 902, Fate::Answered);
+    world.step(0, 903, Fate::Answered);
+    assert!(world.leases[0].may_order(at(904)).is_some());
+}
+
+/// Runs random schedules; processes pause for as long as they like.
+fn run(steps: &[(u8, u16, u8)]) -> World {
+    let mut world = World::new(3, TERMS);
+    let mut now = 0;
+    for (no, pause, fate) in steps {
+        now += u64::from(*pause) % 1_200;
+        let fate = match fate % 6 {
+            0 => Fate::LostAnswer,
+            1 => Fate::LostCall,
+            _ => Fate::Answered,
+        };
+        world.step(usize::from(*no) % 3, now, fate);
+    }
+    world
+}
+
+quickcheck! {
+    fn orders_of_two_holders_never_come_close(steps: Vec<(u8, u16, u8)>) -> bool {
+        run(&steps).overlaps().is_none()
+    }
+
+    fn fencing_numbers_rise(steps: Vec<(u8, u16, u8)>) -> bool {
+        let world = run(&steps);
+        world.orders.windows(2).all(|pair| pair[0].2 <= pair[1].2)
+    }
+}
+
+/// The judge above must notice a lease without a rest, or it would prove nothing.
+#[test]
+fn the_judge_sees_holders_that_come_close() {
+    let mut world = World::new(2, TERMS);
+    world.orders = vec![(1_000, 0, Fence(1)), (2_000, 1, Fence(4))];
+    assert!(world.overlaps().is_some());
+    world.orders = vec![(1_000, 0, Fence(1)), (9_000, 1, Fence(1))];
+    assert!(world.overlaps().is_some());
+}
+
+/// A lease whose holders do not rest between each other, planted to see that the schedules above
+/// would find it.
+#[test]
+fn a_lease_without_a_rest_is_caught() {
+    let hasty = Terms {
+        rest: Duration::ZERO,
+        ..TERMS
+    };
+    let mut world = World::new(2, hasty);
+    for now in [0, 1, 2, 400] {
+        world.step(0, now, Fate::Answered);
+    }
+    world.step(1, 450, Fate::Answered);
+    for now in [2_000, 2_001, 2_002, 2_003] {
+        world.step(1, now, Fate::Answered);
+    }
+    assert!(world.overlaps().is_some(), "{:?}", world.orders);
+}
--- a/crates/sesamegap-policy/tests/agreement/main.rs
+++ b/crates/sesamegap-policy/tests/agreement/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the rules by which processes agree.
 
+mod cas_lease;
 mod claims;
 mod lease;
 mod membership;
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 )]
 mod placing;
 mod queue;
+mod routing;
 mod serving;
 mod shifting;
 mod support;
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
@@ -0,0 +1,192 @@
+use sesamegap_policy::routing::engines::{Divided, Engine, Prefix, Prompt, choose, for_long, rank};
+use sesamegap_policy::routing::recall::Recall;
+use sesamegap_wire::Moment;
+
+fn engines(count: u64) -> Vec<Engine> {
+    let divided: Vec<Divided> = (0..count)
+        .map(|seed| Divided { seed, by_store: seed % 3 == 0 })
+        .collect();
+    for_long(&divided)
+        .into_iter()
+        .zip(0..count)
+        .map(|(long, seed)| Engine {
+            seed,
+            near: false,
+            running: 0,
+            waiting: 0,
+            unread: 0,
+            version: 1,
+            suspect: false,
+            paused: false,
+            long,
+        })
+        .collect()
+}
+
+fn prompt(preamble: u64, dossier: u64, own: u64) -> Prompt {
+    Prompt {
+        prefixes: vec![
+            Prefix { hash: preamble, tokens: 2_500 },
+            Prefix { hash: preamble << 32 | dossier, tokens: 6_300 },
+        ],
+        tokens: 6_300 + own,
+    }
+}
+
+fn short(thing: u64) -> Prompt {
+    Prompt {
+        prefixes: vec![Prefix { hash: thing, tokens: 198 }],
+        tokens: 826,
+    }
+}
+
+fn serve(recall: &mut Recall, prompt: &Prompt, engine: &Engine) {
+    for prefix in &prompt.prefixes {
+        recall.note(prefix.hash, engine.seed, engine.version, Moment(0));
+    }
+}
+
+/// Two entry VMs have served different requests and never spoke. If they placed one dossier on
+/// two engines, its prefix would be computed twice.
+#[test]
+fn vms_agree_on_a_dossiers_engine_without_a_message() {
+    let fleet = engines(9);
+    let (mut one, mut two) = (Recall::default(), Recall::default());
+    for preamble in 0..4 {
+        for dossier in 0..30 {
+            let asked = prompt(preamble, dossier, 2_000);
+            for recall in [&mut one, &mut two] {
+                let first = choose(&asked, &fleet, 1, recall).expect("engines are open");
+                serve(recall, &asked, &fleet[first.at]);
+            }
+            let placed = |recall: &Recall| choose(&asked, &fleet, 1, recall).map(|c| c.at);
+            assert_eq!(placed(&one), placed(&two));
+        }
+    }
+}
+
+/// All caches are empty after new weights, and dossiers of one preamble arrive together. Each
+/// engine would compute the preamble for itself.
+#[test]
+fn the_first_dossier_of_a_preamble_goes_to_its_home_and_the_next_ones_fetch_from_there() {
+    let fleet = engines(9);
+    let mut recall = Recall::default();
+    let first = choose(&prompt(1, 0, 2_000), &fleet, 1, &recall).expect("engines are open");
+    let again = choose(&prompt(1, 1, 2_000), &fleet, 1, &recall).expect("engines are open");
+    assert_eq!(first.at, again.at, "both wait for the one computation");
+    serve(&mut recall, &prompt(1, 0, 2_000), &fleet[first.at]);
+    let mut spread = 0;
+    for dossier in 2..40 {
+        let choice = choose(&prompt(1, dossier, 2_000), &fleet, 1, &recall).expect("open");
+        if choice.at != first.at {
+            spread += 1;
+            assert_eq!(choice.source, Some(first.at), "the preamble is fetched");
+        }
+    }
+    assert!(spread > 20, "dossiers spread over homes of their own: {spread}");
+}
+
+/// Weights change on some engines. An entry made under other weights must never be fetched.
+#[test]
+fn nothing_is_fetched_from_other_weights() {
+    let mut fleet = engines(9);
+    let recall = Recall::default();
+    for (no, engine) in fleet.iter_mut().enumerate() {
+        engine.version = if no % 2 == 0 { 1 } else { 2 };
+    }
+    for dossier in 0..200 {
+        let choice = choose(&prompt(dossier % 4, dossier, 900), &fleet, 2, &recall).expect("open");
+        if let Some(source) = choice.source {
+            assert_eq!(fleet[source].version, fleet[choice.at].version);
+        }
+    }
+}
+
+/// A quarter of the traffic asks for one dossier. Its callers would wait in one queue while other
+/// engines are idle.
+#[test]
+fn a_hot_dossier_spills_over_and_fetches_from_its_home() {
+    let mut fleet = engines(9);
+    let mut recall = Recall::default();
+    let hot = prompt(1, 7, 2_000);
+    let home = choose(&hot, &fleet, 1, &recall).expect("open").at;
+    serve(&mut recall, &hot, &fleet[home]);
+    let settled = choose(&hot, &fleet, 1, &recall).expect("open").at;
+    serve(&mut recall, &hot, &fleet[settled]);
+    fleet[settled].unread = 40_000;
+    let spilled = choose(&hot, &fleet, 1, &recall).expect("open");
+    assert_ne!(spilled.at, settled);
+    let inner = hot.prefixes[1].hash;
+    let holds = recall.served(inner, &fleet[spilled.at]);
+    let fetches = spilled.source.is_some_and(|source| recall.served(inner, &fleet[source]));
+    assert!(holds || fetches, "{spilled:?}");
+}
+
+/// Long reviews and short chats come together at full load. A chat on an engine that reads long
+/// prompts gets its tokens in jerks, and its memory is missing for cached prefixes.
+#[test]
+fn long_and_short_prompts_have_engines_of_their_own_until_one_kind_queues() {
+    let mut fleet = engines(9);
+    let recall = Recall::default();
+    for thing in 0..100 {
+        let chat = choose(&short(thing), &fleet, 1, &recall).expect("open");
+        assert!(!fleet[chat.at].long);
+        let review = choose(&prompt(thing % 4, thing, 3_000), &fleet, 1, &recall).expect("open");
+        assert!(fleet[review.at].long);
+    }
+    for engine in &mut fleet {
+        engine.unread = if engine.long { 60_000 } else { 0 };
+    }
+    let review = choose(&prompt(1, 1, 3_000), &fleet, 1, &recall).expect("open");
+    assert!(!fleet[review.at].long, "two seconds of queue are worse than a stranger's engine");
+}
+
+#[test]
+fn engines_beside_the_store_take_the_long_prompts() {
+    let divided: Vec<Divided> = (0..9)
+        .map(|seed| Divided { seed, by_store: seed < 3 })
+        .collect();
+    let long = for_long(&divided);
+    assert!(long[..3].iter().all(|long| *long), "{long:?}");
+    assert_eq!(long.iter().filter(|long| **long).count(), 5);
+}
+
+/// An engine goes dark. Callers would wait for a connection that never opens.
+#[test]
+fn a_suspect_or_paused_engine_gets_nothing_while_others_are_open() {
+    let mut fleet = engines(6);
+    let recall = Recall::default();
+    fleet[0].suspect = true;
+    fleet[1].paused = true;
+    for thing in 0..200 {
+        let choice = choose(&short(thing), &fleet, 1, &recall).expect("open");
+        assert!(choice.at > 1, "{choice:?}");
+        assert!(choice.source.is_none_or(|source| source > 1), "{choice:?}");
+    }
+    for engine in &mut fleet {
+        engine.paused = true;
+    }
+    assert_eq!(choose(&short(1), &fleet, 1, &recall), None);
+}
+
+#[test]
+fn homes_spread_evenly() {
+    let mut counts = [0_u32; 9];
+    for prefix in 0..9_000_u64 {
+        let best = (0..9).max_by_key(|seed| rank(prefix, *seed)).unwrap_or(0);
+        counts[usize::try_from(best).expect("nine engines")] += 1;
+    }
+    assert!(counts.iter().all(|count| (850..1_150).contains(count)), "{counts:?}");
+}
+
+/// A VM has seen more prefixes than it may remember.
+#[test]
+fn recall_is_bounded_and_keeps_the_newest() {
+    let mut recall = Recall::default();
+    let engine = engines(1)[0];
+    for prefix in 0..100_000 {
+        recall.note(prefix, engine.seed, engine.version, Moment(prefix));
+    }
+    assert!(recall.served(99_999, &engine));
+    assert!(!recall.served(1, &engine));
+}
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -0,0 +1,6 @@
+//! Decisions of an entry VM that knows only its own traffic.
+
+mod budget;
+mod engines;
+mod plain;
+mod rolls;
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
@@ -0,0 +1,68 @@
+use sesamegap_policy::routing::rolls::{Engine, drain, next};
+use std::time::Duration;
+
+fn engine(version: u32, running: u32) -> Engine {
+    Engine {
+        done: false,
+        out: false,
+        version,
+        long: running.is_multiple_of(2),
+        running,
+        suspect: false,
+    }
+}
+
+/// Weights are named under load. With all engines out at once every caller would wait.
+#[test]
+fn some_engines_go_on_serving() {
+    for count in 1..40 {
+        let engines: Vec<Engine> = (0..count).map(|no| engine(1, no)).collect();
+        let due = next(&engines);
+        assert!(!due.is_empty());
+        assert!(count == 1 || due.len() < engines.len(), "{count}: {due:?}");
+    }
+}
+
+/// An engine comes back from a crash with weights that were overtaken twice. Requests may soon
+/// not begin there at all, while the others have time.
+#[test]
+fn the_oldest_weights_go_first() {
+    let engines = [engine(2, 0), engine(2, 2), engine(1, 8), engine(2, 4)];
+    assert_eq!(next(&engines).first(), Some(&2));
+}
+
+/// The emptiest engines are all of one kind. Taking just these would leave long prompts with none.
+#[test]
+fn both_kinds_keep_engines() {
+    let engines: Vec<Engine> = (0..10)
+        .map(|no| Engine { long: no < 5, ..engine(1, no) })
+        .collect();
+    let due = next(&engines);
+    let long = due.iter().filter(|no| engines[**no].long).count();
+    assert!(long < 5 && due.len() - long < 5, "{due:?}");
+}
+
+#[test]
+fn engines_that_are_out_count() {
+    let mut engines: Vec<Engine> = (0..9).map(|no| engine(1, no)).collect();
+    let first = next(&engines);
+    for no in &first {
+        engines[*no].out = true;
+    }
+    assert_eq!(next(&engines), Vec::<usize>::new());
+}
+
+/// Streams last longer than a roll may take. Waiting for each would leave requests on weights
+/// from before the bound.
+#[test]
+fn a_drain_ends_before_the_bound() {
+    for ms in (0..10_000).step_by(100) {
+        let since = Duration::from_millis(ms);
+        for done in 0..=9 {
+            let longest = drain(done, 9, since);
+            let end = since + longest;
+            assert!(longest.is_zero() || end <= Duration::from_secs(6), "{end:?}");
+        }
+    }
+    assert!(drain(5, 9, Duration::ZERO) > drain(0, 9, Duration::ZERO));
+}
