--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -26,11 +26,11 @@
 
 /// How long a removed entry's last heartbeat is remembered, so that a late one does not bring the
 /// upstream back; longer than any heartbeat is held up.
-const TOMBSTONE: Duration = Duration::from_secs(60);
+const TOMBSTONE: Duration = Duration::from_mins(1);
 
 /// Time after a naming for which old weights are as good as new ones to callers, less the time that
 /// a request may wait before it begins.
-const SETTLING: Duration = Duration::from_millis(1_000);
+const SETTLING: Duration = Duration::from_secs(1);
 
 /// Spans that decide about lapsed entries.
 #[derive(Debug, Clone, Copy)]
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -3,6 +3,7 @@
 use super::Change;
 use crate::peers::Held;
 use crate::ports::{Load, Weights};
+use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -185,6 +186,17 @@
         self.entry.leaving || now < self.paused
     }
 
+    /// Whether it takes work.
+    pub fn openness(&self, now: Moment) -> Openness {
+        if self.is_paused(now) {
+            Openness::Paused
+        } else if self.is_suspect(now) {
+            Openness::Suspect
+        } else {
+            Openness::Open
+        }
+    }
+
     /// What this VM has there.
     pub fn held(&self) -> Option<Held> {
         (self.running > 0).then_some(Held {
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -2,7 +2,7 @@
 
 use super::{Fleet, Flight, SharedFleet, Upstream};
 use crate::peers::STORE;
-use sesamegap_policy::routing::{engines, plain};
+use sesamegap_policy::routing::{Openness, engines, plain};
 use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
 use smol_str::SmolStr;
 
@@ -97,10 +97,12 @@
                         waiting: upstream.waiting_now(now),
                         unread: fleet.unread(upstream),
                         version: version(upstream).0,
-                        suspect: upstream.is_suspect(now),
                         long: long.contains(&upstream.seed),
-                        paused: upstream.is_paused(now)
-                            || fleet.is_outdated(&pick.model, version(upstream), now),
+                        state: if fleet.is_outdated(&pick.model, version(upstream), now) {
+                            Openness::Paused
+                        } else {
+                            upstream.openness(now)
+                        },
                     })
                     .collect();
                 let newest = fleet.wanted(&pick.model, now).0;
@@ -150,8 +152,7 @@
             slots: upstream.entry.slots,
             slowness: upstream.pace.map_or(1.0, |pace| pace / fastest),
             faults: upstream.faults,
-            suspect: upstream.is_suspect(now),
-            paused: upstream.is_paused(now),
+            state: upstream.openness(now),
         })
         .collect();
     plain::choose(&views, wanted.spread)
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -135,7 +135,7 @@
         uri: head.uri,
         headers: head.headers,
         body: body.bytes,
-        _room: body.room,
+        room: body.room,
         arrived,
         ends,
     })
--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -24,7 +24,7 @@
 use tracing::{info, warn};
 
 /// How long the store may wait with an answer; it takes no more.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(500);
--- a/crates/sesamegap-entry/src/peers/loads.rs
+++ b/crates/sesamegap-entry/src/peers/loads.rs
@@ -7,6 +7,7 @@
 
 use crate::clock;
 use crate::core::{Core, Phase};
+use crate::fleet::Upstream;
 use crate::telemetry::events;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -29,7 +30,7 @@
 const FANOUT: usize = 8;
 
 /// How long a peer's word counts while all peers are told in each tick.
-const COUNTS: Duration = Duration::from_millis(1_000);
+const COUNTS: Duration = Duration::from_secs(1);
 
 /// Bytes of a datagram at most; some hundred upstreams fit.
 const LONGEST: usize = 1_400;
@@ -134,7 +135,7 @@
         running: 0,
         unread: moving,
     });
-    let upstreams = fleet.upstreams().filter_map(|up| up.held());
+    let upstreams = fleet.upstreams().filter_map(Upstream::held);
     upstreams.chain(store).collect()
 }
 
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -343,9 +343,10 @@
 /// Cache entries are found only under the weights that made them and, for isolated teams, the team.
 fn namespace(weights: Option<WeightsVersion>, team: Option<&str>) -> SmolStr {
     let version = weights.unwrap_or_default();
-    match team {
-        Some(team) => format_smolstr!("w{version}.{team}"),
-        None => format_smolstr!("w{version}"),
+    if let Some(team) = team {
+        format_smolstr!("w{version}.{team}")
+    } else {
+        format_smolstr!("w{version}")
     }
 }
 
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -48,8 +48,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
-    /// Room that its body takes.
-    pub _room: Option<OwnedSemaphorePermit>,
+    /// Room that its body takes, given back with the request.
+    pub room: Option<OwnedSemaphorePermit>,
     /// When it came.
     pub arrived: Instant,
     /// When its caller or its route gives up.
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -56,7 +56,7 @@
             patience::plain(job.route.objective)
         };
         let (id, outcome) = send(core, job, flight, time, None).await;
-        let lost = match outcome {
+        let may_have_run = match outcome {
             Outcome::Answered(answered) => match whole(job, *answered).await {
                 Some(response) if !worth_another(&response) => return Ok(response),
                 Some(response) => {
@@ -73,7 +73,7 @@
             }
             Outcome::Lost(_) => true,
         };
-        if lost && !course.after_run(core, job, id) {
+        if may_have_run && !course.after_run(core, job, id) {
             let ended = job.left().is_zero();
             let refusal = if ended {
                 Refusal::Timeout
--- a/crates/sesamegap-entry/src/relay/story.rs
+++ b/crates/sesamegap-entry/src/relay/story.rs
@@ -61,25 +61,26 @@
             .metrics
             .ended(self.kind, self.status, span, self.first);
         let took = clock::ms(span);
-        match self.status {
-            Some(status) => info!(
-                event = events::ENDED,
-                request = %self.id,
-                route = %self.route,
-                status,
-                runs = self.runs,
-                first_ms = self.first.map(|span| clock::ms(span)),
-                took_ms = took,
-                why = %self.why,
-                "ended"
-            ),
-            None => info!(
+        let Some(status) = self.status else {
+            info!(
                 event = events::LEFT,
                 request = %self.id,
                 route = %self.route,
                 took_ms = took,
                 "caller left"
-            ),
-        }
+            );
+            return;
+        };
+        info!(
+            event = events::ENDED,
+            request = %self.id,
+            route = %self.route,
+            status,
+            runs = self.runs,
+            first_ms = self.first.map(clock::ms),
+            took_ms = took,
+            why = %self.why,
+            "ended"
+        );
     }
 }
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -266,7 +266,7 @@
                 }
                 Ok(None) => return Ok(None),
                 Err(_) if Instant::now() >= self.job.ends => return Err("time is over".to_owned()),
-                Err(_) if self.is_heard(live, since) => {
+                Err(_) if Self::is_heard(live, since) => {
                     if Instant::now() < self.silent_until(live, since) {
                         continue;
                     }
@@ -295,13 +295,13 @@
         if !self.may_move() {
             return self.job.ends;
         }
-        let heard = self.is_heard(live, since);
+        let heard = Self::is_heard(live, since);
         let borne = patience::stream(live.started, heard);
         self.job.ends.min(since + borne)
     }
 
     /// Whether the upstream was heard on another connection since.
-    fn is_heard(&self, live: &Live, since: Instant) -> bool {
+    fn is_heard(live: &Live, since: Instant) -> bool {
         let silent = clock::now().since(live.flight.last_heard());
         silent + Duration::from_millis(1) < since.elapsed()
     }
--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -16,7 +16,7 @@
 
 /// Time for which an engine is named as out; said again while it drains, so that engines of a VM
 /// that dies in a roll take work again by themselves.
-const OUT: Duration = Duration::from_millis(3_000);
+const OUT: Duration = Duration::from_secs(3);
 
 /// How often a draining engine is looked at.
 const LOOK: Duration = Duration::from_millis(50);
@@ -28,7 +28,7 @@
 const ASK: Duration = Duration::from_millis(120);
 
 /// Longest wait for one load.
-const LONGEST: Duration = Duration::from_millis(4_000);
+const LONGEST: Duration = Duration::from_secs(4);
 
 /// Tries to order one engine in one go.
 const TRIES: u32 = 3;
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -24,7 +24,7 @@
 const STEP: Duration = Duration::from_millis(40);
 
 /// How often it is looked whether there is anything to roll; naming wakes it at once.
-const IDLE: Duration = Duration::from_millis(1_000);
+const IDLE: Duration = Duration::from_secs(1);
 
 /// How much longer the next VM in line waits before it takes over a roll that does not move; a
 /// live holder orders its first engine much sooner.
@@ -132,8 +132,13 @@
             let long = fleet.for_long(&engine.entry.service, store);
             ids.push(engine.id.clone());
             views.push(rolls::Engine {
-                done: !behind.iter().any(|b| b.engine == engine.id),
-                out: under_way.contains(&engine.id),
+                stage: if under_way.contains(&engine.id) {
+                    rolls::Stage::Out
+                } else if behind.iter().any(|b| b.engine == engine.id) {
+                    rolls::Stage::Old
+                } else {
+                    rolls::Stage::Done
+                },
                 long: long.contains(&engine.seed),
                 version: engine
                     .entry
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -20,7 +20,7 @@
 }
 
 #[handler]
-fn metrics(core: Data<&Arc<Core>>) -> poem::Result<String> {
+fn metrics(Data(core): Data<&Arc<Core>>) -> poem::Result<String> {
     let levels = Levels {
         active: core.active(),
         revision: core.revision().0,
@@ -52,8 +52,7 @@
     service: SmolStr,
     leaving: bool,
     lapsed: bool,
-    suspect: bool,
-    paused: bool,
+    state: SmolStr,
     running: u32,
     unread: u64,
     heard_ms_ago: u64,
@@ -61,7 +60,7 @@
 }
 
 #[handler]
-fn dump(core: Data<&Arc<Core>>) -> Json<Dump> {
+fn dump(Data(core): Data<&Arc<Core>>) -> Json<Dump> {
     let now = clock::now();
     let fleet = core.fleet.lock();
     let upstreams = fleet.upstreams().map(|up| UpstreamDump {
@@ -70,8 +69,7 @@
         service: up.entry.service.to_smolstr(),
         leaving: up.entry.leaving,
         lapsed: up.lapsed.is_some(),
-        suspect: up.is_suspect(now),
-        paused: up.is_paused(now),
+        state: smol_str::format_smolstr!("{:?}", up.openness(now)),
         running: fleet.running(up, now),
         unread: fleet.unread(up),
         heard_ms_ago: clock::ms(now.since(up.heard)),
--- a/crates/sesamegap-entry/tests/testsuite/stops.rs
+++ b/crates/sesamegap-entry/tests/testsuite/stops.rs
@@ -64,7 +64,7 @@
     let process = Process::empty().await;
     let mut document = crate::support::document(1);
     document.limits.head_time = Duration::from_millis(200);
-    document.limits.idle_time = Duration::from_secs(300);
+    document.limits.idle_time = Duration::from_mins(5);
     process.core.adopt(&std::sync::Arc::new(document), "test");
     let mut caller = Caller::connect(process.callers).await;
     caller.send("GET /pull/ HTTP/1.1\r\nhost: desk").await;
--- a/crates/sesamegap-entry/tests/testsuite/streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/streams.rs
@@ -4,9 +4,10 @@
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
 
 fn events(range: std::ops::Range<u64>) -> String {
-    range
+    let events: Vec<String> = range
         .map(|id| format!("id: {id}\ndata: t{id}\n\n"))
-        .collect()
+        .collect();
+    events.concat()
 }
 
 #[tokio::test]
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -149,12 +149,13 @@
 
 /// Events as chunks of a body.
 fn chunks(range: std::ops::Range<u64>) -> String {
-    range
+    let chunks: Vec<String> = range
         .map(|id| {
             let event = format!("id: {id}\ndata: t{id}\n\n");
             format!("{:x}\r\n{event}\r\n", event.len())
         })
-        .collect()
+        .collect();
+    chunks.concat()
 }
 
 /// Reads a request with its body.
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -19,6 +19,7 @@
 //! queues behind one engine. An engine further down the ranking is taken when its wait is shorter
 //! by more than fetching the prefix costs.
 
+use super::Openness;
 use super::recall::Recall;
 use std::time::Duration;
 
@@ -51,8 +52,8 @@
 /// Prompts from this many tokens on are long; the shared preambles of long ones alone are more.
 const LONG: u64 = 3_000;
 
-/// Part of the engines that long prompts have: their reading takes about half of a full load.
-const LONG_PART: f64 = 0.55;
+/// Percentage of the engines that long prompts have: their reading takes about half of a full load.
+const LONG_PART: usize = 55;
 
 /// Key under which engines are ranked for the long prompts.
 const LONG_KEY: u64 = 0x6c6f_6e67;
@@ -75,10 +76,8 @@
     pub unread: u64,
     /// Version of its weights.
     pub version: u32,
-    /// Whether it lately failed to answer.
-    pub suspect: bool,
-    /// Whether it is about to take new weights or to leave.
-    pub paused: bool,
+    /// Whether it takes work.
+    pub state: Openness,
     /// Whether long prompts have it.
     pub long: bool,
 }
@@ -115,7 +114,7 @@
 /// Those beside the store of kept cache come first: transfers between failure domains take twice as
 /// long, and nearly all tokens that are transferred are those of long prompts.
 pub fn for_long(engines: &[Divided]) -> Vec<bool> {
-    let count = (engines.len() as f64 * LONG_PART).round() as usize;
+    let count = (engines.len() * LONG_PART + 50) / 100;
     let mut order: Vec<usize> = (0..engines.len()).collect();
     order.sort_by_key(|no| {
         let engine = &engines[*no];
@@ -166,9 +165,9 @@
 /// Picks the engine with the least time to a first token, `newest` being the weights wanted.
 pub fn choose(prompt: &Prompt, engines: &[Engine], newest: u32, recall: &Recall) -> Option<Choice> {
     let fresh = |no: &usize| engines[*no].version >= newest;
-    let open = || (0..engines.len()).filter(|no| !engines[*no].paused);
-    let new_home = home(prompt, engines, open().filter(fresh), recall);
-    let old_home = home(prompt, engines, open().filter(|no| !fresh(no)), recall);
+    let open = || (0..engines.len()).filter(|no| engines[*no].state != Openness::Paused);
+    let new_home = home(prompt, engines, &open().filter(fresh), recall);
+    let old_home = home(prompt, engines, &open().filter(|no| !fresh(no)), recall);
     let costed = open().map(|no| {
         let is_home = Some(no) == new_home || Some(no) == old_home;
         (cost(prompt, &engines[no], is_home, fresh(&no)), no)
@@ -188,10 +187,14 @@
 fn home(
     prompt: &Prompt,
     engines: &[Engine],
-    group: impl Iterator<Item = usize> + Clone,
+    group: &(impl Iterator<Item = usize> + Clone),
     recall: &Recall,
 ) -> Option<usize> {
-    let sound = || group.clone().filter(|no| !engines[*no].suspect);
+    let sound = || {
+        group
+            .clone()
+            .filter(|no| engines[*no].state == Openness::Open)
+    };
     let own = || sound().filter(|no| engines[*no].long == prompt.is_long());
     let best = |prefix: u64| {
         let by_rank = |no: &usize| rank(prefix, engines[*no].seed);
@@ -212,7 +215,7 @@
 fn source(prompt: &Prompt, engines: &[Engine], at: usize, recall: &Recall) -> Option<usize> {
     let usable = |no: &usize| {
         let engine = &engines[*no];
-        *no != at && !engine.suspect && !engine.paused && engine.version == engines[at].version
+        *no != at && engine.state == Openness::Open && engine.version == engines[at].version
     };
     let others = || (0..engines.len()).filter(usable);
     let seen = prompt.prefixes.iter().rev().find_map(|prefix| {
@@ -245,7 +248,11 @@
     };
     let far = if engine.near { 0.0 } else { FAR_MS };
     let old = if fresh { 0.0 } else { OLD_MS };
-    let suspect = if engine.suspect { SUSPECT_MS } else { 0.0 };
+    let suspect = if engine.state == Openness::Suspect {
+        SUSPECT_MS
+    } else {
+        0.0
+    };
     queue + load + fetch + cross + far + old + suspect
 }
 
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -11,3 +11,14 @@
 pub mod plain;
 pub mod recall;
 pub mod rolls;
+
+/// Whether an upstream takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Openness {
+    /// It does, as far as is known.
+    Open,
+    /// It lately failed to answer.
+    Suspect,
+    /// Nothing new may go there: it leaves, or takes new weights.
+    Paused,
+}
--- a/crates/sesamegap-policy/src/routing/patience.rs
+++ b/crates/sesamegap-policy/src/routing/patience.rs
@@ -18,7 +18,7 @@
 pub const NEXT_EVENT: Duration = Duration::from_millis(900);
 
 /// Longest silence between events while the engine is heard on other connections.
-pub const NEXT_EVENT_BUSY: Duration = Duration::from_millis(2_000);
+pub const NEXT_EVENT_BUSY: Duration = Duration::from_secs(2);
 
 /// How many times its objective a plain request waits before it is repeated elsewhere.
 const PLAIN_OBJECTIVES: f64 = 2.5;
--- a/crates/sesamegap-policy/src/routing/rolls.rs
+++ b/crates/sesamegap-policy/src/routing/rolls.rs
@@ -11,31 +11,40 @@
 
 use std::time::Duration;
 
-/// Part of a model's engines that may be out at once: the rest carries the load, of which each
+/// Percentage of a model's engines that may be out at once: the rest carries the load, of which each
 /// engine has half to spare at its busiest.
-const AT_ONCE: f64 = 0.56;
+const AT_ONCE: usize = 56;
 
 /// How long engines of the first round drain: answers on old weights lose value from 1.5 s after
 /// a naming, and a load takes half a second.
-const FIRST_DRAIN: Duration = Duration::from_millis(1_000);
+const FIRST_DRAIN: Duration = Duration::from_secs(1);
 
 /// How long engines drain once enough others are new: streams of 99 of 100 callers end within it.
-const LATER_DRAIN: Duration = Duration::from_millis(5_000);
+const LATER_DRAIN: Duration = Duration::from_secs(5);
 
-/// Part of the engines that is enough for all that begins.
-const ENOUGH: f64 = 0.4;
+/// Percentage of the engines that is enough for all that begins.
+const ENOUGH: usize = 40;
 
 /// Time from the naming after which no drain is waited out any more: no request may begin on old
 /// weights eight seconds after, and a load and its confirmation take one.
-const LATEST: Duration = Duration::from_millis(6_000);
+const LATEST: Duration = Duration::from_secs(6);
+
+/// How far an engine is in a roll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It has older weights, and takes work.
+    Old,
+    /// It drains or loads.
+    Out,
+    /// It has the newest weights.
+    Done,
+}
 
 /// An engine as the roll sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Engine {
-    /// Whether it already has the newest weights.
-    pub done: bool,
-    /// Whether it drains or loads.
-    pub out: bool,
+    /// How far it is.
+    pub stage: Stage,
     /// Version of its weights.
     pub version: u32,
     /// Whether long prompts have it.
@@ -49,10 +58,13 @@
 /// Engines to take out next: the oldest first, since requests may soon not begin there any more,
 /// and of these the emptiest, since they drain soonest.
 pub fn next(engines: &[Engine]) -> Vec<usize> {
-    let most = ((engines.len() as f64 * AT_ONCE) as usize).max(1);
-    let out = engines.iter().filter(|engine| engine.out).count();
+    let most = (engines.len() * AT_ONCE / 100).max(1);
+    let out = engines
+        .iter()
+        .filter(|engine| engine.stage == Stage::Out)
+        .count();
     let mut due: Vec<usize> = (0..engines.len())
-        .filter(|no| !engines[*no].done && !engines[*no].out)
+        .filter(|no| engines[*no].stage == Stage::Old)
         .collect();
     due.sort_by_key(|no| {
         let engine = &engines[*no];
@@ -76,7 +88,7 @@
 
 /// How long an engine that is out may still drain, `since` the naming.
 pub fn drain(done: usize, all: usize, since: Duration) -> Duration {
-    let enough = done as f64 >= ENOUGH * all as f64;
+    let enough = done * 100 >= ENOUGH * all;
     let longest = if enough { LATER_DRAIN } else { FIRST_DRAIN };
     longest.min(LATEST.saturating_sub(since))
 }
--- a/crates/sesamegap-policy/tests/agreement/cas_lease.rs
+++ b/crates/sesamegap-policy/tests/agreement/cas_lease.rs
@@ -6,7 +6,7 @@
 
 const TERMS: Terms = Terms {
     term: Duration::from_millis(1_500),
-    rest: Duration::from_millis(3_000),
+    rest: Duration::from_secs(3),
 };
 
 fn holder(no: usize) -> Holder {
--- a/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
@@ -1,3 +1,4 @@
+use sesamegap_policy::routing::Openness;
 use sesamegap_policy::routing::engines::{Divided, Engine, Prefix, Prompt, choose, for_long, rank};
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_wire::Moment;
@@ -19,8 +20,7 @@
             waiting: 0,
             unread: 0,
             version: 1,
-            suspect: false,
-            paused: false,
+            state: Openness::Open,
             long,
         })
         .collect()
@@ -179,15 +179,15 @@
 fn a_suspect_or_paused_engine_gets_nothing_while_others_are_open() {
     let mut fleet = engines(6);
     let recall = Recall::default();
-    fleet[0].suspect = true;
-    fleet[1].paused = true;
+    fleet[0].state = Openness::Suspect;
+    fleet[1].state = Openness::Paused;
     for thing in 0..200 {
         let choice = choose(&short(thing), &fleet, 1, &recall).expect("open");
         assert!(choice.at > 1, "{choice:?}");
         assert!(choice.source.is_none_or(|source| source > 1), "{choice:?}");
     }
     for engine in &mut fleet {
-        engine.paused = true;
+        engine.state = Openness::Paused;
     }
     assert_eq!(choose(&short(1), &fleet, 1, &recall), None);
 }
--- a/crates/sesamegap-policy/tests/testsuite/routing/plain.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/plain.rs
@@ -1,3 +1,4 @@
+use sesamegap_policy::routing::Openness;
 use sesamegap_policy::routing::plain::{Worker, choose};
 
 fn worker() -> Worker {
@@ -7,8 +8,7 @@
         slots: 6,
         slowness: 1.0,
         faults: 0.0,
-        suspect: false,
-        paused: false,
+        state: Openness::Open,
     }
 }
 
@@ -56,12 +56,12 @@
 #[test]
 fn a_suspect_is_better_than_none_but_one_that_leaves_is_not() {
     let suspect = Worker {
-        suspect: true,
+        state: Openness::Suspect,
         ..worker()
     };
     assert_eq!(choose(&[suspect], 0), Some(0));
     let paused = Worker {
-        paused: true,
+        state: Openness::Paused,
         ..worker()
     };
     assert_eq!(choose(&[paused], 0), None);
--- a/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
@@ -1,10 +1,9 @@
-use sesamegap_policy::routing::rolls::{Engine, drain, next};
+use sesamegap_policy::routing::rolls::{Engine, Stage, drain, next};
 use std::time::Duration;
 
 fn engine(version: u32, running: u32) -> Engine {
     Engine {
-        done: false,
-        out: false,
+        stage: Stage::Old,
         version,
         long: running.is_multiple_of(2),
         running,
@@ -50,7 +49,7 @@
     let mut engines: Vec<Engine> = (0..9).map(|no| engine(1, no)).collect();
     let first = next(&engines);
     for no in &first {
-        engines[*no].out = true;
+        engines[*no].stage = Stage::Out;
     }
     assert_eq!(next(&engines), Vec::<usize>::new());
 }
