--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 use crate::upstream::{self, Exchange, SendError};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{ServiceId, UpstreamId, WeightsVersion};
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt;
@@ -77,6 +78,7 @@
     /// Attempts that may have run.
     pub runs: u32,
     tried: Vec<UpstreamId>,
+    ran_at: Vec<UpstreamId>,
     refusals: u32,
     unreached: u32,
 }
@@ -89,6 +91,7 @@
             pick: job.pick(),
             runs: 0,
             tried: Vec::new(),
+            ran_at: Vec::new(),
             refusals: 0,
             unreached: 0,
         }
@@ -126,10 +129,36 @@
 
     /// Whether a request that may have run at `at` may be sent again.
     pub fn after_run(&mut self, core: &Core, job: &Job, at: UpstreamId) -> bool {
-        self.tried.push(at);
+        self.ran(at);
+        self.may_run_again(job) && core.may_repeat(&self.service)
+    }
+
+    /// Notes that a request may have run at an upstream.
+    pub fn ran(&mut self, at: UpstreamId) {
+        self.tried.push(at.clone());
+        self.ran_at.push(at);
         self.runs += 1;
+    }
+
+    /// Whether its route and its time allow one more run.
+    pub fn may_run_again(&self, job: &Job) -> bool {
         let allowed = job.route.kind.repeats() && self.runs < job.route.attempts;
-        allowed && job.left() > LEAST_LEFT && core.may_repeat(&self.service)
+        allowed && job.left() > LEAST_LEFT
+    }
+
+    /// Tries again from the start those that refused it; those that may have run it stay left out.
+    pub fn forgive(&mut self) {
+        self.refusals = 0;
+        self.unreached = 0;
+        self.tried.clone_from(&self.ran_at);
+    }
+
+    /// Whether a sound upstream other than this one could take the request.
+    pub fn has_other(&self, core: &Core, than: Option<&UpstreamId>) -> bool {
+        let now = clock::now();
+        let fleet = core.fleet.lock();
+        let mut others = fleet.of(&self.service).filter(|up| Some(&up.id) != than);
+        others.any(|up| up.openness(now) == Openness::Open && !self.tried.contains(&up.id))
     }
 }
 
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -26,9 +26,15 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use tracing::warn;
 
+/// How often a silent stream's outlook is taken anew: engines come and go meanwhile.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// Pause before a stream that broke off is tried at all engines again.
+const AGAIN: Duration = Duration::from_millis(60);
+
 /// A stream that has begun at an upstream.
 #[derive(Debug)]
 struct Live {
@@ -175,7 +181,7 @@
     }
 
     fn head_patience(&self) -> Duration {
-        if self.may_move() {
+        if self.may_move() && self.course.has_other(&self.core, None) {
             patience::FIRST_EVENT_BUSY
         } else {
             self.job.left()
@@ -257,7 +263,7 @@
     async fn read(&self, live: &mut Live) -> Result<Option<Events>, String> {
         let mut since = Instant::now();
         loop {
-            let until = self.silent_until(live, since);
+            let until = self.silent_until(live, since).min(Instant::now() + LOOK);
             let frame = match timeout_at(until, live.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => return Err(error.to_string()),
@@ -266,10 +272,8 @@
                 }
                 Ok(None) => return Ok(None),
                 Err(_) if Instant::now() >= self.job.ends => return Err("time is over".to_owned()),
+                Err(_) if Instant::now() < self.silent_until(live, since) => continue,
                 Err(_) if Self::is_heard(live, since) => {
-                    if Instant::now() < self.silent_until(live, since) {
-                        continue;
-                    }
                     return Err("its stream went silent".to_owned());
                 }
                 Err(_) => {
@@ -292,7 +296,8 @@
 
     /// Until when silence is borne.
     fn silent_until(&self, live: &Live, since: Instant) -> Instant {
-        if !self.may_move() {
+        // Silence alone ends no answer: without another engine to go on at, it may still come.
+        if !self.may_move() || !self.course.has_other(&self.core, Some(&live.flight.id)) {
             return self.job.ends;
         }
         let heard = Self::is_heard(live, since);
@@ -312,13 +317,22 @@
         warn!(event = events::ATTEMPT, request = %self.job.asked.id, upstream = %id, why, passed = self.passed, "stream broke off");
         // Closes the connection first: two upstreams must not work on one request.
         drop(live);
-        let whole = self.passed.is_some();
-        if !whole || !self.course.after_run(&self.core, &self.job, id) {
+        if self.passed.is_none() {
             return None;
         }
-        match self.open().await {
-            Ok(Opened::Live(live)) => Some(*live),
-            Ok(Opened::Whole(_)) | Err(_) => None,
+        self.course.ran(id);
+        while self.course.may_run_again(&self.job) {
+            if self.core.may_repeat(&self.course.service) {
+                match self.open().await {
+                    Ok(Opened::Live(live)) => return Some(*live),
+                    Ok(Opened::Whole(_)) => return None,
+                    Err(_) => {}
+                }
+            }
+            // The caller has part of its answer, and nothing but the rest is of use to it.
+            self.course.forgive();
+            sleep(AGAIN).await;
         }
+        None
     }
 }
--- a/crates/sesamegap-entry/tests/testsuite/streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/streams.rs
@@ -183,3 +183,46 @@
         assert_eq!(answer.body, events(1..3));
     }
 }
+
+/// The only engine pauses for seconds in the middle of a resumable stream, since it is full. Leaving
+/// it would cut an answer that it is still working on.
+#[tokio::test]
+async fn a_silent_engine_is_not_left_when_there_is_no_other() {
+    let process = Process::new().await;
+    let pause = Duration::from_millis(2_600);
+    let slow = Upstream::start(vec![Act::Halting(1..3, pause, 6)]).await;
+    process.add("e1", "engines", slow.addr);
+    let answer = ask(process.callers, "POST", "/review/", CHAT, "hello").await;
+    assert!(answer.whole);
+    assert_eq!(answer.body, events(1..6));
+    assert_eq!(slow.seen().len(), 1);
+}
+
+/// An engine dies in the middle of a resumable stream while the others refuse work for a moment.
+/// Giving up then would cut an answer that could be gone on with a little later.
+#[tokio::test]
+async fn a_resumed_stream_waits_for_an_engine_that_takes_it() {
+    let process = Process::new().await;
+    let one = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    process.add("e1", "engines", one.addr);
+    let mut caller = Caller::connect(process.callers).await;
+    let text = format!(
+        "POST /review/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
+    );
+    caller.send(&text).await;
+    while one.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let busy = vec![
+        Act::NotRun(503),
+        Act::NotRun(503),
+        Act::NotRun(503),
+        Act::NotRun(503),
+        Act::Events(4..9),
+    ];
+    let two = Upstream::start(busy).await;
+    process.add("e2", "engines", two.addr);
+    let answer = caller.answer().await;
+    assert_eq!(answer.body, events(1..9));
+    assert!(answer.whole);
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -35,6 +35,8 @@
     CutEvents(std::ops::Range<u64>),
     /// Sends these events and then nothing.
     Stuck(std::ops::Range<u64>),
+    /// Sends these events, pauses, and sends the rest up to this one.
+    Halting(std::ops::Range<u64>, Duration, u64),
     /// Waits, then does the other thing.
     After(Duration, Box<Act>),
 }
@@ -134,6 +136,12 @@
                 )
             }
             Act::Stuck(range) => (format!("{}{}", head(200, chunked), chunks(range)), false),
+            Act::Halting(range, pause, end) => {
+                let first = format!("{}{}", head(200, chunked), chunks(range.clone()));
+                drop(stream.write_all(first.as_bytes()).await);
+                tokio::time::sleep(pause).await;
+                (format!("{}0\r\n\r\n", chunks(range.end..end)), false)
+            }
             Act::After(pause, act) => {
                 tokio::time::sleep(pause).await;
                 return Box::pin(self.act(stream, id, *act)).await;
