Read the fleet list at a pace taken from the drain bound

Cause: reading it each 0.9 s was more than the bound of 2 s needs, and each call is priced. Change: 65 percent of the bound, 1.3 s.

--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -21,9 +21,9 @@
 /// connection well before a change must be in force.
 const SETTINGS_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Pace of reading the fleet list: half of the shortest time in which a leaving upstream must get
-/// no more work, less the time that a request is on its way.
-const FLEET_PACE: Duration = Duration::from_millis(900);
+/// Pace of reading the fleet list, in percent of the time after which a leaving upstream must get no
+/// more work: the rest is for a call at its slowest and a request that is on its way.
+const FLEET_PACE: u32 = 65;
 
 /// Pause after a call that failed; calls are priced and rates are bounded, refused ones too.
 const RETRY: Duration = Duration::from_millis(300);
@@ -50,7 +50,7 @@
                 }
                 next = Some(at);
                 if table == Table::Fleet {
-                    sleep(FLEET_PACE).await;
+                    sleep(core.settings().spans.drain * FLEET_PACE / 100).await;
                 }
             }
             Err(StoreError::Compacted(first)) => {
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -33,7 +33,7 @@
 const LOOK: Duration = Duration::from_millis(300);
 
 /// Pause before a stream that broke off is tried at all engines again.
-const AGAIN: Duration = Duration::from_millis(60);
+const AGAIN: Duration = Duration::from_millis(150);
 
 /// A stream that has begun at an upstream.
 #[derive(Debug)]
@@ -322,7 +322,9 @@
         }
         self.course.ran(id);
         while self.course.may_run_again(&self.job) {
-            if self.core.may_repeat(&self.course.service) {
+            // Only a try that can be made counts against the fleet's bound.
+            let other = self.course.has_other(&self.core, None);
+            if other && self.core.may_repeat(&self.course.service) {
                 match self.open().await {
                     Ok(Opened::Live(live)) => return Some(*live),
                     Ok(Opened::Whole(_)) => return None,
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -61,6 +61,7 @@
         spans: Spans {
             grace: Duration::from_secs(8),
             answer_ttl: Duration::from_secs(5),
+            drain: Duration::from_secs(2),
             weights: Duration::from_secs(8),
             lease: Duration::from_secs(3),
             heartbeat: Duration::from_secs(3),
