--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod pass;
 mod peers;
 mod refusals;
+mod rolls;
 mod sse;
 mod stops;
 mod streams;
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -0,0 +1,156 @@
+use crate::support::{Platform, StandinEngine, entry, settings, unused};
+use sesamegap_entry::clock;
+use sesamegap_entry::core::Core;
+use sesamegap_entry::ports::Weights;
+use sesamegap_entry::roll;
+use sesamegap_entry::telemetry::Logging;
+use sesamegap_wire::WeightsVersion;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An entry VM that rolls weights on these engines.
+fn vm(platform: &Arc<Platform>, name: &str, engines: usize) -> Arc<Core> {
+    let core = Core::new(
+        settings(name, Vec::new()),
+        platform.ports(),
+        Logging::none(),
+    );
+    let core = Arc::new(core.unwrap());
+    let mut all = platform.engines.lock().unwrap();
+    while all.len() < engines {
+        all.push(StandinEngine::new(unused()));
+    }
+    for (no, engine) in all.iter().enumerate() {
+        let id = format!("e{no}").parse().unwrap();
+        let entry = entry("engines", engine.addr);
+        core.fleet.lock().apply(&id, entry, clock::now());
+    }
+    core
+}
+
+fn name(core: &Core, version: u32) {
+    let weights = Weights {
+        model: "m".into(),
+        version: WeightsVersion(version),
+    };
+    core.fleet.lock().name_weights(&weights, clock::now());
+    core.named.notify_one();
+}
+
+async fn until(mut done: impl FnMut() -> bool) {
+    for _ in 0..3_000 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("it never came to pass");
+}
+
+fn all_hold(platform: &Platform, version: u32) -> bool {
+    let engines = platform.engines.lock().unwrap();
+    engines.iter().all(|engine| engine.version == version)
+}
+
+#[tokio::test]
+async fn each_engine_gets_one_order_and_some_serve_all_the_while() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 5);
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    name(&core, 2);
+    let mut least = usize::MAX;
+    until(|| {
+        let now = clock::now();
+        let fleet = core.fleet.lock();
+        let open = fleet.upstreams().filter(|up| !up.is_paused(now));
+        least = least.min(open.count());
+        all_hold(&platform, 2)
+    })
+    .await;
+    assert!(least >= 2, "{least} engines were open at the least");
+    let engines = platform.engines.lock().unwrap();
+    assert!(engines.iter().all(|engine| engine.orders.len() == 1));
+}
+
+/// An engine leaves an order unanswered and carries it out later, when a newer one was carried out.
+/// The older weights would come back.
+#[tokio::test]
+async fn an_order_that_is_carried_out_late_does_nothing() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 3);
+    platform.engines.lock().unwrap()[0].mute_orders = 1;
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    name(&core, 2);
+    until(|| all_hold(&platform, 2)).await;
+    let mut engines = platform.engines.lock().unwrap();
+    let late = engines[0]
+        .late
+        .clone()
+        .expect("an order was left unanswered");
+    assert!(
+        !engines[0].carry_out(&late),
+        "its number of orders is that of before"
+    );
+    assert_eq!(engines[0].version, 2);
+}
+
+/// Weights are named while older ones still load. Loading those in between costs callers twice.
+#[tokio::test]
+async fn a_version_that_is_overtaken_while_engines_drain_is_not_loaded() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 4);
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    name(&core, 2);
+    name(&core, 3);
+    until(|| all_hold(&platform, 3)).await;
+    let engines = platform.engines.lock().unwrap();
+    let orders = engines.iter().flat_map(|engine| &engine.orders);
+    assert!(
+        orders
+            .into_iter()
+            .all(|order| order.weights.version == WeightsVersion(3))
+    );
+}
+
+/// Two VMs see new weights at the same moment and do not hear each other. Engines that check no
+/// fencing number would take orders of both.
+#[tokio::test]
+async fn only_one_vm_orders() {
+    let platform = Arc::new(Platform::default());
+    let one = vm(&platform, "vm-1", 4);
+    let two = vm(&platform, "vm-2", 4);
+    for core in [&one, &two] {
+        tokio::spawn(roll::run(Arc::clone(core)));
+        name(core, 2);
+    }
+    until(|| all_hold(&platform, 2)).await;
+    let engines = platform.engines.lock().unwrap();
+    let orders: Vec<_> = engines.iter().flat_map(|engine| &engine.orders).collect();
+    assert!(
+        orders.iter().all(|order| order.holder == orders[0].holder),
+        "{orders:?}"
+    );
+    assert!(orders.iter().all(|order| order.fence == orders[0].fence));
+}
+
+/// The store is away when weights are named, so nobody can hold the lease. Ordering without it
+/// could cross another VM's orders.
+#[tokio::test]
+async fn nothing_is_ordered_without_the_lease() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 2);
+    *platform.away.lock().unwrap() = true;
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    name(&core, 2);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let ordered = || {
+        let engines = platform.engines.lock().unwrap();
+        engines
+            .iter()
+            .map(|engine| engine.orders.len())
+            .sum::<usize>()
+    };
+    assert_eq!(ordered(), 0);
+    *platform.away.lock().unwrap() = false;
+    until(|| all_hold(&platform, 2)).await;
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -5,7 +5,7 @@
 mod upstream;
 
 pub use caller::{Caller, ask};
-pub use platform::Platform;
+pub use platform::{Platform, StandinEngine};
 pub use upstream::{Act, Upstream};
 
 use sesamegap_entry::catalogue::{
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -6,9 +6,9 @@
 use http::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use sesamegap_entry::ports::{
     Asked, BadHead, Batch, Call, EngineCall, Engines, Headers, KvChanges, LoadOrder, OrderAnswer,
-    Part, Ports, Report, Said, Store, StoreError, Table, Told,
+    Part, Ports, Report, Said, Store, StoreError, Table, Told, Weights,
 };
-use sesamegap_wire::{Offset, Tokens, UpstreamId, VmId};
+use sesamegap_wire::{Offset, Tokens, UpstreamId, VmId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -88,12 +88,47 @@
     }
 }
 
-/// A store that can be away, and engines that answer nothing.
+/// An engine that takes orders.
+#[derive(Debug)]
+pub struct StandinEngine {
+    pub addr: SocketAddr,
+    pub version: u32,
+    /// Orders that it has taken.
+    pub orders: Vec<LoadOrder>,
+    /// Orders that it still leaves unanswered.
+    pub mute_orders: u32,
+    /// The last of these, to be carried out late.
+    pub late: Option<LoadOrder>,
+}
+
+impl StandinEngine {
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            version: 1,
+            orders: Vec::new(),
+            mute_orders: 0,
+            late: None,
+        }
+    }
+
+    /// Carries an order out if its number of orders still holds.
+    pub fn carry_out(&mut self, order: &LoadOrder) -> bool {
+        let fits = order.expected == self.orders.len() as u64;
+        if fits {
+            self.version = order.weights.version.0;
+            self.orders.push(order.clone());
+        }
+        fits
+    }
+}
+
+/// A store that can be away, and engines that take orders.
 #[derive(Debug, Default)]
 pub struct Platform {
     pub away: Mutex<bool>,
-    pub settings: Mutex<Option<Batch>>,
-    pub fleet: Mutex<Option<Batch>>,
+    pub engines: Mutex<Vec<StandinEngine>>,
+    leases: Mutex<Vec<Bytes>>,
 }
 
 impl Platform {
@@ -105,53 +140,85 @@
         }
     }
 
-    fn table(&self, table: Table) -> Result<Batch, StoreError> {
+    /// An empty table, if the store is there.
+    fn table(&self) -> Result<Batch, StoreError> {
         if *self.away.lock().unwrap() {
             return Err(StoreError::Busy);
         }
-        let batch = match table {
-            Table::Settings => self.settings.lock().unwrap().clone(),
-            Table::Fleet => self.fleet.lock().unwrap().clone(),
-            Table::Vms => None,
-        };
-        Ok(batch.unwrap_or(Batch {
+        Ok(Batch {
             records: Vec::new(),
             next: Offset(0),
-        }))
+        })
+    }
+
+    /// Does something with the engine at an address.
+    fn with<T>(
+        &self,
+        addr: SocketAddr,
+        act: impl FnOnce(&mut StandinEngine) -> Result<T, String>,
+    ) -> Result<T, String> {
+        let mut engines = self.engines.lock().unwrap();
+        let engine = engines.iter_mut().find(|engine| engine.addr == addr);
+        engine.map_or(Err("no engine there".to_owned()), act)
     }
 }
 
 impl Store for Platform {
-    fn snapshot(&self, table: Table) -> Call<'_, Batch> {
-        async move { self.table(table) }.boxed()
+    fn snapshot(&self, _table: Table) -> Call<'_, Batch> {
+        async move { self.table() }.boxed()
     }
 
-    fn changes(&self, table: Table, from: Offset, wait: Duration) -> Call<'_, Batch> {
+    fn changes(&self, _table: Table, _from: Offset, wait: Duration) -> Call<'_, Batch> {
         async move {
             tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
-            let mut batch = self.table(table)?;
-            batch.records.retain(|(at, _)| *at >= from);
-            Ok(batch)
+            self.table()
         }
         .boxed()
     }
 
     fn announce(&self, _vm: &VmId, _peers: SocketAddr) -> Call<'_, ()> {
-        async move { self.table(Table::Vms).map(|_| ()) }.boxed()
+        async move { self.table().map(|_| ()) }.boxed()
     }
 
-    fn lease_records(&self, _from: Offset) -> Call<'_, (Vec<Bytes>, Offset)> {
-        async move { Err(StoreError::Busy) }.boxed()
+    fn lease_records(&self, from: Offset) -> Call<'_, (Vec<Bytes>, Offset)> {
+        async move {
+            self.table()?;
+            let leases = self.leases.lock().unwrap();
+            let seen = leases.iter().skip(usize::try_from(from.0).unwrap());
+            Ok((seen.cloned().collect(), Offset(leases.len() as u64)))
+        }
+        .boxed()
     }
 
-    fn lease_append(&self, _record: Bytes, _at: Offset) -> Call<'_, Offset> {
-        async move { Err(StoreError::Busy) }.boxed()
+    fn lease_append(&self, record: Bytes, at: Offset) -> Call<'_, Offset> {
+        async move {
+            self.table()?;
+            let mut leases = self.leases.lock().unwrap();
+            let end = Offset(leases.len() as u64);
+            if at != end {
+                return Err(StoreError::Conflict(end));
+            }
+            leases.push(record);
+            Ok(end)
+        }
+        .boxed()
     }
 }
 
 impl Engines for Platform {
-    fn report(&self, _addr: SocketAddr) -> EngineCall<'_, Report> {
-        async move { Err("silent".to_owned()) }.boxed()
+    fn report(&self, addr: SocketAddr) -> EngineCall<'_, Report> {
+        let report = self.with(addr, |engine| {
+            Ok(Report {
+                weights: vec![Weights {
+                    model: "m".into(),
+                    version: WeightsVersion(engine.version),
+                }],
+                busy: false,
+                orders: engine.orders.len() as u64,
+                running: 0,
+            })
+        });
+        async move { report }.boxed()
     }
 
     fn held(&self, _addr: SocketAddr) -> EngineCall<'_, KvChanges> {
@@ -169,10 +236,22 @@
 
     fn load(
         &self,
-        _addr: SocketAddr,
+        addr: SocketAddr,
         _engine: UpstreamId,
-        _order: LoadOrder,
+        order: LoadOrder,
     ) -> EngineCall<'_, OrderAnswer> {
-        async move { Err("silent".to_owned()) }.boxed()
+        let answer = self.with(addr, |engine| {
+            if engine.mute_orders > 0 {
+                engine.mute_orders -= 1;
+                engine.late = Some(order);
+                return Err("no answer".to_owned());
+            }
+            Ok(if engine.carry_out(&order) {
+                OrderAnswer::Taken
+            } else {
+                OrderAnswer::Conflict
+            })
+        });
+        async move { answer }.boxed()
     }
 }
