--- a/crates/sesamegap-entry/src/core.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -1,5 +1,9 @@
 //! What all tasks of a process share.
 
+mod active;
+
+pub use active::{Active, ActiveRequests};
+
 use crate::catalogue::{Catalogue, Document, Revision};
 use crate::clock;
 use crate::fleet::{Fleet, Rules, SharedFleet};
@@ -12,7 +16,6 @@
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::budget::Budget;
 use sesamegap_wire::ServiceId;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
@@ -46,7 +49,7 @@
     /// Wakes the roll when weights were named.
     pub named: Notify,
     /// Requests being worked on.
-    pub active: AtomicUsize,
+    pub active: Arc<ActiveRequests>,
     /// Room for request bodies, in KiB.
     pub bodies: Arc<Semaphore>,
     settings: ArcSwap<Settings>,
@@ -71,7 +74,7 @@
             fleet: SharedFleet::new(Fleet::new(rules)),
             peers: Peers::new(&settings),
             named: Notify::new(),
-            active: AtomicUsize::new(0),
+            active: Arc::default(),
             bodies: Arc::new(Semaphore::new(settings.body_memory >> 10)),
             catalogue: ArcSwapOption::empty(),
             budgets: Mutex::default(),
@@ -191,6 +194,6 @@
 
     /// Requests being worked on.
     pub fn active(&self) -> usize {
-        self.active.load(Ordering::Relaxed)
+        self.active.ids().len()
     }
 }
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -4,7 +4,7 @@
 use super::connection::limits;
 use super::reply::{Body, Refusal, refuse};
 use crate::catalogue::{Catalogue, Route, Team};
-use crate::core::{Core, Phase};
+use crate::core::{Active, Core, Phase};
 use crate::ports::Asked;
 use crate::relay::{self, Job};
 use crate::telemetry::events;
@@ -15,7 +15,6 @@
 use hyper::body::{Body as _, Incoming};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
 use tracing::info;
@@ -30,31 +29,19 @@
 /// the answer: closing with unread bytes would reset the connection under it.
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
-/// Counts a request in the process until it ends.
-#[derive(Debug)]
-struct Active(Arc<Core>);
-
-impl Active {
-    fn new(core: &Arc<Core>) -> Self {
-        core.active.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(core))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers a request; the guard lasts as long as the answer's body.
 pub async fn answer(
     core: Arc<Core>,
     request: Request<Incoming>,
     busy: Busy,
 ) -> Result<Response<Body>, Infallible> {
-    let active = Active::new(&core);
-    let mut response = match take(&core, request).await {
+    let taken = take(&core, request).await;
+    let id = match &taken {
+        Ok(job) => job.asked.id.clone(),
+        Err(refused) => refused.id.clone(),
+    };
+    let active = Active::new(&core.active, id);
+    let mut response = match taken {
         Ok(job) => relay::run(&core, job).await,
         Err(refused) => {
             let Refused { refusal, id } = refused;
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -30,6 +30,9 @@
 /// Time without a request after which a process that leaves has nothing to wait for.
 const QUIET: Duration = Duration::from_millis(1_500);
 
+/// Requests named in the line about those that were cut.
+const NAMED: usize = 8;
+
 /// How often a stopping process looks at what it waits for.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -149,12 +152,10 @@
     while core.active() > 0 && told.elapsed() < times.ends {
         sleep(LOOK).await;
     }
-    if core.active() > 0 {
-        warn!(
-            event = events::CUT,
-            active = core.active(),
-            "stopped with requests in flight"
-        );
+    let ids = core.active.ids();
+    if !ids.is_empty() {
+        let named = &ids[..ids.len().min(NAMED)];
+        warn!(event = events::CUT, active = ids.len(), requests = ?named, "stopped with requests in flight");
     }
     info!(
         event = events::STOPPED,
--- a/crates/sesamegap-entry/tests/testsuite/stops.rs
+++ b/crates/sesamegap-entry/tests/testsuite/stops.rs
@@ -70,3 +70,25 @@
     caller.send("GET /pull/ HTTP/1.1\r\nhost: desk").await;
     assert!(caller.is_closed().await);
 }
+
+/// A caller sends half of its body and stops. A process that is told to stop would wait for it until
+/// it is killed, and report a request cut that it had never got.
+#[tokio::test]
+async fn a_request_that_is_not_whole_holds_up_no_stop() {
+    let process = Process::new().await;
+    let desk = Upstream::start(vec![Act::Answer(200, "ok")]).await;
+    process.add("w1", "desk", desk.addr);
+    let mut caller = Caller::connect(process.callers).await;
+    let half = "POST /save/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\ncontent-length: 9\r\n\r\nhalf";
+    caller.send(half).await;
+    // Once another request was answered, the half one has been seen too.
+    assert_eq!(
+        ask(process.callers, "GET", "/pull/", "", "").await.status,
+        200
+    );
+    while process.core.active() > 1 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(process.core.active(), 0);
+}
