--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -2,20 +2,18 @@
 
 use super::Job;
 use super::head::for_upstream;
+use super::transfer::{Transfer, namespace, transfer};
 use crate::catalogue::Kind;
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Flight, Pick, Wanted};
+use crate::fleet::Flight;
 use crate::ports::{Said, Told};
 use crate::telemetry::events;
 use crate::upstream::{self, Exchange, SendError};
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use sesamegap_policy::routing::Openness;
-use sesamegap_wire::{ServiceId, UpstreamId, WeightsVersion};
-use smol_str::{SmolStr, format_smolstr};
+use sesamegap_wire::UpstreamId;
 use std::fmt;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 use tracing::{info, warn};
@@ -27,16 +25,6 @@
 /// entry within that time.
 const MOVED_PAUSE: Duration = Duration::from_secs(6);
 
-/// Time with which an attempt is still worth beginning.
-pub const LEAST_LEFT: Duration = Duration::from_millis(30);
-
-/// Refusals by upstreams after which a request is refused itself: with that many full, the next
-/// one is most likely full too, and each costs a place in the fleet's budget.
-const MOST_REFUSALS: u32 = 3;
-
-/// Failed connects after which a request is refused itself.
-const MOST_UNREACHED: u32 = 4;
-
 /// What became of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -68,100 +56,6 @@
     pub sent: Instant,
 }
 
-/// A request's way through upstreams so far.
-#[derive(Debug)]
-pub struct Course {
-    /// The service.
-    pub service: ServiceId,
-    /// Its prompt's shape.
-    pub pick: Option<Pick>,
-    /// Attempts that may have run.
-    pub runs: u32,
-    tried: Vec<UpstreamId>,
-    ran_at: Vec<UpstreamId>,
-    refusals: u32,
-    unreached: u32,
-}
-
-impl Course {
-    /// The course of a request that was not sent yet.
-    pub fn new(job: &Job) -> Self {
-        Self {
-            service: job.service().clone(),
-            pick: job.pick(),
-            runs: 0,
-            tried: Vec::new(),
-            ran_at: Vec::new(),
-            refusals: 0,
-            unreached: 0,
-        }
-    }
-
-    /// Chooses the next upstream.
-    pub fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
-        let spread = usize::try_from(job.hash() >> 40).unwrap_or(0);
-        let settings = core.settings();
-        let wanted = Wanted {
-            service: &self.service,
-            domain: &settings.domain,
-            store: job.catalogue.kv_store().map(|store| &store.domain),
-            pick: self.pick.as_ref(),
-            tried: &self.tried,
-            spread,
-        };
-        core.fleet.choose(&wanted, clock::now())
-    }
-
-    /// Whether a request that was not run at `at` goes to another upstream.
-    pub fn after_not_run(&mut self, core: &Core, at: UpstreamId, why: NotRun) -> bool {
-        self.tried.push(at);
-        match why {
-            NotRun::Unreached => {
-                self.unreached += 1;
-                self.unreached < MOST_UNREACHED
-            }
-            NotRun::Refused => {
-                self.refusals += 1;
-                self.refusals < MOST_REFUSALS && core.may_repeat(&self.service)
-            }
-        }
-    }
-
-    /// Whether a request that may have run at `at` may be sent again.
-    pub fn after_run(&mut self, core: &Core, job: &Job, at: UpstreamId) -> bool {
-        self.ran(at);
-        self.may_run_again(job) && core.may_repeat(&self.service)
-    }
-
-    /// Notes that a request may have run at an upstream.
-    pub fn ran(&mut self, at: UpstreamId) {
-        self.tried.push(at.clone());
-        self.ran_at.push(at);
-        self.runs += 1;
-    }
-
-    /// Whether its route and its time allow one more run.
-    pub fn may_run_again(&self, job: &Job) -> bool {
-        let allowed = job.route.kind.repeats() && self.runs < job.route.attempts;
-        allowed && job.left() > LEAST_LEFT
-    }
-
-    /// Tries again from the start those that refused it; those that may have run it stay left out.
-    pub fn forgive(&mut self) {
-        self.refusals = 0;
-        self.unreached = 0;
-        self.tried.clone_from(&self.ran_at);
-    }
-
-    /// Whether a sound upstream other than this one could take the request.
-    pub fn has_other(&self, core: &Core, than: Option<&UpstreamId>) -> bool {
-        let now = clock::now();
-        let fleet = core.fleet.lock();
-        let mut others = fleet.of(&self.service).filter(|up| Some(&up.id) != than);
-        others.any(|up| up.openness(now) == Openness::Open && !self.tried.contains(&up.id))
-    }
-}
-
 /// Sends a request to an upstream and waits for the head of the answer.
 pub async fn send(
     core: &Core,
@@ -307,78 +201,6 @@
     }
 }
 
-/// Where cached parts come from and go to.
-#[derive(Debug, Default)]
-struct Transfer {
-    fetch: Option<SocketAddr>,
-    save: Option<SocketAddr>,
-}
-
-/// Longest own part of a prompt that is sent to be kept along with the shared ones: nobody asks
-/// for it again, and it takes the store's link and room from what is shared.
-const OWN_KEPT: u64 = 4_000;
-
-/// Tokens sent through the store in 0.4 s beyond which it is left alone: its link carries 50 to 100
-/// in a millisecond, less between failure domains.
-const STORE_SPAN: u64 = 600_000;
-
-/// The same for short prompts, which lose little when they are read again, and should not wait.
-const STORE_SPAN_SHORT: u64 = 400_000;
-
-/// The same for saves, which can be made with a later prompt.
-const STORE_SPAN_SAVE: u64 = 300_000;
-
-/// Shared tokens up to which a prompt counts as short here.
-const SHORT: u64 = 1_000;
-
-/// How long an engine surely still holds what it has just served; its memory turns over in several
-/// seconds at full load.
-const STILL_HELD: Duration = Duration::from_secs(2);
-
-/// Decides which transfers a prompt is worth.
-fn transfer(core: &Core, job: &Job, flight: &Flight, namespace: &SmolStr) -> Transfer {
-    let store = job.catalogue.kv_store().map(|store| store.addr);
-    let Some((own, shared)) = job.asked.parts.split_last() else {
-        return Transfer::default();
-    };
-    let now = clock::now();
-    let served = flight.last_served();
-    let has = served.is_some_and(|at| now.since(at) < STILL_HELD);
-    let tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
-    let span = if tokens <= SHORT {
-        STORE_SPAN_SHORT
-    } else {
-        STORE_SPAN
-    };
-    let (held, saves) = {
-        let mut fleet = core.fleet.lock();
-        let busy = fleet.moving(now);
-        let held = fleet.kept.holds(namespace, shared) && busy < span;
-        let worth = !held && own.tokens.0 <= OWN_KEPT && busy < STORE_SPAN_SAVE;
-        (held, worth && fleet.kept.ask(namespace, shared))
-    };
-    let fetches = held && !has;
-    if fetches || saves {
-        let kept = if saves { own.tokens.0 + tokens } else { 0 };
-        let moved = if fetches { tokens } else { kept };
-        core.fleet.lock().moves.note(moved, now);
-    }
-    Transfer {
-        fetch: store.filter(|_| fetches).or(flight.source.filter(|_| !has)),
-        save: store.filter(|_| saves),
-    }
-}
-
-/// Cache entries are found only under the weights that made them and, for isolated teams, the team.
-fn namespace(weights: Option<WeightsVersion>, team: Option<&str>) -> SmolStr {
-    let version = weights.unwrap_or_default();
-    if let Some(team) = team {
-        format_smolstr!("w{version}.{team}")
-    } else {
-        format_smolstr!("w{version}")
-    }
-}
-
 fn build(
     core: &Core,
     job: &Job,
--- /dev/null
+++ b/crates/sesamegap-entry/src/relay/course.rs
@@ -0,0 +1,114 @@
+//! A request's way through upstreams: which were tried, and what may follow.
+
+use super::Job;
+use super::attempt::NotRun;
+use crate::clock;
+use crate::core::Core;
+use crate::fleet::{Flight, Pick, Wanted};
+use sesamegap_policy::routing::Openness;
+use sesamegap_wire::{ServiceId, UpstreamId};
+use std::time::Duration;
+
+/// Time with which an attempt is still worth beginning.
+pub const LEAST_LEFT: Duration = Duration::from_millis(30);
+
+/// Refusals by upstreams after which a request is refused itself: with that many full, the next
+/// one is most likely full too, and each costs a place in the fleet's budget.
+const MOST_REFUSALS: u32 = 3;
+
+/// Failed connects after which a request is refused itself.
+const MOST_UNREACHED: u32 = 4;
+
+/// A request's way through upstreams so far.
+#[derive(Debug)]
+pub struct Course {
+    /// The service.
+    pub service: ServiceId,
+    /// Its prompt's shape.
+    pub pick: Option<Pick>,
+    /// Attempts that may have run.
+    pub runs: u32,
+    tried: Vec<UpstreamId>,
+    ran_at: Vec<UpstreamId>,
+    refusals: u32,
+    unreached: u32,
+}
+
+impl Course {
+    /// The course of a request that was not sent yet.
+    pub fn new(job: &Job) -> Self {
+        Self {
+            service: job.service().clone(),
+            pick: job.pick(),
+            runs: 0,
+            tried: Vec::new(),
+            ran_at: Vec::new(),
+            refusals: 0,
+            unreached: 0,
+        }
+    }
+
+    /// Chooses the next upstream.
+    pub fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
+        let spread = usize::try_from(job.hash() >> 40).unwrap_or(0);
+        let settings = core.settings();
+        let wanted = Wanted {
+            service: &self.service,
+            domain: &settings.domain,
+            store: job.catalogue.kv_store().map(|store| &store.domain),
+            pick: self.pick.as_ref(),
+            tried: &self.tried,
+            spread,
+        };
+        core.fleet.choose(&wanted, clock::now())
+    }
+
+    /// Whether a request that was not run at `at` goes to another upstream.
+    pub fn after_not_run(&mut self, core: &Core, at: UpstreamId, why: NotRun) -> bool {
+        self.tried.push(at);
+        match why {
+            NotRun::Unreached => {
+                self.unreached += 1;
+                self.unreached < MOST_UNREACHED
+            }
+            NotRun::Refused => {
+                self.refusals += 1;
+                self.refusals < MOST_REFUSALS && core.may_repeat(&self.service)
+            }
+        }
+    }
+
+    /// Whether a request that may have run at `at` may be sent again.
+    pub fn after_run(&mut self, core: &Core, job: &Job, at: UpstreamId) -> bool {
+        self.ran(at);
+        self.may_run_again(job) && core.may_repeat(&self.service)
+    }
+
+    /// Notes that a request may have run at an upstream.
+    pub fn ran(&mut self, at: UpstreamId) {
+        self.tried.push(at.clone());
+        self.ran_at.push(at);
+        self.runs += 1;
+    }
+
+    /// Whether its route and its time allow one more run.
+    pub fn may_run_again(&self, job: &Job) -> bool {
+        let allowed = job.route.kind.repeats() && self.runs < job.route.attempts;
+        allowed && job.left() > LEAST_LEFT
+    }
+
+    /// Tries again from the start those that refused it; those that may have run it stay left out.
+    pub fn forgive(&mut self) {
+        self.refusals = 0;
+        self.unreached = 0;
+        self.tried.clone_from(&self.ran_at);
+    }
+
+    /// Whether a sound upstream other than this one could take the request.
+    pub fn has_other(&self, core: &Core, than: Option<&UpstreamId>) -> bool {
+        let now = clock::now();
+        let fleet = core.fleet.lock();
+        let mut others = fleet.of(&self.service).filter(|up| Some(&up.id) != than);
+        others.any(|up| up.openness(now) == Openness::Open && !self.tried.contains(&up.id))
+    }
+}
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -6,11 +6,13 @@
 //! fleet's budget for repeats has room.
 
 mod attempt;
+mod course;
 mod head;
 mod plain;
 pub mod sse;
 mod story;
 mod stream;
+mod transfer;
 mod waiting;
 
 use crate::catalogue::{Catalogue, Route, Team};
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -4,7 +4,8 @@
 //! never begun: it is asked for again where that is allowed, and is a plain failure elsewhere.
 
 use super::Job;
-use super::attempt::{Answered, Course, Outcome, is_false_promise, send};
+use super::attempt::{Answered, Outcome, is_false_promise, send};
+use super::course::Course;
 use super::head::for_caller;
 use super::story::Story;
 use super::waiting::upstream;
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -6,7 +6,8 @@
 //! caller, which must not look like its end.
 
 use super::Job;
-use super::attempt::{Answered, Course, Outcome, is_false_promise, send};
+use super::attempt::{Answered, Outcome, is_false_promise, send};
+use super::course::Course;
 use super::plain::{COME_BACK, respond};
 use super::sse::{Cutter, Events};
 use super::story::Story;
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -5,7 +5,7 @@
 //! eighth of the objective is waited, then the caller is told when to come back.
 
 use super::Job;
-use super::attempt::Course;
+use super::course::Course;
 use crate::core::Core;
 use crate::fleet::Flight;
 use std::time::Duration;
--- a/crates/sesamegap-entry/tests/testsuite/streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/streams.rs
@@ -1,4 +1,4 @@
-use crate::support::{Act, Caller, Process, Upstream, ask};
+use crate::support::{Act, Caller, Process, Upstream, ask, request};
 use std::time::Duration;
 
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
@@ -76,10 +76,7 @@
     let two = Upstream::start(vec![Act::Events(4..9)]).await;
     let mut caller = Caller::connect(process.callers).await;
     // The second engine joins once the first has the request.
-    let text = format!(
-        "POST /review/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
-    );
-    caller.send(&text).await;
+    caller.send(&request("POST", "/review/", CHAT, "")).await;
     while one.seen().is_empty() {
         tokio::task::yield_now().await;
     }
@@ -103,10 +100,7 @@
     process.add("e1", "engines", stuck.addr);
     let other = Upstream::start(vec![Act::Events(3..6)]).await;
     let mut caller = Caller::connect(process.callers).await;
-    let text = format!(
-        "POST /review/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
-    );
-    caller.send(&text).await;
+    caller.send(&request("POST", "/review/", CHAT, "")).await;
     caller.until("t2").await;
     process.add("e2", "engines", other.addr);
     let answer = caller.answer().await;
@@ -125,10 +119,7 @@
     let engine = Upstream::start(vec![Act::Stuck(1..3)]).await;
     process.add("e1", "engines", engine.addr);
     let mut caller = Caller::connect(process.callers).await;
-    let text = format!(
-        "POST /chat/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
-    );
-    caller.send(&text).await;
+    caller.send(&request("POST", "/chat/", CHAT, "")).await;
     caller.until("t2").await;
     drop(caller);
     while engine.closed() == 0 {
@@ -144,10 +135,7 @@
     let engine = Upstream::start(vec![Act::Silent]).await;
     process.add("e1", "engines", engine.addr);
     let mut caller = Caller::connect(process.callers).await;
-    let text = format!(
-        "POST /chat/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
-    );
-    caller.send(&text).await;
+    caller.send(&request("POST", "/chat/", CHAT, "")).await;
     while engine.seen().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -206,10 +194,7 @@
     let one = Upstream::start(vec![Act::CutEvents(1..4)]).await;
     process.add("e1", "engines", one.addr);
     let mut caller = Caller::connect(process.callers).await;
-    let text = format!(
-        "POST /review/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{CHAT}content-length: 0\r\n\r\n"
-    );
-    caller.send(&text).await;
+    caller.send(&request("POST", "/review/", CHAT, "")).await;
     while one.seen().is_empty() {
         tokio::task::yield_now().await;
     }
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -4,7 +4,7 @@
 mod platform;
 mod upstream;
 
-pub use caller::{Caller, ask};
+pub use caller::{Caller, ask, request};
 pub use platform::{Platform, StandinEngine};
 pub use upstream::{Act, Upstream};
 
