Give the port's messages and the relay's parts the field's names

Cause: read as a newcomer, Asked, Told, Said, Story, Course and Wanted told nothing. Now RequestHead, Dispatch, AnswerHead, RequestLog, Progress, PromptShape and Selection. No behaviour changes.

--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 
 pub use flight::Flight;
 pub use upstream::{Entry, Upstream};
-pub use view::{Pick, Wanted};
+pub use view::{PromptShape, Selection};
 
 use crate::kept::{Kept, Moves};
 use crate::peers::Loads;
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -8,7 +8,7 @@
 
 /// A prompt's shape for placing.
 #[derive(Debug, Clone)]
-pub struct Pick {
+pub struct PromptShape {
     /// The model, if the request names one.
     pub model: SmolStr,
     /// Its shared prefixes.
@@ -17,7 +17,7 @@
 
 /// What a request wants of an upstream.
 #[derive(Debug)]
-pub struct Wanted<'a> {
+pub struct Selection<'a> {
     /// The service.
     pub service: &'a ServiceId,
     /// This VM's failure domain.
@@ -25,7 +25,7 @@
     /// The failure domain of the store of kept cache.
     pub store: Option<&'a DomainId>,
     /// Set for prompts.
-    pub pick: Option<&'a Pick>,
+    pub shape: Option<&'a PromptShape>,
     /// Upstreams already tried.
     pub tried: &'a [UpstreamId],
     /// Tells equals apart.
@@ -77,17 +77,17 @@
 
 impl SharedFleet {
     /// Chooses an upstream and counts the request there.
-    pub fn choose(&self, wanted: &Wanted<'_>, now: Moment) -> Option<Flight> {
+    pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Flight> {
         let mut fleet = self.lock();
         let open: Vec<&Upstream> = fleet
-            .of(wanted.service)
-            .filter(|upstream| !wanted.tried.contains(&upstream.id))
+            .of(selection.service)
+            .filter(|upstream| !selection.tried.contains(&upstream.id))
             .collect();
-        let near = |upstream: &Upstream| upstream.entry.domain == *wanted.domain;
-        let (at, source) = match wanted.pick {
-            Some(pick) => {
-                let version = |up: &Upstream| up.version(&pick.model).unwrap_or_default();
-                let long = fleet.for_long(wanted.service, wanted.store);
+        let near = |upstream: &Upstream| upstream.entry.domain == *selection.domain;
+        let (at, source) = match selection.shape {
+            Some(shape) => {
+                let version = |up: &Upstream| up.version(&shape.model).unwrap_or_default();
+                let long = fleet.for_long(selection.service, selection.store);
                 let views: Vec<engines::Engine> = open
                     .iter()
                     .map(|upstream| engines::Engine {
@@ -98,19 +98,19 @@
                         unread: fleet.unread(upstream),
                         version: version(upstream).0,
                         long: long.contains(&upstream.seed),
-                        state: if fleet.is_outdated(&pick.model, version(upstream), now) {
+                        state: if fleet.is_outdated(&shape.model, version(upstream), now) {
                             Openness::Paused
                         } else {
                             upstream.openness(now)
                         },
                     })
                     .collect();
-                let newest = fleet.wanted(&pick.model, now).0;
-                let choice = engines::choose(&pick.prompt, &views, newest, &fleet.recall)?;
+                let newest = fleet.wanted(&shape.model, now).0;
+                let choice = engines::choose(&shape.prompt, &views, newest, &fleet.recall)?;
                 let source = choice.source.map(|no| open[no].entry.addr);
                 (choice.at, source)
             }
-            None => (choose_plain(&fleet, &open, wanted, now, near)?, None),
+            None => (choose_plain(&fleet, &open, selection, now, near)?, None),
         };
         let chosen = open[at];
         let flight = Flight {
@@ -118,15 +118,17 @@
             id: chosen.id.clone(),
             addr: chosen.entry.addr,
             domain: chosen.entry.domain.clone(),
-            weights: wanted.pick.and_then(|pick| chosen.version(&pick.model)),
+            weights: selection
+                .shape
+                .and_then(|shape| chosen.version(&shape.model)),
             source,
             running: fleet.running(chosen, now),
             ahead: fleet.unread(chosen),
             seed: chosen.seed,
-            prefixes: wanted
-                .pick
-                .map_or_else(Vec::new, |pick| pick.prompt.prefixes.clone()),
-            unread: wanted.pick.map_or(0, |pick| pick.prompt.tokens),
+            prefixes: selection
+                .shape
+                .map_or_else(Vec::new, |shape| shape.prompt.prefixes.clone()),
+            unread: selection.shape.map_or(0, |shape| shape.prompt.tokens),
         };
         if let Some(upstream) = fleet.get_mut(&flight.id) {
             upstream.begin(flight.unread);
@@ -138,7 +140,7 @@
 fn choose_plain(
     fleet: &Fleet,
     open: &[&Upstream],
-    wanted: &Wanted<'_>,
+    selection: &Selection<'_>,
     now: Moment,
     near: impl Fn(&Upstream) -> bool,
 ) -> Option<usize> {
@@ -155,5 +157,5 @@
             state: upstream.openness(now),
         })
         .collect();
-    plain::choose(&views, wanted.spread)
+    plain::choose(&views, selection.spread)
 }
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -5,7 +5,7 @@
 use super::reply::{Body, Refusal, refuse};
 use crate::catalogue::{Catalogue, Route, Team};
 use crate::core::{Active, Core, Phase};
-use crate::ports::Asked;
+use crate::ports::RequestHead;
 use crate::relay::{self, Job};
 use crate::telemetry::events;
 use bytes::{Bytes, BytesMut};
@@ -37,7 +37,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let taken = take(&core, request).await;
     let id = match &taken {
-        Ok(job) => job.asked.id.clone(),
+        Ok(job) => job.head.id.clone(),
         Err(refused) => refused.id.clone(),
     };
     let active = Active::new(&core.active, id);
@@ -88,7 +88,7 @@
 async fn take(core: &Arc<Core>, request: Request<Incoming>) -> Result<Job, Refused> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let asked = match core.ports.headers.asked(&head.headers) {
+    let asked = match core.ports.headers.read_request(&head.headers) {
         Ok(asked) => asked,
         Err(bad) => {
             drain(body).await;
@@ -114,7 +114,7 @@
     let ends = arrived + patience.min(route.timeout);
     let body = read(core, body, ends).await.map_err(refused)?;
     Ok(Job {
-        asked,
+        head: asked,
         catalogue,
         route,
         team,
@@ -130,7 +130,11 @@
 
 type Admitted = (Arc<Catalogue>, Arc<Route>, Option<Arc<Team>>);
 
-fn admit(core: &Core, head: &http::request::Parts, asked: &Asked) -> Result<Admitted, Refusal> {
+fn admit(
+    core: &Core,
+    head: &http::request::Parts,
+    asked: &RequestHead,
+) -> Result<Admitted, Refusal> {
     let catalogue = core.catalogue().ok_or(Refusal::NoDocument)?;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -124,7 +124,7 @@
 
 /// What the head of a caller's request says.
 #[derive(Debug, Clone, Default)]
-pub struct Asked {
+pub struct RequestHead {
     /// The attempt's id.
     pub id: SmolStr,
     /// How long the caller waits.
@@ -139,7 +139,7 @@
 
 /// What the process tells an upstream with a request.
 #[derive(Debug, Clone, Default)]
-pub struct Told {
+pub struct Dispatch {
     /// Time left to the caller.
     pub left: Duration,
     /// The instance that is meant.
@@ -162,7 +162,7 @@
 
 /// What the head of an upstream's answer says.
 #[derive(Debug, Clone, Default)]
-pub struct Said {
+pub struct AnswerHead {
     /// The attempt that it answers.
     pub id: Option<SmolStr>,
     /// Whether the request was not run.
@@ -198,7 +198,7 @@
     ///
     /// # Errors
     /// If a header that must be there is missing or unreadable.
-    fn asked(&self, headers: &HeaderMap) -> Result<Asked, BadHead>;
+    fn read_request(&self, headers: &HeaderMap) -> Result<RequestHead, BadHead>;
 
     /// Headers that only the process sets, and those that it keeps to itself.
     fn reserved(&self) -> &[HeaderName];
@@ -207,10 +207,10 @@
     fn essential(&self) -> &[HeaderName];
 
     /// Adds what an upstream is told.
-    fn tell(&self, told: &Told, headers: &mut HeaderMap);
+    fn write_dispatch(&self, dispatch: &Dispatch, headers: &mut HeaderMap);
 
     /// Reads an upstream's head.
-    fn said(&self, status: u16, headers: &HeaderMap) -> Said;
+    fn read_answer(&self, status: u16, headers: &HeaderMap) -> AnswerHead;
 }
 
 /// State of an engine as it reports itself.
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::Flight;
-use crate::ports::{Said, Told};
+use crate::ports::{AnswerHead, Dispatch};
 use crate::telemetry::events;
 use crate::upstream::{self, Exchange, SendError};
 use http::{Request, StatusCode};
@@ -70,11 +70,11 @@
         Outcome::Answered(_) => {}
         Outcome::NotRun(why) => {
             core.metrics.attempt(why.name());
-            info!(event = events::ATTEMPT, request = %job.asked.id, upstream = %id, why = ?why, "not run");
+            info!(event = events::ATTEMPT, request = %job.head.id, upstream = %id, why = ?why, "not run");
         }
         Outcome::Lost(why) => {
             core.metrics.attempt("lost");
-            warn!(event = events::ATTEMPT, request = %job.asked.id, upstream = %id, why, "no answer");
+            warn!(event = events::ATTEMPT, request = %job.head.id, upstream = %id, why, "no answer");
         }
     }
     (id, outcome)
@@ -88,10 +88,10 @@
     after: Option<u64>,
 ) -> Outcome {
     let sent = Instant::now();
-    let told = tell(core, job, &flight, after);
+    let dispatch = dispatch_for(core, job, &flight, after);
     info!(
         event = events::PLACED,
-        request = %job.asked.id,
+        request = %job.head.id,
         route = %job.route.name,
         revision = job.catalogue.revision().0,
         upstream = %flight.id,
@@ -99,12 +99,12 @@
         unread = flight.ahead,
         tokens = flight.tokens(),
         weights = flight.weights.map(|version| version.0),
-        fetch = told.fetch.map(tracing::field::display),
-        save = told.save.map(tracing::field::display),
-        left_ms = clock::ms(told.left),
+        fetch = dispatch.fetch.map(tracing::field::display),
+        save = dispatch.save.map(tracing::field::display),
+        left_ms = clock::ms(dispatch.left),
         "sent"
     );
-    let request = match build(core, job, &told) {
+    let request = match build(core, job, &dispatch) {
         Ok(request) => request,
         Err(error) => return Outcome::Lost(error.to_string()),
     };
@@ -133,26 +133,26 @@
 fn judge(core: &Core, job: &Job, mut flight: Flight, exchange: Exchange, sent: Instant) -> Outcome {
     let now = clock::now();
     let status = exchange.response.status();
-    let said = core
+    let answer_head = core
         .ports
         .headers
-        .said(status.as_u16(), exchange.response.headers());
-    if let Some(load) = said.load {
+        .read_answer(status.as_u16(), exchange.response.headers());
+    if let Some(load) = answer_head.load {
         flight.loaded(load, now);
     }
-    if said.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        refused(job, &flight, &said, status);
+    if answer_head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        refused(job, &flight, &answer_head, status);
         return Outcome::NotRun(NotRun::Refused);
     }
     // A late or extra answer to another request would otherwise reach this caller.
-    if said.id.as_ref().is_some_and(|id| *id != job.asked.id) {
+    if answer_head.id.as_ref().is_some_and(|id| *id != job.head.id) {
         return Outcome::Lost("an answer to another request".to_owned());
     }
-    if status.is_success() && !said.sealed {
+    if status.is_success() && !answer_head.sealed {
         return Outcome::Lost("a success without a seal".to_owned());
     }
     flight.heard(now);
-    if let (Some(version), Some(model)) = (said.weights, &job.asked.model) {
+    if let (Some(version), Some(model)) = (answer_head.weights, &job.head.model) {
         flight.holds(model, version);
     }
     Outcome::Answered(Box::new(Answered {
@@ -163,23 +163,26 @@
 }
 
 /// Learns from an upstream's refusal.
-fn refused(job: &Job, flight: &Flight, said: &Said, status: StatusCode) {
+fn refused(job: &Job, flight: &Flight, answer_head: &AnswerHead, status: StatusCode) {
     let now = clock::now();
     let moved = status == StatusCode::MISDIRECTED_REQUEST
-        && said.upstream.as_ref().is_some_and(|id| *id != flight.id);
+        && answer_head
+            .upstream
+            .as_ref()
+            .is_some_and(|id| *id != flight.id);
     if moved {
         flight.paused(now + MOVED_PAUSE);
         return;
     }
-    if let (Some(version), Some(model)) = (said.weights, &job.asked.model) {
+    if let (Some(version), Some(model)) = (answer_head.weights, &job.head.model) {
         flight.holds(model, version);
     }
     flight.paused(now + REFUSED_PAUSE);
 }
 
-fn tell(core: &Core, job: &Job, flight: &Flight, after: Option<u64>) -> Told {
+fn dispatch_for(core: &Core, job: &Job, flight: &Flight, after: Option<u64>) -> Dispatch {
     let isolated = job.team.as_ref().filter(|team| team.isolated);
-    let is_prompt = job.asked.model.is_some();
+    let is_prompt = job.head.model.is_some();
     let priority = job.team.as_ref().and_then(|team| team.priority);
     let priority = priority.unwrap_or(job.route.priority);
     let namespace = namespace(flight.weights, isolated.map(|team| team.name.as_str()));
@@ -188,7 +191,7 @@
     } else {
         Transfer::default()
     };
-    Told {
+    Dispatch {
         left: job.left(),
         upstream: Some(flight.id.clone()),
         team: job.team.as_ref().map(|team| team.name.clone()),
@@ -204,7 +207,7 @@
 fn build(
     core: &Core,
     job: &Job,
-    told: &Told,
+    dispatch: &Dispatch,
 ) -> Result<Request<Full<hyper::body::Bytes>>, http::Error> {
     let target = job
         .uri
@@ -214,7 +217,7 @@
         .method(job.method.clone())
         .uri(target)
         .body(Full::new(job.body.clone()))?;
-    *request.headers_mut() = for_upstream(&job.headers, told, core.ports.headers.as_ref());
+    *request.headers_mut() = for_upstream(&job.headers, dispatch, core.ports.headers.as_ref());
     Ok(request)
 }
 
--- a/crates/sesamegap-entry/src/relay/head.rs
+++ b/crates/sesamegap-entry/src/relay/head.rs
@@ -1,6 +1,6 @@
 //! Which headers go on, in both directions.
 
-use crate::ports::{Headers, Told};
+use crate::ports::{Dispatch, Headers};
 use http::HeaderMap;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
@@ -24,12 +24,12 @@
 
 /// Headers for the upstream: the caller's, less those of its connection and those that only the
 /// process may set, and then what the process tells.
-pub fn for_upstream(from: &HeaderMap, told: &Told, headers: &dyn Headers) -> HeaderMap {
+pub fn for_upstream(from: &HeaderMap, dispatch: &Dispatch, headers: &dyn Headers) -> HeaderMap {
     let mut kept = without_hop(from, headers.essential());
     for name in headers.reserved() {
         kept.remove(name);
     }
-    headers.tell(told, &mut kept);
+    headers.write_dispatch(dispatch, &mut kept);
     kept
 }
 
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -6,20 +6,20 @@
 //! fleet's budget for repeats has room.
 
 mod attempt;
-mod course;
 mod head;
 mod plain;
+mod progress;
+mod request_log;
 pub mod sse;
-mod story;
 mod stream;
 mod transfer;
 mod waiting;
 
 use crate::catalogue::{Catalogue, Route, Team};
 use crate::core::Core;
-use crate::fleet::Pick;
+use crate::fleet::PromptShape;
 use crate::intake::Body;
-use crate::ports::Asked;
+use crate::ports::RequestHead;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri};
 use rustc_hash::FxHasher;
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub struct Job {
     /// What its head says.
-    pub asked: Asked,
+    pub head: RequestHead,
     /// The document that it is handled under.
     pub catalogue: Arc<Catalogue>,
     /// Its route.
@@ -67,7 +67,7 @@
     /// A number that is the same for all attempts of this request.
     fn hash(&self) -> u64 {
         let mut hasher = FxHasher::default();
-        self.asked.id.hash(&mut hasher);
+        self.head.id.hash(&mut hasher);
         hasher.finish()
     }
 
@@ -86,9 +86,9 @@
     }
 
     /// Its prompt's shape, if it names a model.
-    fn pick(&self) -> Option<Pick> {
-        let model = self.asked.model.clone()?;
-        let parts = &self.asked.parts;
+    fn shape(&self) -> Option<PromptShape> {
+        let model = self.head.model.clone()?;
+        let parts = &self.head.parts;
         let (own, shared) = parts.split_last()?;
         let mut hasher = FxHasher::default();
         let mut tokens = 0;
@@ -107,7 +107,7 @@
         });
         let prefixes = prefixes.collect();
         let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
-        Some(Pick {
+        Some(PromptShape {
             model,
             prompt: Prompt {
                 prefixes,
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -5,9 +5,9 @@
 
 use super::Job;
 use super::attempt::{Answered, Outcome, is_false_promise, send};
-use super::course::Course;
 use super::head::for_caller;
-use super::story::Story;
+use super::progress::Progress;
+use super::request_log::RequestLog;
 use super::waiting::upstream;
 use crate::core::Core;
 use crate::intake::{Body, Refusal, full, refuse};
@@ -30,9 +30,9 @@
 
 /// Relays a plain request.
 pub async fn run(core: &Arc<Core>, job: &Job) -> Response<Body> {
-    let mut story = Story::new(core, job);
-    let mut course = Course::new(job);
-    let answer = answer(core, job, &mut course).await;
+    let mut log = RequestLog::new(core, job);
+    let mut progress = Progress::new(job);
+    let answer = answer(core, job, &mut progress).await;
     let (response, why) = match answer {
         Ok(response) => (response, String::new()),
         Err(refusal) => {
@@ -40,17 +40,21 @@
             (refuse(refusal, back), refusal.to_string())
         }
     };
-    story.end(response.status().as_u16(), course.runs + 1, why);
+    log.end(response.status().as_u16(), progress.runs + 1, why);
     response
 }
 
-async fn answer(core: &Core, job: &Job, course: &mut Course) -> Result<Response<Body>, Refusal> {
+async fn answer(
+    core: &Core,
+    job: &Job,
+    progress: &mut Progress,
+) -> Result<Response<Body>, Refusal> {
     let mut failure: Option<Response<Body>> = None;
     loop {
-        let Some(flight) = upstream(core, job, course).await else {
+        let Some(flight) = upstream(core, job, progress).await else {
             return failure.ok_or(Refusal::NoUpstream);
         };
-        let last = !job.route.kind.repeats() || course.runs + 1 >= job.route.attempts;
+        let last = !job.route.kind.repeats() || progress.runs + 1 >= job.route.attempts;
         let time = if last {
             job.left()
         } else {
@@ -67,14 +71,14 @@
                 None => true,
             },
             Outcome::NotRun(why) => {
-                if !course.after_not_run(core, id.clone(), why) {
+                if !progress.after_not_run(core, id.clone(), why) {
                     return failure.ok_or(Refusal::NoUpstream);
                 }
                 false
             }
             Outcome::Lost(_) => true,
         };
-        if may_have_run && !course.after_run(core, job, id) {
+        if may_have_run && !progress.after_run(core, job, id) {
             let ended = job.left().is_zero();
             let refusal = if ended {
                 Refusal::Timeout
--- a/crates/sesamegap-entry/src/relay/course.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -4,7 +4,7 @@
 use super::attempt::NotRun;
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Flight, Pick, Wanted};
+use crate::fleet::{Flight, PromptShape, Selection};
 use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{ServiceId, UpstreamId};
 use std::time::Duration;
@@ -21,11 +21,11 @@
 
 /// A request's way through upstreams so far.
 #[derive(Debug)]
-pub struct Course {
+pub struct Progress {
     /// The service.
     pub service: ServiceId,
     /// Its prompt's shape.
-    pub pick: Option<Pick>,
+    pub shape: Option<PromptShape>,
     /// Attempts that may have run.
     pub runs: u32,
     tried: Vec<UpstreamId>,
@@ -34,12 +34,12 @@
     unreached: u32,
 }
 
-impl Course {
-    /// The course of a request that was not sent yet.
+impl Progress {
+    /// The progress of a request that was not sent yet.
     pub fn new(job: &Job) -> Self {
         Self {
             service: job.service().clone(),
-            pick: job.pick(),
+            shape: job.shape(),
             runs: 0,
             tried: Vec::new(),
             ran_at: Vec::new(),
@@ -52,15 +52,15 @@
     pub fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
         let spread = usize::try_from(job.hash() >> 40).unwrap_or(0);
         let settings = core.settings();
-        let wanted = Wanted {
+        let selection = Selection {
             service: &self.service,
             domain: &settings.domain,
             store: job.catalogue.kv_store().map(|store| &store.domain),
-            pick: self.pick.as_ref(),
+            shape: self.shape.as_ref(),
             tried: &self.tried,
             spread,
         };
-        core.fleet.choose(&wanted, clock::now())
+        core.fleet.choose(&selection, clock::now())
     }
 
     /// Whether a request that was not run at `at` goes to another upstream.
--- a/crates/sesamegap-entry/src/relay/story.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -13,7 +13,7 @@
 
 /// Logs and counts the end of a request when it is dropped.
 #[derive(Debug)]
-pub struct Story {
+pub struct RequestLog {
     core: Arc<Core>,
     kind: Kind,
     id: SmolStr,
@@ -25,13 +25,13 @@
     why: SmolStr,
 }
 
-impl Story {
+impl RequestLog {
     /// A request that has not ended yet.
     pub fn new(core: &Arc<Core>, job: &Job) -> Self {
         Self {
             core: Arc::clone(core),
             kind: job.route.kind,
-            id: job.asked.id.clone(),
+            id: job.head.id.clone(),
             route: job.route.name.clone(),
             arrived: job.arrived,
             runs: 0,
@@ -54,7 +54,7 @@
     }
 }
 
-impl Drop for Story {
+impl Drop for RequestLog {
     fn drop(&mut self) {
         let span = self.arrived.elapsed();
         self.core
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -7,10 +7,10 @@
 
 use super::Job;
 use super::attempt::{Answered, Outcome, is_false_promise, send};
-use super::course::Course;
 use super::plain::{COME_BACK, respond};
+use super::progress::Progress;
+use super::request_log::RequestLog;
 use super::sse::{Cutter, Events};
-use super::story::Story;
 use super::waiting::upstream;
 use crate::catalogue::Kind;
 use crate::clock;
@@ -63,37 +63,37 @@
 struct Relay {
     core: Arc<Core>,
     job: Job,
-    course: Course,
+    progress: Progress,
     /// Last event that was passed on.
     passed: Option<u64>,
 }
 
 /// Relays a request for a stream.
 pub async fn run(core: Arc<Core>, job: Job) -> Response<Body> {
-    let mut story = Story::new(&core, &job);
-    let course = Course::new(&job);
+    let mut log = RequestLog::new(&core, &job);
+    let progress = Progress::new(&job);
     let mut relay = Relay {
         core,
         job,
-        course,
+        progress,
         passed: None,
     };
     match relay.open().await {
         Ok(Opened::Live(live)) => {
-            story.first();
+            log.first();
             let status = live.status;
             let headers = live.headers.clone();
-            let body = StreamBody::new(flow(relay, *live, story)).boxed_unsync();
+            let body = StreamBody::new(flow(relay, *live, log)).boxed_unsync();
             respond(status, &headers, body)
         }
         Ok(Opened::Whole(response)) => {
-            story.end(response.status().as_u16(), relay.course.runs + 1, "");
+            log.end(response.status().as_u16(), relay.progress.runs + 1, "");
             response
         }
         Err(refusal) => {
             let back = (refusal == Refusal::NoUpstream).then_some(COME_BACK);
             let status = refusal.status().as_u16();
-            story.end(status, relay.course.runs, refusal.to_string());
+            log.end(status, relay.progress.runs, refusal.to_string());
             refuse(refusal, back)
         }
     }
@@ -103,20 +103,20 @@
 fn flow(
     mut relay: Relay,
     mut live: Live,
-    mut story: Story,
+    mut log: RequestLog,
 ) -> impl futures_util::Stream<Item = io::Result<Frame<Bytes>>> + Send {
     async_stream::stream! {
         loop {
             match relay.next(&mut live).await {
                 Ok(Some(bytes)) => yield Ok(Frame::data(bytes)),
                 Ok(None) => {
-                    story.end(live.status.as_u16(), relay.course.runs + 1, "");
+                    log.end(live.status.as_u16(), relay.progress.runs + 1, "");
                     return;
                 }
                 Err(why) => {
                     let next = relay.go_on(live, &why).await;
                     let Some(next) = next else {
-                        story.end(live_status(), relay.course.runs, why.clone());
+                        log.end(live_status(), relay.progress.runs, why.clone());
                         yield Err(io::Error::other(why));
                         return;
                     };
@@ -136,7 +136,7 @@
     /// Sends the request until an upstream begins to answer.
     async fn open(&mut self) -> Result<Opened, Refusal> {
         loop {
-            let flight = upstream(&self.core, &self.job, &self.course).await;
+            let flight = upstream(&self.core, &self.job, &self.progress).await;
             let Some(flight) = flight else {
                 return Err(self.unserved());
             };
@@ -146,18 +146,18 @@
                 Outcome::Answered(answered) => match self.begin(*answered).await {
                     Ok(opened) => return Ok(opened),
                     Err(why) => {
-                        warn!(event = events::ATTEMPT, request = %self.job.asked.id, upstream = %id, why, "no stream");
+                        warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, why, "no stream");
                     }
                 },
                 Outcome::NotRun(why) => {
-                    if !self.course.after_not_run(&self.core, id, why) {
+                    if !self.progress.after_not_run(&self.core, id, why) {
                         return Err(self.unserved());
                     }
                     continue;
                 }
                 Outcome::Lost(_) => {}
             }
-            if !self.course.after_run(&self.core, &self.job, id) {
+            if !self.progress.after_run(&self.core, &self.job, id) {
                 return Err(self.lost());
             }
         }
@@ -166,7 +166,7 @@
     /// What to answer when nothing could take the request.
     fn unserved(&self) -> Refusal {
         // Once it may have run, or events were passed on, "not run" would be false.
-        if self.course.runs == 0 && self.passed.is_none() {
+        if self.progress.runs == 0 && self.passed.is_none() {
             Refusal::NoUpstream
         } else {
             Refusal::Lost
@@ -182,7 +182,7 @@
     }
 
     fn head_patience(&self) -> Duration {
-        if self.may_move() && self.course.has_other(&self.core, None) {
+        if self.may_move() && self.progress.has_other(&self.core, None) {
             patience::FIRST_EVENT_BUSY
         } else {
             self.job.left()
@@ -191,7 +191,7 @@
 
     fn may_move(&self) -> bool {
         let route = &self.job.route;
-        route.kind == Kind::ResumableStream && self.course.runs + 1 < route.attempts
+        route.kind == Kind::ResumableStream && self.progress.runs + 1 < route.attempts
     }
 
     /// Reads up to the first whole event.
@@ -298,7 +298,7 @@
     /// Until when silence is borne.
     fn silent_until(&self, live: &Live, since: Instant) -> Instant {
         // Silence alone ends no answer: without another engine to go on at, it may still come.
-        if !self.may_move() || !self.course.has_other(&self.core, Some(&live.flight.id)) {
+        if !self.may_move() || !self.progress.has_other(&self.core, Some(&live.flight.id)) {
             return self.job.ends;
         }
         let heard = Self::is_heard(live, since);
@@ -315,16 +315,16 @@
     /// Goes on at another upstream after a stream broke off.
     async fn go_on(&mut self, live: Live, why: &str) -> Option<Live> {
         let id = live.flight.id.clone();
-        warn!(event = events::ATTEMPT, request = %self.job.asked.id, upstream = %id, why, passed = self.passed, "stream broke off");
+        warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, why, passed = self.passed, "stream broke off");
         // Closes the connection first: two upstreams must not work on one request.
         drop(live);
         // Before the first event there is nothing to go on from.
         self.passed?;
-        self.course.ran(id);
-        while self.course.may_run_again(&self.job) {
+        self.progress.ran(id);
+        while self.progress.may_run_again(&self.job) {
             // Only a try that can be made counts against the fleet's bound.
-            let other = self.course.has_other(&self.core, None);
-            if other && self.core.may_repeat(&self.course.service) {
+            let other = self.progress.has_other(&self.core, None);
+            if other && self.core.may_repeat(&self.progress.service) {
                 match self.open().await {
                     Ok(Opened::Live(live)) => return Some(*live),
                     Ok(Opened::Whole(_)) => return None,
@@ -332,7 +332,7 @@
                 }
             }
             // The caller has part of its answer, and nothing but the rest is of use to it.
-            self.course.forgive();
+            self.progress.forgive();
             sleep(AGAIN).await;
         }
         None
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -42,7 +42,7 @@
 /// Decides which transfers a prompt is worth.
 pub fn transfer(core: &Core, job: &Job, flight: &Flight, namespace: &SmolStr) -> Transfer {
     let store = job.catalogue.kv_store().map(|store| store.addr);
-    let Some((own, shared)) = job.asked.parts.split_last() else {
+    let Some((own, shared)) = job.head.parts.split_last() else {
         return Transfer::default();
     };
     let now = clock::now();
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -5,7 +5,7 @@
 //! eighth of the objective is waited, then the caller is told when to come back.
 
 use super::Job;
-use super::course::Course;
+use super::progress::Progress;
 use crate::core::Core;
 use crate::fleet::Flight;
 use std::time::Duration;
@@ -18,10 +18,10 @@
 const LOOK: Duration = Duration::from_millis(15);
 
 /// The upstream for a request, waiting a little if none is open.
-pub async fn upstream(core: &Core, job: &Job, course: &Course) -> Option<Flight> {
+pub async fn upstream(core: &Core, job: &Job, progress: &Progress) -> Option<Flight> {
     let until = job.ends.min(Instant::now() + job.route.objective / PART);
     loop {
-        if let Some(flight) = course.choose(core, job) {
+        if let Some(flight) = progress.choose(core, job) {
             return Some(flight);
         }
         if Instant::now() + LOOK >= until {
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -5,8 +5,8 @@
 use http::HeaderMap;
 use http::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use sesamegap_entry::ports::{
-    Asked, BadHead, Batch, Call, EngineCall, Engines, Headers, KvChanges, LoadOrder, OrderAnswer,
-    Part, Ports, Report, Said, Store, StoreError, Table, Told, Weights,
+    AnswerHead, BadHead, Batch, Call, Dispatch, EngineCall, Engines, Headers, KvChanges, LoadOrder,
+    OrderAnswer, Part, Ports, Report, RequestHead, Store, StoreError, Table, Weights,
 };
 use sesamegap_wire::{Offset, Tokens, UpstreamId, VmId, WeightsVersion};
 use smol_str::SmolStr;
@@ -35,11 +35,11 @@
 }
 
 impl Headers for PlainHeaders {
-    fn asked(&self, headers: &HeaderMap) -> Result<Asked, BadHead> {
+    fn read_request(&self, headers: &HeaderMap) -> Result<RequestHead, BadHead> {
         let parts = text(headers, &HeaderName::from_static("x-parts"));
         let parts = parts.unwrap_or_default();
         let parts = parts.split(',').filter(|name| !name.is_empty());
-        Ok(Asked {
+        Ok(RequestHead {
             id: text(headers, &ID).ok_or(BadHead("no id"))?,
             patience: text(headers, &HeaderName::from_static("x-patience"))
                 .and_then(|ms| ms.parse().ok())
@@ -63,7 +63,7 @@
         &ESSENTIAL
     }
 
-    fn tell(&self, told: &Told, headers: &mut HeaderMap) {
+    fn write_dispatch(&self, told: &Dispatch, headers: &mut HeaderMap) {
         let mut set = |name: &HeaderName, value: Option<String>| {
             if let Some(value) = value {
                 headers.insert(name, HeaderValue::from_str(&value).unwrap());
@@ -76,8 +76,8 @@
         set(&AFTER, told.after.map(|event| event.to_string()));
     }
 
-    fn said(&self, _status: u16, headers: &HeaderMap) -> Said {
-        Said {
+    fn read_answer(&self, _status: u16, headers: &HeaderMap) -> AnswerHead {
+        AnswerHead {
             id: text(headers, &ID),
             not_run: headers.contains_key("x-not-run"),
             upstream: text(headers, &MEANT).and_then(|id| id.parse::<UpstreamId>().ok()),
