--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -99,8 +99,6 @@
 /// A service whose upstreams are model engines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineSpec {
-    /// Requests in one batch.
-    pub slots: u32,
     /// Tokens of KV cache that fit.
     pub memory: u64,
 }
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -210,7 +210,7 @@
     fn write_dispatch(&self, dispatch: &Dispatch, headers: &mut HeaderMap);
 
     /// Reads an upstream's head.
-    fn read_answer(&self, status: u16, headers: &HeaderMap) -> AnswerHead;
+    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead;
 }
 
 /// State of an engine as it reports itself.
@@ -222,8 +222,6 @@
     pub busy: bool,
     /// Number of orders taken.
     pub orders: u64,
-    /// Requests running.
-    pub running: u32,
 }
 
 /// What becomes of requests that run when weights are loaded.
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -133,10 +133,7 @@
 fn judge(core: &Core, job: &Job, mut flight: Flight, exchange: Exchange, sent: Instant) -> Outcome {
     let now = clock::now();
     let status = exchange.response.status();
-    let answer_head = core
-        .ports
-        .headers
-        .read_answer(status.as_u16(), exchange.response.headers());
+    let answer_head = core.ports.headers.read_answer(exchange.response.headers());
     if let Some(load) = answer_head.load {
         flight.loaded(load, now);
     }
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -2,7 +2,6 @@
 
 use sesamegap_policy::routing::budget::Bound;
 use sesamegap_wire::{DomainId, VmId};
-use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,8 +35,6 @@
     pub weights: Duration,
     /// Shortest time between orders of two lease holders.
     pub lease: Duration,
-    /// After how long without a heartbeat an upstream is dropped from the fleet list, a third.
-    pub heartbeat: Duration,
     /// How long a lapsed entry may take to come back after the store's return.
     pub lapse: Duration,
 }
@@ -49,14 +46,10 @@
     pub vm: VmId,
     /// Its failure domain.
     pub domain: DomainId,
-    /// Its region.
-    pub region: SmolStr,
     /// Where it listens.
     pub listen: Listen,
     /// Peers to ask first; may be stale.
     pub seeds: Vec<SocketAddr>,
-    /// Region of each failure domain.
-    pub regions: Vec<(DomainId, SmolStr)>,
     /// Spans promised or asked for.
     pub spans: Spans,
     /// The fleet's bound on repeats.
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -47,7 +47,6 @@
     Settings {
         vm: name.parse().unwrap(),
         domain: "hall-a".parse().unwrap(),
-        region: "town".into(),
         listen: Listen {
             callers: unused(),
             ready: unused(),
@@ -57,14 +56,12 @@
             locator: unused(),
         },
         seeds,
-        regions: Vec::new(),
         spans: Spans {
             grace: Duration::from_secs(8),
             answer_ttl: Duration::from_secs(5),
             drain: Duration::from_secs(2),
             weights: Duration::from_secs(8),
             lease: Duration::from_secs(3),
-            heartbeat: Duration::from_secs(3),
             lapse: Duration::from_secs(2),
         },
         repeats: Bound {
@@ -142,13 +139,7 @@
         ],
         services: vec![
             service("desk", None),
-            service(
-                "engines",
-                Some(EngineSpec {
-                    slots: 8,
-                    memory: 80_000,
-                }),
-            ),
+            service("engines", Some(EngineSpec { memory: 80_000 })),
         ],
         kv_stores: Vec::new(),
         limits: Limits {
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -76,7 +76,7 @@
         set(&AFTER, told.after.map(|event| event.to_string()));
     }
 
-    fn read_answer(&self, _status: u16, headers: &HeaderMap) -> AnswerHead {
+    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead {
         AnswerHead {
             id: text(headers, &ID),
             not_run: headers.contains_key("x-not-run"),
@@ -215,7 +215,6 @@
                 }],
                 busy: false,
                 orders: engine.orders.len() as u64,
-                running: 0,
             })
         });
         async move { report }.boxed()
