--- a/crates/sesamegap-entry/src/telemetry/mod.rs
+++ b/crates/sesamegap-entry/src/telemetry/mod.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod metrics;
 
+use tracing::Subscriber;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
@@ -21,27 +22,38 @@
 }
 
 impl Logging {
-    /// Starts logging; `RUST_LOG` chooses the level, else `info`.
+    /// Starts logging to standard output; `RUST_LOG` chooses the level, else `info`.
     pub fn start() -> Self {
+        let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+        let (subscriber, logging) = Self::to(std::io::stdout(), filter);
+        let set = tracing::subscriber::set_global_default(subscriber);
+        // A test may have set up its own log, which stays.
+        drop(set);
+        logging
+    }
+
+    /// A log to any writer; one that blocks holds up nobody but its own thread.
+    pub fn to<W>(writer: W, filter: EnvFilter) -> (impl Subscriber + Send + Sync, Self)
+    where
+        W: std::io::Write + Send + 'static,
+    {
         let (writer, guard) = NonBlockingBuilder::default()
             .lossy(true)
             .buffered_lines_limit(QUEUED)
-            .finish(std::io::stdout());
+            .finish(writer);
         let dropped = writer.error_counter();
-        let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-        let set = tracing_subscriber::fmt()
+        let subscriber = tracing_subscriber::fmt()
             .json()
             .flatten_event(true)
             .with_target(false)
             .with_env_filter(filter)
             .with_writer(writer)
-            .try_init();
-        // A test may have set up its own log, which stays.
-        drop(set);
-        Self {
+            .finish();
+        let logging = Self {
             dropped: Some(dropped),
             _guard: Some(guard),
-        }
+        };
+        (subscriber, logging)
     }
 
     /// No log at all, for tests.
