Never call a plain request not run once it may have run

Cause: streams decided between refused and lost for themselves, and plain requests beside them always said 503 and not run when no further upstream was open, also after one that broke off mid-answer. Change: the decision stands once, in the request's progress, for both. Only idempotent routes were touched by it, since others are not sent on after they may have run.

--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -52,7 +52,7 @@
     let mut failure: Option<Response<Body>> = None;
     loop {
         let Some(flight) = upstream(core, job, progress).await else {
-            return failure.ok_or(Refusal::NoUpstream);
+            return failure.ok_or(progress.unserved());
         };
         let last = !job.route.kind.repeats() || progress.runs + 1 >= job.route.attempts;
         let time = if last {
@@ -72,20 +72,14 @@
             },
             Outcome::NotRun(why) => {
                 if !progress.after_not_run(core, id.clone(), why) {
-                    return failure.ok_or(Refusal::NoUpstream);
+                    return failure.ok_or(progress.unserved());
                 }
                 false
             }
             Outcome::Lost(_) => true,
         };
         if may_have_run && !progress.after_run(core, job, id) {
-            let ended = job.left().is_zero();
-            let refusal = if ended {
-                Refusal::Timeout
-            } else {
-                Refusal::Lost
-            };
-            return failure.ok_or(refusal);
+            return failure.ok_or(progress.lost(job));
         }
     }
 }
--- a/crates/sesamegap-entry/src/relay/progress.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::{Flight, PromptShape, Selection};
+use crate::intake::Refusal;
 use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{ServiceId, UpstreamId};
 use std::time::Duration;
@@ -97,6 +98,25 @@
         allowed && job.left() > LEAST_LEFT
     }
 
+    /// What to answer when nothing could take the request.
+    pub fn unserved(&self) -> Refusal {
+        // Once it may have run, "not run" would be false.
+        if self.runs == 0 {
+            Refusal::NoUpstream
+        } else {
+            Refusal::Lost
+        }
+    }
+
+    /// What to answer when it may have run and no whole answer came.
+    pub fn lost(&self, job: &Job) -> Refusal {
+        if job.left().is_zero() {
+            Refusal::Timeout
+        } else {
+            Refusal::Lost
+        }
+    }
+
     /// Tries again from the start those that refused it; those that may have run it stay left out.
     pub fn forgive(&mut self) {
         self.refusals = 0;
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -138,7 +138,7 @@
         loop {
             let flight = upstream(&self.core, &self.job, &self.progress).await;
             let Some(flight) = flight else {
-                return Err(self.unserved());
+                return Err(self.progress.unserved());
             };
             let time = self.head_patience();
             let (id, outcome) = send(&self.core, &self.job, flight, time, self.passed).await;
@@ -151,36 +151,18 @@
                 },
                 Outcome::NotRun(why) => {
                     if !self.progress.after_not_run(&self.core, id, why) {
-                        return Err(self.unserved());
+                        return Err(self.progress.unserved());
                     }
                     continue;
                 }
                 Outcome::Lost(_) => {}
             }
             if !self.progress.after_run(&self.core, &self.job, id) {
-                return Err(self.lost());
+                return Err(self.progress.lost(&self.job));
             }
         }
     }
 
-    /// What to answer when nothing could take the request.
-    fn unserved(&self) -> Refusal {
-        // Once it may have run, or events were passed on, "not run" would be false.
-        if self.progress.runs == 0 && self.passed.is_none() {
-            Refusal::NoUpstream
-        } else {
-            Refusal::Lost
-        }
-    }
-
-    fn lost(&self) -> Refusal {
-        if self.job.left().is_zero() {
-            Refusal::Timeout
-        } else {
-            Refusal::Lost
-        }
-    }
-
     fn head_patience(&self) -> Duration {
         if self.may_move() && self.progress.has_other(&self.core, None) {
             patience::FIRST_EVENT_BUSY
--- a/crates/sesamegap-entry/tests/testsuite/refusals.rs
+++ b/crates/sesamegap-entry/tests/testsuite/refusals.rs
@@ -117,3 +117,15 @@
         assert_eq!(caller.answer().await.status, status);
     }
 }
+
+/// The only worker breaks off an answer, and no other can take the request. It may have run, so "not
+/// run" would be false, even where it may run again.
+#[tokio::test]
+async fn a_request_that_may_have_run_is_never_called_not_run() {
+    let process = Process::new().await;
+    let desk = Upstream::start(vec![Act::Close]).await;
+    process.add("w1", "desk", desk.addr);
+    let answer = ask(process.callers, "GET", "/pull/", "", "").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(desk.seen().len(), 1);
+}
