Let eight VMs read the store's tables for all

Ruled out: a longer wait alone, since a mute connection must be noticed within the bound; telling documents in datagrams, which are too long (every VM reads those itself). Change: the first eight VMs of a rank read; they tell offsets and what changed in datagrams. A word counts only if it joins what is known; one that misses something, or hears nothing within the pace that it had before, reads for itself from where it stands. The whole table is read anew every 30 s. Tests: a leaving worker told over datagrams, late and doubled words, lost ones (quickcheck).

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -7,8 +7,9 @@
 use crate::catalogue::{Catalogue, Document, Revision};
 use crate::clock;
 use crate::fleet::{Fleet, Rules, SharedFleet};
+use crate::follow::Known;
 use crate::peers::Peers;
-use crate::ports::Ports;
+use crate::ports::{Ports, Table};
 use crate::settings::Settings;
 use crate::telemetry::metrics::Metrics;
 use crate::telemetry::{Logging, events};
@@ -52,6 +53,7 @@
     pub active: Arc<ActiveRequests>,
     /// Room for request bodies, in KiB.
     pub bodies: Arc<Semaphore>,
+    tables: [Known; 3],
     settings: ArcSwap<Settings>,
     catalogue: ArcSwapOption<Catalogue>,
     budgets: Mutex<FxHashMap<ServiceId, Budget>>,
@@ -76,6 +78,7 @@
             named: Notify::new(),
             active: Arc::default(),
             bodies: Arc::new(Semaphore::new(settings.body_memory >> 10)),
+            tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
             budgets: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
@@ -89,6 +92,11 @@
         self.settings.load_full()
     }
 
+    /// How far this VM knows a table of the store.
+    pub fn known(&self, table: Table) -> &Known {
+        &self.tables[table as usize]
+    }
+
     /// Takes settings that changed while the process runs.
     ///
     /// Who it is and where it listens stay: callers and peers know it by them.
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 use sesamegap_wire::{Moment, ServiceId, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -66,6 +67,8 @@
     Gone,
     /// An entry is gone, but may come back.
     Lapsed,
+    /// It holds newer weights than was known.
+    Reloaded,
     /// Nothing that matters to requests.
     Same,
 }
@@ -257,6 +260,11 @@
         })
     }
 
+    /// Whether prompts should not wait for this store of kept cache.
+    pub fn is_store_out(&self, store: SocketAddr, now: Moment) -> bool {
+        self.kept.is_out(store, now)
+    }
+
     /// When weights were last named.
     pub fn named_at(&self) -> Moment {
         self.named_at
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -3,6 +3,7 @@
 use super::Change;
 use crate::peers::Held;
 use crate::ports::{Load, Weights};
+use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::{Openness, engines};
 use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
 const NEWEST: f64 = 0.15;
 
 /// An upstream's entry in the fleet list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Service that it belongs to.
     pub service: ServiceId,
@@ -93,12 +94,14 @@
         self.lapsed = None;
         let was = self.entry.leaving;
         let mut entry = entry;
+        let mut reloaded = false;
         // An upstream never takes back that it leaves, but a late heartbeat may seem to.
         entry.leaving |= was;
         for weights in &mut entry.weights {
             let held = self.entry.weights.iter().find(|w| w.model == weights.model);
             // Answers and the roll tell of new weights before the next heartbeat does.
             if let Some(held) = held {
+                reloaded |= weights.version > held.version;
                 weights.version = weights.version.max(held.version);
             }
         }
@@ -106,6 +109,8 @@
         self.entry = entry;
         if leaves {
             Change::Leaving
+        } else if reloaded {
+            Change::Reloaded
         } else {
             Change::Same
         }
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -31,31 +31,37 @@
     }
 }
 
-/// Takes in one record that was written about this long ago.
-pub fn apply(core: &Core, record: Record, age: Duration) {
+/// Takes in one record that was written about this long ago; whether it says anything new.
+pub fn apply(core: &Core, record: Record, age: Duration) -> bool {
     let now = clock::now();
     match record {
-        Record::Document(document) => {
-            core.adopt(&document, "store");
-        }
+        Record::Document(document) => core.adopt(&document, "store"),
         Record::Weights(weights) => learn_weights(core, &weights, age, "store"),
         Record::Upstream(id, entry) => {
             let change = core.fleet.lock().apply(&id, *entry, now);
-            tell(&id, change);
+            tell(&id, change)
         }
         Record::Removed(id) => {
             let change = core.fleet.lock().remove(&id, now);
-            tell(&id, change);
+            tell(&id, change)
         }
-        Record::Vm(..) => {}
+        Record::Vm(..) => false,
         Record::Unreadable(key, why) => {
             warn!(event = events::UNREADABLE, key = %key, why, "a record cannot be read and is passed over");
+            false
         }
     }
 }
 
-fn tell(id: &UpstreamId, change: Change) {
-    if change != Change::Same {
+/// Notes whether the store answers, to this VM or to one that reads for it.
+pub fn took(core: &Core, answers: bool) {
+    core.fleet.lock().store(answers, clock::now());
+}
+
+fn tell(id: &UpstreamId, change: Change) -> bool {
+    let changed = change != Change::Same;
+    if changed {
         info!(event = events::UPSTREAM, upstream = %id, change = ?change, "belief about an upstream changed");
     }
+    changed
 }
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -1,20 +1,24 @@
 //! Follows the store: the operator's settings, the fleet, and the entry VMs.
 //!
-//! Settings change rarely, so one call waits at the store until they do. The fleet list changes
-//! with every heartbeat of every upstream, so a waiting call would come back at once each time;
-//! it is read at a fixed pace instead, which bounds calls whatever the size of the fleet.
+//! A few VMs read each table for all. Settings change rarely, so their call waits at the store until
+//! they do. The fleet list changes with every heartbeat of every upstream, so a waiting call would come
+//! back at once each time; it is read at a fixed pace instead, which bounds calls whatever the size
+//! of the fleet. All others take the readers' word, and read for themselves when they miss one.
 
 mod apply;
+mod readings;
+
+pub use readings::{Known, Reading, hear, take};
 
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::ports::{Batch, Record, StoreError, Table};
 use crate::telemetry::events;
-use apply::{apply, replace};
-use sesamegap_wire::Offset;
+use apply::{replace, took};
+use sesamegap_policy::routing::reading::READERS;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 /// How long the store may wait with an answer about settings: short enough to notice a mute
@@ -25,37 +29,41 @@
 /// more work: the rest is for a call at its slowest and a request that is on its way.
 const FLEET_PACE: u32 = 65;
 
+/// The order in which VMs read tables for all; each table has its own.
+const LINE: u64 = 16;
+
 /// Pause after a call that failed; calls are priced and rates are bounded, refused ones too.
 const RETRY: Duration = Duration::from_millis(300);
 
 /// Pace of reading the entry VMs, which peers tell each other much sooner.
-const VMS_PACE: Duration = Duration::from_secs(10);
+const VMS_PACE: Duration = Duration::from_secs(30);
+
+/// The same while no peer is known: the store's list is then the only way to find one.
+const ALONE_PACE: Duration = Duration::from_secs(5);
 
 /// Follows one table until the process ends.
 pub async fn follow(core: Arc<Core>, table: Table) {
-    let mut next: Option<Offset> = None;
     let mut lost = false;
     while core.phase() < Phase::Ended {
-        let outcome = step(&core, table, next).await;
-        let answers = !matches!(
-            outcome,
-            Err(StoreError::Busy | StoreError::Unreached(_) | StoreError::Unanswered(_))
-        );
-        core.fleet.lock().store(answers, clock::now());
+        if !reads_for_all(&core, table) && wait_for_word(&core, table).await {
+            expire(&core);
+            continue;
+        }
+        let outcome = step(&core, table).await;
+        took(&core, answers(&outcome));
         match outcome {
-            Ok(at) => {
+            Ok(()) => {
                 if lost {
                     lost = false;
                     info!(event = events::STORE_BACK, table = ?table, "the store answers again");
                 }
-                next = Some(at);
-                if table == Table::Fleet {
-                    sleep(core.settings().spans.drain * FLEET_PACE / 100).await;
+                if table == Table::Fleet && reads_for_all(&core, table) {
+                    sleep(pace(&core, table)).await;
                 }
             }
             Err(StoreError::Compacted(first)) => {
                 info!(event = events::COMPACTED, table = ?table, first = first.0, "records are gone; reading the newest of each key");
-                next = None;
+                core.known(table).position().begin();
             }
             Err(error) => {
                 if !lost {
@@ -69,23 +77,64 @@
     }
 }
 
-async fn step(core: &Core, table: Table, next: Option<Offset>) -> Result<Offset, StoreError> {
+fn answers(outcome: &Result<(), StoreError>) -> bool {
+    !matches!(
+        outcome,
+        Err(StoreError::Busy | StoreError::Unreached(_) | StoreError::Unanswered(_))
+    )
+}
+
+/// Whether this VM is one of those that read a table for all.
+fn reads_for_all(core: &Core, table: Table) -> bool {
+    core.peers.is_among_first(READERS, LINE + table as u64)
+}
+
+/// Longest time without a word on a table.
+fn pace(core: &Core, table: Table) -> Duration {
+    match table {
+        Table::Settings => SETTINGS_WAIT,
+        Table::Fleet | Table::Vms => core.settings().spans.drain * FLEET_PACE / 100,
+    }
+}
+
+/// Waits while other VMs' words on a table may come; false if this VM must read for itself.
+async fn wait_for_word(core: &Core, table: Table) -> bool {
+    let known = core.known(table);
+    let left = {
+        let mut position = known.position();
+        position.renew(clock::now());
+        position.left(pace(core, table), clock::now())
+    };
+    if left.is_zero() {
+        return false;
+    }
+    // A word that comes meanwhile gives time again, one that was missed takes it: the next look tells.
+    drop(timeout(left, known.missed.notified()).await);
+    true
+}
+
+async fn step(core: &Core, table: Table) -> Result<(), StoreError> {
+    let known = core.known(table);
+    let next = known.position().next();
     let Some(from) = next else {
         let batch = core.ports.store.snapshot(table).await?;
         let at = batch.next;
         replace(core, table, batch);
-        return Ok(at);
+        known.position().read(at, clock::now());
+        return Ok(());
     };
+    let reader = reads_for_all(core, table);
     let wait = match table {
-        Table::Settings => SETTINGS_WAIT,
-        Table::Fleet | Table::Vms => Duration::ZERO,
+        Table::Settings if reader => SETTINGS_WAIT,
+        _ => Duration::ZERO,
     };
     let batch = core.ports.store.changes(table, from, wait).await?;
-    let at = batch.next;
-    for (_, record) in batch.records {
-        apply(core, record, Duration::ZERO);
+    let reading = take(core, table, from, batch);
+    known.position().read(reading.next, clock::now());
+    if reader {
+        core.peers.outbox.put_reading(reading);
     }
-    Ok(at)
+    Ok(())
 }
 
 /// Forgets upstreams whose entries lapsed and did not come back.
@@ -112,7 +161,8 @@
             sleep(RETRY * 3).await;
             continue;
         }
-        sleep(VMS_PACE).await;
+        let alone = core.peers.known().alive.is_empty();
+        sleep(if alone { ALONE_PACE } else { VMS_PACE }).await;
     }
 }
 
--- /dev/null
+++ b/crates/sesamegap-entry/src/follow/readings.rs
@@ -0,0 +1,121 @@
+//! What a few VMs read of the store for all.
+
+use super::apply::{apply, took};
+use crate::clock;
+use crate::core::Core;
+use crate::fleet::Entry;
+use crate::ports::{Batch, Record, Table, Weights};
+use serde::{Deserialize, Serialize};
+use sesamegap_policy::routing::reading::{Heard, Position, Span};
+use sesamegap_wire::{Offset, UpstreamId};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Changes told in one datagram at most; whoever hears that there are more reads for itself.
+const PIECES: usize = 8;
+
+/// A change that a reader tells of.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Piece {
+    /// An upstream that is new, or leaves.
+    Upstream(UpstreamId, Box<Entry>),
+    /// An upstream's entry is gone.
+    Removed(UpstreamId),
+    /// Weights were named.
+    Weights(Weights),
+}
+
+/// What a VM has read of a table.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Reading {
+    /// The table.
+    pub table: Table,
+    /// Where it read from.
+    pub from: Offset,
+    /// Where it reads on.
+    pub next: Offset,
+    /// What changed.
+    pub pieces: Vec<Piece>,
+    /// Whether the pieces are all that changed.
+    pub whole: bool,
+}
+
+/// How far this VM knows a table.
+#[derive(Debug, Default)]
+pub struct Known {
+    position: Mutex<Position>,
+    /// Wakes the task that reads the table when something was missed.
+    pub missed: Notify,
+}
+
+impl Known {
+    /// The position, for a moment.
+    pub fn position(&self) -> MutexGuard<'_, Position> {
+        self.position.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes in what this VM has read, and puts it together for the others.
+pub fn take(core: &Core, table: Table, from: Offset, batch: Batch) -> Reading {
+    let mut reading = Reading {
+        table,
+        from,
+        next: batch.next,
+        pieces: Vec::new(),
+        whole: true,
+    };
+    for (_, record) in batch.records {
+        let piece = piece(&record);
+        if !apply(core, record, Duration::ZERO) {
+            continue;
+        }
+        match piece {
+            Some(piece) if reading.pieces.len() < PIECES => reading.pieces.push(piece),
+            // A document is too long to be told, and has every VM read for itself.
+            _ => reading.whole = false,
+        }
+    }
+    reading
+}
+
+fn piece(record: &Record) -> Option<Piece> {
+    match record {
+        Record::Upstream(id, entry) => Some(Piece::Upstream(id.clone(), entry.clone())),
+        Record::Removed(id) => Some(Piece::Removed(id.clone())),
+        Record::Weights(weights) => Some(Piece::Weights(weights.clone())),
+        Record::Document(_) | Record::Vm(..) | Record::Unreadable(..) => None,
+    }
+}
+
+/// Takes in what another VM has read.
+pub fn hear(core: &Core, reading: Reading) {
+    let now = clock::now();
+    let known = core.known(reading.table);
+    let span = Span {
+        from: reading.from,
+        next: reading.next,
+    };
+    // What is told is true in any case; only a word that joins says that nothing else changed.
+    let heard = known.position().hear(span, reading.whole, now);
+    if heard == Heard::Old {
+        return;
+    }
+    for piece in reading.pieces {
+        apply(core, piece.into(), Duration::ZERO);
+    }
+    match heard {
+        Heard::Missed => known.missed.notify_one(),
+        Heard::Joined | Heard::Old => took(core, true),
+    }
+}
+
+impl From<Piece> for Record {
+    fn from(piece: Piece) -> Self {
+        match piece {
+            Piece::Upstream(id, entry) => Self::Upstream(id, entry),
+            Piece::Removed(id) => Self::Removed(id),
+            Piece::Weights(weights) => Self::Weights(weights),
+        }
+    }
+}
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::fleet::Upstream;
+use crate::follow::{self, Reading};
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::telling::{Audience, FANOUT, Sum, Telling};
@@ -35,6 +36,8 @@
     Loads(VmId, Vec<Held>),
     /// News of engines.
     Engines(Vec<EngineNews>),
+    /// What a VM has read of the store for all.
+    Reading(Reading),
     /// A store of kept cache does not answer.
     StoreOut(SocketAddr),
 }
@@ -61,6 +64,10 @@
             let all = core.peers.known().alive;
             send(&core, &socket, &datagram, &all).await;
         }
+        for reading in core.peers.outbox.readings() {
+            let all = core.peers.known().alive;
+            send(&core, &socket, &Datagram::Reading(reading), &all).await;
+        }
         for store in core.peers.outbox.stores() {
             let all = core.peers.known().alive;
             send(&core, &socket, &Datagram::StoreOut(store), &all).await;
@@ -143,6 +150,7 @@
                 core.fleet.lock().loads.take(vm, held, clock::now());
             }
             Ok(Datagram::Engines(news)) => take(&core, &news),
+            Ok(Datagram::Reading(reading)) => follow::hear(&core, reading),
             Ok(Datagram::StoreOut(store)) => {
                 core.fleet.lock().kept.leave(store, clock::now());
             }
--- a/crates/sesamegap-entry/src/peers/message.rs
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -74,14 +74,15 @@
         .collect()
 }
 
-/// Takes in named weights, from the store or a peer.
-pub fn learn_weights(core: &Core, weights: &Weights, age: Duration, source: &str) {
+/// Takes in named weights, from the store or a peer; whether they are newer.
+pub fn learn_weights(core: &Core, weights: &Weights, age: Duration, source: &str) -> bool {
     let at = clock::now_less(age);
     let newer = core.fleet.lock().name_weights(weights, at);
     if newer {
         info!(event = events::WEIGHTS, model = %weights.model, version = weights.version.0, source, "weights named");
         core.named.notify_one();
     }
+    newer
 }
 
 /// Takes in what a peer knows.
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -25,7 +25,7 @@
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::membership::{Members, News, Probe, Rules, Status};
 use sesamegap_policy::routing::engines::{rank, seed};
-use sesamegap_wire::{Incarnation, VmId};
+use sesamegap_wire::{Incarnation, Moment, VmId};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -119,6 +119,11 @@
         alive.iter().filter(|vm| place(vm) > mine).count() < count
     }
 
+    /// Takes in what a peer says of itself.
+    pub fn hear(&self, news: &News, now: Moment) {
+        self.lock().heard(news, now);
+    }
+
     /// Takes the store's list of entry VMs.
     pub fn list(&self, vms: Vec<(VmId, SocketAddr)>) {
         self.lock().seed(vms);
--- a/crates/sesamegap-entry/src/peers/outbox.rs
+++ b/crates/sesamegap-entry/src/peers/outbox.rs
@@ -1,6 +1,7 @@
 //! News of engines on its way to all peers.
 
 use super::message::EngineNews;
+use crate::follow::Reading;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
@@ -12,6 +13,7 @@
 pub struct Outbox {
     engines: Mutex<Vec<(EngineNews, u8)>>,
     stores: Mutex<Vec<SocketAddr>>,
+    readings: Mutex<Vec<Reading>>,
 }
 
 impl Outbox {
@@ -29,6 +31,18 @@
         std::mem::take(&mut stores)
     }
 
+    /// Sends with the next datagrams what this VM has read of the store for all.
+    pub fn put_reading(&self, reading: Reading) {
+        let mut readings = self.readings.lock().unwrap_or_else(PoisonError::into_inner);
+        readings.push(reading);
+    }
+
+    /// What was read and goes out now.
+    pub fn readings(&self) -> Vec<Reading> {
+        let mut readings = self.readings.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut readings)
+    }
+
     /// Sends a piece with the next datagrams, in place of an older one of the same engine.
     pub fn put(&self, news: EngineNews) {
         let mut pieces = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// A table of the store: the newest record of each key, and a log of changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Table {
     /// Documents and named weights.
     Settings,
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -26,7 +26,7 @@
     };
     let now = clock::now();
     let store = KvStore::nearest(job.catalogue.kv_stores(), &flight.domain);
-    let store = store.filter(|store| !core.fleet.lock().kept.is_out(store.addr, now));
+    let store = store.filter(|store| !core.fleet.lock().is_store_out(store.addr, now));
     let wish = transfers::wish(&Wish {
         shared: shared.iter().map(|part| part.tokens.0).sum(),
         own: own.tokens.0,
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod pages;
 mod pass;
 mod peers;
+mod readings;
 mod refusals;
 mod rolls;
 mod sse;
--- a/crates/sesamegap-entry/tests/testsuite/peers.rs
+++ b/crates/sesamegap-entry/tests/testsuite/peers.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, document, settings};
+use crate::support::{Platform, document, settings, until};
 use poem::IntoEndpoint;
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -26,16 +26,6 @@
     core
 }
 
-async fn until(mut done: impl FnMut() -> bool) {
-    for _ in 0..2_000 {
-        if done() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    panic!("it never came to pass");
-}
-
 /// The store turns some VMs away while the operator takes a key back. They would go on serving it
 /// unless those that the store answers pass the news on.
 #[tokio::test]
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/readings.rs
@@ -0,0 +1,154 @@
+use crate::support::{Platform, entry, settings, until, unused};
+use sesamegap_entry::clock;
+use sesamegap_entry::core::Core;
+use sesamegap_entry::follow::{Reading, hear, take};
+use sesamegap_entry::peers;
+use sesamegap_entry::ports::{Batch, Record, Table};
+use sesamegap_entry::telemetry::Logging;
+use sesamegap_policy::agreement::membership::{News, Status};
+use sesamegap_wire::{Offset, UpstreamId};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An entry VM of which only the datagrams run.
+fn vm(name: &str, ip: &str, port: u16) -> Arc<Core> {
+    let mut settings = settings(name, Vec::new());
+    settings.listen.loads = SocketAddr::new(ip.parse().unwrap(), port);
+    settings.listen.peers = settings.listen.loads;
+    let platform = Arc::new(Platform::default());
+    let core = Core::new(settings, platform.ports(), Logging::none()).unwrap();
+    let core = Arc::new(core);
+    tokio::spawn(peers::exchange(Arc::clone(&core)));
+    core
+}
+
+fn knows(core: &Core, other: &Core) {
+    core.peers.hear(
+        &News {
+            who: other.peers.me().clone(),
+            addr: other.settings().listen.peers,
+            version: 0,
+            status: Status::Alive,
+        },
+        clock::now(),
+    );
+}
+
+fn worker() -> UpstreamId {
+    "i-1".parse().unwrap()
+}
+
+fn leaves(core: &Core) -> bool {
+    let fleet = core.fleet.lock();
+    fleet.get(&worker()).is_some_and(|up| up.entry.leaving)
+}
+
+fn change(leaving: bool, beat: u64) -> Record {
+    let mut entry = entry("desk", unused());
+    entry.leaving = leaving;
+    entry.beat = beat;
+    Record::Upstream(worker(), Box::new(entry))
+}
+
+/// One VM reads the fleet list for all, and a worker says that it leaves. The others would go on
+/// sending requests to it until it is gone.
+#[tokio::test]
+async fn a_leaving_worker_that_one_vm_read_of_is_known_to_all() {
+    let port = unused().port();
+    let reader = vm("vm-1", "127.0.0.1", port);
+    let hearer = vm("vm-2", "127.0.0.2", port);
+    knows(&reader, &hearer);
+    let read = |records: Vec<Record>, from: u64| {
+        let next = Offset(from + records.len() as u64);
+        let records = records.into_iter();
+        Batch {
+            records: records.map(|record| (Offset(from), record)).collect(),
+            next,
+        }
+    };
+    hearer
+        .known(Table::Fleet)
+        .position()
+        .read(Offset(4), clock::now());
+    let new = take(
+        &reader,
+        Table::Fleet,
+        Offset(4),
+        read(vec![change(false, 1)], 4),
+    );
+    reader.peers.outbox.put_reading(new);
+    until(|| hearer.fleet.lock().get(&worker()).is_some()).await;
+    let beats = read(vec![change(false, 2), change(true, 3)], 5);
+    let leaving = take(&reader, Table::Fleet, Offset(5), beats);
+    assert_eq!(leaving.pieces.len(), 1, "a mere heartbeat is not told");
+    reader.peers.outbox.put_reading(leaving);
+    until(|| leaves(&hearer)).await;
+    assert_eq!(
+        hearer.known(Table::Fleet).position().next(),
+        Some(Offset(7))
+    );
+}
+
+/// The words of a reader come doubled and in the wrong order. A worker that left must not come back.
+#[test]
+fn a_word_that_comes_late_brings_nobody_back() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let _guard = runtime.enter();
+    let core = vm("vm-1", "127.0.0.1", unused().port());
+    core.known(Table::Fleet)
+        .position()
+        .read(Offset(0), clock::now());
+    let word = |from: u64, next: u64, record: Record| {
+        let other = vm("vm-2", "127.0.0.1", unused().port());
+        let known = change(false, 1);
+        take(
+            &other,
+            Table::Fleet,
+            Offset(0),
+            Batch {
+                records: vec![(Offset(0), known)],
+                next: Offset(0),
+            },
+        );
+        take(
+            &other,
+            Table::Fleet,
+            Offset(from),
+            Batch {
+                records: vec![(Offset(from), record)],
+                next: Offset(next),
+            },
+        )
+    };
+    let first = Reading {
+        pieces: Vec::new(),
+        ..word(0, 5, change(true, 4))
+    };
+    let gone = word(5, 9, Record::Removed(worker()));
+    hear(&core, word(0, 5, change(true, 4)));
+    hear(&core, gone.clone());
+    hear(&core, word(0, 5, change(true, 4)));
+    hear(&core, first);
+    hear(&core, gone);
+    assert!(core.fleet.lock().get(&worker()).is_none());
+    assert_eq!(core.known(Table::Fleet).position().next(), Some(Offset(9)));
+}
+
+/// The store of kept cache is down. Every prompt that asks it would wait for a tenth of a second or
+/// more; only a few VMs watch it.
+#[tokio::test]
+async fn a_store_that_one_vm_found_dead_is_left_alone_by_all() {
+    let port = unused().port();
+    let watcher = vm("vm-1", "127.0.0.1", port);
+    let hearer = vm("vm-2", "127.0.0.2", port);
+    knows(&watcher, &hearer);
+    let store = unused();
+    peers::tell_of_store(&watcher, store);
+    until(|| hearer.fleet.lock().is_store_out(store, clock::now())).await;
+    let later = clock::now() + Duration::from_secs(2);
+    assert!(
+        !hearer.fleet.lock().is_store_out(store, later),
+        "it is asked again unless said again"
+    );
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -174,3 +174,14 @@
         public: false,
     }
 }
+
+/// Waits until something has come to pass.
+pub async fn until(mut done: impl FnMut() -> bool) {
+    for _ in 0..2_000 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("it never came to pass");
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod engines;
 mod plain;
+mod reading;
 mod rolls;
 mod telling;
 mod transfers;
