--- a/crates/sesamegap-entry/tests/testsuite/peers.rs
+++ b/crates/sesamegap-entry/tests/testsuite/peers.rs
@@ -10,7 +10,6 @@
 use sesamegap_wire::WeightsVersion;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// An entry VM of which only the peers' side runs.
 async fn vm(name: &str, seeds: Vec<SocketAddr>) -> Arc<Core> {
