Share what VMs find of silent engines, and count a lost prefix as the reading that it costs

Both kinds of engines were full, so prompts went wherever the queue was shortest, for the price of 60 ms; there the store beside the engine did not have their parts, they were read again, and queues grew by that. Beside it each VM met each dark engine for itself: a test with 84 VMs, 140 engines and 500 requests a second has 1,212 of 5,000 requests meet a dark one, 285 once VMs tell each other. Change: an engine beside another store than the home's costs the reading of the shared parts, weighed as the queue that it is. A VM that got no connection tells the others; two voices make an engine suspect, none counts from a VM that most engines do not answer; who tries it next tells all.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -1,6 +1,6 @@
 //! A request at an upstream, counted there until it is dropped.
 
-use super::SharedFleet;
+use super::{SharedFleet, Upstream};
 use crate::ports::Load;
 use sesamegap_policy::routing::engines::Prefix;
 use sesamegap_wire::{DomainId, Moment, UpstreamId, WeightsVersion};
@@ -40,6 +40,13 @@
         self.unread
     }
 
+    /// Notes that it gave a connection and answered.
+    pub fn reached(&self, now: Moment) {
+        let mut fleet = self.fleet.lock();
+        let avoided = fleet.get(&self.id).is_some_and(Upstream::has_failed);
+        fleet.silences.answered(self.seed, avoided, now);
+    }
+
     /// Notes that bytes came, and on the first call that the prompt was read.
     pub fn heard(&mut self, now: Moment) {
         let unread = std::mem::take(&mut self.unread);
@@ -89,9 +96,7 @@
 
     /// Notes that the upstream could not be reached or went silent.
     pub fn failed(&self, now: Moment) {
-        if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
-            upstream.fail(now);
-        }
+        self.fleet.lock().failed(&self.id, now);
     }
 
     /// Sends nothing there until a moment.
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -17,7 +17,9 @@
 use crate::peers::Loads;
 use crate::ports::Weights;
 use rustc_hash::FxHashMap;
+use sesamegap_policy::routing::Openness;
 use sesamegap_policy::routing::recall::Recall;
+use sesamegap_policy::routing::silence::Silences;
 use sesamegap_wire::{Moment, ServiceId, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, VecDeque};
@@ -85,6 +87,7 @@
     pub(crate) recall: Recall,
     pub(crate) loads: Loads,
     pub(crate) kept: Kept,
+    pub(crate) silences: Silences,
     named_at: Moment,
     namings: VecDeque<Naming>,
 }
@@ -102,6 +105,7 @@
             recall: Recall::default(),
             loads: Loads::default(),
             kept: Kept::default(),
+            silences: Silences::default(),
             named_at: Moment(0),
             namings: VecDeque::new(),
         }
@@ -129,6 +133,23 @@
             .filter(move |upstream| upstream.entry.service == *service)
     }
 
+    /// Whether an upstream takes work, by what this VM and others saw of it.
+    pub fn openness(&self, upstream: &Upstream, now: Moment) -> Openness {
+        match upstream.openness(now) {
+            Openness::Open if self.silences.is_silent(upstream.seed, now) => Openness::Suspect,
+            openness => openness,
+        }
+    }
+
+    /// Notes that an upstream could not be reached or went silent.
+    pub fn failed(&mut self, id: &UpstreamId, now: Moment) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            let alone = upstream.fail(now);
+            let avoided = self.silences.failed(upstream.seed, alone, now);
+            upstream.avoid(now + avoided);
+        }
+    }
+
     /// Notes whether the store answers; while it is away, entries lapse of themselves.
     pub fn store(&mut self, answers: bool, now: Moment) {
         if answers && self.store_away {
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -156,10 +156,24 @@
     }
 
     /// Notes that it could not be reached or went silent.
-    pub fn fail(&mut self, now: Moment) {
+    ///
+    /// Gives how long this VM alone avoids it.
+    pub fn fail(&mut self, now: Moment) -> Duration {
         let doublings = self.failures.min(DOUBLINGS);
         self.failures += 1;
-        self.avoided = now + AVOIDED * 2u32.pow(doublings);
+        let avoided = AVOIDED * 2u32.pow(doublings);
+        self.avoid(now + avoided);
+        avoided
+    }
+
+    /// Avoids it until a moment.
+    pub(super) fn avoid(&mut self, until: Moment) {
+        self.avoided = until;
+    }
+
+    /// Whether it failed when it was last tried.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
     }
 
     /// Sends nothing there for a while.
@@ -186,8 +200,8 @@
         self.entry.leaving || now < self.paused
     }
 
-    /// Whether it takes work.
-    pub fn openness(&self, now: Moment) -> Openness {
+    /// Whether it takes work, by what this VM saw of it.
+    pub(super) fn openness(&self, now: Moment) -> Openness {
         if self.is_paused(now) {
             Openness::Paused
         } else if self.is_suspect(now) {
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -151,7 +151,7 @@
                     state: if self.is_outdated(&shape.model, version, now) {
                         Openness::Paused
                     } else {
-                        upstream.openness(now)
+                        self.openness(upstream, now)
                     },
                 }
             })
@@ -182,7 +182,7 @@
                 slots: upstream.entry.slots,
                 slowness: upstream.pace.map_or(1.0, |pace| pace / fastest),
                 faults: upstream.faults,
-                state: upstream.openness(now),
+                state: self.openness(upstream, now),
             })
             .collect();
         plain::choose(&views, selection.spread)
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -12,6 +12,7 @@
 use crate::follow::{self, Reading};
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::routing::silence::Word;
 use sesamegap_policy::routing::telling::{Audience, FANOUT, Sum, Telling};
 use sesamegap_wire::VmId;
 use std::net::SocketAddr;
@@ -24,6 +25,9 @@
 /// Time between datagrams while something changes: a fifth of what an engine needs for a prompt.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Words on silent upstreams in one datagram.
+const WORDS: usize = 64;
+
 /// Pieces of news in one datagram; with their names they stay under a link's packet.
 const PIECES: usize = 16;
 
@@ -36,6 +40,8 @@
     Loads(VmId, Vec<Held>),
     /// News of engines.
     Engines(Vec<EngineNews>),
+    /// What a VM says of upstreams that do not answer.
+    Silent(VmId, Vec<Word>),
     /// What a VM has read of the store for all.
     Reading(Reading),
     /// A store of kept cache does not answer.
@@ -64,6 +70,11 @@
             let all = core.peers.known().alive;
             send(&core, &socket, &datagram, &all).await;
         }
+        for words in said(&core).chunks(WORDS) {
+            let datagram = Datagram::Silent(core.settings().vm.clone(), words.to_vec());
+            let all = core.peers.known().alive;
+            send(&core, &socket, &datagram, &all).await;
+        }
         for reading in core.peers.outbox.readings() {
             let all = core.peers.known().alive;
             send(&core, &socket, &Datagram::Reading(reading), &all).await;
@@ -88,6 +99,26 @@
     }
 }
 
+/// What is to be said of upstreams that do not answer, or do again.
+fn said(core: &Core) -> Vec<Word> {
+    core.fleet.lock().silences.said()
+}
+
+fn take_words(core: &Core, vm: &VmId, words: &[Word]) {
+    let now = clock::now();
+    let mut fleet = core.fleet.lock();
+    for word in words {
+        let was = fleet.silences.is_silent(word.seed, now);
+        fleet.silences.take(vm, *word, now);
+        let is = fleet.silences.is_silent(word.seed, now);
+        if was != is {
+            let found = fleet.upstreams().find(|up| up.seed == word.seed);
+            let upstream = found.map(|up| up.id.clone());
+            info!(event = events::UPSTREAM, upstream = ?upstream, change = if is { "silent" } else { "answers" }, by = %vm, avoided_ms = word.avoided_ms, "others say so");
+        }
+    }
+}
+
 fn sum(held: &[Held]) -> Sum {
     Sum {
         running: held.iter().map(|held| held.running).sum(),
@@ -150,6 +181,7 @@
                 core.fleet.lock().loads.take(vm, held, clock::now());
             }
             Ok(Datagram::Engines(news)) => take(&core, &news),
+            Ok(Datagram::Silent(vm, words)) => take_words(&core, &vm, &words),
             Ok(Datagram::Reading(reading)) => follow::hear(&core, reading),
             Ok(Datagram::StoreOut(store)) => {
                 core.fleet.lock().kept.leave(store, clock::now());
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -131,6 +131,7 @@
 /// Decides whether an answer is one to this request, and whether the request was run.
 fn judge(core: &Core, job: &Job, mut flight: Flight, exchange: Exchange, sent: Instant) -> Outcome {
     let now = clock::now();
+    flight.reached(now);
     let status = exchange.response.status();
     let answer_head = core.ports.headers.read_answer(exchange.response.headers());
     if let Some(load) = answer_head.load {
--- a/crates/sesamegap-entry/src/relay/progress.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -120,6 +120,6 @@
         let now = clock::now();
         let fleet = core.fleet.lock();
         let mut others = fleet.of(&self.service).filter(|up| Some(&up.id) != than);
-        others.any(|up| up.openness(now) == Openness::Open && !self.tried.contains(&up.id))
+        others.any(|up| fleet.openness(up, now) == Openness::Open && !self.tried.contains(&up.id))
     }
 }
--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -52,8 +52,8 @@
         target.version = newest;
     }
     let done = load(core, lease, &target, addr).await;
-    if !done && let Some(upstream) = core.fleet.lock().get_mut(&engine) {
-        upstream.fail(clock::now());
+    if !done {
+        core.fleet.lock().failed(&engine, clock::now());
     }
     push(core, news(&target, Duration::ZERO, done));
 }
@@ -99,7 +99,7 @@
     let engines = || fleet.upstreams().filter(|up| up.is_engine());
     let newest = fleet.newest(&target.model);
     let done = engines().filter(|up| up.version(&target.model) >= newest);
-    let open = engines().filter(|up| up.openness(now) == Openness::Open);
+    let open = engines().filter(|up| fleet.openness(up, now) == Openness::Open);
     let since = now.since(fleet.named_at());
     let all = engines().count();
     Some(View {
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -12,7 +12,7 @@
 use engine::bring;
 use lease::Lease;
 use sesamegap_policy::routing::engines::{rank, seed};
-use sesamegap_policy::routing::rolls;
+use sesamegap_policy::routing::{Openness, rolls};
 use sesamegap_wire::{Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::collections::BTreeSet;
@@ -143,7 +143,7 @@
                     .first()
                     .map_or(0, |held| held.version.0),
                 running: fleet.running(engine, now),
-                suspect: engine.is_suspect(now),
+                suspect: fleet.openness(engine, now) == Openness::Suspect,
             });
         }
         let due = rolls::next(&views).into_iter();
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -69,7 +69,7 @@
         service: up.entry.service.to_smolstr(),
         leaving: up.entry.leaving,
         lapsed: up.lapsed.is_some(),
-        state: smol_str::format_smolstr!("{:?}", up.openness(now)),
+        state: smol_str::format_smolstr!("{:?}", fleet.openness(up, now)),
         running: fleet.running(up, now),
         unread: fleet.unread(up),
         heard_ms_ago: clock::ms(now.since(up.heard)),
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -47,10 +47,6 @@
 /// Prompt tokens fetched in a millisecond over a busy link, half of what the slower links carry.
 const FETCH_PER_MS: f64 = 500.0;
 
-/// Cost of an engine that uses another store of kept cache than the prompt's home: what the home has
-/// lost is read again there.
-const ELSEWHERE_MS: f64 = 60.0;
-
 /// Cost of going to another failure domain: twice the one-way delay and the bytes' price.
 const FAR_MS: f64 = 4.0;
 
@@ -302,7 +298,8 @@
     let fetch = match reach {
         Reach::Home => 0.0,
         Reach::Store => moves,
-        Reach::Far => moves + ELSEWHERE_MS,
+        // What the home has lost is read again, which is work like that of any queue.
+        Reach::Far => moves + QUEUE * prompt.inner().tokens as f64 / READ_PER_MS as f64,
     };
     let cross = if engine.long == prompt.is_long() {
         0.0
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`engines`] picks the engine of a prompt given as named parts, [`transfers`] says where cached
 //! parts come from, [`plain`] picks the worker of a plain service, [`budget`] bounds repeats over all
-//! entry VMs without a message between them, [`patience`] tells a silent upstream from a slow one,
+//! entry VMs without a message between them, [`patience`] tells a silent upstream from a slow one, [`silence`] what others say of it,
 //! [`reading`] says when a VM reads the store itself, [`telling`] says whom a VM tells of its load, and [`rolls`] picks the engines that take new weights next.
 
 pub mod budget;
@@ -12,6 +12,7 @@
 pub mod reading;
 pub mod recall;
 pub mod rolls;
+pub mod silence;
 pub mod telling;
 pub mod transfers;
 
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -5,5 +5,6 @@
 mod plain;
 mod reading;
 mod rolls;
+mod silence;
 mod telling;
 mod transfers;
