Ask an engine that holds other weights again for those

Change: an engine that names other weights may be asked again at once, for these; it still counts towards the three refusals and the bound on repeats. A refusal only lengthens a pause. Test: the engine alone, asked with old weights; 503 before, whole answer after.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -102,7 +102,7 @@
     /// Sends nothing there until a moment.
     pub fn paused(&self, until: Moment) {
         if let Some(upstream) = self.fleet.lock().get_mut(&self.id) {
-            upstream.pause(until);
+            upstream.pause_at_least(until);
         }
     }
 
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -181,6 +181,11 @@
         self.paused = until;
     }
 
+    /// Sends nothing there until a moment, or longer if it is out for longer anyway.
+    pub(super) fn pause_at_least(&mut self, until: Moment) {
+        self.paused = self.paused.max(until);
+    }
+
     /// Notes an answer of a plain service.
     pub fn answered(&mut self, took: Duration, failed: bool) {
         let fault = f64::from(u8::from(failed));
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -42,6 +42,8 @@
     Unreached,
     /// The upstream said so.
     Refused,
+    /// The engine holds other weights than this VM believed, and said which.
+    OtherWeights,
 }
 
 /// The head of an answer, with the body to come.
@@ -138,8 +140,7 @@
         flight.loaded(load, now);
     }
     if answer_head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        refused(job, &flight, &answer_head, status);
-        return Outcome::NotRun(NotRun::Refused);
+        return Outcome::NotRun(refused(job, &flight, &answer_head, status));
     }
     // A late or extra answer to another request would otherwise reach this caller.
     if answer_head.id.as_ref().is_some_and(|id| *id != job.head.id) {
@@ -160,7 +161,7 @@
 }
 
 /// Learns from an upstream's refusal.
-fn refused(job: &Job, flight: &Flight, answer_head: &AnswerHead, status: StatusCode) {
+fn refused(job: &Job, flight: &Flight, answer_head: &AnswerHead, status: StatusCode) -> NotRun {
     let now = clock::now();
     let moved = status == StatusCode::MISDIRECTED_REQUEST
         && answer_head
@@ -169,12 +170,16 @@
             .is_some_and(|id| *id != flight.id);
     if moved {
         flight.paused(now + MOVED_PAUSE);
-        return;
+        return NotRun::Refused;
     }
     if let (Some(version), Some(model)) = (answer_head.weights, &job.head.model) {
         flight.holds(model, version);
+        if status == StatusCode::MISDIRECTED_REQUEST && flight.weights != Some(version) {
+            return NotRun::OtherWeights;
+        }
     }
     flight.paused(now + REFUSED_PAUSE);
+    NotRun::Refused
 }
 
 fn dispatch_for(core: &Core, job: &Job, flight: &Flight, after: Option<u64>) -> Dispatch {
@@ -235,6 +240,7 @@
         match self {
             Self::Unreached => "unreached",
             Self::Refused => "refused",
+            Self::OtherWeights => "other_weights",
         }
     }
 }
--- a/crates/sesamegap-entry/src/relay/progress.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -66,13 +66,16 @@
 
     /// Whether a request that was not run at `at` goes to another upstream.
     pub fn after_not_run(&mut self, core: &Core, at: UpstreamId, why: NotRun) -> bool {
-        self.tried.push(at);
+        // What it holds is known now, so the next one may well be the same engine.
+        if why != NotRun::OtherWeights {
+            self.tried.push(at);
+        }
         match why {
             NotRun::Unreached => {
                 self.unreached += 1;
                 self.unreached < MOST_UNREACHED
             }
-            NotRun::Refused => {
+            NotRun::Refused | NotRun::OtherWeights => {
                 self.refusals += 1;
                 self.refusals < MOST_REFUSALS && core.may_repeat(&self.service)
             }
--- a/crates/sesamegap-entry/tests/testsuite/streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/streams.rs
@@ -26,6 +26,36 @@
     );
 }
 
+/// An engine has new weights, and this VM, cut off from its peers, has not heard of it. Its callers
+/// would be told to come back while the engine is free, until the list tells of the weights.
+#[tokio::test]
+async fn an_engine_that_has_other_weights_is_asked_again_for_those() {
+    let process = Process::new().await;
+    let engine = Upstream::start(vec![Act::OtherWeights(2), Act::Events(1..6)]).await;
+    process.add("e1", "engines", engine.addr);
+    let answer = ask(process.callers, "POST", "/chat/", CHAT, "hello").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, &*events(1..6)));
+    assert!(answer.whole);
+    let seen = engine.seen();
+    assert_eq!(seen.len(), 2);
+    assert!(
+        seen[0].contains("x-space: w1") && seen[1].contains("x-space: w2"),
+        "cached parts of other weights must not be found: {seen:?}"
+    );
+}
+
+/// An engine that never says the same twice must not be asked for ever.
+#[tokio::test]
+async fn an_engine_whose_weights_always_differ_is_given_up() {
+    let process = Process::new().await;
+    let acts = (2..40).map(Act::OtherWeights).collect();
+    let engine = Upstream::start(acts).await;
+    process.add("e1", "engines", engine.addr);
+    let answer = ask(process.callers, "POST", "/chat/", CHAT, "hello").await;
+    assert_eq!(answer.status, 503);
+    assert!(engine.seen().len() <= 3, "{}", engine.seen().len());
+}
+
 /// An engine crashes in the middle of an event of a stream that may run only once. The caller
 /// must see that its answer is not whole.
 #[tokio::test]
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -82,7 +82,8 @@
             not_run: headers.contains_key("x-not-run"),
             upstream: text(headers, &MEANT).and_then(|id| id.parse::<UpstreamId>().ok()),
             load: None,
-            weights: None,
+            weights: text(headers, &HeaderName::from_static("x-weights"))
+                .and_then(|version| version.parse().ok()),
             sealed: headers.contains_key("x-seal"),
         }
     }
