--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -18,7 +18,7 @@
 pub const WEIGHTS: u16 = 711;
 /// A record cannot be read.
 pub const UNREADABLE: u16 = 712;
-/// The belief about an upstream changed.
+/// The belief about an upstream changed: by the list, by a peer's word, or by its own answer.
 pub const UPSTREAM: u16 = 713;
 /// The store stopped answering.
 pub const STORE_LOST: u16 = 720;
@@ -28,7 +28,7 @@
 pub const COMPACTED: u16 = 722;
 /// The belief about a peer changed.
 pub const PEER: u16 = 730;
-/// The belief about the store of kept cache changed.
+/// A store of kept cache stopped answering, or answers again.
 pub const KEPT: u16 = 731;
 /// A lease was taken, kept or lost.
 pub const LEASE: u16 = 740;
