Let a roll that finds another instance at an address not give the old one back

Cause, found on reading the change again: after the order was refused as meant for another instance, the roll pushed its usual news that the engine takes work again, in place of the word that it is gone, in the same outbox; peers never heard it. Change: no such news for an engine that is gone. The test failed before: out_ms 0 and not gone.

--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -4,6 +4,7 @@
 use super::lease::Lease;
 use crate::clock;
 use crate::core::Core;
+use crate::fleet::Upstream;
 use crate::peers::{EngineNews, push};
 use crate::ports::{LoadOrder, OrderAnswer, Report, Running, Weights};
 use crate::telemetry::events;
@@ -55,7 +56,10 @@
     if !done {
         core.fleet.lock().failed(&engine, clock::now());
     }
-    push(core, news(&target, Duration::ZERO, done));
+    let gone = |up: &Upstream| up.is_gone(clock::now());
+    if !core.fleet.lock().get(&engine).is_some_and(gone) {
+        push(core, news(&target, Duration::ZERO, done));
+    }
 }
 
 /// Keeps work away from an engine until its requests have ended, or for as long as a roll can wait.
--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, StandinEngine, entry, settings, unused};
+use crate::support::{Platform, StandinEngine, entry, settings, until, unused};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::ports::Weights;
@@ -37,16 +37,6 @@
     core.named.notify_one();
 }
 
-async fn until(mut done: impl FnMut() -> bool) {
-    for _ in 0..3_000 {
-        if done() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    panic!("it never came to pass");
-}
-
 fn all_hold(platform: &Platform, version: u32) -> bool {
     let engines = platform.engines.lock().unwrap();
     engines.iter().all(|engine| engine.version == version)
@@ -154,3 +144,25 @@
     *platform.away.lock().unwrap() = false;
     until(|| all_hold(&platform, 2)).await;
 }
+
+/// An engine crashed and another instance has its address, while the list still names it. The roll
+/// would order it over and over, and the VMs would go on sending it requests.
+#[tokio::test]
+async fn an_engine_that_is_another_instance_now_is_left_alone_and_told_to_all() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 5);
+    platform.engines.lock().unwrap()[0].moved = true;
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    name(&core, 2);
+    let others_hold = || {
+        let engines = platform.engines.lock().unwrap();
+        engines[1..].iter().all(|engine| engine.version == 2)
+    };
+    until(|| others_hold() && !platform.engines.lock().unwrap()[0].orders.is_empty()).await;
+    let gone = "e0".parse().unwrap();
+    until(|| core.fleet.lock().get(&gone).unwrap().is_gone(clock::now())).await;
+    let told = core.peers.outbox.take();
+    let word = told.iter().find(|news| news.engine == gone);
+    assert!(word.is_some_and(|news| news.gone), "{told:?}");
+    assert_eq!(platform.engines.lock().unwrap()[0].orders.len(), 1);
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -98,6 +98,8 @@
     pub orders: Vec<LoadOrder>,
     /// Orders that it still leaves unanswered.
     pub mute_orders: u32,
+    /// Whether another instance has its address.
+    pub moved: bool,
     /// The last of these, to be carried out late.
     pub late: Option<LoadOrder>,
 }
@@ -109,6 +111,7 @@
             version: 1,
             orders: Vec::new(),
             mute_orders: 0,
+            moved: false,
             late: None,
         }
     }
@@ -232,6 +235,10 @@
         order: LoadOrder,
     ) -> EngineCall<'_, OrderAnswer> {
         let answer = self.with(addr, |engine| {
+            if engine.moved {
+                engine.orders.push(order);
+                return Ok(OrderAnswer::Elsewhere);
+            }
             if engine.mute_orders > 0 {
                 engine.mute_orders -= 1;
                 engine.late = Some(order);
