--- a/crates/sesamegap-entry/src/relay/request_log.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -21,6 +21,8 @@
     arrived: Instant,
     runs: u32,
     first: Option<Duration>,
+    last: Option<Instant>,
+    pause: Duration,
     status: Option<u16>,
     why: SmolStr,
 }
@@ -36,6 +38,8 @@
             arrived: job.arrived,
             runs: 0,
             first: None,
+            last: None,
+            pause: Duration::ZERO,
             status: None,
             why: SmolStr::default(),
         }
@@ -46,6 +50,15 @@
         self.first = Some(self.arrived.elapsed());
     }
 
+    /// Notes that events go to the caller: the longest time between two such tells a stream that was
+    /// stalled from one that began late.
+    pub fn passed(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last.replace(now) {
+            self.pause = self.pause.max(now - last);
+        }
+    }
+
     /// Notes how it ended.
     pub fn end(&mut self, status: u16, runs: u32, why: impl Into<SmolStr>) {
         self.status = Some(status);
@@ -78,6 +91,7 @@
             status,
             runs = self.runs,
             first_ms = self.first.map(clock::ms),
+            pause_ms = self.last.map(|_| clock::ms(self.pause)),
             took_ms = took,
             why = %self.why,
             "ended"
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -108,7 +108,10 @@
     async_stream::stream! {
         loop {
             match relay.next(&mut live).await {
-                Ok(Some(bytes)) => yield Ok(Frame::data(bytes)),
+                Ok(Some(bytes)) => {
+                    log.passed();
+                    yield Ok(Frame::data(bytes));
+                }
                 Ok(None) => {
                     log.end(live.status.as_u16(), relay.progress.runs + 1, "");
                     return;
