Gather what all peers are told in one place, and say what a lost datagram costs

Read again as a newcomer: four loops sent four queues in the same way, and the module did not tell what happens to what is lost. No behaviour changes.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -40,7 +40,7 @@
         self.unread
     }
 
-    /// Notes that it gave a connection and answered.
+    /// Notes that it gave a connection and answered: what others say of its silence is over.
     pub fn reached(&self, now: Moment) {
         let mut fleet = self.fleet.lock();
         let avoided = fleet.get(&self.id).is_some_and(Upstream::has_failed);
--- a/crates/sesamegap-entry/src/follow/readings.rs
+++ b/crates/sesamegap-entry/src/follow/readings.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Changes told in one datagram at most; whoever hears that there are more reads for itself.
+/// Changes told in one datagram at most, of some 150 bytes each; whoever hears that there are more reads
+/// for itself.
 const PIECES: usize = 8;
 
 /// A change that a reader tells of.
--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -25,7 +25,7 @@
 /// Pause after a call that failed, and between looks for a new store.
 const RETRY: Duration = Duration::from_millis(500);
 
-/// VMs that watch one store: the smallest number of calls that a store was seen to answer at once.
+/// VMs that watch one store: it answers eight to twelve such calls at once, and refuses others.
 const WATCHERS: usize = 8;
 
 /// How long a store that did not answer is left alone: two looks, so that the next one renews it.
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -1,4 +1,9 @@
-//! Datagrams among entry VMs: loads to some peers, news of engines to all.
+//! Datagrams among entry VMs: loads to some peers or all, news to all.
+//!
+//! News is what one VM found or did and all others would otherwise find out for themselves, at the cost
+//! of a caller's wait or a call: engines that are out or gone, upstreams and stores that are silent, and
+//! what was read of the store. What a lost datagram would have told is made up for by the next one, by an
+//! upstream's own answer, or by reading the store.
 //!
 //! Load: a roll takes half of the engines out within a moment, and all VMs must know. Harm
 //! prevented: with 84 VMs and 140 engines, a request over HTTP for each engine and peer kept the VM
@@ -25,7 +30,7 @@
 /// Time between datagrams while something changes: a fifth of what an engine needs for a prompt.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Words on silent upstreams in one datagram.
+/// Words on silent upstreams in one datagram; at 15 bytes each they fit.
 const WORDS: usize = 64;
 
 /// Pieces of news in one datagram; with their names they stay under a link's packet.
@@ -65,23 +70,8 @@
     let mut turn = 0;
     while core.phase() < Phase::Ended {
         sleep(TICK).await;
-        for news in core.peers.outbox.take().chunks(PIECES) {
-            let datagram = Datagram::Engines(news.to_vec());
-            let all = core.peers.known().alive;
-            send(&core, &socket, &datagram, &all).await;
-        }
-        for words in said(&core).chunks(WORDS) {
-            let datagram = Datagram::Silent(core.settings().vm.clone(), words.to_vec());
-            let all = core.peers.known().alive;
-            send(&core, &socket, &datagram, &all).await;
-        }
-        for reading in core.peers.outbox.readings() {
-            let all = core.peers.known().alive;
-            send(&core, &socket, &Datagram::Reading(reading), &all).await;
-        }
-        for store in core.peers.outbox.stores() {
-            let all = core.peers.known().alive;
-            send(&core, &socket, &Datagram::StoreOut(store), &all).await;
+        for datagram in news(&core) {
+            send(&core, &socket, &datagram, &core.peers.known().alive).await;
         }
         let held = own(&core);
         let peers = core.peers.known().alive;
@@ -99,11 +89,29 @@
     }
 }
 
-/// What is to be said of upstreams that do not answer, or do again.
-fn said(core: &Core) -> Vec<Word> {
-    core.fleet.lock().silences.said()
+/// What all peers are told at once.
+fn news(core: &Core) -> Vec<Datagram> {
+    let me = &core.settings().vm;
+    let outbox = &core.peers.outbox;
+    let words = core.fleet.lock().silences.said();
+    let engines = outbox.take();
+    let mut all = Vec::new();
+    all.extend(
+        engines
+            .chunks(PIECES)
+            .map(|news| Datagram::Engines(news.to_vec())),
+    );
+    all.extend(
+        words
+            .chunks(WORDS)
+            .map(|words| Datagram::Silent(me.clone(), words.to_vec())),
+    );
+    all.extend(outbox.readings().into_iter().map(Datagram::Reading));
+    all.extend(outbox.stores().into_iter().map(Datagram::StoreOut));
+    all
 }
 
+/// Takes in what a VM says of upstreams that do not answer.
 fn take_words(core: &Core, vm: &VmId, words: &[Word]) {
     let now = clock::now();
     let mut fleet = core.fleet.lock();
