Drop a one-line detour and a branch that could not be reached

Found on reading the whole change again: took() only passed its arguments on and had one caller left; hear() named Heard::Old in a match after having returned for it; the doc of an engine's unread tokens told of this VM alone, while all VMs' are counted. No behaviour changes; tests of the entry process and the adapter pass.

--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -53,11 +53,6 @@
     }
 }
 
-/// Notes whether the store answers this VM.
-pub fn took(core: &Core, answers: bool) {
-    core.fleet.lock().store(answers, clock::now());
-}
-
 fn tell(id: &UpstreamId, change: Change) -> bool {
     let changed = change != Change::Same;
     if changed {
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -14,7 +14,7 @@
 use crate::core::{Core, Phase};
 use crate::ports::{Batch, Record, StoreError, Table};
 use crate::telemetry::events;
-use apply::{replace, took};
+use apply::replace;
 use sesamegap_policy::routing::reading::READERS;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,7 +50,7 @@
             continue;
         }
         let outcome = step(&core, table).await;
-        took(&core, answers(&outcome));
+        core.fleet.lock().store(answers(&outcome), clock::now());
         match outcome {
             Ok(()) => {
                 if lost {
--- a/crates/sesamegap-entry/src/follow/readings.rs
+++ b/crates/sesamegap-entry/src/follow/readings.rs
@@ -105,9 +105,10 @@
     for piece in reading.pieces {
         apply(core, piece.into(), Duration::ZERO);
     }
-    match heard {
-        Heard::Missed => known.missed.notify_one(),
-        Heard::Joined | Heard::Old => core.fleet.lock().store_told(now),
+    if heard == Heard::Missed {
+        known.missed.notify_one();
+    } else {
+        core.fleet.lock().store_told(now);
     }
 }
 
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -83,7 +83,7 @@
     pub slots: u32,
     /// Requests waiting there, as far as is known.
     pub waiting: u32,
-    /// Prompt tokens sent there by this VM whose first token is still out.
+    /// Prompt tokens sent there by all VMs whose first token is still out, as far as is known.
     pub unread: u64,
     /// Version of its weights.
     pub version: u32,
