Log why no engine was chosen for a further attempt, and that an attempt failed

Sight for the flaky router::streams::another_engine_goes_on_when_one_dies, before any change of logic. Until now the log held 133 (moved) and 134 with code no_engine, which leaves open whether the other engine was unknown, counted as failed, or passed over.

Event 124 tells that an attempt failed at an engine; 135 tells code, attempt, barred engines and how many engines report the weights. Refusals of first attempts for lack of room stay counted and not logged, as they come by the thousand under overload.

--- a/crates/sesamegap/src/events/mod.rs
+++ b/crates/sesamegap/src/events/mod.rs
@@ -37,11 +37,13 @@
     LIST_CHANGED = 121, "The VM list names other upstreams or entry VMs than before.";
     ENGINE_LEAVING = 122, "An engine said itself that it is leaving.";
     LIST_BACK = 123, "The VM list can be read again.";
+    ENGINE_FAILED = 124, "An attempt failed at an engine; nothing goes there until it reports again.";
     ENGINE_MUTE = 130, "An engine's stream went silent and is taken up on a new connection.";
     STREAM_GAP = 131, "Chunks of an answer were missing and are asked for again.";
     STREAM_CROSSED = 132, "An answer named another request and was discarded.";
     STREAM_MOVED = 133, "A repeatable request goes on at another engine.";
     STREAM_FAILED = 134, "An answer could not be finished and ended with an error event.";
+    STREAM_REFUSED = 135, "No engine was chosen for a further attempt, or none at all can be; the line has what decided it.";
     LOG_LOST = 140, "The log cannot be read; settings come from peers meanwhile.";
     LOG_BACK = 141, "The log can be read again.";
     LOG_EXPIRED = 142, "Records were dropped by retention before they were read.";
--- a/crates/sesamegap/src/router/streams/model/flight.rs
+++ b/crates/sesamegap/src/router/streams/model/flight.rs
@@ -9,7 +9,7 @@
 use crate::router::streams::answer::Answer;
 use crate::router::streams::assembly::Assembly;
 use crate::router::streams::booking::{Booking, Queued};
-use sesamegap_policy::{Observation, Placement, Work};
+use sesamegap_policy::{Observation, Placement, RefusalCode, Work};
 use sesamegap_upstream::UpstreamError;
 use sesamegap_upstream::error::Fault;
 use sesamegap_wire::engine::Dispatch;
@@ -107,12 +107,37 @@
             }
             Ok(Verdict::Refuse(refusal)) => {
                 self.core.telemetry.refused(refusal.code);
+                self.note_refused(refusal.code);
                 Err(ApiError::refusal(&refusal))
             }
             Err(_) => Err(ApiError::overload("the router is stopping")),
         }
     }
 
+    /// Logs a refusal that ends an answer under way, or that finds no engine at all.
+    ///
+    /// Refusals of first attempts for lack of room come by the thousand under overload, and are
+    /// counted and not logged.
+    fn note_refused(&self, code: RefusalCode) {
+        if self.attempt == 0 && code != RefusalCode::NoEngine {
+            return;
+        }
+        let (model, version) = (&self.job.model, self.job.version);
+        let holders = self.core.fleet.holders();
+        let holders = holders.get(model).and_then(|held| held.get(&version));
+        tracing::info!(
+            event = events::STREAM_REFUSED.number,
+            request = %self.answer.head.request,
+            code = ?code,
+            attempt = self.attempt,
+            barred = ?self.barred,
+            holders = holders.copied().unwrap_or(0),
+            %model,
+            %version,
+            "no engine chosen"
+        );
+    }
+
     pub(super) fn submission(&self) -> Work {
         // The deadline is for the first token; once that was sent, going on has a fresh one.
         let fresh = self.assembly.next() > Seq(0);
@@ -227,6 +252,13 @@
     }
 
     pub(super) fn failed(&self, engine: &UpstreamId) {
+        tracing::info!(
+            event = events::ENGINE_FAILED.number,
+            request = %self.answer.head.request,
+            %engine,
+            next = %self.assembly.next(),
+            "attempt failed"
+        );
         self.core
             .decider
             .observe(Observation::Failed(engine.clone()));
