Give no candidate's place to an engine that the request may not go to again

Cause: the placer draws a handful of engines and struck out the barred ones afterwards. The engine that had crashed was back and had reported 6 to 16 ms after the attempt failed, before the decision. A prompt shorter than a block has no home and no holder, so its handful is two draws, and one in four of them picks the barred engine of two twice.

Ruled out: the other engine unknown or counted as failed, the retry budget, the deadline, a resumption that was lost.

Change: what is barred is passed over where candidates are gathered, so a request is refused only when every holder of its weights is barred.

Why it holds: whether an engine is found no longer depends on what the draw meets.

--- a/crates/sesamegap-policy/src/placing/candidates.rs
+++ b/crates/sesamegap-policy/src/placing/candidates.rs
@@ -1,4 +1,9 @@
 //! The handful of engines weighed for one request.
+//!
+//! Engines to which the request may not go are left out here and take no candidate's place. Struck
+//! out of the handful afterwards, they could be all of it, and an answer whose engine had crashed
+//! ended in the middle though another engine was idle: of two engines, one draw in four picked the
+//! barred one twice.
 
 use super::Ask;
 use super::engines::Engines;
@@ -36,10 +41,11 @@
     /// Rank of each home, and of all other engines at the end.
     ranks: Vec<f64>,
     finder: Homes,
+    barred: Vec<EngineNo>,
 }
 
 impl Candidates {
-    /// Gathers for a request; `false` if no engine holds its weights.
+    /// Gathers for a request; `false` if no engine that it may go to holds its weights.
     pub fn gather(
         &mut self,
         ask: &Ask<'_>,
@@ -58,12 +64,20 @@
             .find(ask.chain, ring, heat, seeds, &mut self.homes);
         self.rank_homes(engines, now);
         index.depths(&ask.chain.keys, now, &mut self.depths);
-        self.add_holders(ring, engines, draws.0);
-        for at in 0..self.homes.len().min(HOMES) {
-            self.add(self.homes[at], engines);
-        }
-        self.add_drawn(ring, engines, draws);
-        true
+        let barred = self.take_barred(ask, engines);
+        self.add_holders(ring, engines, &barred, draws.0);
+        self.add_homes(engines, &barred);
+        self.add_drawn(ring, engines, &barred, draws);
+        self.barred = barred;
+        !self.found.is_empty()
+    }
+
+    /// The numbers of the engines that are barred, in the buffer that is used again.
+    fn take_barred(&mut self, ask: &Ask<'_>, engines: &Engines) -> Vec<EngineNo> {
+        let mut barred = std::mem::take(&mut self.barred);
+        barred.clear();
+        barred.extend(ask.barred.iter().filter_map(|id| engines.number(id)));
+        barred
     }
 
     /// Ranks the homes by their places.
@@ -95,7 +109,7 @@
     }
 
     /// Adds the holders of the longest prefixes, ties in an order that each request draws anew.
-    fn add_holders(&mut self, ring: &Ring, engines: &Engines, draw: u64) {
+    fn add_holders(&mut self, ring: &Ring, engines: &Engines, barred: &[EngineNo], draw: u64) {
         let turn = usize::try_from(draw >> 32).unwrap_or(0) % self.depths.len().max(1);
         self.depths.rotate_left(turn);
         self.depths.sort_by_key(|d| std::cmp::Reverse(d.blocks));
@@ -104,7 +118,7 @@
             let Some(no) = engines.of_slot(self.depths[at].slot) else {
                 continue;
             };
-            if !ring.has(no) {
+            if !ring.has(no) || barred.contains(&no) {
                 continue;
             }
             self.add(no, engines);
@@ -115,9 +129,30 @@
         }
     }
 
-    fn add_drawn(&mut self, ring: &Ring, engines: &Engines, draws: (u64, u64)) {
+    fn add_homes(&mut self, engines: &Engines, barred: &[EngineNo]) {
+        let mut added = 0;
+        for at in 0..self.homes.len() {
+            let no = self.homes[at];
+            if barred.contains(&no) {
+                continue;
+            }
+            self.add(no, engines);
+            added += 1;
+            if added == HOMES {
+                return;
+            }
+        }
+    }
+
+    fn add_drawn(
+        &mut self,
+        ring: &Ring,
+        engines: &Engines,
+        barred: &[EngineNo],
+        draws: (u64, u64),
+    ) {
         for draw in [draws.0, draws.1] {
-            if let Some(no) = ring.pick(draw) {
+            if let Some(no) = ring.pick_beside(barred, draw) {
                 self.add(no, engines);
             }
         }
--- a/crates/sesamegap-policy/src/placing/choose.rs
+++ b/crates/sesamegap-policy/src/placing/choose.rs
@@ -98,9 +98,6 @@
             let Some(engine) = self.engines.get(found.engine) else {
                 continue;
             };
-            if ask.barred.contains(&engine.id) {
-                continue;
-            }
             let offer = self.offer(ask, engine, *found, now);
             if !over && engine.cold >= COLD_MOST && self.is_cold(ask, offer.missing) {
                 continue;
--- a/crates/sesamegap-policy/src/placing/ring.rs
+++ b/crates/sesamegap-policy/src/placing/ring.rs
@@ -143,11 +143,15 @@
         &self.points
     }
 
-    /// The member at a place drawn at random.
-    pub fn pick(&self, draw: u64) -> Option<EngineNo> {
+    /// The member at a place drawn at random, or the next one after it that is not barred.
+    ///
+    /// A request bars the few engines that it was sent to, so at most as many are passed over.
+    pub fn pick_beside(&self, barred: &[EngineNo], draw: u64) -> Option<EngineNo> {
         let len = u64::try_from(self.members.len()).unwrap_or(1).max(1);
         let at = usize::try_from(draw % len).unwrap_or(0);
-        self.members.get(at).map(|(no, _)| *no)
+        let (before, from) = self.members.split_at_checked(at)?;
+        let mut members = from.iter().chain(before).map(|(no, _)| *no);
+        members.find(|no| !barred.contains(no))
     }
 
     /// Appends up to `most` engines in the key's order of preference.
--- a/crates/sesamegap-policy/tests/testsuite/placing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/placing/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of placing: against naive versions, and by what callers get.
 
+mod barred;
 mod faults;
 mod homes;
 mod index;
