Read what lies in a caller's socket before its idle connection is closed

What callers saw: a connection that closed without an answer, when their request came at the moment at which the process closed idle connections (a planned stop, the bound on idle ones), when the head of a request had begun, or when their connection still waited at the port of a process that ended. On the users' platform such a caller tries again on a new connection; for a save it must first believe that the process had not read it.

Cause: a connection without a request under way was taken for idle. What the socket held was not looked at, nor whether a head had begun; a process that was busy or stood still learns of bytes only after its next look at all sockets, and closed first.

Before it closes one it asks the kernel whether bytes are unread (FIONREAD), reads them if so, and lets a head that has begun end within its bound. An end of the stream between two requests has hyper close; a graceful shutdown is no longer used. A process that ends takes the connections that wait at its port for 20 ms more.

Tests: crossing::*, four, all of which failed before (12 tries each, on one thread). The 100 others of the crate pass unchanged.

Why it holds: between the look at the socket and the close nothing else runs, so what is lost is what was still on the network, which no server can see.

--- a/crates/sesamegap-entry/src/intake/mod.rs
+++ b/crates/sesamegap-entry/src/intake/mod.rs
@@ -3,7 +3,6 @@
 //! poem's server offers neither bounds that change while it runs nor a close between requests, so
 //! this is on hyper's connection interface, the library beneath it.
 
-mod activity;
 mod connection;
 mod reply;
 mod request;
@@ -15,11 +14,16 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use tracing::warn;
 
 /// Pause after a failed accept, which mostly means that descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a process that ends still takes the connections that wait at its port; closing it
+/// would reset them, with the requests that their callers have sent.
+const LAST_ACCEPT: Duration = Duration::from_millis(20);
+
 /// Waits until the process has reached a phase.
 async fn reached(phases: &mut watch::Receiver<Phase>, phase: Phase) {
     if phases.wait_for(|now| *now >= phase).await.is_err() {
@@ -42,7 +46,10 @@
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
-            () = reached(&mut phases, Phase::Ended) => return,
+            () = reached(&mut phases, Phase::Ended) => break,
         }
     }
+    while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
+        tokio::spawn(connection::serve(Arc::clone(&core), stream));
+    }
 }
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -1,6 +1,5 @@
 //! One request of a caller, from its head to the relay.
 
-use super::activity::Busy;
 use super::connection::limits;
 use super::reply::{Body, Refusal, refuse};
 use crate::catalogue::{Catalogue, Route, Team};
@@ -13,7 +12,7 @@
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use std::convert::Infallible;
+use sesamegap_http::serving::{Busy, hold};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -30,11 +29,7 @@
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
 /// Answers a request; the guard lasts as long as the answer's body.
-pub async fn answer(
-    core: Arc<Core>,
-    request: Request<Incoming>,
-    busy: Busy,
-) -> Result<Response<Body>, Infallible> {
+pub async fn answer(core: Arc<Core>, request: Request<Incoming>, busy: Busy) -> Response<Body> {
     let taken = take(&core, request).await;
     let id = match &taken {
         Ok(job) => job.head.id.clone(),
@@ -66,16 +61,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response.map(|body| hold(body, (busy, active))))
-}
-
-/// A body that keeps something until it is dropped.
-fn hold<G: Send + 'static>(body: Body, guard: G) -> Body {
-    body.map_frame(move |frame| {
-        let _held = &guard;
-        frame
-    })
-    .boxed_unsync()
+    response.map(|body| hold(body, (busy, active)))
 }
 
 /// A request refused before it was placed.
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -149,6 +149,8 @@
         sleep(LOOK).await;
     }
     core.enter(Phase::Ended);
+    // What was accepted last is read only now, and counts as active from then on.
+    sleep(LOOK).await;
     while core.active() > 0 && told.elapsed() < times.ends {
         sleep(LOOK).await;
     }
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 
 mod belief;
 mod catalogue;
+mod crossing;
 mod fleet;
 mod foreign;
 mod logs;
--- a/crates/sesamegap-entry/tests/testsuite/support/caller.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/caller.rs
@@ -44,6 +44,21 @@
         }
     }
 
+    /// A caller on a connection that was opened without waiting.
+    pub fn of(stream: std::net::TcpStream) -> Self {
+        stream.set_nonblocking(true).unwrap();
+        Self {
+            stream: TcpStream::from_std(stream).unwrap(),
+            bytes: Vec::new(),
+        }
+    }
+
+    /// Sends without letting anything else run.
+    pub fn send_at_once(&mut self, text: &str) {
+        let sent = self.stream.try_write(text.as_bytes()).unwrap();
+        assert_eq!(sent, text.len());
+    }
+
     pub async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
--- a/crates/sesamegap-http/src/lib.rs
+++ b/crates/sesamegap-http/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod failure;
 pub mod pool;
+pub mod serving;
 pub mod settings;
 pub mod text;
 
--- /dev/null
+++ b/crates/sesamegap-http/src/serving/activity.rs
@@ -0,0 +1,166 @@
+//! What a caller's connection is doing, for bounds on idle ones and slow heads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// No head has begun.
+const NONE: u64 = u64::MAX;
+
+/// Bounds on how long a caller may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// For the head of a request.
+    pub head: Duration,
+    /// Between two requests.
+    pub idle: Duration,
+}
+
+/// State of one connection, its times in microseconds since it was opened.
+#[derive(Debug)]
+pub struct Activity {
+    opened: Instant,
+    requests: AtomicUsize,
+    asked: AtomicBool,
+    idle_since: AtomicU64,
+    head_since: AtomicU64,
+    parting: AtomicBool,
+    unread: AtomicBool,
+    over: AtomicBool,
+}
+
+/// Which bound a connection reaches next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Due {
+    /// A request is being worked on.
+    Busy,
+    /// The connection is idle until this moment.
+    Idle(Instant),
+    /// A head is being sent, until this moment.
+    Head(Instant),
+}
+
+impl Activity {
+    /// A connection that was just opened.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            opened: Instant::now(),
+            requests: AtomicUsize::new(0),
+            asked: AtomicBool::new(false),
+            idle_since: AtomicU64::new(0),
+            head_since: AtomicU64::new(NONE),
+            parting: AtomicBool::new(false),
+            unread: AtomicBool::new(false),
+            over: AtomicBool::new(false),
+        })
+    }
+
+    /// A request was read; it lasts until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> Busy {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        self.asked.store(true, Ordering::Relaxed);
+        self.head_since.store(NONE, Ordering::Relaxed);
+        Busy(Arc::clone(self))
+    }
+
+    /// The bound that applies now.
+    pub fn due(&self, bounds: Bounds) -> Due {
+        if self.requests.load(Ordering::Relaxed) > 0 {
+            return Due::Busy;
+        }
+        let head = self.head_since.load(Ordering::Relaxed);
+        if head != NONE {
+            return Due::Head(self.at(head) + bounds.head);
+        }
+        Due::Idle(self.at(self.idle_since.load(Ordering::Relaxed)) + bounds.idle)
+    }
+
+    /// Whether any request came on the connection.
+    pub fn has_asked(&self) -> bool {
+        self.asked.load(Ordering::Relaxed)
+    }
+
+    /// Has the stream look for unread bytes whenever it finds none ready.
+    pub(super) fn part(&self) {
+        self.parting.store(true, Ordering::Relaxed);
+    }
+
+    /// Goes back to reading without that look.
+    pub(super) fn stay(&self) {
+        self.parting.store(false, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_parting(&self) -> bool {
+        self.parting.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether bytes lie in the socket that were not read.
+    pub(super) fn found(&self, unread: bool) {
+        self.unread.store(unread, Ordering::Relaxed);
+    }
+
+    pub(super) fn has_unread(&self) -> bool {
+        self.unread.load(Ordering::Relaxed)
+    }
+
+    /// Ends the connection: nothing more is read from it.
+    pub(super) fn finish(&self) {
+        self.over.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.over.load(Ordering::Relaxed)
+    }
+
+    /// Bytes were read.
+    pub(super) fn read(&self) {
+        self.unread.store(false, Ordering::Relaxed);
+        if self.requests.load(Ordering::Relaxed) > 0 {
+            return;
+        }
+        // Only the first bytes of a head start its time.
+        if self.head_since.load(Ordering::Relaxed) == NONE {
+            self.head_since.store(self.now(), Ordering::Relaxed);
+        }
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.opened.elapsed().as_micros()).unwrap_or(NONE - 1)
+    }
+
+    fn at(&self, micros: u64) -> Instant {
+        self.opened + Duration::from_micros(micros)
+    }
+}
+
+impl Due {
+    /// How long until the bound is reached; `recheck` while none applies.
+    pub fn wait(self, recheck: Duration) -> Duration {
+        match self {
+            Self::Busy => recheck,
+            Self::Idle(at) | Self::Head(at) => at.saturating_duration_since(Instant::now()),
+        }
+    }
+
+    /// Whether the bound is reached.
+    pub fn is_over(self) -> bool {
+        match self {
+            Self::Busy => false,
+            Self::Idle(at) | Self::Head(at) => Instant::now() >= at,
+        }
+    }
+}
+
+/// A request on the connection.
+#[derive(Debug)]
+pub struct Busy(Arc<Activity>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let now = self.0.now();
+        self.0.idle_since.store(now, Ordering::Relaxed);
+        self.0.head_since.store(NONE, Ordering::Relaxed);
+        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-http/src/serving/mod.rs
@@ -0,0 +1,166 @@
+//! Serves a caller's connection, and closes it without losing a request.
+//!
+//! A server closes connections that are idle: at a bound, and when it stops. A request may come at
+//! that very moment. One that lies in the socket is read and answered before the connection is
+//! closed, which the usual graceful shutdown of a server does not do: it closes what it believes
+//! idle, and a busy or paused process learns late what its sockets hold. A head that has begun has
+//! its time to end. For a request that is still on the way there is the farewell: an
+//! answer sent with the close, which says that nothing sent after it is run (status 408, RFC 9110
+//! section 15.5.9). Without it such a caller sees a closed connection, and cannot tell whether
+//! its request ran.
+
+mod activity;
+mod watched;
+
+pub use activity::{Activity, Bounds, Busy, Due};
+pub use watched::Watched;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::{Future, poll_fn};
+use std::os::fd::AsFd;
+use std::pin::pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::sleep;
+
+/// Smallest buffer that hyper takes for heads, in bytes.
+const LEAST_HEAD: usize = 8_192;
+
+/// How often a busy connection looks at its bounds again.
+const RECHECK: Duration = Duration::from_secs(5);
+
+/// How often a connection that is to close looks whether it may: a small part of the seconds that a
+/// stop takes, and seldom enough for hundreds of connections on a part of a core.
+const CLOSING_LOOK: Duration = Duration::from_millis(100);
+
+/// How a server treats its connections.
+pub trait Terms: Send + Sync {
+    /// Bounds in force now; they may change while a connection is open.
+    fn bounds(&self) -> Bounds;
+
+    /// Longest head, in bytes, of a connection that opens now.
+    fn longest_head(&self) -> usize;
+
+    /// What a connection closed between two requests is sent; nothing if empty.
+    fn farewell(&self) -> Bytes {
+        Bytes::new()
+    }
+
+    /// Whether a stop also closes connections on which no request has come yet.
+    fn closes_unused(&self) -> bool {
+        false
+    }
+}
+
+/// How a connection ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// Closed by the caller or by an answer that said so, or broken.
+    Closed(Option<hyper::Error>),
+    /// Closed by the server at a bound.
+    Bound(Due),
+    /// Closed by the server since it stops.
+    Stopped,
+}
+
+/// Serves a connection until either end closes it; `stop` resolves when the server stops.
+///
+/// Answers to requests that come after that should say `connection: close` themselves.
+pub async fn serve<S, F, A, B>(
+    stream: S,
+    terms: &dyn Terms,
+    answer: F,
+    stop: impl Future<Output = ()>,
+) -> Ended
+where
+    S: AsyncRead + AsyncWrite + AsFd + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>, Busy) -> A,
+    A: Future<Output = Response<B>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let activity = Activity::new();
+    let watched = Watched::new(stream, Arc::clone(&activity), terms.farewell());
+    let service = service_fn(|request| {
+        let answered = answer(request, activity.begin());
+        async move { Ok::<_, Infallible>(answered.await) }
+    });
+    let mut served = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(terms.longest_head().max(LEAST_HEAD))
+            .serve_connection(TokioIo::new(watched), service)
+    );
+    let mut stop = pin!(stop);
+    let mut stopping = false;
+    let ended = loop {
+        let bounds = terms.bounds();
+        let wait = wait(activity.due(bounds), bounds, stopping);
+        tokio::select! {
+            // A caller that leaves ends the connection, and with it the request on it.
+            ended = served.as_mut() => return Ended::Closed(ended.err()),
+            () = stop.as_mut(), if !stopping => stopping = true,
+            () = sleep(wait) => {}
+        }
+        let unused = !activity.has_asked() && !terms.closes_unused();
+        let closes = stopping && !unused;
+        if !closes && !activity.due(bounds).is_over() {
+            continue;
+        }
+        // Reads what lies in the socket, which may be the head of a request.
+        activity.part();
+        let looked = poll_fn(|cx| Poll::Ready(served.as_mut().poll(cx))).await;
+        if let Poll::Ready(ended) = looked {
+            return Ended::Closed(ended.err());
+        }
+        activity.stay();
+        let due = activity.due(bounds);
+        let idle = matches!(due, Due::Idle(_));
+        if !activity.has_unread() && due.is_over() {
+            break Ended::Bound(due);
+        }
+        if !activity.has_unread() && closes && idle {
+            break Ended::Stopped;
+        }
+    };
+    activity.finish();
+    drop(served.await);
+    ended
+}
+
+/// Time until a connection's state is looked at again.
+fn wait(due: Due, bounds: Bounds, stopping: bool) -> Duration {
+    // A head may begin while this waits for an idle connection's end, and has less time.
+    let recheck = bounds.head / 2;
+    let most = if stopping {
+        recheck.min(CLOSING_LOOK)
+    } else {
+        recheck
+    };
+    due.wait(RECHECK).min(most)
+}
+
+/// A body that keeps something until it is dropped.
+pub fn hold<B, G>(body: B, guard: G) -> UnsyncBoxBody<B::Data, B::Error>
+where
+    B: Body + Send + 'static,
+    G: Send + 'static,
+{
+    body.map_frame(move |frame| {
+        let _held = &guard;
+        frame
+    })
+    .boxed_unsync()
+}
--- /dev/null
+++ b/crates/sesamegap-http/src/serving/watched.rs
@@ -0,0 +1,142 @@
+//! A caller's stream that notes what comes, and takes leave before it closes.
+
+use super::activity::Activity;
+use bytes::{Buf, Bytes};
+use rustix::io::ioctl_fionread;
+use std::future::Future;
+use std::io;
+use std::os::fd::AsFd;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Sleep, sleep};
+
+/// Longest wait for a caller to close after the last bytes to it. Closing while its bytes are on
+/// the way would reset the connection, and with it what the caller has not read yet.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Bytes of a caller that are thrown away at once while its close is waited for.
+const SCRAP: usize = 4_096;
+
+/// A stream that notes when bytes are read, and can be ended between two requests.
+#[derive(Debug)]
+pub struct Watched<S> {
+    stream: S,
+    activity: Arc<Activity>,
+    farewell: Bytes,
+    /// Whether there is a farewell that the caller should get to read.
+    lingers: bool,
+    linger: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S: AsFd> Watched<S> {
+    /// Watches a stream, whose caller is sent `farewell` if it is closed between two requests.
+    pub fn new(stream: S, activity: Arc<Activity>, farewell: Bytes) -> Self {
+        Self {
+            stream,
+            activity,
+            lingers: !farewell.is_empty(),
+            farewell,
+            linger: None,
+        }
+    }
+
+    /// Whether bytes lie in the socket.
+    ///
+    /// Asked of the kernel and not of the runtime, which learns of them only after its next look at
+    /// all sockets: a process that stood still has requests that it does not know of.
+    fn has_unread(&self) -> bool {
+        // An error means a broken socket, from which nothing can be read.
+        ioctl_fionread(&self.stream).is_ok_and(|count| count > 0)
+    }
+}
+
+impl<S: AsyncRead + AsFd + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.activity.is_over() {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.read();
+        }
+        if polled.is_pending() && self.activity.is_parting() {
+            self.activity.found(self.has_unread());
+        }
+        polled
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Watched<S> {
+    /// Sends what is left of the farewell.
+    fn take_leave(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.farewell.has_remaining() {
+            let sent = ready!(Pin::new(&mut self.stream).poll_write(cx, &self.farewell))?;
+            self.farewell.advance(sent);
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    /// Waits until the caller has closed, and throws away what it still sends.
+    fn linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let limit = self.linger.get_or_insert_with(|| Box::pin(sleep(LINGER)));
+        if limit.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            let mut scrap = [0; SCRAP];
+            let mut scrap = ReadBuf::new(&mut scrap);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut scrap))?;
+            if scrap.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.activity.is_over() {
+            return Pin::new(&mut self.stream).poll_shutdown(cx);
+        }
+        if self.linger.is_none() {
+            ready!(self.take_leave(cx))?;
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        if !self.lingers {
+            return Poll::Ready(Ok(()));
+        }
+        self.linger(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
