Let the last bytes of an answer reach a slow caller before a stop closes its connection

What callers saw: a large answer cut in its last part when the server stopped while a caller on a slow line still read it. Its length tells that something is missing, but the answer was ready and is lost.

Cause: hyper takes an answer's last bytes into its own buffer, and from then on the request counted as done and its connection as idle.

Change: the caller's stream notes whether its last write found no room; such a connection is not closed by a stop, and its time on the bound of idle ones counts from the last byte that went. A close takes a second at the most.

Why it holds: a stop asks for what is unread and for what is unsent, in the same turn in which it closes.

--- a/crates/sesamegap-http/src/serving/activity.rs
+++ b/crates/sesamegap-http/src/serving/activity.rs
@@ -27,6 +27,7 @@
     head_since: AtomicU64,
     parting: AtomicBool,
     unread: AtomicBool,
+    unsent: AtomicBool,
     over: AtomicBool,
 }
 
@@ -52,6 +53,7 @@
             head_since: AtomicU64::new(NONE),
             parting: AtomicBool::new(false),
             unread: AtomicBool::new(false),
+            unsent: AtomicBool::new(false),
             over: AtomicBool::new(false),
         })
     }
@@ -104,6 +106,20 @@
         self.unread.load(Ordering::Relaxed)
     }
 
+    /// Bytes went out, or did not since the caller has no room for them.
+    ///
+    /// An answer may be done for the server long before a slow caller has got all of it.
+    pub(super) fn wrote(&self, went: bool) {
+        self.unsent.store(!went, Ordering::Relaxed);
+        if went {
+            self.idle_since.store(self.now(), Ordering::Relaxed);
+        }
+    }
+
+    pub(super) fn has_unsent(&self) -> bool {
+        self.unsent.load(Ordering::Relaxed)
+    }
+
     /// Ends the connection: nothing more is read from it.
     pub(super) fn finish(&self) {
         self.over.store(true, Ordering::Relaxed);
--- a/crates/sesamegap-http/src/serving/mod.rs
+++ b/crates/sesamegap-http/src/serving/mod.rs
@@ -4,7 +4,7 @@
 //! that very moment. One that lies in the socket is read and answered before the connection is
 //! closed, which the usual graceful shutdown of a server does not do: it closes what it believes
 //! idle, and a busy or paused process learns late what its sockets hold. A head that has begun has
-//! its time to end. For a request that is still on the way there is the farewell: an
+//! its time to end, and an answer that is done reaches its caller first. For a request that is still on the way there is the farewell: an
 //! answer sent with the close, which says that nothing sent after it is run (status 408, RFC 9110
 //! section 15.5.9). Without it such a caller sees a closed connection, and cannot tell whether
 //! its request ran.
@@ -32,7 +32,7 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Smallest buffer that hyper takes for heads, in bytes.
 const LEAST_HEAD: usize = 8_192;
@@ -44,6 +44,9 @@
 /// stop takes, and seldom enough for hundreds of connections on a part of a core.
 const CLOSING_LOOK: Duration = Duration::from_millis(100);
 
+/// Longest time for a close, with the farewell and the caller's own close, whatever the caller does.
+const LAST_BYTES: Duration = Duration::from_secs(1);
+
 /// How a server treats its connections.
 pub trait Terms: Send + Sync {
     /// Bounds in force now; they may change while a connection is open.
@@ -131,12 +134,14 @@
         if !activity.has_unread() && due.is_over() {
             break Ended::Bound(due);
         }
-        if !activity.has_unread() && closes && idle {
+        // The last bytes of an answer may still wait for a slow caller.
+        let quiet = !activity.has_unread() && !activity.has_unsent();
+        if quiet && closes && idle {
             break Ended::Stopped;
         }
     };
     activity.finish();
-    drop(served.await);
+    drop(timeout(LAST_BYTES, served).await);
     ended
 }
 
--- a/crates/sesamegap-http/src/serving/watched.rs
+++ b/crates/sesamegap-http/src/serving/watched.rs
@@ -107,7 +107,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.wrote(polled.is_ready());
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -133,7 +135,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.wrote(polled.is_ready());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/sesamegap-http/tests/testsuite/main.rs
+++ b/crates/sesamegap-http/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod meter;
 mod pool;
 mod server;
+mod serving;
--- a/crates/sesamegap-policy/src/placing/candidates.rs
+++ b/crates/sesamegap-policy/src/placing/candidates.rs
@@ -41,6 +41,7 @@
     /// Rank of each home, and of all other engines at the end.
     ranks: Vec<f64>,
     finder: Homes,
+    /// Engines that the request may not go to.
     barred: Vec<EngineNo>,
 }
 
@@ -64,22 +65,16 @@
             .find(ask.chain, ring, heat, seeds, &mut self.homes);
         self.rank_homes(engines, now);
         index.depths(&ask.chain.keys, now, &mut self.depths);
-        let barred = self.take_barred(ask, engines);
-        self.add_holders(ring, engines, &barred, draws.0);
-        self.add_homes(engines, &barred);
-        self.add_drawn(ring, engines, &barred, draws);
-        self.barred = barred;
+        self.barred.clear();
+        let barred = ask.barred.iter();
+        self.barred
+            .extend(barred.filter_map(|id| engines.number(id)));
+        self.add_holders(ring, engines, draws.0);
+        self.add_homes(engines);
+        self.add_drawn(ring, engines, draws);
         !self.found.is_empty()
     }
 
-    /// The numbers of the engines that are barred, in the buffer that is used again.
-    fn take_barred(&mut self, ask: &Ask<'_>, engines: &Engines) -> Vec<EngineNo> {
-        let mut barred = std::mem::take(&mut self.barred);
-        barred.clear();
-        barred.extend(ask.barred.iter().filter_map(|id| engines.number(id)));
-        barred
-    }
-
     /// Ranks the homes by their places.
     ///
     /// Load: the first home of a prefix has become slow. Harm prevented: work that stays there
@@ -109,7 +104,7 @@
     }
 
     /// Adds the holders of the longest prefixes, ties in an order that each request draws anew.
-    fn add_holders(&mut self, ring: &Ring, engines: &Engines, barred: &[EngineNo], draw: u64) {
+    fn add_holders(&mut self, ring: &Ring, engines: &Engines, draw: u64) {
         let turn = usize::try_from(draw >> 32).unwrap_or(0) % self.depths.len().max(1);
         self.depths.rotate_left(turn);
         self.depths.sort_by_key(|d| std::cmp::Reverse(d.blocks));
@@ -118,7 +113,7 @@
             let Some(no) = engines.of_slot(self.depths[at].slot) else {
                 continue;
             };
-            if !ring.has(no) || barred.contains(&no) {
+            if !ring.has(no) || self.barred.contains(&no) {
                 continue;
             }
             self.add(no, engines);
@@ -129,11 +124,11 @@
         }
     }
 
-    fn add_homes(&mut self, engines: &Engines, barred: &[EngineNo]) {
+    fn add_homes(&mut self, engines: &Engines) {
         let mut added = 0;
         for at in 0..self.homes.len() {
             let no = self.homes[at];
-            if barred.contains(&no) {
+            if self.barred.contains(&no) {
                 continue;
             }
             self.add(no, engines);
@@ -144,15 +139,9 @@
         }
     }
 
-    fn add_drawn(
-        &mut self,
-        ring: &Ring,
-        engines: &Engines,
-        barred: &[EngineNo],
-        draws: (u64, u64),
-    ) {
+    fn add_drawn(&mut self, ring: &Ring, engines: &Engines, draws: (u64, u64)) {
         for draw in [draws.0, draws.1] {
-            if let Some(no) = ring.pick_beside(barred, draw) {
+            if let Some(no) = ring.pick_beside(&self.barred, draw) {
                 self.add(no, engines);
             }
         }
