Bound the last time for which a process that ends takes connections

Cause: the close of the port waited for 20 ms without a new connection, and not for 20 ms in all, so callers that keep coming held the port open.

Change: one deadline for all of them, in both routers.

--- a/crates/sesamegap-entry/src/intake/mod.rs
+++ b/crates/sesamegap-entry/src/intake/mod.rs
@@ -14,14 +14,15 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 use tracing::warn;
 
 /// Pause after a failed accept, which mostly means that descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time in which a process that ends still takes the connections that wait at its port; closing it
-/// would reset them, with the requests that their callers have sent.
+/// would reset them, with the requests that their callers have sent. It is the time of all of them:
+/// callers that keep coming would hold the port open, and what is taken late is cut by the kill.
 const LAST_ACCEPT: Duration = Duration::from_millis(20);
 
 /// Waits until the process has reached a phase.
@@ -49,7 +50,8 @@
             () = reached(&mut phases, Phase::Ended) => break,
         }
     }
-    while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
+    let last = Instant::now() + LAST_ACCEPT;
+    while let Ok(Ok((stream, _))) = timeout_at(last, listener.accept()).await {
         tokio::spawn(connection::serve(Arc::clone(&core), stream));
     }
 }
--- a/crates/sesamegap-entry/tests/testsuite/crossing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/crossing.rs
@@ -97,3 +97,22 @@
         assert_eq!(caller.answer().await.body, "ok");
     }
 }
+
+/// Callers keep coming while a process ends. Were each of them taken in its turn, the port would
+/// stay open, and a chat that came three seconds after the process was told to stop would be cut in
+/// the middle by the kill.
+#[tokio::test]
+async fn callers_that_keep_coming_do_not_hold_the_port_open() {
+    let process = Process::new().await;
+    process.core.enter(Phase::Ended);
+    for _ in 0..1_000 {
+        if tokio::net::TcpStream::connect(process.callers)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(4)).await;
+    }
+    panic!("the port never closed");
+}
--- a/crates/sesamegap/src/router/door.rs
+++ b/crates/sesamegap/src/router/door.rs
@@ -33,7 +33,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -48,7 +48,8 @@
 const FLUSH: Duration = Duration::from_secs(5);
 
 /// Time in which a router that closes still takes the connections that wait at its port; closing
-/// it would reset them, with the requests that their callers have sent.
+/// it would reset them, with the requests that their callers have sent. It is the time of all of
+/// them, since callers that keep coming would hold the port open.
 const LAST_ACCEPT: Duration = Duration::from_millis(20);
 
 /// Pause after a failed accept, which mostly means that descriptors ran out.
@@ -86,7 +87,8 @@
                 accepted = self.listener.accept() => self.take(&app, accepted).await,
             }
         }
-        while let Ok(accepted) = timeout(LAST_ACCEPT, self.listener.accept()).await {
+        let last = Instant::now() + LAST_ACCEPT;
+        while let Ok(accepted) = timeout_at(last, self.listener.accept()).await {
             self.take(&app, accepted).await;
         }
         drop(self.listener);
