Close a connection that is busy at a stop right after its answer

Cause, by reading: an answer whose head went out before the stop cannot say that its connection ends; after it the connection was kept until the next look, up to 0.1 s, in which a caller may send its next request however late the stop is.

Change: a busy connection is told to keep no alive once the stop has come, as before.

--- a/crates/sesamegap-http/src/serving/mod.rs
+++ b/crates/sesamegap-http/src/serving/mod.rs
@@ -120,6 +120,11 @@
         }
         let unused = !activity.has_asked() && !terms.closes_unused();
         let closes = stopping && !unused;
+        if closes && activity.due(bounds) == Due::Busy {
+            // Its head may have gone out before the stop. Kept after it, the connection would bring
+            // a further request late in the time of the stop, and the kill would cut that one.
+            served.as_mut().graceful_shutdown();
+        }
         if !closes && !activity.due(bounds).is_over() {
             continue;
         }
