Take a naming found again for no older than what was read before

Every VM found the naming among the newest records and took it for 8.6 s old (the bound of 12 s less 3.4 s, as after a start), half a second after it was named (711 Guessed, then 741 overtaken_ms=8613). All engines were shut by their weights 1.5 s later, long before the first of them could load; one engine got 260 of 325 prompts in two seconds.

Cause: a guess that is right after a start, when nothing was known, was used where the VM had followed the table. Ruled out: engines lost (12 open by the list), the lease (held), the orders (taken).

A VM notes when its own last answered call began; what it finds later was named after that. Words of other VMs do not count, since they may have been held up.

--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -7,7 +7,7 @@
 use crate::telemetry::events;
 use sesamegap_policy::routing::belief::{Belief, Change};
 use sesamegap_policy::routing::weights::Named;
-use sesamegap_wire::{Incarnation, Offset, UpstreamId};
+use sesamegap_wire::{Incarnation, Moment, Offset, UpstreamId};
 use tracing::{info, warn};
 
 /// What a record said to this VM.
@@ -26,18 +26,20 @@
 pub enum Read {
     /// It was just written.
     Written,
-    /// It was found, and was written at some time before.
-    Found,
+    /// It was found, and was written at some time before, but after this moment if it is set.
+    Found(Option<Moment>),
 }
 
 /// Takes in the newest record of each key of a table, in place of what was known.
-pub fn replace(core: &Core, table: Table, batch: Batch) {
+///
+/// `complete` is a moment up to which all of the table was known.
+pub fn replace(core: &Core, table: Table, batch: Batch, complete: Option<Moment>) {
     let mut listed = Vec::new();
     for (at, record) in batch.records {
         if let Record::Upstream(id, _) = &record {
             listed.push(id.clone());
         }
-        apply(core, at, record, Read::Found);
+        apply(core, at, record, Read::Found(complete));
     }
     if table == Table::Fleet {
         let now = clock::now();
@@ -56,7 +58,8 @@
         Record::Weights(weights) => {
             let named = match read {
                 Read::Written => Named::At(now),
-                Read::Found => core.fleet.lock().namings().guess(now),
+                Read::Found(None) => core.fleet.lock().namings().guess(now),
+                Read::Found(Some(known)) => core.fleet.lock().namings().guess_after(known, now),
             };
             Taken::news_if(learn_weights(core, &weights, named, "store"))
         }
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -116,12 +116,17 @@
 
 async fn step(core: &Core, table: Table) -> Result<(), StoreError> {
     let known = core.known(table);
-    let next = known.position().next();
+    let asked = clock::now();
+    let (next, complete) = {
+        let position = known.position();
+        (position.next(), position.complete())
+    };
     let Some(from) = next else {
         let batch = core.ports.store.snapshot(table).await?;
         let at = batch.next;
-        replace(core, table, batch);
+        replace(core, table, batch, complete);
         known.position().read(at, clock::now());
+        known.position().asked(asked);
         return Ok(());
     };
     let reader = reads_for_all(core, table);
@@ -132,6 +137,7 @@
     let batch = core.ports.store.changes(table, from, wait).await?;
     let reading = take(core, table, from, batch);
     known.position().read(reading.next, clock::now());
+    known.position().asked(asked);
     if reader {
         core.peers.outbox.put_reading(reading);
     }
--- a/crates/sesamegap-entry/tests/testsuite/readings.rs
+++ b/crates/sesamegap-entry/tests/testsuite/readings.rs
@@ -1,12 +1,12 @@
 use crate::support::{Platform, entry, settings, until, unused};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
-use sesamegap_entry::follow::{Reading, hear, take};
+use sesamegap_entry::follow::{Reading, follow, hear, take};
 use sesamegap_entry::peers;
-use sesamegap_entry::ports::{Batch, Record, Table};
+use sesamegap_entry::ports::{Batch, Record, Table, Weights};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::membership::{News, Status};
-use sesamegap_wire::{Offset, UpstreamId};
+use sesamegap_wire::{Offset, UpstreamId, WeightsVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +51,31 @@
     Record::Upstream(worker(), Box::new(entry))
 }
 
+/// Weights are named just when the store drops its history, and a VM that followed it all the time finds them
+/// among the newest records, without a time. It took them for named 4.6 s before, so that within two seconds all
+/// engines were shut by their weights and every prompt was refused: `weights named ... Guessed`, then
+/// `drains before its order ... overtaken_ms=8613` half a second after the naming.
+#[tokio::test]
+async fn weights_named_while_the_store_drops_its_history_are_taken_for_new() {
+    let platform = Arc::new(Platform::default());
+    let settings = settings("vm-1", Vec::new());
+    let core = Core::new(settings, platform.ports(), Logging::none()).unwrap();
+    let core = Arc::new(core);
+    tokio::spawn(follow(Arc::clone(&core), Table::Settings));
+    until(|| core.known(Table::Settings).position().next().is_some()).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let weights = Weights {
+        model: "m".into(),
+        version: WeightsVersion(2),
+    };
+    *platform.named.lock().unwrap() = Some(weights);
+    *platform.dropped.lock().unwrap() = true;
+    until(|| core.fleet.lock().namings().newest_of("m").is_some()).await;
+    let naming = core.fleet.lock().namings().newest_of("m").unwrap();
+    let followed = Duration::from_secs(3);
+    assert!(clock::now().since(naming.at) < followed, "{naming:?}");
+}
+
 /// One VM reads the fleet list for all, and a worker says that it leaves. The others would go on
 /// sending requests to it until it is gone.
 #[tokio::test]
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -6,7 +6,7 @@
 use http::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use sesamegap_entry::ports::{
     AnswerHead, BadHead, Batch, CacheNews, Call, Dispatch, EngineCall, Engines, Headers, LoadOrder,
-    OrderAnswer, Part, Ports, Report, RequestHead, Store, StoreError, Table, Weights,
+    OrderAnswer, Part, Ports, Record, Report, RequestHead, Store, StoreError, Table, Weights,
 };
 use sesamegap_wire::{Incarnation, Offset, Tokens, UpstreamId, VmId, WeightsVersion};
 use smol_str::SmolStr;
@@ -169,6 +169,10 @@
     pub away: Mutex<bool>,
     pub engines: Mutex<Vec<StandinEngine>>,
     pub cache: Mutex<Option<StandinCache>>,
+    /// Weights that are named.
+    pub named: Mutex<Option<Weights>>,
+    /// Whether it has dropped the history that the next call asks for.
+    pub dropped: Mutex<bool>,
     leases: Mutex<Vec<Bytes>>,
 }
 
@@ -192,6 +196,15 @@
         })
     }
 
+    /// The newest record of each key.
+    fn newest(&self) -> Result<Batch, StoreError> {
+        let mut table = self.table()?;
+        let named = self.named.lock().unwrap().clone();
+        let records = named.map(|weights| (Offset(0), Record::Weights(weights)));
+        table.records.extend(records);
+        Ok(table)
+    }
+
     /// Does something with the engine at an address.
     fn with<T>(
         &self,
@@ -206,12 +219,15 @@
 
 impl Store for Platform {
     fn snapshot(&self, _table: Table) -> Call<'_, Batch> {
-        async move { self.table() }.boxed()
+        async move { self.newest() }.boxed()
     }
 
     fn changes(&self, _table: Table, _from: Offset, wait: Duration) -> Call<'_, Batch> {
         async move {
             tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
+            if std::mem::take(&mut *self.dropped.lock().unwrap()) {
+                return Err(StoreError::Compacted(Offset(0)));
+            }
             self.table()
         }
         .boxed()
--- a/crates/sesamegap-policy/src/routing/reading.rs
+++ b/crates/sesamegap-policy/src/routing/reading.rs
@@ -46,6 +46,8 @@
     fresh: Moment,
     /// When the whole table was last read.
     whole: Moment,
+    /// When this VM's own last call began that was answered.
+    asked: Option<Moment>,
 }
 
 impl Position {
@@ -63,6 +65,18 @@
         self.fresh = now;
     }
 
+    /// Notes when the call began whose answer this VM has just read.
+    pub fn asked(&mut self, at: Moment) {
+        self.asked = Some(at);
+    }
+
+    /// A moment up to which this VM surely knew all of the table; none if it never read it.
+    ///
+    /// Another VM's word does not count: it may have been held up on its way.
+    pub fn complete(&self) -> Option<Moment> {
+        self.asked
+    }
+
     /// Notes that the whole table must be read.
     pub fn begin(&mut self) {
         self.next = None;
--- a/crates/sesamegap-policy/src/routing/weights.rs
+++ b/crates/sesamegap-policy/src/routing/weights.rs
@@ -77,6 +77,19 @@
         Named::Guessed(now.less(age))
     }
 
+    /// The time to take for weights that are found at this moment, by a VM that knew all that was named up
+    /// to a moment before.
+    ///
+    /// Load: the store drops its history right after a naming, and all VMs find it again at once. Taken for
+    /// as old as it may be after a start, it would shut all engines within seconds, long before any of
+    /// them could load, and callers would be refused by all VMs.
+    pub fn guess_after(&self, known: Moment, now: Moment) -> Named {
+        match self.guess(now) {
+            Named::Guessed(at) => Named::Guessed(at.max(known)),
+            seen @ Named::At(_) => seen,
+        }
+    }
+
     /// Takes in a naming; whether it is newer than all known ones of its model.
     ///
     /// An older one counts too: an engine may be behind it, and its time says for how long.
--- a/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
@@ -9,6 +9,19 @@
     Moment(0) + Duration::from_millis(ms)
 }
 
+/// A word of another VM may have been held up on its way for seconds, and something may have been written since
+/// it was read there. Only an own call tells up to when nothing else was there.
+#[test]
+fn only_own_calls_tell_up_to_when_all_was_known() {
+    let mut position = read_up_to(10);
+    assert_eq!(position.complete(), None);
+    position.asked(at(100));
+    position.hear(span(10, 12), true, at(9_000));
+    assert_eq!(position.complete(), Some(at(100)));
+    position.begin();
+    assert_eq!(position.complete(), Some(at(100)));
+}
+
 fn span(from: u64, next: u64) -> Span {
     Span {
         from: Offset(from),
--- a/crates/sesamegap-policy/tests/testsuite/routing/weights.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/weights.rs
@@ -99,6 +99,32 @@
     }
 }
 
+/// Weights are named while the store drops its history, and a VM that has read all up to a second before finds
+/// them again. They cannot be older than that second; taken for older, they shut all engines long before
+/// the first could load them, and every VM refuses every prompt.
+#[test]
+fn weights_found_again_are_no_older_than_what_was_read_before() {
+    for secs in [8, 10, 12, 15] {
+        let mut namings = Namings::new(Duration::from_secs(secs));
+        let found = namings.guess_after(at(59_000), at(60_000));
+        namings.learn(&model(), WeightsVersion(7), found);
+        let latest = 59_000 + secs * 1_000;
+        assert!(may_send(&namings, 6, 0, latest - 2_000));
+        assert!(!may_send(&namings, 6, 0, latest));
+    }
+}
+
+/// A VM was cut off for longer than the bound and finds weights that were named meanwhile, nobody knows when. It
+/// must take them for as old as after a start.
+#[test]
+fn weights_found_after_a_long_cut_are_taken_for_old() {
+    let mut namings = Namings::new(BOUND);
+    let found = namings.guess_after(at(10_000), at(60_000));
+    assert_eq!(found, namings.guess(at(60_000)));
+    namings.learn(&model(), WeightsVersion(7), found);
+    assert!(!may_send(&namings, 6, 0, 62_900));
+}
+
 /// What was seen goes before a guess, in whatever order they come, and of two times the earlier one.
 #[test]
 fn a_guess_yields_to_a_time_that_was_seen() {
