Load weights on as many engines at once as do so at full speed

The weight store serves two at full speed; the nine were ordered between 12.0 s and 13.5 s and were back at 15.7 s to 19.6 s, and the rest of the fleet had 125,000 to 229,000 tokens to read each (751 unread).

Change: engines take turns to load, a fifth of the fleet and at least two at once, and no more of them are out than drain and load at that pace, by the time of a load that was seen. An engine is asked before it gets a turn, so that a dead one keeps nobody waiting.

Where loads are quick (0.39 and 0.55 s) the bound on engines that are out is as before.

Ruled out as cause: engines shut by a naming taken for old (mended before).

--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -2,6 +2,7 @@
 
 use super::Behind;
 use super::lease::Lease;
+use super::round::{Outage, Turn};
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::{Change, Upstream};
@@ -25,9 +26,6 @@
 /// How often a draining engine is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Time from an order to the first question whether it is done: a load takes about this long.
-const LOAD: Duration = Duration::from_millis(420);
-
 /// How often an engine that loads is asked; its reports are some hundred milliseconds old.
 const ASK: Duration = Duration::from_millis(120);
 
@@ -38,7 +36,7 @@
 const TRIES: u32 = 3;
 
 /// Brings an engine to the newest weights, or gives up for now.
-pub async fn bring(core: &Core, lease: &Lease, mut target: Behind) {
+pub async fn bring(core: &Core, lease: &Lease, outage: &Outage, mut target: Behind) {
     let engine = target.engine.clone();
     let Some(addr) = core.fleet.lock().get(&engine).map(|up| up.entry.addr) else {
         return;
@@ -48,11 +46,13 @@
         info!(event = events::ORDER, engine = %engine, "too few engines are open; it takes work again");
         return;
     }
+    let turn = turn(core, outage, &target, addr).await;
     // A newer version may have been named meanwhile; the one in between is never loaded.
     if let Some(newest) = core.fleet.lock().namings().newest_of(&target.model) {
         target.version = newest.version;
     }
-    let done = load(core, lease, &mut target, addr).await;
+    let done = turn.is_some() && load(core, lease, outage, &mut target, addr).await;
+    drop(turn);
     if !done {
         core.fleet.lock().failed(&engine, clock::now());
     }
@@ -89,6 +89,31 @@
     }
 }
 
+/// Waits for a turn to load; none if the engine does not answer or is not there any more.
+///
+/// It is asked before it gets a turn: a dead one would keep the others from loading for as long as it takes to
+/// find out.
+async fn turn(core: &Core, outage: &Outage, target: &Behind, addr: SocketAddr) -> Option<Turn> {
+    if let Err(error) = core.ports.engines.report(addr).await {
+        info!(event = events::ORDER, engine = %target.engine, error, "no report");
+        return None;
+    }
+    let mut said = clock::now();
+    loop {
+        let catalogue = core.catalogue();
+        let all = {
+            let fleet = core.fleet.lock();
+            fleet.get(&target.engine)?;
+            super::engines(&fleet, catalogue.as_deref()).count()
+        };
+        if let Some(turn) = outage.turn(all) {
+            return Some(turn);
+        }
+        said = stay_out(core, target, said);
+        sleep(LOOK).await;
+    }
+}
+
 /// Says again that an engine is out before the last word ends; when it was last said.
 ///
 /// Engines that load side by side need seconds, and would be sent requests in the middle of it.
@@ -154,7 +179,13 @@
 }
 
 /// Orders the load and waits until it is done.
-async fn load(core: &Core, lease: &Lease, target: &mut Behind, addr: SocketAddr) -> bool {
+async fn load(
+    core: &Core,
+    lease: &Lease,
+    outage: &Outage,
+    target: &mut Behind,
+    addr: SocketAddr,
+) -> bool {
     for _ in 0..TRIES {
         let report = match core.ports.engines.report(addr).await {
             Ok(report) => report,
@@ -173,7 +204,7 @@
             return true;
         }
         if report.busy {
-            if wait(core, target, addr).await == Loading::Done {
+            if wait(core, outage, target, addr).await == Loading::Done {
                 return true;
             }
             continue;
@@ -183,11 +214,19 @@
             return false;
         };
         match give(core, fence, target, addr, report.orders).await {
-            Ok(OrderAnswer::Taken | OrderAnswer::Holds) => match wait(core, target, addr).await {
-                Loading::Done => return true,
-                Loading::Failed => return false,
-                Loading::Restarted => {}
-            },
+            Ok(answer @ (OrderAnswer::Taken | OrderAnswer::Holds)) => {
+                let ordered = clock::now();
+                match wait(core, outage, target, addr).await {
+                    Loading::Done => {
+                        if answer == OrderAnswer::Taken {
+                            outage.loaded(clock::now().since(ordered));
+                        }
+                        return true;
+                    }
+                    Loading::Failed => return false,
+                    Loading::Restarted => {}
+                }
+            }
             Ok(OrderAnswer::Conflict) => {}
             Ok(OrderAnswer::Fenced) => {
                 lease.lose();
@@ -243,10 +282,11 @@
 }
 
 /// Waits until an engine reports the new weights.
-async fn wait(core: &Core, target: &Behind, addr: SocketAddr) -> Loading {
+async fn wait(core: &Core, outage: &Outage, target: &Behind, addr: SocketAddr) -> Loading {
     let began = clock::now();
     let mut said = began;
-    sleep(LOAD.saturating_sub(ASK)).await;
+    // Half of a load, so that one that has become quicker is seen to be.
+    sleep(outage.load() / 2).await;
     while clock::now().since(began) < LONGEST {
         sleep(ASK).await;
         said = stay_out(core, target, said);
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -6,6 +6,7 @@
 
 mod engine;
 mod lease;
+mod round;
 
 use crate::catalogue::Catalogue;
 use crate::clock;
@@ -13,12 +14,13 @@
 use crate::fleet::{Fleet, Upstream};
 use engine::bring;
 use lease::Lease;
+use round::Round;
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::{Openness, rolls};
 use sesamegap_wire::{Incarnation, Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -32,9 +34,6 @@
 /// live holder orders its first engine much sooner.
 const STAND_BY: Duration = Duration::from_millis(1_500);
 
-/// Engines that drain or load.
-type Out = Arc<Mutex<BTreeSet<UpstreamId>>>;
-
 /// An engine whose weights are old.
 #[derive(Debug, Clone)]
 struct Behind {
@@ -49,7 +48,7 @@
 pub async fn run(core: Arc<Core>) {
     let mut lease = Lease::new(&core);
     lease.look(&core).await;
-    let out = Out::default();
+    let round = Arc::new(Round::default());
     let mut since: Option<Moment> = None;
     while core.phase() == Phase::Serving {
         let behind = behind(&core);
@@ -65,7 +64,7 @@
             continue;
         }
         match lease.hold(&core).await {
-            Some(_) => order(&core, &lease, &out, &behind),
+            Some(_) => order(&core, &lease, &round, &behind),
             None => sleep(lease.pause()).await,
         }
         sleep(STEP).await;
@@ -136,11 +135,11 @@
 }
 
 /// Takes as many engines out as the fleet can bear.
-fn order(core: &Arc<Core>, lease: &Lease, out: &Out, behind: &[Behind]) {
+fn order(core: &Arc<Core>, lease: &Lease, round: &Arc<Round>, behind: &[Behind]) {
     let due = {
         let fleet = core.fleet.lock();
         let now = clock::now();
-        let under_way = out.lock().unwrap_or_else(PoisonError::into_inner);
+        let under_way = round.under_way();
         let catalogue = core.catalogue();
         let engines: Vec<_> = engines(&fleet, catalogue.as_deref()).collect();
         let stores = catalogue
@@ -174,7 +173,7 @@
                 shut: is_shut(&fleet, engine, now),
             });
         }
-        let due = rolls::next(&views).into_iter();
+        let due = round.pace().next(&views).into_iter();
         let due = due.take(rolls::at_a_step(views.len(), STEP));
         due.map(|no| ids[no].clone()).collect::<Vec<_>>()
     };
@@ -182,12 +181,11 @@
         let Some(target) = behind.iter().find(|b| b.engine == id).cloned() else {
             continue;
         };
-        let guard = Outage::new(out, id);
+        let outage = round.take_out(id);
         let core = Arc::clone(core);
         let lease = lease.clone();
         tokio::spawn(async move {
-            bring(&core, &lease, target).await;
-            drop(guard);
+            bring(&core, &lease, &outage, target).await;
         });
     }
 }
@@ -197,28 +195,3 @@
     let mut held = engine.entry.weights.iter();
     held.any(|held| fleet.is_outdated(&held.model, held.version, now))
 }
-
-/// Counts an engine as out until it is dropped.
-#[derive(Debug)]
-struct Outage {
-    out: Out,
-    engine: UpstreamId,
-}
-
-impl Outage {
-    fn new(out: &Out, engine: UpstreamId) -> Self {
-        let mut engines = out.lock().unwrap_or_else(PoisonError::into_inner);
-        engines.insert(engine.clone());
-        Self {
-            out: Arc::clone(out),
-            engine,
-        }
-    }
-}
-
-impl Drop for Outage {
-    fn drop(&mut self) {
-        let mut engines = self.out.lock().unwrap_or_else(PoisonError::into_inner);
-        engines.remove(&self.engine);
-    }
-}
--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -223,6 +223,34 @@
     }
 }
 
+/// All engines must load within a moment, since their weights are shut or soon will be. What the weight store gives is
+/// shared by all that load, so that six at once are all away for as long as the last of them by turns.
+#[tokio::test]
+async fn engines_load_by_turns() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 6);
+    for engine in platform.engines.lock().unwrap().iter_mut() {
+        engine.load = Duration::from_millis(400);
+    }
+    name(&core, 2);
+    let weights = Weights {
+        model: "m".into(),
+        version: WeightsVersion(2),
+    };
+    let long_ago = clock::now_less(Duration::from_secs(7));
+    core.fleet.lock().name_weights(&weights, long_ago);
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    let mut most = 0;
+    until(|| {
+        let engines = platform.engines.lock().unwrap();
+        let loading = engines.iter().filter(|engine| engine.is_loading()).count();
+        most = most.max(loading);
+        loading == 0 && engines.iter().all(|engine| engine.version == 2)
+    })
+    .await;
+    assert_eq!(most, 2);
+}
+
 /// Five of nine engines have the newest weights, so that the others may drain for three seconds, and weights were
 /// named two seconds ago. The time that is still left shrinks while an engine drains; if it is compared with the
 /// time since its drain began, what passes counts twice. A stream that needs a moment more is then cut over
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const TEAM: HeaderName = HeaderName::from_static("x-team");
 const LEFT: HeaderName = HeaderName::from_static("x-left");
@@ -110,6 +110,10 @@
     pub restarts: u32,
     /// Times that it was asked for its state.
     pub reports: u32,
+    /// How long it loads weights.
+    pub load: Duration,
+    /// Until when it loads.
+    pub loads: Option<Instant>,
 }
 
 impl StandinEngine {
@@ -125,6 +129,8 @@
             forgotten: 0,
             restarts: 0,
             reports: 0,
+            load: Duration::ZERO,
+            loads: None,
         }
     }
 
@@ -133,6 +139,11 @@
         (self.orders.len() - self.forgotten) as u64
     }
 
+    /// Whether it loads weights now.
+    pub fn is_loading(&self) -> bool {
+        self.loads.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Starts again with the weights that it had.
     pub fn restart(&mut self) {
         self.born = self.born.map(|Incarnation(born)| Incarnation(born + 1));
@@ -149,6 +160,7 @@
                 self.restart();
             } else {
                 self.version = order.weights.version.0;
+                self.loads = Some(Instant::now() + self.load);
             }
         }
         fits
@@ -271,7 +283,7 @@
                     model: "m".into(),
                     version: WeightsVersion(engine.version),
                 }],
-                busy: false,
+                busy: engine.is_loading(),
                 orders: engine.taken(),
                 born: engine.born,
             })
--- a/crates/sesamegap-policy/src/routing/rolls.rs
+++ b/crates/sesamegap-policy/src/routing/rolls.rs
@@ -43,6 +43,59 @@
 /// Time of one load at full speed; engines were seen to take 0.39 and 0.55 s.
 const LOAD: Duration = Duration::from_millis(400);
 
+/// Engines that load at full speed side by side, however few there are.
+const LEAST_LOADING: usize = 2;
+
+/// Share of the known time of a load by which a slower one raises it: weights may have grown, but most
+/// slow loads only ran beside others.
+const RAISED: f64 = 1.1;
+
+/// Engines that may load side by side.
+///
+/// Load: weights are named twice within a bound while engines crash, so that nine of twelve must load at once.
+/// Harm prevented: loads share what the weight store gives, and nine that begin together all end after
+/// six seconds, in which the rest of the fleet is buried; two by two the first are back after one.
+pub fn side_by_side(all: usize) -> usize {
+    (all * LOADING / 100).max(LEAST_LOADING)
+}
+
+/// How long a load takes at full speed, as far as was seen.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Pace {
+    load: Option<Duration>,
+}
+
+impl Pace {
+    /// Notes how long a load took.
+    pub fn loaded(&mut self, took: Duration) {
+        let known = self.load.unwrap_or(took);
+        self.load = Some(took.min(known.mul_f64(RAISED)));
+    }
+
+    /// The time of a load.
+    pub fn load(&self) -> Duration {
+        self.load.unwrap_or(LOAD)
+    }
+
+    /// Engines to take out next, at the pace at which they can load.
+    ///
+    /// Load: a load takes as long as several drains, and engines that have drained wait for their turn. Harm
+    /// prevented: engines that neither serve nor load, while callers crowd at the others.
+    pub fn next(&self, engines: &[Engine]) -> Vec<usize> {
+        let all = engines.len();
+        let load = self.load().as_secs_f64();
+        let turns = (FIRST_DRAIN.as_secs_f64() + load) / load;
+        let busy = (side_by_side(all) as f64 * turns).ceil();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a small number of engines"
+        )]
+        let busy = busy as usize;
+        next_within(engines, at_once(all).min(busy))
+    }
+}
+
 /// Engines that may be taken out in a step of a roll: as many as can load in its time.
 ///
 /// Load: all engines of a round drain for the same second and would then load together. Harm prevented:
@@ -97,7 +150,16 @@
 /// What is shut serves nobody, so taking it out takes nothing from callers either. Waiting for its turn
 /// left engines shut for 2.6 s after a holder of the lease had died in a roll.
 pub fn next(engines: &[Engine]) -> Vec<usize> {
-    let most = (engines.len() * AT_ONCE / 100).max(1);
+    next_within(engines, at_once(engines.len()))
+}
+
+/// Engines that may be out at once.
+fn at_once(all: usize) -> usize {
+    (all * AT_ONCE / 100).max(1)
+}
+
+/// Engines to take out next, with this many out at most besides those that serve nobody.
+fn next_within(engines: &[Engine], most: usize) -> Vec<usize> {
     let idle = |engine: &Engine| engine.suspect || engine.shut;
     let lost = |engine: &&Engine| engine.stage == Stage::Out || idle(engine);
     let out = engines.iter().filter(lost).count();
--- a/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
@@ -1,4 +1,6 @@
-use sesamegap_policy::routing::rolls::{Engine, Stage, at_a_step, drain, must_return, next};
+use sesamegap_policy::routing::rolls::{
+    Engine, Pace, Stage, at_a_step, drain, must_return, next, side_by_side,
+};
 use std::time::Duration;
 
 /// Time from a naming after which no request may begin on older weights.
@@ -26,6 +28,52 @@
     }
 }
 
+/// Weights take 1.3 s to load, and longer if more than two of twelve engines load at once. Six engines that are
+/// taken out together are all back after four seconds, in which callers crowd at the other six; by
+/// turns most of them serve all the while.
+#[test]
+fn no_more_engines_are_out_than_drain_and_load_at_full_speed() {
+    let engines: Vec<Engine> = (0..12).map(|no| engine(1, no)).collect();
+    let mut pace = Pace::default();
+    pace.loaded(Duration::from_millis(1_300));
+    let due = pace.next(&engines).len();
+    assert!((side_by_side(12)..=4).contains(&due), "{due}");
+    let mut quick = Pace::default();
+    quick.loaded(Duration::from_millis(390));
+    assert_eq!(
+        quick.next(&engines),
+        next(&engines),
+        "drains are what takes time"
+    );
+}
+
+/// Engines that nobody may use any more wait for nothing: that they are out takes nothing from callers.
+#[test]
+fn shut_engines_are_taken_out_whatever_the_pace() {
+    let mut engines: Vec<Engine> = (0..12).map(|no| engine(1, no)).collect();
+    for engine in &mut engines[..9] {
+        engine.shut = true;
+    }
+    let mut pace = Pace::default();
+    pace.loaded(Duration::from_secs(2));
+    assert_eq!(pace.next(&engines).len(), 9);
+}
+
+/// A load that ran beside others took longer than it had to, and says little. Weights that have grown are seen all
+/// the same, after some loads.
+#[test]
+fn the_time_of_a_load_is_that_of_the_quick_ones() {
+    let mut pace = Pace::default();
+    for ms in [3_900, 1_300, 3_900, 2_600] {
+        pace.loaded(Duration::from_millis(ms));
+    }
+    assert!(pace.load() < Duration::from_millis(1_600), "{pace:?}");
+    for _ in 0..12 {
+        pace.loaded(Duration::from_millis(4_000));
+    }
+    assert_eq!(pace.load(), Duration::from_millis(4_000));
+}
+
 /// An engine comes back from a crash with weights that were overtaken twice. Requests may soon
 /// not begin there at all, while the others have time.
 #[test]
