Let a VM that starts again take the lease of its own former process

Cause: a new process waits a term and a rest for any claim that is not its own, also for that of the process before it on the same VM. That one has ended before this one started, and upstreams and store count both as one holder. It claims anew, so its fencing number is higher. Another VM waits as before. A claim of the former process that comes late fails on its condition.

--- a/crates/sesamegap-policy/src/agreement/cas_lease/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/cas_lease/mod.rs
@@ -167,9 +167,13 @@
     }
 
     /// When the last holder's orders have ended, as far as can be told.
+    ///
+    /// Load: all VMs restart at once in the middle of a roll, or just the holder's process does. A process starts
+    /// only after the one before it on its VM has ended, so that VM need not wait for itself. Harm prevented:
+    /// engines that are shut by their weights for the seconds in which nobody may order.
     fn free_at(&self, now: Moment) -> Moment {
         match &self.last {
-            Some(seen) if seen.claim.holder != self.me => {
+            Some(seen) if seen.claim.holder.vm != self.me.vm => {
                 seen.at + self.terms.term + self.terms.rest
             }
             _ => now,
--- a/crates/sesamegap-policy/tests/agreement/cas_lease.rs
+++ b/crates/sesamegap-policy/tests/agreement/cas_lease.rs
@@ -118,6 +118,29 @@
     assert!(world.leases[0].may_order(at(1_600)).is_none());
 }
 
+/// All VMs lose power in the middle of a roll and start again. The holder's VM waited four and a half seconds for the
+/// lease of its own former process, which was surely over, and engines whose weights were too old served
+/// nobody for as long. Another VM still has to wait.
+#[test]
+fn a_vm_that_starts_again_does_not_wait_for_itself() {
+    let mut world = World::new(2, TERMS);
+    world.step(0, 0, Fate::Answered);
+    world.step(0, 1, Fate::Answered);
+    let former = world.leases[0].may_order(at(2));
+    assert!(former.is_some());
+    let again = Holder {
+        incarnation: Incarnation(77),
+        ..holder(0)
+    };
+    world.leases[0] = CasLease::new(again, TERMS);
+    for no in [1, 1, 0, 0] {
+        world.step(no, 100, Fate::Answered);
+    }
+    let fence = world.leases[0].may_order(at(101));
+    assert!(fence > former, "{fence:?} after {former:?}");
+    assert_eq!(world.leases[1].may_order(at(101)), None);
+}
+
 /// The answer to a renewal is lost although the record lies in the log.
 #[test]
 fn a_lost_answer_costs_a_read_and_no_overlap() {
