--- a/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/rolls.rs
@@ -69,9 +69,9 @@
     }
     assert!(pace.load() < Duration::from_millis(1_600), "{pace:?}");
     for _ in 0..12 {
-        pace.loaded(Duration::from_millis(4_000));
+        pace.loaded(Duration::from_secs(4));
     }
-    assert_eq!(pace.load(), Duration::from_millis(4_000));
+    assert_eq!(pace.load(), Duration::from_secs(4));
 }
 
 /// An engine comes back from a crash with weights that were overtaken twice. Requests may soon
