--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -107,17 +107,6 @@
             .last(inner.hash, self.life, version)
     }
 
-    /// Notes how long its prompt, with this many tokens of its own, took to its first token.
-    pub fn read(&self, own: u64, took: Duration) {
-        self.fleet.lock().speed.note(own, took);
-    }
-
-    /// Time that the engine needs for what was unread there when it was chosen, and for its own prompt.
-    pub fn reading(&self) -> Duration {
-        let tokens = self.ahead + self.unread;
-        self.fleet.lock().speed.reading(tokens)
-    }
-
     /// Notes the load that the answer told.
     pub fn loaded(&self, load: Load, now: Moment) {
         if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -22,7 +22,6 @@
 use sesamegap_policy::routing::belief::{self, Belief, Contact, Listing, Said, Word};
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_policy::routing::silence::Silences;
-use sesamegap_policy::routing::speed::Speed;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{Incarnation, Moment, Offset, ServiceId, UpstreamId, WeightsVersion};
 use std::collections::BTreeMap;
@@ -53,7 +52,6 @@
     pub(crate) kept: Kept,
     pub(crate) silences: Silences,
     pub(crate) namings: Namings,
-    pub(crate) speed: Speed,
 }
 
 impl Fleet {
@@ -69,7 +67,6 @@
             kept: Kept::default(),
             silences: Silences::default(),
             namings: Namings::new(rules.weights),
-            speed: Speed::default(),
         }
     }
 
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -204,9 +204,7 @@
     /// Reads up to the first whole event.
     async fn begin(&mut self, answered: Answered) -> Result<Opened, String> {
         let Answered {
-            flight,
-            exchange,
-            sent,
+            flight, exchange, ..
         } = answered;
         let (head, body) = exchange.response.into_parts();
         if is_false_promise(self.job.route.kind, head.status) {
@@ -237,9 +235,6 @@
             started: false,
         };
         let first = self.read(&mut live).await?;
-        if let Some(own) = self.job.head.parts.last() {
-            live.flight.read(own.tokens.0, sent.elapsed());
-        }
         live.first = Some(first.unwrap_or(Events {
             bytes: Bytes::new(),
             ids: Vec::new(),
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -62,9 +62,7 @@
         token_bytes: engine.map_or(0, |engine| engine.token_bytes),
         mbps: store.link,
     };
-    // What comes while the engine still reads for others holds nobody up.
-    let within = job.route.objective.max(flight.reading());
-    let arrives = fetch.arrives(within);
+    let arrives = fetch.arrives(job.route.objective);
     arrives.then(|| OnWay::new(&core.fleet, store.addr, tokens))
 }
 
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -3,7 +3,7 @@
 //! [`engines`] picks the engine of a prompt given as named parts, [`transfers`] says where cached
 //! parts come from, [`plain`] picks the worker of a plain service, [`budget`] bounds repeats over all
 //! entry VMs without a message between them, [`patience`] tells a silent upstream from a slow one,
-//! [`silence`] what others say of it, [`speed`] how fast its kind reads, [`belief`] whether an upstream is there and in which life,
+//! [`silence`] what others say of it, [`belief`] whether an upstream is there and in which life,
 //! [`reading`] when a VM reads the store itself, [`telling`] whom a VM tells of its load, [`weights`]
 //! until when a request may begin on older ones, and [`rolls`] picks the engines that take new weights
 //! next.
@@ -17,7 +17,6 @@
 pub mod recall;
 pub mod rolls;
 pub mod silence;
-pub mod speed;
 pub mod telling;
 pub mod transfers;
 pub mod weights;
--- a/crates/sesamegap-policy/src/routing/transfers.rs
+++ b/crates/sesamegap-policy/src/routing/transfers.rs
@@ -52,7 +52,7 @@
         if near { tokens } else { tokens * FAR_TIMES }
     }
 
-    /// Whether it arrives within a time.
+    /// Whether it arrives within the time that callers can wait.
     pub fn arrives(&self, within: Duration) -> bool {
         let bits = (self.ahead + self.tokens) * self.token_bytes * 8;
         // A Mbit/s is a bit in a microsecond.
