--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -68,6 +68,26 @@
     pub routers: Vec<Running>,
     pub http: Client,
     tune: Tune,
+    _processor: Processor,
+}
+
+/// Tells of a failed test how long its thread waited for a processor, which no log of a router shows: a test's
+/// stand-ins, routers and callers share that thread, and starve together.
+#[derive(Debug)]
+struct Processor;
+
+impl Drop for Processor {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let times = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+        let mut times = times.split_whitespace().map(str::parse);
+        if let (Some(Ok(ran)), Some(Ok(waited))) = (times.next(), times.next()) {
+            let (ran, waited) = (Duration::from_nanos(ran), Duration::from_nanos(waited));
+            eprintln!("the test's thread ran for {ran:?} and waited {waited:?} for a processor");
+        }
+    }
 }
 
 /// Changes a router's settings before it starts.
@@ -88,6 +108,7 @@
             routers: Vec::new(),
             http: Client::builder().no_proxy().build().unwrap(),
             tune,
+            _processor: Processor,
         };
         for number in 0..routers {
             let config = site.config(number, None);
