Let an old word of a fetch fade as the store's link delivers

Change: what a VM told of is taken off at the pace of the link once its word is older than a small fleet needs to tell it again.

--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -67,9 +67,9 @@
     }
 
     /// Tokens that all VMs have asked of a store and that have not arrived, as far as is known.
-    pub fn on_way(&self, store: SocketAddr) -> u64 {
-        let others = self.loads.at(kept::number(store));
-        self.kept.asked(store) + others.map_or(0, |held| held.unread)
+    pub fn on_way(&self, store: SocketAddr, per_ms: u64) -> u64 {
+        let others = self.loads.on_way(kept::number(store), per_ms);
+        self.kept.asked(store) + others
     }
 
     /// Prompt tokens that all VMs have at an upstream and that are not read yet.
--- a/crates/sesamegap-entry/src/peers/loads.rs
+++ b/crates/sesamegap-entry/src/peers/loads.rs
@@ -16,6 +16,9 @@
 /// How long a peer's word counts while all peers are told in each tick.
 const COUNTS: Duration = Duration::from_secs(1);
 
+/// How long a word on fetches holds: a small fleet tells each again within it.
+const HOLDS: Duration = Duration::from_millis(400);
+
 /// What a VM has at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
@@ -58,13 +61,13 @@
     /// Unread tokens that are left: an upstream reads on whether its VMs say so or not, and no faster because
     /// more of them tell of it. Thirty VMs with 2,000 tokens each would else seem to have 6,000 left of 58,000 after
     /// 60 ms.
-    fn left(&self, now: Moment) -> u64 {
+    fn left(&self, now: Moment, per_ms: u64, holds: Duration) -> u64 {
         if self.unread == 0 {
             return 0;
         }
         let mean = self.moments / u128::from(self.unread);
         let mean = Moment(u64::try_from(mean).unwrap_or(u64::MAX));
-        let read = clock::ms(now.since(mean)) * READ_PER_MS;
+        let read = clock::ms(now.since(mean).saturating_sub(holds)) * per_ms;
         self.unread.saturating_sub(read)
     }
 }
@@ -96,10 +99,19 @@
         Some(Held {
             life,
             running: sum.running,
-            unread: sum.left(self.now),
+            unread: sum.left(self.now, READ_PER_MS, Duration::ZERO),
         })
     }
 
+    /// Tokens that all peers together have on their way from a store that delivers so many in a millisecond.
+    ///
+    /// Words of eighty peers come seconds apart: what an old one told of has arrived since, and counted on it
+    /// would keep prompts from a store whose link is idle.
+    pub fn on_way(&self, store: u64, per_ms: u64) -> u64 {
+        let sum = self.sums.get(&store);
+        sum.map_or(0, |sum| sum.left(self.now, per_ms, HOLDS))
+    }
+
     /// Lets time pass: what was read since is taken off, and words that are too old are forgotten.
     pub fn tick(&mut self, now: Moment) {
         self.now = now;
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -55,14 +55,16 @@
 fn on_way(core: &Core, job: &Job, flight: &Flight, store: &KvStore, tokens: u64) -> Option<OnWay> {
     let service = job.catalogue.service(job.service());
     let engine = service.and_then(|service| service.engine.as_ref());
+    let token_bytes = engine.map_or(0, |engine| engine.token_bytes);
     let tokens = Fetch::load(tokens, store.domain == flight.domain);
-    let fetch = Fetch {
-        tokens,
-        ahead: core.fleet.lock().on_way(store.addr),
-        token_bytes: engine.map_or(0, |engine| engine.token_bytes),
-        mbps: store.link,
-    };
-    let arrives = fetch.arrives(job.route.objective);
+    let arrives = transfers::per_ms(store.link, token_bytes).is_none_or(|per_ms| {
+        let fetch = Fetch {
+            tokens,
+            ahead: core.fleet.lock().on_way(store.addr, per_ms.get()),
+            per_ms,
+        };
+        fetch.arrives(job.route.objective)
+    });
     arrives.then(|| OnWay::new(&core.fleet, store.addr, tokens))
 }
 
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod belief;
 mod catalogue;
 mod crossing;
+mod fetches;
 mod fleet;
 mod foreign;
 mod logs;
--- a/crates/sesamegap-policy/src/routing/transfers.rs
+++ b/crates/sesamegap-policy/src/routing/transfers.rs
@@ -12,6 +12,7 @@
 //! the engines are. So only as much is asked of a store at once as it delivers within the callers' objective;
 //! other prompts are read by their engines meanwhile.
 
+use std::num::NonZeroU64;
 use std::time::Duration;
 
 /// Shared tokens from which a transfer is worth its setting up; reading them takes 26 ms.
@@ -33,6 +34,15 @@
 /// How many times longer a token is on a link to another failure domain.
 const FAR_TIMES: u64 = 2;
 
+/// Bits that a link of one Mbit/s carries in a millisecond.
+const BITS_PER_MS: u64 = 1_000;
+
+/// Tokens that a store's link carries in a millisecond; none if the size of a token is not known.
+pub fn per_ms(mbps: u64, token_bytes: u64) -> Option<NonZeroU64> {
+    let carried = (mbps * BITS_PER_MS).checked_div(token_bytes * 8)?;
+    Some(NonZeroU64::new(carried).unwrap_or(NonZeroU64::MIN))
+}
+
 /// A fetch from a store, behind all that was asked of it before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fetch {
@@ -40,10 +50,8 @@
     pub tokens: u64,
     /// The same of all fetches that are on their way, by all VMs.
     pub ahead: u64,
-    /// Bytes of a token; zero if they are not known.
-    pub token_bytes: u64,
-    /// What the store's link carries, Mbit/s.
-    pub mbps: u64,
+    /// Tokens that the store's link carries in a millisecond.
+    pub per_ms: NonZeroU64,
 }
 
 impl Fetch {
@@ -54,9 +62,7 @@
 
     /// Whether it arrives within the time that callers can wait.
     pub fn arrives(&self, within: Duration) -> bool {
-        let bits = (self.ahead + self.tokens) * self.token_bytes * 8;
-        // A Mbit/s is a bit in a microsecond.
-        Duration::from_micros(bits / self.mbps.max(1)) <= within
+        Duration::from_millis((self.ahead + self.tokens) / self.per_ms) <= within
     }
 }
 
--- a/crates/sesamegap-policy/tests/testsuite/routing/transfers.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/transfers.rs
@@ -1,4 +1,5 @@
-use sesamegap_policy::routing::transfers::{Fetch, Link, Wish, wish};
+use sesamegap_policy::routing::transfers::{Fetch, Link, Wish, per_ms, wish};
+use std::num::NonZeroU64;
 use std::time::Duration;
 
 fn review() -> Wish {
@@ -116,13 +117,12 @@
         let fetch = Fetch {
             tokens: Fetch::load(6_300, near),
             ahead: self.on_way.iter().map(|(_, load)| load).sum(),
-            token_bytes: 35_136,
-            mbps: 78_000,
+            per_ms: per_ms(78_000, 35_136).expect("the size of a token is known"),
         };
         if bounded && !fetch.arrives(Duration::from_millis(OBJECTIVE)) {
             return now + READ * 1_000;
         }
-        let takes = fetch.tokens * fetch.token_bytes * 8 / fetch.mbps;
+        let takes = fetch.tokens * 1_000 / fetch.per_ms;
         self.free = self.free.max(now) + takes;
         self.on_way.push((self.free, fetch.tokens));
         self.free
@@ -151,14 +151,11 @@
     assert_eq!(late(true), 0);
 }
 
-/// Without the size of a token nobody can tell how long a fetch takes; the store is used as before.
+/// Without the size of a token nobody can tell how long a fetch takes; the store is used as before. A link that carries
+/// less than a token in a millisecond must not seem to carry none.
 #[test]
-fn a_store_is_used_where_the_size_of_a_token_is_not_known() {
-    let fetch = Fetch {
-        tokens: 6_300,
-        ahead: 10_000_000,
-        token_bytes: 0,
-        mbps: 0,
-    };
-    assert!(fetch.arrives(Duration::ZERO));
+fn the_pace_of_a_store_follows_from_its_link_and_the_size_of_a_token() {
+    assert_eq!(per_ms(78_000, 0), None);
+    assert_eq!(per_ms(78_000, 35_136).map(NonZeroU64::get), Some(277));
+    assert_eq!(per_ms(1, 35_136).map(NonZeroU64::get), Some(1));
 }
