Order twice as many engines to load as do so at full speed

Orders that were given are carried out whoever dies, so engines are ordered ahead of what loads at full speed; how many serving engines are out still follows from full speed.

--- a/crates/sesamegap-policy/src/routing/rolls.rs
+++ b/crates/sesamegap-policy/src/routing/rolls.rs
@@ -50,13 +50,22 @@
 /// slow loads only ran beside others.
 const RAISED: f64 = 1.1;
 
+/// How many times as many engines may load as do so at full speed: orders that were given are carried out even if
+/// their VM dies, and those that were not wait for seconds until another may order.
+const AHEAD: usize = 2;
+
+/// Engines that load at full speed side by side.
+fn at_full_speed(all: usize) -> usize {
+    (all * LOADING / 100).max(LEAST_LOADING)
+}
+
 /// Engines that may load side by side.
 ///
 /// Load: weights are named twice within a bound while engines crash, so that nine of twelve must load at once.
 /// Harm prevented: loads share what the weight store gives, and nine that begin together all end after
-/// six seconds, in which the rest of the fleet is buried; two by two the first are back after one.
+/// six seconds, in which the rest of the fleet is buried; by turns the first are back after half of that.
 pub fn side_by_side(all: usize) -> usize {
-    (all * LOADING / 100).max(LEAST_LOADING)
+    at_full_speed(all) * AHEAD
 }
 
 /// How long a load takes at full speed, as far as was seen.
@@ -85,7 +94,7 @@
         let all = engines.len();
         let load = self.load().as_secs_f64();
         let turns = (FIRST_DRAIN.as_secs_f64() + load) / load;
-        let busy = (side_by_side(all) as f64 * turns).ceil();
+        let busy = (at_full_speed(all) as f64 * turns).ceil();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
