--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -11,6 +11,7 @@
 use crate::peers::Peers;
 use crate::ports::{Ports, Table};
 use crate::settings::Settings;
+use crate::store::StoreClient;
 use crate::telemetry::metrics::Metrics;
 use crate::telemetry::{Logging, events};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -40,6 +41,8 @@
 pub struct Core {
     /// The platform.
     pub ports: Ports,
+    /// The store.
+    pub store: StoreClient,
     /// The upstreams.
     pub fleet: SharedFleet,
     /// The other entry VMs.
@@ -88,6 +91,7 @@
             budgets: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
             settings: ArcSwap::from_pointee(settings),
+            store: StoreClient::new(Arc::clone(&ports.store)),
             ports,
         })
     }
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_policy::routing::silence::Silences;
 use sesamegap_policy::routing::weights::{Named, Namings};
-use sesamegap_wire::{Incarnation, Moment, Offset, ServiceId, UpstreamId, WeightsVersion};
+use sesamegap_wire::{Incarnation, LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -147,13 +147,18 @@
         self.contact.store(answers, now);
     }
 
+    /// Notes that the store was restored from a copy.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.contact.restored(now);
+    }
+
     /// Notes that the store answers another VM.
     pub fn store_told(&mut self, now: Moment) {
         self.contact.told(now);
     }
 
     /// Takes in an entry that lies at a position of the list's log.
-    pub fn apply(&mut self, id: &UpstreamId, entry: Entry, at: Offset, now: Moment) -> Change {
+    pub fn apply(&mut self, id: &UpstreamId, entry: Entry, at: LogPosition, now: Moment) -> Change {
         let word = Word {
             at,
             said: Said::Listed(Listing {
@@ -181,16 +186,16 @@
     }
 
     /// Takes in that the list's log says at a position that an entry is gone.
-    pub fn remove(&mut self, id: &UpstreamId, at: Offset, now: Moment) -> Change {
+    pub fn remove(&mut self, id: &UpstreamId, at: LogPosition, now: Moment) -> Change {
         self.unlist(id, at, Said::Removed, now)
     }
 
     /// Takes in that a record there names no upstream: unlike a lapsed one it gets no time.
-    pub fn withdraw(&mut self, id: &UpstreamId, at: Offset, now: Moment) -> Change {
+    pub fn withdraw(&mut self, id: &UpstreamId, at: LogPosition, now: Moment) -> Change {
         self.unlist(id, at, Said::Withdrawn, now)
     }
 
-    fn unlist(&mut self, id: &UpstreamId, at: Offset, said: Said, now: Moment) -> Change {
+    fn unlist(&mut self, id: &UpstreamId, at: LogPosition, said: Said, now: Moment) -> Change {
         let belief = match self.upstreams.get_mut(id) {
             Some(upstream) => &mut upstream.belief,
             None => self
@@ -254,10 +259,10 @@
     pub fn keep_only(
         &mut self,
         listed: &[UpstreamId],
-        next: Offset,
+        next: LogPosition,
         now: Moment,
     ) -> Vec<(UpstreamId, Change)> {
-        let Some(at) = next.0.checked_sub(1).map(Offset) else {
+        let Some(at) = next.previous() else {
             return Vec::new();
         };
         let known = self.upstreams().map(|up| &up.id);
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -7,7 +7,7 @@
 use crate::telemetry::events;
 use sesamegap_policy::routing::belief::{Belief, Change};
 use sesamegap_policy::routing::weights::Named;
-use sesamegap_wire::{Incarnation, Moment, Offset, UpstreamId};
+use sesamegap_wire::{Incarnation, LogPosition, Moment, UpstreamId};
 use tracing::{info, warn};
 
 /// What a record said to this VM.
@@ -32,8 +32,8 @@
 
 /// Takes in the newest record of each key of a table, in place of what was known.
 ///
-/// `complete` is a moment up to which all of the table was known.
-pub fn replace(core: &Core, table: Table, batch: Batch, complete: Option<Moment>) {
+/// `complete` is a moment up to which all of the table was known. Gives how many upstreams are listed no more.
+pub fn replace(core: &Core, table: Table, batch: Batch, complete: Option<Moment>) -> usize {
     let mut listed = Vec::new();
     for (at, record) in batch.records {
         if let Record::Upstream(id, _) = &record {
@@ -41,17 +41,19 @@
         }
         apply(core, at, record, Read::Found(complete));
     }
-    if table == Table::Fleet {
-        let now = clock::now();
-        let missing = core.fleet.lock().keep_only(&listed, batch.next, now);
-        for (id, change) in missing {
-            tell(core, &id, change, batch.next);
-        }
+    if table != Table::Fleet {
+        return 0;
+    }
+    let now = clock::now();
+    let missing = core.fleet.lock().keep_only(&listed, batch.next, now);
+    for (id, change) in &missing {
+        tell(core, id, *change, batch.next);
     }
+    missing.len()
 }
 
 /// Takes in one record, which lies at a position of its table's log.
-pub fn apply(core: &Core, at: Offset, record: Record, read: Read) -> Taken {
+pub fn apply(core: &Core, at: LogPosition, record: Record, read: Read) -> Taken {
     let now = clock::now();
     match record {
         Record::Document(document) => Taken::news_if(core.adopt(&document, "store")),
@@ -90,7 +92,7 @@
 /// requests sent there may be lost. It is out at once, also right after an outage of the store, when
 /// entries that merely lapsed get time to come back: this one did not lapse. Its next sound record
 /// brings it back.
-pub fn withdraw(core: &Core, id: &UpstreamId, at: Offset) -> Taken {
+pub fn withdraw(core: &Core, id: &UpstreamId, at: LogPosition) -> Taken {
     let change = core.fleet.lock().withdraw(id, at, clock::now());
     tell(core, id, change, at);
     taken(change)
@@ -132,15 +134,15 @@
 }
 
 /// Logs what a record of the list did, or why it was discarded.
-pub fn tell(core: &Core, id: &UpstreamId, change: Change, at: Offset) {
+pub fn tell(core: &Core, id: &UpstreamId, change: Change, at: LogPosition) {
     if matches!(change, Change::Same | Change::Repeat) {
         return;
     }
     let (born, beat) = believed(core, id);
     if change.is_discarded() {
-        info!(event = events::DISCARDED, upstream = %id, why = ?change, at = at.0, born, beat, "a record is older than what is known");
+        info!(event = events::DISCARDED, upstream = %id, why = ?change, at = %at, born, beat, "a record is older than what is known");
     } else {
-        info!(event = events::UPSTREAM, upstream = %id, change = ?change, at = at.0, born, beat, "belief about an upstream changed");
+        info!(event = events::UPSTREAM, upstream = %id, change = ?change, at = %at, born, beat, "belief about an upstream changed");
     }
 }
 
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -16,7 +16,9 @@
 use crate::ports::{Batch, Record, StoreError, Table};
 use crate::telemetry::events;
 use apply::{replace, report};
+use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::reading::READERS;
+use sesamegap_wire::Moment;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -42,15 +44,31 @@
 /// The same while no peer is known: the store's list is then the only way to find one.
 const ALONE_PACE: Duration = Duration::from_secs(5);
 
+/// Time over which all VMs read the entry VMs again, and write their own, after the store was restored: a fleet of
+/// hundreds stays under the store's rates.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// Longest wait for other VMs' word before the store's is taken, at the start of a process.
+const ACQUAINTANCE: Duration = Duration::from_millis(800);
+
 /// Follows one table until the process ends.
 pub async fn follow(core: Arc<Core>, table: Table) {
     let mut lost = false;
+    let mut restored: Option<Moment> = None;
+    if table == Table::Settings {
+        // The store may hold an older document than other VMs serve, which would be served until they tell.
+        core.peers.acquainted(ACQUAINTANCE).await;
+    }
     while core.phase() < Phase::Ended {
+        if is_former(&core, table) {
+            restored.get_or_insert_with(clock::now);
+            begin_again(&core, table);
+        }
         if !reads_for_all(&core, table) && wait_for_word(&core, table).await {
             expire(&core);
             continue;
         }
-        let outcome = step(&core, table).await;
+        let outcome = step(&core, table, &mut restored).await;
         core.fleet.lock().store(answers(&outcome), clock::now());
         match outcome {
             Ok(()) => {
@@ -59,9 +77,10 @@
                     info!(event = events::STORE_BACK, table = ?table, "the store answers again");
                 }
                 if table == Table::Fleet && reads_for_all(&core, table) {
-                    sleep(pace(&core, table)).await;
+                    sleep_on(&core, table, pace(&core, table)).await;
                 }
             }
+            Err(StoreError::Restored(_)) => {}
             Err(StoreError::Compacted(first)) => {
                 info!(event = events::COMPACTED, table = ?table, first = first.0, "records are gone; reading the newest of each key");
                 core.known(table).position().begin();
@@ -110,11 +129,35 @@
         return false;
     }
     // A word that comes meanwhile gives time again, one that was missed takes it: the next look tells.
-    drop(timeout(left, known.missed.notified()).await);
+    tokio::select! {
+        () = known.missed.notified() => {}
+        () = sleep_on(core, table, left) => {}
+    }
     true
 }
 
-async fn step(core: &Core, table: Table) -> Result<(), StoreError> {
+/// Sleeps, but no longer than a table's positions are of the store's present timeline.
+async fn sleep_on(core: &Core, table: Table, time: Duration) {
+    let Some(next) = core.known(table).position().next() else {
+        return;
+    };
+    let mut timelines = core.store.timelines();
+    drop(timeout(time, timelines.wait_for(|present| next.timeline < *present)).await);
+}
+
+/// Whether what is known of a table was read before the store was restored.
+fn is_former(core: &Core, table: Table) -> bool {
+    let next = core.known(table).position().next();
+    next.is_some_and(|next| next.timeline < core.store.timeline())
+}
+
+/// Has a table read anew from a store that was restored; what is known of it stays in use meanwhile.
+fn begin_again(core: &Core, table: Table) {
+    core.fleet.lock().store_restored(clock::now());
+    core.known(table).position().begin();
+}
+
+async fn step(core: &Core, table: Table, restored: &mut Option<Moment>) -> Result<(), StoreError> {
     let known = core.known(table);
     let asked = clock::now();
     let (next, complete) = {
@@ -122,9 +165,13 @@
         (position.next(), position.complete())
     };
     let Some(from) = next else {
-        let batch = core.ports.store.snapshot(table).await?;
+        let batch = core.store.snapshot(table).await?;
         let at = batch.next;
-        replace(core, table, batch, complete);
+        let records = batch.records.len();
+        let missing = replace(core, table, batch, complete);
+        if let Some(since) = restored.take() {
+            info!(event = events::REBUILT, table = ?table, at = %at, records, missing, took_ms = clock::ms(clock::now().since(since)), "read again from the restored store");
+        }
         known.position().read(at, clock::now());
         known.position().asked(asked);
         return Ok(());
@@ -134,7 +181,7 @@
         Table::Settings if reader => SETTINGS_WAIT,
         _ => Duration::ZERO,
     };
-    let batch = core.ports.store.changes(table, from, wait).await?;
+    let batch = core.store.changes(table, from, wait).await?;
     let reading = take(core, table, from, batch);
     known.position().read(reading.next, clock::now());
     known.position().asked(asked);
@@ -154,8 +201,10 @@
 
 /// Keeps this VM's entry in the store, and reads the others'.
 pub async fn vms(core: Arc<Core>) {
+    let mut timelines = core.store.timelines();
     while core.phase() < Phase::Ended {
-        let listed = match core.ports.store.snapshot(Table::Vms).await {
+        timelines.mark_unchanged();
+        let listed = match core.store.snapshot(Table::Vms).await {
             Ok(batch) => take_vms(&core, batch),
             Err(error) => {
                 info!(event = events::STORE_LOST, table = ?Table::Vms, %error, "entry VMs not read");
@@ -169,14 +218,25 @@
             continue;
         }
         let alone = core.peers.known().alive.is_empty();
-        sleep(if alone { ALONE_PACE } else { VMS_PACE }).await;
+        let pace = if alone { ALONE_PACE } else { VMS_PACE };
+        if timeout(pace, timelines.changed()).await.is_ok() {
+            // All VMs notice within a moment that their entries may be gone.
+            sleep(turn(&core)).await;
+        }
     }
 }
 
+/// The time after which this VM writes its entry again, spread over all VMs.
+fn turn(core: &Core) -> Duration {
+    let place = rank(LINE, seed(core.settings().vm.as_str()));
+    AGAIN * (place >> 56) as u32 / (1 << 8)
+}
+
 async fn announce(core: &Core) -> Result<(), StoreError> {
     let settings = core.settings();
-    let store = &core.ports.store;
-    store.announce(&settings.vm, settings.listen.peers).await
+    core.store
+        .announce(&settings.vm, settings.listen.peers)
+        .await
 }
 
 /// Takes in the entry VMs; whether this one is among them.
--- a/crates/sesamegap-entry/src/follow/readings.rs
+++ b/crates/sesamegap-entry/src/follow/readings.rs
@@ -8,7 +8,7 @@
 use crate::ports::{Batch, Record, Table, Weights};
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::reading::{Heard, Position, Span};
-use sesamegap_wire::{Offset, UpstreamId};
+use sesamegap_wire::{LogPosition, UpstreamId};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
@@ -35,11 +35,11 @@
     /// The table.
     pub table: Table,
     /// Where it read from.
-    pub from: Offset,
+    pub from: LogPosition,
     /// Where it reads on.
-    pub next: Offset,
+    pub next: LogPosition,
     /// What changed, with its position in the log.
-    pub pieces: Vec<(Offset, Piece)>,
+    pub pieces: Vec<(LogPosition, Piece)>,
     /// Whether the pieces are all that changed.
     pub whole: bool,
 }
@@ -66,7 +66,7 @@
 }
 
 /// Takes in what this VM has read, and puts it together for the others.
-pub fn take(core: &Core, table: Table, from: Offset, batch: Batch) -> Reading {
+pub fn take(core: &Core, table: Table, from: LogPosition, batch: Batch) -> Reading {
     let mut reading = Reading {
         table,
         from,
@@ -123,7 +123,7 @@
     }
 }
 
-fn take_piece(core: &Core, at: Offset, piece: Piece) {
+fn take_piece(core: &Core, at: LogPosition, piece: Piece) {
     let record = match piece {
         Piece::Upstream(id, entry) => Record::Upstream(id, entry),
         Piece::Removed(id) => Record::Removed(id),
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod relay;
 pub mod roll;
 pub mod settings;
+pub mod store;
 pub mod telemetry;
 pub mod upstream;
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -23,6 +23,12 @@
 /// Longest wait for a peer's answer; some hundred times the delay within a region.
 const ANSWER: Duration = Duration::from_millis(350);
 
+/// Longest wait for the store's list of entry VMs when no seed answers.
+const LISTED: Duration = Duration::from_millis(100);
+
+/// Listed VMs that are asked then.
+const MOST_ASKED: usize = 8;
+
 /// The client for all peers.
 ///
 /// # Panics
@@ -40,11 +46,13 @@
 
 /// Probes peers until the process ends.
 pub async fn rounds(core: Arc<Core>) {
-    let mut seeds_asked = false;
     let mut rng = rand::rngs::StdRng::seed_from_u64(clock::now().0);
+    if !ask_seeds(&core).await {
+        ask_listed(&core).await;
+    }
+    core.peers.asked.send_replace(true);
     while core.phase() < Phase::Ended {
-        if !seeds_asked || core.peers.count() == 1 {
-            seeds_asked = true;
+        if core.peers.count() == 1 {
             ask_seeds(&core).await;
         }
         let probe = core.peers.tick(&mut rng);
@@ -63,17 +71,38 @@
     }
 }
 
-/// Asks the VMs that the settings name, which is how a new one is heard of at all.
-async fn ask_seeds(core: &Core) {
+/// Asks the VMs that the settings name, which is how a new one is heard of at all; whether any answered.
+async fn ask_seeds(core: &Core) -> bool {
     let settings = core.settings();
     let me = settings.listen.peers;
     let seeds = settings.seeds.iter().filter(|seed| **seed != me);
-    let asked = seeds.map(|seed| ask(core, *seed, Vec::new()));
-    for outcome in join_all(asked).await {
-        if let Err(error) = outcome {
-            info!(event = events::PEER, error, "a seed did not answer");
+    ask_all(core, seeds.copied()).await
+}
+
+/// Asks some VMs that the store lists, when the settings name none that answers.
+async fn ask_listed(core: &Core) {
+    let until = clock::now() + LISTED;
+    let listed = || -> Vec<SocketAddr> { core.peers.lock().listed().take(MOST_ASKED).collect() };
+    while listed().is_empty() && clock::now() < until {
+        sleep(LISTED / 5).await;
+    }
+    ask_all(core, listed().into_iter()).await;
+}
+
+async fn ask_all(core: &Core, addrs: impl Iterator<Item = SocketAddr>) -> bool {
+    let mut answered = false;
+    for outcome in join_all(addrs.map(|addr| ask(core, addr, Vec::new()))).await {
+        match outcome {
+            Ok(()) => answered = true,
+            Err(error) => {
+                info!(
+                    event = events::PEER,
+                    error, "a VM that was asked first did not answer"
+                );
+            }
         }
     }
+    answered
 }
 
 /// Tells all peers of this process's own state, as when it is about to stop.
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -29,6 +29,8 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// How long a suspected peer has to refute it; callers are not sent to it meanwhile.
 const SUSPICION: Duration = Duration::from_millis(1_500);
@@ -53,6 +55,8 @@
     /// News of engines that is still to be sent.
     pub outbox: Outbox,
     client: reqwest::Client,
+    /// Whether others were asked what they know since this process started.
+    asked: watch::Sender<bool>,
 }
 
 impl Peers {
@@ -73,9 +77,16 @@
             members: Mutex::new(members),
             outbox: Outbox::default(),
             client: client::build(),
+            asked: watch::channel(false).0,
         }
     }
 
+    /// Waits until others were asked what they know, which has been taken in then.
+    pub async fn acquainted(&self, longest: Duration) {
+        let mut asked = self.asked.subscribe();
+        drop(timeout(longest, asked.wait_for(|asked| *asked)).await);
+    }
+
     /// This process.
     pub fn me(&self) -> &Holder {
         &self.me
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -7,8 +7,10 @@
 use http::HeaderMap;
 use http::header::HeaderName;
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::agreement::timelines::{Stated, Verdict};
 use sesamegap_wire::{
-    Fence, Incarnation, Offset, TeamId, Tokens, UpstreamId, VmId, WeightsVersion,
+    Fence, Incarnation, LogPosition, Offset, TeamId, Timeline, Tokens, UpstreamId, VmId,
+    WeightsVersion,
 };
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt;
@@ -107,15 +109,24 @@
     pub version: WeightsVersion,
 }
 
-/// Records of a table, and where to read on.
+/// Records of a table as the store gives them, and where to read on.
 #[derive(Debug, Clone)]
-pub struct Batch {
+pub struct Records {
     /// Records in the order of the log.
     pub records: Vec<(Offset, Record)>,
     /// Offset to read from next.
     pub next: Offset,
 }
 
+/// Records of a table on one timeline, and where to read on.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    /// Records in the order of the log.
+    pub records: Vec<(LogPosition, Record)>,
+    /// Position to read from next.
+    pub next: LogPosition,
+}
+
 /// Why a call to the store brought nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreError {
@@ -125,6 +136,10 @@
     Compacted(Offset),
     /// The condition of an append did not hold; the log ends here.
     Conflict(Offset),
+    /// The store was restored from a copy: positions that were asked with are of a former timeline.
+    Restored(Timeline),
+    /// An answer that is not of the present timeline.
+    OffTimeline(Verdict),
     /// No connection.
     Unreached(String),
     /// An append may have been done or may yet be.
@@ -139,6 +154,8 @@
             Self::Busy => f.write_str("the store turned the call away"),
             Self::Compacted(first) => write!(f, "records before {first} are gone"),
             Self::Conflict(end) => write!(f, "the log ends at {end}"),
+            Self::Restored(timeline) => write!(f, "the log is on timeline {timeline} now"),
+            Self::OffTimeline(verdict) => write!(f, "not of the present timeline: {verdict:?}"),
             Self::Unreached(why) => write!(f, "no connection: {why}"),
             Self::Unanswered(why) => write!(f, "no answer: {why}"),
             Self::Malformed(why) => write!(f, "unreadable answer: {why}"),
@@ -148,16 +165,25 @@
 
 impl std::error::Error for StoreError {}
 
+/// What came of a call to the store.
+#[derive(Debug, Clone)]
+pub struct Reply<T> {
+    /// What the answer states of its timeline; unset if there was no answer.
+    pub stated: Option<Stated>,
+    /// What it brought.
+    pub outcome: Result<T, StoreError>,
+}
+
 /// The future of a call to the store.
-pub type Call<'a, T> = BoxFuture<'a, Result<T, StoreError>>;
+pub type Call<'a, T> = BoxFuture<'a, Reply<T>>;
 
-/// The store that keeps what must last.
+/// The store that keeps what must last; its offsets are of the timeline that the answer states.
 pub trait Store: fmt::Debug + Send + Sync {
     /// The newest record of each key of a table.
-    fn snapshot(&self, table: Table) -> Call<'_, Batch>;
+    fn snapshot(&self, table: Table) -> Call<'_, Records>;
 
     /// Changes from an offset on; waits at most `wait` for the first.
-    fn changes(&self, table: Table, from: Offset, wait: Duration) -> Call<'_, Batch>;
+    fn changes(&self, table: Table, from: Offset, wait: Duration) -> Call<'_, Records>;
 
     /// Writes this VM's entry.
     fn announce(&self, vm: &VmId, peers: SocketAddr) -> Call<'_, ()>;
--- a/crates/sesamegap-entry/src/roll/lease.rs
+++ b/crates/sesamegap-entry/src/roll/lease.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::cas_lease::{CasLease, Claim, Step, Terms};
-use sesamegap_wire::{Fence, Moment, Offset};
+use sesamegap_wire::{Fence, LogPosition, Moment, Timeline};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 use tracing::{info, warn};
 
 /// How long one record gives the lease: a few store calls at their slowest.
@@ -22,6 +23,8 @@
 #[derive(Debug, Clone)]
 pub struct Lease {
     state: Arc<Mutex<CasLease>>,
+    /// The store's, which may rise while an engine is on its way to new weights.
+    timeline: watch::Receiver<Timeline>,
     free: Option<Moment>,
     /// The wait that was logged last.
     told: Moment,
@@ -37,6 +40,7 @@
         let lease = CasLease::new(core.peers.me().clone(), terms);
         Self {
             state: Arc::new(Mutex::new(lease)),
+            timeline: core.store.timelines(),
             free: None,
             told: Moment::default(),
         }
@@ -102,11 +106,15 @@
         None
     }
 
-    async fn read(&self, core: &Core, from: Offset) -> bool {
-        let outcome = core.ports.store.lease_records(from).await;
+    async fn read(&self, core: &Core, from: LogPosition) -> bool {
+        let outcome = core.store.lease_records(from).await;
         let (records, end) = match outcome {
             Ok(found) => found,
-            Err(StoreError::Compacted(first)) => (Vec::new(), first),
+            Err(StoreError::Compacted(first)) => {
+                (Vec::new(), LogPosition::new(core.store.timeline(), first))
+            }
+            // The next step is to read it from its beginning.
+            Err(StoreError::Restored(_)) => return true,
             Err(error) => {
                 info!(event = events::LEASE, %error, "lease not read");
                 return false;
@@ -127,7 +135,7 @@
         info!(event = events::LEASE, holder = ?holder, wait_ms, "another VM may still order");
     }
 
-    async fn append(&self, core: &Core, claim: Claim, at: Offset) {
+    async fn append(&self, core: &Core, claim: Claim, at: LogPosition) {
         let began = clock::now();
         let record = match rmp_serde::to_vec(&claim) {
             Ok(record) => Bytes::from(record),
@@ -137,22 +145,29 @@
             }
         };
         let renews = claim.renews;
-        match core.ports.store.lease_append(record, at).await {
-            Ok(offset) => {
-                self.lock().appended(claim, offset, began);
+        match core.store.lease_append(record, at).await {
+            Ok(at) => {
+                let fence = {
+                    let mut lease = self.lock();
+                    lease.appended(claim, at, began);
+                    lease.may_order(clock::now())
+                };
                 if renews.is_none() {
-                    info!(event = events::LEASE, fence = offset.0 + 1, "lease taken");
+                    info!(event = events::LEASE, fence = ?fence, at = %at, "lease taken");
                 }
             }
             Err(error) => {
                 self.lock().lose();
-                info!(event = events::LEASE, %error, at = at.0, "lease not held");
+                info!(event = events::LEASE, %error, at = %at, "lease not held");
             }
         }
     }
 
+    /// The lease on the store's present timeline.
     fn lock(&self) -> MutexGuard<'_, CasLease> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut lease = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        lease.begin(*self.timeline.borrow(), clock::now());
+        lease
     }
 }
 
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -24,6 +24,7 @@
     let levels = Levels {
         active: core.active(),
         revision: core.revision().0,
+        timeline: core.store.timeline().0,
         upstreams: core.fleet.lock().upstreams().count(),
         peers: core.peers.known().alive.len(),
         dropped: core.logging.dropped(),
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -28,6 +28,12 @@
 pub const STORE_BACK: u16 = 721;
 /// The store dropped records that were not read yet.
 pub const COMPACTED: u16 = 722;
+/// The store was restored from a copy and is on a newer timeline.
+pub const RESTORED: u16 = 723;
+/// A table was read again after the store was restored.
+pub const REBUILT: u16 = 724;
+/// An answer of the store is of a former timeline, or of none.
+pub const OFF_TIMELINE: u16 = 725;
 /// The belief about a peer changed.
 pub const PEER: u16 = 730;
 /// A store of kept cache stopped answering, or answers again.
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -22,6 +22,8 @@
     pub active: usize,
     /// Revision of the document in force.
     pub revision: u64,
+    /// Timeline of the store.
+    pub timeline: u64,
     /// Upstreams known.
     pub upstreams: usize,
     /// Peers that answer.
@@ -124,6 +126,7 @@
         let figures = [
             ("active", levels.active as u64),
             ("revision", levels.revision),
+            ("timeline", levels.timeline),
             ("upstreams", levels.upstreams as u64),
             ("peers", levels.peers as u64),
             ("log_lines_dropped", levels.dropped as u64),
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, StandinCache, document, entry, settings, until, unused};
+use crate::support::{Platform, StandinCache, document, entry, offset, settings, until, unused};
 use sesamegap_entry::catalogue::KvStore;
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
@@ -10,7 +10,7 @@
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::routing::Openness;
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
-use sesamegap_wire::{Incarnation, Offset, UpstreamId, WeightsVersion};
+use sesamegap_wire::{Incarnation, UpstreamId, WeightsVersion};
 use std::sync::Arc;
 
 /// An entry VM that knows the fleet list up to where it begins.
@@ -23,7 +23,7 @@
     );
     let core = Arc::new(core.unwrap());
     let position = core.known(Table::Fleet);
-    position.position().read(Offset(0), clock::now());
+    position.position().read(offset(0), clock::now());
     core
 }
 
@@ -45,9 +45,9 @@
 
 /// Has a VM read these records of the list itself.
 fn read(core: &Core, from: u64, records: Vec<Record>) -> Reading {
-    let next = Offset(from + records.len() as u64);
-    let records = (from..).map(Offset).zip(records).collect();
-    let reading = take(core, Table::Fleet, Offset(from), Batch { records, next });
+    let next = offset(from + records.len() as u64);
+    let records = (from..).map(offset).zip(records).collect();
+    let reading = take(core, Table::Fleet, offset(from), Batch { records, next });
     core.known(Table::Fleet).position().read(next, clock::now());
     reading
 }
@@ -87,7 +87,7 @@
     hear(&hearer, word);
     let read_up_to = hearer.known(Table::Fleet).position().next();
     assert!(
-        knows(&hearer) || read_up_to == Some(Offset(0)),
+        knows(&hearer) || read_up_to == Some(offset(0)),
         "it must know the worker or read for itself"
     );
 }
@@ -239,11 +239,11 @@
     let core = vm("vm-1");
     read(&core, 0, vec![engine(100, 1, 3)]);
     let mut fleet = core.fleet.lock();
-    assert!(fleet.keep_only(&[], Offset(0), clock::now()).is_empty());
-    let kept = fleet.keep_only(&[], Offset(1), clock::now());
+    assert!(fleet.keep_only(&[], offset(0), clock::now()).is_empty());
+    let kept = fleet.keep_only(&[], offset(1), clock::now());
     assert_eq!(kept, [(worker(), Change::Repeat)]);
     assert!(fleet.get(&worker()).is_some());
-    let gone = fleet.keep_only(&[], Offset(5), clock::now());
+    let gone = fleet.keep_only(&[], offset(5), clock::now());
     assert_eq!(gone, [(worker(), Change::Gone)]);
     assert!(fleet.get(&worker()).is_none());
 }
--- a/crates/sesamegap-entry/tests/testsuite/fleet.rs
+++ b/crates/sesamegap-entry/tests/testsuite/fleet.rs
@@ -1,8 +1,8 @@
-use crate::support::{entry, unused};
+use crate::support::{entry, offset, unused};
 use sesamegap_entry::fleet::{Change, Entry, Fleet, Rules};
 use sesamegap_entry::ports::Weights;
 use sesamegap_policy::routing::{Openness, belief};
-use sesamegap_wire::{Moment, Offset, UpstreamId, WeightsVersion};
+use sesamegap_wire::{Moment, UpstreamId, WeightsVersion};
 use std::time::Duration;
 
 fn fleet() -> Fleet {
@@ -32,15 +32,15 @@
 #[test]
 fn a_late_heartbeat_does_not_bring_a_worker_back() {
     let mut fleet = fleet();
-    assert_eq!(fleet.apply(&id(1), beat(5), Offset(0), at(0)), Change::New);
-    assert_eq!(fleet.remove(&id(1), Offset(10), at(10)), Change::Gone);
+    assert_eq!(fleet.apply(&id(1), beat(5), offset(0), at(0)), Change::New);
+    assert_eq!(fleet.remove(&id(1), offset(10), at(10)), Change::Gone);
     assert_eq!(
-        fleet.apply(&id(1), beat(5), Offset(20), at(20)),
+        fleet.apply(&id(1), beat(5), offset(20), at(20)),
         Change::Doubted
     );
     assert!(fleet.get(&id(1)).is_none());
     assert_eq!(
-        fleet.apply(&id(1), beat(6), Offset(30), at(30)),
+        fleet.apply(&id(1), beat(6), offset(30), at(30)),
         Change::New
     );
 }
@@ -49,15 +49,15 @@
 #[test]
 fn a_worker_that_leaves_stays_leaving() {
     let mut fleet = fleet();
-    fleet.apply(&id(1), beat(1), Offset(0), at(0));
+    fleet.apply(&id(1), beat(1), offset(0), at(0));
     let mut leaving = beat(3);
     leaving.leaving = true;
     assert_eq!(
-        fleet.apply(&id(1), leaving, Offset(10), at(10)),
+        fleet.apply(&id(1), leaving, offset(10), at(10)),
         Change::Leaving
     );
-    fleet.apply(&id(1), beat(2), Offset(20), at(20));
-    fleet.apply(&id(1), beat(4), Offset(30), at(30));
+    fleet.apply(&id(1), beat(2), offset(20), at(20));
+    fleet.apply(&id(1), beat(4), offset(30), at(30));
     assert!(fleet.get(&id(1)).is_some_and(|up| up.is_paused(at(40))));
 }
 
@@ -67,19 +67,19 @@
 fn entries_that_lapsed_with_the_store_away_get_time_to_come_back() {
     let mut fleet = fleet();
     for no in 0..4 {
-        fleet.apply(&id(no), beat(1), Offset(0), at(0));
+        fleet.apply(&id(no), beat(1), offset(0), at(0));
     }
     fleet.store(false, at(1_000));
     fleet.store(true, at(6_000));
     assert_eq!(
-        fleet.remove(&id(0), Offset(6_010), at(6_010)),
+        fleet.remove(&id(0), offset(6_010), at(6_010)),
         Change::Lapsed
     );
     assert_eq!(
-        fleet.remove(&id(1), Offset(6_020), at(6_020)),
+        fleet.remove(&id(1), offset(6_020), at(6_020)),
         Change::Lapsed
     );
-    fleet.apply(&id(0), beat(2), Offset(7_000), at(7_000));
+    fleet.apply(&id(0), beat(2), offset(7_000), at(7_000));
     assert_eq!(fleet.expire(at(7_900)), []);
     assert_eq!(
         fleet.expire(at(8_100)),
@@ -94,11 +94,11 @@
 #[test]
 fn what_leaves_after_the_stores_return_gets_no_time_of_its_own() {
     let mut fleet = fleet();
-    fleet.apply(&id(0), beat(1), Offset(0), at(0));
+    fleet.apply(&id(0), beat(1), offset(0), at(0));
     fleet.store(false, at(1_000));
     fleet.store(true, at(6_000));
     assert_eq!(
-        fleet.remove(&id(0), Offset(7_900), at(7_900)),
+        fleet.remove(&id(0), offset(7_900), at(7_900)),
         Change::Lapsed
     );
     let open = |fleet: &Fleet, ms| fleet.openness(fleet.get(&id(0)).unwrap(), at(ms));
@@ -116,20 +116,20 @@
 #[test]
 fn nothing_lapses_for_a_store_that_others_read() {
     let mut fleet = fleet();
-    fleet.apply(&id(0), beat(1), Offset(0), at(0));
+    fleet.apply(&id(0), beat(1), offset(0), at(0));
     for ms in (1_000..9_000).step_by(300) {
         fleet.store_told(at(ms));
         fleet.store(false, at(ms + 100));
     }
     fleet.store(true, at(9_000));
-    assert_eq!(fleet.remove(&id(0), Offset(9_500), at(9_500)), Change::Gone);
+    assert_eq!(fleet.remove(&id(0), offset(9_500), at(9_500)), Change::Gone);
     let mut alone = self::fleet();
-    alone.apply(&id(0), beat(1), Offset(0), at(0));
+    alone.apply(&id(0), beat(1), offset(0), at(0));
     alone.store_told(at(1_000));
     alone.store(false, at(2_100));
     alone.store(true, at(9_000));
     assert_eq!(
-        alone.remove(&id(0), Offset(9_500), at(9_500)),
+        alone.remove(&id(0), offset(9_500), at(9_500)),
         Change::Lapsed,
         "all were silent"
     );
@@ -139,9 +139,9 @@
 #[test]
 fn nothing_expires_while_the_store_is_away() {
     let mut fleet = fleet();
-    fleet.apply(&id(0), beat(1), Offset(0), at(0));
+    fleet.apply(&id(0), beat(1), offset(0), at(0));
     fleet.store(false, at(100));
-    assert_eq!(fleet.remove(&id(0), Offset(200), at(200)), Change::Lapsed);
+    assert_eq!(fleet.remove(&id(0), offset(200), at(200)), Change::Lapsed);
     assert_eq!(fleet.expire(at(60_000)), []);
     fleet.store(true, at(60_100));
     assert_eq!(fleet.expire(at(60_200)), []);
@@ -172,9 +172,9 @@
 #[test]
 fn a_heartbeat_does_not_take_back_weights_that_were_seen() {
     let mut fleet = fleet();
-    fleet.apply(&id(1), beat(1), Offset(0), at(0));
+    fleet.apply(&id(1), beat(1), offset(0), at(0));
     fleet.get_mut(&id(1)).unwrap().holds("m", WeightsVersion(4));
-    fleet.apply(&id(1), beat(2), Offset(10), at(10));
+    fleet.apply(&id(1), beat(2), offset(10), at(10));
     let held = fleet.get(&id(1)).and_then(|up| up.version("m"));
     assert_eq!(held, Some(WeightsVersion(4)));
 }
@@ -183,7 +183,7 @@
 #[test]
 fn an_upstream_that_fails_is_avoided_for_longer_each_time() {
     let mut fleet = fleet();
-    fleet.apply(&id(1), beat(1), Offset(0), at(0));
+    fleet.apply(&id(1), beat(1), offset(0), at(0));
     let upstream = fleet.get_mut(&id(1)).unwrap();
     upstream.fail(at(0));
     assert!(upstream.is_suspect(at(500)) && !upstream.is_suspect(at(700)));
@@ -201,10 +201,10 @@
 fn entries_taken_out_with_the_store_there_are_gone_at_once_however_many() {
     let mut fleet = fleet();
     for no in 0..3 {
-        fleet.apply(&id(no), beat(1), Offset(0), at(0));
+        fleet.apply(&id(no), beat(1), offset(0), at(0));
     }
     fleet.store(true, at(100));
-    assert_eq!(fleet.remove(&id(0), Offset(1_000), at(1_000)), Change::Gone);
-    assert_eq!(fleet.remove(&id(1), Offset(1_500), at(1_500)), Change::Gone);
-    assert_eq!(fleet.remove(&id(2), Offset(1_900), at(1_900)), Change::Gone);
+    assert_eq!(fleet.remove(&id(0), offset(1_000), at(1_000)), Change::Gone);
+    assert_eq!(fleet.remove(&id(1), offset(1_500), at(1_500)), Change::Gone);
+    assert_eq!(fleet.remove(&id(2), offset(1_900), at(1_900)), Change::Gone);
 }
--- a/crates/sesamegap-entry/tests/testsuite/foreign.rs
+++ b/crates/sesamegap-entry/tests/testsuite/foreign.rs
@@ -1,7 +1,7 @@
 //! Records of other writers in the tables that a process follows.
 
 use crate::support::{
-    Act, Lines, Platform, Process, Upstream, ask, document, entry, route, settings, unused,
+    Act, Lines, Platform, Process, Upstream, ask, document, entry, offset, route, settings, unused,
 };
 use sesamegap_entry::catalogue::{Kind, Service};
 use sesamegap_entry::clock;
@@ -39,9 +39,9 @@
 
 /// Takes records in that begin at an offset.
 fn read(core: &Core, from: u64, records: Vec<Record>) -> Reading {
-    let next = Offset(from + records.len() as u64);
-    let records = (from..).map(Offset).zip(records).collect();
-    take(core, Table::Fleet, Offset(from), Batch { records, next })
+    let next = offset(from + records.len() as u64);
+    let records = (from..).map(offset).zip(records).collect();
+    take(core, Table::Fleet, offset(from), Batch { records, next })
 }
 
 fn known(core: &Core) -> Vec<usize> {
@@ -58,7 +58,7 @@
     hearer
         .known(Table::Fleet)
         .position()
-        .read(Offset(0), clock::now());
+        .read(offset(0), clock::now());
     let words = [
         (vec![sound(1, 1), sound(2, 1), sound(3, 1)], vec![1, 2, 3]),
         (
@@ -90,7 +90,7 @@
     for core in [&one, &two, &hearer] {
         core.known(Table::Fleet)
             .position()
-            .read(Offset(1), clock::now());
+            .read(offset(1), clock::now());
         read(core, 0, vec![sound(1, 5)]);
     }
     for reader in [&one, &two] {
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod readings;
 mod refusals;
+mod restored;
 mod rolls;
 mod sse;
 mod stopping;
--- a/crates/sesamegap-entry/tests/testsuite/peers.rs
+++ b/crates/sesamegap-entry/tests/testsuite/peers.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, document, settings, until};
+use crate::support::{Platform, document, offset, settings, until};
 use poem::IntoEndpoint;
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -78,12 +78,9 @@
     };
     for no in 0..count {
         let entry = crate::support::entry("engines", crate::support::unused());
-        two.fleet.lock().apply(
-            &engine(no),
-            entry,
-            sesamegap_wire::Offset(0),
-            sesamegap_entry::clock::now(),
-        );
+        two.fleet
+            .lock()
+            .apply(&engine(no), entry, offset(0), sesamegap_entry::clock::now());
     }
     until(|| one.peers.known().alive.len() == 1).await;
     // Both listen on one machine here, so each has a port of its own and one answers the other's.
--- a/crates/sesamegap-entry/tests/testsuite/readings.rs
+++ b/crates/sesamegap-entry/tests/testsuite/readings.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, entry, settings, until, unused};
+use crate::support::{Platform, entry, offset, settings, until, unused};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::follow::{Reading, follow, hear, take};
@@ -6,7 +6,7 @@
 use sesamegap_entry::ports::{Batch, Record, Table, Weights};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::membership::{News, Status};
-use sesamegap_wire::{Offset, UpstreamId, WeightsVersion};
+use sesamegap_wire::{UpstreamId, WeightsVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,32 +85,32 @@
     let hearer = vm("vm-2", "127.0.0.2", port);
     knows(&reader, &hearer);
     let read = |records: Vec<Record>, from: u64| {
-        let next = Offset(from + records.len() as u64);
+        let next = offset(from + records.len() as u64);
         Batch {
-            records: (from..).map(Offset).zip(records).collect(),
+            records: (from..).map(offset).zip(records).collect(),
             next,
         }
     };
     hearer
         .known(Table::Fleet)
         .position()
-        .read(Offset(4), clock::now());
+        .read(offset(4), clock::now());
     let new = take(
         &reader,
         Table::Fleet,
-        Offset(4),
+        offset(4),
         read(vec![change(false, 1)], 4),
     );
     reader.peers.outbox.put_reading(new);
     until(|| hearer.fleet.lock().get(&worker()).is_some()).await;
     let beats = read(vec![change(false, 2), change(true, 3)], 5);
-    let leaving = take(&reader, Table::Fleet, Offset(5), beats);
+    let leaving = take(&reader, Table::Fleet, offset(5), beats);
     assert_eq!(leaving.pieces.len(), 1, "a mere heartbeat is not told");
     reader.peers.outbox.put_reading(leaving);
     until(|| leaves(&hearer)).await;
     assert_eq!(
         hearer.known(Table::Fleet).position().next(),
-        Some(Offset(7))
+        Some(offset(7))
     );
 }
 
@@ -122,26 +122,26 @@
     let core = vm("vm-1", "127.0.0.1", unused().port());
     core.known(Table::Fleet)
         .position()
-        .read(Offset(0), clock::now());
+        .read(offset(0), clock::now());
     let word = |from: u64, next: u64, record: Record| {
         let other = vm("vm-2", "127.0.0.1", unused().port());
         let known = change(false, 1);
         take(
             &other,
             Table::Fleet,
-            Offset(0),
+            offset(0),
             Batch {
-                records: vec![(Offset(0), known)],
-                next: Offset(0),
+                records: vec![(offset(0), known)],
+                next: offset(0),
             },
         );
         take(
             &other,
             Table::Fleet,
-            Offset(from),
+            offset(from),
             Batch {
-                records: vec![(Offset(next - 1), record)],
-                next: Offset(next),
+                records: vec![(offset(next - 1), record)],
+                next: offset(next),
             },
         )
     };
@@ -156,7 +156,7 @@
     hear(&core, first);
     hear(&core, gone);
     assert!(core.fleet.lock().get(&worker()).is_none());
-    assert_eq!(core.known(Table::Fleet).position().next(), Some(Offset(9)));
+    assert_eq!(core.known(Table::Fleet).position().next(), Some(offset(9)));
 }
 
 /// The store of kept cache is down. Every prompt that asks it would wait for a tenth of a second or
--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, StandinEngine, document, entry, settings, until, unused};
+use crate::support::{Platform, StandinEngine, document, entry, offset, settings, until, unused};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::Entry;
@@ -6,7 +6,7 @@
 use sesamegap_entry::roll;
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::routing::rolls::side_by_side;
-use sesamegap_wire::{Incarnation, Offset, WeightsVersion};
+use sesamegap_wire::{Incarnation, WeightsVersion};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
         let entry = entry("engines", engine.addr);
         core.fleet
             .lock()
-            .apply(&id, entry, Offset(no as u64), clock::now());
+            .apply(&id, entry, offset(no as u64), clock::now());
     }
     core
 }
@@ -310,7 +310,7 @@
     let id = "e9".parse().unwrap();
     core.fleet
         .lock()
-        .apply(&id, foreign, Offset(9), clock::now());
+        .apply(&id, foreign, offset(9), clock::now());
     tokio::spawn(roll::run(Arc::clone(&core)));
     name(&core, 2);
     let own_hold = || {
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -20,7 +20,7 @@
 use sesamegap_entry::settings::{Listen, Settings, Spans};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::routing::budget::Bound;
-use sesamegap_wire::{DomainId, Moment, Offset, ServiceId, WeightsVersion};
+use sesamegap_wire::{DomainId, LogPosition, Moment, Offset, ServiceId, Timeline, WeightsVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -105,7 +105,7 @@
         self.core
             .fleet
             .lock()
-            .apply(&id, entry(service, addr), Offset(0), Moment(1));
+            .apply(&id, entry(service, addr), offset(0), Moment(1));
     }
 }
 
@@ -185,6 +185,11 @@
     }
 }
 
+/// An offset on the store's first timeline.
+pub fn offset(no: u64) -> LogPosition {
+    LogPosition::new(Timeline::default(), Offset(no))
+}
+
 /// Waits until something has come to pass.
 pub async fn until(mut done: impl FnMut() -> bool) {
     for _ in 0..2_000 {
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -5,10 +5,12 @@
 use http::HeaderMap;
 use http::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use sesamegap_entry::ports::{
-    AnswerHead, BadHead, Batch, CacheNews, Call, Dispatch, EngineCall, Engines, Headers, LoadOrder,
-    OrderAnswer, Part, Ports, Record, Report, RequestHead, Store, StoreError, Table, Weights,
+    AnswerHead, BadHead, CacheNews, Call, Dispatch, EngineCall, Engines, Headers, LoadOrder,
+    OrderAnswer, Part, Ports, Record, Records, Reply, Report, RequestHead, Store, StoreError,
+    Table, Weights,
 };
-use sesamegap_wire::{Incarnation, Offset, Tokens, UpstreamId, VmId, WeightsVersion};
+use sesamegap_policy::agreement::timelines::Stated;
+use sesamegap_wire::{Incarnation, Offset, Timeline, Tokens, UpstreamId, VmId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -185,6 +187,12 @@
     pub named: Mutex<Option<Weights>>,
     /// Whether it has dropped the history that the next call asks for.
     pub dropped: Mutex<bool>,
+    /// How often it was restored from a copy, if it says.
+    pub timeline: Mutex<Option<Timeline>>,
+    /// What its tables hold; what one table is asked for is found in all.
+    pub records: Mutex<Vec<Record>>,
+    /// Entries of VMs that were written.
+    pub announced: Mutex<Vec<VmId>>,
     leases: Mutex<Vec<Bytes>>,
 }
 
@@ -197,26 +205,51 @@
         }
     }
 
-    /// An empty table, if the store is there.
-    fn table(&self) -> Result<Batch, StoreError> {
+    /// Comes back from a copy that holds these records of its tables and so many claims of the lease log.
+    pub fn restore(&self, records: Vec<Record>, claims: usize) {
+        let mut timeline = self.timeline.lock().unwrap();
+        *timeline = Some(Timeline(timeline.map_or(0, |timeline| timeline.0) + 1));
+        *self.records.lock().unwrap() = records;
+        self.leases.lock().unwrap().truncate(claims);
+    }
+
+    fn there(&self) -> Result<(), StoreError> {
         if *self.away.lock().unwrap() {
             return Err(StoreError::Busy);
         }
-        Ok(Batch {
-            records: Vec::new(),
-            next: Offset(0),
+        Ok(())
+    }
+
+    /// Records of a table from an offset on, if the store is there.
+    fn table(&self, from: Offset) -> Result<Records, StoreError> {
+        self.there()?;
+        let records = self.records.lock().unwrap();
+        let next = Offset(records.len() as u64);
+        let numbered = (0..).map(Offset).zip(records.iter().cloned());
+        Ok(Records {
+            records: numbered.filter(|(at, _)| *at >= from).collect(),
+            next: next.max(from),
         })
     }
 
     /// The newest record of each key.
-    fn newest(&self) -> Result<Batch, StoreError> {
-        let mut table = self.table()?;
+    fn newest(&self) -> Result<Records, StoreError> {
+        let mut table = self.table(Offset(0))?;
         let named = self.named.lock().unwrap().clone();
         let records = named.map(|weights| (Offset(0), Record::Weights(weights)));
         table.records.extend(records);
         Ok(table)
     }
 
+    fn reply<T>(&self, outcome: Result<T, StoreError>) -> Reply<T> {
+        let timeline = *self.timeline.lock().unwrap();
+        let stated = timeline.map_or(Stated::Missing, Stated::At);
+        Reply {
+            stated: Some(stated),
+            outcome,
+        }
+    }
+
     /// Does something with the engine at an address.
     fn with<T>(
         &self,
@@ -230,45 +263,50 @@
 }
 
 impl Store for Platform {
-    fn snapshot(&self, _table: Table) -> Call<'_, Batch> {
-        async move { self.newest() }.boxed()
+    fn snapshot(&self, _table: Table) -> Call<'_, Records> {
+        async move { self.reply(self.newest()) }.boxed()
     }
 
-    fn changes(&self, _table: Table, _from: Offset, wait: Duration) -> Call<'_, Batch> {
+    fn changes(&self, _table: Table, from: Offset, wait: Duration) -> Call<'_, Records> {
         async move {
             tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
             if std::mem::take(&mut *self.dropped.lock().unwrap()) {
-                return Err(StoreError::Compacted(Offset(0)));
+                return self.reply(Err(StoreError::Compacted(Offset(0))));
             }
-            self.table()
+            self.reply(self.table(from))
         }
         .boxed()
     }
 
-    fn announce(&self, _vm: &VmId, _peers: SocketAddr) -> Call<'_, ()> {
-        async move { self.table().map(|_| ()) }.boxed()
+    fn announce(&self, vm: &VmId, _peers: SocketAddr) -> Call<'_, ()> {
+        self.announced.lock().unwrap().push(vm.clone());
+        async move { self.reply(self.there()) }.boxed()
     }
 
     fn lease_records(&self, from: Offset) -> Call<'_, (Vec<Bytes>, Offset)> {
         async move {
-            self.table()?;
-            let leases = self.leases.lock().unwrap();
-            let seen = leases.iter().skip(usize::try_from(from.0).unwrap());
-            Ok((seen.cloned().collect(), Offset(leases.len() as u64)))
+            let read = self.there().map(|()| {
+                let leases = self.leases.lock().unwrap();
+                let seen = leases.iter().skip(usize::try_from(from.0).unwrap());
+                (seen.cloned().collect(), Offset(leases.len() as u64))
+            });
+            self.reply(read)
         }
         .boxed()
     }
 
     fn lease_append(&self, record: Bytes, at: Offset) -> Call<'_, Offset> {
         async move {
-            self.table()?;
-            let mut leases = self.leases.lock().unwrap();
-            let end = Offset(leases.len() as u64);
-            if at != end {
-                return Err(StoreError::Conflict(end));
-            }
-            leases.push(record);
-            Ok(end)
+            let done = self.there().and_then(|()| {
+                let mut leases = self.leases.lock().unwrap();
+                let end = Offset(leases.len() as u64);
+                if at != end {
+                    return Err(StoreError::Conflict(end));
+                }
+                leases.push(record);
+                Ok(end)
+            });
+            self.reply(done)
         }
         .boxed()
     }
--- a/crates/sesamegap-policy/src/agreement/cas_lease/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/cas_lease/mod.rs
@@ -8,10 +8,15 @@
 //!
 //! The rest is there for upstreams that do not check fencing numbers: without it the first order
 //! of a new holder could cross the last one of the old holder on its way.
+//!
+//! The log may be restored from a copy and lose its newest claims. Each claim names the timeline that it was made
+//! on. Whoever finds no claim of the present timeline cannot know who holds the lease, and waits a term and a rest
+//! from when it found that out; only a holder whose term still runs then knows that nobody else does, and claims
+//! anew at once. Fencing numbers count timelines before offsets, so they rise although offsets go back.
 
 use super::Holder;
 use serde::{Deserialize, Serialize};
-use sesamegap_wire::{Fence, Moment, Offset};
+use sesamegap_wire::{Fence, LogPosition, Moment, Offset, Timeline};
 use std::time::Duration;
 
 /// A record of the lease log.
@@ -21,6 +26,18 @@
     pub holder: Holder,
     /// Fencing number, none in the record that takes the lease.
     pub renews: Option<Fence>,
+    /// The timeline of the log that its holder had read.
+    #[serde(default)]
+    pub timeline: Timeline,
+}
+
+/// Bits of a fencing number that count offsets within a timeline; engines take numbers of 53 bits.
+const OFFSET_BITS: u32 = 32;
+
+/// The fencing number of the claim at a position.
+fn fence(at: LogPosition) -> Fence {
+    let timeline = at.timeline.0.checked_shl(OFFSET_BITS).unwrap_or(u64::MAX);
+    Fence(timeline.saturating_add(at.offset.0 + 1))
 }
 
 /// Spans that all processes of a deployment share.
@@ -36,9 +53,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
     /// Read the log from this offset, then call [`CasLease::observe`] for each record.
-    Read(Offset),
+    Read(LogPosition),
     /// Append this record under the condition that the log ends here.
-    Append(Claim, Offset),
+    Append(Claim, LogPosition),
     /// Somebody else holds it, or must be taken to hold it, until this moment.
     Wait(Moment),
     /// Held; orders may be given.
@@ -62,10 +79,12 @@
 pub struct CasLease {
     me: Holder,
     terms: Terms,
-    end: Option<Offset>,
+    end: LogPosition,
     fresh: bool,
     last: Option<Seen>,
     held: Option<Held>,
+    /// When the present timeline was first read, unless this process held the lease then.
+    unsure: Option<Moment>,
 }
 
 impl CasLease {
@@ -74,16 +93,17 @@
         Self {
             me,
             terms,
-            end: None,
+            end: LogPosition::default(),
             fresh: false,
             last: None,
             held: None,
+            unsure: None,
         }
     }
 
     /// Where to read on.
-    pub fn end(&self) -> Offset {
-        self.end.unwrap_or_default()
+    pub fn end(&self) -> LogPosition {
+        self.end
     }
 
     /// What to do next towards holding the lease.
@@ -110,8 +130,9 @@
     }
 
     /// Takes in what a read showed; `end` is where the log ended.
-    pub fn observe(&mut self, claims: &[Claim], end: Offset, now: Moment) {
-        self.end = Some(end);
+    pub fn observe(&mut self, claims: &[Claim], end: LogPosition, now: Moment) {
+        self.begin(end.timeline, now);
+        self.end = end;
         self.fresh = true;
         let Some(claim) = claims.last() else { return };
         if claim.holder != self.me || self.held.is_none() {
@@ -124,9 +145,9 @@
     }
 
     /// The append begun at `began` was taken at `offset`.
-    pub fn appended(&mut self, claim: Claim, offset: Offset, began: Moment) {
-        let fence = claim.renews.unwrap_or(Fence(offset.0 + 1));
-        self.end = Some(offset.next());
+    pub fn appended(&mut self, claim: Claim, at: LogPosition, began: Moment) {
+        let fence = claim.renews.unwrap_or(fence(at));
+        self.end = at.next();
         self.held = Some(Held {
             fence,
             until: began + self.terms.term,
@@ -143,6 +164,19 @@
         self.fresh = false;
     }
 
+    /// The log is on a newer timeline: what was read of it is void, and the lease is lost until it is claimed anew.
+    ///
+    /// Another process cannot have claimed it on that timeline while this one's term still runs.
+    pub fn begin(&mut self, timeline: Timeline, now: Moment) {
+        if timeline <= self.end.timeline {
+            return;
+        }
+        self.unsure = self.may_order(now).is_none().then_some(now);
+        self.end = LogPosition::new(timeline, Offset(0));
+        self.last = None;
+        self.lose();
+    }
+
     /// The log must be read again before the next claim.
     pub fn doubt(&mut self) {
         self.fresh = false;
@@ -163,6 +197,7 @@
         Claim {
             holder: self.me.clone(),
             renews,
+            timeline: self.end.timeline,
         }
     }
 
@@ -172,11 +207,14 @@
     /// only after the one before it on its VM has ended, so that VM need not wait for itself. Harm prevented:
     /// engines that are shut by their weights for the seconds in which nobody may order.
     fn free_at(&self, now: Moment) -> Moment {
-        match &self.last {
-            Some(seen) if seen.claim.holder.vm != self.me.vm => {
-                seen.at + self.terms.term + self.terms.rest
-            }
-            _ => now,
+        let whole = self.terms.term + self.terms.rest;
+        let present = self.last.as_ref();
+        let present = present.filter(|seen| seen.claim.timeline == self.end.timeline);
+        match (present, self.unsure) {
+            (Some(seen), _) if seen.claim.holder.vm != self.me.vm => seen.at + whole,
+            (Some(_), _) | (None, None) => now,
+            // A claim of a former timeline may be a late one, or what the copy held.
+            (None, Some(since)) => self.last.as_ref().map_or(since, |seen| seen.at) + whole,
         }
     }
 }
--- a/crates/sesamegap-policy/src/agreement/membership/table.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table.rs
@@ -88,6 +88,11 @@
             .collect();
     }
 
+    /// Where the platform's list says that other entry VMs are.
+    pub fn listed(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.values().copied()
+    }
+
     /// Says that this process is about to stop.
     pub fn leave(&mut self) {
         self.me.status = Status::Leaving;
--- a/crates/sesamegap-policy/src/agreement/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`claims`] decides which router may run a request that carries its caller's idempotency key,
 //! [`tickets`] does the same for keys that a router minted and needs no log, [`lease`] decides
-//! which controller may give orders, and [`membership`] which peers are alive. All are step
+//! which controller may give orders, and [`membership`] which peers are alive. [`timelines`] tells
+//! which history of the log an answer belongs to. All are step
 //! machines: what a process hears goes in, what it must do comes out. So a test can pause, crash
 //! and reorder at every step.
 
@@ -11,6 +12,7 @@
 pub mod lease;
 pub mod membership;
 pub mod tickets;
+pub mod timelines;
 
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Incarnation, VmId};
--- a/crates/sesamegap-policy/src/routing/belief/contact.rs
+++ b/crates/sesamegap-policy/src/routing/belief/contact.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// Notes that the store was restored from a copy, which lacks the newest entries until they are written again.
+    pub fn restored(&mut self, now: Moment) {
+        self.away = false;
+        self.back = Some(now);
+    }
+
     /// Notes that the store answers another VM.
     pub fn told(&mut self, now: Moment) {
         self.told = Some(now);
--- a/crates/sesamegap-policy/src/routing/belief/mod.rs
+++ b/crates/sesamegap-policy/src/routing/belief/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! 1. **Lives.** A newer life drops all that is known of the former one; a former life's word says nothing.
 //! 2. **Positions.** Each word of the list has a position in its log, whoever tells it. One at or before the
-//!    newest that was taken in is a repeat. So words may come in any order, and as often as they like.
+//!    newest that was taken in is a repeat. So words may come in any order, and as often as they like. When the
+//!    store is restored from a copy, its positions begin a new timeline, whose words come after all of the former.
 //! 3. **Heartbeats.** A record that was done late is newer in the log and older in truth. One that is no
 //!    newer than what is known of the same life changes nothing about an upstream that is listed, and lists one
 //!    that is gone only in doubt.
@@ -22,7 +23,7 @@
 
 pub use contact::Contact;
 
-use sesamegap_wire::{Incarnation, Moment, Offset};
+use sesamegap_wire::{Incarnation, LogPosition, Moment};
 use std::time::Duration;
 
 /// Time in which an upstream that lives is listed again after the store's return; the users' pages.
@@ -93,7 +94,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Word {
     /// Its position in the list's log.
-    pub at: Offset,
+    pub at: LogPosition,
     /// What it says.
     pub said: Said,
 }
@@ -145,7 +146,7 @@
 /// What is believed of one upstream.
 #[derive(Debug, Clone)]
 pub struct Belief {
-    at: Option<Offset>,
+    at: Option<LogPosition>,
     born: Option<Incarnation>,
     beat: Option<u64>,
     leaving: bool,
@@ -203,6 +204,7 @@
     /// Takes in a word of the list.
     pub fn hear(&mut self, word: Word, rules: &Rules, contact: &Contact, now: Moment) -> Change {
         let repeat = self.at.is_some_and(|at| word.at <= at);
+        let restored = self.at.is_some_and(|at| word.at.timeline > at.timeline);
         self.at = self.at.max(Some(word.at));
         match word.said {
             // What was heard after it may have been of the former life.
@@ -212,6 +214,9 @@
             Said::Listed(listing) if self.is_former(listing.born) => Change::Former,
             Said::Listed(listing) => self.list(listing, now),
             Said::Removed => {
+                if restored {
+                    self.expect_again();
+                }
                 let excused = contact.excuses(rules.lapse, now) && !self.leaving;
                 self.remove(excused, now)
             }
@@ -280,10 +285,15 @@
     /// Its own entry lies under another writer's. It has not left, and may write the entry that it had once more,
     /// after which nothing comes while nothing changes: only older heartbeats are late from now on.
     fn withdraw(&mut self, now: Moment) -> Change {
+        self.expect_again();
+        self.remove(false, now)
+    }
+
+    /// Lets the entry that is known count as newer when it is written once more.
+    fn expect_again(&mut self) {
         if self.is_known() {
             self.beat = self.beat.and_then(|beat| beat.checked_sub(1));
         }
-        self.remove(false, now)
     }
 
     /// An upstream never takes back that it leaves, so that counts however late it is heard.
--- a/crates/sesamegap-policy/src/routing/reading.rs
+++ b/crates/sesamegap-policy/src/routing/reading.rs
@@ -6,7 +6,7 @@
 //! from the store's word for every VM, whether its peers reach it or not: one that misses a word,
 //! or hears none in time, reads for itself from where it stands, so that nothing is ever passed over.
 
-use sesamegap_wire::{Moment, Offset};
+use sesamegap_wire::{LogPosition, Moment};
 use std::time::Duration;
 
 /// VMs that read a table for all: with eight, one of them has read it within an eighth of the pace, and
@@ -21,9 +21,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Span {
     /// Where it begins.
-    pub from: Offset,
+    pub from: LogPosition,
     /// Where to read on.
-    pub next: Offset,
+    pub next: LogPosition,
 }
 
 /// What a reader's word is worth.
@@ -40,9 +40,9 @@
 /// How far a table is known.
 #[derive(Debug, Default)]
 pub struct Position {
-    next: Option<Offset>,
+    next: Option<LogPosition>,
     /// Where words that were missed end.
-    missed: Offset,
+    missed: LogPosition,
     fresh: Moment,
     /// When the whole table was last read.
     whole: Moment,
@@ -52,12 +52,12 @@
 
 impl Position {
     /// Where to read on; none if the whole table must be read.
-    pub fn next(&self) -> Option<Offset> {
+    pub fn next(&self) -> Option<LogPosition> {
         self.next
     }
 
     /// Notes how far this VM has read.
-    pub fn read(&mut self, next: Offset, now: Moment) {
+    pub fn read(&mut self, next: LogPosition, now: Moment) {
         if self.next.is_none() {
             self.whole = now;
         }
--- a/crates/sesamegap-policy/tests/agreement/cas_lease.rs
+++ b/crates/sesamegap-policy/tests/agreement/cas_lease.rs
@@ -1,7 +1,7 @@
-use quickcheck::quickcheck;
+use quickcheck::{Arbitrary, quickcheck};
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::cas_lease::{CasLease, Claim, Step, Terms};
-use sesamegap_wire::{Fence, Incarnation, Moment, Offset};
+use sesamegap_wire::{Fence, Incarnation, LogPosition, Moment, Offset, Timeline};
 use std::time::Duration;
 
 const TERMS: Terms = Terms {
@@ -23,6 +23,11 @@
 /// The log, and processes that read it and append to it.
 struct World {
     log: Vec<Claim>,
+    timeline: Timeline,
+    /// Whether processes are told of the timeline, and not of offsets alone.
+    told: bool,
+    /// Appends of former timelines that may still be done.
+    late: Vec<(Claim, Offset)>,
     leases: Vec<CasLease>,
     /// Orders as (time, process, fence).
     orders: Vec<(u64, usize, Fence)>,
@@ -40,6 +45,9 @@
     fn new(count: usize, terms: Terms) -> Self {
         Self {
             log: Vec::new(),
+            timeline: Timeline::default(),
+            told: true,
+            late: Vec::new(),
             leases: (0..count)
                 .map(|no| CasLease::new(holder(no), terms))
                 .collect(),
@@ -47,15 +55,58 @@
         }
     }
 
+    /// The log comes back from a copy that lacks so many of its newest records.
+    fn restore(&mut self, lost: usize) {
+        self.timeline = Timeline(self.timeline.0 + 1);
+        let kept = self.log.len().saturating_sub(lost);
+        self.log.truncate(kept);
+    }
+
+    /// Does the oldest append that is still under way, if the log ends where it must.
+    fn land(&mut self) {
+        if self.late.is_empty() {
+            return;
+        }
+        let (claim, at) = self.late.remove(0);
+        if at.0 == self.log.len() as u64 {
+            self.log.push(claim);
+        }
+    }
+
+    /// A process is replaced by a new one on its VM.
+    fn restart(&mut self, no: usize, terms: Terms) {
+        let incarnation = Incarnation(self.orders.len() as u64 + 100);
+        let again = Holder {
+            incarnation,
+            ..holder(no)
+        };
+        self.leases[no] = CasLease::new(again, terms);
+    }
+
     fn step(&mut self, no: usize, now: u64, fate: Fate) {
-        let end = Offset(self.log.len() as u64);
+        let timeline = if self.told {
+            self.timeline
+        } else {
+            Timeline(0)
+        };
+        let end = LogPosition::new(timeline, Offset(self.log.len() as u64));
         let lease = &mut self.leases[no];
         match lease.step(at(now)) {
+            // Offsets of a former timeline mean nothing: the answer to a read only tells of the newer one.
+            Step::Read(from) if from.timeline < timeline => lease.begin(timeline, at(now)),
             Step::Read(from) => {
-                let seen = &self.log[usize::try_from(from.0).expect("small")..];
+                let from = usize::try_from(from.offset.0).expect("small");
+                let seen = self.log.get(from..).unwrap_or_default();
                 lease.observe(seen, end, at(now));
             }
             Step::Append(claim, place) => {
+                if place.timeline < timeline {
+                    lease.begin(timeline, at(now));
+                    return;
+                }
+                if fate == Fate::LostCall {
+                    self.late.push((claim.clone(), place.offset));
+                }
                 let taken = place == end && fate != Fate::LostCall;
                 if taken {
                     self.log.push(claim.clone());
@@ -209,3 +260,72 @@
     }
     assert!(world.overlaps().is_some(), "{:?}", world.orders);
 }
+
+/// Runs schedules in which the log is restored, processes restart, and lost appends are done late.
+fn run_restored(steps: &[(u8, u16, u8)], told: bool) -> World {
+    let mut world = World::new(3, TERMS);
+    world.told = told;
+    world.timeline = Timeline(1);
+    let mut now = 0;
+    for (no, pause, fate) in steps {
+        now += u64::from(*pause) % 900;
+        let process = usize::from(*no) % 3;
+        match fate % 16 {
+            0 => world.restore(usize::from(*no) % 4),
+            1 => world.land(),
+            2 => {
+                world.restart(process, TERMS);
+                world.step(process, now, Fate::Answered);
+            }
+            3 => world.step(process, now, Fate::LostAnswer),
+            4 | 5 => world.step(process, now, Fate::LostCall),
+            _ => world.step(process, now, Fate::Answered),
+        }
+    }
+    world
+}
+
+fn holds(world: &World) -> bool {
+    let rising = world.orders.windows(2).all(|pair| pair[0].2 <= pair[1].2);
+    rising && world.overlaps().is_none()
+}
+
+quickcheck! {
+    /// Guards against two holders, and against fencing numbers that fall, across restorations.
+    fn orders_stay_apart_and_numbers_rise_across_restorations(steps: Vec<(u8, u16, u8)>) -> bool {
+        holds(&run_restored(&steps, true))
+    }
+}
+
+/// Guards against a judge that would let a lease on offsets alone pass.
+#[test]
+fn a_lease_on_offsets_alone_is_caught() {
+    let mut rng = quickcheck::Gen::new(120);
+    let caught = (0..4_000).any(|_| {
+        let steps = Vec::<(u8, u16, u8)>::arbitrary(&mut rng);
+        !holds(&run_restored(&steps, false))
+    });
+    assert!(caught);
+}
+
+/// Guards against a roll that stands still for seconds because its holder's claim was lost with the copy.
+#[test]
+fn a_holder_whose_term_runs_claims_anew_at_once() {
+    let mut world = World::new(2, TERMS);
+    for now in [0, 1, 2] {
+        world.step(0, now, Fate::Answered);
+    }
+    let before = world.leases[0].may_order(at(3));
+    world.restore(1);
+    world.leases[0].begin(world.timeline, at(100));
+    assert_eq!(world.leases[0].may_order(at(100)), None);
+    for now in [101, 102] {
+        world.step(0, now, Fate::Answered);
+    }
+    let after = world.leases[0].may_order(at(103));
+    assert!(after > before, "{after:?} after {before:?}");
+    for now in [104, 105] {
+        world.step(1, now, Fate::Answered);
+    }
+    assert_eq!(world.leases[1].may_order(at(106)), None);
+}
--- a/crates/sesamegap-policy/tests/agreement/main.rs
+++ b/crates/sesamegap-policy/tests/agreement/main.rs
@@ -6,3 +6,4 @@
 mod membership;
 mod support;
 mod tickets;
+mod timelines;
--- a/crates/sesamegap-policy/tests/testsuite/routing/belief/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/belief/mod.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use crate::support::{at, cases};
+use crate::support::{at, cases, offset};
 use quickcheck::{Arbitrary, Gen};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -10,7 +10,7 @@
 use sesamegap_policy::routing::belief::{
     Belief, Change, Contact, LAPSE, Listing, Rules, Said, TOMBSTONE, Word,
 };
-use sesamegap_wire::{Incarnation, Offset};
+use sesamegap_wire::{Incarnation, LogPosition, Offset, Timeline};
 use world::{Judge, Real, Step, World, play};
 
 fn steps(seed: u64) -> Vec<Step> {
@@ -99,7 +99,7 @@
 /// Goes by positions alone: a record that was done late is the truth.
 #[derive(Debug, Default)]
 struct ByPositions {
-    at: Option<Offset>,
+    at: Option<LogPosition>,
     known: Option<Listing>,
 }
 
@@ -190,15 +190,43 @@
     }
 }
 
+/// The real one without timelines: offsets of a restored store are compared with those of before.
+#[derive(Debug)]
+struct Timeless(Real);
+
+impl Judge for Timeless {
+    fn hear(&mut self, word: Word, contact: &Contact, now: u64) -> Change {
+        let at = offset(word.at.offset.0);
+        self.0.hear(Word { at, ..word }, contact, now)
+    }
+
+    fn expire(&mut self, contact: &Contact, now: u64) {
+        self.0.expire(contact, now);
+    }
+
+    fn is_known(&self) -> bool {
+        self.0.is_known()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.0.is_leaving()
+    }
+
+    fn born(&self) -> Option<Incarnation> {
+        self.0.born()
+    }
+}
+
 /// A test that cannot fail shows nothing.
 #[test]
 fn orders_of_words_that_do_not_hold_are_caught() {
     type Made = fn() -> Box<dyn Judge>;
-    let broken: [(&str, Made); 4] = [
+    let broken: [(&str, Made); 5] = [
         ("heartbeats alone", || Box::new(ByBeats::default())),
         ("positions alone", || Box::new(ByPositions::default())),
         ("endless doubt", || Box::new(Doubting(Real::new()))),
         ("no lives", || Box::new(Lifeless(Real::new()))),
+        ("no timelines", || Box::new(Timeless(Real::new()))),
     ];
     for (name, judge) in broken {
         assert!(first_fault(2_000, judge).is_some(), "{name} goes unnoticed");
@@ -207,7 +235,7 @@
 
 fn listed(at: u64, beat: u64, born: Option<u64>) -> Word {
     Word {
-        at: Offset(at),
+        at: offset(at),
         said: Said::Listed(Listing {
             beat,
             born: born.map(Incarnation),
@@ -218,7 +246,7 @@
 
 fn removed(at: u64) -> Word {
     Word {
-        at: Offset(at),
+        at: offset(at),
         said: Said::Removed,
     }
 }
@@ -300,7 +328,7 @@
         Change::Restarted
     );
     assert!(belief.is_known() && !belief.is_leaving());
-    leaving.at = Offset(3);
+    leaving.at = offset(3);
     assert_eq!(hear(&mut belief, leaving, 3_500), Change::Former);
     assert!(belief.is_known() && !belief.is_leaving());
     assert_eq!(belief.meet(Some(Incarnation(1))), Change::Former);
@@ -333,3 +361,29 @@
     let world: World = play(&[Step::Pass(250)], &mut Real::new()).expect("nothing happens");
     assert_eq!(world.log.len(), 1, "heartbeats are not written to the log");
 }
+
+/// Guards against a worker that is shut out because a restored store lists it with the heartbeat known before.
+#[test]
+fn a_worker_missing_from_a_restored_list_comes_back_with_the_same_heartbeat() {
+    let rules = Rules::default();
+    let mut contact = Contact::default();
+    let mut belief = Belief::new(at(0));
+    belief.hear(listed(40, 7, Some(1)), &rules, &contact, at(100));
+    contact.restored(at(1_000));
+    let on_copy = |no: u64, word: Word| Word {
+        at: LogPosition::new(Timeline(1), Offset(no)),
+        ..word
+    };
+    let missing = belief.hear(on_copy(30, removed(0)), &rules, &contact, at(1_000));
+    assert_eq!(missing, Change::Lapsed);
+    assert!(belief.is_known());
+    let again = belief.hear(
+        on_copy(31, listed(0, 7, Some(1))),
+        &rules,
+        &contact,
+        at(1_500),
+    );
+    assert_eq!(again, Change::Same);
+    assert_eq!(belief.expire(&rules, &contact, at(9_000)), Change::Same);
+    assert!(belief.is_known());
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/belief/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/belief/world.rs
@@ -3,7 +3,7 @@
 use crate::support::at;
 use quickcheck::{Arbitrary, Gen};
 use sesamegap_policy::routing::belief::{Belief, Change, Contact, Listing, Rules, Said, Word};
-use sesamegap_wire::{Incarnation, Offset};
+use sesamegap_wire::{Incarnation, LogPosition, Offset, Timeline};
 use std::collections::BTreeSet;
 
 /// Steps between heartbeats.
@@ -20,7 +20,10 @@
 
 /// Steps after which all must be known: what is held up has come, what it listed was dropped, doubts and
 /// lapses are over.
-pub const QUIET: u64 = 60 + SILENT + 20 + 56 + 2 * PACE;
+pub const QUIET: u64 = 60 + SILENT + 20 + 56 + 2 * PACE + AGAIN;
+
+/// Steps after which an upstream writes its entry again to a store that was restored.
+const AGAIN: u64 = 15;
 
 /// What may happen.
 #[derive(Debug, Clone)]
@@ -43,6 +46,8 @@
     Crash,
     /// The VM is told of a record again, whether it has read it or not.
     Tell(u8),
+    /// The store comes back from a copy without so many of its newest records.
+    Restore(u8),
     /// The VM does not reach the store.
     Away,
     /// It does.
@@ -52,7 +57,7 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let n = u8::arbitrary(g);
-        match u8::arbitrary(g) % 20 {
+        match u8::arbitrary(g) % 21 {
             0..=5 => Self::Pass(n % 40),
             6..=8 => Self::Late(10 + n % 50),
             9 => Self::Prompt,
@@ -63,6 +68,7 @@
             15 => Self::Crash,
             16 | 17 => Self::Tell(n),
             18 => Self::Away,
+            19 => Self::Restore(1 + n % 3),
             _ => Self::Back,
         }
     }
@@ -132,6 +138,9 @@
     under_way: Vec<(u64, Listing)>,
     entry: Option<Entry>,
     pub log: Vec<Said>,
+    timeline: Timeline,
+    /// All words of all timelines, which may be told at any time.
+    words: Vec<Word>,
 }
 
 impl World {
@@ -145,6 +154,8 @@
             under_way: Vec::new(),
             entry: None,
             log: Vec::new(),
+            timeline: Timeline(0),
+            words: Vec::new(),
         };
         world.start();
         world
@@ -157,11 +168,46 @@
 
     pub fn word(&self, no: usize) -> Word {
         Word {
-            at: Offset(no as u64),
+            at: LogPosition::new(self.timeline, Offset(no as u64)),
             said: self.log[no],
         }
     }
 
+    /// What the list's newest record says, as a VM reads it that reads the whole list.
+    fn newest(&self) -> Option<Word> {
+        let last = self.log.len().checked_sub(1)?;
+        let said = match &self.entry {
+            Some(entry) => Said::Listed(entry.listing),
+            None => Said::Removed,
+        };
+        Some(Word {
+            said,
+            ..self.word(last)
+        })
+    }
+
+    fn add(&mut self, said: Said) {
+        self.log.push(said);
+        self.words.push(self.word(self.log.len() - 1));
+    }
+
+    fn restore(&mut self, lost: usize) {
+        self.timeline = Timeline(self.timeline.0 + 1);
+        // The first record is always in the copy, or the list would have no position to speak of.
+        let kept = self.log.len().saturating_sub(lost).max(1);
+        self.log.truncate(kept);
+        self.entry = match self.log.last() {
+            Some(Said::Listed(listing)) => Some(Entry {
+                listing: *listing,
+                until: self.now + SILENT,
+            }),
+            _ => None,
+        };
+        if self.alive.is_some() {
+            self.next_beat = self.next_beat.min(self.now + AGAIN);
+        }
+    }
+
     fn start(&mut self) {
         self.alive = Some(Listing {
             beat: 0,
@@ -187,6 +233,7 @@
             }
             Step::Vanish if self.alive.take().is_some() => self.drop_entry(),
             Step::Crash => self.alive = None,
+            Step::Restore(lost) if !self.log.is_empty() => self.restore(usize::from(*lost)),
             _ => {}
         }
     }
@@ -225,7 +272,7 @@
             entry.listing.born == listing.born && entry.listing.leaving == listing.leaving
         };
         if !self.entry.as_ref().is_some_and(same) {
-            self.log.push(Said::Listed(listing));
+            self.add(Said::Listed(listing));
         }
         self.entry = Some(Entry {
             listing,
@@ -235,7 +282,7 @@
 
     fn drop_entry(&mut self) {
         if self.entry.take().is_some() {
-            self.log.push(Said::Removed);
+            self.add(Said::Removed);
         }
     }
 }
@@ -246,6 +293,7 @@
     contact: Contact,
     away: bool,
     read: usize,
+    timeline: Timeline,
     next_read: u64,
     left: BTreeSet<Option<Incarnation>>,
 }
@@ -256,20 +304,29 @@
         if now >= self.next_read {
             self.next_read = now + PACE;
             self.contact.store(!self.away, at(now * 100));
-            let end = if self.away {
-                self.read
-            } else {
-                world.log.len()
-            };
-            for no in self.read..end {
-                self.judge.hear(world.word(no), &self.contact, now);
+            if !self.away {
+                self.read(world, now);
             }
-            self.read = end;
         }
         self.judge.expire(&self.contact, now);
         self.check(now)
     }
 
+    fn read(&mut self, world: &World, now: u64) {
+        if self.timeline < world.timeline {
+            self.timeline = world.timeline;
+            self.contact.restored(at(now * 100));
+            if let Some(word) = world.newest() {
+                self.judge.hear(word, &self.contact, now);
+            }
+            self.read = world.log.len();
+        }
+        for no in self.read..world.log.len() {
+            self.judge.hear(world.word(no), &self.contact, now);
+        }
+        self.read = world.log.len();
+    }
+
     /// One that said that it leaves, and is gone, does not come back in this life.
     fn check(&mut self, now: u64) -> Result<(), String> {
         let (known, life) = (self.judge.is_known(), self.judge.born());
@@ -292,14 +349,15 @@
         contact: Contact::default(),
         away: false,
         read: 0,
+        timeline: Timeline(0),
         next_read: 0,
         left: BTreeSet::new(),
     };
     for step in steps {
         world.act(step);
         match step {
-            Step::Tell(no) if !world.log.is_empty() => {
-                let told = world.word(usize::from(*no) % world.log.len());
+            Step::Tell(no) if !world.words.is_empty() => {
+                let told = world.words[usize::from(*no) % world.words.len()];
                 vm.judge.hear(told, &vm.contact, world.now);
                 vm.check(world.now)?;
             }
--- a/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
@@ -1,6 +1,7 @@
+use crate::support::offset;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use sesamegap_policy::routing::reading::{Heard, Position, Span};
-use sesamegap_wire::{Moment, Offset};
+use sesamegap_wire::{LogPosition, Moment, Offset, Timeline};
 use std::time::Duration;
 
 const PACE: Duration = Duration::from_secs(2);
@@ -24,14 +25,14 @@
 
 fn span(from: u64, next: u64) -> Span {
     Span {
-        from: Offset(from),
-        next: Offset(next),
+        from: offset(from),
+        next: offset(next),
     }
 }
 
 fn read_up_to(next: u64) -> Position {
     let mut position = Position::default();
-    position.read(Offset(next), at(0));
+    position.read(offset(next), at(0));
     position
 }
 
@@ -39,7 +40,7 @@
 fn a_word_that_joins_spares_a_call() {
     let mut position = read_up_to(100);
     assert_eq!(position.hear(span(90, 120), true, at(1_500)), Heard::Joined);
-    assert_eq!(position.next(), Some(Offset(120)));
+    assert_eq!(position.next(), Some(offset(120)));
     assert_eq!(position.left(PACE, at(2_500)), Duration::from_secs(1));
 }
 
@@ -49,15 +50,15 @@
 fn a_vm_that_missed_a_word_reads_for_itself_from_where_it_stands() {
     let mut position = read_up_to(100);
     assert_eq!(position.hear(span(110, 120), true, at(500)), Heard::Missed);
-    assert_eq!(position.next(), Some(Offset(100)));
+    assert_eq!(position.next(), Some(offset(100)));
     assert_eq!(position.left(PACE, at(500)), Duration::ZERO);
-    position.read(Offset(118), at(600));
+    position.read(offset(118), at(600));
     assert_eq!(
         position.left(PACE, at(600)),
         Duration::ZERO,
         "not yet there"
     );
-    position.read(Offset(125), at(700));
+    position.read(offset(125), at(700));
     assert_eq!(position.left(PACE, at(700)), PACE);
 }
 
@@ -67,7 +68,7 @@
 fn a_word_that_does_not_tell_all_is_read_for_once() {
     let mut position = read_up_to(100);
     assert_eq!(position.hear(span(100, 101), false, at(10)), Heard::Missed);
-    position.read(Offset(101), at(20));
+    position.read(offset(101), at(20));
     assert_eq!(position.hear(span(100, 101), false, at(30)), Heard::Joined);
     assert_eq!(position.left(PACE, at(30)), PACE);
 }
@@ -117,7 +118,7 @@
                 }
                 position.hear(span(from as u64, next as u64), whole, at(0));
             }
-            let claimed = position.next().map_or(0, |next| usize::try_from(next.0).unwrap_or(0));
+            let claimed = position.next().map_or(0, |next| usize::try_from(next.offset.0).unwrap_or(0));
             if claimed < upto || !known[..claimed].iter().all(|known| *known) {
                 return TestResult::failed();
             }
@@ -126,3 +127,20 @@
         TestResult::passed()
     }
 }
+
+/// Guards against a word on a restored log that is taken to join what was known of the log before.
+#[test]
+fn a_word_of_a_newer_timeline_is_read_for() {
+    let mut position = read_up_to(100);
+    let on = |timeline, no| LogPosition::new(Timeline(timeline), Offset(no));
+    let restored = Span {
+        from: on(1, 90),
+        next: on(1, 110),
+    };
+    assert_eq!(position.hear(restored, true, at(10)), Heard::Missed);
+    assert_eq!(position.left(PACE, at(10)), Duration::ZERO);
+    position.begin();
+    position.read(on(1, 110), at(20));
+    assert_eq!(position.hear(span(100, 500), true, at(30)), Heard::Old);
+    assert_eq!(position.next(), Some(on(1, 110)));
+}
--- a/crates/sesamegap-policy/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/support/mod.rs
@@ -8,7 +8,8 @@
 use sesamegap_policy::Work;
 use sesamegap_settings::{Catalogue, ClassSpec, ModelSpec, TeamSpec};
 use sesamegap_wire::{
-    BlockKey, Chain, Incarnation, Moment, Offset, RequestId, Tokens, WeightsVersion,
+    BlockKey, Chain, Incarnation, LogPosition, Moment, Offset, RequestId, Timeline, Tokens,
+    WeightsVersion,
 };
 use std::time::Duration;
 
@@ -22,6 +23,11 @@
     Duration::from_millis(count)
 }
 
+/// An offset on the log's first timeline.
+pub fn offset(no: u64) -> LogPosition {
+    LogPosition::new(Timeline::default(), Offset(no))
+}
+
 pub fn at(millis: u64) -> Moment {
     Moment(1_000_000 + millis * 1_000)
 }
--- a/crates/sesamegap-wire/src/lib.rs
+++ b/crates/sesamegap-wire/src/lib.rs
@@ -19,4 +19,6 @@
 pub use ids::{
     ClassId, DomainId, ModelId, RequestId, ServiceId, StreamId, TeamId, UpstreamId, VmId,
 };
-pub use quantity::{Fence, Incarnation, Moment, Offset, Seq, Tokens, WeightsVersion};
+pub use quantity::{
+    Fence, Incarnation, LogPosition, Moment, Offset, Seq, Timeline, Tokens, WeightsVersion,
+};
--- a/crates/sesamegap-wire/src/quantity/mod.rs
+++ b/crates/sesamegap-wire/src/quantity/mod.rs
@@ -60,7 +60,13 @@
     "offset"
 );
 number!(
-    /// A fencing number: the offset of the lease record under which an order is given.
+    /// A history of the platform's log; it rises by one each time the log is restored from a copy.
+    Timeline,
+    u64,
+    "timeline"
+);
+number!(
+    /// A fencing number: the position of the lease record under which an order is given.
     Fence,
     u64,
     "fencing number"
@@ -86,6 +92,59 @@
     }
 }
 
+/// A record's position in the platform's log, across restorations.
+///
+/// Offsets go back when the log is restored, and are given out again. Positions compare by timeline first, so
+/// one of a newer timeline comes after all of an older one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LogPosition {
+    /// The history that the offset belongs to.
+    pub timeline: Timeline,
+    /// The offset in it.
+    pub offset: Offset,
+}
+
+impl LogPosition {
+    /// An offset in a timeline.
+    #[must_use]
+    pub fn new(timeline: Timeline, offset: Offset) -> Self {
+        Self { timeline, offset }
+    }
+
+    /// The position after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self::new(self.timeline, self.offset.next())
+    }
+
+    /// The position before this one in the same timeline.
+    #[must_use]
+    pub fn previous(self) -> Option<Self> {
+        let offset = self.offset.0.checked_sub(1)?;
+        Some(Self::new(self.timeline, Offset(offset)))
+    }
+}
+
+impl fmt::Display for LogPosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.timeline, self.offset)
+    }
+}
+
+impl FromStr for LogPosition {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let shown = || text.chars().take(32).collect::<String>();
+        let (timeline, offset) = text
+            .split_once(':')
+            .ok_or_else(|| ParseError::new("log position", shown(), "TIMELINE:OFFSET"))?;
+        Ok(Self::new(timeline.parse()?, offset.parse()?))
+    }
+}
+
 impl Add for Tokens {
     type Output = Self;
 
