Take a 410 of a restored store for the restoration that it is

What callers would see: an upstream that the copy lacks is gone at once on every VM that asked past the new end, and its requests are refused until its next entry has stood. Cause: the answer's timeline was judged, but its refusal was handed on as a dropped history, whose missing entries get no time. Why it holds: what an answer says of offsets counts only on their own timeline, whatever its status.

--- a/crates/sesamegap-entry/src/store/mod.rs
+++ b/crates/sesamegap-entry/src/store/mod.rs
@@ -163,12 +163,15 @@
                 return Err(StoreError::OffTimeline(verdict));
             }
         }
-        let value = reply.outcome?;
-        // A refusal means the same on any timeline; what was read or written does not.
-        if asked.is_some_and(|asked| asked.timeline != present) {
-            return Err(StoreError::Restored(present));
+        match reply.outcome {
+            // What was said of offsets of a former timeline means nothing; a refusal means the same on any.
+            Ok(_) | Err(StoreError::Compacted(_) | StoreError::Conflict(_))
+                if asked.is_some_and(|asked| asked.timeline != present) =>
+            {
+                Err(StoreError::Restored(present))
+            }
+            outcome => outcome.map(|value| (present, value)),
         }
-        Ok((present, value))
     }
 
     fn tell(&self, verdict: Verdict, present: Timeline) {
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -225,10 +225,13 @@
         self.there()?;
         let records = self.records.lock().unwrap();
         let next = Offset(records.len() as u64);
+        if from > next {
+            return Err(StoreError::Compacted(Offset(0)));
+        }
         let numbered = (0..).map(Offset).zip(records.iter().cloned());
         Ok(Records {
             records: numbered.filter(|(at, _)| *at >= from).collect(),
-            next: next.max(from),
+            next,
         })
     }
 
