--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -9,6 +9,7 @@
 use crate::fleet::{Fleet, Rules, SharedFleet};
 use crate::follow::Known;
 use crate::peers::Peers;
+use crate::placing::Desk;
 use crate::ports::{Ports, Table};
 use crate::settings::Settings;
 use crate::store::StoreClient;
@@ -47,6 +48,8 @@
     pub fleet: SharedFleet,
     /// The other entry VMs.
     pub peers: Peers,
+    /// What owners of shards place for this VM.
+    pub desk: Desk,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The log.
@@ -83,6 +86,7 @@
             logging,
             fleet: SharedFleet::new(Fleet::new(rules)),
             peers: Peers::new(&settings),
+            desk: Desk::default(),
             named: Notify::new(),
             active: Arc::default(),
             bodies: Arc::new(Semaphore::new(settings.body_memory >> 10)),
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -2,6 +2,7 @@
 
 use super::SharedFleet;
 use crate::kept::OnWay;
+use crate::placing::Asked;
 use crate::ports::Load;
 use sesamegap_policy::routing::engines::Prefix;
 use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
@@ -37,9 +38,14 @@
     pub ahead: u64,
     /// Life of the upstream that it went to; unset if it does not say.
     pub born: Option<Incarnation>,
+    pub(super) seed: u64,
     pub(super) life: u64,
     pub(super) prefixes: Vec<Prefix>,
     pub(super) unread: u64,
+    /// When the engine last served the whole shared prefix, as an owner told.
+    pub(super) served: Option<Moment>,
+    /// Set if the owner of the engine's shard knows of it.
+    pub(super) asked: Option<Asked>,
 }
 
 impl Flight {
@@ -48,6 +54,30 @@
         self.unread
     }
 
+    /// Number of the upstream, the same in all VMs.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// Number of the upstream's life.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    /// Who placed it or was told of it, if another VM.
+    pub fn owner(&self) -> Option<SocketAddr> {
+        self.asked.as_ref().map(Asked::owner)
+    }
+
+    /// Notes that the owner of its engine's shard knows of it.
+    pub fn share(&mut self, asked: Asked) {
+        self.asked = Some(asked);
+        if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
+            upstream.shared.running += 1;
+            upstream.shared.unread += self.unread;
+        }
+    }
+
     /// When newer weights than the engine's were first named.
     ///
     /// Weights that are not known count as the oldest, as they do when an engine is chosen.
@@ -77,6 +107,11 @@
     pub fn heard(&mut self, now: Moment) {
         let unread = std::mem::take(&mut self.unread);
         self.on_way = None;
+        let shared = self.asked.as_ref().filter(|_| unread > 0);
+        if let Some(asked) = shared {
+            asked.read();
+        }
+        let shared = if self.asked.is_some() { unread } else { 0 };
         let mut fleet = self.fleet.lock();
         let version = self.weights.map_or(0, |version| version.0);
         for prefix in self.prefixes.drain(..) {
@@ -85,6 +120,7 @@
         if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.hear(now);
             upstream.unread = upstream.unread.saturating_sub(unread);
+            upstream.shared.unread = upstream.shared.unread.saturating_sub(shared);
         }
     }
 
@@ -101,10 +137,12 @@
     pub fn last_served(&self) -> Option<Moment> {
         let inner = self.prefixes.last()?;
         let version = self.weights.map_or(0, |version| version.0);
-        self.fleet
+        let own = self
+            .fleet
             .lock()
             .recall
-            .last(inner.hash, self.life, version)
+            .last(inner.hash, self.life, version);
+        own.max(self.served)
     }
 
     /// Notes the load that the answer told.
@@ -150,6 +188,11 @@
         if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.running = upstream.running.saturating_sub(1);
             upstream.unread = upstream.unread.saturating_sub(self.unread);
+            if self.asked.is_some() {
+                let shared = &mut upstream.shared;
+                shared.running = shared.running.saturating_sub(1);
+                shared.unread = shared.unread.saturating_sub(self.unread);
+            }
         }
     }
 }
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -13,13 +13,14 @@
 pub use flight::Flight;
 pub use sesamegap_policy::routing::belief::Change;
 pub use upstream::{Entry, Upstream};
-pub use view::{PromptShape, Selection};
+pub use view::{Chosen, PromptShape, Selection, Shard};
 
 use crate::kept::Kept;
 use crate::peers::Loads;
 use crate::ports::{Report, Weights};
 use sesamegap_policy::routing::Openness;
 use sesamegap_policy::routing::belief::{self, Belief, Contact, Listing, Said, Word};
+use sesamegap_policy::routing::placed::Placed;
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_policy::routing::silence::Silences;
 use sesamegap_policy::routing::weights::{Named, Namings};
@@ -49,6 +50,8 @@
     contact: Contact,
     pub(crate) recall: Recall,
     pub(crate) loads: Loads,
+    /// What this VM has placed for others, by who asked and the number given.
+    pub(crate) placed: Placed<(SocketAddr, u64)>,
     pub(crate) kept: Kept,
     pub(crate) silences: Silences,
     pub(crate) namings: Namings,
@@ -64,6 +67,7 @@
             contact: Contact::default(),
             recall: Recall::default(),
             loads: Loads::default(),
+            placed: Placed::default(),
             kept: Kept::default(),
             silences: Silences::default(),
             namings: Namings::new(rules.weights),
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -42,6 +42,13 @@
     pub born: Option<Incarnation>,
 }
 
+/// Requests of which the owner of an engine's shard knows.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Shared {
+    pub(super) running: u32,
+    pub(super) unread: u64,
+}
+
 /// One upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -59,6 +66,8 @@
     pub heard: Moment,
     pub(super) running: u32,
     pub(super) unread: u64,
+    /// What of these the owners of shards know, which then needs not be told to all.
+    pub(super) shared: Shared,
     pub(super) pace: Option<f64>,
     pub(super) faults: f64,
     load: Option<(Load, Moment)>,
@@ -86,6 +95,7 @@
             heard: Moment(0),
             running: 0,
             unread: 0,
+            shared: Shared::default(),
             pace: None,
             faults: 0.0,
             load: None,
@@ -233,12 +243,13 @@
         }
     }
 
-    /// What this VM has there.
+    /// What this VM has there, as far as its peers must be told.
     pub fn held(&self) -> Option<Held> {
-        (self.running > 0).then_some(Held {
+        let running = self.running.saturating_sub(self.shared.running);
+        (running > 0).then_some(Held {
             life: self.life,
-            running: self.running,
-            unread: self.unread,
+            running,
+            unread: self.unread.saturating_sub(self.shared.unread),
         })
     }
 
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -3,10 +3,13 @@
 use super::{Fleet, Flight, SharedFleet, Upstream};
 use crate::catalogue::KvStore;
 use crate::kept;
+use crate::placing::{Asked, Found};
+use sesamegap_policy::routing::shards::Division;
 use sesamegap_policy::routing::{Openness, engines, plain};
 use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A prompt's shape for placing.
 #[derive(Debug, Clone)]
@@ -17,8 +20,17 @@
     pub prompt: engines::Prompt,
 }
 
+/// A part of the engines, whose prompts one VM places.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shard {
+    /// How engines are divided.
+    pub division: Division,
+    /// Which part it is.
+    pub number: u32,
+}
+
 /// What a request wants of an upstream.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub struct Selection<'a> {
     /// The service.
     pub service: &'a ServiceId,
@@ -32,6 +44,8 @@
     pub tried: &'a [UpstreamId],
     /// Tells equals apart.
     pub spread: usize,
+    /// Set if only engines of a shard may be chosen.
+    pub shard: Option<Shard>,
 }
 
 impl Fleet {
@@ -54,8 +68,7 @@
 
     /// Requests that all VMs have at an upstream, as far as is known.
     pub fn running(&self, upstream: &Upstream, now: Moment) -> u32 {
-        let others = self.loads.at(upstream.life).map_or(0, |held| held.running);
-        upstream.running_told(now).max(upstream.running + others)
+        upstream.running_told(now).max(self.running_here(upstream))
     }
 
     /// Requests that all VMs have at an upstream by their own counts.
@@ -63,7 +76,7 @@
     /// Unlike what the upstream last said of itself, this falls to zero as soon as it is empty.
     pub fn running_here(&self, upstream: &Upstream) -> u32 {
         let others = self.loads.at(upstream.life).map_or(0, |held| held.running);
-        upstream.running + others
+        upstream.running + others + self.placed.at(upstream.life).running
     }
 
     /// Tokens that all VMs have asked of a store and that have not arrived, as far as is known.
@@ -75,7 +88,7 @@
     /// Prompt tokens that all VMs have at an upstream and that are not read yet.
     pub fn unread(&self, upstream: &Upstream) -> u64 {
         let others = self.loads.at(upstream.life).map_or(0, |held| held.unread);
-        upstream.unread + others
+        upstream.unread + others + self.placed.at(upstream.life).unread
     }
 
     /// Whether an upstream takes this request: a prompt must begin there before its weights are too old.
@@ -104,6 +117,52 @@
     pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Flight> {
         let mut fleet = self.lock();
         let chosen = fleet.choose(selection, now)?;
+        self.begin(&mut fleet, selection, chosen, now)
+    }
+
+    /// Takes the choice of a shard's owner, unless this VM knows that the engine does not take the request.
+    pub fn take(
+        &self,
+        selection: &Selection<'_>,
+        found: Found,
+        asked: Asked,
+        now: Moment,
+    ) -> Option<Flight> {
+        let mut flight = {
+            let mut fleet = self.lock();
+            let engine = fleet.get(&found.engine)?;
+            let state = fleet.openness_for(engine, selection.shape, now);
+            let is_usable = state == Openness::Open && engine.life == found.life;
+            if !is_usable || selection.tried.contains(&found.engine) {
+                return None;
+            }
+            let chosen = Chosen {
+                id: found.engine,
+                source: found.source,
+                at_store: found.at_store,
+                engines: fleet.of(selection.service).count(),
+            };
+            let served = found
+                .served_ms
+                .map(|ms| now.less(Duration::from_millis(u64::from(ms))));
+            let mut flight = self.begin(&mut fleet, selection, chosen, now)?;
+            flight.running = found.running;
+            flight.ahead = found.ahead;
+            flight.served = served;
+            flight
+        };
+        flight.share(asked);
+        Some(flight)
+    }
+
+    /// Counts a request at the upstream that was chosen.
+    fn begin(
+        &self,
+        fleet: &mut Fleet,
+        selection: &Selection<'_>,
+        chosen: Chosen,
+        now: Moment,
+    ) -> Option<Flight> {
         let upstream = fleet.get(&chosen.id)?;
         let flight = Flight {
             fleet: self.clone(),
@@ -120,7 +179,10 @@
             running: fleet.running(upstream, now),
             ahead: fleet.unread(upstream),
             born: upstream.entry.born,
+            seed: upstream.seed,
             life: upstream.life,
+            served: None,
+            asked: None,
             prefixes: selection
                 .shape
                 .map_or_else(Vec::new, |shape| shape.prompt.prefixes.clone()),
@@ -141,17 +203,27 @@
 
 /// An upstream that was chosen.
 #[derive(Debug)]
-struct Chosen {
-    id: UpstreamId,
-    source: Option<SocketAddr>,
-    at_store: bool,
-    engines: usize,
+pub struct Chosen {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Engine that holds the shared prefix, if another.
+    pub source: Option<SocketAddr>,
+    /// Whether it uses the store of kept cache that the prompt's home uses.
+    pub at_store: bool,
+    /// Upstreams of the service.
+    pub engines: usize,
 }
 
 impl Fleet {
-    fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Chosen> {
+    /// Chooses an upstream.
+    pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Chosen> {
+        let in_shard = |upstream: &&Upstream| {
+            let shard = selection.shard;
+            shard.is_none_or(|shard| shard.division.shard(upstream.seed) == shard.number)
+        };
         let open: Vec<&Upstream> = self
             .of(selection.service)
+            .filter(in_shard)
             .filter(|upstream| !selection.tried.contains(&upstream.id))
             .collect();
         let Some(shape) = selection.shape else {
@@ -189,7 +261,25 @@
             id: open[choice.at].id.clone(),
             source: choice.source.map(|no| open[no].entry.addr),
             at_store: choice.at_store,
-            engines: open.len(),
+            engines: self.of(selection.service).count(),
+        })
+    }
+
+    /// The shard of a prompt's home among the engines that take it.
+    pub fn shard_of_home(&self, selection: &Selection<'_>, now: Moment) -> Option<Shard> {
+        let shape = selection.shape?;
+        let long = self.for_long(selection.service, selection.stores);
+        let takes = |upstream: &&Upstream| {
+            self.openness_for(upstream, Some(shape), now) == Openness::Open
+                && !selection.tried.contains(&upstream.id)
+        };
+        let open = self.of(selection.service).filter(takes);
+        let homes = open.map(|upstream| (upstream.seed, long.contains(&upstream.seed)));
+        let home = engines::inner_home(&shape.prompt, homes)?;
+        let division = Division::of(self.of(selection.service).count());
+        Some(Shard {
+            division,
+            number: division.shard(home),
         })
     }
 
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod kept;
 pub mod locator;
 pub mod peers;
+pub mod placing;
 pub mod ports;
 pub mod process;
 pub mod relay;
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -15,6 +15,7 @@
 use crate::core::{Core, Phase};
 use crate::fleet::Upstream;
 use crate::follow::{self, Reading};
+use crate::placing::{self, Say};
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::belief::Change;
@@ -52,6 +53,25 @@
     Reading(Reading),
     /// A store of kept cache does not answer.
     StoreOut(SocketAddr),
+    /// To or from the owner of a shard.
+    Placing(Say),
+}
+
+/// A message to or from an owner as it is sent.
+///
+/// # Errors
+/// If it cannot be written, or is too long.
+pub fn placing(say: &Say) -> Result<Vec<u8>, String> {
+    // Borrowed in the place of the variant's own value, which has the same form.
+    #[derive(Serialize)]
+    enum Sent<'a> {
+        Placing(&'a Say),
+    }
+    let bytes = rmp_serde::to_vec(&Sent::Placing(say)).map_err(|error| error.to_string())?;
+    if bytes.len() > LONGEST {
+        return Err(format!("{} bytes are too much for a datagram", bytes.len()));
+    }
+    Ok(bytes)
 }
 
 /// Tells peers and hears them until the process ends.
@@ -65,6 +85,7 @@
             return;
         }
     };
+    core.desk.open(Arc::clone(&socket));
     tokio::spawn(hear(Arc::clone(&core), Arc::clone(&socket)));
     let mut last: Vec<Held> = Vec::new();
     let mut telling = Telling::default();
@@ -74,6 +95,9 @@
         for datagram in news(&core) {
             send(&core, &socket, &datagram, &core.peers.known().alive).await;
         }
+        for (owner, words) in core.desk.words() {
+            core.desk.send(&words, owner).await;
+        }
         let held = own(&core);
         let peers = core.peers.known().alive;
         let changed = held != last;
@@ -139,6 +163,7 @@
 fn own(core: &Core) -> Vec<Held> {
     let mut fleet = core.fleet.lock();
     fleet.loads.tick(clock::now());
+    fleet.placed.expire(clock::now());
     let upstreams = fleet.upstreams().filter_map(Upstream::held);
     // A store is told like an upstream that reads what was asked of it, which needs no message of its own.
     upstreams.chain(fleet.kept.held()).collect()
@@ -197,6 +222,14 @@
             Ok(Datagram::StoreOut(store)) => {
                 core.fleet.lock().kept.leave(store, clock::now());
             }
+            Ok(Datagram::Placing(Say::Ask(ask))) => {
+                let answer = placing::answer(&core, from, &ask);
+                core.desk.send(&Say::Answer(answer), from).await;
+            }
+            Ok(Datagram::Placing(Say::Answer(answer))) => {
+                core.desk.answered(answer.number, answer.found);
+            }
+            Ok(Datagram::Placing(Say::Words(words))) => placing::hear(&core, from, &words),
             Err(error) => {
                 info!(event = events::PEER, %from, %error, "a datagram cannot be read");
             }
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -13,7 +13,7 @@
 mod server;
 
 pub use client::{rounds, tell_all};
-pub use datagrams::{exchange, push, take, tell_of_store};
+pub use datagrams::{exchange, placing, push, take, tell_of_store};
 pub use loads::{Held, Loads};
 pub use message::{EngineNews, learn_weights};
 pub use outbox::Outbox;
@@ -27,7 +27,7 @@
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_wire::{Incarnation, Moment, VmId};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -35,6 +35,9 @@
 /// How long a suspected peer has to refute it; callers are not sent to it meanwhile.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
+/// How long a roster of VMs is used: looking them up for each request costs more than placing it.
+const ROSTER: Duration = Duration::from_millis(200);
+
 /// How long a dead peer is remembered.
 const MEMORY: Duration = Duration::from_secs(20);
 
@@ -57,8 +60,13 @@
     client: reqwest::Client,
     /// Whether others were asked what they know since this process started.
     asked: watch::Sender<bool>,
+    loads_port: u16,
+    roster: Mutex<Roster>,
 }
 
+/// When VMs were last looked up, and which there were.
+type Roster = (Option<Moment>, Arc<Vec<(u64, Option<SocketAddr>)>>);
+
 impl Peers {
     /// Starts with nobody known.
     pub fn new(settings: &Settings) -> Self {
@@ -78,6 +86,8 @@
             outbox: Outbox::default(),
             client: client::build(),
             asked: watch::channel(false).0,
+            loads_port: settings.listen.loads.port(),
+            roster: Mutex::default(),
         }
     }
 
@@ -120,6 +130,22 @@
         others.chain([self.me.vm.clone()]).collect()
     }
 
+    /// Numbers of the VMs that answer, with where each takes datagrams; this one has no address.
+    pub fn roster(&self) -> Arc<Vec<(u64, Option<SocketAddr>)>> {
+        let now = clock::now();
+        let mut roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
+        if roster.0.is_none_or(|at| now.since(at) >= ROSTER) {
+            let members = self.lock();
+            let others = members.alive().map(|peer| {
+                let addr = SocketAddr::new(peer.news.addr.ip(), self.loads_port);
+                (seed(peer.news.who.vm.as_str()), Some(addr))
+            });
+            let me = (seed(self.me.vm.as_str()), None);
+            *roster = (Some(now), Arc::new(others.chain([me]).collect()));
+        }
+        Arc::clone(&roster.1)
+    }
+
     /// Whether this VM is among the first `count` of those that answer, in the order of a line.
     ///
     /// Duties that a few VMs have for all are given so, without a message.
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -104,6 +104,7 @@
         route = %job.route.name,
         revision = job.catalogue.revision().0,
         upstream = %flight.id,
+        owner = flight.owner().map(tracing::field::display),
         running = flight.running,
         unread = flight.ahead,
         tokens = flight.tokens(),
--- a/crates/sesamegap-entry/src/relay/progress.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -6,6 +6,7 @@
 use crate::core::Core;
 use crate::fleet::{Flight, PromptShape, Selection, Upstream};
 use crate::intake::Refusal;
+use crate::placing;
 use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{ServiceId, UpstreamId};
 use std::time::Duration;
@@ -50,7 +51,7 @@
     }
 
     /// Chooses the next upstream.
-    pub fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
+    pub async fn choose(&self, core: &Core, job: &Job) -> Option<Flight> {
         let spread = usize::try_from(job.hash() >> 40).unwrap_or(0);
         let settings = core.settings();
         let selection = Selection {
@@ -60,8 +61,9 @@
             shape: self.shape.as_ref(),
             tried: &self.tried,
             spread,
+            shard: None,
         };
-        core.fleet.choose(&selection, clock::now())
+        placing::choose(core, &selection, job.left()).await
     }
 
     /// Whether a request that was not run at `at` goes to another upstream.
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -21,7 +21,7 @@
 pub async fn upstream(core: &Core, job: &Job, progress: &Progress) -> Option<Flight> {
     let until = job.ends.min(Instant::now() + job.route.objective / PART);
     loop {
-        if let Some(flight) = progress.choose(core, job) {
+        if let Some(flight) = progress.choose(core, job).await {
             return Some(flight);
         }
         if Instant::now() + LOOK >= until {
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -122,6 +122,7 @@
         shape: Some(shape),
         tried: &[],
         spread: 0,
+        shard: None,
     };
     core.fleet.choose(&selection, clock::now())
 }
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -265,6 +265,13 @@
     }
 }
 
+/// The home of a prompt's innermost shared prefix, among engines given by number and whether long prompts have them.
+pub fn inner_home(prompt: &Prompt, engines: impl Iterator<Item = (u64, bool)>) -> Option<u64> {
+    let inner = prompt.inner().hash;
+    let best = engines.max_by_key(|(seed, long)| (*long == prompt.is_long(), rank(inner, *seed)));
+    best.map(|(seed, _)| seed)
+}
+
 /// The engine to fetch from: one that this VM saw serve the longest shared prefix, else the prompt's
 /// home, and at home that of the outermost prefix, which most likely holds that.
 fn source(
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -6,16 +6,19 @@
 //! [`silence`] what others say of it, [`belief`] whether an upstream is there and in which life,
 //! [`reading`] when a VM reads the store itself, [`telling`] whom a VM tells of its load, [`weights`]
 //! until when a request may begin on older ones, and [`rolls`] picks the engines that take new weights
-//! next.
+//! next. In a large fleet [`shards`] says which VM places the prompts of which engines, and [`placed`]
+//! counts what it has placed for others.
 
 pub mod belief;
 pub mod budget;
 pub mod engines;
 pub mod patience;
+pub mod placed;
 pub mod plain;
 pub mod reading;
 pub mod recall;
 pub mod rolls;
+pub mod shards;
 pub mod silence;
 pub mod telling;
 pub mod transfers;
