--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod pages;
 mod pass;
 mod peers;
+mod placing;
 mod readings;
 mod refusals;
 mod restored;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -6,6 +6,7 @@
 mod plain;
 mod reading;
 mod rolls;
+mod shards;
 mod silence;
 mod telling;
 mod transfers;
