--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -9,6 +9,7 @@
 pub use index::{Catalogue, NoRoute};
 
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::routing::engines::seed;
 use sesamegap_wire::{DomainId, ServiceId, TeamId};
 use smol_str::SmolStr;
 use std::fmt;
@@ -126,6 +127,10 @@
     pub domain: DomainId,
     /// What its link carries, Mbit/s.
     pub link: u64,
+    /// Tokens that it has room for, if that is known. Peers do not tell it: those of the release before could not
+    /// read a longer form.
+    #[serde(skip)]
+    pub room: Option<u64>,
 }
 
 impl KvStore {
@@ -134,6 +139,11 @@
         let near = stores.iter().find(|store| store.domain == *domain);
         near.or(stores.first())
     }
+
+    /// Its number, the same in all VMs.
+    pub fn number(&self) -> u64 {
+        seed(self.domain.as_str())
+    }
 }
 
 /// Bounds on what callers send and how long they take.
--- /dev/null
+++ b/crates/sesamegap-entry/src/fleet/links.rs
@@ -0,0 +1,96 @@
+//! What the VM that places a prompt for its shard knows of stores of kept cache.
+
+use super::{Chosen, Fleet, Selection};
+use crate::catalogue::{Catalogue, KvStore};
+use sesamegap_policy::routing::kept_parts::Key;
+use sesamegap_policy::routing::placed::Stored;
+use sesamegap_policy::routing::transfers::{self, AtStore, Fetch, Informed, Transfers};
+use sesamegap_wire::{Moment, ServiceId};
+use std::time::Duration;
+
+/// What decides whether a transfer arrives in time.
+#[derive(Debug, Clone, Copy)]
+pub struct Links {
+    /// Bytes of a cached token; zero if that is not known.
+    pub token_bytes: u64,
+    /// Time within which a caller should get its first token.
+    pub objective: Duration,
+}
+
+impl Links {
+    /// The links of a service's engines.
+    pub fn of(catalogue: &Catalogue, service: &ServiceId, objective: Duration) -> Self {
+        let service = catalogue.service(service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        Self {
+            token_bytes: engine.map_or(0, |engine| engine.token_bytes),
+            objective,
+        }
+    }
+}
+
+impl Fleet {
+    /// The transfers that a prompt is worth at an engine of a shard that this VM owns.
+    pub fn transfers(
+        &self,
+        selection: &Selection<'_>,
+        chosen: &Chosen,
+        links: &Links,
+        now: Moment,
+    ) -> Option<(Transfers, Option<Stored>)> {
+        let prompt = &selection.shape?.prompt;
+        let engine = self.get(&chosen.id)?;
+        let version = engine
+            .version(&selection.shape?.model)
+            .unwrap_or_default()
+            .0;
+        let inner = prompt.prefixes.last().copied()?;
+        let own = prompt.tokens.saturating_sub(inner.tokens);
+        let shards = selection
+            .shard
+            .map_or(1, |shard| 1 << shard.division.bits());
+        let store = KvStore::nearest(selection.stores, &engine.entry.domain);
+        let store = store.filter(|store| !self.is_store_out(store.addr, now));
+        let near = store.is_some_and(|store| store.domain == engine.entry.domain);
+        let load = Fetch::load(inner.tokens, near);
+        let at_store = store.map(|store| {
+            let key = Key {
+                store: store.number(),
+                prefix: inner.hash,
+                version,
+            };
+            if self.kept_parts.holds(key, store.room, shards) {
+                let arrives = self.arrives(store, load, shards, links);
+                AtStore::Held { arrives }
+            } else {
+                AtStore::Missing
+            }
+        });
+        let served = self.recall.last(inner.hash, engine.life, version);
+        let transfers = transfers::informed(&Informed {
+            shared: inner.tokens,
+            own,
+            served: served.map(|at| now.since(at)),
+            store: at_store,
+        });
+        let stored = store.map(|store| Stored {
+            store: store.number(),
+            fetched: if transfers.from_store { load } else { 0 },
+            saved: if transfers.save { prompt.tokens } else { 0 },
+        });
+        Some((transfers, stored))
+    }
+
+    /// Whether a fetch arrives in time on this shard's part of a store's link.
+    fn arrives(&self, store: &KvStore, load: u64, shards: u64, links: &Links) -> bool {
+        let Some(per_ms) = transfers::per_ms(store.link, links.token_bytes) else {
+            return true;
+        };
+        let fetch = Fetch {
+            tokens: load * shards,
+            ahead: (self.placed.on_way(store.number()) + self.kept.asked(store.addr)) * shards,
+            per_ms,
+        };
+        fetch.arrives(links.objective)
+    }
+}
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -1,6 +1,6 @@
 //! What the decisions see of the fleet, and the flight that comes of one.
 
-use super::{Fleet, Flight, SharedFleet, Upstream};
+use super::{Fleet, Flight, Links, SharedFleet, Upstream};
 use crate::catalogue::KvStore;
 use crate::kept;
 use crate::placing::{Asked, Found};
@@ -120,6 +120,26 @@
         self.begin(&mut fleet, selection, chosen, now)
     }
 
+    /// Chooses an engine of a shard that this VM owns, and counts the request there.
+    pub fn choose_owned(
+        &self,
+        selection: &Selection<'_>,
+        links: &Links,
+        now: Moment,
+    ) -> Option<Flight> {
+        let mut flight = {
+            let mut fleet = self.lock();
+            let chosen = fleet.choose(selection, now)?;
+            let (transfers, stored) = fleet.transfers(selection, &chosen, links, now)?;
+            let mut flight = self.begin(&mut fleet, selection, chosen, now)?;
+            flight.transfers = Some(transfers);
+            flight.stored = stored;
+            flight
+        };
+        flight.share(None);
+        Some(flight)
+    }
+
     /// Takes the choice of a shard's owner, unless this VM knows that the engine does not take the request.
     pub fn take(
         &self,
@@ -149,9 +169,10 @@
             flight.running = found.running;
             flight.ahead = found.ahead;
             flight.served = served;
+            flight.transfers = Some(found.transfers);
             flight
         };
-        flight.share(asked);
+        flight.share(Some(asked));
         Some(flight)
     }
 
@@ -182,6 +203,9 @@
             seed: upstream.seed,
             life: upstream.life,
             served: None,
+            transfers: None,
+            stored: None,
+            shared: false,
             asked: None,
             prefixes: selection
                 .shape
@@ -198,7 +222,7 @@
 
 /// The number of the store of kept cache that an engine in a failure domain uses; zero for none.
 fn store_number(stores: &[KvStore], domain: &DomainId) -> u64 {
-    KvStore::nearest(stores, domain).map_or(0, |store| engines::seed(store.domain.as_str()))
+    KvStore::nearest(stores, domain).map_or(0, KvStore::number)
 }
 
 /// An upstream that was chosen.
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -3,7 +3,7 @@
 use super::message::{Answer, Ask, Found, Word, millis};
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Selection, Shard};
+use crate::fleet::{Links, Selection, Shard};
 use sesamegap_policy::routing::placed::Placement;
 use sesamegap_policy::routing::shards::Division;
 use std::net::SocketAddr;
@@ -26,7 +26,9 @@
                 number,
             }),
         };
-        place(core, from, ask, &selection)
+        let objective = Duration::from_millis(u64::from(ask.objective_ms));
+        let links = Links::of(&catalogue, &ask.service, objective);
+        place(core, from, ask, &selection, &links)
     });
     Answer {
         number: ask.number,
@@ -34,10 +36,17 @@
     }
 }
 
-fn place(core: &Core, from: SocketAddr, ask: &Ask, selection: &Selection<'_>) -> Option<Found> {
+fn place(
+    core: &Core,
+    from: SocketAddr,
+    ask: &Ask,
+    selection: &Selection<'_>,
+    links: &Links,
+) -> Option<Found> {
     let now = clock::now();
     let mut fleet = core.fleet.lock();
     let chosen = fleet.choose(selection, now)?;
+    let (transfers, stored) = fleet.transfers(selection, &chosen, links, now)?;
     let engine = fleet.get(&chosen.id)?;
     let version = engine.version(&ask.model).unwrap_or_default().0;
     let (life, running, ahead) = (
@@ -57,6 +66,7 @@
         left: Duration::from_millis(u64::from(ask.left_ms)),
         prefixes,
         version,
+        stored,
     };
     fleet.placed.begin((from, ask.number), placement, now);
     Some(Found {
@@ -66,6 +76,7 @@
         at_store: chosen.at_store,
         running,
         ahead,
+        transfers,
         served_ms: served.map(|at| millis(now.since(at))),
     })
 }
@@ -91,14 +102,13 @@
                     left,
                     prefixes: Vec::new(),
                     version: 0,
+                    stored: None,
                 };
                 fleet.placed.begin((from, number), placement, now);
             }
             Word::Read(number) => {
                 if let Some(read) = fleet.placed.read(&(from, number)) {
-                    for prefix in read.prefixes {
-                        fleet.recall.note(prefix.hash, read.life, read.version, now);
-                    }
+                    fleet.has_read(read, now);
                 }
             }
             Word::Ended(number) => fleet.placed.end(&(from, number)),
--- a/crates/sesamegap-entry/src/relay/progress.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -6,7 +6,7 @@
 use crate::core::Core;
 use crate::fleet::{Flight, PromptShape, Selection, Upstream};
 use crate::intake::Refusal;
-use crate::placing;
+use crate::placing::{self, Times};
 use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{ServiceId, UpstreamId};
 use std::time::Duration;
@@ -63,7 +63,11 @@
             spread,
             shard: None,
         };
-        placing::choose(core, &selection, job.left()).await
+        let times = Times {
+            left: job.left(),
+            objective: job.route.objective,
+        };
+        placing::choose(core, &selection, times).await
     }
 
     /// Whether a request that was not run at `at` goes to another upstream.
--- a/crates/sesamegap-policy/src/agreement/cas_lease/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/cas_lease/mod.rs
@@ -21,23 +21,58 @@
 
 /// A record of the lease log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Written", into = "Written")]
 pub struct Claim {
     /// Who holds the lease by this record.
     pub holder: Holder,
     /// Fencing number, none in the record that takes the lease.
     pub renews: Option<Fence>,
     /// The timeline of the log that its holder had read.
-    #[serde(default)]
     pub timeline: Timeline,
 }
 
+/// A claim in its written form, which VMs of the release before read too: they would otherwise take a lease that
+/// is held for free.
+#[derive(Debug, Serialize, Deserialize)]
+struct Written {
+    holder: Holder,
+    /// The fencing number, or the timeline alone in its place if the record takes the lease.
+    number: Option<Fence>,
+}
+
+impl From<Claim> for Written {
+    fn from(claim: Claim) -> Self {
+        let takes = (claim.timeline > Timeline(0)).then(|| first(claim.timeline));
+        Self {
+            holder: claim.holder,
+            number: claim.renews.or(takes),
+        }
+    }
+}
+
+impl From<Written> for Claim {
+    fn from(written: Written) -> Self {
+        let number = written.number.unwrap_or_default();
+        let timeline = Timeline(number.0 >> OFFSET_BITS);
+        Self {
+            holder: written.holder,
+            renews: written.number.filter(|number| *number != first(timeline)),
+            timeline,
+        }
+    }
+}
+
 /// Bits of a fencing number that count offsets within a timeline; engines take numbers of 53 bits.
 const OFFSET_BITS: u32 = 32;
 
+/// The number below all fencing numbers of a timeline.
+fn first(timeline: Timeline) -> Fence {
+    Fence(timeline.0.saturating_mul(1 << OFFSET_BITS))
+}
+
 /// The fencing number of the claim at a position.
 fn fence(at: LogPosition) -> Fence {
-    let timeline = at.timeline.0.checked_shl(OFFSET_BITS).unwrap_or(u64::MAX);
-    Fence(timeline.saturating_add(at.offset.0 + 1))
+    Fence(first(at.timeline).0.saturating_add(at.offset.0 + 1))
 }
 
 /// Spans that all processes of a deployment share.
--- a/crates/sesamegap-policy/src/routing/placed.rs
+++ b/crates/sesamegap-policy/src/routing/placed.rs
@@ -29,6 +29,19 @@
     pub prefixes: Vec<Prefix>,
     /// Version of the engine's weights.
     pub version: u32,
+    /// What it has to do with a store of kept cache.
+    pub stored: Option<Stored>,
+}
+
+/// A prompt's use of a store of kept cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stored {
+    /// Number of the store.
+    pub store: u64,
+    /// Tokens fetched from it, as they load its link.
+    pub fetched: u64,
+    /// Tokens saved to it.
+    pub saved: u64,
 }
 
 /// A prompt that an engine has read.
@@ -40,6 +53,8 @@
     pub version: u32,
     /// The prompt's shared prefixes.
     pub prefixes: Vec<Prefix>,
+    /// Its use of a store of kept cache.
+    pub stored: Option<Stored>,
 }
 
 #[derive(Debug)]
@@ -47,6 +62,7 @@
     life: u64,
     version: u32,
     prefixes: Vec<Prefix>,
+    stored: Option<Stored>,
     unread: u64,
     unread_until: Moment,
     ends: Moment,
@@ -89,6 +105,7 @@
             life: placement.life,
             version: placement.version,
             prefixes: placement.prefixes,
+            stored: placement.stored,
             unread: placement.tokens,
             unread_until: now + expected * PATIENCE + SLACK,
             ends: now + placement.left,
@@ -105,6 +122,7 @@
             life: entry.life,
             version: entry.version,
             prefixes,
+            stored: entry.stored,
         })
     }
 
@@ -138,6 +156,14 @@
         self.sums.get(&life).copied().unwrap_or_default()
     }
 
+    /// Tokens that are on their way from a store, as they load its link.
+    pub fn on_way(&self, store: u64) -> u64 {
+        let unread = self.entries.values().filter(|entry| entry.unread > 0);
+        let stored = unread.filter_map(|entry| entry.stored);
+        let there = stored.filter(|stored| stored.store == store);
+        there.map(|stored| stored.fetched).sum()
+    }
+
     /// Forgets what nobody spoke of in time.
     pub fn expire(&mut self, now: Moment) {
         let is_read = |entry: &Entry| entry.unread > 0 && entry.unread_until <= now;
--- a/crates/sesamegap-policy/tests/agreement/cas_lease.rs
+++ b/crates/sesamegap-policy/tests/agreement/cas_lease.rs
@@ -329,3 +329,20 @@
     }
     assert_eq!(world.leases[1].may_order(at(106)), None);
 }
+
+quickcheck! {
+    /// Guards against a VM of the release before that cannot read claims and takes a lease that is held.
+    fn claims_keep_their_written_form(timeline: u16, offset: u16, takes: bool) -> bool {
+        let timeline = Timeline(u64::from(timeline));
+        let fence = Fence((timeline.0 << 32) + u64::from(offset) + 1);
+        let claim = Claim {
+            holder: holder(1),
+            renews: (!takes).then_some(fence),
+            timeline,
+        };
+        let bytes = rmp_serde::to_vec(&claim).expect("a claim");
+        let before: (Holder, Option<Fence>) = rmp_serde::from_slice(&bytes).expect("two fields");
+        let again: Claim = rmp_serde::from_slice(&bytes).expect("a claim");
+        before.0 == claim.holder && again == claim
+    }
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -3,6 +3,7 @@
 mod belief;
 mod budget;
 mod engines;
+mod kept_parts;
 mod plain;
 mod reading;
 mod rolls;
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -150,6 +150,7 @@
                 left: Duration::from_secs(5),
                 prefixes: Vec::new(),
                 version: 1,
+                stored: None,
             };
             owned[desk].begin(number, placement, at(now));
             reads.push((now + took, desk, number));
@@ -228,6 +229,7 @@
             tokens: 2_000,
         }],
         version: 4,
+        stored: None,
     }
 }
 
