--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -9,7 +9,7 @@
 pub use index::{Catalogue, NoRoute};
 
 use serde::{Deserialize, Serialize};
-use sesamegap_policy::routing::engines::seed;
+use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_wire::{DomainId, ServiceId, TeamId};
 use smol_str::SmolStr;
 use std::fmt;
@@ -134,10 +134,10 @@
 }
 
 impl KvStore {
-    /// The store in a failure domain, else any.
-    pub fn nearest<'a>(stores: &'a [Self], domain: &DomainId) -> Option<&'a Self> {
+    /// The store in an engine's failure domain, else one of the others: engines without one are spread over them.
+    pub fn nearest<'a>(stores: &'a [Self], domain: &DomainId, engine: u64) -> Option<&'a Self> {
         let near = stores.iter().find(|store| store.domain == *domain);
-        near.or(stores.first())
+        near.or_else(|| stores.iter().max_by_key(|store| rank(store.number(), engine)))
     }
 
     /// Its number, the same in all VMs.
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -43,6 +43,7 @@
     pub(super) seed: u64,
     pub(super) life: u64,
     pub(super) prefixes: Vec<Prefix>,
+    pub(super) tokens: u64,
     pub(super) unread: u64,
     /// When the engine last served the whole shared prefix, as an owner told.
     pub(super) served: Option<Moment>,
@@ -59,7 +60,7 @@
 impl Flight {
     /// Tokens of its prompt.
     pub fn tokens(&self) -> u64 {
-        self.unread
+        self.tokens
     }
 
     /// Number of the upstream, the same in all VMs.
--- a/crates/sesamegap-entry/src/fleet/links.rs
+++ b/crates/sesamegap-entry/src/fleet/links.rs
@@ -29,6 +29,17 @@
     }
 }
 
+/// What a prompt is worth at an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Worth {
+    /// The transfers.
+    pub transfers: Transfers,
+    /// Its use of a store.
+    pub stored: Option<Stored>,
+    /// Tokens that the engine must most likely read.
+    pub unread: u64,
+}
+
 impl Fleet {
     /// The transfers that a prompt is worth at an engine of a shard that this VM owns.
     pub fn transfers(
@@ -37,7 +48,7 @@
         chosen: &Chosen,
         links: &Links,
         now: Moment,
-    ) -> Option<(Transfers, Option<Stored>)> {
+    ) -> Option<Worth> {
         let prompt = &selection.shape?.prompt;
         let engine = self.get(&chosen.id)?;
         let version = engine
@@ -49,7 +60,7 @@
         let shards = selection
             .shard
             .map_or(1, |shard| 1 << shard.division.bits());
-        let store = KvStore::nearest(selection.stores, &engine.entry.domain);
+        let store = KvStore::nearest(selection.stores, &engine.entry.domain, engine.seed);
         let store = store.filter(|store| !self.is_store_out(store.addr, now));
         let near = store.is_some_and(|store| store.domain == engine.entry.domain);
         let load = Fetch::load(inner.tokens, near);
@@ -78,7 +89,13 @@
             fetched: if transfers.from_store { load } else { 0 },
             saved: if transfers.save { prompt.tokens } else { 0 },
         });
-        Some((transfers, stored))
+        let is_there = transfers.from_store || !transfers.from_engine;
+        let unread = if is_there { own } else { prompt.tokens };
+        Some(Worth {
+            transfers,
+            stored,
+            unread,
+        })
     }
 
     /// Whether a fetch arrives in time on this shard's part of a store's link.
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -117,7 +117,7 @@
     pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Flight> {
         let mut fleet = self.lock();
         let chosen = fleet.choose(selection, now)?;
-        self.begin(&mut fleet, selection, chosen, now)
+        self.begin(&mut fleet, selection, chosen, None, now)
     }
 
     /// Chooses an engine of a shard that this VM owns, and counts the request there.
@@ -130,10 +130,10 @@
         let mut flight = {
             let mut fleet = self.lock();
             let chosen = fleet.choose(selection, now)?;
-            let (transfers, stored) = fleet.transfers(selection, &chosen, links, now)?;
-            let mut flight = self.begin(&mut fleet, selection, chosen, now)?;
-            flight.transfers = Some(transfers);
-            flight.stored = stored;
+            let worth = fleet.transfers(selection, &chosen, links, now)?;
+            let mut flight = self.begin(&mut fleet, selection, chosen, Some(worth.unread), now)?;
+            flight.transfers = Some(worth.transfers);
+            flight.stored = worth.stored;
             flight
         };
         flight.share(None);
@@ -165,7 +165,7 @@
             let served = found
                 .served_ms
                 .map(|ms| now.less(Duration::from_millis(u64::from(ms))));
-            let mut flight = self.begin(&mut fleet, selection, chosen, now)?;
+            let mut flight = self.begin(&mut fleet, selection, chosen, None, now)?;
             flight.running = found.running;
             flight.ahead = found.ahead;
             flight.served = served;
@@ -176,12 +176,13 @@
         Some(flight)
     }
 
-    /// Counts a request at the upstream that was chosen.
+    /// Counts a request at the upstream that was chosen, with all of its tokens unless fewer are to be read.
     fn begin(
         &self,
         fleet: &mut Fleet,
         selection: &Selection<'_>,
         chosen: Chosen,
+        unread: Option<u64>,
         now: Moment,
     ) -> Option<Flight> {
         let upstream = fleet.get(&chosen.id)?;
@@ -210,7 +211,10 @@
             prefixes: selection
                 .shape
                 .map_or_else(Vec::new, |shape| shape.prompt.prefixes.clone()),
-            unread: selection.shape.map_or(0, |shape| shape.prompt.tokens),
+            tokens: selection.shape.map_or(0, |shape| shape.prompt.tokens),
+            unread: unread
+                .or(selection.shape.map(|shape| shape.prompt.tokens))
+                .unwrap_or(0),
             id: chosen.id,
         };
         if let Some(upstream) = fleet.get_mut(&flight.id) {
@@ -220,9 +224,9 @@
     }
 }
 
-/// The number of the store of kept cache that an engine in a failure domain uses; zero for none.
-fn store_number(stores: &[KvStore], domain: &DomainId) -> u64 {
-    KvStore::nearest(stores, domain).map_or(0, KvStore::number)
+/// The number of the store of kept cache that an engine uses; zero for none.
+fn store_number(stores: &[KvStore], engine: &Upstream) -> u64 {
+    KvStore::nearest(stores, &engine.entry.domain, engine.seed).map_or(0, KvStore::number)
 }
 
 /// An upstream that was chosen.
@@ -270,7 +274,7 @@
                     near: upstream.entry.domain == *selection.domain,
                     running: self.running(upstream, now),
                     slots: upstream.entry.slots,
-                    store: store_number(selection.stores, &upstream.entry.domain),
+                    store: store_number(selection.stores, upstream),
                     waiting: upstream.waiting_now(now),
                     unread: self.unread(upstream),
                     version: version.0,
@@ -280,7 +284,11 @@
             })
             .collect();
         let newest = self.namings().wanted(&shape.model, now).0;
-        let choice = engines::choose(&shape.prompt, &views, newest, &self.recall)?;
+        let sight = match selection.shard {
+            Some(_) => engines::Sight::Whole,
+            None => engines::Sight::Part,
+        };
+        let choice = engines::choose(&shape.prompt, &views, newest, &self.recall, sight)?;
         Some(Chosen {
             id: open[choice.at].id.clone(),
             source: choice.source.map(|no| open[no].entry.addr),
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -46,7 +46,7 @@
     let now = clock::now();
     let mut fleet = core.fleet.lock();
     let chosen = fleet.choose(selection, now)?;
-    let (transfers, stored) = fleet.transfers(selection, &chosen, links, now)?;
+    let worth = fleet.transfers(selection, &chosen, links, now)?;
     let engine = fleet.get(&chosen.id)?;
     let version = engine.version(&ask.model).unwrap_or_default().0;
     let (life, running, ahead) = (
@@ -61,12 +61,12 @@
         .and_then(|inner| fleet.recall.last(inner.hash, life, version));
     let placement = Placement {
         life,
-        tokens: ask.tokens,
+        tokens: worth.unread,
         ahead,
         left: Duration::from_millis(u64::from(ask.left_ms)),
         prefixes,
         version,
-        stored,
+        stored: worth.stored,
     };
     fleet.placed.begin((from, ask.number), placement, now);
     Some(Found {
@@ -76,7 +76,7 @@
         at_store: chosen.at_store,
         running,
         ahead,
-        transfers,
+        transfers: worth.transfers,
         served_ms: served.map(|at| millis(now.since(at))),
     })
 }
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -27,7 +27,7 @@
         return Transfer::default();
     };
     let now = clock::now();
-    let store = KvStore::nearest(job.catalogue.kv_stores(), &flight.domain);
+    let store = KvStore::nearest(job.catalogue.kv_stores(), &flight.domain, flight.seed());
     let store = store.filter(|store| !core.fleet.lock().is_store_out(store.addr, now));
     if let Some(transfers) = flight.transfers {
         return placed(core, flight, store, transfers, shared);
