--- a/crates/sesamegap-policy/src/routing/recall.rs
+++ b/crates/sesamegap-policy/src/routing/recall.rs
@@ -10,8 +10,9 @@
 /// Prefixes recalled at most; some 32 bytes each.
 const MOST: usize = 16_384;
 
-/// Engines recalled for one prefix: its home and the one that stood in while that was out.
-const ENGINES: usize = 3;
+/// Engines recalled for one prefix: an outer one is served by all engines of a shard or of a small fleet, and
+/// whether its home is among them decides where prompts go.
+const ENGINES: usize = 32;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Served {
