--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -137,7 +137,11 @@
     /// The store in an engine's failure domain, else one of the others: engines without one are spread over them.
     pub fn nearest<'a>(stores: &'a [Self], domain: &DomainId, engine: u64) -> Option<&'a Self> {
         let near = stores.iter().find(|store| store.domain == *domain);
-        near.or_else(|| stores.iter().max_by_key(|store| rank(store.number(), engine)))
+        near.or_else(|| {
+            stores
+                .iter()
+                .max_by_key(|store| rank(store.number(), engine))
+        })
     }
 
     /// Its number, the same in all VMs.
--- a/crates/sesamegap-entry/src/fleet/links.rs
+++ b/crates/sesamegap-entry/src/fleet/links.rs
@@ -1,6 +1,6 @@
 //! What the VM that places a prompt for its shard knows of stores of kept cache.
 
-use super::{Chosen, Fleet, Selection};
+use super::{Chosen, Fleet, Selection, Upstream};
 use crate::catalogue::{Catalogue, KvStore};
 use sesamegap_policy::routing::kept_parts::Key;
 use sesamegap_policy::routing::placed::Stored;
@@ -29,6 +29,24 @@
     }
 }
 
+impl Links {
+    /// Time that so many tokens take between a store and an engine; unset if the size of a token is not known.
+    fn transfer(&self, store: &KvStore, engine: &Upstream, tokens: u64) -> Option<Duration> {
+        let near = store.domain == engine.entry.domain;
+        let per_ms = transfers::per_ms(store.link, self.token_bytes)?;
+        let tokens = Fetch::load(tokens, near);
+        let ahead = 0;
+        Some(
+            Fetch {
+                tokens,
+                ahead,
+                per_ms,
+            }
+            .takes(),
+        )
+    }
+}
+
 /// What a prompt is worth at an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct Worth {
@@ -36,6 +54,8 @@
     pub transfers: Transfers,
     /// Its use of a store.
     pub stored: Option<Stored>,
+    /// Time that this takes on a shard's part of the store's link.
+    pub takes: Duration,
     /// Tokens that the engine must most likely read.
     pub unread: u64,
 }
@@ -62,19 +82,21 @@
             .map_or(1, |shard| 1 << shard.division.bits());
         let store = KvStore::nearest(selection.stores, &engine.entry.domain, engine.seed);
         let store = store.filter(|store| !self.is_store_out(store.addr, now));
-        let near = store.is_some_and(|store| store.domain == engine.entry.domain);
-        let load = Fetch::load(inner.tokens, near);
         let at_store = store.map(|store| {
+            let number = store.number();
             let key = Key {
-                store: store.number(),
+                store: number,
                 prefix: inner.hash,
                 version,
             };
             if self.kept_parts.holds(key, store.room, shards) {
-                let arrives = self.arrives(store, load, shards, links);
+                let fetch = links.transfer(store, engine, inner.tokens * shards);
+                let queue = self.kept_parts.queue(number, now);
+                let arrives = fetch.is_none_or(|takes| queue + takes <= links.objective);
                 AtStore::Held { arrives }
             } else {
-                AtStore::Missing
+                let room = self.kept_parts.may_save(number, now);
+                AtStore::Missing { room }
             }
         });
         let served = self.recall.last(inner.hash, engine.life, version);
@@ -86,28 +108,33 @@
         });
         let stored = store.map(|store| Stored {
             store: store.number(),
-            fetched: if transfers.from_store { load } else { 0 },
+            fetched: if transfers.from_store {
+                inner.tokens
+            } else {
+                0
+            },
             saved: if transfers.save { prompt.tokens } else { 0 },
         });
+        let takes = store
+            .zip(stored)
+            .and_then(|(store, stored)| {
+                links.transfer(store, engine, (stored.fetched + stored.saved) * shards)
+            })
+            .unwrap_or_default();
         let is_there = transfers.from_store || !transfers.from_engine;
         let unread = if is_there { own } else { prompt.tokens };
         Some(Worth {
             transfers,
             stored,
+            takes,
             unread,
         })
     }
 
-    /// Whether a fetch arrives in time on this shard's part of a store's link.
-    fn arrives(&self, store: &KvStore, load: u64, shards: u64, links: &Links) -> bool {
-        let Some(per_ms) = transfers::per_ms(store.link, links.token_bytes) else {
-            return true;
-        };
-        let fetch = Fetch {
-            tokens: load * shards,
-            ahead: (self.placed.on_way(store.number()) + self.kept.asked(store.addr)) * shards,
-            per_ms,
-        };
-        fetch.arrives(links.objective)
+    /// Counts the transfers of a prompt on its store's link.
+    pub fn occupy(&mut self, worth: &Worth, now: Moment) {
+        if let Some(stored) = worth.stored {
+            self.kept_parts.occupy(stored.store, worth.takes, now);
+        }
     }
 }
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -132,6 +132,7 @@
             let chosen = fleet.choose(selection, now)?;
             let worth = fleet.transfers(selection, &chosen, links, now)?;
             let mut flight = self.begin(&mut fleet, selection, chosen, Some(worth.unread), now)?;
+            fleet.occupy(&worth, now);
             flight.transfers = Some(worth.transfers);
             flight.stored = worth.stored;
             flight
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -68,6 +68,7 @@
         version,
         stored: worth.stored,
     };
+    fleet.occupy(&worth, now);
     fleet.placed.begin((from, ask.number), placement, now);
     Some(Found {
         engine: chosen.id,
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -37,7 +37,10 @@
 const QUEUE: f64 = 3.0;
 
 /// The same where all prompts for the engines are known, and the queue is as long as it seems.
-const KNOWN_QUEUE: f64 = 1.5;
+const KNOWN_QUEUE: f64 = 1.0;
+
+/// Weight of reading a shared prefix again: it also pushes out others, which are then read again elsewhere.
+const AGAIN: f64 = 1.5;
 
 /// Time that one more running request adds to a first token: one decode step shared by all.
 const RUNNING_MS: f64 = 2.0;
@@ -343,7 +346,7 @@
     let again = prompt.inner().tokens as f64 / READ_PER_MS as f64;
     let fetch = match reach {
         Reach::Home => 0.0,
-        _ if sight == Sight::Whole => moves + again,
+        _ if sight == Sight::Whole => moves + AGAIN * again,
         Reach::Store => moves,
         // What the home has lost is read again, which is work like that of any queue.
         Reach::Far => moves + QUEUE * again,
--- a/crates/sesamegap-policy/src/routing/placed.rs
+++ b/crates/sesamegap-policy/src/routing/placed.rs
@@ -38,7 +38,7 @@
 pub struct Stored {
     /// Number of the store.
     pub store: u64,
-    /// Tokens fetched from it, as they load its link.
+    /// Tokens fetched from it.
     pub fetched: u64,
     /// Tokens saved to it.
     pub saved: u64,
@@ -156,14 +156,6 @@
         self.sums.get(&life).copied().unwrap_or_default()
     }
 
-    /// Tokens that are on their way from a store, as they load its link.
-    pub fn on_way(&self, store: u64) -> u64 {
-        let unread = self.entries.values().filter(|entry| entry.unread > 0);
-        let stored = unread.filter_map(|entry| entry.stored);
-        let there = stored.filter(|stored| stored.store == store);
-        there.map(|stored| stored.fetched).sum()
-    }
-
     /// Forgets what nobody spoke of in time.
     pub fn expire(&mut self, now: Moment) {
         let is_read = |entry: &Entry| entry.unread > 0 && entry.unread_until <= now;
--- a/crates/sesamegap-policy/src/routing/transfers.rs
+++ b/crates/sesamegap-policy/src/routing/transfers.rs
@@ -59,6 +59,11 @@
         if near { tokens } else { tokens * FAR_TIMES }
     }
 
+    /// How long it takes the link, without what is ahead.
+    pub fn takes(&self) -> Duration {
+        Duration::from_micros(self.tokens * 1_000 / self.per_ms)
+    }
+
     /// Whether it arrives within the time that callers can wait.
     pub fn arrives(&self, within: Duration) -> bool {
         Duration::from_millis((self.ahead + self.tokens) / self.per_ms) <= within
@@ -124,7 +129,10 @@
         arrives: bool,
     },
     /// It does not, as far as is known.
-    Missing,
+    Missing {
+        /// Whether its link has room for a save.
+        room: bool,
+    },
 }
 
 /// A prompt that was placed by the VM that owns its shard.
@@ -150,7 +158,7 @@
     Transfers {
         from_store: !served && store == Some(AtStore::Held { arrives: true }),
         from_engine: !served,
-        save: store == Some(AtStore::Missing) && prompt.own <= OWN_KEPT,
+        save: store == Some(AtStore::Missing { room: true }) && prompt.own <= OWN_KEPT,
     }
 }
 
--- a/crates/sesamegap-policy/tests/testsuite/routing/kept_parts.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/kept_parts.rs
@@ -60,7 +60,7 @@
         let at_store = if held || saves_all {
             AtStore::Held { arrives: true }
         } else {
-            AtStore::Missing
+            AtStore::Missing { room: true }
         };
         let transfers = informed(&Informed {
             shared: SHARED,
