--- a/crates/sesamegap-policy/tests/testsuite/routing/kept_parts.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/kept_parts.rs
@@ -1,8 +1,10 @@
+use crate::support::at;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sesamegap_policy::routing::kept_parts::{KeptParts, Key};
 use sesamegap_policy::routing::transfers::{AtStore, Informed, informed};
 use std::collections::HashMap;
+use std::time::Duration;
 
 fn key(prefix: u64) -> Key {
     Key {
@@ -137,3 +139,19 @@
     known.fetched(key(1));
     assert!(!known.holds(key(1), None, 1));
 }
+
+/// Guards against saves that fill a store's link after weights changed, so that neither they nor fetches arrive.
+#[test]
+fn saves_take_what_fetches_leave_of_a_link() {
+    let mut known = KeptParts::default();
+    let takes = Duration::from_millis(60);
+    assert!(known.may_save(1, at(0)));
+    known.occupy(1, takes, at(0));
+    assert!(known.may_save(1, at(0)));
+    known.occupy(1, takes, at(0));
+    assert!(!known.may_save(1, at(0)));
+    assert_eq!(known.queue(1, at(50)), Duration::from_millis(70));
+    assert!(known.may_save(1, at(50)));
+    assert!(known.may_save(2, at(0)), "another store's link is its own");
+    assert_eq!(known.queue(1, at(500)), Duration::ZERO);
+}
