Revert informed transfers and longer stays at home; keep the whole recall of outer prefixes

Cause of what is kept: a VM recalled three engines of a prefix. A preamble is served by all fourteen of a shard, so its home was mostly not among them, and prompts went to the home of their preamble and on from there to whichever engine was idle: of 2,766 prompts seven in ten ran where their dossier had not been.

Tried and not kept: a record of what stores hold (`kept_parts`) with saves of what is missing, then with a bound on the link.

--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -9,7 +9,6 @@
 pub use index::{Catalogue, NoRoute};
 
 use serde::{Deserialize, Serialize};
-use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_wire::{DomainId, ServiceId, TeamId};
 use smol_str::SmolStr;
 use std::fmt;
@@ -127,26 +126,13 @@
     pub domain: DomainId,
     /// What its link carries, Mbit/s.
     pub link: u64,
-    /// Tokens that it has room for, if that is known. Peers do not tell it: those of the release before could not
-    /// read a longer form.
-    #[serde(skip)]
-    pub room: Option<u64>,
 }
 
 impl KvStore {
-    /// The store in an engine's failure domain, else one of the others: engines without one are spread over them.
-    pub fn nearest<'a>(stores: &'a [Self], domain: &DomainId, engine: u64) -> Option<&'a Self> {
+    /// The store in a failure domain, else any.
+    pub fn nearest<'a>(stores: &'a [Self], domain: &DomainId) -> Option<&'a Self> {
         let near = stores.iter().find(|store| store.domain == *domain);
-        near.or_else(|| {
-            stores
-                .iter()
-                .max_by_key(|store| rank(store.number(), engine))
-        })
-    }
-
-    /// Its number, the same in all VMs.
-    pub fn number(&self) -> u64 {
-        seed(self.domain.as_str())
+        near.or(stores.first())
     }
 }
 
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -5,8 +5,6 @@
 use crate::placing::Asked;
 use crate::ports::Load;
 use sesamegap_policy::routing::engines::Prefix;
-use sesamegap_policy::routing::placed::{Read, Stored};
-use sesamegap_policy::routing::transfers::Transfers;
 use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -43,24 +41,17 @@
     pub(super) seed: u64,
     pub(super) life: u64,
     pub(super) prefixes: Vec<Prefix>,
-    pub(super) tokens: u64,
     pub(super) unread: u64,
     /// When the engine last served the whole shared prefix, as an owner told.
     pub(super) served: Option<Moment>,
-    /// Transfers that it is worth, if the VM that owns the engine's shard placed it.
-    pub transfers: Option<Transfers>,
-    /// Its use of a store, if this VM owns the engine's shard.
-    pub(super) stored: Option<Stored>,
-    /// Whether the owner of the engine's shard knows of it.
-    pub(super) shared: bool,
-    /// Set if another VM does.
+    /// Set if the owner of the engine's shard knows of it.
     pub(super) asked: Option<Asked>,
 }
 
 impl Flight {
     /// Tokens of its prompt.
     pub fn tokens(&self) -> u64 {
-        self.tokens
+        self.unread
     }
 
     /// Number of the upstream, the same in all VMs.
@@ -78,10 +69,9 @@
         self.asked.as_ref().map(Asked::owner)
     }
 
-    /// Notes that the owner of its engine's shard knows of it: this VM, unless another was asked.
-    pub fn share(&mut self, asked: Option<Asked>) {
-        self.asked = asked;
-        self.shared = true;
+    /// Notes that the owner of its engine's shard knows of it.
+    pub fn share(&mut self, asked: Asked) {
+        self.asked = Some(asked);
         if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
             upstream.shared.running += 1;
             upstream.shared.unread += self.unread;
@@ -117,22 +107,15 @@
     pub fn heard(&mut self, now: Moment) {
         let unread = std::mem::take(&mut self.unread);
         self.on_way = None;
-        let asked = self.asked.as_ref().filter(|_| unread > 0);
-        if let Some(asked) = asked {
+        let shared = self.asked.as_ref().filter(|_| unread > 0);
+        if let Some(asked) = shared {
             asked.read();
         }
-        let shared = if self.shared { unread } else { 0 };
+        let shared = if self.asked.is_some() { unread } else { 0 };
         let mut fleet = self.fleet.lock();
         let version = self.weights.map_or(0, |version| version.0);
-        let prefixes = std::mem::take(&mut self.prefixes);
-        if !prefixes.is_empty() {
-            let read = Read {
-                life: self.life,
-                version,
-                prefixes,
-                stored: self.stored,
-            };
-            fleet.has_read(read, now);
+        for prefix in self.prefixes.drain(..) {
+            fleet.recall.note(prefix.hash, self.life, version, now);
         }
         if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.hear(now);
@@ -205,7 +188,7 @@
         if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.running = upstream.running.saturating_sub(1);
             upstream.unread = upstream.unread.saturating_sub(self.unread);
-            if self.shared {
+            if self.asked.is_some() {
                 let shared = &mut upstream.shared;
                 shared.running = shared.running.saturating_sub(1);
                 shared.unread = shared.unread.saturating_sub(self.unread);
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -7,12 +7,10 @@
 //! an upstream: when it starts again, nothing of before is kept.
 
 mod flight;
-mod links;
 mod upstream;
 mod view;
 
 pub use flight::Flight;
-pub use links::Links;
 pub use sesamegap_policy::routing::belief::Change;
 pub use upstream::{Entry, Upstream};
 pub use view::{Chosen, PromptShape, Selection, Shard};
@@ -22,8 +20,7 @@
 use crate::ports::{Report, Weights};
 use sesamegap_policy::routing::Openness;
 use sesamegap_policy::routing::belief::{self, Belief, Contact, Listing, Said, Word};
-use sesamegap_policy::routing::kept_parts::{self, KeptParts};
-use sesamegap_policy::routing::placed::{Placed, Read};
+use sesamegap_policy::routing::placed::Placed;
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_policy::routing::silence::Silences;
 use sesamegap_policy::routing::weights::{Named, Namings};
@@ -55,8 +52,6 @@
     pub(crate) loads: Loads,
     /// What this VM has placed for others, by who asked and the number given.
     pub(crate) placed: Placed<(SocketAddr, u64)>,
-    /// What the stores of kept cache hold of the shards that this VM owns.
-    pub(crate) kept_parts: KeptParts,
     pub(crate) kept: Kept,
     pub(crate) silences: Silences,
     pub(crate) namings: Namings,
@@ -73,7 +68,6 @@
             recall: Recall::default(),
             loads: Loads::default(),
             placed: Placed::default(),
-            kept_parts: KeptParts::default(),
             kept: Kept::default(),
             silences: Silences::default(),
             namings: Namings::new(rules.weights),
@@ -243,25 +237,6 @@
         change
     }
 
-    /// Notes that an engine has read a prompt.
-    pub(crate) fn has_read(&mut self, read: Read, now: Moment) {
-        if let (Some(stored), Some(inner)) = (read.stored, read.prefixes.last()) {
-            let key = kept_parts::Key {
-                store: stored.store,
-                prefix: inner.hash,
-                version: read.version,
-            };
-            if stored.saved > 0 {
-                self.kept_parts.saved(key, stored.saved);
-            } else if stored.fetched > 0 {
-                self.kept_parts.fetched(key);
-            }
-        }
-        for prefix in read.prefixes {
-            self.recall.note(prefix.hash, read.life, read.version, now);
-        }
-    }
-
     /// Lets time decide about lapsed entries and doubts, and drops old tombstones.
     pub fn expire(&mut self, now: Moment) -> Vec<(UpstreamId, Change)> {
         let (rules, contact) = (&self.rules.belief, &self.contact);
--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -1,6 +1,6 @@
 //! What the decisions see of the fleet, and the flight that comes of one.
 
-use super::{Fleet, Flight, Links, SharedFleet, Upstream};
+use super::{Fleet, Flight, SharedFleet, Upstream};
 use crate::catalogue::KvStore;
 use crate::kept;
 use crate::placing::{Asked, Found};
@@ -117,28 +117,7 @@
     pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Flight> {
         let mut fleet = self.lock();
         let chosen = fleet.choose(selection, now)?;
-        self.begin(&mut fleet, selection, chosen, None, now)
-    }
-
-    /// Chooses an engine of a shard that this VM owns, and counts the request there.
-    pub fn choose_owned(
-        &self,
-        selection: &Selection<'_>,
-        links: &Links,
-        now: Moment,
-    ) -> Option<Flight> {
-        let mut flight = {
-            let mut fleet = self.lock();
-            let chosen = fleet.choose(selection, now)?;
-            let worth = fleet.transfers(selection, &chosen, links, now)?;
-            let mut flight = self.begin(&mut fleet, selection, chosen, Some(worth.unread), now)?;
-            fleet.occupy(&worth, now);
-            flight.transfers = Some(worth.transfers);
-            flight.stored = worth.stored;
-            flight
-        };
-        flight.share(None);
-        Some(flight)
+        self.begin(&mut fleet, selection, chosen, now)
     }
 
     /// Takes the choice of a shard's owner, unless this VM knows that the engine does not take the request.
@@ -166,24 +145,22 @@
             let served = found
                 .served_ms
                 .map(|ms| now.less(Duration::from_millis(u64::from(ms))));
-            let mut flight = self.begin(&mut fleet, selection, chosen, None, now)?;
+            let mut flight = self.begin(&mut fleet, selection, chosen, now)?;
             flight.running = found.running;
             flight.ahead = found.ahead;
             flight.served = served;
-            flight.transfers = Some(found.transfers);
             flight
         };
-        flight.share(Some(asked));
+        flight.share(asked);
         Some(flight)
     }
 
-    /// Counts a request at the upstream that was chosen, with all of its tokens unless fewer are to be read.
+    /// Counts a request at the upstream that was chosen.
     fn begin(
         &self,
         fleet: &mut Fleet,
         selection: &Selection<'_>,
         chosen: Chosen,
-        unread: Option<u64>,
         now: Moment,
     ) -> Option<Flight> {
         let upstream = fleet.get(&chosen.id)?;
@@ -205,17 +182,11 @@
             seed: upstream.seed,
             life: upstream.life,
             served: None,
-            transfers: None,
-            stored: None,
-            shared: false,
             asked: None,
             prefixes: selection
                 .shape
                 .map_or_else(Vec::new, |shape| shape.prompt.prefixes.clone()),
-            tokens: selection.shape.map_or(0, |shape| shape.prompt.tokens),
-            unread: unread
-                .or(selection.shape.map(|shape| shape.prompt.tokens))
-                .unwrap_or(0),
+            unread: selection.shape.map_or(0, |shape| shape.prompt.tokens),
             id: chosen.id,
         };
         if let Some(upstream) = fleet.get_mut(&flight.id) {
@@ -225,9 +196,9 @@
     }
 }
 
-/// The number of the store of kept cache that an engine uses; zero for none.
-fn store_number(stores: &[KvStore], engine: &Upstream) -> u64 {
-    KvStore::nearest(stores, &engine.entry.domain, engine.seed).map_or(0, KvStore::number)
+/// The number of the store of kept cache that an engine in a failure domain uses; zero for none.
+fn store_number(stores: &[KvStore], domain: &DomainId) -> u64 {
+    KvStore::nearest(stores, domain).map_or(0, |store| engines::seed(store.domain.as_str()))
 }
 
 /// An upstream that was chosen.
@@ -275,7 +246,7 @@
                     near: upstream.entry.domain == *selection.domain,
                     running: self.running(upstream, now),
                     slots: upstream.entry.slots,
-                    store: store_number(selection.stores, upstream),
+                    store: store_number(selection.stores, &upstream.entry.domain),
                     waiting: upstream.waiting_now(now),
                     unread: self.unread(upstream),
                     version: version.0,
@@ -285,11 +256,7 @@
             })
             .collect();
         let newest = self.namings().wanted(&shape.model, now).0;
-        let sight = match selection.shard {
-            Some(_) => engines::Sight::Whole,
-            None => engines::Sight::Part,
-        };
-        let choice = engines::choose(&shape.prompt, &views, newest, &self.recall, sight)?;
+        let choice = engines::choose(&shape.prompt, &views, newest, &self.recall)?;
         Some(Chosen {
             id: open[choice.at].id.clone(),
             source: choice.source.map(|no| open[no].entry.addr),
--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -5,6 +5,7 @@
 //! up by a tenth of a second or more. So a few VMs keep a waiting call at each store, and tell all
 //! others when it fails.
 
+use crate::clock;
 use crate::core::{Core, Phase};
 use crate::fleet::SharedFleet;
 use crate::peers::{Held, tell_of_store};
@@ -140,7 +141,6 @@
                 since = if restarted { 0 } else { news.next };
                 born = news.born;
                 if restarted {
-                    tell_of_store(&core, store);
                     info!(event = events::KEPT, store = %store, born = born.map(|Incarnation(born)| born), "the store of kept cache started again");
                 }
                 if !answers {
@@ -155,6 +155,7 @@
                     answers = false;
                     warn!(event = events::KEPT, store = %store, error, "the store of kept cache does not answer");
                 }
+                core.fleet.lock().kept.leave(store, clock::now());
                 tell_of_store(&core, store);
                 sleep(RETRY).await;
             }
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -19,7 +19,6 @@
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::belief::Change;
-use sesamegap_policy::routing::shards::SMALL;
 use sesamegap_policy::routing::silence::Word;
 use sesamegap_policy::routing::telling::{Audience, FANOUT, Sum, Telling};
 use sesamegap_wire::VmId;
@@ -166,10 +165,6 @@
     fleet.loads.tick(clock::now());
     fleet.placed.expire(clock::now());
     let upstreams = fleet.upstreams().filter_map(Upstream::held);
-    if core.peers.roster().len() > SMALL {
-        // Owners of shards know what is asked of stores.
-        return upstreams.collect();
-    }
     // A store is told like an upstream that reads what was asked of it, which needs no message of its own.
     upstreams.chain(fleet.kept.held()).collect()
 }
@@ -224,7 +219,9 @@
             Ok(Datagram::Engines(news)) => take(&core, &news),
             Ok(Datagram::Silent(vm, words)) => take_words(&core, &vm, &words),
             Ok(Datagram::Reading(reading)) => follow::hear(&core, reading),
-            Ok(Datagram::StoreOut(store)) => lose_store(&core, store),
+            Ok(Datagram::StoreOut(store)) => {
+                core.fleet.lock().kept.leave(store, clock::now());
+            }
             Ok(Datagram::Placing(Say::Ask(ask))) => {
                 let answer = placing::answer(&core, from, &ask);
                 core.desk.send(&Say::Answer(answer), from).await;
@@ -278,23 +275,11 @@
     }
 }
 
-/// Tells all VMs that a store of kept cache does not answer, or has started again and holds nothing.
+/// Tells all VMs that a store of kept cache does not answer.
 pub fn tell_of_store(core: &Core, store: SocketAddr) {
-    lose_store(core, store);
     core.peers.outbox.put_store(store);
 }
 
-/// Leaves a store alone for a while, and counts on nothing that it held.
-fn lose_store(core: &Core, store: SocketAddr) {
-    let catalogue = core.catalogue();
-    let mut fleet = core.fleet.lock();
-    fleet.kept.leave(store, clock::now());
-    let stores = catalogue.iter().flat_map(|catalogue| catalogue.kv_stores());
-    for known in stores.filter(|known| known.addr == store) {
-        fleet.kept_parts.forget(known.number());
-    }
-}
-
 /// Tells all VMs news of an engine, this one at once.
 pub fn push(core: &Core, news: EngineNews) {
     take(core, std::slice::from_ref(&news));
--- a/crates/sesamegap-entry/src/placing/message.rs
+++ b/crates/sesamegap-entry/src/placing/message.rs
@@ -3,7 +3,6 @@
 use crate::fleet::{PromptShape, Selection, Shard};
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
-use sesamegap_policy::routing::transfers::Transfers;
 use sesamegap_wire::{DomainId, ServiceId, UpstreamId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -20,15 +19,6 @@
     Words(Vec<Word>),
 }
 
-/// How long a caller waits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Times {
-    /// For its whole answer.
-    pub left: Duration,
-    /// For its first token, to be served well.
-    pub objective: Duration,
-}
-
 /// A prompt to be placed.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Ask {
@@ -50,8 +40,6 @@
     pub shard: (u32, u32),
     /// Time that the caller waits, in milliseconds.
     pub left_ms: u32,
-    /// Time within which it should get its first token, in milliseconds.
-    pub objective_ms: u32,
 }
 
 /// The answer to a question.
@@ -78,8 +66,6 @@
     pub running: u32,
     /// Prompt tokens that it has not read.
     pub ahead: u64,
-    /// The transfers that it is worth there.
-    pub transfers: Transfers,
     /// How many milliseconds ago it last served the whole shared prefix, if the owner knows.
     pub served_ms: Option<u32>,
 }
@@ -106,7 +92,12 @@
 
 impl Ask {
     /// A question about the prompt of a selection, if there is one.
-    pub fn new(number: u64, selection: &Selection<'_>, shard: Shard, times: Times) -> Option<Self> {
+    pub fn new(
+        number: u64,
+        selection: &Selection<'_>,
+        shard: Shard,
+        left: Duration,
+    ) -> Option<Self> {
         let shape = selection.shape?;
         let prefixes = shape.prompt.prefixes.iter();
         Some(Self {
@@ -118,8 +109,7 @@
             tried: selection.tried.to_vec(),
             domain: selection.domain.clone(),
             shard: (shard.division.bits(), shard.number),
-            left_ms: millis(times.left),
-            objective_ms: millis(times.objective),
+            left_ms: millis(left),
         })
     }
 
--- a/crates/sesamegap-entry/src/placing/mod.rs
+++ b/crates/sesamegap-entry/src/placing/mod.rs
@@ -10,12 +10,12 @@
 mod owner;
 
 pub use desk::{Asked, Desk};
-pub use message::{Answer, Ask, Found, Say, Times, Word};
+pub use message::{Answer, Ask, Found, Say, Word};
 pub use owner::{answer, hear};
 
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Flight, Links, Selection, Shard};
+use crate::fleet::{Flight, Selection, Shard};
 use crate::telemetry::events;
 use sesamegap_policy::routing::shards::{self, Division, SMALL};
 use std::net::SocketAddr;
@@ -36,8 +36,8 @@
     Other(SocketAddr),
 }
 
-/// Chooses an upstream for a request, and counts the request there.
-pub async fn choose(core: &Core, selection: &Selection<'_>, times: Times) -> Option<Flight> {
+/// Chooses an upstream for a request with so much time left, and counts the request there.
+pub async fn choose(core: &Core, selection: &Selection<'_>, left: Duration) -> Option<Flight> {
     let Some((shard, owner)) = find(core, selection) else {
         return core.fleet.choose(selection, clock::now());
     };
@@ -47,18 +47,15 @@
                 shard: Some(shard),
                 ..*selection
             };
-            core.catalogue().and_then(|catalogue| {
-                let links = Links::of(&catalogue, own.service, times.objective);
-                core.fleet.choose_owned(&own, &links, clock::now())
-            })
+            core.fleet.choose(&own, clock::now())
         }
-        Owner::Other(addr) => ask(core, selection, shard, addr, times).await,
+        Owner::Other(addr) => ask(core, selection, shard, addr, left).await,
     };
     if flight.is_some() {
         return flight;
     }
     let mut flight = core.fleet.choose(selection, clock::now())?;
-    tell(core, &mut flight, shard.division, times.left);
+    tell(core, &mut flight, shard.division, left);
     Some(flight)
 }
 
@@ -89,10 +86,10 @@
     selection: &Selection<'_>,
     shard: Shard,
     owner: SocketAddr,
-    times: Times,
+    left: Duration,
 ) -> Option<Flight> {
     let (asked, answer) = core.desk.ask(owner);
-    let ask = Ask::new(asked.number(), selection, shard, times)?;
+    let ask = Ask::new(asked.number(), selection, shard, left)?;
     core.desk.send(&Say::Ask(Box::new(ask)), owner).await;
     let Ok(Ok(found)) = timeout(ANSWER, answer).await else {
         core.desk.leave(owner, clock::now());
@@ -107,6 +104,6 @@
     let shard = division.shard(flight.seed());
     if let Some(Owner::Other(addr)) = owner(core, shard, &core.peers.roster()) {
         let asked = core.desk.tell(addr, flight, left);
-        flight.share(Some(asked));
+        flight.share(asked);
     }
 }
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -3,7 +3,7 @@
 use super::message::{Answer, Ask, Found, Word, millis};
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Links, Selection, Shard};
+use crate::fleet::{Selection, Shard};
 use sesamegap_policy::routing::placed::Placement;
 use sesamegap_policy::routing::shards::Division;
 use std::net::SocketAddr;
@@ -26,9 +26,7 @@
                 number,
             }),
         };
-        let objective = Duration::from_millis(u64::from(ask.objective_ms));
-        let links = Links::of(&catalogue, &ask.service, objective);
-        place(core, from, ask, &selection, &links)
+        place(core, from, ask, &selection)
     });
     Answer {
         number: ask.number,
@@ -36,17 +34,10 @@
     }
 }
 
-fn place(
-    core: &Core,
-    from: SocketAddr,
-    ask: &Ask,
-    selection: &Selection<'_>,
-    links: &Links,
-) -> Option<Found> {
+fn place(core: &Core, from: SocketAddr, ask: &Ask, selection: &Selection<'_>) -> Option<Found> {
     let now = clock::now();
     let mut fleet = core.fleet.lock();
     let chosen = fleet.choose(selection, now)?;
-    let worth = fleet.transfers(selection, &chosen, links, now)?;
     let engine = fleet.get(&chosen.id)?;
     let version = engine.version(&ask.model).unwrap_or_default().0;
     let (life, running, ahead) = (
@@ -61,14 +52,12 @@
         .and_then(|inner| fleet.recall.last(inner.hash, life, version));
     let placement = Placement {
         life,
-        tokens: worth.unread,
+        tokens: ask.tokens,
         ahead,
         left: Duration::from_millis(u64::from(ask.left_ms)),
         prefixes,
         version,
-        stored: worth.stored,
     };
-    fleet.occupy(&worth, now);
     fleet.placed.begin((from, ask.number), placement, now);
     Some(Found {
         engine: chosen.id,
@@ -77,7 +66,6 @@
         at_store: chosen.at_store,
         running,
         ahead,
-        transfers: worth.transfers,
         served_ms: served.map(|at| millis(now.since(at))),
     })
 }
@@ -103,13 +91,14 @@
                     left,
                     prefixes: Vec::new(),
                     version: 0,
-                    stored: None,
                 };
                 fleet.placed.begin((from, number), placement, now);
             }
             Word::Read(number) => {
                 if let Some(read) = fleet.placed.read(&(from, number)) {
-                    fleet.has_read(read, now);
+                    for prefix in read.prefixes {
+                        fleet.recall.note(prefix.hash, read.life, read.version, now);
+                    }
                 }
             }
             Word::Ended(number) => fleet.placed.end(&(from, number)),
--- a/crates/sesamegap-entry/src/relay/progress.rs
+++ b/crates/sesamegap-entry/src/relay/progress.rs
@@ -6,7 +6,7 @@
 use crate::core::Core;
 use crate::fleet::{Flight, PromptShape, Selection, Upstream};
 use crate::intake::Refusal;
-use crate::placing::{self, Times};
+use crate::placing;
 use sesamegap_policy::routing::Openness;
 use sesamegap_wire::{ServiceId, UpstreamId};
 use std::time::Duration;
@@ -63,11 +63,7 @@
             spread,
             shard: None,
         };
-        let times = Times {
-            left: job.left(),
-            objective: job.route.objective,
-        };
-        placing::choose(core, &selection, times).await
+        placing::choose(core, &selection, job.left()).await
     }
 
     /// Whether a request that was not run at `at` goes to another upstream.
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -6,8 +6,7 @@
 use crate::core::Core;
 use crate::fleet::Flight;
 use crate::kept::OnWay;
-use crate::ports::Part;
-use sesamegap_policy::routing::transfers::{self, Fetch, Transfers, Wish};
+use sesamegap_policy::routing::transfers::{self, Fetch, Wish};
 use sesamegap_wire::WeightsVersion;
 use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
@@ -27,11 +26,8 @@
         return Transfer::default();
     };
     let now = clock::now();
-    let store = KvStore::nearest(job.catalogue.kv_stores(), &flight.domain, flight.seed());
+    let store = KvStore::nearest(job.catalogue.kv_stores(), &flight.domain);
     let store = store.filter(|store| !core.fleet.lock().is_store_out(store.addr, now));
-    if let Some(transfers) = flight.transfers {
-        return placed(core, flight, store, transfers, shared);
-    }
     let tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
     let wish = transfers::wish(&Wish {
         shared: tokens,
@@ -55,31 +51,6 @@
     }
 }
 
-/// The transfers of a prompt that the owner of its shard placed.
-///
-/// Another VM counts what it has its askers fetch.
-fn placed(
-    core: &Core,
-    flight: &mut Flight,
-    store: Option<&KvStore>,
-    transfers: Transfers,
-    shared: &[Part],
-) -> Transfer {
-    let fetch = store.filter(|_| transfers.from_store);
-    if flight.owner().is_none() {
-        let tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
-        flight.on_way = fetch.map(|store| {
-            let load = Fetch::load(tokens, store.domain == flight.domain);
-            OnWay::new(&core.fleet, store.addr, load)
-        });
-    }
-    let from_engine = flight.source.filter(|_| transfers.from_engine);
-    Transfer {
-        fetch: fetch.map(|store| store.addr).or(from_engine),
-        save: store.filter(|_| transfers.save).map(|store| store.addr),
-    }
-}
-
 /// Asks a store for tokens, unless they would arrive too late for the caller.
 fn on_way(core: &Core, job: &Job, flight: &Flight, store: &KvStore, tokens: u64) -> Option<OnWay> {
     let service = job.catalogue.service(job.service());
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -273,7 +273,6 @@
         addr: unused(),
         domain: "hall-a".parse().unwrap(),
         link: 1_000,
-        room: None,
     }];
     core.adopt(&Arc::new(document), "test");
     tokio::spawn(kept::watch(core));
--- a/crates/sesamegap-entry/tests/testsuite/placing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/placing.rs
@@ -5,7 +5,7 @@
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::{Flight, PromptShape, Selection};
 use sesamegap_entry::peers;
-use sesamegap_entry::placing::{Times, choose};
+use sesamegap_entry::placing::choose;
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::membership::{News, Status};
@@ -98,11 +98,7 @@
         spread: 0,
         shard: None,
     };
-    let times = Times {
-        left: Duration::from_secs(5),
-        objective: Duration::from_secs(1),
-    };
-    choose(core, &selection, times).await
+    choose(core, &selection, Duration::from_secs(5)).await
 }
 
 /// Prompt tokens that a VM knows to be unread at all engines.
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -15,11 +15,6 @@
 //! a second; streams slow down, hold their memory for longer, and leave none for cached prefixes.
 //! So each kind has engines of its own, and crosses over only from a queue.
 //!
-//! Load: shared prefixes just fit into the engines' memory, and what each prompt adds of its own pushes them out.
-//! Harm prevented: a prefix that is read by one engine after another, since its home was busy for a moment, and is
-//! held by none when it is asked for again. Where all prompts for the engines are known, leaving the home costs
-//! what reading the prefix again does, whether or not it can be fetched.
-//!
 //! Load: a few prefixes are hot, bursts come, and engines leave. Harm prevented: a hot prefix that
 //! queues behind one engine. An engine further down the ranking is taken when its wait is shorter
 //! by more than fetching the prefix costs.
@@ -36,12 +31,6 @@
 /// too. On 140 engines, 1.0, 2.0 and 3.0 left 825, 791 and 735 of 4,536 long answers late.
 const QUEUE: f64 = 3.0;
 
-/// The same where all prompts for the engines are known, and the queue is as long as it seems.
-const KNOWN_QUEUE: f64 = 1.0;
-
-/// Weight of reading a shared prefix again: it also pushes out others, which are then read again elsewhere.
-const AGAIN: f64 = 1.5;
-
 /// Time that one more running request adds to a first token: one decode step shared by all.
 const RUNNING_MS: f64 = 2.0;
 
@@ -171,15 +160,6 @@
     }
 }
 
-/// What is known of the load of engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Sight {
-    /// This VM's own prompts, and what others told of theirs.
-    Part,
-    /// All prompts.
-    Whole,
-}
-
 /// Where a prompt goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Choice {
@@ -214,21 +194,14 @@
 }
 
 /// Picks the engine with the least time to a first token, `newest` being the weights wanted.
-pub fn choose(
-    prompt: &Prompt,
-    engines: &[Engine],
-    newest: u32,
-    recall: &Recall,
-    sight: Sight,
-) -> Option<Choice> {
+pub fn choose(prompt: &Prompt, engines: &[Engine], newest: u32, recall: &Recall) -> Option<Choice> {
     let fresh = |no: &usize| engines[*no].version >= newest;
     let open = || (0..engines.len()).filter(|no| engines[*no].state != Openness::Paused);
     let new_home = home(prompt, engines, &open().filter(fresh), recall);
     let old_home = home(prompt, engines, &open().filter(|no| !fresh(no)), recall);
     let home_of = |no: usize| if fresh(&no) { new_home } else { old_home };
     let reach = |no: usize| Reach::between(engines, no, home_of(no));
-    let cost = |no: usize| cost(prompt, &engines[no], reach(no), fresh(&no), sight);
-    let costed = open().map(|no| (cost(no), no));
+    let costed = open().map(|no| (cost(prompt, &engines[no], reach(no), fresh(&no)), no));
     let (_, at) = costed.min_by(|a, b| {
         let ranks = || {
             let rank = |no: usize| rank(prompt.inner().hash, engines[no].seed);
@@ -332,24 +305,18 @@
     }
 }
 
-fn cost(prompt: &Prompt, engine: &Engine, reach: Reach, fresh: bool, sight: Sight) -> f64 {
-    let weight = match sight {
-        Sight::Part => QUEUE,
-        Sight::Whole => KNOWN_QUEUE,
-    };
-    let queue = weight * engine.unread as f64 / READ_PER_MS as f64;
+fn cost(prompt: &Prompt, engine: &Engine, reach: Reach, fresh: bool) -> f64 {
+    let queue = QUEUE * engine.unread as f64 / READ_PER_MS as f64;
     let over = (engine.running + 1).saturating_sub(engine.slots);
     let load = RUNNING_MS * f64::from(engine.running)
         + WAITING_MS * f64::from(engine.waiting)
         + OVER_MS * f64::from(over);
     let moves = FETCH_MS + prompt.inner().tokens as f64 / FETCH_PER_MS;
-    let again = prompt.inner().tokens as f64 / READ_PER_MS as f64;
     let fetch = match reach {
         Reach::Home => 0.0,
-        _ if sight == Sight::Whole => moves + AGAIN * again,
         Reach::Store => moves,
         // What the home has lost is read again, which is work like that of any queue.
-        Reach::Far => moves + QUEUE * again,
+        Reach::Far => moves + QUEUE * prompt.inner().tokens as f64 / READ_PER_MS as f64,
     };
     let cross = if engine.long == prompt.is_long() {
         0.0
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -6,13 +6,12 @@
 //! [`silence`] what others say of it, [`belief`] whether an upstream is there and in which life,
 //! [`reading`] when a VM reads the store itself, [`telling`] whom a VM tells of its load, [`weights`]
 //! until when a request may begin on older ones, and [`rolls`] picks the engines that take new weights
-//! next. In a large fleet [`shards`] says which VM places the prompts of which engines, [`placed`]
-//! counts what it has placed for others, and [`kept_parts`] what the stores of kept cache hold of them.
+//! next. In a large fleet [`shards`] says which VM places the prompts of which engines, and [`placed`]
+//! counts what it has placed for others.
 
 pub mod belief;
 pub mod budget;
 pub mod engines;
-pub mod kept_parts;
 pub mod patience;
 pub mod placed;
 pub mod plain;
--- a/crates/sesamegap-policy/src/routing/placed.rs
+++ b/crates/sesamegap-policy/src/routing/placed.rs
@@ -29,19 +29,6 @@
     pub prefixes: Vec<Prefix>,
     /// Version of the engine's weights.
     pub version: u32,
-    /// What it has to do with a store of kept cache.
-    pub stored: Option<Stored>,
-}
-
-/// A prompt's use of a store of kept cache.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Stored {
-    /// Number of the store.
-    pub store: u64,
-    /// Tokens fetched from it.
-    pub fetched: u64,
-    /// Tokens saved to it.
-    pub saved: u64,
 }
 
 /// A prompt that an engine has read.
@@ -53,8 +40,6 @@
     pub version: u32,
     /// The prompt's shared prefixes.
     pub prefixes: Vec<Prefix>,
-    /// Its use of a store of kept cache.
-    pub stored: Option<Stored>,
 }
 
 #[derive(Debug)]
@@ -62,7 +47,6 @@
     life: u64,
     version: u32,
     prefixes: Vec<Prefix>,
-    stored: Option<Stored>,
     unread: u64,
     unread_until: Moment,
     ends: Moment,
@@ -105,7 +89,6 @@
             life: placement.life,
             version: placement.version,
             prefixes: placement.prefixes,
-            stored: placement.stored,
             unread: placement.tokens,
             unread_until: now + expected * PATIENCE + SLACK,
             ends: now + placement.left,
@@ -122,7 +105,6 @@
             life: entry.life,
             version: entry.version,
             prefixes,
-            stored: entry.stored,
         })
     }
 
--- a/crates/sesamegap-policy/src/routing/transfers.rs
+++ b/crates/sesamegap-policy/src/routing/transfers.rs
@@ -11,7 +11,6 @@
 //! the engines are. So only as much is asked of a store at once as it delivers within the callers' objective;
 //! other prompts are read by their engines meanwhile.
 
-use serde::{Deserialize, Serialize};
 use std::num::NonZeroU64;
 use std::time::Duration;
 
@@ -59,11 +58,6 @@
         if near { tokens } else { tokens * FAR_TIMES }
     }
 
-    /// How long it takes the link, without what is ahead.
-    pub fn takes(&self) -> Duration {
-        Duration::from_micros(self.tokens * 1_000 / self.per_ms)
-    }
-
     /// Whether it arrives within the time that callers can wait.
     pub fn arrives(&self, within: Duration) -> bool {
         Duration::from_millis((self.ahead + self.tokens) / self.per_ms) <= within
@@ -97,7 +91,7 @@
 }
 
 /// The transfers that it is worth.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Transfers {
     /// From the store.
     pub from_store: bool,
@@ -120,48 +114,6 @@
     }
 }
 
-/// What the VM that places a prompt for its shard knows of the engine's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AtStore {
-    /// The store holds the shared parts.
-    Held {
-        /// Whether they arrive within the callers' objective.
-        arrives: bool,
-    },
-    /// It does not, as far as is known.
-    Missing {
-        /// Whether its link has room for a save.
-        room: bool,
-    },
-}
-
-/// A prompt that was placed by the VM that owns its shard.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Informed {
-    /// Tokens of its shared parts.
-    pub shared: u64,
-    /// Tokens of its own part.
-    pub own: u64,
-    /// How long ago the engine served its shared parts.
-    pub served: Option<Duration>,
-    /// The engine's store, if there is one that answers.
-    pub store: Option<AtStore>,
-}
-
-/// Decides which transfers a prompt is worth, where all prompts of its shared parts are known.
-///
-/// An engine in another failure domain uses a store as well: only what arrives in time is fetched, and
-/// only what the store lacks is saved, so its link is not taken up by what nobody asks for.
-pub fn informed(prompt: &Informed) -> Transfers {
-    let served = prompt.served.is_some_and(|ago| ago < STILL_HELD);
-    let store = prompt.store.filter(|_| prompt.shared >= LEAST);
-    Transfers {
-        from_store: !served && store == Some(AtStore::Held { arrives: true }),
-        from_engine: !served,
-        save: store == Some(AtStore::Missing { room: true }) && prompt.own <= OWN_KEPT,
-    }
-}
-
 impl Link {
     fn carries(self) -> bool {
         self.near || self.mbps >= FAR_MBPS * self.engines as u64
--- a/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
@@ -1,7 +1,5 @@
 use sesamegap_policy::routing::Openness;
-use sesamegap_policy::routing::engines::{
-    self, Choice, Divided, Engine, Prefix, Prompt, Sight, for_long, rank,
-};
+use sesamegap_policy::routing::engines::{Divided, Engine, Prefix, Prompt, choose, for_long, rank};
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_wire::Moment;
 
@@ -31,11 +29,6 @@
         .collect()
 }
 
-/// Places a prompt as a VM does that knows a part of the load.
-fn choose(prompt: &Prompt, engines: &[Engine], newest: u32, recall: &Recall) -> Option<Choice> {
-    engines::choose(prompt, engines, newest, recall, Sight::Part)
-}
-
 fn prompt(preamble: u64, dossier: u64, own: u64) -> Prompt {
     Prompt {
         prefixes: vec![
@@ -324,56 +317,3 @@
     let choice = choose(&asked, &elsewhere, 1, &recall).expect("engines are open");
     assert_eq!(choice.source, Some(1));
 }
-
-/// Plays prompts for 24 dossiers on six engines, whose memory holds six dossiers each; how many are found there.
-fn found(sight: Sight) -> usize {
-    let mut fleet = engines(6);
-    fleet.iter_mut().for_each(|engine| engine.long = true);
-    let mut recall = Recall::default();
-    let mut held: Vec<Vec<u64>> = vec![Vec::new(); fleet.len()];
-    let mut found = 0;
-    for number in 0..3_000_u64 {
-        let dossier = rank(number, 3) % 24;
-        let asked = prompt(1, dossier, 2_000);
-        // One engine in three reads one prompt at any moment.
-        for (no, engine) in (0_u64..).zip(&mut fleet) {
-            engine.unread = if rank(number, no) % 3 == 0 { 8_300 } else { 0 };
-        }
-        let choice = engines::choose(&asked, &fleet, 1, &recall, sight).expect("open");
-        let memory = &mut held[choice.at];
-        found += usize::from(memory.contains(&dossier));
-        memory.retain(|known| *known != dossier);
-        memory.push(dossier);
-        if memory.len() > 6 {
-            memory.remove(0);
-        }
-        serve(&mut recall, &asked, &fleet[choice.at]);
-    }
-    found
-}
-
-/// Guards against dossiers that are read by one engine after another, since their home was busy for a moment.
-#[test]
-fn prompts_stay_at_their_home_while_the_wait_is_shorter_than_reading_again() {
-    let (whole, part) = (found(Sight::Whole), found(Sight::Part));
-    assert!(whole > 2_700, "{whole} of 3,000 found, {part} before");
-    assert!(whole > part + 300, "{whole} of 3,000 found, {part} before");
-}
-
-/// Guards against callers that wait in one queue for a hot dossier beside idle engines.
-#[test]
-fn a_hot_dossier_leaves_its_home_before_its_callers_are_late() {
-    let mut fleet = engines(9);
-    let recall = Recall::default();
-    let asked = prompt(1, 7, 2_000);
-    let place = |fleet: &[Engine]| {
-        engines::choose(&asked, fleet, 1, &recall, Sight::Whole)
-            .expect("open")
-            .at
-    };
-    let home = place(&fleet);
-    fleet[home].unread = 8_300;
-    assert_eq!(place(&fleet), home);
-    fleet[home].unread = 3 * 8_300;
-    assert_ne!(place(&fleet), home);
-}
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -3,7 +3,6 @@
 mod belief;
 mod budget;
 mod engines;
-mod kept_parts;
 mod plain;
 mod reading;
 mod rolls;
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -3,7 +3,7 @@
 use rand::{RngExt, SeedableRng};
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::Openness;
-use sesamegap_policy::routing::engines::{self, Engine, Prefix, Prompt, Sight, inner_home, seed};
+use sesamegap_policy::routing::engines::{self, Engine, Prefix, Prompt, inner_home, seed};
 use sesamegap_policy::routing::placed::{Placed, Placement, Sum};
 use sesamegap_policy::routing::recall::Recall;
 use sesamegap_policy::routing::shards::{Division, SMALL, owner};
@@ -138,11 +138,7 @@
                 |seed| owned[desk].at(seed).unread,
             ),
         };
-        let sight = match way {
-            Way::Told => Sight::Part,
-            Way::Owned => Sight::Whole,
-        };
-        let choice = engines::choose(&prompt, &views, 1, &recall, sight).expect("an open engine");
+        let choice = engines::choose(&prompt, &views, 1, &recall).expect("an open engine");
         let chosen = views[choice.at];
         let took = fleet.send(chosen.seed, now);
         late += u64::from(took > 1_000);
@@ -154,7 +150,6 @@
                 left: Duration::from_secs(5),
                 prefixes: Vec::new(),
                 version: 1,
-                stored: None,
             };
             owned[desk].begin(number, placement, at(now));
             reads.push((now + took, desk, number));
@@ -233,7 +228,6 @@
             tokens: 2_000,
         }],
         version: 4,
-        stored: None,
     }
 }
 
