--- a/crates/sesamegap-policy/src/routing/placed.rs
+++ b/crates/sesamegap-policy/src/routing/placed.rs
@@ -141,10 +141,14 @@
     /// Forgets what nobody spoke of in time.
     pub fn expire(&mut self, now: Moment) {
         let is_read = |entry: &Entry| entry.unread > 0 && entry.unread_until <= now;
-        let read: Vec<K> = self.keys(is_read);
-        read.iter().for_each(|key| self.give_up(key));
-        let over: Vec<K> = self.keys(|entry| entry.ends <= now);
-        over.iter().for_each(|key| self.end(key));
+        let read = self.keys(is_read);
+        for key in &read {
+            self.give_up(key);
+        }
+        let over = self.keys(|entry| entry.ends <= now);
+        for key in &over {
+            self.end(key);
+        }
     }
 
     fn keys(&self, wanted: impl Fn(&Entry) -> bool) -> Vec<K> {
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -156,7 +156,7 @@
             continue;
         }
         known[vm].note(chosen.seed, now, now + took);
-        if number % 3 == 0 {
+        if number.is_multiple_of(3) {
             let until = now + took;
             let others = known.iter_mut().enumerate().filter(|(no, _)| *no != vm);
             others.for_each(|(_, known)| known.note(chosen.seed, now + TOLD, until));
