--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -265,7 +265,14 @@
     }
 }
 
-/// The engine to fetch from: one that this VM saw serve the longest shared prefix, else the prompt's
+/// The home of a prompt's innermost shared prefix, among engines given by number and whether long prompts have them.
+pub fn inner_home(prompt: &Prompt, engines: impl Iterator<Item = (u64, bool)>) -> Option<u64> {
+    let inner = prompt.inner().hash;
+    let best = engines.max_by_key(|(seed, long)| (*long == prompt.is_long(), rank(inner, *seed)));
+    best.map(|(seed, _)| seed)
+}
+
+/// The engine to fetch from: the last that this VM saw serve the longest shared prefix, else the prompt's
 /// home, and at home that of the outermost prefix, which most likely holds that.
 fn source(
     prompt: &Prompt,
@@ -284,8 +291,10 @@
             // It has the prefix itself, and nobody is known to have more.
             return Some(None);
         }
-        let holder = others().find(|no| recall.served(prefix.hash, &engines[*no]));
-        holder.map(Some)
+        let served = |no: &usize| recall.last(prefix.hash, engines[*no].life, engines[*no].version);
+        let holders = others().filter(|no| served(no).is_some());
+        // What was served longest ago was most likely dropped since.
+        holders.max_by_key(served).map(Some)
     });
     match seen {
         Some(Some(holder)) => Some(holder),
--- a/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
@@ -271,3 +271,49 @@
     assert!(recall.served(99_999, &engine));
     assert!(!recall.served(1, &engine));
 }
+
+/// Guards against prompts that all go to the home of their preamble, which the VM no longer recalls since so many
+/// engines have served it.
+#[test]
+fn a_preamble_that_all_engines_served_counts_as_served_at_its_home() {
+    let fleet = engines(16);
+    let mut recall = Recall::default();
+    let first = choose(&prompt(1, 0, 2_000), &fleet, 1, &recall).expect("engines are open");
+    serve(&mut recall, &prompt(1, 0, 2_000), &fleet[first.at]);
+    for (dossier, engine) in (1..).zip(&fleet) {
+        serve(&mut recall, &prompt(1, dossier, 2_000), engine);
+    }
+    let placed = (100..300).filter(|dossier| {
+        let choice = choose(&prompt(1, *dossier, 2_000), &fleet, 1, &recall);
+        choice.is_some_and(|choice| choice.at == first.at)
+    });
+    assert!(placed.count() < 50);
+}
+
+/// Guards against a prefix that is fetched from an engine that has most likely dropped it.
+#[test]
+fn a_prefix_is_fetched_from_the_engine_that_served_it_last() {
+    let fleet = engines(9);
+    let mut recall = Recall::default();
+    let asked = prompt(1, 7, 2_000);
+    for (second, engine) in [2, 5, 3].into_iter().zip(&fleet) {
+        for prefix in &asked.prefixes {
+            recall.note(
+                prefix.hash,
+                engine.life,
+                engine.version,
+                Moment(second * 1_000_000),
+            );
+        }
+    }
+    let elsewhere: Vec<Engine> = fleet
+        .iter()
+        .enumerate()
+        .map(|(no, engine)| Engine {
+            unread: if no < 3 { 100_000 } else { 0 },
+            ..*engine
+        })
+        .collect();
+    let choice = choose(&asked, &elsewhere, 1, &recall).expect("engines are open");
+    assert_eq!(choice.source, Some(1));
+}
