Recall all engines of a prefix only where all of its prompts are seen

Cause: the recall of all engines and the fetch from the last of them were kept for every VM.

Ruled out: owners of shards, which fleets of up to nine VMs do not have.

Change: a VM recalls three engines of a prefix as before until it places prompts for a shard, whose prompts it all sees; from then on it recalls 32 and fetches from the last.

--- a/crates/sesamegap-entry/src/fleet/view.rs
+++ b/crates/sesamegap-entry/src/fleet/view.rs
@@ -116,6 +116,9 @@
     /// Chooses an upstream and counts the request there.
     pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Flight> {
         let mut fleet = self.lock();
+        if selection.shard.is_some() {
+            fleet.recall.see_all();
+        }
         let chosen = fleet.choose(selection, now)?;
         self.begin(&mut fleet, selection, chosen, now)
     }
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -37,6 +37,7 @@
 fn place(core: &Core, from: SocketAddr, ask: &Ask, selection: &Selection<'_>) -> Option<Found> {
     let now = clock::now();
     let mut fleet = core.fleet.lock();
+    fleet.recall.see_all();
     let chosen = fleet.choose(selection, now)?;
     let engine = fleet.get(&chosen.id)?;
     let version = engine.version(&ask.model).unwrap_or_default().0;
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -272,7 +272,7 @@
     best.map(|(seed, _)| seed)
 }
 
-/// The engine to fetch from: the last that this VM saw serve the longest shared prefix, else the prompt's
+/// The engine to fetch from: one that this VM saw serve the longest shared prefix, else the prompt's
 /// home, and at home that of the outermost prefix, which most likely holds that.
 fn source(
     prompt: &Prompt,
@@ -292,9 +292,14 @@
             return Some(None);
         }
         let served = |no: &usize| recall.last(prefix.hash, engines[*no].life, engines[*no].version);
-        let holders = others().filter(|no| served(no).is_some());
-        // What was served longest ago was most likely dropped since.
-        holders.max_by_key(served).map(Some)
+        let mut holders = others().filter(|no| served(no).is_some());
+        let holder = if recall.is_whole() {
+            // What was served longest ago was most likely dropped since.
+            holders.max_by_key(served)
+        } else {
+            holders.next()
+        };
+        holder.map(Some)
     });
     match seen {
         Some(Some(holder)) => Some(holder),
--- a/crates/sesamegap-policy/src/routing/recall.rs
+++ b/crates/sesamegap-policy/src/routing/recall.rs
@@ -10,9 +10,13 @@
 /// Prefixes recalled at most; some 32 bytes each.
 const MOST: usize = 16_384;
 
-/// Engines recalled for one prefix: an outer one is served by all engines of a shard or of a small fleet, and
-/// whether its home is among them decides where prompts go.
-const ENGINES: usize = 32;
+/// Engines recalled for one prefix by a VM that sees a part of its prompts: its home and the one that stood in
+/// while that was out.
+const FEW: usize = 3;
+
+/// The same by a VM that sees all of them: an outer prefix is served by all engines of a shard, and whether its home
+/// is among them decides where prompts go.
+const ALL: usize = 32;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Served {
@@ -32,9 +36,21 @@
 pub struct Recall {
     prefixes: FxHashMap<u64, Prefix>,
     notes: u64,
+    /// Whether all prompts for its engines are noted.
+    whole: bool,
 }
 
 impl Recall {
+    /// Notes that this VM places all prompts for some engines from now on.
+    pub fn see_all(&mut self) {
+        self.whole = true;
+    }
+
+    /// Whether this VM sees all prompts of what it recalls.
+    pub fn is_whole(&self) -> bool {
+        self.whole
+    }
+
     /// Notes that an engine has read a prefix.
     pub fn note(&mut self, prefix: u64, seed: u64, version: u32, now: Moment) {
         self.notes += 1;
@@ -56,7 +72,7 @@
             .by
             .retain(|known| known.seed != seed && known.version >= version);
         entry.by.insert(0, served);
-        entry.by.truncate(ENGINES);
+        entry.by.truncate(if self.whole { ALL } else { FEW });
     }
 
     /// When an engine last served a prefix under these weights.
