Serve at once after a start when all other VMs are dark

What callers saw: after all VMs lost power, those that came back first waited up to 0.8 s for the seeds and then for listed VMs before they took the store's document; callers were late by that.

Cause: the gate against a copy's older document ended only when all that were asked had answered or timed out, one group after the other; dark VMs do not refuse, they say nothing. Ruled out: the recall of prefixes (the drop is there before it), leases (no 740 waits), the store (it answers in 16 ms).

Change: seeds and listed VMs are asked side by side, the first answer opens the gate, and it opens by itself after 60 ms. Why it holds: a VM in touch answers in a few milliseconds, one that is dark cannot make it wait longer than that. The test of a dark seed is new; that of an older copy is unchanged and passes.

--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -48,8 +48,9 @@
 /// hundreds stays under the store's rates.
 const AGAIN: Duration = Duration::from_secs(1);
 
-/// Longest wait for other VMs' word before the store's is taken, at the start of a process.
-const ACQUAINTANCE: Duration = Duration::from_millis(800);
+/// Longest wait for another VM's word before the store's is taken, at the start of a process: several times what an
+/// answer takes, since a VM that comes back when all others are dark must serve at once.
+const ACQUAINTANCE: Duration = Duration::from_millis(60);
 
 /// Follows one table until the process ends.
 pub async fn follow(core: Arc<Core>, table: Table) {
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -23,7 +23,7 @@
 /// Longest wait for a peer's answer; some hundred times the delay within a region.
 const ANSWER: Duration = Duration::from_millis(350);
 
-/// Longest wait for the store's list of entry VMs when no seed answers.
+/// Longest wait for the store's list of entry VMs.
 const LISTED: Duration = Duration::from_millis(100);
 
 /// Listed VMs that are asked then.
@@ -47,10 +47,8 @@
 /// Probes peers until the process ends.
 pub async fn rounds(core: Arc<Core>) {
     let mut rng = rand::rngs::StdRng::seed_from_u64(clock::now().0);
-    if !ask_seeds(&core).await {
-        ask_listed(&core).await;
-    }
-    core.peers.asked.send_replace(true);
+    tokio::spawn(ask_listed(Arc::clone(&core)));
+    ask_seeds(&core).await;
     while core.phase() < Phase::Ended {
         if core.peers.count() == 1 {
             ask_seeds(&core).await;
@@ -71,29 +69,30 @@
     }
 }
 
-/// Asks the VMs that the settings name, which is how a new one is heard of at all; whether any answered.
-async fn ask_seeds(core: &Core) -> bool {
+/// Asks the VMs that the settings name, which is how a new one is heard of at all.
+async fn ask_seeds(core: &Core) {
     let settings = core.settings();
     let me = settings.listen.peers;
     let seeds = settings.seeds.iter().filter(|seed| **seed != me);
-    ask_all(core, seeds.copied()).await
+    ask_all(core, seeds.copied()).await;
 }
 
-/// Asks some VMs that the store lists, when the settings name none that answers.
-async fn ask_listed(core: &Core) {
+/// Asks some VMs that the store lists: those that the settings name may all be down.
+async fn ask_listed(core: Arc<Core>) {
     let until = clock::now() + LISTED;
     let listed = || -> Vec<SocketAddr> { core.peers.lock().listed().take(MOST_ASKED).collect() };
     while listed().is_empty() && clock::now() < until {
         sleep(LISTED / 5).await;
     }
-    ask_all(core, listed().into_iter()).await;
+    ask_all(&core, listed().into_iter()).await;
 }
 
-async fn ask_all(core: &Core, addrs: impl Iterator<Item = SocketAddr>) -> bool {
-    let mut answered = false;
-    for outcome in join_all(addrs.map(|addr| ask(core, addr, Vec::new()))).await {
-        match outcome {
-            Ok(()) => answered = true,
+async fn ask_all(core: &Core, addrs: impl Iterator<Item = SocketAddr>) {
+    let asked = addrs.map(|addr| async move {
+        match ask(core, addr, Vec::new()).await {
+            Ok(()) => {
+                core.peers.met.send_replace(true);
+            }
             Err(error) => {
                 info!(
                     event = events::PEER,
@@ -101,8 +100,8 @@
                 );
             }
         }
-    }
-    answered
+    });
+    join_all(asked).await;
 }
 
 /// Tells all peers of this process's own state, as when it is about to stop.
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -58,8 +58,8 @@
     /// News of engines that is still to be sent.
     pub outbox: Outbox,
     client: reqwest::Client,
-    /// Whether others were asked what they know since this process started.
-    asked: watch::Sender<bool>,
+    /// Whether another VM has told what it knows since this process started.
+    met: watch::Sender<bool>,
     loads_port: u16,
     roster: Mutex<Roster>,
 }
@@ -85,16 +85,16 @@
             members: Mutex::new(members),
             outbox: Outbox::default(),
             client: client::build(),
-            asked: watch::channel(false).0,
+            met: watch::channel(false).0,
             loads_port: settings.listen.loads.port(),
             roster: Mutex::default(),
         }
     }
 
-    /// Waits until others were asked what they know, which has been taken in then.
+    /// Waits until another VM has told what it knows, which has been taken in then.
     pub async fn acquainted(&self, longest: Duration) {
-        let mut asked = self.asked.subscribe();
-        drop(timeout(longest, asked.wait_for(|asked| *asked)).await);
+        let mut met = self.met.subscribe();
+        drop(timeout(longest, met.wait_for(|met| *met)).await);
     }
 
     /// This process.
--- a/crates/sesamegap-entry/tests/testsuite/restored.rs
+++ b/crates/sesamegap-entry/tests/testsuite/restored.rs
@@ -136,6 +136,25 @@
     until(|| core.revision() == Revision(3)).await;
 }
 
+/// Guards against callers that wait or are refused while a VM that lost power with all others waits for their word.
+#[tokio::test]
+async fn a_vm_does_not_wait_for_vms_that_are_dark() {
+    let platform = platform(vec![published(3)]);
+    // Takes connections and never answers.
+    let dark = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let core = vm(&platform, "vm-1", vec![dark.local_addr().unwrap()]);
+    tokio::spawn(follow(Arc::clone(&core), Table::Settings));
+    let rounds = peers::rounds(Arc::clone(&core));
+    let served = until(|| core.revision() == Revision(3));
+    tokio::select! {
+        () = rounds => panic!("rounds go on"),
+        () = served => {}
+    }
+    assert!(core.peers.known().alive.is_empty());
+    let asked = tokio::time::timeout(Duration::ZERO, dark.accept()).await;
+    assert!(asked.is_ok(), "it was asked and has not answered");
+}
+
 async fn serve_peers(core: &Arc<Core>) {
     use poem::listener::TcpAcceptor;
     let addr = core.settings().listen.peers;
