Log what makes two sends the same request, and whether the process behind a broken connection is gone

The lines of the incident could not tell a request that nobody remembers from engines that fall over by themselves. 751 now carries a fingerprint of target, caller and body, which is the same for all sends of one request at all VMs. 756 says of each connection that broke under a request whether the upstream's process is gone (a refused connection), runs on, or cannot be reached, how long the request had run, and how many ran beside it. One probe serves all requests that lose the same upstream. No decision has changed but one wait: a request that may be sent again waits for the probe.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -11,6 +11,7 @@
 use crate::peers::Peers;
 use crate::placing::Desk;
 use crate::ports::{Ports, Table};
+use crate::quarantine::Probes;
 use crate::settings::Settings;
 use crate::store::StoreClient;
 use crate::telemetry::metrics::Metrics;
@@ -60,6 +61,8 @@
     pub active: Arc<ActiveRequests>,
     /// Room for request bodies, in KiB.
     pub bodies: Arc<Semaphore>,
+    /// Probes of upstreams whose connections broke.
+    pub probes: Probes,
     tables: [Known; 3],
     settings: ArcSwap<Settings>,
     catalogue: ArcSwapOption<Catalogue>,
@@ -90,6 +93,7 @@
             named: Notify::new(),
             active: Arc::default(),
             bodies: Arc::new(Semaphore::new(settings.body_memory >> 10)),
+            probes: Probes::default(),
             tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
             budgets: Mutex::default(),
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use sesamegap_http::serving::{Busy, hold};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
 use tracing::info;
@@ -111,6 +111,7 @@
         room: body.room,
         arrived,
         ends,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placing;
 pub mod ports;
 pub mod process;
+pub mod quarantine;
 pub mod relay;
 pub mod roll;
 pub mod settings;
--- /dev/null
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Requests under which upstreams end.
+
+mod probe;
+
+pub use probe::{Probes, Process};
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::Job;
 use super::head::for_upstream;
+use super::loss;
 use super::transfer::{Transfer, namespace, transfer};
 use crate::catalogue::Kind;
 use crate::clock;
@@ -14,6 +15,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use sesamegap_wire::UpstreamId;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{info, warn};
@@ -67,7 +69,7 @@
 
 /// Sends a request to an upstream and waits for the head of the answer.
 pub async fn send(
-    core: &Core,
+    core: &Arc<Core>,
     job: &Job,
     flight: Flight,
     patience: Duration,
@@ -90,7 +92,7 @@
 }
 
 async fn exchange(
-    core: &Core,
+    core: &Arc<Core>,
     job: &Job,
     mut flight: Flight,
     patience: Duration,
@@ -101,6 +103,7 @@
     info!(
         event = events::PLACED,
         request = %job.head.id,
+        fingerprint = %job.fingerprint(),
         route = %job.route.name,
         revision = job.catalogue.revision().0,
         upstream = %flight.id,
@@ -137,6 +140,7 @@
         }
         Ok(Err(SendError::Broken(why))) => {
             flight.failed(clock::now());
+            loss::broke(core, job, &flight, sent, false).await;
             return Outcome::Lost(why);
         }
         Err(_) => {
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod head;
+mod loss;
 mod plain;
 mod progress;
 mod request_log;
@@ -24,9 +25,9 @@
 use http::{HeaderMap, Method, Response, Uri};
 use rustc_hash::FxHasher;
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
-use sesamegap_wire::ServiceId;
+use sesamegap_wire::{Fingerprint, ServiceId};
 use std::hash::{Hash, Hasher};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
@@ -56,6 +57,8 @@
     pub arrived: Instant,
     /// When its caller or its route gives up.
     pub ends: Instant,
+    /// Its fingerprint, once it was asked for.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
@@ -80,6 +83,16 @@
         hasher.finish()
     }
 
+    /// The same for all sends of this request, by whichever VM.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let caller = self.team.as_ref().map(|team| team.name.as_str());
+            let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+            let target = format!("{} {path}", self.method);
+            Fingerprint::of(&target, caller, &self.body)
+        })
+    }
+
     /// The service that it goes to, by the shares of its route.
     fn service(&self) -> &ServiceId {
         let targets = &self.route.targets;
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -6,6 +6,7 @@
 use super::Job;
 use super::attempt::{Answered, Outcome, is_false_promise, send};
 use super::head::for_caller;
+use super::loss;
 use super::progress::Progress;
 use super::request_log::RequestLog;
 use super::waiting::upstream;
@@ -45,7 +46,7 @@
 }
 
 async fn answer(
-    core: &Core,
+    core: &Arc<Core>,
     job: &Job,
     progress: &mut Progress,
 ) -> Result<Response<Body>, Refusal> {
@@ -62,7 +63,7 @@
         };
         let (id, outcome) = send(core, job, flight, time, None).await;
         let may_have_run = match outcome {
-            Outcome::Answered(answered) => match whole(job, *answered).await {
+            Outcome::Answered(answered) => match whole(core, job, *answered).await {
                 Some(response) if !worth_another(&response) => {
                     progress.ran(id);
                     return Ok(response);
@@ -93,7 +94,7 @@
 }
 
 /// Reads an answer whole; none if it broke off.
-async fn whole(job: &Job, answered: Answered) -> Option<Response<Body>> {
+async fn whole(core: &Arc<Core>, job: &Job, answered: Answered) -> Option<Response<Body>> {
     let (head, mut body) = answered.exchange.response.into_parts();
     if is_false_promise(job.route.kind, head.status) {
         // An upstream that ran the request and answers so would have its caller send it again.
@@ -104,7 +105,12 @@
         let frame = match timeout_at(job.ends, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => break,
-            Ok(Some(Err(_))) | Err(_) => {
+            Ok(Some(Err(_))) => {
+                answered.flight.answered(answered.sent.elapsed(), true);
+                loss::broke(core, job, &answered.flight, answered.sent, true).await;
+                return None;
+            }
+            Err(_) => {
                 answered.flight.answered(answered.sent.elapsed(), true);
                 return None;
             }
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -7,6 +7,7 @@
 
 use super::Job;
 use super::attempt::{Answered, OUTDATED, Outcome, READY, is_false_promise, send};
+use super::loss;
 use super::plain::{COME_BACK, respond};
 use super::progress::Progress;
 use super::request_log::RequestLog;
@@ -41,6 +42,8 @@
 #[derive(Debug)]
 struct Live {
     flight: Flight,
+    /// When the request was sent.
+    sent: Instant,
     body: Incoming,
     _connection: Connection,
     cutter: Cutter,
@@ -204,7 +207,9 @@
     /// Reads up to the first whole event.
     async fn begin(&mut self, answered: Answered) -> Result<Opened, String> {
         let Answered {
-            flight, exchange, ..
+            flight,
+            exchange,
+            sent,
         } = answered;
         let (head, body) = exchange.response.into_parts();
         if is_false_promise(self.job.route.kind, head.status) {
@@ -215,8 +220,13 @@
         }
         if !head.status.is_success() {
             let read = timeout_at(self.job.ends, body.collect()).await;
-            let body = read.map_err(|_| "no body in time".to_owned())?;
-            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            let body = match read.map_err(|_| "no body in time".to_owned())? {
+                Ok(body) => body.to_bytes(),
+                Err(error) => {
+                    loss::broke(&self.core, &self.job, &flight, sent, true).await;
+                    return Err(error.to_string());
+                }
+            };
             return Ok(Opened::Whole(respond(
                 head.status,
                 &head.headers,
@@ -225,6 +235,7 @@
         }
         let mut live = Live {
             flight,
+            sent,
             body,
             _connection: exchange.connection,
             cutter: Cutter::default(),
@@ -275,8 +286,12 @@
             let until = self.silent_until(live, since).min(live.next_look());
             let frame = match timeout_at(until, live.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(Some(Err(error))) => {
+                    loss::broke(&self.core, &self.job, &live.flight, live.sent, live.begun).await;
+                    return Err(error.to_string());
+                }
                 Ok(None) if live.cutter.is_partial() => {
+                    loss::broke(&self.core, &self.job, &live.flight, live.sent, live.begun).await;
                     return Err("ended within an event".to_owned());
                 }
                 Ok(None) => return Ok(None),
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -54,3 +54,5 @@
 pub const LEFT: u16 = 754;
 /// A caller's connection broke a bound.
 pub const BOUND: u16 = 755;
+/// A connection to an upstream broke under a request; the line says whether its process is gone.
+pub const BROKEN: u16 = 756;
--- /dev/null
+++ b/crates/sesamegap-wire/src/fingerprint.rs
@@ -0,0 +1,114 @@
+//! What makes two sends the same request.
+//!
+//! Ids, deadlines and whatever else a proper request's headers carry differ between two sends of it; its
+//! target, its caller and its body do not. The hash is one for which nobody can find a second request, so that no
+//! caller can have another's taken for its own.
+
+use crate::error::ParseError;
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
+use std::str::FromStr;
+
+/// Separates these hashes from all others.
+const CONTEXT: &str = "sesamegap request fingerprint v1";
+
+/// Bytes of a fingerprint.
+const LENGTH: usize = 16;
+
+/// A hash of a request's target, caller and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint([u8; LENGTH]);
+
+impl Fingerprint {
+    /// The fingerprint of a request; no caller for one that shows no key.
+    pub fn of(target: &str, caller: Option<&str>, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
+        // Lengths keep the end of one field from counting as the begin of the next.
+        for field in [target, caller.unwrap_or_default()] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(&[u8::from(caller.is_some())]);
+        hasher.update(body);
+        let mut bytes = [0; LENGTH];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let error = || {
+            ParseError::new(
+                "fingerprint",
+                text.chars().take(64).collect::<String>(),
+                "32 hexadecimal digits",
+            )
+        };
+        if text.len() != 2 * LENGTH || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(error());
+        }
+        let mut bytes = [0; LENGTH];
+        for (no, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * no..2 * no + 2], 16).map_err(|_| error())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        if to.is_human_readable() {
+            return to.collect_str(self);
+        }
+        to.serialize_bytes(&self.0)
+    }
+}
+
+struct Reader;
+
+impl<'de> Visitor<'de> for Reader {
+    type Value = Fingerprint;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{LENGTH} bytes or as many hexadecimal pairs")
+    }
+
+    fn visit_bytes<E: serde::de::Error>(self, bytes: &[u8]) -> Result<Fingerprint, E> {
+        let bytes = bytes.try_into();
+        bytes
+            .map(Fingerprint)
+            .map_err(|_| E::custom("a fingerprint of another length"))
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Fingerprint, E> {
+        text.parse().map_err(E::custom)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Fingerprint, A::Error> {
+        let mut bytes = [0; LENGTH];
+        for byte in &mut bytes {
+            let next = seq.next_element()?;
+            *byte = next.ok_or_else(|| serde::de::Error::custom("a fingerprint that is cut"))?;
+        }
+        Ok(Fingerprint(bytes))
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        if from.is_human_readable() {
+            return from.deserialize_str(Reader);
+        }
+        from.deserialize_bytes(Reader)
+    }
+}
