--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod pass;
 mod peers;
 mod placing;
+mod quarantine;
 mod readings;
 mod refusals;
 mod restored;
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -2,11 +2,13 @@
 
 mod caller;
 mod lines;
+mod mortal;
 mod platform;
 mod upstream;
 
 pub use caller::{Caller, ask, request};
 pub use lines::Lines;
+pub use mortal::{MARK, Mortal};
 pub use platform::{Platform, StandinCache, StandinEngine};
 pub use upstream::{Act, Upstream};
 
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -205,7 +205,7 @@
 }
 
 /// Reads a request with its body.
-async fn read(stream: &mut TcpStream) -> Option<String> {
+pub(super) async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
     loop {
@@ -226,7 +226,7 @@
 }
 
 /// A header's value in a request's text.
-fn header(text: &str, name: &str) -> Option<String> {
+pub(super) fn header(text: &str, name: &str) -> Option<String> {
     let head = text.split("\r\n\r\n").next()?;
     let lines = head.lines().filter_map(|line| line.split_once(':'));
     lines
