Show operators which requests are quarantined, why, and let them lift an entry

Callers of a quarantined request were told so and operators could not see the list. /quarantine gives it, /dump has it, two levels count it, a POST lifts an entry; sesamegap-ctl explain shows the grant and what the VM knew then (756, 757, 758).

--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -4,9 +4,11 @@
 use crate::clock;
 use crate::core::Core;
 use poem::http::StatusCode;
-use poem::web::{Data, Json};
-use poem::{EndpointExt, IntoEndpoint, Route, get, handler};
+use poem::web::{Data, Json, Path};
+use poem::{EndpointExt, IntoEndpoint, Route, get, handler, post};
 use serde::Serialize;
+use sesamegap_policy::quarantine::Standing;
+use sesamegap_wire::Fingerprint;
 use smol_str::{SmolStr, ToSmolStr};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,12 +18,17 @@
     Route::new()
         .at("/metrics", get(metrics))
         .at("/dump", get(dump))
+        .at("/quarantine", get(quarantine))
+        .at("/quarantine/:request/lift", post(lift))
         .data(core)
 }
 
 #[handler]
 fn metrics(Data(core): Data<&Arc<Core>>) -> poem::Result<String> {
+    let (suspects, quarantined) = held(core);
     let levels = Levels {
+        suspects,
+        quarantined,
         active: core.active(),
         revision: core.revision().0,
         timeline: core.store.timeline().0,
@@ -34,6 +41,21 @@
     })
 }
 
+/// Suspect and quarantined requests.
+fn held(core: &Core) -> (usize, usize) {
+    let unix_ms = clock::unix_ms();
+    let registry = core.quarantine.registry();
+    let told = registry.told(unix_ms);
+    let standings: Vec<Standing> = told.map(|record| record.standing(unix_ms)).collect();
+    let count = |wanted| {
+        standings
+            .iter()
+            .filter(|standing| **standing == wanted)
+            .count()
+    };
+    (count(Standing::Suspect), count(Standing::Quarantined))
+}
+
 /// What a process believes, without keys, prompts or teams.
 #[derive(Debug, Serialize)]
 struct Dump {
@@ -42,6 +64,8 @@
     revision: u64,
     active: usize,
     upstreams: Vec<UpstreamDump>,
+    /// Requests under which upstreams ended.
+    quarantine: Vec<RequestDump>,
     peers: Vec<SocketAddr>,
     doubted: Vec<SocketAddr>,
 }
@@ -60,6 +84,53 @@
     weights: Vec<(SmolStr, u32)>,
 }
 
+/// A request under which upstreams ended.
+#[derive(Debug, Serialize)]
+struct RequestDump {
+    fingerprint: Fingerprint,
+    standing: SmolStr,
+    /// Upstreams that ended under it.
+    ended: usize,
+    /// Of these, in trials.
+    trials: usize,
+    /// When it last lost one, in Unix milliseconds.
+    lost_ms: u64,
+    /// Times that it was cleared.
+    cleared: u32,
+}
+
+fn requests(core: &Core) -> Vec<RequestDump> {
+    let unix_ms = clock::unix_ms();
+    let registry = core.quarantine.registry();
+    let told = registry.told(unix_ms);
+    told.map(|record| RequestDump {
+        fingerprint: record.fingerprint,
+        standing: smol_str::format_smolstr!("{:?}", record.standing(unix_ms)),
+        ended: record.ended.len(),
+        trials: record.failed(),
+        lost_ms: record.lost_ms,
+        cleared: record.epoch,
+    })
+    .collect()
+}
+
+#[handler]
+fn quarantine(Data(core): Data<&Arc<Core>>) -> Json<Vec<RequestDump>> {
+    Json(requests(core))
+}
+
+#[handler]
+fn lift(Data(core): Data<&Arc<Core>>, Path(request): Path<String>) -> poem::Result<()> {
+    let request: Fingerprint = request
+        .parse()
+        .map_err(|error| poem::Error::new(error, StatusCode::BAD_REQUEST))?;
+    if core.quarantine.lift(request) {
+        Ok(())
+    } else {
+        Err(poem::Error::from_status(StatusCode::NOT_FOUND))
+    }
+}
+
 #[handler]
 fn dump(Data(core): Data<&Arc<Core>>) -> Json<Dump> {
     let now = clock::now();
@@ -88,6 +159,7 @@
         revision: core.revision().0,
         active: core.active(),
         upstreams: upstreams.collect(),
+        quarantine: requests(core),
         peers: known.alive,
         doubted: known.doubted,
     })
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -28,6 +28,10 @@
     pub upstreams: usize,
     /// Peers that answer.
     pub peers: usize,
+    /// Requests that run on trial only.
+    pub suspects: usize,
+    /// Requests that are refused since upstreams end under them.
+    pub quarantined: usize,
     /// Log lines dropped since the start.
     pub dropped: usize,
 }
@@ -129,6 +133,8 @@
             ("timeline", levels.timeline),
             ("upstreams", levels.upstreams as u64),
             ("peers", levels.peers as u64),
+            ("suspect_requests", levels.suspects as u64),
+            ("quarantined_requests", levels.quarantined as u64),
             ("log_lines_dropped", levels.dropped as u64),
         ];
         for (name, figure) in figures {
--- a/crates/sesamegap/src/ctl/explain/belief.rs
+++ b/crates/sesamegap/src/ctl/explain/belief.rs
@@ -27,6 +27,7 @@
     until: OffsetDateTime,
     vm: SmolStr,
     upstream: Option<SmolStr>,
+    fingerprint: Option<SmolStr>,
     /// The newest line on each topic, of its VM, before.
     pub before: Vec<Line>,
     /// What was said about the upstream by any VM, or of weights by its own, from then on.
@@ -55,6 +56,10 @@
                 Some(Step::Sent(id)) => Some(id.clone()),
                 _ => None,
             },
+            fingerprint: match line.step() {
+                Some(Step::Held(fingerprint)) => Some(fingerprint.clone()),
+                _ => None,
+            },
             before: Vec::new(),
             after: Vec::new(),
         };
@@ -102,6 +107,9 @@
             Topic::Document => own && line.at <= self.at,
             // Weights that its VM hears of meanwhile overtake those that the request waits for.
             Topic::Weights(_) => own && (line.at <= self.at || self.upstream.is_some()),
+            Topic::Request(fingerprint) => {
+                own && line.at <= self.at && self.fingerprint.as_ref() == Some(fingerprint)
+            }
             Topic::Upstream(id, _) => {
                 self.upstream.as_ref() == Some(id) && (own || line.at > self.at)
             }
--- a/crates/sesamegap/src/ctl/explain/line.rs
+++ b/crates/sesamegap/src/ctl/explain/line.rs
@@ -42,6 +42,10 @@
     Sent(SmolStr),
     /// An attempt at an upstream failed.
     Failed(SmolStr),
+    /// Its connection to an upstream broke.
+    Broke(SmolStr),
+    /// Upstreams had ended under it before; by its fingerprint.
+    Held(SmolStr),
     /// It ended.
     Ended,
     /// Its caller left.
@@ -57,6 +61,8 @@
     Weights(SmolStr),
     /// An upstream, by the number of the event: the last word on it, one discarded, its last order.
     Upstream(SmolStr, u16),
+    /// A request under which upstreams ended, by its fingerprint.
+    Request(SmolStr),
 }
 
 /// A line that is no JSON object, or lacks what its event always has.
@@ -145,10 +151,13 @@
         752 => step(Step::Failed(name("upstream")?)),
         753 => step(Step::Ended),
         754 => step(Step::Left),
+        756 => step(Step::Broke(name("upstream")?)),
+        758 => step(Step::Held(name("fingerprint")?)),
         710 => Some(Said::Belief(Topic::Document)),
         711 => Some(Said::Belief(Topic::Weights(name("model")?))),
         713 | 714 => Some(Said::Belief(Topic::Upstream(name("upstream")?, event))),
         741 => Some(Said::Belief(Topic::Upstream(name("engine")?, event))),
+        757 => Some(Said::Belief(Topic::Request(name("fingerprint")?))),
         700..=704 | 720..=722 | 730 | 731 | 740 => Some(Said::Trouble),
         _ => Some(Said::Else),
     }
--- a/crates/sesamegap/src/ctl/explain/tell.rs
+++ b/crates/sesamegap/src/ctl/explain/tell.rs
@@ -24,6 +24,9 @@
         if matches!(line.step(), Some(Step::Sent(_) | Step::Refused)) {
             believed(&mut out, line, moment);
         }
+        if matches!(line.step(), Some(Step::Held(_))) {
+            standing(&mut out, line, moment);
+        }
     }
     for line in &story.beliefs.troubles {
         let before = story.last().unwrap_or(line.at) - line.at;
@@ -47,6 +50,20 @@
     out
 }
 
+/// What the VM knew at a line of the upstreams that had ended under the request.
+fn standing(out: &mut String, step: &Line, moment: &Moment) {
+    let about = |line: &&Line| matches!(line.said, Said::Belief(Topic::Request(_)));
+    let known = moment.before.iter().find(about);
+    let words = known.map_or_else(
+        || "not in these logs: which upstreams ended under it".to_owned(),
+        |line| {
+            let age = (step.at - line.at).as_seconds_f64();
+            format!("known for {age:.3} s: {}", plain(line))
+        },
+    );
+    put(out, &format!("    {words}"));
+}
+
 /// What the VM believed at a line, and what changed until the end.
 fn believed(out: &mut String, step: &Line, moment: &Moment) {
     for line in &moment.before {
@@ -110,6 +127,14 @@
             let passed = part("passed", "; last event passed on ", "");
             format!("{} at {upstream}{}{passed}", line.message, ended(line))
         }
+        Some(Step::Broke(upstream)) => [
+            format!("its connection to {upstream} broke"),
+            part("ran_ms", " after ", " ms"),
+            part("process", "; the process: ", ""),
+            part("beside", "; beside ", " requests"),
+        ]
+        .concat(),
+        Some(Step::Held(_)) => format!("{}{}", line.message, part("grant", ": ", "")),
         Some(Step::Ended | Step::Left) => [
             line.message.clone(),
             part("took_ms", " after ", " ms"),
--- a/crates/sesamegap/tests/testsuite/explain.rs
+++ b/crates/sesamegap/tests/testsuite/explain.rs
@@ -36,6 +36,9 @@
 50.000 "message":"others say so","event":713,"upstream":"Some(UpstreamId(\"e-2\"))","change":"silent","by":"b"
 56.000 "message":"ordered","event":741,"engine":"e-3","version":5
 57.000 "message":"sent","event":751,"request":"late","revision":3,"upstream":"e-3","running":98,"unread":38073,"weights":4,"overtaken_ms":900
+58.000 "message":"standing of a request changed","event":757,"fingerprint":"f0","standing":"Quarantined","ended":[7,8,9]
+58.500 "message":"a request under which upstreams ended","event":758,"request":"held","fingerprint":"f0","grant":"Refused"
+58.501 "message":"ended","event":753,"request":"held","status":503,"runs":0,"took_ms":1,"why":"quarantined"
 59.700 "message":"ended","event":753,"request":"late","status":200,"runs":1,"first_ms":2335,"took_ms":2700,"why":""
 "#,
     ),
@@ -55,6 +58,15 @@
 outcome: failed after 1857 ms with status 503: not run
 ";
 
+const HELD: &str = "\
+request held
+21:18:58.500  c  taken in
+21:18:58.500  c  a request under which upstreams ended: Refused
+    known for 0.500 s: standing of a request changed (ended [7,8,9], fingerprint f0, standing Quarantined)
+21:18:58.501  c  ended after 1 ms with status 503: quarantined; runs 0
+outcome: failed after 1 ms with status 503: quarantined
+";
+
 const CUT: &str = "\
 request cut
 21:18:48.942  b  taken in
@@ -130,6 +142,12 @@
     assert_eq!(told, found(REFUSED));
 }
 
+#[test]
+fn explain_tells_why_one_was_quarantined() {
+    let told = explain("held", &files("held"), "");
+    assert_eq!(told, found(HELD));
+}
+
 #[test]
 fn explain_tells_of_one_cut_with_its_engine() {
     // Another VM heard that the engine is silent, in a line that wraps the engine's name.
