Count upstreams that end silently, start again at once, or end in a long answer

What callers saw: nothing yet; found by asking where else the cause acts.

Change: what fell silent, or still takes connections, counts as ended once the list says that its life is over, within 10 s. An answer that is passed on as it comes reports its break. Evidence: the test of an upstream that is back at once fails without the change (its loss is dropped); connections that break while their upstream runs on still condemn nobody.

Not covered: a caller that leaves before its silent upstream is given up reports nothing.

--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -6,7 +6,7 @@
 use crate::core::Core;
 use crate::relay::Job;
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::{Grant, LINE, Record, Status};
+use sesamegap_policy::quarantine::{Grant, LINE, Record, Standing};
 use sesamegap_wire::Fingerprint;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,10 +52,10 @@
         return Admission::Free;
     }
     let request = job.fingerprint();
-    let grant = match quarantine.status(request) {
-        Status::Clear => return Admission::Free,
-        Status::Quarantined => Grant::Refused,
-        Status::Suspect => ask(core, request, job.left()).await,
+    let grant = match quarantine.standing(request) {
+        Standing::Clear => return Admission::Free,
+        Standing::Quarantined => Grant::Refused,
+        Standing::Suspect => ask(core, request, job.left()).await,
     };
     info!(event = events::ADMISSION, request = %job.head.id, fingerprint = %request, grant = ?grant, "a request under which upstreams ended");
     match grant {
--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::peers;
-use sesamegap_policy::quarantine::{HEARERS, LINE, Record, Status};
+use sesamegap_policy::quarantine::{HEARERS, LINE, Record, Standing};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -59,7 +59,7 @@
         let mut registry = quarantine.registry();
         if is_first {
             for request in registry.judge(clock::now(), clock::unix_ms()) {
-                super::log(request, Status::Quarantined, registry.get(request), "own");
+                super::log(request, Standing::Quarantined, registry.get(request), "own");
             }
         }
         registry.take_news()
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -23,7 +23,7 @@
 use crate::telemetry::events;
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
-use sesamegap_policy::quarantine::{Ended, Grant, Record, Registry, Status};
+use sesamegap_policy::quarantine::{Ended, Grant, Record, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment, UpstreamId};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -94,8 +94,8 @@
     }
 
     /// What is to be done with a request now.
-    pub fn status(&self, request: Fingerprint) -> Status {
-        self.registry().status(request, clock::unix_ms())
+    pub fn standing(&self, request: Fingerprint) -> Standing {
+        self.registry().standing(request, clock::unix_ms())
     }
 
     /// Notes that an upstream ended under a request of this VM.
@@ -172,9 +172,9 @@
         let unix_ms = clock::unix_ms();
         let (was, is, record) = {
             let mut registry = self.registry();
-            let was = registry.status(request, unix_ms);
+            let was = registry.standing(request, unix_ms);
             act(&mut registry);
-            let is = registry.status(request, unix_ms);
+            let is = registry.standing(request, unix_ms);
             (was, is, registry.get(request).cloned())
         };
         if was != is {
@@ -184,10 +184,10 @@
 }
 
 /// Logs what is to be done with a request from now on.
-fn log(request: Fingerprint, status: Status, record: Option<&Record>, by: &str) {
+fn log(request: Fingerprint, standing: Standing, record: Option<&Record>, by: &str) {
     let lives = record.map(|record| record.ended.iter().map(|ended| ended.life));
     let ended: Vec<u64> = lives.into_iter().flatten().collect();
     let trials = record.map_or(0, Record::failed);
     let epoch = record.map_or(0, |record| record.epoch);
-    warn!(event = events::QUARANTINE, fingerprint = %request, status = ?status, ended = ?ended, trials, epoch, by, "standing of a request changed");
+    warn!(event = events::QUARANTINE, fingerprint = %request, standing = ?standing, ended = ?ended, trials, epoch, by, "standing of a request changed");
 }
--- a/crates/sesamegap-entry/src/quarantine/sync.rs
+++ b/crates/sesamegap-entry/src/quarantine/sync.rs
@@ -8,7 +8,7 @@
 use crate::core::{Core, Phase};
 use crate::ports::{Record as Stored, StoreError, Table};
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::{LINE, Record, Status};
+use sesamegap_policy::quarantine::{LINE, Record, Standing};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -89,7 +89,7 @@
                 let there = stored
                     .iter()
                     .any(|old| old.fingerprint == record.fingerprint);
-                there || record.status(unix_ms) != Status::Clear
+                there || record.standing(unix_ms) != Standing::Clear
             })
             .take(MOST_WRITTEN)
             .cloned()
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -1,4 +1,4 @@
-//! Connections that break under a request.
+//! Connections that break, or fall silent, under a request.
 
 use super::Job;
 use crate::clock;
@@ -7,16 +7,18 @@
 use crate::quarantine::{Lost, Permit, Process};
 use crate::telemetry::events;
 use sesamegap_policy::quarantine::Ended;
+use sesamegap_wire::Fingerprint;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tracing::info;
 
-/// A connection that broke after a request was sent over it.
+/// A request whose answer stopped before its end.
 #[derive(Debug)]
-struct Loss {
+pub struct Loss {
     request: SmolStr,
     lost: Lost,
     addr: SocketAddr,
@@ -34,25 +36,7 @@
 ///
 /// A request that may be sent again waits for what the upstream's probe finds, any other is answered at once.
 pub async fn broke(core: &Arc<Core>, job: &Job, flight: &mut Flight, sent: Instant, begun: bool) {
-    let permit = flight.permit.take();
-    let loss = Loss {
-        request: job.head.id.clone(),
-        lost: Lost {
-            request: job.fingerprint(),
-            upstream: flight.id.clone(),
-            ended: Ended {
-                life: flight.life(),
-                trial: permit.is_some(),
-            },
-        },
-        addr: flight.addr,
-        permit,
-        beside: flight.running,
-        ran: sent.elapsed(),
-        begun,
-    };
-    let core = Arc::clone(core);
-    let reported = tokio::spawn(async move { loss.report(&core).await });
+    let reported = Loss::new(job, flight, sent, begun).report(core);
     if job.route.kind.repeats() {
         // The task ends by itself; one that panicked has nothing to tell.
         drop(reported.await);
@@ -60,7 +44,44 @@
 }
 
 impl Loss {
-    async fn report(self, core: &Core) {
+    /// A request at an upstream, as it is now.
+    pub fn new(job: &Job, flight: &mut Flight, sent: Instant, begun: bool) -> Self {
+        let permit = flight.permit.take();
+        Self {
+            request: job.head.id.clone(),
+            lost: Lost {
+                request: job.fingerprint(),
+                upstream: flight.id.clone(),
+                ended: Ended {
+                    life: flight.life(),
+                    trial: permit.is_some(),
+                },
+            },
+            addr: flight.addr,
+            permit,
+            beside: flight.running,
+            ran: sent.elapsed(),
+            begun,
+        }
+    }
+
+    /// The fingerprint of the request.
+    pub fn request(&self) -> Fingerprint {
+        self.lost.request
+    }
+
+    /// Notes that the upstream fell silent: whether it ended the list will tell, at no cost to one that is slow.
+    pub fn silent(self, core: &Core) {
+        core.quarantine.uncertain(self.lost);
+    }
+
+    /// Finds out in a task of its own whether the upstream's process ended, and reports it.
+    pub fn report(self, core: &Arc<Core>) -> JoinHandle<()> {
+        let core = Arc::clone(core);
+        tokio::spawn(async move { self.probe(&core).await })
+    }
+
+    async fn probe(self, core: &Core) {
         let lost = &self.lost;
         let life = lost.ended.life;
         let process = core.quarantine.probes.probe(life, self.addr).await;
@@ -79,8 +100,8 @@
         );
         match process {
             Process::Gone => core.quarantine.lost(lost),
-            Process::Unreachable => core.quarantine.uncertain(lost.clone()),
-            Process::Running => {}
+            // It may have started again at once, or be cut off: the list tells.
+            Process::Running | Process::Unreachable => core.quarantine.uncertain(lost.clone()),
         }
         drop(self.permit);
     }
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -6,16 +6,15 @@
 use super::Job;
 use super::attempt::{Answered, Outcome, is_false_promise, send};
 use super::head::for_caller;
-use super::loss;
+use super::loss::{self, Loss};
 use super::progress::Progress;
 use super::request_log::RequestLog;
 use super::waiting::upstream;
 use crate::core::Core;
 use crate::intake::{Body, Refusal, full, refuse};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, BodyStream, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sesamegap_policy::routing::patience;
 use std::sync::Arc;
@@ -112,12 +111,10 @@
             bytes.extend_from_slice(&data);
         }
         if bytes.len() > HELD {
+            let loss = Loss::new(job, &mut answered.flight, answered.sent, true);
             let rest = (body, answered.exchange.connection, answered.flight);
-            return Some(respond(
-                head.status,
-                &head.headers,
-                flowing(bytes.freeze(), rest),
-            ));
+            let body = flowing(Arc::clone(core), bytes.freeze(), rest, loss);
+            return Some(respond(head.status, &head.headers, body));
         }
     }
     let failed = head.status.is_server_error();
@@ -129,14 +126,28 @@
 }
 
 /// A body of which the beginning was read; the rest of the tuple lives as long as it.
-fn flowing<G: Send + 'static>(begun: Bytes, rest: (Incoming, G, crate::fleet::Flight)) -> Body {
-    let (body, connection, flight) = rest;
-    let first = futures_util::stream::once(async move { Ok(Frame::data(begun)) });
-    let more = BodyStream::new(body).map(move |frame| {
-        let _held = (&connection, &flight);
-        frame.map_err(std::io::Error::other)
-    });
-    StreamBody::new(first.chain(more)).boxed_unsync()
+fn flowing<G: Send + 'static>(
+    core: Arc<Core>,
+    begun: Bytes,
+    rest: (Incoming, G, crate::fleet::Flight),
+    loss: Loss,
+) -> Body {
+    let stream = async_stream::stream! {
+        let (mut body, _connection, _flight) = rest;
+        yield Ok(Frame::data(begun));
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => yield Ok(frame),
+                Err(error) => {
+                    drop(loss.report(&core));
+                    yield Err(std::io::Error::other(error));
+                    return;
+                }
+            }
+        }
+        core.quarantine.completed(loss.request());
+    };
+    StreamBody::new(stream).boxed_unsync()
 }
 
 /// An answer as the caller gets it.
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -7,7 +7,7 @@
 
 use super::Job;
 use super::attempt::{Answered, OUTDATED, Outcome, READY, is_false_promise, send};
-use super::loss;
+use super::loss::{self, Loss};
 use super::plain::respond;
 use super::progress::Progress;
 use super::request_log::RequestLog;
@@ -314,6 +314,8 @@
                 }
                 Err(_) => {
                     live.flight.failed(clock::now());
+                    let loss = Loss::new(&self.job, &mut live.flight, live.sent, live.begun);
+                    loss.silent(&self.core);
                     return Err("the upstream went silent".to_owned());
                 }
             };
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -1,14 +1,18 @@
 //! Requests under which upstreams end, at several VMs before the same engines.
 
-use crate::support::{MARK, Mortal, Platform, ask, document, entry, offset, settings, unused};
+use crate::support::{
+    Act, MARK, Mortal, Platform, Upstream, ask, document, entry, offset, settings, until, unused,
+};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::intake;
 use sesamegap_entry::peers;
+use sesamegap_entry::quarantine::{self, Lost};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::membership::{News, Status};
-use sesamegap_wire::{Incarnation, UpstreamId};
+use sesamegap_policy::quarantine::{Ended, Standing};
+use sesamegap_wire::{Fingerprint, Incarnation, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -153,3 +157,115 @@
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
 }
+
+/// The fingerprint of what [`ask`] sends.
+fn fingerprint(path: &str, body: &str) -> Fingerprint {
+    Fingerprint::of(&format!("POST {path}"), Some("clerks"), body.as_bytes())
+}
+
+fn lost(request: Fingerprint, life: u64, trial: bool) -> Lost {
+    Lost {
+        request,
+        upstream: format!("e{life}").parse().unwrap(),
+        ended: Ended { life, trial },
+    }
+}
+
+/// Ends so many upstreams under a request, the last two in trials.
+fn condemn(core: &Core, request: Fingerprint) {
+    for life in 0..4 {
+        core.quarantine.lost(&lost(request, life, life >= 2));
+    }
+}
+
+/// All VMs lose their memory at once, and the request ends three more upstreams before it is known again.
+#[tokio::test]
+async fn a_vm_that_starts_learns_from_the_store_what_is_quarantined() {
+    let platform = Arc::new(Platform::default());
+    let port = unused().port();
+    let request = fingerprint("/chat/a", MARK);
+    let before = vm(0, 23, port, &platform).await;
+    tokio::spawn(quarantine::sync(Arc::clone(&before.core)));
+    condemn(&before.core, request);
+    until(|| platform.quarantine.lock().unwrap().len() == 1).await;
+    let after = vm(1, 23, port, &platform).await;
+    tokio::spawn(quarantine::sync(Arc::clone(&after.core)));
+    until(|| after.core.quarantine.standing(request) == Standing::Quarantined).await;
+}
+
+/// A VM misses all datagrams of the moment in which a request is condemned, and goes on sending it.
+#[tokio::test]
+async fn a_vm_that_missed_the_news_is_told_again() {
+    let vms = vms(24).await;
+    let request = fingerprint("/chat/a", MARK);
+    for vm in &vms[1..] {
+        condemn(&vm.core, request);
+    }
+    until(|| vms[0].core.quarantine.standing(request) == Standing::Quarantined).await;
+}
+
+/// A caller whose request is quarantined is told that it did not run, and comes back at once to be refused again.
+#[tokio::test]
+async fn a_quarantined_request_is_refused_at_once_and_reaches_no_upstream() {
+    let vms = vms(25).await;
+    let engines = engines(&vms).await;
+    condemn(&vms[0].core, fingerprint("/chat/a", MARK));
+    let answer = ask(vms[0].callers, "POST", "/chat/a", &head(0), MARK).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("quarantined") && answer.body.contains("not run"));
+    assert_eq!(answer.header("retry-after"), Some("3600.00"));
+    assert_eq!(marked(&engines), 0);
+    let other = ask(vms[0].callers, "POST", "/chat/a", &head(1), "harmless").await;
+    assert_eq!(other.status, 200);
+}
+
+/// Connections that break while their upstream runs on, as those of a cut link do, would condemn whatever crossed
+/// them.
+#[tokio::test]
+async fn broken_connections_of_upstreams_that_run_on_condemn_nobody() {
+    let vms = vms(26).await;
+    let cut = Upstream::start(vec![Act::CutEvents(0..2)]).await;
+    for no in 0..ENGINES {
+        let id: UpstreamId = format!("c{no}").parse().unwrap();
+        for vm in &vms {
+            let entry = entry("engines", cut.addr);
+            let mut fleet = vm.core.fleet.lock();
+            fleet.apply(&id, entry, offset(no as u64), clock::now());
+        }
+    }
+    for no in 0..8 {
+        ask(vms[no % VMS].callers, "POST", "/chat/a", &head(no), "cut").await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let request = fingerprint("/chat/a", "cut");
+    for vm in &vms {
+        assert_eq!(vm.core.quarantine.standing(request), Standing::Clear);
+    }
+}
+
+/// An upstream that starts again at once takes connections, and its end would never count.
+#[tokio::test]
+async fn an_upstream_that_is_back_at_once_counts_as_ended_when_the_list_says_so() {
+    let vms = vms(27).await;
+    let core = &vms[0].core;
+    let request = fingerprint("/chat/a", MARK);
+    for no in 0..2 {
+        let id: UpstreamId = format!("r{no}").parse().unwrap();
+        let position = offset(2 * no);
+        let entry = entry("engines", unused());
+        core.fleet.lock().apply(&id, entry, position, clock::now());
+        let life = core.fleet.lock().get(&id).unwrap().life;
+        core.quarantine.uncertain(Lost {
+            upstream: id.clone(),
+            ..lost(request, life, false)
+        });
+        assert_eq!(core.quarantine.standing(request), Standing::Clear);
+        core.fleet
+            .lock()
+            .remove(&id, offset(2 * no + 1), clock::now());
+        core.fleet
+            .lock()
+            .expire(clock::now() + Duration::from_secs(20));
+    }
+    until(|| core.quarantine.standing(request) == Standing::Suspect).await;
+}
--- a/crates/sesamegap-policy/src/quarantine/mod.rs
+++ b/crates/sesamegap-policy/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
 mod record;
 mod registry;
 
-pub use record::{Ended, Record, Status};
+pub use record::{Ended, Record, Standing};
 pub use registry::{Grant, Registry};
 
 /// The order in which VMs grant trials.
--- a/crates/sesamegap-policy/src/quarantine/record.rs
+++ b/crates/sesamegap-policy/src/quarantine/record.rs
@@ -28,7 +28,7 @@
 
 /// What is to be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Status {
+pub enum Standing {
     /// It runs like any other.
     Clear,
     /// It runs on trial only.
@@ -65,18 +65,18 @@
     }
 
     /// What is to be done with it at a time in Unix milliseconds.
-    pub fn status(&self, unix_ms: u64) -> Status {
+    pub fn standing(&self, unix_ms: u64) -> Standing {
         if !self.is_condemned() {
             return match self.ended.len() {
-                0..SUSPECT => Status::Clear,
-                _ => Status::Suspect,
+                0..SUSPECT => Standing::Clear,
+                _ => Standing::Suspect,
             };
         }
         let age = Duration::from_millis(unix_ms.saturating_sub(self.lost_ms));
         if age < TERM {
-            Status::Quarantined
+            Standing::Quarantined
         } else {
-            Status::Suspect
+            Standing::Suspect
         }
     }
 
--- a/crates/sesamegap-policy/src/quarantine/registry.rs
+++ b/crates/sesamegap-policy/src/quarantine/registry.rs
@@ -1,6 +1,6 @@
 //! What one VM knows of requests under which upstreams ended.
 
-use super::record::{Ended, Record, Status};
+use super::record::{Ended, Record, Standing};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Fingerprint, Moment};
@@ -71,9 +71,9 @@
     }
 
     /// What is to be done with a request at a time in Unix milliseconds.
-    pub fn status(&self, request: Fingerprint, unix_ms: u64) -> Status {
+    pub fn standing(&self, request: Fingerprint, unix_ms: u64) -> Standing {
         let known = self.requests.get(&request);
-        known.map_or(Status::Clear, |known| known.record.status(unix_ms))
+        known.map_or(Standing::Clear, |known| known.record.standing(unix_ms))
     }
 
     /// What is known of a request.
@@ -84,7 +84,8 @@
     /// Requests that do not run like any other, and those that were cleared.
     pub fn told(&self, unix_ms: u64) -> impl Iterator<Item = &Record> {
         let records = self.requests.values().map(|known| &known.record);
-        records.filter(move |record| record.epoch > 0 || record.status(unix_ms) != Status::Clear)
+        records
+            .filter(move |record| record.epoch > 0 || record.standing(unix_ms) != Standing::Clear)
     }
 
     /// Notes that an upstream ended under a request.
@@ -157,10 +158,10 @@
         unix_ms: u64,
     ) -> Grant {
         self.judge(now, unix_ms);
-        match self.status(request, unix_ms) {
-            Status::Clear => return Grant::Free,
-            Status::Quarantined => return Grant::Refused,
-            Status::Suspect => {}
+        match self.standing(request, unix_ms) {
+            Standing::Clear => return Grant::Free,
+            Standing::Quarantined => return Grant::Refused,
+            Standing::Suspect => {}
         }
         let running = self.trial.filter(|trial| now < trial.until);
         if running.is_some() || self.is_settling(request, now) {
@@ -262,7 +263,7 @@
         let Some(record) = self.get(request) else {
             return;
         };
-        if record.epoch > 0 || record.status(unix_ms) != Status::Clear {
+        if record.epoch > 0 || record.standing(unix_ms) != Standing::Clear {
             self.news.insert(request);
         }
         if self.get(request).is_some_and(Record::is_condemned) {
@@ -295,10 +296,10 @@
         if self.requests.len() <= MOST {
             return;
         }
-        let class = |record: &Record| match record.status(unix_ms) {
-            Status::Clear => 0,
-            Status::Suspect => 1,
-            Status::Quarantined => 2,
+        let class = |record: &Record| match record.standing(unix_ms) {
+            Standing::Clear => 0,
+            Standing::Suspect => 1,
+            Standing::Quarantined => 2,
         };
         let known = self.requests.values();
         let mut order: Vec<_> = known
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
@@ -1,7 +1,7 @@
 //! How what VMs know of requests merges, is bounded and is forgotten.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sesamegap_policy::quarantine::{Ended, Grant, Record, Registry, Status};
+use sesamegap_policy::quarantine::{Ended, Grant, Record, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment};
 use std::time::Duration;
 
@@ -73,7 +73,7 @@
         registry.lost(request(no), loss, NOW + Duration::from_secs(no), UNIX);
     }
     let quarantined =
-        (0..50).filter(|no| registry.status(request(*no), UNIX) == Status::Quarantined);
+        (0..50).filter(|no| registry.standing(request(*no), UNIX) == Standing::Quarantined);
     assert_eq!(quarantined.count(), 50);
 }
 
@@ -89,9 +89,9 @@
     let (now, unix) = at(25);
     assert_eq!(registry.ask(request(1), left, now, unix), Grant::Trial);
     registry.lost(request(1), ended(99, true), now, unix);
-    assert_eq!(registry.status(request(1), unix), Status::Quarantined);
+    assert_eq!(registry.standing(request(1), unix), Standing::Quarantined);
     assert!(registry.lift(request(1), now));
-    assert_eq!(registry.status(request(1), unix), Status::Clear);
+    assert_eq!(registry.standing(request(1), unix), Standing::Clear);
 }
 
 /// A VM that missed the lift would bring the quarantine back.
@@ -104,5 +104,5 @@
     if let Some(record) = outdated {
         registry.merge(&record, NOW, UNIX);
     }
-    assert_eq!(registry.status(request(1), UNIX), Status::Clear);
+    assert_eq!(registry.standing(request(1), UNIX), Standing::Clear);
 }
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/world.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
-use sesamegap_policy::quarantine::{Ended, Grant, Registry, Status};
+use sesamegap_policy::quarantine::{Ended, Grant, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -127,7 +127,7 @@
     /// Crashing requests that are refused at the end, and others.
     pub fn condemned(&self) -> (usize, usize) {
         let refused = |request: &Fingerprint| {
-            self.registry.status(*request, self.unix_ms()) == Status::Quarantined
+            self.registry.standing(*request, self.unix_ms()) == Standing::Quarantined
         };
         let guilty = (0..self.load.crashing).map(crashing);
         (
