Condemn only what other requests on the same upstreams do not explain

Cause: others run beside a trial. Two failed trials condemned without a look at who else was there, and any VM did that by itself.

Change: only the VM first in line condemns (four failed trials end it whatever else, which keeps the promise). One trial is enough if nothing else was lost in 30 s, nobody else was on trial there and nobody else at all losses before; two if the request was at half of the lost upstreams; three in any case; two and three not while another request was at the same ones. A trial at an upstream that a condemned request explains does not count, and whoever lost only such upstreams is cleared.

Also: the VM first in line reads the store again when a peer falls silent or the store was restored, not just when it had been so at its last reading; reports of a quiet fleet cost no sorting of VMs.

--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -25,17 +25,10 @@
 pub async fn tick(core: &Core, ticks: u32) {
     let quarantine = &core.quarantine;
     quarantine.settle_uncertain(core);
-    let reports = lock(&quarantine.outbox).reports();
-    for to in core.peers.first(HEARERS, LINE).into_iter().flatten() {
-        for reports in reports.chunks(REPORTS) {
-            quarantine
-                .send(Message::Reports(reports.to_vec()), to)
-                .await;
-        }
-    }
     if quarantine.registry().is_empty() {
         return;
     }
+    send_reports(core).await;
     judge(core);
     let records = lock(&quarantine.outbox).records();
     let alive = core.peers.datagram_addrs();
@@ -51,6 +44,21 @@
     }
 }
 
+/// Sends what this VM saw to those first in line.
+async fn send_reports(core: &Core) {
+    let quarantine = &core.quarantine;
+    let reports = lock(&quarantine.outbox).reports();
+    if reports.is_empty() {
+        return;
+    }
+    for to in core.peers.first(HEARERS, LINE).into_iter().flatten() {
+        for reports in reports.chunks(REPORTS) {
+            let reports = Message::Reports(reports.to_vec());
+            quarantine.send(reports, to).await;
+        }
+    }
+}
+
 /// Judges trials, if this VM is first in line, and has all VMs told of what changed.
 fn judge(core: &Core) {
     let quarantine = &core.quarantine;
--- a/crates/sesamegap-entry/src/quarantine/sync.rs
+++ b/crates/sesamegap-entry/src/quarantine/sync.rs
@@ -32,16 +32,29 @@
 /// Keeps this VM and the store at the same knowledge until the process ends.
 pub async fn sync(core: Arc<Core>) {
     while core.phase() < Phase::Ended {
-        let outcome = exchange(&core).await;
-        let pause = match outcome {
-            Ok(()) => pace(&core),
-            Err(error) => {
-                info!(event = events::STORE_LOST, table = ?Table::Quarantine, %error, "quarantined requests not exchanged with the store");
-                RETRY
-            }
-        };
-        drop(timeout(pause, core.quarantine.changed.notified()).await);
-        sleep(TOGETHER).await;
+        if let Err(error) = exchange(&core).await {
+            info!(event = events::STORE_LOST, table = ?Table::Quarantine, %error, "quarantined requests not exchanged with the store");
+            sleep(RETRY).await;
+        } else {
+            wait(&core).await;
+            sleep(TOGETHER).await;
+        }
+    }
+}
+
+/// Waits until the store may have news, or lacks what this VM is to write.
+async fn wait(core: &Core) {
+    let began = clock::now();
+    let timeline = core.store.timeline();
+    while core.phase() < Phase::Ended && clock::now().since(began) < pace(core) {
+        // A restored store may have lost what was written.
+        if is_first(core) && core.store.timeline() != timeline {
+            return;
+        }
+        let changed = core.quarantine.changed.notified();
+        if timeout(APART, changed).await.is_ok() {
+            return;
+        }
     }
 }
 
--- a/crates/sesamegap-policy/src/quarantine/record.rs
+++ b/crates/sesamegap-policy/src/quarantine/record.rs
@@ -7,8 +7,8 @@
 /// Lost upstreams that make a request a suspect.
 const SUSPECT: usize = 2;
 
-/// Upstreams lost in trials that condemn a request, whatever else was lost.
-const CONDEMNED: usize = 2;
+/// Upstreams lost in trials that condemn a request, whatever else may have ended them.
+const CONDEMNED: usize = 4;
 
 /// Lost upstreams kept in a record; more say nothing new.
 const MOST_ENDED: usize = 8;
--- a/crates/sesamegap-policy/src/quarantine/registry.rs
+++ b/crates/sesamegap-policy/src/quarantine/registry.rs
@@ -22,6 +22,9 @@
 /// Time after a trial's loss in which other VMs' reports of the same moment arrive.
 const SETTLING: Duration = Duration::from_millis(250);
 
+/// Time after a trial's loss in which what else was lost lately says something about it.
+const FRESH: Duration = Duration::from_secs(5);
+
 /// Longest time for which one trial holds up the others: a run that goes on after it delays nobody.
 const TURN: Duration = Duration::from_secs(2);
 
@@ -91,9 +94,6 @@
     /// Notes that an upstream ended under a request.
     pub fn lost(&mut self, request: Fingerprint, ended: Ended, now: Moment, unix_ms: u64) {
         self.note(ended.life, now);
-        if !ended.trial && self.is_explained(request, ended.life) {
-            return;
-        }
         let known = self.track(request, now);
         if !known.record.add(ended, unix_ms) {
             return;
@@ -103,6 +103,7 @@
             known.failed = Some(now);
         }
         self.finish(request);
+        self.absolve(request);
         self.changed(request, unix_ms);
         self.trim(unix_ms);
     }
@@ -133,18 +134,16 @@
     /// Takes in what another VM knows of a request.
     pub fn merge(&mut self, told: &Record, now: Moment, unix_ms: u64) {
         let request = told.fingerprint;
-        let mut told = told.clone();
-        told.ended
-            .retain(|ended| ended.trial || !self.is_explained(request, ended.life));
         let known = self.track(request, now);
         let failed = known.record.failed();
-        if !known.record.merge(&told) {
+        if !known.record.merge(told) {
             return;
         }
         known.changed = now;
         if known.record.failed() > failed {
             known.failed = Some(now);
         }
+        self.absolve(request);
         self.changed(request, unix_ms);
         self.trim(unix_ms);
     }
@@ -181,27 +180,24 @@
 
     /// Condemns suspects whose trial has settled, and names them; only the VM first in line does.
     pub fn judge(&mut self, now: Moment, unix_ms: u64) -> Vec<Fingerprint> {
-        let settled = |known: &Tracked| {
-            let failed = known.failed;
-            failed.is_some_and(|at| now.since(at) >= SETTLING) && !known.record.is_condemned()
-        };
-        let settled: Vec<Fingerprint> = self
-            .requests
-            .iter()
-            .filter(|(_, known)| settled(known))
-            .map(|(request, _)| *request)
-            .collect();
-        let mut condemned = settled.clone();
-        condemned.retain(|request| {
-            let record = self.get(*request);
-            record.is_some_and(|record| self.is_only_cause(record, now))
+        let failed = self.requests.values_mut().filter(|known| {
+            let at = known.failed;
+            at.is_some_and(|at| now.since(at) >= SETTLING) && !known.record.is_condemned()
         });
-        // A trial is judged once, by what else was lost then.
-        for request in &settled {
-            if let Some(known) = self.requests.get_mut(request) {
-                known.failed = None;
-            }
-        }
+        let failed: Vec<(Fingerprint, bool)> = failed
+            .map(|known| {
+                let fresh = known.failed.is_some_and(|at| now.since(at) < FRESH);
+                (known.record.fingerprint, fresh)
+            })
+            .collect();
+        let condemned: Vec<Fingerprint> = failed
+            .into_iter()
+            .filter(|(request, fresh)| {
+                let record = self.get(*request);
+                record.is_some_and(|record| self.is_cause(record, *fresh, now))
+            })
+            .map(|(request, _)| request)
+            .collect();
         for request in &condemned {
             if let Some(known) = self.requests.get_mut(request) {
                 known.record.condemned = true;
@@ -219,30 +215,68 @@
         known.cloned().collect()
     }
 
-    /// Whether all upstreams that were lately lost ended under a request, and under no other suspect as well.
+    /// Whether the trials that a request has failed are enough to condemn it.
     ///
-    /// One failed trial condemns only then: with others lost at the same time the trial's may have ended like them.
-    fn is_only_cause(&self, record: &Record, now: Moment) -> bool {
+    /// Others run beside a trial, and one that is no suspect yet may have ended its upstream. A single trial condemns if
+    /// nothing else was lost lately, two do if it was at half of the losses, three in any case. None do while another
+    /// request was at the same ones, and those that a condemned request explains do not count.
+    fn is_cause(&self, record: &Record, fresh: bool, now: Moment) -> bool {
         let lately = self.lately.iter();
-        let mut lost = lately.filter(|(_, at)| now.since(*at) < LATELY).peekable();
-        let all = lost.peek().is_some() && lost.all(|(life, _)| record.has(*life));
-        let likes = |other: &Record| {
-            other.fingerprint != record.fingerprint
-                && record.ended.iter().all(|ended| other.has(ended.life))
-        };
-        all && !self.requests.values().any(|known| likes(&known.record))
+        let lately = lately.filter(|(_, at)| now.since(*at) < LATELY);
+        let (own, others): (Vec<u64>, Vec<u64>) = lately
+            .map(|(life, _)| *life)
+            .partition(|life| record.has(*life));
+        let trials = self.unexplained(record, true);
+        match trials.len() {
+            0 => false,
+            1 => fresh && others.is_empty() && !self.is_shared(record, trials[0]),
+            2 => fresh && own.len() >= others.len() && !self.is_covered(record, &trials),
+            _ => !self.is_covered(record, &trials),
+        }
     }
 
-    fn is_settling(&self, request: Fingerprint, now: Moment) -> bool {
-        let failed = self.requests.get(&request).and_then(|known| known.failed);
-        failed.is_some_and(|at| now.since(at) < SETTLING)
+    /// Upstreams that a request lost in trials or otherwise, and that no condemned request explains.
+    fn unexplained(&self, record: &Record, trial: bool) -> Vec<u64> {
+        let ended = record.ended.iter().filter(|ended| ended.trial == trial);
+        let lives = ended.map(|ended| ended.life);
+        lives
+            .filter(|life| !self.is_explained(record.fingerprint, *life))
+            .collect()
     }
 
-    /// Whether another request is known to have ended an upstream.
+    /// Whether a condemned request other than this one was at an upstream that was lost.
     fn is_explained(&self, request: Fingerprint, life: u64) -> bool {
         self.explained.get(&life).is_some_and(|by| *by != request)
     }
 
+    /// Whether another request that is not condemned was at all of these upstreams as well.
+    fn is_covered(&self, record: &Record, lives: &[u64]) -> bool {
+        let covers = |other: &Record| lives.iter().all(|life| other.has(*life));
+        self.rivals(record).any(covers)
+    }
+
+    /// Whether a single failed trial may as well be another's: one was on trial at the same upstream, or was at all that were
+    /// lost before.
+    fn is_shared(&self, record: &Record, trial: u64) -> bool {
+        let tried = |ended: &Ended| ended.trial && ended.life == trial;
+        let before = self.unexplained(record, false);
+        let beside = self
+            .rivals(record)
+            .any(|other| other.ended.iter().any(tried));
+        beside || self.is_covered(record, &before)
+    }
+
+    fn rivals(&self, record: &Record) -> impl Iterator<Item = &Record> {
+        let request = record.fingerprint;
+        let others = self.requests.values().map(|known| &known.record);
+        others.filter(move |other| other.fingerprint != request && !other.is_condemned())
+    }
+
+    fn is_settling(&self, request: Fingerprint, now: Moment) -> bool {
+        let failed = self.requests.get(&request).and_then(|known| known.failed);
+        failed.is_some_and(|at| now.since(at) < SETTLING)
+    }
+
     fn note(&mut self, life: u64, now: Moment) {
         self.lately.retain(|(_, at)| now.since(*at) < LATELY);
         if self.lately.iter().all(|(known, _)| *known != life) && self.lately.len() < MOST_LATELY {
@@ -271,7 +305,7 @@
         }
     }
 
-    /// Takes the losses that a condemned request explains off all others.
+    /// Notes the losses that a condemned request explains.
     fn explain(&mut self, condemned: Fingerprint) {
         let Some(record) = self.get(condemned).cloned() else {
             return;
@@ -281,16 +315,27 @@
         }
         let lives = record.ended.iter().map(|ended| ended.life);
         self.explained.extend(lives.map(|life| (life, condemned)));
-        for (request, known) in &mut self.requests {
-            if *request != condemned && !known.record.is_condemned() {
-                let ended = &mut known.record.ended;
-                ended.retain(|ended| ended.trial || !record.has(ended.life));
-            }
+        let requests: Vec<Fingerprint> = self.requests.keys().copied().collect();
+        for request in requests {
+            self.absolve(request);
         }
         self.requests
             .retain(|_, known| known.record.epoch > 0 || !known.record.ended.is_empty());
     }
 
+    /// Drops what is held against a request if condemned ones were at all upstreams that it lost.
+    fn absolve(&mut self, request: Fingerprint) {
+        let Some(known) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let explained = &self.explained;
+        let is_explained = |life: u64| explained.get(&life).is_some_and(|by| *by != request);
+        let ended = &mut known.record.ended;
+        if !known.record.condemned && ended.iter().all(|ended| is_explained(ended.life)) {
+            ended.clear();
+        }
+    }
+
     /// Forgets requests beyond the bound, those of least consequence and the oldest first.
     fn trim(&mut self, unix_ms: u64) {
         if self.requests.len() <= MOST {
