--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -57,7 +57,10 @@
         Standing::Quarantined => Grant::Refused,
         Standing::Suspect => ask(core, request, job.left()).await,
     };
-    info!(event = events::ADMISSION, request = %job.head.id, fingerprint = %request, grant = ?grant, "a request under which upstreams ended");
+    // One that is put off asks again, and its end says why it was not served.
+    if grant != Grant::Busy {
+        info!(event = events::ADMISSION, request = %job.head.id, fingerprint = %request, grant = ?grant, "a request under which upstreams ended");
+    }
     match grant {
         Grant::Free => Admission::Free,
         Grant::Trial => Admission::Trial(Permit {
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -20,6 +20,9 @@
 /// How often the fleet is looked at again; a few typical answers.
 const LOOK: Duration = Duration::from_millis(15);
 
+/// How often a suspect asks for its trial: after a lost rack hundreds of them ask one VM.
+const ASK: Duration = Duration::from_millis(60);
+
 /// The upstream for a request, waiting a little if none is open.
 ///
 /// # Errors
@@ -27,6 +30,7 @@
 pub async fn upstream(core: &Arc<Core>, job: &Job, progress: &Progress) -> Result<Flight, Refusal> {
     let until = job.ends.min(Instant::now() + job.route.objective / PART);
     loop {
+        let mut pause = LOOK;
         let refusal = match admit(core, job).await {
             Admission::Free => match progress.choose(core, job, false).await {
                 Some(flight) => return Ok(flight),
@@ -39,12 +43,15 @@
                 }
                 None => Refusal::NoUpstream,
             },
-            Admission::Later => Refusal::Suspect,
+            Admission::Later => {
+                pause = ASK;
+                Refusal::Suspect
+            }
             Admission::Refused => return Err(progress.refused(Refusal::Quarantined)),
         };
-        if Instant::now() + LOOK >= until {
+        if Instant::now() + pause >= until {
             return Err(progress.refused(refusal));
         }
-        sleep(LOOK).await;
+        sleep(pause).await;
     }
 }
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -58,5 +58,5 @@
 pub const BROKEN: u16 = 756;
 /// The standing of a request changed: it is a suspect, quarantined, or clear again.
 pub const QUARANTINE: u16 = 757;
-/// A request under which upstreams ended was let through on trial, put off or refused.
+/// A request under which upstreams ended was let through, on trial or freely, or refused.
 pub const ADMISSION: u16 = 758;
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -8,10 +8,11 @@
 use sesamegap_entry::intake;
 use sesamegap_entry::peers;
 use sesamegap_entry::quarantine::{self, Lost};
+use sesamegap_entry::settings::Settings;
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::membership::{News, Status};
-use sesamegap_policy::quarantine::{Ended, Standing};
+use sesamegap_policy::quarantine::{Ended, LINE, Standing};
 use sesamegap_wire::{Fingerprint, Incarnation, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,6 +53,19 @@
     Vm { core, callers }
 }
 
+/// What a VM with these settings says of itself.
+fn news(settings: &Settings, status: Status, version: u32) -> News {
+    News {
+        who: Holder {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(1),
+        },
+        addr: settings.listen.peers,
+        version,
+        status,
+    }
+}
+
 /// VMs that know each other.
 async fn vms(net: u8) -> Vec<Vm> {
     let platform = Arc::new(Platform::default());
@@ -62,16 +76,7 @@
     }
     for one in &all {
         for other in &all {
-            let settings = other.core.settings();
-            let news = News {
-                who: Holder {
-                    vm: settings.vm.clone(),
-                    incarnation: Incarnation(1),
-                },
-                addr: settings.listen.peers,
-                version: 0,
-                status: Status::Alive,
-            };
+            let news = news(&other.core.settings(), Status::Alive, 0);
             if !Arc::ptr_eq(&one.core, &other.core) {
                 one.core.peers.hear(&news, clock::now());
             }
@@ -260,3 +265,32 @@
     let sent = marked(&engines);
     assert!(sent <= MOST_ENDED + MOST_AFTER, "sent {sent} times");
 }
+
+/// The VM that grants trials leaves, and the next one knows nothing of the upstreams that were lost before.
+#[tokio::test]
+async fn another_vm_goes_on_when_the_one_that_grants_trials_leaves() {
+    let vms = vms(28).await;
+    let engines = engines(&vms, DOWN).await;
+    let request = async |vm: &Vm, no: usize| {
+        ask(vm.callers, "POST", "/chat/a", &head(no), MARK).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    };
+    let (first, others): (Vec<&Vm>, Vec<&Vm>) = vms
+        .iter()
+        .partition(|vm| vm.core.peers.first(1, LINE) == [None]);
+    for no in 0..2 {
+        request(first[0], no).await;
+    }
+    for vm in &others {
+        let settings = first[0].core.settings();
+        let news = news(&settings, Status::Leaving, 1);
+        vm.core.peers.hear(&news, clock::now());
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for no in 0..SENDS / 2 {
+        request(others[no % others.len()], no).await;
+    }
+    let sent = marked(&engines);
+    assert!(sent <= MOST_ENDED + MOST_AFTER, "sent {sent} times");
+    assert!(sent > 2, "the next one ran no trial");
+}
