--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -4,7 +4,7 @@
 use crate::kept::OnWay;
 use crate::placing::Asked;
 use crate::ports::Load;
-use crate::quarantine::Permit;
+use crate::quarantine::TrialPermit;
 use sesamegap_policy::routing::engines::Prefix;
 use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
@@ -40,7 +40,7 @@
     /// Life of the upstream that it went to; unset if it does not say.
     pub born: Option<Incarnation>,
     /// Set if the request is on trial.
-    pub permit: Option<Permit>,
+    pub permit: Option<TrialPermit>,
     pub(super) seed: u64,
     pub(super) life: u64,
     pub(super) prefixes: Vec<Prefix>,
--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -6,7 +6,7 @@
 use crate::core::Core;
 use crate::relay::Job;
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::{Grant, LINE, Record, Standing};
+use sesamegap_policy::quarantine::{COORDINATORS, Grant, Record, Standing};
 use sesamegap_wire::Fingerprint;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
-/// Longest wait for the answer of the VM first in line, some ten times what it takes across failure domains.
+/// Longest wait for the answer of the coordinator, some ten times what it takes across failure domains.
 const ANSWER: Duration = Duration::from_millis(50);
 
 /// Whether a request may be sent.
@@ -24,21 +24,21 @@
     /// Like any other.
     Free,
     /// On trial, by itself.
-    Trial(Permit),
+    Trial(TrialPermit),
     /// Not now.
-    Later,
+    Deferred,
     /// Not at all.
     Refused,
 }
 
 /// A suspect's turn to run, which ends when this is dropped.
 #[derive(Debug)]
-pub struct Permit {
+pub struct TrialPermit {
     core: Arc<Core>,
     request: Fingerprint,
 }
 
-impl Drop for Permit {
+impl Drop for TrialPermit {
     fn drop(&mut self) {
         let request = self.request;
         self.core.quarantine.report(Report::Released { request });
@@ -63,28 +63,28 @@
     }
     match grant {
         Grant::Free => Admission::Free,
-        Grant::Trial => Admission::Trial(Permit {
+        Grant::Trial => Admission::Trial(TrialPermit {
             core: Arc::clone(core),
             request,
         }),
-        Grant::Busy => Admission::Later,
+        Grant::Busy => Admission::Deferred,
         Grant::Refused => Admission::Refused,
     }
 }
 
-/// Asks the VM first in line; one that does not answer grants nothing.
+/// Asks the coordinator; one that does not answer grants nothing.
 async fn ask(core: &Core, request: Fingerprint, left: Duration) -> Grant {
     let quarantine = &core.quarantine;
-    let Some(first) = core.peers.first(1, LINE).pop().flatten() else {
+    let Some(coordinator) = core.peers.first(1, COORDINATORS).pop().flatten() else {
         let mut registry = quarantine.registry();
-        return registry.ask(request, left, clock::now(), clock::unix_ms());
+        return registry.request_trial(request, left, clock::now(), clock::unix_ms());
     };
     let Some(record) = quarantine.registry().get(request).cloned() else {
         return Grant::Free;
     };
-    let answer = timeout(ANSWER, quarantine.question(record, left, first)).await;
+    let answer = timeout(ANSWER, quarantine.question(record, left, coordinator)).await;
     answer.unwrap_or_else(|_| {
-        info!(event = events::PEER, peer = %first, "the VM that grants trials does not answer");
+        info!(event = events::PEER, peer = %coordinator, "the coordinator does not answer");
         Grant::Busy
     })
 }
--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -1,11 +1,11 @@
 //! Datagrams about requests under which upstreams ended.
 
 use super::message::{Answer, Ask, Message};
-use super::{Lost, Quarantine, lock};
+use super::{Quarantine, UpstreamLoss, lock};
 use crate::clock;
 use crate::core::Core;
 use crate::peers;
-use sesamegap_policy::quarantine::{HEARERS, LINE, Record, Standing};
+use sesamegap_policy::quarantine::{COORDINATORS, REPLICAS, Record, Standing};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,16 +15,16 @@
 /// Records in one datagram, of up to 130 bytes each.
 const RECORDS: usize = 8;
 
-/// Ticks after which some peers are told anew, by turns, for those that missed what was told before.
-const AGAIN: u32 = 20;
+/// Ticks between two rounds of gossip, for VMs that missed a broadcast.
+const GOSSIP: u32 = 20;
 
-/// Peers told anew at a time.
-const PEERS: usize = 3;
+/// Peers in one round of gossip.
+const FANOUT: usize = 3;
 
 /// Sends what is due; called at a fixed pace.
 pub async fn tick(core: &Core, ticks: u32) {
     let quarantine = &core.quarantine;
-    quarantine.settle_uncertain(core);
+    quarantine.settle_unconfirmed(core);
     if quarantine.registry().is_empty() {
         return;
     }
@@ -39,19 +39,20 @@
                 .await;
         }
     }
-    if ticks.is_multiple_of(AGAIN) {
-        tell_again(core, &alive, ticks / AGAIN).await;
+    if ticks.is_multiple_of(GOSSIP) {
+        gossip(core, &alive, ticks / GOSSIP).await;
     }
 }
 
-/// Sends what this VM saw to those first in line.
+/// Sends what this VM saw to the coordinator and its replicas.
 async fn send_reports(core: &Core) {
     let quarantine = &core.quarantine;
     let reports = lock(&quarantine.outbox).reports();
     if reports.is_empty() {
         return;
     }
-    for to in core.peers.first(HEARERS, LINE).into_iter().flatten() {
+    let replicas = core.peers.first(REPLICAS, COORDINATORS);
+    for to in replicas.into_iter().flatten() {
         for reports in reports.chunks(REPORTS) {
             let reports = Message::Reports(reports.to_vec());
             quarantine.send(reports, to).await;
@@ -59,31 +60,31 @@
     }
 }
 
-/// Judges trials, if this VM is first in line, and has all VMs told of what changed.
+/// Judges trials and broadcasts what changed, if this VM is the coordinator.
 fn judge(core: &Core) {
     let quarantine = &core.quarantine;
-    let is_first = core.peers.first(1, LINE) == [None];
+    let is_coordinator = core.peers.first(1, COORDINATORS) == [None];
     let news = {
         let mut registry = quarantine.registry();
-        if is_first {
+        if is_coordinator {
             for request in registry.judge(clock::now(), clock::unix_ms()) {
                 super::log(request, Standing::Quarantined, registry.get(request), "own");
             }
         }
         registry.take_news()
     };
-    if is_first && !news.is_empty() {
-        lock(&quarantine.outbox).tell(news);
+    if is_coordinator && !news.is_empty() {
+        lock(&quarantine.outbox).broadcast(news);
         quarantine.changed.notify_one();
     }
 }
 
-/// Tells some peers of some requests, by turns.
-async fn tell_again(core: &Core, alive: &[SocketAddr], turn: u32) {
+/// Sends some records to some peers, both by turns.
+async fn gossip(core: &Core, alive: &[SocketAddr], turn: u32) {
     let quarantine = &core.quarantine;
     let mut records: Vec<Record> = {
         let registry = quarantine.registry();
-        registry.told(clock::unix_ms()).cloned().collect()
+        registry.published(clock::unix_ms()).cloned().collect()
     };
     if records.is_empty() || alive.is_empty() {
         return;
@@ -91,7 +92,7 @@
     records.sort_unstable_by_key(|record| record.fingerprint);
     let turn = turn as usize;
     let records = around(&records, turn * RECORDS, RECORDS);
-    for to in around(alive, turn * PEERS, PEERS) {
+    for to in around(alive, turn * FANOUT, FANOUT) {
         quarantine.send(Message::Records(records.clone()), to).await;
     }
 }
@@ -108,7 +109,7 @@
     match message {
         Message::Reports(reports) => {
             for report in &reports {
-                quarantine.hear(report, "peer");
+                quarantine.handle(report, "peer");
             }
         }
         Message::Records(records) => {
@@ -141,7 +142,7 @@
         let request = ask.record.fingerprint;
         let left = Duration::from_millis(u64::from(ask.left_ms));
         let mut registry = self.registry();
-        let grant = registry.ask(request, left, clock::now(), clock::unix_ms());
+        let grant = registry.request_trial(request, left, clock::now(), clock::unix_ms());
         Answer {
             number: ask.number,
             grant,
@@ -149,26 +150,26 @@
         }
     }
 
-    /// Counts uncertain losses whose upstreams have left the list since.
-    fn settle_uncertain(&self, core: &Core) {
+    /// Counts unconfirmed losses whose upstreams have left the list since.
+    fn settle_unconfirmed(&self, core: &Core) {
         let now = clock::now();
-        let mut uncertain = lock(&self.uncertain);
-        if uncertain.is_empty() {
+        let mut unconfirmed = lock(&self.unconfirmed);
+        if unconfirmed.is_empty() {
             return;
         }
         let fleet = core.fleet.lock();
-        let is_gone = |lost: &Lost| {
-            let known = fleet.get(&lost.upstream);
-            known.is_none_or(|upstream| upstream.life != lost.ended.life)
+        let is_gone = |loss: &UpstreamLoss| {
+            let known = fleet.get(&loss.upstream);
+            known.is_none_or(|upstream| upstream.life != loss.crash.life)
         };
-        let gone: Vec<Lost> = uncertain
-            .extract_if(.., |loss| is_gone(&loss.lost))
-            .map(|loss| loss.lost)
+        let gone: Vec<UpstreamLoss> = unconfirmed
+            .extract_if(.., |unconfirmed| is_gone(&unconfirmed.loss))
+            .map(|unconfirmed| unconfirmed.loss)
             .collect();
-        uncertain.retain(|loss| now < loss.until);
-        drop((fleet, uncertain));
-        for lost in &gone {
-            self.lost(lost);
+        unconfirmed.retain(|unconfirmed| now < unconfirmed.until);
+        drop((fleet, unconfirmed));
+        for loss in &gone {
+            self.crashed(loss);
         }
     }
 
@@ -177,7 +178,7 @@
         if let Some(socket) = self.socket.get()
             && let Some(bytes) = peers::quarantine(message)
         {
-            // What is lost is told again.
+            // What is lost is sent again.
             drop(socket.send_to(&bytes, to).await);
         }
     }
--- a/crates/sesamegap-entry/src/quarantine/message.rs
+++ b/crates/sesamegap-entry/src/quarantine/message.rs
@@ -1,15 +1,15 @@
 //! What VMs tell each other of requests under which upstreams ended.
 
 use serde::{Deserialize, Serialize};
-use sesamegap_policy::quarantine::{Ended, Grant, Record};
+use sesamegap_policy::quarantine::{Crash, Grant, Record};
 use sesamegap_wire::Fingerprint;
 
 /// A message between entry VMs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
-    /// What a VM saw, to those first in line.
+    /// What a VM saw, to the coordinator and its replicas.
     Reports(Vec<Report>),
-    /// What is known, from the first in line or from any VM by turns.
+    /// What is known, from the coordinator or from any VM by turns.
     Records(Vec<Record>),
     /// May this request run?
     Ask(Ask),
@@ -21,11 +21,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Report {
     /// An upstream ended under it.
-    Lost {
+    Crashed {
         /// The request.
         request: Fingerprint,
         /// The upstream.
-        ended: Ended,
+        crash: Crash,
     },
     /// It ran to its end.
     Completed {
@@ -41,7 +41,7 @@
     },
 }
 
-/// A question to the VM first in line.
+/// A question to the coordinator.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Ask {
     /// Number that the asker gave it.
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -1,9 +1,9 @@
 //! Requests under which upstreams end, as all entry VMs know them together.
 //!
-//! A VM whose connection broke asks with a [`Probes`] whether the upstream's process is gone, and reports that to the VMs
-//! first in line, with each request it had there. The first of them judges and grants trials; what it finds goes to
-//! all VMs ([`exchange`]) and into the store ([`sync`]), from which VMs learn it that all lost their memory or that their
-//! peers do not reach. Before each attempt of a request [`admit`] says whether it runs, runs on trial, or is refused.
+//! A VM whose connection broke probes whether the upstream's process is gone ([`Probes`]) and reports each request that it
+//! had there to the coordinator and its replicas. The coordinator grants trials and judges them; its verdicts are
+//! broadcast to all VMs ([`exchange`]) and written to the store ([`sync`]), for VMs that were restarted together and for those
+//! that no peer reaches. Before each attempt of a request [`admit`] says whether it runs, runs on trial, or is refused.
 //! What is decided lies in [`sesamegap_policy::quarantine`].
 
 mod admission;
@@ -13,7 +13,7 @@
 mod probe;
 mod sync;
 
-pub use admission::{Admission, Permit, admit};
+pub use admission::{Admission, TrialPermit, admit};
 pub use exchange::{receive, tick};
 pub use message::{Answer, Ask, Message, Report};
 pub use probe::{Probes, Process};
@@ -23,7 +23,7 @@
 use crate::telemetry::events;
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
-use sesamegap_policy::quarantine::{Ended, Grant, Record, Registry, Standing};
+use sesamegap_policy::quarantine::{Crash, Grant, Record, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment, UpstreamId};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -32,35 +32,35 @@
 use tracing::{info, warn};
 
 /// How long an upstream that cannot be reached may take to leave the list, after which it counts as cut off.
-const UNCERTAIN: Duration = Duration::from_secs(10);
+const CONFIRMATION: Duration = Duration::from_secs(10);
 
-/// Uncertain losses remembered: all requests at a few upstreams.
-const MOST_UNCERTAIN: usize = 512;
+/// Unconfirmed losses remembered: all requests at a few upstreams.
+const MOST_UNCONFIRMED: usize = 512;
 
 /// A request at an upstream that could not be reached after its connection broke.
 #[derive(Debug)]
-struct Uncertain {
-    lost: Lost,
+struct Unconfirmed {
+    loss: UpstreamLoss,
     until: Moment,
 }
 
-/// A request that an upstream was lost with.
+/// An upstream that was lost while it ran a request.
 #[derive(Debug, Clone)]
-pub struct Lost {
+pub struct UpstreamLoss {
     /// The request.
     pub request: Fingerprint,
     /// The upstream.
     pub upstream: UpstreamId,
     /// Its life, and whether the request was on trial there.
-    pub ended: Ended,
+    pub crash: Crash,
 }
 
-/// What this VM knows of such requests, and its talk with others about them.
+/// What this VM knows of such requests, and its messages to others about them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     registry: Mutex<Registry>,
     outbox: Mutex<Outbox>,
-    uncertain: Mutex<Vec<Uncertain>>,
+    unconfirmed: Mutex<Vec<Unconfirmed>>,
     asks: Mutex<Asks>,
     socket: OnceLock<Arc<UdpSocket>>,
     /// Wakes the task that writes to the store.
@@ -99,27 +99,27 @@
     }
 
     /// Notes that an upstream ended under a request of this VM.
-    pub fn lost(&self, lost: &Lost) {
-        let report = Report::Lost {
-            request: lost.request,
-            ended: lost.ended,
+    pub fn crashed(&self, loss: &UpstreamLoss) {
+        let report = Report::Crashed {
+            request: loss.request,
+            crash: loss.crash,
         };
         self.report(report);
     }
 
     /// Notes that an upstream could not be reached after it broke off a request: whether it ended, the list will tell.
-    pub fn uncertain(&self, lost: Lost) {
-        let mut uncertain = lock(&self.uncertain);
-        if uncertain.len() < MOST_UNCERTAIN {
-            uncertain.push(Uncertain {
-                lost,
-                until: clock::now() + UNCERTAIN,
+    pub fn unconfirmed(&self, loss: UpstreamLoss) {
+        let mut unconfirmed = lock(&self.unconfirmed);
+        if unconfirmed.len() < MOST_UNCONFIRMED {
+            unconfirmed.push(Unconfirmed {
+                loss,
+                until: clock::now() + CONFIRMATION,
             });
         }
     }
 
     /// Notes that a request of this VM ran to its end, if anything is held against it.
-    pub fn completed(&self, request: Fingerprint) {
+    pub fn succeeded(&self, request: Fingerprint) {
         let epoch = self.registry().get(request).map(|record| record.epoch);
         if let Some(epoch) = epoch {
             self.report(Report::Completed { request, epoch });
@@ -128,21 +128,21 @@
 
     /// Takes in what this VM saw, and reports it.
     fn report(&self, report: Report) {
-        self.hear(&report, "own");
+        self.handle(&report, "own");
         lock(&self.outbox).report(report);
     }
 
     /// Takes in a report, of this VM or another.
-    fn hear(&self, report: &Report, by: &str) {
+    fn handle(&self, report: &Report, by: &str) {
         let now = clock::now();
         match report {
-            Report::Lost { request, ended } => self.change(*request, by, |registry| {
-                registry.lost(*request, *ended, now, clock::unix_ms());
+            Report::Crashed { request, crash } => self.change(*request, by, |registry| {
+                registry.record_crash(*request, *crash, now, clock::unix_ms());
             }),
             Report::Completed { request, epoch } => self.change(*request, by, |registry| {
-                registry.completed(*request, *epoch, now);
+                registry.record_success(*request, *epoch, now);
             }),
-            Report::Released { request } => self.registry().finish(*request),
+            Report::Released { request } => self.registry().end_trial(*request),
         }
     }
 
@@ -161,7 +161,7 @@
         });
         if lifted {
             let record = self.registry().get(request).cloned();
-            lock(&self.outbox).tell(record);
+            lock(&self.outbox).broadcast(record);
             self.changed.notify_one();
         }
         lifted
@@ -175,7 +175,8 @@
             let was = registry.standing(request, unix_ms);
             act(&mut registry);
             let is = registry.standing(request, unix_ms);
-            (was, is, registry.get(request).cloned())
+            let changed = registry.get(request).filter(|_| was != is);
+            (was, is, changed.cloned())
         };
         if was != is {
             log(request, is, record.as_ref(), by);
@@ -185,7 +186,7 @@
 
 /// Logs what is to be done with a request from now on.
 fn log(request: Fingerprint, standing: Standing, record: Option<&Record>, by: &str) {
-    let lives = record.map(|record| record.ended.iter().map(|ended| ended.life));
+    let lives = record.map(|record| record.crashes.iter().map(|crash| crash.life));
     let ended: Vec<u64> = lives.into_iter().flatten().collect();
     let trials = record.map_or(0, Record::failed);
     let epoch = record.map_or(0, |record| record.epoch);
--- a/crates/sesamegap-entry/src/quarantine/outbox.rs
+++ b/crates/sesamegap-entry/src/quarantine/outbox.rs
@@ -14,13 +14,13 @@
 }
 
 impl Outbox {
-    /// Sends a report to the VMs first in line.
+    /// Sends a report to the coordinator and its replicas.
     pub fn report(&mut self, report: Report) {
         self.reports.push((report, REPEATS));
     }
 
     /// Sends records to all VMs, in place of older ones of the same requests.
-    pub fn tell(&mut self, records: impl IntoIterator<Item = Record>) {
+    pub fn broadcast(&mut self, records: impl IntoIterator<Item = Record>) {
         for record in records {
             let request = record.fingerprint;
             self.records
--- a/crates/sesamegap-entry/src/quarantine/sync.rs
+++ b/crates/sesamegap-entry/src/quarantine/sync.rs
@@ -8,7 +8,7 @@
 use crate::core::{Core, Phase};
 use crate::ports::{Record as Stored, StoreError, Table};
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::{LINE, Record, Standing};
+use sesamegap_policy::quarantine::{COORDINATORS, Record, Standing};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -48,7 +48,7 @@
     let timeline = core.store.timeline();
     while core.phase() < Phase::Ended && clock::now().since(began) < pace(core) {
         // A restored store may have lost what was written.
-        if is_first(core) && core.store.timeline() != timeline {
+        if is_coordinator(core) && core.store.timeline() != timeline {
             return;
         }
         let changed = core.quarantine.changed.notified();
@@ -60,11 +60,15 @@
 
 fn pace(core: &Core) -> Duration {
     let apart = !core.peers.known().doubted.is_empty();
-    if apart && is_first(core) { APART } else { PACE }
+    if apart && is_coordinator(core) {
+        APART
+    } else {
+        PACE
+    }
 }
 
-fn is_first(core: &Core) -> bool {
-    core.peers.first(1, LINE) == [None]
+fn is_coordinator(core: &Core) -> bool {
+    core.peers.first(1, COORDINATORS) == [None]
 }
 
 /// Reads what the store has, and writes what it lacks if this VM is the one that does.
@@ -81,14 +85,13 @@
     for record in &stored {
         core.quarantine.merge(record, "store");
     }
-    if !is_first(core) {
+    if !is_coordinator(core) {
         return Ok(());
     }
-    let lacking = core.quarantine.lacking(&stored);
-    if lacking.is_empty() {
-        return Ok(());
+    for records in core.quarantine.lacking(&stored).chunks(MOST_WRITTEN) {
+        core.store.quarantine(records).await?;
     }
-    core.store.quarantine(&lacking).await
+    Ok(())
 }
 
 impl Quarantine {
@@ -96,15 +99,15 @@
     fn lacking(&self, stored: &[Record]) -> Vec<Record> {
         let registry = self.registry();
         let unix_ms = clock::unix_ms();
-        let told = registry.told(unix_ms);
-        told.filter(|record| !stored.contains(record))
+        let published = registry.published(unix_ms);
+        published
+            .filter(|record| !stored.contains(record))
             .filter(|record| {
                 let there = stored
                     .iter()
                     .any(|old| old.fingerprint == record.fingerprint);
                 there || record.standing(unix_ms) != Standing::Clear
             })
-            .take(MOST_WRITTEN)
             .cloned()
             .collect()
     }
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::Job;
 use super::head::for_upstream;
-use super::loss::{self, Loss};
+use super::loss::{self, BrokenAnswer};
 use super::transfer::{Transfer, namespace, transfer};
 use crate::catalogue::Kind;
 use crate::clock;
@@ -144,7 +144,7 @@
             return Outcome::Lost(why);
         }
         Err(_) => {
-            Loss::new(job, &mut flight, sent, false).silent(core);
+            BrokenAnswer::new(job, &mut flight, sent, false).silent(core);
             if flight.last_heard() < clock::now_less(patience) {
                 flight.failed(clock::now());
             }
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -4,9 +4,9 @@
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::Flight;
-use crate::quarantine::{Lost, Permit, Process};
+use crate::quarantine::{Process, TrialPermit, UpstreamLoss};
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::Ended;
+use sesamegap_policy::quarantine::Crash;
 use sesamegap_wire::Fingerprint;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -18,12 +18,12 @@
 
 /// A request whose answer stopped before its end.
 #[derive(Debug)]
-pub struct Loss {
+pub struct BrokenAnswer {
     request: SmolStr,
-    lost: Lost,
+    loss: UpstreamLoss,
     addr: SocketAddr,
     /// Held until the loss is reported, so that no other trial begins in between.
-    permit: Option<Permit>,
+    permit: Option<TrialPermit>,
     /// Requests running there when it was sent.
     beside: u32,
     /// Time since the request was sent.
@@ -36,23 +36,23 @@
 ///
 /// A request that may be sent again waits for what the upstream's probe finds, any other is answered at once.
 pub async fn broke(core: &Arc<Core>, job: &Job, flight: &mut Flight, sent: Instant, begun: bool) {
-    let reported = Loss::new(job, flight, sent, begun).report(core);
+    let reported = BrokenAnswer::new(job, flight, sent, begun).report(core);
     if job.route.kind.repeats() {
         // The task ends by itself; one that panicked has nothing to tell.
         drop(reported.await);
     }
 }
 
-impl Loss {
+impl BrokenAnswer {
     /// A request at an upstream, as it is now.
     pub fn new(job: &Job, flight: &mut Flight, sent: Instant, begun: bool) -> Self {
         let permit = flight.permit.take();
         Self {
             request: job.head.id.clone(),
-            lost: Lost {
+            loss: UpstreamLoss {
                 request: job.fingerprint(),
                 upstream: flight.id.clone(),
-                ended: Ended {
+                crash: Crash {
                     life: flight.life(),
                     trial: permit.is_some(),
                 },
@@ -67,12 +67,12 @@
 
     /// The fingerprint of the request.
     pub fn request(&self) -> Fingerprint {
-        self.lost.request
+        self.loss.request
     }
 
     /// Notes that the upstream fell silent: whether it ended the list will tell, at no cost to one that is slow.
     pub fn silent(self, core: &Core) {
-        core.quarantine.uncertain(self.lost);
+        core.quarantine.unconfirmed(self.loss);
     }
 
     /// Finds out in a task of its own whether the upstream's process ended, and reports it.
@@ -82,16 +82,16 @@
     }
 
     async fn probe(self, core: &Core) {
-        let lost = &self.lost;
-        let life = lost.ended.life;
+        let loss = &self.loss;
+        let life = loss.crash.life;
         let process = core.quarantine.probes.probe(life, self.addr).await;
         info!(
             event = events::BROKEN,
             request = %self.request,
-            fingerprint = %lost.request,
-            upstream = %lost.upstream,
+            fingerprint = %loss.request,
+            upstream = %loss.upstream,
             life,
-            trial = lost.ended.trial,
+            trial = loss.crash.trial,
             beside = self.beside,
             ran_ms = clock::ms(self.ran),
             begun = self.begun,
@@ -99,9 +99,9 @@
             "connection broke"
         );
         match process {
-            Process::Gone => core.quarantine.lost(lost),
+            Process::Gone => core.quarantine.crashed(loss),
             // It may have started again at once, or be cut off: the list tells.
-            Process::Running | Process::Unreachable => core.quarantine.uncertain(lost.clone()),
+            Process::Running | Process::Unreachable => core.quarantine.unconfirmed(loss.clone()),
         }
         drop(self.permit);
     }
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -6,7 +6,7 @@
 use super::Job;
 use super::attempt::{Answered, Outcome, is_false_promise, send};
 use super::head::for_caller;
-use super::loss::{self, Loss};
+use super::loss::{self, BrokenAnswer};
 use super::progress::Progress;
 use super::request_log::RequestLog;
 use super::waiting::upstream;
@@ -111,7 +111,7 @@
             bytes.extend_from_slice(&data);
         }
         if bytes.len() > HELD {
-            let loss = Loss::new(job, &mut answered.flight, answered.sent, true);
+            let loss = BrokenAnswer::new(job, &mut answered.flight, answered.sent, true);
             let rest = (body, answered.exchange.connection, answered.flight);
             let body = flowing(Arc::clone(core), bytes.freeze(), rest, loss);
             return Some(respond(head.status, &head.headers, body));
@@ -119,7 +119,7 @@
     }
     let failed = head.status.is_server_error();
     if head.status.is_success() {
-        core.quarantine.completed(job.fingerprint());
+        core.quarantine.succeeded(job.fingerprint());
     }
     answered.flight.answered(answered.sent.elapsed(), failed);
     Some(respond(head.status, &head.headers, full(bytes.freeze())))
@@ -130,7 +130,7 @@
     core: Arc<Core>,
     begun: Bytes,
     rest: (Incoming, G, crate::fleet::Flight),
-    loss: Loss,
+    loss: BrokenAnswer,
 ) -> Body {
     let stream = async_stream::stream! {
         let (mut body, _connection, _flight) = rest;
@@ -145,7 +145,7 @@
                 }
             }
         }
-        core.quarantine.completed(loss.request());
+        core.quarantine.succeeded(loss.request());
     };
     StreamBody::new(stream).boxed_unsync()
 }
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -7,7 +7,7 @@
 
 use super::Job;
 use super::attempt::{Answered, OUTDATED, Outcome, READY, is_false_promise, send};
-use super::loss::{self, Loss};
+use super::loss::{self, BrokenAnswer};
 use super::plain::respond;
 use super::progress::Progress;
 use super::request_log::RequestLog;
@@ -119,7 +119,7 @@
                     yield Ok(Frame::data(bytes));
                 }
                 Ok(None) => {
-                    relay.core.quarantine.completed(relay.job.fingerprint());
+                    relay.core.quarantine.succeeded(relay.job.fingerprint());
                     log.end(live.status.as_u16(), relay.progress.runs + 1, "");
                     return;
                 }
@@ -314,7 +314,8 @@
                 }
                 Err(_) => {
                     live.flight.failed(clock::now());
-                    let loss = Loss::new(&self.job, &mut live.flight, live.sent, live.begun);
+                    let loss =
+                        BrokenAnswer::new(&self.job, &mut live.flight, live.sent, live.begun);
                     loss.silent(&self.core);
                     return Err("the upstream went silent".to_owned());
                 }
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -43,7 +43,7 @@
                 }
                 None => Refusal::NoUpstream,
             },
-            Admission::Later => {
+            Admission::Deferred => {
                 pause = ASK;
                 Refusal::Suspect
             }
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -45,7 +45,7 @@
 fn held(core: &Core) -> (usize, usize) {
     let unix_ms = clock::unix_ms();
     let registry = core.quarantine.registry();
-    let told = registry.told(unix_ms);
+    let told = registry.published(unix_ms);
     let standings: Vec<Standing> = told.map(|record| record.standing(unix_ms)).collect();
     let count = |wanted| {
         standings
@@ -102,11 +102,11 @@
 fn requests(core: &Core) -> Vec<RequestDump> {
     let unix_ms = clock::unix_ms();
     let registry = core.quarantine.registry();
-    let told = registry.told(unix_ms);
+    let told = registry.published(unix_ms);
     told.map(|record| RequestDump {
         fingerprint: record.fingerprint,
         standing: smol_str::format_smolstr!("{:?}", record.standing(unix_ms)),
-        ended: record.ended.len(),
+        ended: record.crashes.len(),
         trials: record.failed(),
         lost_ms: record.lost_ms,
         cleared: record.epoch,
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -7,12 +7,12 @@
 use sesamegap_entry::core::Core;
 use sesamegap_entry::intake;
 use sesamegap_entry::peers;
-use sesamegap_entry::quarantine::{self, Lost};
+use sesamegap_entry::quarantine::{self, UpstreamLoss};
 use sesamegap_entry::settings::Settings;
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::Holder;
 use sesamegap_policy::agreement::membership::{News, Status};
-use sesamegap_policy::quarantine::{Ended, LINE, Standing};
+use sesamegap_policy::quarantine::{COORDINATORS, Crash, Standing};
 use sesamegap_wire::{Fingerprint, Incarnation, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -171,18 +171,18 @@
     Fingerprint::of(&format!("POST {path}"), Some("clerks"), body.as_bytes())
 }
 
-fn lost(request: Fingerprint, life: u64, trial: bool) -> Lost {
-    Lost {
+fn lost(request: Fingerprint, life: u64, trial: bool) -> UpstreamLoss {
+    UpstreamLoss {
         request,
         upstream: format!("e{life}").parse().unwrap(),
-        ended: Ended { life, trial },
+        crash: Crash { life, trial },
     }
 }
 
 /// Ends so many upstreams under a request, the last four in trials, that nothing else matters.
 fn condemn(core: &Core, request: Fingerprint) {
     for life in 0..6 {
-        core.quarantine.lost(&lost(request, life, life >= 2));
+        core.quarantine.crashed(&lost(request, life, life >= 2));
     }
 }
 
@@ -277,7 +277,7 @@
     };
     let (first, others): (Vec<&Vm>, Vec<&Vm>) = vms
         .iter()
-        .partition(|vm| vm.core.peers.first(1, LINE) == [None]);
+        .partition(|vm| vm.core.peers.first(1, COORDINATORS) == [None]);
     for no in 0..2 {
         request(first[0], no).await;
     }
--- a/crates/sesamegap-policy/src/quarantine/mod.rs
+++ b/crates/sesamegap-policy/src/quarantine/mod.rs
@@ -10,17 +10,17 @@
 //! explains count against nobody else any more.
 //!
 //! A [`Record`] tells all that is known of a request. Records merge to the same whatever their order, so that VMs may tell
-//! each other what they know over datagrams that are lost and repeated. [`Registry`] keeps them; the registry of the
-//! VM first in line ([`LINE`]) also grants trials and judges them.
+//! each other what they know over datagrams that are lost and repeated. [`Registry`] keeps them; that of the
+//! coordinator, the first VM in the order of [`COORDINATORS`], also grants trials and judges them.
 
 mod record;
 mod registry;
 
-pub use record::{Ended, Record, Standing};
+pub use record::{Crash, Record, Standing};
 pub use registry::{Grant, Registry};
 
-/// The order in which VMs grant trials.
-pub const LINE: u64 = 0x7175_6172;
+/// The order in which VMs become the coordinator, which grants trials.
+pub const COORDINATORS: u64 = 0x7175_6172;
 
-/// VMs first in that order that hear of losses, so that the next one knows them when the first is lost.
-pub const HEARERS: usize = 3;
+/// VMs first in that order that losses are reported to: the next coordinator knows them when the present one is lost.
+pub const REPLICAS: usize = 3;
--- a/crates/sesamegap-policy/src/quarantine/record.rs
+++ b/crates/sesamegap-policy/src/quarantine/record.rs
@@ -11,7 +11,7 @@
 const CONDEMNED: usize = 4;
 
 /// Lost upstreams kept in a record; more say nothing new.
-const MOST_ENDED: usize = 8;
+const MOST_CRASHES: usize = 8;
 
 /// Time after the last loss from which a quarantined request gets one more trial: its upstreams may run other
 /// software by then.
@@ -19,7 +19,7 @@
 
 /// An upstream that ended under a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ended {
+pub struct Crash {
     /// Number of the upstream's life.
     pub life: u64,
     /// Whether the request was on trial there.
@@ -45,7 +45,7 @@
     /// Times that it was cleared; a record of fewer is outdated.
     pub epoch: u32,
     /// Upstreams that ended under it since.
-    pub ended: Vec<Ended>,
+    pub crashes: Vec<Crash>,
     /// Whether a trial has condemned it.
     pub condemned: bool,
     /// When it last lost an upstream, in Unix milliseconds.
@@ -58,7 +58,7 @@
         Self {
             fingerprint,
             epoch: 0,
-            ended: Vec::new(),
+            crashes: Vec::new(),
             condemned: false,
             lost_ms: 0,
         }
@@ -67,7 +67,7 @@
     /// What is to be done with it at a time in Unix milliseconds.
     pub fn standing(&self, unix_ms: u64) -> Standing {
         if !self.is_condemned() {
-            return match self.ended.len() {
+            return match self.crashes.len() {
                 0..SUSPECT => Standing::Clear,
                 _ => Standing::Suspect,
             };
@@ -87,37 +87,45 @@
 
     /// Trials that lost an upstream.
     pub fn failed(&self) -> usize {
-        self.ended.iter().filter(|ended| ended.trial).count()
+        self.crashes.iter().filter(|crash| crash.trial).count()
     }
 
     /// Whether an upstream ended under it in one of its lives.
     pub fn has(&self, life: u64) -> bool {
-        self.ended.iter().any(|ended| ended.life == life)
+        self.crashes.iter().any(|crash| crash.life == life)
     }
 
     /// Adds a lost upstream; whether that was news.
-    pub fn add(&mut self, ended: Ended, unix_ms: u64) -> bool {
+    pub fn add(&mut self, crash: Crash, unix_ms: u64) -> bool {
         self.lost_ms = self.lost_ms.max(unix_ms);
-        if let Some(known) = self.ended.iter_mut().find(|known| known.life == ended.life) {
-            let news = ended.trial && !known.trial;
-            known.trial |= ended.trial;
+        if let Some(known) = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.life == crash.life)
+        {
+            let news = crash.trial && !known.trial;
+            known.trial |= crash.trial;
             return news;
         }
-        if self.ended.len() >= MOST_ENDED {
-            let plain = self.ended.iter().position(|ended| !ended.trial);
-            let Some(at) = plain.filter(|_| ended.trial) else {
+        if self.crashes.len() >= MOST_CRASHES {
+            let plain = self.crashes.iter().position(|crash| !crash.trial);
+            let Some(at) = plain.filter(|_| crash.trial) else {
                 return false;
             };
-            self.ended.remove(at);
+            self.crashes.remove(at);
         }
-        self.ended.push(ended);
+        // In one order on all VMs, so that equal records compare so.
+        let at = self
+            .crashes
+            .partition_point(|known| known.life < crash.life);
+        self.crashes.insert(at, crash);
         true
     }
 
     /// Starts anew: all that was known no longer counts.
     pub fn clear(&mut self) {
         self.epoch += 1;
-        self.ended.clear();
+        self.crashes.clear();
         self.condemned = false;
     }
 
@@ -133,8 +141,8 @@
         let mut news = other.condemned && !self.condemned;
         self.condemned |= other.condemned;
         self.lost_ms = self.lost_ms.max(other.lost_ms);
-        for ended in &other.ended {
-            news |= self.add(*ended, other.lost_ms);
+        for crash in &other.crashes {
+            news |= self.add(*crash, other.lost_ms);
         }
         news
     }
--- a/crates/sesamegap-policy/src/quarantine/registry.rs
+++ b/crates/sesamegap-policy/src/quarantine/registry.rs
@@ -1,6 +1,6 @@
 //! What one VM knows of requests under which upstreams ended.
 
-use super::record::{Ended, Record, Standing};
+use super::record::{Crash, Record, Standing};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Fingerprint, Moment};
@@ -60,8 +60,10 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     requests: FxHashMap<Fingerprint, Tracked>,
+    /// Upstreams that were lost lately, by their lives.
     lately: VecDeque<(u64, Moment)>,
     trial: Option<Trial>,
+    /// Requests to be published.
     news: FxHashSet<Fingerprint>,
     /// Lost upstreams with the condemned request that ended each.
     explained: FxHashMap<u64, Fingerprint>,
@@ -85,36 +87,36 @@
     }
 
     /// Requests that do not run like any other, and those that were cleared.
-    pub fn told(&self, unix_ms: u64) -> impl Iterator<Item = &Record> {
+    pub fn published(&self, unix_ms: u64) -> impl Iterator<Item = &Record> {
         let records = self.requests.values().map(|known| &known.record);
         records
             .filter(move |record| record.epoch > 0 || record.standing(unix_ms) != Standing::Clear)
     }
 
     /// Notes that an upstream ended under a request.
-    pub fn lost(&mut self, request: Fingerprint, ended: Ended, now: Moment, unix_ms: u64) {
-        self.note(ended.life, now);
+    pub fn record_crash(&mut self, request: Fingerprint, crash: Crash, now: Moment, unix_ms: u64) {
+        self.note_loss(crash.life, now);
         let known = self.track(request, now);
-        if !known.record.add(ended, unix_ms) {
+        if !known.record.add(crash, unix_ms) {
             return;
         }
         known.changed = now;
-        if ended.trial {
+        if crash.trial {
             known.failed = Some(now);
         }
-        self.finish(request);
-        self.absolve(request);
-        self.changed(request, unix_ms);
+        self.end_trial(request);
+        self.drop_explained(request);
+        self.publish(request, unix_ms);
         self.trim(unix_ms);
     }
 
     /// Notes that a request ran to its end, as of an epoch; whether that clears it of anything.
-    pub fn completed(&mut self, request: Fingerprint, epoch: u32, now: Moment) -> bool {
-        self.finish(request);
+    pub fn record_success(&mut self, request: Fingerprint, epoch: u32, now: Moment) -> bool {
+        self.end_trial(request);
         let Some(known) = self.requests.get_mut(&request) else {
             return false;
         };
-        if known.record.epoch != epoch || known.record.ended.is_empty() {
+        if known.record.epoch != epoch || known.record.crashes.is_empty() {
             return false;
         }
         known.record.clear();
@@ -128,28 +130,28 @@
     /// Lets a request run like any other again; whether it did not.
     pub fn lift(&mut self, request: Fingerprint, now: Moment) -> bool {
         let epoch = self.get(request).map(|record| record.epoch);
-        epoch.is_some_and(|epoch| self.completed(request, epoch, now))
+        epoch.is_some_and(|epoch| self.record_success(request, epoch, now))
     }
 
     /// Takes in what another VM knows of a request.
-    pub fn merge(&mut self, told: &Record, now: Moment, unix_ms: u64) {
-        let request = told.fingerprint;
+    pub fn merge(&mut self, other: &Record, now: Moment, unix_ms: u64) {
+        let request = other.fingerprint;
         let known = self.track(request, now);
         let failed = known.record.failed();
-        if !known.record.merge(told) {
+        if !known.record.merge(other) {
             return;
         }
         known.changed = now;
         if known.record.failed() > failed {
             known.failed = Some(now);
         }
-        self.absolve(request);
-        self.changed(request, unix_ms);
+        self.drop_explained(request);
+        self.publish(request, unix_ms);
         self.trim(unix_ms);
     }
 
-    /// Decides whether a VM may run a request; only the VM first in line does.
-    pub fn ask(
+    /// Decides whether a VM may run a request; only the coordinator does.
+    pub fn request_trial(
         &mut self,
         request: Fingerprint,
         left: Duration,
@@ -174,11 +176,11 @@
     }
 
     /// Ends the turn of a request's trial.
-    pub fn finish(&mut self, request: Fingerprint) {
+    pub fn end_trial(&mut self, request: Fingerprint) {
         self.trial = self.trial.filter(|trial| trial.fingerprint != request);
     }
 
-    /// Condemns suspects whose trial has settled, and names them; only the VM first in line does.
+    /// Condemns suspects whose trial has settled, and names them; only the coordinator does.
     pub fn judge(&mut self, now: Moment, unix_ms: u64) -> Vec<Fingerprint> {
         let failed = self.requests.values_mut().filter(|known| {
             let at = known.failed;
@@ -203,7 +205,7 @@
                 known.record.condemned = true;
                 known.changed = now;
             }
-            self.changed(*request, unix_ms);
+            self.publish(*request, unix_ms);
         }
         condemned
     }
@@ -237,8 +239,8 @@
 
     /// Upstreams that a request lost in trials or otherwise, and that no condemned request explains.
     fn unexplained(&self, record: &Record, trial: bool) -> Vec<u64> {
-        let ended = record.ended.iter().filter(|ended| ended.trial == trial);
-        let lives = ended.map(|ended| ended.life);
+        let ended = record.crashes.iter().filter(|crash| crash.trial == trial);
+        let lives = ended.map(|crash| crash.life);
         lives
             .filter(|life| !self.is_explained(record.fingerprint, *life))
             .collect()
@@ -258,11 +260,11 @@
     /// Whether a single failed trial may as well be another's: one was on trial at the same upstream, or was at all that were
     /// lost before.
     fn is_shared(&self, record: &Record, trial: u64) -> bool {
-        let tried = |ended: &Ended| ended.trial && ended.life == trial;
+        let tried = |crash: &Crash| crash.trial && crash.life == trial;
         let before = self.unexplained(record, false);
         let beside = self
             .rivals(record)
-            .any(|other| other.ended.iter().any(tried));
+            .any(|other| other.crashes.iter().any(tried));
         beside || self.is_covered(record, &before)
     }
 
@@ -277,7 +279,7 @@
         failed.is_some_and(|at| now.since(at) < SETTLING)
     }
 
-    fn note(&mut self, life: u64, now: Moment) {
+    fn note_loss(&mut self, life: u64, now: Moment) {
         self.lately.retain(|(_, at)| now.since(*at) < LATELY);
         if self.lately.iter().all(|(known, _)| *known != life) && self.lately.len() < MOST_LATELY {
             self.lately.push_back((life, now));
@@ -292,8 +294,8 @@
         })
     }
 
-    /// Has all VMs told of a request that does not run like any other, or no longer does.
-    fn changed(&mut self, request: Fingerprint, unix_ms: u64) {
+    /// Has a request published that does not run like any other, or no longer does.
+    fn publish(&mut self, request: Fingerprint, unix_ms: u64) {
         let Some(record) = self.get(request) else {
             return;
         };
@@ -301,37 +303,37 @@
             self.news.insert(request);
         }
         if self.get(request).is_some_and(Record::is_condemned) {
-            self.explain(request);
+            self.note_explained(request);
         }
     }
 
     /// Notes the losses that a condemned request explains.
-    fn explain(&mut self, condemned: Fingerprint) {
+    fn note_explained(&mut self, condemned: Fingerprint) {
         let Some(record) = self.get(condemned).cloned() else {
             return;
         };
         if self.explained.len() >= MOST_LATELY {
             self.explained.clear();
         }
-        let lives = record.ended.iter().map(|ended| ended.life);
+        let lives = record.crashes.iter().map(|crash| crash.life);
         self.explained.extend(lives.map(|life| (life, condemned)));
         let requests: Vec<Fingerprint> = self.requests.keys().copied().collect();
         for request in requests {
-            self.absolve(request);
+            self.drop_explained(request);
         }
         self.requests
-            .retain(|_, known| known.record.epoch > 0 || !known.record.ended.is_empty());
+            .retain(|_, known| known.record.epoch > 0 || !known.record.crashes.is_empty());
     }
 
     /// Drops what is held against a request if condemned ones were at all upstreams that it lost.
-    fn absolve(&mut self, request: Fingerprint) {
+    fn drop_explained(&mut self, request: Fingerprint) {
         let Some(known) = self.requests.get_mut(&request) else {
             return;
         };
         let explained = &self.explained;
         let is_explained = |life: u64| explained.get(&life).is_some_and(|by| *by != request);
-        let ended = &mut known.record.ended;
-        if !known.record.condemned && ended.iter().all(|ended| is_explained(ended.life)) {
+        let ended = &mut known.record.crashes;
+        if !known.record.condemned && ended.iter().all(|crash| is_explained(crash.life)) {
             ended.clear();
         }
     }
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
@@ -1,7 +1,7 @@
 //! How what VMs know of requests merges, is bounded and is forgotten.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sesamegap_policy::quarantine::{Ended, Grant, Record, Registry, Standing};
+use sesamegap_policy::quarantine::{Crash, Grant, Record, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment};
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
     Fingerprint::of(&format!("r{no}"), None, b"")
 }
 
-fn ended(life: u64, trial: bool) -> Ended {
-    Ended { life, trial }
+fn crash(life: u64, trial: bool) -> Crash {
+    Crash { life, trial }
 }
 
 /// Records of one request, as VMs may come to hold them.
@@ -25,16 +25,16 @@
         let mut record = Record::new(request(0));
         record.epoch = u32::arbitrary(g) % 3;
         for _ in 0..usize::arbitrary(g) % 5 {
-            let loss = ended(u64::arbitrary(g) % 6, bool::arbitrary(g));
+            let loss = crash(u64::arbitrary(g) % 6, bool::arbitrary(g));
             record.add(loss, UNIX + u64::arbitrary(g) % 100);
         }
-        record.condemned = bool::arbitrary(g) && !record.ended.is_empty();
+        record.condemned = bool::arbitrary(g) && !record.crashes.is_empty();
         Self(record)
     }
 }
 
 fn normal(mut record: Record) -> Record {
-    record.ended.sort_unstable_by_key(|ended| ended.life);
+    record.crashes.sort_unstable_by_key(|crash| crash.life);
     record
 }
 
@@ -56,8 +56,8 @@
 
 fn condemn(registry: &mut Registry, no: u64) {
     for life in 0..6 {
-        let loss = ended(no * 10 + life, life >= 2);
-        registry.lost(request(no), loss, NOW, UNIX);
+        let loss = crash(no * 10 + life, life >= 2);
+        registry.record_crash(request(no), loss, NOW, UNIX);
     }
 }
 
@@ -69,8 +69,8 @@
         condemn(&mut registry, no);
     }
     for no in 1_000..20_000 {
-        let loss = ended(1_000_000 + no / 100, false);
-        registry.lost(request(no), loss, NOW + Duration::from_secs(no), UNIX);
+        let loss = crash(1_000_000 + no / 100, false);
+        registry.record_crash(request(no), loss, NOW + Duration::from_secs(no), UNIX);
     }
     let quarantined =
         (0..50).filter(|no| registry.standing(request(*no), UNIX) == Standing::Quarantined);
@@ -85,10 +85,16 @@
     let left = Duration::from_secs(5);
     let at = |hours: u64| (NOW + Duration::from_hours(hours), UNIX + hours * 3_600_000);
     let (now, unix) = at(23);
-    assert_eq!(registry.ask(request(1), left, now, unix), Grant::Refused);
+    assert_eq!(
+        registry.request_trial(request(1), left, now, unix),
+        Grant::Refused
+    );
     let (now, unix) = at(25);
-    assert_eq!(registry.ask(request(1), left, now, unix), Grant::Trial);
-    registry.lost(request(1), ended(99, true), now, unix);
+    assert_eq!(
+        registry.request_trial(request(1), left, now, unix),
+        Grant::Trial
+    );
+    registry.record_crash(request(1), crash(99, true), now, unix);
     assert_eq!(registry.standing(request(1), unix), Standing::Quarantined);
     assert!(registry.lift(request(1), now));
     assert_eq!(registry.standing(request(1), unix), Standing::Clear);
@@ -114,18 +120,18 @@
     let mut registry = Registry::default();
     let at = |ms: u64| NOW + Duration::from_millis(ms);
     let (innocent, culprit) = (request(1), request(2));
-    registry.lost(request(3), ended(9, false), at(0), UNIX);
+    registry.record_crash(request(3), crash(9, false), at(0), UNIX);
     for life in [1, 2] {
-        registry.lost(innocent, ended(life, false), at(life), UNIX);
+        registry.record_crash(innocent, crash(life, false), at(life), UNIX);
     }
     for life in [3, 4] {
-        registry.lost(innocent, ended(life, true), at(1_000 * life), UNIX);
-        registry.lost(culprit, ended(life, false), at(1_000 * life), UNIX);
+        registry.record_crash(innocent, crash(life, true), at(1_000 * life), UNIX);
+        registry.record_crash(culprit, crash(life, false), at(1_000 * life), UNIX);
         registry.judge(at(1_000 * life + 300), UNIX);
     }
     assert_eq!(registry.standing(innocent, UNIX), Standing::Suspect);
     for life in [5, 6, 7, 8] {
-        registry.lost(culprit, ended(life, true), at(1_000 * life), UNIX);
+        registry.record_crash(culprit, crash(life, true), at(1_000 * life), UNIX);
         registry.judge(at(1_000 * life + 300), UNIX);
     }
     assert_eq!(registry.standing(culprit, UNIX), Standing::Quarantined);
@@ -141,7 +147,7 @@
     let at = |ms: u64| NOW + Duration::from_millis(ms);
     for (no, lives) in [(1, [1, 2, 3]), (2, [2, 3, 3])] {
         for life in lives {
-            registry.lost(request(no), ended(life, life == 3), at(life), UNIX);
+            registry.record_crash(request(no), crash(life, life == 3), at(life), UNIX);
         }
     }
     registry.judge(at(500), UNIX);
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/mod.rs
@@ -14,7 +14,7 @@
 
 /// Upstreams that may end under one request before it is refused: two by surprise, two in trials, and as many as run it at once
 /// before anybody knows.
-const MOST_ENDED: usize = 6;
+const MOST_CRASHES: usize = 6;
 
 fn each_seed(load: &Load, check: impl Fn(&World)) {
     let cases = std::env::var("SESAMEGAP_CASES").ok();
@@ -35,7 +35,7 @@
     };
     each_seed(&load, |world| {
         assert_eq!(world.condemned(), (1, 0), "seed {}", world.seed);
-        assert!(world.ended[0] <= MOST_ENDED, "{:?}", world.ended);
+        assert!(world.crashes[0] <= MOST_CRASHES, "{:?}", world.crashes);
         assert!(
             world.served > world.refused * 20,
             "{} {}",
@@ -56,10 +56,10 @@
     each_seed(&load, |world| {
         assert_eq!(world.condemned(), (12, 0), "seed {}", world.seed);
         assert!(
-            world.ended.iter().all(|ended| *ended <= MOST_ENDED),
+            world.crashes.iter().all(|crashes| *crashes <= MOST_CRASHES),
             "seed {} {:?}",
             world.seed,
-            world.ended
+            world.crashes
         );
     });
 }
@@ -115,7 +115,7 @@
     };
     each_seed(&load, |world| {
         assert_eq!(world.condemned(), (1, 0), "seed {}", world.seed);
-        assert!(world.ended[0] <= MOST_ENDED, "{:?}", world.ended);
+        assert!(world.crashes[0] <= MOST_CRASHES, "{:?}", world.crashes);
     });
 }
 
@@ -133,10 +133,10 @@
     each_seed(&load, |world| {
         assert_eq!(world.condemned(), (2, 0), "seed {}", world.seed);
         assert!(
-            world.ended.iter().all(|ended| *ended <= MOST_ENDED),
+            world.crashes.iter().all(|crashes| *crashes <= MOST_CRASHES),
             "seed {} {:?}",
             world.seed,
-            world.ended
+            world.crashes
         );
     });
 }
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/world.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
-use sesamegap_policy::quarantine::{Ended, Grant, Registry, Standing};
+use sesamegap_policy::quarantine::{Crash, Grant, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -77,7 +77,7 @@
 
 #[derive(Debug)]
 enum News {
-    Lost(Fingerprint, Ended),
+    Crashed(Fingerprint, Crash),
     Completed(Fingerprint),
 }
 
@@ -86,7 +86,7 @@
     pub served: usize,
     pub refused: usize,
     /// Upstreams that ended under each crashing request.
-    pub ended: Vec<usize>,
+    pub crashes: Vec<usize>,
     load: Load,
     rng: StdRng,
     now: Moment,
@@ -117,7 +117,7 @@
             seed,
             served: 0,
             refused: 0,
-            ended: vec![0; load.crashing],
+            crashes: vec![0; load.crashing],
             load: load.clone(),
             rng: StdRng::seed_from_u64(seed),
             now: Moment(0) + LASTS,
@@ -193,13 +193,14 @@
         let unix_ms = self.unix_ms();
         while self.news.front().is_some_and(|(at, _)| *at <= self.now) {
             match self.news.pop_front() {
-                Some((_, News::Lost(request, ended))) => {
-                    self.registry.lost(request, ended, self.now, unix_ms);
+                Some((_, News::Crashed(request, ended))) => {
+                    self.registry
+                        .record_crash(request, ended, self.now, unix_ms);
                 }
                 Some((_, News::Completed(request))) => {
                     let epoch = self.registry.get(request).map(|record| record.epoch);
                     if let Some(epoch) = epoch {
-                        self.registry.completed(request, epoch, self.now);
+                        self.registry.record_success(request, epoch, self.now);
                     }
                 }
                 None => return,
@@ -213,7 +214,9 @@
             self.innocent.push(request);
         }
         let left = Duration::from_secs(15);
-        let grant = self.registry.ask(request, left, self.now, self.unix_ms());
+        let grant = self
+            .registry
+            .request_trial(request, left, self.now, self.unix_ms());
         let trial = match grant {
             Grant::Free => false,
             Grant::Trial => true,
@@ -262,7 +265,7 @@
             }
             // The first one ends it; any other merely ran beside it then.
             if let Some(no) = done.iter().find_map(|run| run.crashing) {
-                self.ended[no] += 1;
+                self.crashes[no] += 1;
                 let ended = done.into_iter().filter(|run| run.crashing.is_some());
                 let ended: Vec<Run> = ended.collect();
                 self.upstreams[at].runs.extend(ended);
@@ -292,7 +295,7 @@
         let runs = std::mem::take(&mut upstream.runs);
         for run in &runs {
             let trial = run.trial;
-            self.tell(News::Lost(run.request, Ended { life, trial }));
+            self.tell(News::Crashed(run.request, Crash { life, trial }));
         }
         for run in runs {
             if run.crashing.is_none() && run.tries > 1 {
