Count each crash of an upstream that is back before the list shows its new life

Cause: a crash was known by the upstream's life as the VM believed it. One that started again under its id and crashed before the list was read bore the former life's number: the crash was no news, and the request stayed what it was. Two crashing requests even explained each other's losses by it.

Change: a report of the same request at the same life that comes 0.6 s after the first one of a crash is another crash; repeats of a report come within 0.15 s. A suspect that is granted a trial and finds no upstream asks less often. One function for the two ways in which a stream breaks.

--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -70,6 +70,7 @@
             for request in registry.judge(clock::now(), clock::unix_ms()) {
                 super::log(request, Standing::Quarantined, registry.get(request), "own");
             }
+            super::log_cleared(&mut registry);
         }
         registry.take_news()
     };
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -174,6 +174,7 @@
             let mut registry = self.registry();
             let was = registry.standing(request, unix_ms);
             act(&mut registry);
+            log_cleared(&mut registry);
             let is = registry.standing(request, unix_ms);
             let changed = registry.get(request).filter(|_| was != is);
             (was, is, changed.cloned())
@@ -184,6 +185,13 @@
     }
 }
 
+/// Logs requests that another one's condemnation cleared.
+fn log_cleared(registry: &mut Registry) {
+    for request in registry.take_cleared() {
+        log(request, Standing::Clear, registry.get(request), "explained");
+    }
+}
+
 /// Logs what is to be done with a request from now on.
 fn log(request: Fingerprint, standing: Standing, record: Option<&Record>, by: &str) {
     let lives = record.map(|record| record.crashes.iter().map(|crash| crash.life));
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -283,27 +283,9 @@
             let until = self.silent_until(live, since).min(live.next_look());
             let frame = match timeout_at(until, live.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
-                    loss::broke(
-                        &self.core,
-                        &self.job,
-                        &mut live.flight,
-                        live.sent,
-                        live.begun,
-                    )
-                    .await;
-                    return Err(error.to_string());
-                }
+                Ok(Some(Err(error))) => return Err(self.broken(live, &error.to_string()).await),
                 Ok(None) if live.cutter.is_partial() => {
-                    loss::broke(
-                        &self.core,
-                        &self.job,
-                        &mut live.flight,
-                        live.sent,
-                        live.begun,
-                    )
-                    .await;
-                    return Err("ended within an event".to_owned());
+                    return Err(self.broken(live, "ended within an event").await);
                 }
                 Ok(None) => return Ok(None),
                 Err(_) if Instant::now() >= self.job.ends => return Err("time is over".to_owned()),
@@ -334,6 +316,13 @@
         }
     }
 
+    /// Notes that a stream's connection broke; why it ends.
+    async fn broken(&self, live: &mut Live, why: &str) -> String {
+        let (sent, begun) = (live.sent, live.begun);
+        loss::broke(&self.core, &self.job, &mut live.flight, sent, begun).await;
+        why.to_owned()
+    }
+
     /// Until when silence is borne.
     fn silent_until(&self, live: &Live, since: Instant) -> Instant {
         // Silence alone ends no answer: without another engine to go on at, it may still come.
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -36,13 +36,14 @@
                 Some(flight) => return Ok(flight),
                 None => Refusal::NoUpstream,
             },
-            Admission::Trial(permit) => match progress.choose(core, job, true).await {
-                Some(mut flight) => {
+            Admission::Trial(permit) => {
+                if let Some(mut flight) = progress.choose(core, job, true).await {
                     flight.permit = Some(permit);
                     return Ok(flight);
                 }
-                None => Refusal::NoUpstream,
-            },
+                pause = ASK;
+                Refusal::NoUpstream
+            }
             Admission::Deferred => {
                 pause = ASK;
                 Refusal::Suspect
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -294,3 +294,23 @@
     assert!(sent <= MOST_ENDED + MOST_AFTER, "sent {sent} times");
     assert!(sent > 2, "the next one ran no trial");
 }
+
+/// An engine that is back under its id before the list shows its new life ends again under the same request: the second end
+/// counts as the first, and the request is never a suspect.
+#[tokio::test]
+async fn an_engine_that_ends_again_before_the_list_knows_counts_twice() {
+    let vms = vms(29).await;
+    let engine = Mortal::start(Duration::from_millis(700), |_| {}).await;
+    let id: UpstreamId = "e1".parse().unwrap();
+    for vm in &vms {
+        let entry = entry("engines", engine.addr);
+        let mut fleet = vm.core.fleet.lock();
+        fleet.apply(&id, entry, offset(1), clock::now());
+    }
+    for no in 0..SENDS / 4 {
+        ask(vms[no % VMS].callers, "POST", "/chat/a", &head(no), MARK).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let sent = marked(std::slice::from_ref(&engine));
+    assert!(sent <= MOST_ENDED + MOST_AFTER, "sent {sent} times");
+}
--- a/crates/sesamegap-policy/src/quarantine/record.rs
+++ b/crates/sesamegap-policy/src/quarantine/record.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Lost upstreams that make a request a suspect.
-const SUSPECT: usize = 2;
+pub(super) const SUSPECT: usize = 2;
 
 /// Upstreams lost in trials that condemn a request, whatever else may have ended them.
 const CONDEMNED: usize = 4;
--- a/crates/sesamegap-policy/src/quarantine/registry.rs
+++ b/crates/sesamegap-policy/src/quarantine/registry.rs
@@ -1,6 +1,7 @@
 //! What one VM knows of requests under which upstreams ended.
 
-use super::record::{Crash, Record, Standing};
+use super::record::{Crash, Record, SUSPECT, Standing};
+use crate::routing::engines::rank;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Fingerprint, Moment};
@@ -19,6 +20,12 @@
 /// Lost upstreams remembered for that.
 const MOST_LATELY: usize = 1_024;
 
+/// Shortest time from the crash of an upstream to that of its next instance; repeated reports of one crash come sooner.
+const REBIRTH: Duration = Duration::from_millis(600);
+
+/// Losses of one request that are told apart so.
+const MOST_LOSSES: usize = 16;
+
 /// Time after a trial's loss in which other VMs' reports of the same moment arrive.
 const SETTLING: Duration = Duration::from_millis(250);
 
@@ -48,6 +55,21 @@
     changed: Moment,
     /// When a trial of it last lost an upstream.
     failed: Option<Moment>,
+    /// Its losses by the lives that the list gave the upstreams.
+    losses: Vec<Loss>,
+}
+
+/// An upstream that ended under a request, maybe more than once under one life.
+///
+/// One that crashed may be back before the list shows its new life. Its next crash bears the number of the former life and
+/// would count for nothing.
+#[derive(Debug)]
+struct Loss {
+    life: u64,
+    /// Instances that ended before the last one.
+    count: u64,
+    /// When the first report of the last one came.
+    at: Moment,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -65,10 +87,34 @@
     trial: Option<Trial>,
     /// Requests to be published.
     news: FxHashSet<Fingerprint>,
+    /// Suspects that another one's condemnation cleared.
+    cleared: Vec<Fingerprint>,
     /// Lost upstreams with the condemned request that ended each.
     explained: FxHashMap<u64, Fingerprint>,
 }
 
+impl Tracked {
+    /// The number of the instance that ended, by its life in the list.
+    fn instance(&mut self, life: u64, now: Moment) -> u64 {
+        if self.losses.len() >= MOST_LOSSES {
+            self.losses.clear();
+        }
+        let Some(loss) = self.losses.iter_mut().find(|loss| loss.life == life) else {
+            let at = now;
+            self.losses.push(Loss { life, count: 0, at });
+            return life;
+        };
+        if now.since(loss.at) >= REBIRTH {
+            loss.count += 1;
+            loss.at = now;
+        }
+        match loss.count {
+            0 => life,
+            count => rank(life, count),
+        }
+    }
+}
+
 impl Registry {
     /// Whether nothing is known of any request.
     pub fn is_empty(&self) -> bool {
@@ -95,11 +141,15 @@
 
     /// Notes that an upstream ended under a request.
     pub fn record_crash(&mut self, request: Fingerprint, crash: Crash, now: Moment, unix_ms: u64) {
-        self.note_loss(crash.life, now);
         let known = self.track(request, now);
-        if !known.record.add(crash, unix_ms) {
+        let life = known.instance(crash.life, now);
+        let crash = Crash { life, ..crash };
+        let added = known.record.add(crash, unix_ms);
+        self.note_loss(life, now);
+        if !added {
             return;
         }
+        let known = self.track(request, now);
         known.changed = now;
         if crash.trial {
             known.failed = Some(now);
@@ -217,6 +267,11 @@
         known.cloned().collect()
     }
 
+    /// Suspects that another one's condemnation cleared since the last call.
+    pub fn take_cleared(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.cleared)
+    }
+
     /// Whether the trials that a request has failed are enough to condemn it.
     ///
     /// Others run beside a trial, and one that is no suspect yet may have ended its upstream. A single trial condemns if
@@ -291,6 +346,7 @@
             record: Record::new(request),
             changed: now,
             failed: None,
+            losses: Vec::new(),
         })
     }
 
@@ -334,6 +390,9 @@
         let is_explained = |life: u64| explained.get(&life).is_some_and(|by| *by != request);
         let ended = &mut known.record.crashes;
         if !known.record.condemned && ended.iter().all(|crash| is_explained(crash.life)) {
+            if ended.len() >= SUSPECT {
+                self.cleared.push(request);
+            }
             ended.clear();
         }
     }
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
@@ -155,3 +155,20 @@
         assert_eq!(registry.standing(request(no), UNIX), Standing::Suspect);
     }
 }
+
+/// A datagram that is repeated counts as another crash, or another crash of a reborn upstream as the datagram repeated.
+#[test]
+fn a_repeated_report_is_told_from_a_second_crash_under_one_life() {
+    let mut registry = Registry::default();
+    let at = |ms: u64| NOW + Duration::from_millis(ms);
+    for ms in [0, 50, 150] {
+        registry.record_crash(request(1), crash(7, false), at(ms), UNIX);
+    }
+    assert_eq!(registry.standing(request(1), UNIX), Standing::Clear);
+    for ms in [2_000, 2_050] {
+        registry.record_crash(request(1), crash(7, false), at(ms), UNIX);
+    }
+    assert_eq!(registry.standing(request(1), UNIX), Standing::Suspect);
+    let record = registry.get(request(1)).map(|record| record.crashes.len());
+    assert_eq!(record, Some(2));
+}
