--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! One process on each VM takes callers' requests ([`intake`]), sends each to an upstream and its
 //! answer back ([`relay`] over [`upstream`]), names live entry VMs ([`locator`]), follows the
-//! operator's settings and the fleet ([`follow`]), hears its [`peers`], and takes its turn at
-//! rolling weights ([`roll`]). It keeps nothing: what must last lies behind [`ports::Store`].
+//! operator's settings and the fleet ([`follow`]), hears its [`peers`], holds back requests that
+//! crash upstreams ([`quarantine`]), and takes its turn at rolling weights ([`roll`]). It keeps
+//! nothing: what must last lies behind [`ports::Store`].
 //!
 //! What the platform calls things, and how, is behind the traits in [`ports`]; an adapter
 //! implements them and decides nothing.
