Say once who the coordinator is and how a repeated piece is taken; skip a list that is not needed

The check for the coordinator stood in two modules, and the loop that takes pieces to be sent several times stood beside its twin in the peers' outbox: each is one function now. While any record stood, every tick listed all VMs though it sent nothing; it does so only when it sends.

--- a/crates/sesamegap-entry/src/peers/outbox.rs
+++ b/crates/sesamegap-entry/src/peers/outbox.rs
@@ -53,11 +53,16 @@
     /// What goes out now.
     pub fn take(&self) -> Vec<EngineNews> {
         let mut pieces = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
-        let news = pieces.iter().map(|(news, _)| news.clone()).collect();
-        for (_, left) in pieces.iter_mut() {
-            *left -= 1;
-        }
-        pieces.retain(|(_, left)| *left > 0);
-        news
+        take_repeated(&mut pieces)
+    }
+}
+
+/// Pieces that go out now, each as often as its number says.
+pub fn take_repeated<T: Clone>(pieces: &mut Vec<(T, u8)>) -> Vec<T> {
+    let now = pieces.iter().map(|(piece, _)| piece.clone()).collect();
+    for (_, left) in pieces.iter_mut() {
+        *left -= 1;
     }
+    pieces.retain(|(_, left)| *left > 0);
+    now
 }
--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -1,7 +1,7 @@
 //! Datagrams about requests under which upstreams ended.
 
 use super::message::{Answer, Ask, Message};
-use super::{Quarantine, UpstreamLoss, lock};
+use super::{Quarantine, UpstreamLoss, is_coordinator, lock};
 use crate::clock;
 use crate::core::Core;
 use crate::peers;
@@ -31,6 +31,10 @@
     send_reports(core).await;
     judge(core);
     let records = lock(&quarantine.outbox).records();
+    let gossips = ticks.is_multiple_of(GOSSIP);
+    if records.is_empty() && !gossips {
+        return;
+    }
     let alive = core.peers.datagram_addrs();
     for records in records.chunks(RECORDS) {
         for to in &alive {
@@ -39,7 +43,7 @@
                 .await;
         }
     }
-    if ticks.is_multiple_of(GOSSIP) {
+    if gossips {
         gossip(core, &alive, ticks / GOSSIP).await;
     }
 }
@@ -63,7 +67,7 @@
 /// Judges trials and broadcasts what changed, if this VM is the coordinator.
 fn judge(core: &Core) {
     let quarantine = &core.quarantine;
-    let is_coordinator = core.peers.first(1, COORDINATORS) == [None];
+    let is_coordinator = is_coordinator(core);
     let news = {
         let mut registry = quarantine.registry();
         if is_coordinator {
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -20,10 +20,11 @@
 pub use sync::sync;
 
 use crate::clock;
+use crate::core::Core;
 use crate::telemetry::events;
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
-use sesamegap_policy::quarantine::{Crash, Grant, Record, Registry, Standing};
+use sesamegap_policy::quarantine::{COORDINATORS, Crash, Grant, Record, Registry, Standing};
 use sesamegap_wire::{Fingerprint, Moment, UpstreamId};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -76,6 +77,11 @@
     open: FxHashMap<u64, oneshot::Sender<Grant>>,
 }
 
+/// Whether this VM grants trials and judges them.
+fn is_coordinator(core: &Core) -> bool {
+    core.peers.first(1, COORDINATORS) == [None]
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/sesamegap-entry/src/quarantine/outbox.rs
+++ b/crates/sesamegap-entry/src/quarantine/outbox.rs
@@ -1,6 +1,7 @@
 //! Reports and records on their way to other VMs.
 
 use super::message::Report;
+use crate::peers::take_repeated;
 use sesamegap_policy::quarantine::Record;
 
 /// How often each is sent: a lost datagram costs the fleet an upstream.
@@ -31,20 +32,11 @@
 
     /// Reports that go out now.
     pub fn reports(&mut self) -> Vec<Report> {
-        take(&mut self.reports)
+        take_repeated(&mut self.reports)
     }
 
     /// Records that go out now.
     pub fn records(&mut self) -> Vec<Record> {
-        take(&mut self.records)
+        take_repeated(&mut self.records)
     }
 }
-
-fn take<T: Clone>(pieces: &mut Vec<(T, u8)>) -> Vec<T> {
-    let now = pieces.iter().map(|(piece, _)| piece.clone()).collect();
-    for (_, left) in pieces.iter_mut() {
-        *left -= 1;
-    }
-    pieces.retain(|(_, left)| *left > 0);
-    now
-}
--- a/crates/sesamegap-entry/src/quarantine/sync.rs
+++ b/crates/sesamegap-entry/src/quarantine/sync.rs
@@ -3,12 +3,12 @@
 //! Peers pass news on sooner. The store has it for a fleet of which all VMs lost their memory, and for a VM that
 //! reaches the store and no peer.
 
-use super::Quarantine;
+use super::{Quarantine, is_coordinator};
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::ports::{Record as Stored, StoreError, Table};
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::{COORDINATORS, Record, Standing};
+use sesamegap_policy::quarantine::{Record, Standing};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -67,10 +67,6 @@
     }
 }
 
-fn is_coordinator(core: &Core) -> bool {
-    core.peers.first(1, COORDINATORS) == [None]
-}
-
 /// Reads what the store has, and writes what it lacks if this VM is the one that does.
 async fn exchange(core: &Core) -> Result<(), StoreError> {
     let batch = core.store.snapshot(Table::Quarantine).await?;
