Release the booking of a hedge that is dropped in its channel

A hedge was sent while the first attempt answered: the receiver went away with the hedge in it, and nobody told the decider. Its booking stayed, so an engine's window lost a place for good, and callers were refused the earlier the longer a router ran.

The hedge now carries its booking, which releases itself when it is dropped without being started.

--- a/crates/sesamegap/src/router/deciding/mod.rs
+++ b/crates/sesamegap/src/router/deciding/mod.rs
@@ -28,14 +28,53 @@
 }
 
 /// A second, concurrent attempt that may start when the first token of the first one is late.
+///
+/// The first attempt may answer, or the request may end, while the hedge is still in its channel. It is
+/// then dropped there, and its booking releases itself.
 #[derive(Debug)]
 pub struct Hedge {
-    /// Id of the second attempt at the engine and in the decider.
-    pub id: RequestId,
     /// Where to send the second attempt.
     pub at: Placement,
     /// Priority in the engine's batch.
     pub priority: u8,
+    /// Its booking in the decider.
+    pub booking: HedgeBooking,
+}
+
+/// The decider's booking of a hedge that was not started; dropping it releases the booking.
+#[derive(Debug)]
+pub struct HedgeBooking {
+    /// Id of the second attempt at the engine and in the decider.
+    id: RequestId,
+    controls: Sender<ControlMessage>,
+    transferred: bool,
+}
+
+impl HedgeBooking {
+    /// Leaves the release of the booking to the caller; returns the id of the attempt.
+    pub fn transfer(mut self) -> RequestId {
+        self.transferred = true;
+        self.id.clone()
+    }
+}
+
+impl Drop for HedgeBooking {
+    fn drop(&mut self) {
+        if !self.transferred {
+            let message = ControlMessage::Finished(self.id.clone(), false);
+            send_control(&self.controls, message);
+        }
+    }
+}
+
+fn send_control(controls: &Sender<ControlMessage>, message: ControlMessage) {
+    // A stopped thread no longer needs the message, so only a full queue is an error.
+    if let Err(TrySendError::Full(_)) = controls.try_send(message) {
+        tracing::error!(
+            event = crate::events::END_LOST.number,
+            "decider control queue is full; message lost"
+        );
+    }
 }
 
 /// Receivers for the results of one submission.
@@ -133,7 +172,8 @@
     let (queue, messages) = bounded(bounds.ring);
     let (controls, control_receiver) =
         bounded(bounds.flights * CONTROLS_PER_REQUEST + EXTRA_CONTROLS);
-    let mut decider_loop = thread::DeciderLoop::new(decider, clock, list_requests);
+    let mut decider_loop =
+        thread::DeciderLoop::new(decider, clock, list_requests, controls.clone());
     let queues = thread::Queues {
         messages,
         controls: control_receiver,
@@ -177,22 +217,25 @@
 
     /// Sends an observation that must not be dropped because no later one supersedes it.
     pub fn observe_reliably(&self, observation: Observation) {
-        self.send_control(ControlMessage::Observe(Box::new(observation)));
+        send_control(
+            &self.controls,
+            ControlMessage::Observe(Box::new(observation)),
+        );
     }
 
     /// Releases the request's booking; `whole` says whether its answer is complete.
     pub fn finished(&self, request: RequestId, whole: bool) {
-        self.send_control(ControlMessage::Finished(request, whole));
+        send_control(&self.controls, ControlMessage::Finished(request, whole));
     }
 
     /// Removes a queued request.
     pub fn cancelled(&self, request: RequestId) {
-        self.send_control(ControlMessage::Cancelled(request));
+        send_control(&self.controls, ControlMessage::Cancelled(request));
     }
 
     /// Stops the decider thread.
     pub fn stop(&self) {
-        self.send_control(ControlMessage::Stop);
+        send_control(&self.controls, ControlMessage::Stop);
     }
 
     /// Returns the digest to send to peers, or `None` if the thread is overloaded or stopped.
@@ -220,16 +263,6 @@
         self.queue.try_send(make(to)).ok()?;
         from.await.ok()
     }
-
-    fn send_control(&self, message: ControlMessage) {
-        // A stopped thread no longer needs the message, so only a full queue is an error.
-        if let Err(TrySendError::Full(_)) = self.controls.try_send(message) {
-            tracing::error!(
-                event = crate::events::END_LOST.number,
-                "decider control queue is full; message lost"
-            );
-        }
-    }
 }
 
 pub(super) type Messages = Receiver<Message>;
--- a/crates/sesamegap/src/router/deciding/thread.rs
+++ b/crates/sesamegap/src/router/deciding/thread.rs
@@ -1,8 +1,10 @@
 //! Main loop of the decider thread.
 
-use super::{ControlMessage, Controls, Hedge, Message, Messages, ReplyChannels, Verdict};
+use super::{
+    ControlMessage, Controls, Hedge, HedgeBooking, Message, Messages, ReplyChannels, Verdict,
+};
 use crate::router::clock::Clock;
-use crossbeam_channel::select;
+use crossbeam_channel::{Sender, select};
 use rustc_hash::FxHashMap;
 use sesamegap_policy::{Decider, Decision, Observation};
 use sesamegap_wire::{RequestId, UpstreamId};
@@ -33,6 +35,8 @@
     decider: Decider,
     clock: Clock,
     list_requests: mpsc::Sender<UpstreamId>,
+    /// Sends to this loop; hedges that are dropped report their end through it.
+    controls: Sender<ControlMessage>,
     pending: FxHashMap<RequestId, ReplyChannels>,
     hedges: FxHashMap<RequestId, oneshot::Sender<Hedge>>,
 }
@@ -42,11 +46,13 @@
         decider: Decider,
         clock: Clock,
         list_requests: mpsc::Sender<UpstreamId>,
+        controls: Sender<ControlMessage>,
     ) -> Self {
         Self {
             decider,
             clock,
             list_requests,
+            controls,
             pending: FxHashMap::default(),
             hedges: FxHashMap::default(),
         }
@@ -142,14 +148,21 @@
                     hedge_id,
                     at,
                     priority,
-                } => self.deliver_hedge(
-                    &request,
-                    Hedge {
+                } => {
+                    let booking = HedgeBooking {
                         id: hedge_id,
-                        at,
-                        priority,
-                    },
-                ),
+                        controls: self.controls.clone(),
+                        transferred: false,
+                    };
+                    self.deliver_hedge(
+                        &request,
+                        Hedge {
+                            at,
+                            priority,
+                            booking,
+                        },
+                    );
+                }
                 Decision::List { engine } => drop(self.list_requests.try_send(engine)),
             }
         }
@@ -169,14 +182,11 @@
         }
     }
 
-    /// Delivers a hedge, or releases its booking at once if the receiver is gone, for example
-    /// because the first attempt already has a token.
+    /// Delivers a hedge. If the receiver is gone, for example because the first attempt already has a
+    /// token, dropping the hedge releases its booking.
     fn deliver_hedge(&mut self, request: &RequestId, hedge: Hedge) {
-        let hedge_id = hedge.id.clone();
-        let to = self.hedges.remove(request);
-        if to.is_none_or(|to| to.send(hedge).is_err()) {
-            let observation = Observation::Finished(hedge_id, false);
-            self.decider.observe(observation, self.clock.now());
+        if let Some(to) = self.hedges.remove(request) {
+            drop(to.send(hedge));
         }
     }
 }
--- a/crates/sesamegap/src/router/streams/model/hedge.rs
+++ b/crates/sesamegap/src/router/streams/model/hedge.rs
@@ -63,12 +63,13 @@
     }
 
     pub(super) fn start_hedge(&self, hedge: Hedge) -> Option<HedgeAttempt> {
-        let mut booking = Booking::new(&self.core, &hedge.id, self.attempt);
+        let id = hedge.booking.transfer();
+        let mut booking = Booking::new(&self.core, &id, self.attempt);
         let engine = self.core.fleet.engine(&hedge.at.engine)?;
         booking.sent(&engine);
         self.core.telemetry.hedged();
         Some(HedgeAttempt {
-            id: hedge.id,
+            id,
             at: hedge.at,
             priority: hedge.priority,
             engine,
