Tests: keep threads without a subscriber from disabling log call sites

tracing caches for each call site whether anybody wants it. While one dispatcher is known, the thread that reaches a call site first asks its own default, without the lock that a new dispatcher takes. A test without a subscriber then disabled the call site for the test that listened, for the whole run or from the middle of it (some runs had one line of three). Two dispatchers that stay registered make every thread ask all of them under the lock.

The product sets one subscriber before it starts threads, so it is not affected.

--- a/crates/sesamegap-entry/tests/testsuite/support/lines.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/lines.rs
@@ -2,10 +2,25 @@
 
 use sesamegap_entry::telemetry::Logging;
 use std::io::{self, Write};
-use std::sync::{Arc, Mutex};
-use tracing::Subscriber;
+use std::sync::{Arc, LazyLock, Mutex};
+use tracing::subscriber::NoSubscriber;
+use tracing::{Dispatch, Subscriber};
 use tracing_subscriber::EnvFilter;
 
+/// Dispatchers that stay registered for the whole run.
+///
+/// tracing caches for each call site whether any subscriber wants it. While it knows at most one
+/// dispatcher, the thread that reaches a call site first asks its own default only, without a lock. A
+/// thread of a test without a subscriber would then disable the call site for the test that listens. With
+/// two dispatchers, it asks all registered ones under a lock.
+static PERMANENT_DISPATCHERS: LazyLock<[Dispatch; 2]> =
+    LazyLock::new(|| [(); 2].map(|()| Dispatch::new(NoSubscriber::default())));
+
+/// Keeps tests without a subscriber from disabling call sites for tests that read the log.
+pub fn keep_call_sites_shared() {
+    LazyLock::force(&PERMANENT_DISPATCHERS);
+}
+
 /// Log lines in memory.
 #[derive(Debug, Clone, Default)]
 pub struct LogLines(Arc<Mutex<Vec<u8>>>);
@@ -13,6 +28,7 @@
 impl LogLines {
     /// A subscriber that logs here; all lines are written once the [`Logging`] is dropped.
     pub fn subscriber(&self) -> (impl Subscriber + Send + Sync + use<>, Logging) {
+        keep_call_sites_shared();
         Logging::to_writer(self.clone(), EnvFilter::new("info"))
     }
 
