Tests: give no two stand-in engines the same address

A roll failed once in 17 whole runs, its text was not captured. Run hundreds of times beside load, rolls::each_engine_gets_one_order_while_others_serve and rolls::only_one_vm_gives_orders failed in 2 of 280 runs of the module with 'condition not met in time' after 20 s.

Of 40,000 draws of five ports 25 had a duplicate. The stand-in platform finds engines by address, so two engines at one address count as one; the other never gets its order, and any roll of the module waits for it without end. The odds fit the rate seen (102 pairs of engines a run of the module).

--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -48,6 +48,15 @@
     engines.iter().all(|engine| engine.version == version)
 }
 
+/// Two stand-in engines at one address count as one: the other gets no order, and the test waits in vain.
+#[test]
+fn no_two_standins_share_an_address() {
+    let mut addrs: Vec<_> = (0..3_000).map(|_| unused_addr()).collect();
+    addrs.sort_unstable();
+    addrs.dedup();
+    assert_eq!(addrs.len(), 3_000);
+}
+
 #[tokio::test]
 async fn each_engine_gets_one_order_while_others_serve() {
     let platform = Arc::new(Platform::default());
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -23,8 +23,9 @@
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::routing::budget::Bound;
 use sesamegap_wire::{DomainId, LogPosition, Moment, Offset, ServiceId, Timeline, WeightsVersion};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -42,12 +43,22 @@
 }
 
 /// An address with a port that nothing listens on, for servers that a test does not start.
+///
+/// The system may hand out a port again as soon as it is closed. Two stand-in engines at one address count as
+/// one, and a roll would wait for the other without end; so no address is returned twice.
 pub fn unused_addr() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static RETURNED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    loop {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        if RETURNED.lock().unwrap().insert(addr) {
+            return addr;
+        }
+    }
 }
 
 pub fn settings(name: &str, seeds: Vec<SocketAddr>) -> Settings {
+    lines::keep_call_sites_shared();
     Settings {
         vm: name.parse().unwrap(),
         domain: "hall-a".parse().unwrap(),
