Rate limits of teams over all entry VMs

Cause: a team may have a rate and a burst for the whole fleet, and nothing in the product knew of it.

Change: policy quota, apart from I/O. Each VM holds one part in all listed VMs of every limit and lends it to at most one VM at a time, for a lease; a VM that claims a shard of teams pools the parts and charges requests to token buckets. Sums over VMs cannot exceed a limit, whatever the VMs believe of each other. The entry VM charges each request before it is placed (one datagram each way), answers 429 with a time of its own to each caller, or 503 while rights are missing, returns what did not run and charges what runs again.

In virtual time no window of the random histories exceeds a limit, and three planted faults are caught.

--- a/crates/sesamegap-entry/src/catalogue/index.rs
+++ b/crates/sesamegap-entry/src/catalogue/index.rs
@@ -17,6 +17,7 @@
     hosts: FxHashMap<SmolStr, Vec<Arc<Route>>>,
     keys: FxHashMap<SmolStr, Arc<Team>>,
     services: FxHashMap<ServiceId, Service>,
+    has_quotas: bool,
 }
 
 impl Catalogue {
@@ -41,6 +42,7 @@
         let services = services.map(|service| (service.name.clone(), service.clone()));
         Self {
             services: services.collect(),
+            has_quotas: document.teams.iter().any(|team| team.quota.is_some()),
             hosts,
             keys,
             document,
@@ -84,6 +86,11 @@
         !self.document.teams.is_empty()
     }
 
+    /// Whether any team has a rate limit.
+    pub fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// The team to which a key belongs.
     pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
         self.keys.get(key)
--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -9,6 +9,7 @@
 pub use index::{Catalogue, NoRoute};
 
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::quota::RateLimit;
 use sesamegap_wire::{DomainId, ServiceId, TeamId};
 use smol_str::SmolStr;
 use std::fmt;
@@ -150,7 +151,7 @@
 }
 
 /// A team and its keys.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Team {
     /// Its name.
     pub name: TeamId,
@@ -160,10 +161,67 @@
     pub priority: Option<u8>,
     /// Whether it shares no cache entries with other teams.
     pub isolated: bool,
+    /// Its rate limit over all VMs.
+    ///
+    /// It follows the document in a message of its own ([`Document::quotas`]): a VM of another release could not decode
+    /// a longer team.
+    #[serde(skip)]
+    pub quota: Option<Quota>,
+}
+
+/// A team's rate limit over all VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Rate and burst.
+    pub limit: RateLimit,
+    /// What is counted.
+    pub unit: Unit,
+}
+
+/// What a rate limit counts.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Unit {
+    /// Requests.
+    Requests,
+    /// Tokens of prompts and answers; a request that states none counts as this many.
+    Tokens(f64),
+}
+
+impl Quota {
+    /// What a request with this many tokens costs.
+    pub fn cost(&self, tokens: Option<u64>) -> f64 {
+        match self.unit {
+            Unit::Requests => 1.0,
+            Unit::Tokens(unstated) => tokens.map_or(unstated, |tokens| tokens as f64),
+        }
+    }
+}
+
+/// Rate limits of the teams of a document, by team.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Quotas(Vec<(TeamId, Quota)>);
+
+impl Document {
+    /// The rate limits, for a peer that receives the document.
+    pub fn quotas(&self) -> Quotas {
+        let limited = self.teams.iter();
+        let limited = limited.filter_map(|team| Some((team.name.clone(), team.quota?)));
+        Quotas(limited.collect())
+    }
+
+    /// Sets the rate limits that a peer sent with the document.
+    pub fn set_quotas(&mut self, quotas: Quotas) {
+        for (name, quota) in quotas.0 {
+            let mut teams = self.teams.iter_mut();
+            if let Some(team) = teams.find(|team| team.name == name) {
+                team.quota = Some(quota);
+            }
+        }
+    }
 }
 
 /// A complete configuration, as published by the operator.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Document {
     /// Its revision.
     pub revision: Revision,
--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -12,6 +12,7 @@
 use crate::placing::PlacementClient;
 use crate::ports::{Ports, Table};
 use crate::quarantine::Quarantine;
+use crate::quota::QuotaClient;
 use crate::settings::Settings;
 use crate::store::StoreClient;
 use crate::telemetry::metrics::Metrics;
@@ -61,6 +62,8 @@
     pub active: Arc<ActiveRequests>,
     /// Memory left for request bodies, one permit per KiB.
     pub body_permits: Arc<Semaphore>,
+    /// Rate limits of teams.
+    pub quota: QuotaClient,
     /// Requests quarantined because upstreams crashed while running them.
     pub quarantine: Quarantine,
     tables: [TableState; 4],
@@ -94,6 +97,7 @@
             active: Arc::default(),
             body_permits: Arc::new(Semaphore::new(settings.body_memory >> 10)),
             quarantine: Quarantine::default(),
+            quota: QuotaClient::new(&settings),
             tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
             budgets: Mutex::default(),
@@ -135,6 +139,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .values_mut()
             .for_each(|budget| budget.set(settings.repeats));
+        self.quota.set_tolerance(settings.tolerance);
         self.settings.store(Arc::new(settings));
     }
 
--- a/crates/sesamegap-entry/src/intake/reply.rs
+++ b/crates/sesamegap-entry/src/intake/reply.rs
@@ -27,6 +27,9 @@
 /// `Retry-After` if the memory for bodies is used up: a body is held for about a second.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Least `Retry-After` of a request refused for its team's rate limit: a sooner return would mostly be refused too.
+const MIN_QUOTA_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Body of a response to a caller; an error in it aborts the connection.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -59,6 +62,10 @@
     Suspect,
     /// Upstreams crash while they run it; it was not run and will not be.
     Quarantined,
+    /// Its team has used up its rate limit; it was not run and will not be.
+    OverQuota(Duration),
+    /// This VM cannot tell whether its team's rate limit allows it; it was not run and will not be.
+    NoQuotaRights(Duration),
     /// The memory for request bodies is used up.
     OutOfMemory,
     /// It may have run, but no complete response came.
@@ -76,6 +83,9 @@
             Self::Suspect => Some(TRIAL_RETRY_AFTER),
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
             Self::OutOfMemory => Some(MEMORY_RETRY_AFTER),
+            Self::OverQuota(wait) | Self::NoQuotaRights(wait) => {
+                Some(wait.max(MIN_QUOTA_RETRY_AFTER))
+            }
             _ => None,
         }
     }
@@ -92,7 +102,9 @@
             | Self::NoUpstream
             | Self::Suspect
             | Self::Quarantined
+            | Self::NoQuotaRights(_)
             | Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -113,6 +125,8 @@
                 "upstreams ended under it and it runs only by itself, not now; not run"
             }
             Self::Quarantined => "quarantined, upstreams end under it; not run",
+            Self::OverQuota(_) => "over the team's rate limit; not run",
+            Self::NoQuotaRights(_) => "the team's rate limit cannot be checked now; not run",
             Self::OutOfMemory => "too many requests at once; not run",
             Self::Lost => "no whole answer from the upstream; it may have run",
             Self::Timeout => "time is over; it may have run",
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -106,6 +106,7 @@
         body_permit: body.permit,
         arrived,
         deadline,
+        charge: None,
         fingerprint: OnceLock::new(),
     })
 }
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ports;
 pub mod process;
 pub mod quarantine;
+pub mod quota;
 pub mod relay;
 pub mod roll;
 pub mod settings;
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -1,6 +1,7 @@
 //! Periodic probes of peers, and broadcasts of this process's own state.
 
 use super::message::{Hello, HelloReply, apply_state, named_weights};
+use crate::catalogue::Quotas;
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::telemetry::events;
@@ -132,7 +133,11 @@
         revision: core.revision(),
         weights: named_weights(core),
     };
-    let reply: HelloReply = post(core, addr, "hello", &hello).await?;
+    let (mut reply, quotas): (HelloReply, Option<Quotas>) =
+        post(core, addr, "hello", &hello).await?;
+    if let (Some(document), Some(quotas)) = (&mut reply.document, quotas) {
+        document.set_quotas(quotas);
+    }
     let now = clock::now();
     let source = reply.me.who.vm.to_smolstr();
     {
@@ -144,12 +149,13 @@
     Ok(())
 }
 
-async fn post<Q: Serialize, A: DeserializeOwned>(
+/// Sends a message; returns the reply and what follows it, if the peer's release sends that.
+async fn post<Q: Serialize, A: DeserializeOwned, B: DeserializeOwned>(
     core: &Core,
     addr: SocketAddr,
     name: &str,
     message: &Q,
-) -> Result<A, String> {
+) -> Result<(A, Option<B>), String> {
     let body = rmp_serde::to_vec(message).map_err(|error| error.to_string())?;
     let sent = core
         .peers
@@ -162,5 +168,12 @@
         return Err(format!("{addr} answered {}", answer.status()));
     }
     let bytes = answer.bytes().await.map_err(|error| error.to_string())?;
-    rmp_serde::from_slice(&bytes).map_err(|error| error.to_string())
+    let mut rest = bytes.as_ref();
+    let reply = rmp_serde::from_read(&mut rest).map_err(|error| error.to_string())?;
+    let following = if rest.is_empty() {
+        None
+    } else {
+        Some(rmp_serde::from_read(&mut rest).map_err(|error| error.to_string())?)
+    };
+    Ok((reply, following))
 }
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -17,6 +17,7 @@
 use crate::follow::{self, TableUpdate};
 use crate::placing::{self, PlacementMessage};
 use crate::quarantine;
+use crate::quota;
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::belief::Change;
@@ -58,6 +59,8 @@
     Placing(PlacementMessage),
     /// A message about requests during which upstreams crashed.
     Quarantine(quarantine::Message),
+    /// A message about rate limits of teams.
+    Quota(sesamegap_policy::quota::Message),
 }
 
 impl Datagram {
@@ -91,6 +94,11 @@
     Datagram::Quarantine(message).encode()
 }
 
+/// Encodes a message about rate limits, if it can be sent.
+pub fn encode_quota(message: &sesamegap_policy::quota::Message) -> Option<Vec<u8>> {
+    Datagram::Quota(message.clone()).encode()
+}
+
 /// Sends and receives datagrams until the process ends.
 pub async fn run_datagrams(core: Arc<Core>) {
     let addr = core.settings().listen.loads;
@@ -104,6 +112,7 @@
     };
     core.placement_client.set_socket(Arc::clone(&socket));
     core.quarantine.set_socket(Arc::clone(&socket));
+    core.quota.set_socket(Arc::clone(&socket));
     tokio::spawn(receive(Arc::clone(&core), Arc::clone(&socket)));
     let mut last_loads: Vec<UpstreamLoad> = Vec::new();
     let mut recipients = RecipientSelector::default();
@@ -113,6 +122,7 @@
         sleep(TICK).await;
         ticks = ticks.wrapping_add(1);
         quarantine::tick(&core, ticks).await;
+        quota::tick(&core);
         for datagram in pending_events(&core) {
             send(
                 &core,
@@ -250,6 +260,7 @@
             Ok(Datagram::Placing(PlacementMessage::Reports(reports))) => {
                 placing::apply_reports(&core, from, &reports);
             }
+            Ok(Datagram::Quota(message)) => quota::receive(&core, from, &message),
             Ok(Datagram::Quarantine(message)) => quarantine::receive(&core, from, message).await,
             Err(error) => {
                 info!(event = events::PEER, %from, %error, "failed to decode a datagram");
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -15,7 +15,7 @@
 pub use client::{broadcast_state, run_probes};
 pub use datagrams::{
     apply_engine_updates, broadcast_engine_update, broadcast_store_unavailable, encode_placing,
-    encode_quarantine, run_datagrams,
+    encode_quarantine, encode_quota, run_datagrams,
 };
 pub use loads::{Loads, UpstreamLoad};
 pub use message::{EngineUpdate, learn_weights};
@@ -114,6 +114,19 @@
         self.lock().peers().count() + 1
     }
 
+    /// Returns the number of entry VMs that the store lists or that were alive recently, including this one; zero if the
+    /// list has not been read.
+    ///
+    /// A VM that is cut off from all others still counts them.
+    pub fn listed_count(&self) -> u32 {
+        let members = self.lock();
+        if members.is_seeded() {
+            u32::try_from(members.known() + 1).unwrap_or(u32::MAX)
+        } else {
+            0
+        }
+    }
+
     /// Returns the addresses of peers by membership status.
     pub fn addrs_by_status(&self) -> PeerAddrs {
         let members = self.lock();
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -40,7 +40,12 @@
         document: newer.map(|catalogue| catalogue.document().as_ref().clone()),
         weights: named_weights(&core),
     };
-    encode(&reply)
+    let mut body = encode(&reply)?;
+    // A VM of an earlier release ignores what follows the reply.
+    if let Some(document) = &reply.document {
+        body.extend(encode(&document.quotas())?);
+    }
+    Ok(body)
 }
 
 async fn decode<T: DeserializeOwned>(body: Body) -> poem::Result<T> {
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -226,6 +226,8 @@
     pub model: Option<SmolStr>,
     /// The parts of the prompt, in order; only the last one is not shared.
     pub parts: Vec<PromptPart>,
+    /// Tokens of the prompt and the longest answer, if the request states them.
+    pub usage: Option<u64>,
 }
 
 /// Values that the process sends to an upstream in the headers of a request.
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -10,6 +10,7 @@
 use crate::peers;
 use crate::ports::Table;
 use crate::quarantine;
+use crate::quota;
 use crate::roll;
 use crate::settings::Settings;
 use crate::telemetry::{self, events};
@@ -144,6 +145,7 @@
     );
     core.advance_phase(Phase::Leaving);
     core.peers.leave();
+    quota::stop(core);
     peers::broadcast_state(core).await;
     sleep(
         deadlines
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -76,10 +76,16 @@
     resume_after: Option<u64>,
 ) -> (UpstreamId, Outcome) {
     let id = flight.id.clone();
+    if let Some(charge) = &job.charge {
+        charge.record_sent();
+    }
     let outcome = await_head(core, job, flight, head_timeout, resume_after).await;
     match &outcome {
         Outcome::Answered(_) => {}
         Outcome::NotRun(why) => {
+            if let Some(charge) = &job.charge {
+                charge.record_not_run();
+            }
             core.metrics.count_failed_attempt(why.name());
             info!(event = events::ATTEMPT, request = %job.head.id, upstream = %id, why = ?why, "not run");
         }
@@ -249,8 +255,6 @@
 ) -> Dispatch {
     let isolated = job.team.as_ref().filter(|team| team.isolated);
     let is_prompt = job.head.model.is_some();
-    let priority = job.team.as_ref().and_then(|team| team.priority);
-    let priority = priority.unwrap_or(job.route.priority);
     let namespace = cache_namespace(flight.weights, isolated.map(|team| team.name.as_str()));
     let transfer = if is_prompt {
         plan_transfer(core, job, flight)
@@ -265,7 +269,7 @@
         weights: flight.weights.filter(|_| is_prompt),
         fetch: transfer.fetch,
         save: transfer.save,
-        priority: is_prompt.then_some(priority),
+        priority: is_prompt.then_some(job.priority()),
         after: resume_after,
     }
 }
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -18,10 +18,12 @@
 use crate::catalogue::{Catalogue, Route, Team};
 use crate::core::Core;
 use crate::fleet::PromptShape;
-use crate::intake::{Body, Refusal};
+use crate::intake::{Body, Refusal, refusal_response};
 use crate::ports::RequestHead;
+use crate::quota::{self, Charged};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri};
+use request_log::RequestLog;
 use rustc_hash::FxHasher;
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{Fingerprint, ServiceId};
@@ -56,6 +58,8 @@
     pub arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
+    /// The charge to its team's rate limit, if it has one.
+    pub charge: Option<Charged>,
     /// Computed on first use by [`Job::fingerprint`].
     pub fingerprint: OnceLock<Fingerprint>,
 }
@@ -66,6 +70,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Its priority; 0 is the most urgent.
+    pub fn priority(&self) -> u8 {
+        let priority = self.team.as_ref().and_then(|team| team.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     /// The error response if it may have run and no complete response arrived.
     fn lost_refusal(&self) -> Refusal {
         if self.time_left().is_zero() {
@@ -141,7 +151,15 @@
 }
 
 /// Forwards a request and returns the response for the caller.
-pub async fn run(core: &Arc<Core>, job: Job) -> Response<Body> {
+pub async fn run(core: &Arc<Core>, mut job: Job) -> Response<Body> {
+    match quota::admit(core, &job).await {
+        Ok(charge) => job.charge = charge,
+        Err(refusal) => {
+            let mut log = RequestLog::new(core, &job);
+            log.record_end(refusal.status().as_u16(), 0, refusal.to_string());
+            return refusal_response(refusal);
+        }
+    }
     core.count_request(job.service());
     if job.route.kind.is_stream() {
         stream::run(Arc::clone(core), job).await
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings that a process is started with.
 
+use sesamegap_policy::quota::Tolerance;
 use sesamegap_policy::routing::budget::Bound;
 use sesamegap_wire::{DomainId, VmId};
 use std::net::SocketAddr;
@@ -56,6 +57,8 @@
     pub spans: Spans,
     /// The fleet-wide bound on retries.
     pub repeats: Bound,
+    /// By how much a team's use may exceed its rate limit.
+    pub tolerance: Tolerance,
     /// Memory for request bodies held at once, in bytes.
     pub body_memory: usize,
 }
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -44,6 +44,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     refusals: Counter<u64>,
+    quota_refusals: Counter<u64>,
     request_time: Histogram<f64>,
     first_event_time: Histogram<f64>,
     gauges: Gauge<u64>,
@@ -82,6 +83,10 @@
                 .u64_counter("sesamegap_refusals")
                 .with_description("Requests refused before they were placed, by status")
                 .build(),
+            quota_refusals: meter
+                .u64_counter("sesamegap_quota_refusals")
+                .with_description("Requests refused for a team's rate limit, by status")
+                .build(),
             request_time: latency("sesamegap_request", "Time from a request's head to its end"),
             first_event_time: latency(
                 "sesamegap_first_event",
@@ -128,6 +133,12 @@
         self.refusals.add(1, &[status]);
     }
 
+    /// Counts a request that was refused for its team's rate limit.
+    pub fn count_quota_refusal(&self, status: u16) {
+        let status = KeyValue::new("status", i64::from(status));
+        self.quota_refusals.add(1, &[status]);
+    }
+
     /// All metrics as text.
     ///
     /// # Errors
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod placing;
 mod quarantine;
+mod quota;
 mod readings;
 mod refusals;
 mod restored;
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -6,7 +6,7 @@
 mod platform;
 mod upstream;
 
-pub use caller::{Caller, ask, request};
+pub use caller::{Answer, Caller, ask, request};
 pub use crashing::{CRASH_MARK, CrashingUpstream};
 pub use lines::LogLines;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
@@ -21,6 +21,7 @@
 use sesamegap_entry::ports::Weights;
 use sesamegap_entry::settings::{Listen, Settings, Spans};
 use sesamegap_entry::telemetry::Logging;
+use sesamegap_policy::quota::Tolerance;
 use sesamegap_policy::routing::budget::Bound;
 use sesamegap_wire::{DomainId, LogPosition, Moment, Offset, ServiceId, Timeline, WeightsVersion};
 use std::collections::BTreeSet;
@@ -85,6 +86,7 @@
             slack: 54.0,
             window: Duration::from_secs(10),
         },
+        tolerance: Tolerance { slack: 0.0 },
         body_memory: 8 << 20,
     }
 }
@@ -176,6 +178,7 @@
             keys: vec![KEY.into()],
             priority: None,
             isolated: false,
+            quota: None,
         }],
     }
 }
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -49,6 +49,8 @@
                 .map(Duration::from_millis),
             key: text(headers, &AUTHORIZATION),
             model: text(headers, &MODEL),
+            usage: text(headers, &HeaderName::from_static("x-usage"))
+                .and_then(|all| all.parse().ok()),
             parts: parts
                 .map(|name| PromptPart {
                     name: name.into(),
--- a/crates/sesamegap-policy/src/agreement/membership/table.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table.rs
@@ -58,6 +58,7 @@
     config: MembershipConfig,
     peers: BTreeMap<VmId, Peer>,
     seeds: BTreeMap<VmId, SocketAddr>,
+    seeded: bool,
     /// Targets still to be probed in this pass over the peers.
     probe_queue: Vec<VmId>,
 }
@@ -76,6 +77,7 @@
             config,
             peers: BTreeMap::new(),
             seeds: BTreeMap::new(),
+            seeded: false,
             probe_queue: Vec::new(),
         }
     }
@@ -84,6 +86,7 @@
     ///
     /// The list may be out of date, so it determines only which peers to probe, not their status.
     pub fn seed(&mut self, list: impl IntoIterator<Item = (VmId, SocketAddr)>) {
+        self.seeded = true;
         self.seeds = list
             .into_iter()
             .filter(|(vm, _)| *vm != self.me.who.vm)
@@ -95,6 +98,18 @@
         self.seeds.values().copied()
     }
 
+    /// Whether the platform's list has been read.
+    pub fn is_seeded(&self) -> bool {
+        self.seeded
+    }
+
+    /// Number of other VMs that are listed or were alive recently.
+    pub fn known(&self) -> usize {
+        let unlisted = self.peers.keys();
+        let unlisted = unlisted.filter(|vm| !self.seeds.contains_key(*vm));
+        self.seeds.len() + unlisted.count()
+    }
+
     /// Announces that this process is about to stop.
     pub fn leave(&mut self) {
         self.me.status = Status::Leaving;
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -8,6 +8,11 @@
 mod placing;
 mod quarantine;
 mod queue;
+#[expect(
+    clippy::unwrap_used,
+    reason = "a test fails if one of its helpers does"
+)]
+mod quota;
 mod routing;
 mod serving;
 mod shifting;
--- a/crates/sesamegap/src/ctl/explain/line.rs
+++ b/crates/sesamegap/src/ctl/explain/line.rs
@@ -146,7 +146,7 @@
     let name = |name| fields.get(name).map(text).map(SmolStr::from);
     let step = |step| Some(Said::Step(name("request")?, step));
     match event {
-        750 => step(Step::Refused),
+        750 | 760 => step(Step::Refused),
         751 => step(Step::Sent(name("upstream")?)),
         752 => step(Step::Failed(name("upstream")?)),
         753 => step(Step::Ended),
@@ -158,7 +158,7 @@
         713 | 714 => Some(Said::Belief(Topic::Upstream(name("upstream")?, event))),
         741 => Some(Said::Belief(Topic::Upstream(name("engine")?, event))),
         757 => Some(Said::Belief(Topic::Request(name("fingerprint")?))),
-        700..=704 | 720..=722 | 730 | 731 | 740 => Some(Said::Trouble),
+        700..=704 | 720..=722 | 730 | 731 | 740 | 761 => Some(Said::Trouble),
         _ => Some(Said::Else),
     }
 }
