--- a/crates/sesamegap-policy/src/quota/ledger.rs
+++ b/crates/sesamegap-policy/src/quota/ledger.rs
@@ -19,7 +19,7 @@
 const MAJORITY: f64 = 0.5;
 
 /// Time after which a refused request may return if too few parts are held; about the time of a lease.
-const RIGHTS_DELAY: Duration = Duration::from_millis(600);
+const RIGHTS_DELAY: Duration = Duration::from_millis(400);
 
 /// Part of a limit that may be used without rights, over all VMs; half of the usual overage.
 const RESERVE_OVERAGE: f64 = 0.05;
--- a/crates/sesamegap-policy/src/quota/mod.rs
+++ b/crates/sesamegap-policy/src/quota/mod.rs
@@ -32,11 +32,11 @@
 /// Number of shards. Each is pooled by one VM, so this bounds the messages for leases.
 pub const SHARDS: usize = 16;
 
-/// How long a part is lent. While the VM that pools a shard is dead, the shard's teams wait about this long.
-pub const LEASE: Duration = Duration::from_secs(1);
+/// How long a part is lent. If the VM that pools a shard dies, the shard's teams wait about this long.
+pub const LEASE: Duration = Duration::from_millis(500);
 
 /// Interval of claims; a lease survives the loss of one message.
-pub const CLAIM_INTERVAL: Duration = Duration::from_millis(350);
+pub const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Part of the fleet's slack that is used on top of the burst, and again as a reserve without rights. The rest
 /// covers requests that run later than they were charged, and VMs that know too few of the others.
