quota: drop the buckets of teams that a new document does not limit

Cause: the VM that counts a team kept its bucket after the team or its limit had gone. Change: each new document drops the buckets of teams without a limit.

--- a/crates/sesamegap-entry/src/quota/client.rs
+++ b/crates/sesamegap-entry/src/quota/client.rs
@@ -1,12 +1,13 @@
 //! Exchange of rights and charges between entry VMs.
 
+use crate::catalogue::{Catalogue, Revision};
 use crate::clock;
 use crate::core::Core;
 use crate::peers;
 use crate::relay::Job;
 use crate::settings::Settings;
 use crate::telemetry::events;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use sesamegap_policy::quota::{
     Charge, Message, Node, Outgoing, RateLimit, SHARDS, Target, Tolerance, Verdict, shard_of,
 };
@@ -42,6 +43,8 @@
     node: Node,
     last_number: u64,
     pending: FxHashMap<u64, oneshot::Sender<Verdict>>,
+    /// Revision of the document whose teams have buckets.
+    revision: Revision,
     /// Whether more than half of each shard was held at the last tick.
     held: [bool; SHARDS],
 }
@@ -52,6 +55,17 @@
         self.last_number = self.last_number.max(clock::unix_ms() << 20) + 1;
         self.last_number
     }
+
+    /// Drops the buckets of teams that a new document does not limit.
+    fn retain_teams(&mut self, catalogue: &Catalogue) {
+        if self.revision != catalogue.revision() {
+            self.revision = catalogue.revision();
+            let teams = catalogue.document().teams.iter();
+            let limited = teams.filter(|team| team.quota.is_some());
+            let limited: FxHashSet<&TeamId> = limited.map(|team| &team.name).collect();
+            self.node.retain(|team| limited.contains(team));
+        }
+    }
 }
 
 impl QuotaClient {
@@ -63,6 +77,7 @@
                 node,
                 last_number: 0,
                 pending: FxHashMap::default(),
+                revision: Revision::default(),
                 held: [false; SHARDS],
             }),
             socket: OnceLock::new(),
@@ -192,10 +207,9 @@
 
 /// Sends the claims that are due; called at fixed intervals.
 pub fn tick(core: &Core) {
-    let is_limited = core.catalogue().is_some_and(|all| all.has_quotas());
-    if !is_limited {
+    let Some(catalogue) = core.catalogue().filter(|all| all.has_quotas()) else {
         return;
-    }
+    };
     let roster = core.peers.roster();
     let others = roster.iter().filter_map(|(vm, addr)| Some((*vm, (*addr)?)));
     let others = others.collect();
@@ -203,6 +217,7 @@
     let mut out = Vec::new();
     {
         let mut state = core.quota.lock();
+        state.retain_teams(&catalogue);
         state.node.set_vms(others, all);
         state.node.tick(clock::now(), &mut out);
         log_rights(&mut state);
