--- a/crates/sesamegap-policy/src/quota/mod.rs
+++ b/crates/sesamegap-policy/src/quota/mod.rs
@@ -19,11 +19,14 @@
 //! receives it. The lender's lease thus ends later, and no clocks are compared.
 
 mod ledger;
+mod message;
 mod node;
+mod reported_vms;
 mod rights;
 
 pub use ledger::{Charge, Ledger, Verdict};
-pub use node::{Claim, Loan, Message, Node, Outcome, Outgoing, Peer, Target};
+pub use message::{Claim, Loan, Message, Outcome, Outgoing, Peer};
+pub use node::{Node, Target};
 pub use rights::{Loans, Pool};
 
 use serde::{Deserialize, Serialize};
--- a/crates/sesamegap-policy/src/quota/node.rs
+++ b/crates/sesamegap-policy/src/quota/node.rs
@@ -1,18 +1,16 @@
 //! What one VM does for the rate limits: its messages, and where it charges a request.
 
+use super::reported_vms::ReportedVms;
 use super::{
-    CLAIM_INTERVAL, Charge, LEASE, Ledger, Loans, Pool, SHARDS, ShardSet, Tolerance, Verdict,
+    CLAIM_INTERVAL, Charge, Claim, LEASE, Ledger, Loan, Loans, Message, Outgoing, Pool, SHARDS,
+    ShardSet, Tolerance, Verdict,
 };
 use crate::routing::engines::rank;
 use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Moment, TeamId};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Address of a VM's datagram socket; `None` is the VM itself.
-pub type Peer = Option<SocketAddr>;
-
 /// Rank of the first VM of a shard is computed with this key, so that it differs from other assignments.
 const RANKING_KEY: u64 = 0x51_7A;
 
@@ -23,107 +21,11 @@
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(1);
 
 /// Least interval between claims that are sent at once because a VM was asked without holding the shard.
-const URGENT_CLAIM_INTERVAL: Duration = Duration::from_millis(50);
-
-/// How long the number of VMs that a peer reported is used.
-const REPORTED_VMS_TIME: Duration = Duration::from_secs(30);
+const URGENT_CLAIM_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Unresponsive VMs after which a VM counts as isolated and asks nobody.
 const ISOLATED: usize = 3;
 
-/// A message between VMs.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// Asks all VMs to lend their parts of some shards.
-    Claim(Claim),
-    /// The answer to a claim.
-    Loan(Loan),
-    /// The sender does not use the parts of these shards any longer.
-    Release(ShardSet),
-    /// Charges a request to its team.
-    Charge {
-        /// Number of the request, unique among those of the sender.
-        number: u64,
-        /// The team.
-        team: TeamId,
-        /// Tokens, or one if the limit counts requests.
-        cost: f64,
-        /// Priority of the request.
-        priority: u8,
-        /// Rate and burst of the team.
-        limit: (f64, f64),
-        /// Revision of the settings that contain the limit.
-        revision: u64,
-    },
-    /// The answer to a charge, with its number.
-    Charged(u64, Outcome),
-    /// Returns the tokens of a request that did not run, or charges a further run of one.
-    Adjust(TeamId, f64),
-}
-
-/// A verdict in a message; refusals with milliseconds until a return.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The request may run.
-    Granted,
-    /// The team's limit is used up.
-    OverLimit(u32),
-    /// The sender holds too small a part of the limit.
-    NoRights(u32),
-}
-
-impl Outcome {
-    /// The verdict.
-    pub fn verdict(self) -> Verdict {
-        let wait = |ms| Duration::from_millis(u64::from(ms));
-        match self {
-            Self::Granted => Verdict::Granted,
-            Self::OverLimit(ms) => Verdict::OverLimit(wait(ms)),
-            Self::NoRights(ms) => Verdict::NoRights(wait(ms)),
-        }
-    }
-}
-
-impl Message {
-    /// The answer to a charge.
-    pub fn charged(number: u64, verdict: Verdict) -> Self {
-        let ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let outcome = match verdict {
-            Verdict::Granted => Outcome::Granted,
-            Verdict::OverLimit(wait) => Outcome::OverLimit(ms(wait)),
-            Verdict::NoRights(wait) => Outcome::NoRights(ms(wait)),
-        };
-        Self::Charged(number, outcome)
-    }
-}
-
-/// Asks all VMs to lend their parts of some shards.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Claim {
-    /// The shards.
-    pub shards: ShardSet,
-    /// The sender's time, returned in the answer.
-    pub at: u64,
-    /// Number of VMs that the sender knows by itself, not from claims; the number could never fall otherwise.
-    pub vms: u32,
-    /// Highest fraction of a shard that the sender holds, by shard in 255ths.
-    pub fractions: [u8; SHARDS],
-}
-
-/// The answer to a claim.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Loan {
-    /// The shards of which the sender lends its part.
-    pub shards: ShardSet,
-    /// Time of the claim.
-    pub at: u64,
-    /// Number of VMs among which the sender divides the limits.
-    pub vms: u32,
-}
-
-/// A message and its recipient.
-pub type Outgoing = (SocketAddr, Message);
-
 /// Where to charge a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -164,11 +66,7 @@
             peers: Vec::new(),
             own_seed,
             vms: 0,
-            reported_vms: ReportedVms {
-                latest: 0,
-                former: 0,
-                since: now,
-            },
+            reported_vms: ReportedVms::new(now),
             started: now,
             asked: [None; SHARDS],
             rivals: [None; SHARDS],
@@ -470,31 +368,6 @@
     }
 }
 
-/// The highest number of VMs that peers reported recently.
-///
-/// A VM that has just started, or that was cut off, may know too few others; its part would be too large.
-#[derive(Debug)]
-struct ReportedVms {
-    latest: u32,
-    /// The highest number of the interval before.
-    former: u32,
-    since: Moment,
-}
-
-impl ReportedVms {
-    fn record(&mut self, vms: u32, now: Moment) {
-        if now.since(self.since) > REPORTED_VMS_TIME {
-            self.former = std::mem::take(&mut self.latest);
-            self.since = now;
-        }
-        self.latest = self.latest.max(vms);
-    }
-
-    fn max(&self) -> u32 {
-        self.latest.max(self.former)
-    }
-}
-
 fn ranking_key(shard: usize) -> u64 {
     RANKING_KEY + shard as u64
 }
