Read once more: one piece of code where the rate limits wrote it again

Behaviour and messages on the wire stay (a limit of two numbers and a pair of them have the same encoding).

- MessageNumbers serves placement, quarantine and rate limits, which had the same line each.
- Job::wait_deadline serves the waits for an upstream and for tokens: an eighth of the objective.
- Ledger::adjust replaces refund and debit, which differed in a sign; the comment on Node::adjust said the opposite of what it does.
- Node::is_silent replaces three lookups; stop gives all shards to release, which selects the held ones anyway; sets of shards are collected instead of filled in loops.
- Message::charge builds the message for the client and for the tests' fleet.

--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod datagrams;
 mod loads;
 mod message;
+mod numbers;
 mod outbox;
 mod server;
 
@@ -19,6 +20,7 @@
 };
 pub use loads::{Loads, UpstreamLoad};
 pub use message::{EngineUpdate, learn_weights};
+pub use numbers::MessageNumbers;
 pub use outbox::{Outbox, take_repeated};
 pub use server::endpoints;
 
--- a/crates/sesamegap-entry/src/placing/client.rs
+++ b/crates/sesamegap-entry/src/placing/client.rs
@@ -3,7 +3,7 @@
 use super::message::{ChosenEngine, PlacementMessage, PromptReport};
 use crate::clock;
 use crate::fleet::Flight;
-use crate::peers;
+use crate::peers::{self, MessageNumbers};
 use rustc_hash::FxHashMap;
 use sesamegap_wire::Moment;
 use std::net::SocketAddr;
@@ -29,20 +29,12 @@
 
 #[derive(Debug, Default)]
 struct State {
-    last_number: u64,
+    numbers: MessageNumbers,
     pending: FxHashMap<u64, oneshot::Sender<Option<ChosenEngine>>>,
     reports: FxHashMap<SocketAddr, Vec<PromptReport>>,
     unresponsive: FxHashMap<SocketAddr, Moment>,
 }
 
-impl State {
-    /// A number that no earlier process on this VM has used recently.
-    fn next_number(&mut self) -> u64 {
-        self.last_number = self.last_number.max(clock::unix_ms() << 20) + 1;
-        self.last_number
-    }
-}
-
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -99,7 +91,7 @@
     ) -> (TrackedPrompt, oneshot::Receiver<Option<ChosenEngine>>) {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
-        let number = state.next_number();
+        let number = state.numbers.allocate();
         state.pending.insert(number, sender);
         (self.track(owner, number), receiver)
     }
@@ -111,7 +103,7 @@
         flight: &Flight,
         left: Duration,
     ) -> TrackedPrompt {
-        let number = lock(&self.state).next_number();
+        let number = lock(&self.state).numbers.allocate();
         let tracked = self.track(owner, number);
         tracked.report(PromptReport::Began {
             number,
--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -107,8 +107,7 @@
             let mut pending = lock(&self.pending_responses);
             // Drop requests that have timed out.
             pending.senders.retain(|_, sender| !sender.is_closed());
-            pending.last_number = pending.last_number.max(clock::unix_ms() << 20) + 1;
-            let number = pending.last_number;
+            let number = pending.numbers.allocate();
             pending.senders.insert(number, sender);
             number
         };
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::clock;
 use crate::core::Core;
+use crate::peers::MessageNumbers;
 use crate::telemetry::events;
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
@@ -76,7 +77,7 @@
 /// Trial requests that wait for the coordinator's response.
 #[derive(Debug, Default)]
 struct PendingResponses {
-    last_number: u64,
+    numbers: MessageNumbers,
     senders: FxHashMap<u64, oneshot::Sender<Grant>>,
 }
 
--- a/crates/sesamegap-entry/src/quota/client.rs
+++ b/crates/sesamegap-entry/src/quota/client.rs
@@ -3,7 +3,7 @@
 use crate::catalogue::{Catalogue, Revision};
 use crate::clock;
 use crate::core::Core;
-use crate::peers;
+use crate::peers::{self, MessageNumbers};
 use crate::relay::Job;
 use crate::settings::Settings;
 use crate::telemetry::events;
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 struct State {
     node: Node,
-    last_number: u64,
+    numbers: MessageNumbers,
     pending: FxHashMap<u64, oneshot::Sender<Verdict>>,
     /// Revision of the document whose teams have buckets.
     revision: Revision,
@@ -50,12 +50,6 @@
 }
 
 impl State {
-    /// A number that no earlier process on this VM has used recently.
-    fn next_number(&mut self) -> u64 {
-        self.last_number = self.last_number.max(clock::unix_ms() << 20) + 1;
-        self.last_number
-    }
-
     /// Drops the buckets of teams that a new document does not limit.
     fn retain_teams(&mut self, catalogue: &Catalogue) {
         if self.revision != catalogue.revision() {
@@ -75,7 +69,7 @@
         Self {
             state: Mutex::new(State {
                 node,
-                last_number: 0,
+                numbers: MessageNumbers::default(),
                 pending: FxHashMap::default(),
                 revision: Revision::default(),
                 held: [false; SHARDS],
@@ -158,19 +152,12 @@
     let (sender, mut verdict) = oneshot::channel();
     let number = {
         let mut state = core.quota.lock();
-        let number = state.next_number();
+        let number = state.numbers.allocate();
         state.pending.insert(number, sender);
         number
     };
     let _pending = PendingCharge { core, number };
-    let message = Message::Charge {
-        number,
-        team: charge.team.clone(),
-        cost: charge.cost,
-        priority: charge.priority,
-        limit: (charge.limit.rate, charge.limit.burst),
-        revision: charge.revision,
-    };
+    let message = Message::charge(number, charge);
     for _ in 0..SENDS {
         core.quota.send(vec![(addr, message.clone())]);
         if let Ok(Ok(verdict)) = timeout(ANSWER_TIMEOUT, &mut verdict).await {
@@ -258,17 +245,14 @@
             team,
             cost,
             priority,
-            limit: (rate, burst),
+            limit,
             revision,
         } => {
             let charge = Charge {
                 team,
                 cost: *cost,
                 priority: *priority,
-                limit: RateLimit {
-                    rate: *rate,
-                    burst: *burst,
-                },
+                limit: *limit,
                 revision: *revision,
             };
             let shard = shard_of(seed(team.as_str()));
--- a/crates/sesamegap-entry/src/quota/mod.rs
+++ b/crates/sesamegap-entry/src/quota/mod.rs
@@ -21,9 +21,6 @@
 use tokio::time::{Instant, sleep};
 use tracing::info;
 
-/// Longest wait for tokens or rights, as a divisor of the latency objective.
-const WAIT_DIVISOR: u32 = 8;
-
 /// How often a request without rights asks again.
 const RIGHTS_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -39,9 +36,7 @@
         return Ok(None);
     };
     let cost = quota.cost(job.head.usage);
-    let deadline = job
-        .deadline
-        .min(Instant::now() + job.route.objective / WAIT_DIVISOR);
+    let deadline = job.wait_deadline();
     loop {
         let (verdict, target) = client::charge(core, job, &team.name, quota.limit, cost).await;
         let (wait, refusal) = match verdict {
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -33,6 +33,9 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
+/// Fraction of the latency objective that a request may wait before it is refused, as a divisor.
+const WAIT_DIVISOR: u32 = 8;
+
 /// An accepted request.
 #[derive(Debug)]
 pub struct Job {
@@ -70,6 +73,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Until when it may wait, from now on, for an upstream or for tokens of its team.
+    ///
+    /// Such states often end within moments, but a long wait would only keep the caller from retrying.
+    pub fn wait_deadline(&self) -> Instant {
+        let wait = self.route.objective / WAIT_DIVISOR;
+        self.deadline.min(Instant::now() + wait)
+    }
+
     /// Its priority; 0 is the most urgent.
     pub fn priority(&self) -> u8 {
         let priority = self.team.as_ref().and_then(|team| team.priority);
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -15,9 +15,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Fraction of the latency objective to wait for an upstream, as a divisor.
-const WAIT_DIVISOR: u32 = 8;
-
 /// How often the fleet is checked again; the duration of a few typical responses.
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -33,9 +30,7 @@
     job: &Job,
     retry: &RetryState,
 ) -> Result<Flight, Refusal> {
-    let deadline = job
-        .deadline
-        .min(Instant::now() + job.route.objective / WAIT_DIVISOR);
+    let deadline = job.wait_deadline();
     loop {
         let mut poll_interval = POLL_INTERVAL;
         let refusal = match admit(core, job).await {
--- a/crates/sesamegap-policy/src/quota/ledger.rs
+++ b/crates/sesamegap-policy/src/quota/ledger.rs
@@ -172,20 +172,14 @@
         Verdict::OverLimit(bucket.next_return.since(now))
     }
 
-    /// Charges a further run of a request that was granted before, whatever the level.
-    pub fn debit(&mut self, team: &TeamId, cost: f64) {
+    /// Takes the cost from a team's bucket whatever its level, for a further run of a granted request; a negative cost
+    /// returns the tokens of one that did not run.
+    pub fn adjust(&mut self, team: &TeamId, cost: f64) {
         if let Some(bucket) = self.buckets.get_mut(team) {
             bucket.level -= cost;
         }
     }
 
-    /// Returns the tokens of a request that did not run.
-    pub fn refund(&mut self, team: &TeamId, cost: f64) {
-        if let Some(bucket) = self.buckets.get_mut(team) {
-            bucket.level += cost;
-        }
-    }
-
     /// Drops the buckets of teams that are not in the settings.
     pub fn retain(&mut self, is_known: impl Fn(&TeamId) -> bool) {
         self.buckets.retain(|team, _| is_known(team));
--- a/crates/sesamegap-policy/src/quota/message.rs
+++ b/crates/sesamegap-policy/src/quota/message.rs
@@ -1,6 +1,6 @@
 //! Messages between VMs about rate limits.
 
-use super::{SHARDS, ShardSet, Verdict};
+use super::{Charge, RateLimit, SHARDS, ShardSet, Verdict};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::TeamId;
 use std::net::SocketAddr;
@@ -28,8 +28,8 @@
         cost: f64,
         /// Priority of the request.
         priority: u8,
-        /// Rate and burst of the team.
-        limit: (f64, f64),
+        /// The team's limit.
+        limit: RateLimit,
         /// Revision of the settings that contain the limit.
         revision: u64,
     },
@@ -63,6 +63,18 @@
 }
 
 impl Message {
+    /// Asks another VM to charge a request.
+    pub fn charge(number: u64, charge: &Charge<'_>) -> Self {
+        Self::Charge {
+            number,
+            team: charge.team.clone(),
+            cost: charge.cost,
+            priority: charge.priority,
+            limit: charge.limit,
+            revision: charge.revision,
+        }
+    }
+
     /// The answer to a charge.
     pub fn charged(number: u64, verdict: Verdict) -> Self {
         let ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
--- a/crates/sesamegap-policy/src/quota/mod.rs
+++ b/crates/sesamegap-policy/src/quota/mod.rs
@@ -71,6 +71,14 @@
     }
 }
 
+impl FromIterator<usize> for ShardSet {
+    fn from_iter<I: IntoIterator<Item = usize>>(shards: I) -> Self {
+        let mut set = Self::default();
+        shards.into_iter().for_each(|shard| set.insert(shard));
+        set
+    }
+}
+
 /// The shard of a team, by the hash of its name.
 pub fn shard_of(team: u64) -> usize {
     (team >> 32) as usize % SHARDS
--- a/crates/sesamegap-policy/src/quota/node.rs
+++ b/crates/sesamegap-policy/src/quota/node.rs
@@ -103,10 +103,7 @@
     /// It is the VM to which the own part is lent, because it pools most parts as a rule. Without one it is the first
     /// VM in the shard's ranking that answers.
     pub fn target(&self, shard: usize, now: Moment) -> Target {
-        let answers = |addr: SocketAddr| {
-            let until = self.unresponsive.get(&addr);
-            until.is_none_or(|until| now >= *until)
-        };
+        let answers = |addr: SocketAddr| !self.is_silent(addr, now);
         match self.loans.holder(shard, now) {
             Some(None) => return Target::Local,
             Some(Some(addr)) if answers(addr) => return Target::Remote(addr),
@@ -131,6 +128,12 @@
         }
     }
 
+    /// Whether a VM did not answer a charge recently.
+    fn is_silent(&self, addr: SocketAddr, now: Moment) -> bool {
+        let until = self.unresponsive.get(&addr);
+        until.is_some_and(|until| now < *until)
+    }
+
     /// Records that a VM did not answer a charge.
     pub fn record_unanswered(&mut self, addr: SocketAddr, now: Moment) {
         self.unresponsive.retain(|_, until| now < *until);
@@ -159,13 +162,9 @@
         verdict
     }
 
-    /// Adds to (negative: takes from) the bucket of a team, whatever its level.
+    /// Charges a further run of a request, or returns the tokens of one that did not run (negative).
     pub fn adjust(&mut self, team: &TeamId, cost: f64) {
-        if cost < 0.0 {
-            self.ledger.refund(team, -cost);
-        } else {
-            self.ledger.debit(team, cost);
-        }
+        self.ledger.adjust(team, cost);
     }
 
     /// Advances the time and sends the claims that are due.
@@ -182,8 +181,7 @@
     /// Gives up all parts, because the process is about to stop.
     pub fn stop(&mut self, now: Moment, out: &mut Vec<Outgoing>) {
         self.stopping = true;
-        let held = self.held_shards();
-        self.release(held, now, out);
+        self.release((0..SHARDS).collect(), now, out);
     }
 
     /// Handles a message about rights; answers are added to `out`.
@@ -259,12 +257,8 @@
         if self.stopping || vms == 0 {
             return;
         }
-        let mut shards = ShardSet::default();
-        for shard in 0..SHARDS {
-            if self.should_claim(shard, now) {
-                shards.insert(shard);
-            }
-        }
+        let due = (0..SHARDS).filter(|shard| self.should_claim(*shard, now));
+        let shards: ShardSet = due.collect();
         if shards.is_empty() {
             return;
         }
@@ -289,13 +283,8 @@
     /// Whether this VM claims a shard: it was asked for one of its teams, or it is the first in its ranking and no
     /// other VM holds more of it.
     fn should_claim(&self, shard: usize, now: Moment) -> bool {
-        let has_rival = self.rivals[shard].is_some_and(|(rival, at)| {
-            let is_silent = self
-                .unresponsive
-                .get(&rival)
-                .is_some_and(|until| now < *until);
-            now.since(at) < LEASE && !is_silent
-        });
+        let has_rival = self.rivals[shard]
+            .is_some_and(|(rival, at)| now.since(at) < LEASE && !self.is_silent(rival, now));
         if has_rival {
             return false;
         }
@@ -324,24 +313,10 @@
         (self.pool.fraction(shard) * 255.0).clamp(0.0, 255.0) as u8
     }
 
-    fn held_shards(&self) -> ShardSet {
-        let mut held = ShardSet::default();
-        for shard in 0..SHARDS {
-            if self.pool.fraction(shard) > 0.0 {
-                held.insert(shard);
-            }
-        }
-        held
-    }
-
     /// Gives the parts of some shards back to their lenders.
     fn release(&mut self, shards: ShardSet, now: Moment, out: &mut Vec<Outgoing>) {
-        let mut given = ShardSet::default();
-        for shard in shards.iter() {
-            if self.pool.fraction(shard) > 0.0 {
-                given.insert(shard);
-            }
-        }
+        let held = shards.iter().filter(|no| self.pool.fraction(*no) > 0.0);
+        let given: ShardSet = held.collect();
         if given.is_empty() {
             return;
         }
--- a/crates/sesamegap-policy/tests/testsuite/quota/ledger.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quota/ledger.rs
@@ -35,16 +35,17 @@
     }
 }
 
-fn ledger() -> Ledger {
-    Ledger::new(Tolerance { slack: 0.0 })
+/// A team without use so far, five seconds after all parts were pooled.
+fn full_bucket() -> (TeamId, Pool, Ledger, Moment) {
+    let age = Duration::from_secs(5);
+    let ledger = Ledger::new(Tolerance { slack: 0.0 });
+    (super::team(), pool(age), ledger, START + age)
 }
 
 /// Refused callers that all return when the first tokens are there would be refused together again.
 #[test]
 fn refused_callers_return_one_after_the_other() {
-    let team = "clerks".parse().unwrap();
-    let (pool, mut ledger) = (pool(Duration::from_secs(5)), ledger());
-    let now = START + Duration::from_secs(5);
+    let (team, pool, mut ledger, now) = full_bucket();
     assert_eq!(
         ledger.charge(0, &charge(&team, 2_000.0, 0), &pool, 2, now),
         Verdict::Granted
@@ -63,9 +64,7 @@
 /// ones wait until its tokens are paid off.
 #[test]
 fn a_request_larger_than_the_burst_is_admitted_from_a_full_bucket() {
-    let team = "clerks".parse().unwrap();
-    let (pool, mut ledger) = (pool(Duration::from_secs(5)), ledger());
-    let now = START + Duration::from_secs(5);
+    let (team, pool, mut ledger, now) = full_bucket();
     assert_eq!(
         ledger.charge(0, &charge(&team, 6_000.0, 1), &pool, 2, now),
         Verdict::Granted
@@ -77,19 +76,17 @@
 /// A request was refused by its engine, or its caller left before it was sent: its tokens go back.
 #[test]
 fn a_refund_is_available_again() {
-    let team = "clerks".parse().unwrap();
-    let (pool, mut ledger) = (pool(Duration::from_secs(5)), ledger());
-    let now = START + Duration::from_secs(5);
+    let (team, pool, mut ledger, now) = full_bucket();
     assert_eq!(
         ledger.charge(0, &charge(&team, 2_000.0, 0), &pool, 2, now),
         Verdict::Granted
     );
-    ledger.refund(&team, 2_000.0);
+    ledger.adjust(&team, -2_000.0);
     assert_eq!(
         ledger.charge(0, &charge(&team, 2_000.0, 0), &pool, 2, now),
         Verdict::Granted
     );
-    ledger.debit(&team, 500.0);
+    ledger.adjust(&team, 500.0);
     let verdict = ledger.charge(0, &charge(&team, 500.0, 0), &pool, 2, now);
     assert_eq!(verdict, Verdict::OverLimit(Duration::from_secs(1)));
 }
@@ -97,9 +94,7 @@
 /// An overloaded team's less urgent requests would take all tokens before its urgent ones arrive.
 #[test]
 fn the_last_tokens_are_kept_for_urgent_requests() {
-    let team = "clerks".parse().unwrap();
-    let (pool, mut ledger) = (pool(Duration::from_secs(5)), ledger());
-    let now = START + Duration::from_secs(5);
+    let (team, pool, mut ledger, now) = full_bucket();
     assert_eq!(
         ledger.charge(0, &charge(&team, 1_700.0, 1), &pool, 2, now),
         Verdict::Granted
--- a/crates/sesamegap-policy/tests/testsuite/quota/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quota/world.rs
@@ -372,10 +372,7 @@
                     team: &team,
                     cost,
                     priority,
-                    limit: RateLimit {
-                        rate: limit.0,
-                        burst: limit.1,
-                    },
+                    limit,
                     revision,
                 };
                 let node = &mut self.vms[to].node;
@@ -400,30 +397,24 @@
     fn charge(&mut self, vm: usize, mut request: Request) {
         request.tries += 1;
         let shard = shard(&request.team);
+        let team = request.team.clone();
+        let charge = Charge {
+            team: &team,
+            cost: request.cost,
+            priority: request.priority,
+            limit: self.limit,
+            revision: self.revision,
+        };
         match self.vms[vm].node.target(shard, self.now) {
             Target::Remote(to) => {
                 self.number += 1;
                 let number = self.number;
-                let message = Message::Charge {
-                    number,
-                    team: request.team.clone(),
-                    cost: request.cost,
-                    priority: request.priority,
-                    limit: (self.limit.rate, self.limit.burst),
-                    revision: self.revision,
-                };
+                let message = Message::charge(number, &charge);
                 self.vms[vm].asked.insert(number, (request, to));
                 self.push(ANSWER_TIMEOUT, Event::Timeout(vm, number));
                 self.send(vm, vec![(to, message)]);
             }
             Target::Local => {
-                let charge = Charge {
-                    team: &request.team.clone(),
-                    cost: request.cost,
-                    priority: request.priority,
-                    limit: self.limit,
-                    revision: self.revision,
-                };
                 let mut out = Vec::new();
                 let node = &mut self.vms[vm].node;
                 let verdict = node.charge(shard, &charge, self.now, &mut out);
