Membership: presume the VMs of a long list alive

Cause: a process that starts knows only the peers it has met. Contacting 985 listed VMs at two a second takes minutes, and gossip of 985 starts at eight updates a message half a minute. Until then every VM takes itself for one of the first in every ranking: all 985 read the fleet list, watch the kept-KV stores and so on.

Change: the VMs of a list too long to contact each are entered as alive until a probe fails, not before three seconds (they may be starting), and without gossip. A process that hears of a suspicion of itself says so.

Tests: the three new ones fail without the change (no peers are known from a list alone).

--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -48,6 +48,9 @@
 /// How long a dead peer stays in the membership table.
 const DEAD_PEER_RETENTION: Duration = Duration::from_secs(20);
 
+/// Longest list of VMs that are all contacted when a process starts.
+const MAX_CONTACTED: usize = 16;
+
 /// Addresses of peers by membership status.
 #[derive(Debug, Default)]
 pub struct PeerAddrs {
@@ -85,6 +88,7 @@
             suspicion: SUSPICION_TIMEOUT,
             memory: DEAD_PEER_RETENTION,
             indirect: 0,
+            contactable: MAX_CONTACTED,
         };
         let members = Members::new(me.clone(), settings.listen.peers, config);
         Self {
@@ -197,7 +201,7 @@
 
     /// Seeds the table with the store's list of entry VMs.
     pub fn seed_members(&self, vms: Vec<(VmId, SocketAddr)>) {
-        self.lock().seed(vms);
+        self.lock().seed(vms, clock::now());
     }
 
     /// Marks this process as leaving in all further updates.
--- a/crates/sesamegap-measure/src/slopes/agreement.rs
+++ b/crates/sesamegap-measure/src/slopes/agreement.rs
@@ -59,10 +59,14 @@
             suspicion: ROUND * 6,
             memory: ROUND * 240,
             indirect: 2,
+            contactable: usize::MAX,
         };
         let nodes = (0..size).map(|at| {
             let mut node = Members::new(holder(at), addr(at), rules);
-            node.seed((0..size).map(|other| (vm(other), addr(other))));
+            node.seed(
+                (0..size).map(|other| (vm(other), addr(other))),
+                Moment::default(),
+            );
             node
         });
         Self {
--- a/crates/sesamegap-policy/src/agreement/membership/table.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table.rs
@@ -4,7 +4,7 @@
 use crate::agreement::ProcessId;
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
-use sesamegap_wire::{Moment, VmId};
+use sesamegap_wire::{Incarnation, Moment, VmId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +16,12 @@
 /// How often one update is sent, for each doubling of the number of peers.
 const SENDS_PER_DOUBLING: u32 = 3;
 
+/// Incarnation of a VM that is presumed alive: older than any that a process can have.
+const PRESUMED: Incarnation = Incarnation(0);
+
+/// Time in which a listed VM that was never heard of may not answer yet: all VMs of a fleet may be starting together.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Parameters of the failure detector.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipConfig {
@@ -25,6 +31,11 @@
     pub memory: Duration,
     /// Number of peers asked to probe a peer that does not answer us.
     pub indirect: usize,
+    /// Longest list whose VMs can all be contacted at startup.
+    ///
+    /// The VMs of a longer list are presumed alive until a probe fails: contacting them one by one takes minutes, and
+    /// until then each process would assign the duties of the whole fleet to the few peers that it has met.
+    pub contactable: usize,
 }
 
 /// A probe to send.
@@ -51,6 +62,13 @@
     sends: u32,
 }
 
+impl Peer {
+    /// Whether the peer, or another peer on its behalf, reported its state; otherwise it is only listed.
+    pub fn is_confirmed(&self) -> bool {
+        self.latest.who.incarnation > PRESUMED
+    }
+}
+
 /// All peers known to one process.
 #[derive(Debug)]
 pub struct Members {
@@ -59,6 +77,7 @@
     peers: BTreeMap<VmId, Peer>,
     seeds: BTreeMap<VmId, SocketAddr>,
     seeded: bool,
+    refuted: bool,
     /// Targets still to be probed in this pass over the peers.
     probe_queue: Vec<VmId>,
 }
@@ -78,19 +97,44 @@
             peers: BTreeMap::new(),
             seeds: BTreeMap::new(),
             seeded: false,
+            refuted: false,
             probe_queue: Vec::new(),
         }
     }
 
     /// Replaces the platform's list of entry VMs.
     ///
-    /// The list may be out of date, so it determines only which peers to probe, not their status.
-    pub fn seed(&mut self, list: impl IntoIterator<Item = (VmId, SocketAddr)>) {
+    /// The list may be out of date, so it determines only which peers to probe, not their status. Only the VMs of a list
+    /// longer than [`MembershipConfig::contactable`] are presumed alive if nothing is known of them.
+    pub fn seed(&mut self, list: impl IntoIterator<Item = (VmId, SocketAddr)>, now: Moment) {
         self.seeded = true;
         self.seeds = list
             .into_iter()
             .filter(|(vm, _)| *vm != self.me.who.vm)
             .collect();
+        if self.seeds.len() > self.config.contactable {
+            self.presume_listed(now);
+        }
+    }
+
+    /// Adds the listed VMs of which nothing is known, as alive. These entries are not gossiped: every process has the
+    /// list, and the first update from the VM itself replaces them.
+    fn presume_listed(&mut self, now: Moment) {
+        for (vm, addr) in &self.seeds {
+            self.peers.entry(vm.clone()).or_insert_with(|| Peer {
+                latest: MemberUpdate {
+                    who: ProcessId {
+                        vm: vm.clone(),
+                        incarnation: PRESUMED,
+                    },
+                    addr: *addr,
+                    version: 0,
+                    status: Status::Alive,
+                },
+                since: now,
+                sends: u32::MAX,
+            });
+        }
     }
 
     /// Returns the addresses of the other entry VMs on the platform's list.
@@ -170,17 +214,24 @@
         self.merge(update, now);
     }
 
-    /// Suspects a peer that answered neither a direct nor an indirect probe.
-    pub fn probe_failed(&mut self, vm: &VmId, now: Moment) {
-        let Some(peer) = self.peers.get(vm) else {
-            return;
-        };
+    /// Suspects a peer that answered neither a direct nor an indirect probe; returns the suspicion if it is new.
+    pub fn probe_failed(&mut self, vm: &VmId, now: Moment) -> Option<MemberUpdate> {
+        let peer = self.peers.get(vm)?;
         if !matches!(peer.latest.status, Status::Alive | Status::Leaving) {
-            return;
+            return None;
+        }
+        if !peer.is_confirmed() && now.since(peer.since) < START_TIME {
+            return None;
         }
         let mut update = peer.latest.clone();
         update.status = Status::Suspect;
         self.merge(&update, now);
+        Some(update)
+    }
+
+    /// Whether this process has refuted a suspicion since this was last asked.
+    pub fn take_refuted(&mut self) -> bool {
+        std::mem::take(&mut self.refuted)
     }
 
     /// Applies updates piggybacked on a message.
@@ -232,6 +283,8 @@
     fn refute(&mut self, update: &MemberUpdate) {
         let about_us = update.who.incarnation == self.me.who.incarnation;
         let wrong = matches!(update.status, Status::Suspect | Status::Dead);
+        // An update on an earlier incarnation shows that its sender does not know the present one.
+        self.refuted |= wrong;
         if about_us && wrong && update.version >= self.me.version {
             self.me.version = update.version + 1;
         }
--- a/crates/sesamegap-policy/tests/agreement/membership.rs
+++ b/crates/sesamegap-policy/tests/agreement/membership.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::ChaCha12Rng;
 use sesamegap_policy::agreement::membership::{
-    MemberUpdate, Members, MembershipConfig, Probe, Status,
+    MemberUpdate, Members, MembershipConfig, Peer, Probe, Status,
 };
 use sesamegap_wire::{Moment, VmId};
 use std::collections::HashSet;
@@ -18,6 +18,7 @@
     suspicion: Duration::from_secs(3),
     memory: Duration::from_mins(1),
     indirect: 2,
+    contactable: usize::MAX,
 };
 
 fn addr(index: usize) -> SocketAddr {
@@ -58,7 +59,7 @@
 
     fn start(&mut self, index: usize, incarnation: u64) {
         let mut members = Members::new(holder(index, incarnation), addr(index), CONFIG);
-        members.seed((0..PEERS).map(|i| (vm(i), addr(i))));
+        members.seed((0..PEERS).map(|i| (vm(i), addr(i))), self.now);
         self.nodes[index] = Some(members);
     }
 
@@ -241,3 +242,73 @@
     world.run_rounds(10);
     assert_eq!(world.probes_sent, 10 * PEERS);
 }
+
+/// A process whose list is too long for it to contact every VM at once.
+fn with_long_list(now: Moment) -> Members {
+    let config = MembershipConfig {
+        contactable: PEERS / 2,
+        ..CONFIG
+    };
+    let mut members = Members::new(holder(0, 1), addr(0), config);
+    members.seed((0..PEERS).map(|i| (vm(i), addr(i))), now);
+    members
+}
+
+/// Guards against a large fleet in which each restarted process knows only the few peers that it has met, and takes on
+/// the duties that a few perform for all.
+#[test]
+fn the_vms_of_a_long_list_are_presumed_alive_at_once() {
+    let now = Moment(0);
+    let mut members = with_long_list(now);
+    assert_eq!(members.alive().count(), PEERS - 1);
+    assert!(members.alive().all(|peer| !peer.is_confirmed()));
+    assert!(
+        members.select_updates().is_empty(),
+        "what every process reads for itself is not gossiped"
+    );
+    let update = MemberUpdate {
+        who: holder(1, 5),
+        addr: addr(1),
+        version: 0,
+        status: Status::Alive,
+    };
+    members.apply_update(&update, now);
+    assert!(members.peer(&vm(1)).is_some_and(Peer::is_confirmed));
+}
+
+/// Guards against VMs that all peers consider dead after a restart of the whole fleet, because some were started a
+/// moment later than others. A VM that was removed for good must still be found out.
+#[test]
+fn a_listed_vm_may_be_starting() {
+    let start = Moment(0);
+    let mut members = with_long_list(start);
+    let soon = start + Duration::from_secs(1);
+    assert_eq!(members.probe_failed(&vm(1), soon), None);
+    assert_eq!(members.alive().count(), PEERS - 1);
+    let later = start + Duration::from_secs(4);
+    assert!(members.probe_failed(&vm(1), later).is_some());
+    assert_eq!(members.alive().count(), PEERS - 2);
+    assert_eq!(
+        members.probe_failed(&vm(1), later),
+        None,
+        "it is known already"
+    );
+}
+
+/// Guards against a VM that stays suspected by the peers that its own update has not reached.
+#[test]
+fn a_process_that_hears_of_a_suspicion_of_itself_answers_it() {
+    let mut members = with_long_list(Moment(0));
+    assert!(!members.take_refuted());
+    for incarnation in [0, 1] {
+        let update = MemberUpdate {
+            who: holder(0, incarnation),
+            addr: addr(0),
+            version: 0,
+            status: Status::Suspect,
+        };
+        members.apply_updates(&[update], Moment(0));
+        assert!(members.take_refuted(), "incarnation {incarnation}");
+        assert!(!members.take_refuted());
+    }
+}
--- a/crates/sesamegap/src/router/peers/probing.rs
+++ b/crates/sesamegap/src/router/peers/probing.rs
@@ -50,6 +50,7 @@
             suspicion: round * SUSPICION_ROUNDS,
             memory: round * MEMORY_ROUNDS,
             indirect: INDIRECT,
+            contactable: usize::MAX,
         };
         Self {
             clock,
@@ -61,7 +62,7 @@
     /// Takes the VM list as a hint whom to probe.
     fn seed(&self, listed: &[EntryVm]) {
         let seeds = listed.iter().map(|entry| (entry.vm.clone(), entry.router));
-        lock(&self.members).seed(seeds);
+        lock(&self.members).seed(seeds, self.clock.now());
     }
 
     fn next(&self) -> Option<Probe> {
