Find engines by rank before comparing their state

Cause: for each prompt all upstreams were filtered by service, all engines ranked, the long-prompt engines sorted, and each engine looked up in a list of 6,800 (65 million comparisons with 9,715 engines); the whole fleet was scanned each 50 ms for own load. A full read compared 10,000 ids with 10,000. At the start of a roll each engine was looked up among all outdated ones every 40 ms.

--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -7,17 +7,20 @@
 //! observations belong to one incarnation of an upstream and are discarded when it restarts.
 
 mod flight;
+mod index;
 mod selection;
 mod upstream;
 
 pub use flight::Flight;
+pub use index::ServiceIndex;
 pub use selection::{Chosen, PromptShape, Selection, Shard};
 pub use sesamegap_policy::routing::belief::Change;
 pub use upstream::{Entry, Upstream};
 
 use crate::kept::KvStoreStates;
-use crate::peers::Loads;
+use crate::peers::{Loads, UpstreamLoad};
 use crate::ports::{EngineReport, Weights};
+use rustc_hash::{FxHashMap, FxHashSet};
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::belief::{
     self, Belief, ListRecord, ListUpdate, Listing, StoreReachability,
@@ -27,7 +30,7 @@
 use sesamegap_policy::routing::silence::SilenceReports;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{Incarnation, LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,6 +52,11 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     /// Beliefs about upstreams of which only a removal or a withdrawal is known.
     unlisted: BTreeMap<UpstreamId, Belief>,
+    /// Increases when an upstream is added, restarted or removed.
+    generation: u64,
+    indices: FxHashMap<ServiceId, Arc<ServiceIndex>>,
+    /// Upstreams that may have requests of this VM.
+    busy: BTreeSet<UpstreamId>,
     reachability: StoreReachability,
     pub(crate) cache_locations: CacheLocations,
     pub(crate) loads: Loads,
@@ -66,6 +74,9 @@
             rules,
             upstreams: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            generation: 0,
+            indices: FxHashMap::default(),
+            busy: BTreeSet::new(),
             reachability: StoreReachability::default(),
             cache_locations: CacheLocations::default(),
             loads: Loads::default(),
@@ -101,6 +112,13 @@
         self.upstreams.values().filter(|up| up.belief.is_known())
     }
 
+    /// All upstreams that the list has, or may have again, with the positions of their newest records.
+    pub fn listed(&self) -> impl Iterator<Item = (&Upstream, LogPosition)> {
+        let upstreams = self.upstreams.values();
+        let listed = upstreams.filter(|up| up.belief.is_known() || up.belief.is_doubted());
+        listed.map(|up| (up, up.belief.position().unwrap_or_default()))
+    }
+
     /// An upstream, if it is present.
     pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
         self.upstreams.get(id).filter(|up| up.belief.is_known())
@@ -184,6 +202,9 @@
         let change = known
             .belief
             .apply(update, &self.rules.belief, &self.reachability, now);
+        if changes_presence(change) {
+            self.generation += 1;
+        }
         match change {
             Change::Restarted => {
                 known.restart(entry);
@@ -219,7 +240,11 @@
                 .or_insert_with(|| Belief::new(now)),
         };
         let update = ListUpdate { at, record };
-        belief.apply(update, &self.rules.belief, &self.reachability, now)
+        let change = belief.apply(update, &self.rules.belief, &self.reachability, now);
+        if changes_presence(change) {
+            self.generation += 1;
+        }
+        change
     }
 
     /// Applies the incarnation that an upstream, or a peer that asked it, reports.
@@ -229,6 +254,7 @@
         };
         let change = upstream.belief.observe_incarnation(born);
         if change == Change::Restarted {
+            self.generation += 1;
             let entry = upstream.entry.clone();
             upstream.restart(Entry { born, ..entry });
         }
@@ -261,9 +287,29 @@
         self.upstreams.retain(|_, up| !up.belief.is_forgotten(now));
         self.unlisted.retain(|_, belief| !belief.is_forgotten(now));
         self.namings.forget(now);
+        if !changes.is_empty() {
+            self.generation += 1;
+        }
         changes
     }
 
+    /// Records that a request of this VM begins at an upstream.
+    fn begin(&mut self, id: &UpstreamId, unread: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.begin(unread);
+            self.busy.insert(id.clone());
+        }
+    }
+
+    /// The load that this VM causes at upstreams and must report to its peers.
+    pub fn held_loads(&mut self) -> Vec<UpstreamLoad> {
+        let upstreams = &self.upstreams;
+        self.busy
+            .retain(|id| upstreams.get(id).is_some_and(|up| up.running > 0));
+        let busy = self.busy.iter();
+        busy.filter_map(|id| self.get(id)?.held()).collect()
+    }
+
     /// Whether an entry lapsed and did not reappear in time.
     fn is_overdue(&self, upstream: &Upstream, now: Moment) -> bool {
         let rules = &self.rules.belief;
@@ -275,7 +321,7 @@
     /// Returns the missing upstreams and the effect of their removal.
     pub fn keep_only(
         &mut self,
-        listed: &[UpstreamId],
+        listed: &FxHashSet<UpstreamId>,
         next: LogPosition,
         now: Moment,
     ) -> Vec<(UpstreamId, Change)> {
@@ -299,6 +345,14 @@
     }
 }
 
+/// Whether a change adds an upstream to those present, replaces it or removes it.
+fn changes_presence(change: Change) -> bool {
+    matches!(
+        change,
+        Change::New | Change::Restarted | Change::Gone | Change::Doubted | Change::Lapsed
+    )
+}
+
 /// The fleet, shared by all tasks of a process.
 #[derive(Debug, Clone)]
 pub struct SharedFleet(Arc<Mutex<Fleet>>);
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -1,11 +1,11 @@
 //! Chooses an upstream for a request, from the fleet's state and the routing policy.
 
-use super::{Fleet, Flight, SharedFleet, Upstream};
+use super::{Fleet, Flight, ServiceIndex, SharedFleet, Upstream};
 use crate::catalogue::KvStore;
 use crate::kept;
 use crate::placing::{ChosenEngine, TrackedPrompt};
 use sesamegap_policy::routing::shards::Division;
-use sesamegap_policy::routing::{Availability, engines, plain};
+use sesamegap_policy::routing::{Availability, candidates, engines, plain};
 use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -52,20 +52,15 @@
 
 impl Fleet {
     /// Seeds of the engines that are reserved for long prompts.
-    pub fn long_prompt_engines(&self, service: &ServiceId, stores: &[KvStore]) -> Vec<u64> {
-        let locations: Vec<engines::EngineLocation> = self
-            .of_service(service)
-            .map(|engine| engines::EngineLocation {
-                seed: engine.seed,
-                by_store: stores
-                    .iter()
-                    .any(|store| store.domain == engine.entry.domain),
-            })
-            .collect();
-        let long = engines::for_long(&locations).into_iter().zip(&locations);
-        long.filter(|(long, _)| *long)
-            .map(|(_, engine)| engine.seed)
-            .collect()
+    pub fn long_prompt_engines(
+        &mut self,
+        service: &ServiceId,
+        stores: &[KvStore],
+        now: Moment,
+    ) -> Vec<u64> {
+        let index = self.index(service, stores, now);
+        let long = index.seats.iter().filter(|seat| seat.long);
+        long.map(|seat| seat.seed).collect()
     }
 
     /// Running requests of all VMs at an upstream, from its reported load and the VMs' counts.
@@ -141,6 +136,7 @@
     ) -> Option<Flight> {
         let mut flight = {
             let mut fleet = self.lock();
+            let index = fleet.index(selection.service, selection.stores, now);
             let engine = fleet.get(&found.engine)?;
             let state = fleet.availability_for(engine, selection.shape, now);
             let is_usable = state == Availability::Open && engine.life == found.life;
@@ -151,7 +147,7 @@
                 id: found.engine,
                 source: found.source,
                 at_store: found.at_store,
-                engines: fleet.of_service(selection.service).count(),
+                engines: index.ids.len(),
             };
             let served = found
                 .served_ms
@@ -201,9 +197,7 @@
             unread: selection.shape.map_or(0, |shape| shape.prompt.tokens),
             id: chosen.id,
         };
-        if let Some(upstream) = fleet.get_mut(&flight.id) {
-            upstream.begin(flight.unread);
-        }
+        fleet.begin(&flight.id, flight.unread);
         Some(flight)
     }
 }
@@ -235,16 +229,15 @@
         self.pick(selection, now)
     }
 
-    fn pick(&self, selection: &Selection<'_>, now: Moment) -> Option<Chosen> {
-        let in_shard = |upstream: &&Upstream| {
-            let shard = selection.shard;
-            shard.is_none_or(|shard| shard.division.shard(upstream.seed) == shard.number)
-        };
-        let open: Vec<&Upstream> = self
-            .of_service(selection.service)
-            .filter(in_shard)
-            .filter(|upstream| !selection.tried.contains(&upstream.id))
-            .collect();
+    fn pick(&mut self, selection: &Selection<'_>, now: Moment) -> Option<Chosen> {
+        let index = self.index(selection.service, selection.stores, now);
+        let candidates = self.candidates(&index, selection, now);
+        let open = candidates.into_iter().filter_map(|no| {
+            let upstream = self.get(&index.ids[no])?;
+            let is_tried = selection.tried.contains(&upstream.id);
+            (!is_tried).then_some((upstream, index.seats[no].long))
+        });
+        let open: Vec<(&Upstream, bool)> = open.collect();
         if selection.least_loaded {
             let id = self.least_loaded(&open, selection, now)?.id.clone();
             return Some(Chosen {
@@ -257,16 +250,15 @@
         let Some(shape) = selection.shape else {
             let at = self.choose_plain(&open, selection, now)?;
             return Some(Chosen {
-                id: open[at].id.clone(),
+                id: open[at].0.id.clone(),
                 source: None,
                 at_store: false,
                 engines: 0,
             });
         };
-        let long = self.long_prompt_engines(selection.service, selection.stores);
         let views: Vec<engines::Engine> = open
             .iter()
-            .map(|upstream| {
+            .map(|(upstream, long)| {
                 let version = upstream.version(&shape.model).unwrap_or_default();
                 engines::Engine {
                     seed: upstream.seed,
@@ -278,7 +270,7 @@
                     waiting: upstream.reported_waiting(now),
                     unread: self.unread(upstream),
                     version: version.0,
-                    long: long.contains(&upstream.seed),
+                    long: *long,
                     state: self.availability_for(upstream, Some(shape), now),
                 }
             })
@@ -286,19 +278,59 @@
         let newest = self.namings().target_version(&shape.model, now).0;
         let choice = engines::choose(&shape.prompt, &views, newest, &self.cache_locations)?;
         Some(Chosen {
-            id: open[choice.at].id.clone(),
-            source: choice.source.map(|no| open[no].entry.addr),
+            id: open[choice.at].0.id.clone(),
+            source: choice.source.map(|no| open[no].0.entry.addr),
             at_store: choice.at_store,
-            engines: self.of_service(selection.service).count(),
+            engines: index.ids.len(),
         })
     }
 
+    /// Places in the index of the upstreams to compare.
+    fn candidates(
+        &self,
+        index: &ServiceIndex,
+        selection: &Selection<'_>,
+        now: Moment,
+    ) -> Vec<usize> {
+        let all = 0..index.ids.len();
+        match (selection.shard, selection.shape) {
+            (Some(shard), _) if shard.division == index.division => {
+                index.shard(shard.number).collect()
+            }
+            // The asking VM knows another number of engines.
+            (Some(shard), _) => all
+                .filter(|no| shard.division.shard(index.seats[*no].seed) == shard.number)
+                .collect(),
+            (None, Some(shape)) if !selection.least_loaded => {
+                candidates::nearest(&shape.prompt, &index.seats, |no| {
+                    self.is_open(&index.ids[no], selection, shape, now)
+                })
+            }
+            (None, _) => all.collect(),
+        }
+    }
+
+    /// Whether an upstream accepts the prompt of a selection.
+    fn is_open(
+        &self,
+        id: &UpstreamId,
+        selection: &Selection<'_>,
+        shape: &PromptShape,
+        now: Moment,
+    ) -> bool {
+        let is_open = |upstream| {
+            self.availability_for(upstream, Some(shape), now) == Availability::Open
+                && !selection.tried.contains(id)
+        };
+        self.get(id).is_some_and(is_open)
+    }
+
     /// The upstream with the fewest running requests.
     ///
     /// Open upstreams take precedence over suspect ones, and newer weights over older ones.
     fn least_loaded<'a>(
         &self,
-        open: &[&'a Upstream],
+        open: &[(&'a Upstream, bool)],
         selection: &Selection<'_>,
         now: Moment,
     ) -> Option<&'a Upstream> {
@@ -306,7 +338,7 @@
             let shape = selection.shape?;
             upstream.version(&shape.model)
         };
-        let usable = open.iter().filter_map(|upstream| {
+        let usable = open.iter().filter_map(|(upstream, _)| {
             let state = self.availability_for(upstream, selection.shape, now);
             (state != Availability::Paused).then_some((state, *upstream))
         });
@@ -319,34 +351,29 @@
     }
 
     /// The shard of a prompt's home engine, among the engines that accept the prompt.
-    pub fn home_shard(&self, selection: &Selection<'_>, now: Moment) -> Option<Shard> {
+    pub fn home_shard(&mut self, selection: &Selection<'_>, now: Moment) -> Option<Shard> {
         let shape = selection.shape?;
-        let long = self.long_prompt_engines(selection.service, selection.stores);
-        let accepts = |upstream: &&Upstream| {
-            self.availability_for(upstream, Some(shape), now) == Availability::Open
-                && !selection.tried.contains(&upstream.id)
-        };
-        let open = self.of_service(selection.service).filter(accepts);
-        let homes = open.map(|upstream| (upstream.seed, long.contains(&upstream.seed)));
-        let home = engines::inner_home(&shape.prompt, homes)?;
-        let division = Division::of(self.of_service(selection.service).count());
+        let index = self.index(selection.service, selection.stores, now);
+        let home = candidates::home(&shape.prompt, &index.seats, |no| {
+            self.is_open(&index.ids[no], selection, shape, now)
+        })?;
         Some(Shard {
-            division,
-            number: division.shard(home),
+            division: index.division,
+            number: index.division.shard(index.seats[home].seed),
         })
     }
 
     fn choose_plain(
         &self,
-        open: &[&Upstream],
+        open: &[(&Upstream, bool)],
         selection: &Selection<'_>,
         now: Moment,
     ) -> Option<usize> {
-        let response_times = open.iter().filter_map(|upstream| upstream.response_ms);
+        let response_times = open.iter().filter_map(|(upstream, _)| upstream.response_ms);
         let fastest = response_times.fold(f64::INFINITY, f64::min);
         let views: Vec<plain::Worker> = open
             .iter()
-            .map(|upstream| plain::Worker {
+            .map(|(upstream, _)| plain::Worker {
                 near: upstream.entry.domain == *selection.domain,
                 busy: self.running(upstream, now) + upstream.reported_waiting(now),
                 slots: upstream.entry.slots,
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -5,6 +5,7 @@
 use crate::peers::learn_weights;
 use crate::ports::{Batch, Record, Table, Unreadable};
 use crate::telemetry::events;
+use rustc_hash::FxHashSet;
 use sesamegap_policy::routing::belief::{Belief, Change};
 use sesamegap_policy::routing::weights::Named;
 use sesamegap_wire::{Incarnation, LogPosition, Moment, UpstreamId};
@@ -35,10 +36,10 @@
 /// `complete` is a time up to which the whole table was known. Returns the number of upstreams that are no longer
 /// listed.
 pub fn replace_table(core: &Core, table: Table, batch: Batch, complete: Option<Moment>) -> usize {
-    let mut listed = Vec::new();
+    let mut listed = FxHashSet::default();
     for (at, record) in batch.records {
         if let Record::Upstream(id, _) = &record {
-            listed.push(id.clone());
+            listed.insert(id.clone());
         }
         apply(core, at, record, RecordSource::Found(complete));
     }
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -13,7 +13,6 @@
 use super::message::EngineUpdate;
 use crate::clock;
 use crate::core::{Core, Phase};
-use crate::fleet::Upstream;
 use crate::follow::{self, TableUpdate};
 use crate::placing::{self, PlacementMessage};
 use crate::quarantine;
@@ -201,9 +200,10 @@
     let mut fleet = core.fleet.lock();
     fleet.loads.tick(clock::now());
     fleet.placements.expire(clock::now());
-    let upstreams = fleet.upstreams().filter_map(Upstream::held);
+    let mut loads = fleet.held_loads();
     // A store is reported like an upstream whose unread tokens are those in flight, so no separate message is needed.
-    upstreams.chain(fleet.kept.loads()).collect()
+    loads.extend(fleet.kept.loads());
+    loads
 }
 
 /// Returns the next peers in round-robin order.
--- a/crates/sesamegap-entry/src/placing/client.rs
+++ b/crates/sesamegap-entry/src/placing/client.rs
@@ -135,12 +135,14 @@
         }
     }
 
-    /// Whether an owner recently failed to answer.
-    pub fn is_unresponsive(&self, owner: SocketAddr, now: Moment) -> bool {
-        lock(&self.state)
-            .unresponsive
-            .get(&owner)
-            .is_some_and(|until| now < *until)
+    /// The owners that recently failed to answer.
+    pub fn unresponsive(&self, now: Moment) -> Vec<SocketAddr> {
+        let state = lock(&self.state);
+        let owners = state.unresponsive.iter();
+        owners
+            .filter(|(_, until)| now < **until)
+            .map(|(owner, _)| *owner)
+            .collect()
     }
 
     /// Stops queries to an owner for [`UNRESPONSIVE_TIME`].
--- a/crates/sesamegap-entry/src/placing/mod.rs
+++ b/crates/sesamegap-entry/src/placing/mod.rs
@@ -80,10 +80,9 @@
 
 /// The owner of a shard among the VMs that have not recently failed to answer.
 fn owner(core: &Core, shard: u32, roster: &[(u64, Option<SocketAddr>)]) -> Option<Owner> {
-    let now = clock::now();
-    let is_responsive = |addr: &Option<SocketAddr>| {
-        addr.is_none_or(|at| !core.placement_client.is_unresponsive(at, now))
-    };
+    let unresponsive = core.placement_client.unresponsive(clock::now());
+    let is_responsive =
+        |addr: &Option<SocketAddr>| addr.is_none_or(|at| !unresponsive.contains(&at));
     let responsive: Vec<_> = roster
         .iter()
         .filter(|(_, addr)| is_responsive(addr))
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -127,14 +127,13 @@
     }
 
     /// Whether an upstream other than `except` is available for the request.
-    pub fn has_other_upstream(&self, core: &Core, except: Option<&UpstreamId>) -> bool {
+    pub fn has_other_upstream(&self, core: &Core, job: &Job, except: Option<&UpstreamId>) -> bool {
         let now = clock::now();
-        let fleet = core.fleet.lock();
-        let mut others = fleet
-            .of_service(&self.service)
-            .filter(|up| Some(&up.id) != except);
+        let mut fleet = core.fleet.lock();
+        let index = fleet.index(&self.service, job.catalogue.kv_stores(), now);
         let shape = self.shape.as_ref();
         let is_open = |up: &Upstream| fleet.availability_for(up, shape, now) == Availability::Open;
-        others.any(|up| is_open(up) && !self.excluded.contains(&up.id))
+        let mut others = index.ids.iter().filter(|id| Some(*id) != except);
+        others.any(|id| !self.excluded.contains(id) && fleet.get(id).is_some_and(is_open))
     }
 }
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -196,7 +196,11 @@
 
     fn head_timeout(&self, at: &UpstreamId) -> Duration {
         // Without an alternative, abandoning the upstream would only lose its response.
-        if self.can_move() && self.retry.has_other_upstream(&self.core, Some(at)) {
+        if self.can_move()
+            && self
+                .retry
+                .has_other_upstream(&self.core, &self.job, Some(at))
+        {
             timeouts::FIRST_EVENT_BUSY
         } else {
             self.job.time_left()
@@ -355,7 +359,7 @@
         if !self.can_move()
             || !self
                 .retry
-                .has_other_upstream(&self.core, Some(&stream.flight.id))
+                .has_other_upstream(&self.core, &self.job, Some(&stream.flight.id))
         {
             return self.job.deadline;
         }
@@ -382,7 +386,7 @@
         self.retry.record_run(id);
         while self.retry.can_run_again(&self.job) {
             // Counts against the retry budget only if an upstream is available.
-            let other = self.retry.has_other_upstream(&self.core, None);
+            let other = self.retry.has_other_upstream(&self.core, &self.job, None);
             if other && self.core.try_retry(&self.retry.service) {
                 match self.open().await {
                     Ok(Opened::Stream(stream)) => return Some(*stream),
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -15,6 +15,7 @@
 use engine::update_engine;
 use lease::Lease;
 use progress::RollProgress;
+use rustc_hash::{FxHashMap, FxHashSet};
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::{Availability, rolls};
 use sesamegap_wire::{Incarnation, Moment, UpstreamId, WeightsVersion};
@@ -34,6 +35,9 @@
 /// and two VMs that try at the same time cost only one more call, since claims are conditional.
 const STANDBY_DELAY: Duration = Duration::from_millis(600);
 
+/// Key of the ranking of standby VMs.
+const STANDBY_KEY: u64 = 0;
+
 /// An engine with outdated weights.
 #[derive(Debug, Clone)]
 struct OutdatedEngine {
@@ -77,6 +81,9 @@
     let fleet = core.fleet.lock();
     let catalogue = core.catalogue();
     let named: Vec<_> = fleet.namings().newest().collect();
+    if named.is_empty() {
+        return Vec::new();
+    }
     let mut outdated = Vec::new();
     for upstream in managed_engines(&fleet, catalogue.as_deref()) {
         for (model, naming) in &named {
@@ -122,7 +129,7 @@
         return 0;
     }
     let mut alive = core.peers.alive();
-    alive.sort_by_key(|vm| rank(0, seed(vm.as_str())));
+    alive.sort_by_key(|vm| rank(STANDBY_KEY, seed(vm.as_str())));
     let held = lease.last_holder().map(|holder| holder.vm.clone());
     if let Some(holder) = held
         && alive.contains(&holder)
@@ -141,20 +148,25 @@
     progress: &Arc<RollProgress>,
     outdated: &[OutdatedEngine],
 ) {
+    let targets: FxHashMap<&UpstreamId, &OutdatedEngine> = outdated
+        .iter()
+        .map(|target| (&target.engine, target))
+        .collect();
     let due = {
-        let fleet = core.fleet.lock();
+        let mut fleet = core.fleet.lock();
         let now = clock::now();
         let engines_out = progress.engines_out();
         let catalogue = core.catalogue();
-        let engines: Vec<_> = managed_engines(&fleet, catalogue.as_deref()).collect();
         let stores = catalogue
             .as_ref()
             .map_or(&[][..], |catalogue| catalogue.kv_stores());
-        let services: BTreeSet<_> = engines.iter().map(|up| &up.entry.service).collect();
-        let long: BTreeSet<u64> = services
-            .into_iter()
-            .flat_map(|service| fleet.long_prompt_engines(service, stores))
-            .collect();
+        let services = managed_engines(&fleet, catalogue.as_deref());
+        let services: BTreeSet<_> = services.map(|up| up.entry.service.clone()).collect();
+        let mut long = FxHashSet::default();
+        for service in &services {
+            long.extend(fleet.long_prompt_engines(service, stores, now));
+        }
+        let engines = managed_engines(&fleet, catalogue.as_deref());
         let mut views = Vec::new();
         let mut ids = Vec::new();
         for engine in engines {
@@ -162,7 +174,7 @@
             views.push(rolls::Engine {
                 stage: if engines_out.contains(&engine.id) {
                     rolls::Stage::Out
-                } else if outdated.iter().any(|target| target.engine == engine.id) {
+                } else if targets.contains_key(&engine.id) {
                     rolls::Stage::Old
                 } else {
                     rolls::Stage::Done
@@ -183,7 +195,7 @@
         due.map(|no| ids[no].clone()).collect::<Vec<_>>()
     };
     for id in due {
-        let Some(target) = outdated.iter().find(|target| target.engine == id).cloned() else {
+        let Some(target) = targets.get(&id).map(|target| (*target).clone()) else {
             continue;
         };
         let guard = progress.mark_out(id);
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -1,6 +1,7 @@
 use crate::support::{
     Platform, StandinKvStore, document, entry, offset, settings, unused_addr, wait_until,
 };
+use rustc_hash::FxHashSet;
 use sesamegap_entry::catalogue::KvStore;
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
@@ -251,11 +252,11 @@
     let core = vm("vm-1");
     read(&core, 0, vec![engine(100, 1, 3)]);
     let mut fleet = core.fleet.lock();
-    assert!(fleet.keep_only(&[], offset(0), clock::now()).is_empty());
-    let kept = fleet.keep_only(&[], offset(1), clock::now());
+    assert!(fleet.keep_only(&FxHashSet::default(), offset(0), clock::now()).is_empty());
+    let kept = fleet.keep_only(&FxHashSet::default(), offset(1), clock::now());
     assert_eq!(kept, [(worker(), Change::Repeat)]);
     assert!(fleet.get(&worker()).is_some());
-    let gone = fleet.keep_only(&[], offset(5), clock::now());
+    let gone = fleet.keep_only(&FxHashSet::default(), offset(5), clock::now());
     assert_eq!(gone, [(worker(), Change::Gone)]);
     assert!(fleet.get(&worker()).is_none());
 }
--- a/crates/sesamegap-policy/src/routing/belief/mod.rs
+++ b/crates/sesamegap-policy/src/routing/belief/mod.rs
@@ -190,6 +190,16 @@
         matches!(self.state, State::Listed | State::Lapsed(_))
     }
 
+    /// Position of the newest record that was applied.
+    pub fn position(&self) -> Option<LogPosition> {
+        self.at
+    }
+
+    /// Whether it is listed by a delayed record that has not been confirmed.
+    pub fn is_doubted(&self) -> bool {
+        matches!(self.state, State::Doubted(_))
+    }
+
     /// Whether the entry was removed while the store was unreachable.
     pub fn is_lapsed(&self) -> bool {
         matches!(self.state, State::Lapsed(_))
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -129,10 +129,12 @@
 pub fn for_long(engines: &[EngineLocation]) -> Vec<bool> {
     let count = (engines.len() * LONG_PERCENT + 50) / 100;
     let mut order: Vec<usize> = (0..engines.len()).collect();
-    order.sort_by_key(|no| {
-        let engine = &engines[*no];
-        std::cmp::Reverse((engine.by_store, rank(LONG_KEY, engine.seed)))
-    });
+    if count > 0 && count < order.len() {
+        order.select_nth_unstable_by_key(count, |no| {
+            let engine = &engines[*no];
+            std::cmp::Reverse((engine.by_store, rank(LONG_KEY, engine.seed)))
+        });
+    }
     let mut long = vec![false; engines.len()];
     for no in order.into_iter().take(count) {
         long[no] = true;
@@ -141,18 +143,18 @@
 }
 
 impl Prompt {
-    fn is_long(&self) -> bool {
+    pub(super) fn is_long(&self) -> bool {
         self.tokens >= LONG_PROMPT_TOKENS
     }
 
-    fn outer(&self) -> Prefix {
+    pub(super) fn outer(&self) -> Prefix {
         self.prefixes
             .first()
             .copied()
             .unwrap_or(Prefix { hash: 0, tokens: 0 })
     }
 
-    fn inner(&self) -> Prefix {
+    pub(super) fn inner(&self) -> Prefix {
         self.prefixes.last().copied().unwrap_or(self.outer())
     }
 }
@@ -272,14 +274,6 @@
     }
 }
 
-/// The home of a prompt's innermost shared prefix, among engines given as pairs of seed and whether the engine is
-/// reserved for long prompts.
-pub fn inner_home(prompt: &Prompt, engines: impl Iterator<Item = (u64, bool)>) -> Option<u64> {
-    let inner = prompt.inner().hash;
-    let best = engines.max_by_key(|(seed, long)| (*long == prompt.is_long(), rank(inner, *seed)));
-    best.map(|(seed, _)| seed)
-}
-
 /// The engine to fetch from: one that this VM observed serving the longest shared prefix, otherwise the prompt's
 /// home. At the home itself, the home of the outermost prefix, which most likely holds that prefix.
 fn source(
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Routing decisions of an entry VM, from its own traffic, its peers' reports and the fleet list.
 //!
 //! - [`engines`] picks the engine for a prompt given as named parts.
+//! - [`candidates`] picks the few engines of a large service that are considered for a prompt.
 //! - [`cache_locations`] records which engines served which prefixes.
 //! - [`transfers`] decides where cached parts are fetched from.
 //! - [`plain`] picks the worker of a plain service.
@@ -18,6 +19,7 @@
 pub mod belief;
 pub mod budget;
 pub mod cache_locations;
+pub mod candidates;
 pub mod dissemination;
 pub mod engines;
 pub mod placements;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod belief;
 mod budget;
+mod candidates;
 mod dissemination;
 mod engines;
 mod plain;
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -4,7 +4,8 @@
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::cache_locations::CacheLocations;
-use sesamegap_policy::routing::engines::{self, Engine, Prefix, Prompt, inner_home, seed};
+use sesamegap_policy::routing::candidates::{self, Seat};
+use sesamegap_policy::routing::engines::{self, Engine, Prefix, Prompt, seed};
 use sesamegap_policy::routing::placements::{Placement, Placements, Sum};
 use sesamegap_policy::routing::shards::{Division, SMALL, owner};
 use std::time::Duration;
@@ -130,8 +131,13 @@
             }
             !due
         });
-        let home = inner_home(&prompt, fleet.seeds.iter().map(|seed| (*seed, true)));
-        let shard = division.shard(home.expect("engines"));
+        let seats = fleet.seeds.iter().map(|seed| Seat {
+            seed: *seed,
+            long: true,
+        });
+        let seats: Vec<Seat> = seats.collect();
+        let home = candidates::home(&prompt, &seats, |_| true).expect("engines");
+        let shard = division.shard(seats[home].seed);
         let placing_vm = owner(shard, names.iter().copied()).expect("VMs");
         let views = match placing {
             Placing::ByEachVm => fleet.views(|_| true, |seed| known[vm].unread(seed, now)),
