--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -201,7 +201,40 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Quotas(Vec<(TeamId, Quota)>);
 
+/// What a document's encoding omits, because a VM of an earlier release could not decode it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Additions {
+    quotas: Quotas,
+    /// Size of a token's KV cache in bytes, by service.
+    token_bytes: Vec<(ServiceId, u64)>,
+}
+
 impl Document {
+    /// What the document's encoding omits, for a peer that receives the document.
+    pub fn additions(&self) -> Additions {
+        let services = self.services.iter();
+        let token_bytes = services.filter_map(|service| {
+            let engine = service.engine.as_ref()?;
+            Some((service.name.clone(), engine.token_bytes))
+        });
+        Additions {
+            quotas: self.quotas(),
+            token_bytes: token_bytes.collect(),
+        }
+    }
+
+    /// Adds what a peer sent with the document.
+    pub fn add(&mut self, additions: Additions) {
+        self.set_quotas(additions.quotas);
+        for (name, bytes) in additions.token_bytes {
+            let mut services = self.services.iter_mut();
+            let service = services.find(|service| service.name == name);
+            if let Some(engine) = service.and_then(|service| service.engine.as_mut()) {
+                engine.token_bytes = bytes;
+            }
+        }
+    }
+
     /// The rate limits, for a peer that receives the document.
     pub fn quotas(&self) -> Quotas {
         let limited = self.teams.iter();
--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -7,7 +7,7 @@
 use crate::catalogue::{Catalogue, Document, Revision};
 use crate::clock;
 use crate::fleet::{Fleet, Rules, SharedFleet};
-use crate::follow::TableState;
+use crate::follow::{CopyServer, TableState};
 use crate::peers::Peers;
 use crate::placing::PlacementClient;
 use crate::ports::{Ports, Table};
@@ -50,6 +50,8 @@
     pub fleet: SharedFleet,
     /// The other entry VMs.
     pub peers: Peers,
+    /// Copies of tables for peers.
+    pub copies: CopyServer,
     /// Placement requests to the owners of shards.
     pub placement_client: PlacementClient,
     /// Counters and histograms.
@@ -92,6 +94,7 @@
             logging,
             fleet: SharedFleet::new(Fleet::new(rules)),
             peers: Peers::new(&settings),
+            copies: CopyServer::new(settings.link_mbps),
             placement_client: PlacementClient::default(),
             weights_named: Notify::new(),
             active: Arc::default(),
@@ -102,8 +105,8 @@
             catalogue: ArcSwapOption::empty(),
             budgets: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
+            store: StoreClient::new(Arc::clone(&ports.store), settings.store_calls_per_s),
             settings: ArcSwap::from_pointee(settings),
-            store: StoreClient::new(Arc::clone(&ports.store)),
             ports,
         })
     }
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -1,5 +1,6 @@
 //! Applies records of the store.
 
+use super::updates::TableChange;
 use crate::clock;
 use crate::core::Core;
 use crate::peers::learn_weights;
@@ -31,27 +32,73 @@
     Found(Option<Moment>),
 }
 
+/// Largest table whose changes are logged one by one when it is replaced; more are logged as a sum.
+const MAX_LOGGED_RECORDS: usize = 64;
+
+/// What changed when a table was replaced.
+#[derive(Debug, Default)]
+pub struct Replacement {
+    /// Entries that were new or different, with their positions.
+    pub changed: Vec<(LogPosition, UpstreamId)>,
+    /// Number of upstreams that are no longer listed.
+    pub missing: usize,
+}
+
+impl Replacement {
+    /// The changed entries, for VMs that may lack them.
+    pub fn relayed(&self, core: &Core) -> Vec<(LogPosition, TableChange)> {
+        let fleet = core.fleet.lock();
+        let changed = self.changed.iter().filter_map(|(at, id)| {
+            let entry = Box::new(fleet.get(id)?.entry.clone());
+            Some((*at, TableChange::Upstream(id.clone(), entry)))
+        });
+        changed.collect()
+    }
+}
+
 /// Replaces what is known of a table by the newest record of each key.
 ///
-/// `complete` is a time up to which the whole table was known. Returns the number of upstreams that are no longer
-/// listed.
-pub fn replace_table(core: &Core, table: Table, batch: Batch, complete: Option<Moment>) -> usize {
+/// `complete` is a time up to which the whole table was known.
+pub fn replace_table(
+    core: &Core,
+    table: Table,
+    batch: Batch,
+    complete: Option<Moment>,
+) -> Replacement {
+    let mut result = Replacement::default();
     let mut listed = FxHashSet::default();
+    let records = batch.records.len();
+    let is_bulk = records > MAX_LOGGED_RECORDS;
     for (at, record) in batch.records {
-        if let Record::Upstream(id, _) = &record {
-            listed.insert(id.clone());
+        let Record::Upstream(id, entry) = record else {
+            apply(core, at, record, RecordSource::Found(complete));
+            continue;
+        };
+        let change = core.fleet.lock().apply(&id, *entry, at, clock::now());
+        if !is_bulk {
+            log_change(core, &id, change, at);
+        }
+        if effect_of(change) == RecordEffect::News {
+            result.changed.push((at, id.clone()));
         }
-        apply(core, at, record, RecordSource::Found(complete));
+        listed.insert(id);
     }
-    if table != Table::Fleet {
-        return 0;
+    if table == Table::Fleet {
+        let missing = core
+            .fleet
+            .lock()
+            .keep_only(&listed, batch.next, clock::now());
+        if !is_bulk {
+            for (id, change) in &missing {
+                log_change(core, id, *change, batch.next);
+            }
+        }
+        result.missing = missing.len();
     }
-    let now = clock::now();
-    let missing = core.fleet.lock().keep_only(&listed, batch.next, now);
-    for (id, change) in &missing {
-        log_change(core, id, *change, batch.next);
+    if is_bulk {
+        info!(event = events::TABLE_READ, table = ?table, at = %batch.next, records, changed = result.changed.len(), missing = result.missing, "whole table applied");
     }
-    missing.len()
+    result
 }
 
 /// Applies the record at a position of its table's log.
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -3,23 +3,32 @@
 //! A few VMs, the readers, read each table for all others. Settings change rarely, so readers use calls that wait
 //! at the store for a change (long polling). The fleet list changes with every heartbeat of every upstream, so such
 //! a call would return at once; the list is polled at a fixed interval instead, which bounds the number of calls
-//! whatever the size of the fleet. All other VMs apply the readers' updates, and read the table themselves when they
-//! miss one.
+//! whatever the size of the fleet. All other VMs apply the readers' updates ([`updates`]), and ask peers for what they
+//! missed ([`pull`]). They read the store themselves only if their peers have nothing newer either, one after another.
 
 mod apply;
+mod journal;
+mod pull;
 mod reports;
+mod snapshot;
 mod updates;
+mod vms;
 
-pub use updates::{TableState, TableUpdate, apply_batch, apply_update};
+pub use journal::Journal;
+pub use pull::{CopyServer, PullReply, PullRequest};
+pub use snapshot::FleetSnapshot;
+pub use updates::{TableState, TableUpdate, apply_batch, apply_update, receive_update};
+pub use vms::follow_vms;
 
 use crate::clock;
 use crate::core::{Core, Phase};
-use crate::ports::{Batch, Record, StoreError, Table};
+use crate::ports::{StoreError, Table};
 use crate::telemetry::events;
-use apply::{log_unreadable, replace_table};
-use sesamegap_policy::routing::engines::{rank, seed};
-use sesamegap_policy::routing::reading::READERS;
-use sesamegap_wire::Moment;
+use apply::replace_table;
+use pull::Pulled;
+use sesamegap_policy::load::limits::add_jitter;
+use sesamegap_policy::routing::reading::{Backoff, READERS, Standby, longest_delay};
+use sesamegap_wire::{LogPosition, Moment};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -36,82 +45,226 @@
 /// Key of the ranking that selects the readers of a table; the number of the table is added to it.
 const RANK_KEY: u64 = 16;
 
-/// Delay after a failed call. Calls are billed and rate-limited, rejected ones too.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
-
-/// Polling interval of the list of entry VMs; peers learn of each other much sooner by gossip.
-const VMS_INTERVAL: Duration = Duration::from_secs(30);
-
-/// Polling interval while no live peer is known: the store's list is then the only way to find one.
-const ALONE_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Time over which all VMs spread reading the list of entry VMs and writing their own entries after the store was
-/// restored, so that hundreds of VMs stay below its rate limits.
-const RESTORE_SPREAD: Duration = Duration::from_secs(1);
-
 /// Maximum wait for a peer's settings before the store's are used, at the start of a process. It is several times
 /// the response time of a peer, and short because a VM that returns while all others are unreachable must serve at
 /// once.
 const PEER_WAIT: Duration = Duration::from_millis(60);
 
+/// Minimum time between two passes over all upstreams that apply time limits.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest delay between two rounds of asking peers.
+const MAX_PULL_DELAY: Duration = Duration::from_secs(1);
+
+/// Delay before peers are asked again if they are busy, or receive the same data right now.
+const BUSY_DELAY: Duration = Duration::from_millis(80);
+
+/// Most differences found by reading a whole table again that are relayed. A VM that lacks more asks for a copy.
+const MAX_RELAYED_CHANGES: usize = 64;
+
+/// Bandwidth in Mbit/s of a link that carries a list of 10,000 upstreams in a fraction of a second.
+const FAST_LINK_MBPS: f64 = 100.0;
+
 /// Follows one table until the process ends.
 pub async fn follow(core: Arc<Core>, table: Table) {
-    let mut unreachable = false;
-    let mut restored: Option<Moment> = None;
     if table == Table::Settings {
         // The store may hold an older document than other VMs use, which would be in force until they report theirs.
         core.peers.wait_for_first_peer(PEER_WAIT).await;
     }
+    core.peers.wait_for_list().await;
+    let mut follower = Follower::new(table);
     while core.phase() < Phase::Ended {
-        if predates_restore(&core, table) {
-            restored.get_or_insert_with(clock::now);
-            restart_table(&core, table);
+        follower.step(&core).await;
+        follower.expire(&core);
+    }
+}
+
+/// The task that follows one table.
+#[derive(Debug)]
+struct Follower {
+    table: Table,
+    /// Whether the last call to the store failed.
+    unreachable: bool,
+    /// When the store's restore was noticed, until the table was read again.
+    restored: Option<Moment>,
+    /// Since when nothing of the table is known.
+    unknown_since: Moment,
+    /// Position from which a peer's copy would spare a reader the read of the whole table, if it should ask for one.
+    useful_from: Option<LogPosition>,
+    store_backoff: Backoff,
+    /// Until when a VM that is no reader does not call the store again after a failed call.
+    no_call_before: Moment,
+    peer_backoff: Backoff,
+    /// When time limits were last applied to all upstreams.
+    expired_at: Moment,
+}
+
+impl Follower {
+    fn new(table: Table) -> Self {
+        Self {
+            table,
+            unreachable: false,
+            restored: None,
+            unknown_since: clock::now(),
+            useful_from: None,
+            store_backoff: Backoff::default(),
+            no_call_before: Moment::default(),
+            peer_backoff: Backoff::default(),
+            expired_at: Moment::default(),
+        }
+    }
+
+    async fn step(&mut self, core: &Core) {
+        if predates_restore(core, self.table) {
+            self.restored.get_or_insert_with(clock::now);
+            restart_table(core, self.table);
+        }
+        if core.table_progress(self.table).position().next().is_some() {
+            self.unknown_since = clock::now();
+        }
+        let is_reader = is_reader(core, self.table);
+        if !is_reader && wait_for_update(core, self.table).await {
+            return;
+        }
+        let is_read_needed = match self.useful_from.take() {
+            Some(from) if is_reader => !self.copy_from_peer(core, from).await,
+            None if is_reader => true,
+            _ => self.must_take_over(core).await,
+        };
+        if !is_read_needed {
+            return;
         }
-        if !is_reader(&core, table) && wait_for_update(&core, table).await {
-            expire(&core);
-            continue;
+        self.read(core, is_reader).await;
+    }
+
+    /// Copies the table from a peer, for a reader; returns whether the copy reaches a position.
+    async fn copy_from_peer(&self, core: &Core, from: LogPosition) -> bool {
+        pull::pull(core, self.table).await;
+        let mut position = core.table_progress(self.table).position();
+        let is_useful = position.next().is_some_and(|next| next >= from);
+        if !is_useful {
+            position.require_full_read();
+        }
+        is_useful
+    }
+
+    /// Asks peers for what this VM lacks; returns whether it must read the store itself because they lack it too.
+    async fn must_take_over(&mut self, core: &Core) -> bool {
+        let pulled = pull::pull(core, self.table).await;
+        let known = core.table_progress(self.table);
+        let interval = max_silence(core, self.table);
+        let (missed, overdue, has_data) = {
+            let position = known.position();
+            let now = clock::now();
+            (
+                position.has_missed(),
+                position.overdue(interval, self.unknown_since, now),
+                position.next().is_some(),
+            )
+        };
+        if has_data && !missed && overdue.is_zero() {
+            self.peer_backoff.reset();
+            return false;
+        }
+        let standby = Standby {
+            rank: rank(core, self.table),
+            isolated: pulled == Pulled::Isolated,
+            fast_start: !has_data && core.settings().link_mbps >= FAST_LINK_MBPS,
+        };
+        let delay = standby.takeover_delay();
+        if overdue >= delay && clock::now() >= self.no_call_before {
+            info!(event = events::TAKEOVER, table = ?self.table, rank = standby.rank, isolated = standby.isolated, overdue_ms = clock::millis(overdue), "reading the table for all VMs");
+            return true;
+        }
+        if has_data && self.table == Table::Fleet && pulled == Pulled::Applied {
+            // No VM could read the list lately, so entries may have expired because no heartbeat was written.
+            core.fleet
+                .lock()
+                .record_store_response(overdue.is_zero(), clock::now());
+        }
+        let is_expected = pulled == Pulled::Nothing || (pulled == Pulled::Applied && missed);
+        let pause = if is_expected {
+            add_jitter(BUSY_DELAY, &mut rand::rng())
+        } else {
+            self.peer_backoff.fail(MAX_PULL_DELAY, &mut rand::rng())
+        };
+        let until_call = delay
+            .saturating_sub(overdue)
+            .max(self.no_call_before.since(clock::now()));
+        drop(timeout(pause.min(until_call), known.missed.notified()).await);
+        false
+    }
+
+    /// Applies time limits to upstreams whose entries lapsed or are doubted.
+    fn expire(&mut self, core: &Core) {
+        let now = clock::now();
+        if now.since(self.expired_at) < EXPIRY_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
+        for (id, change) in core.fleet.lock().expire(now) {
+            info!(event = events::UPSTREAM, upstream = %id, change = ?change, "belief about an upstream changed by time");
         }
-        let outcome = read_table(&core, table, &mut restored).await;
+    }
+
+    async fn read(&mut self, core: &Core, is_reader: bool) {
+        let table = self.table;
+        let outcome = read_table(core, table, &mut self.restored).await;
         core.fleet
             .lock()
             .record_store_response(is_answered(&outcome), clock::now());
         match outcome {
-            Ok(()) => {
-                if unreachable {
-                    unreachable = false;
+            Ok(has_more) => {
+                self.store_backoff.reset();
+                if std::mem::take(&mut self.unreachable) {
                     info!(event = events::STORE_BACK, table = ?table, "store answers again");
                 }
-                if table == Table::Fleet && is_reader(&core, table) {
-                    sleep_unless_restored(&core, table, max_silence(&core, table)).await;
+                if table == Table::Fleet && is_reader && !has_more {
+                    sleep_unless_restored(core, table, max_silence(core, table)).await;
                 }
             }
             Err(StoreError::Restored(_)) => {}
             Err(StoreError::Compacted(first)) => {
-                info!(event = events::COMPACTED, table = ?table, first = first.0, "log was compacted; reading the newest record of each key");
+                info!(event = events::COMPACTED, table = ?table, first = first.0, "log was compacted; copying the table from a peer or reading its newest records");
                 core.table_progress(table).position().require_full_read();
+                self.useful_from = Some(LogPosition::new(core.store.timeline(), first));
             }
             Err(error) => {
-                if !unreachable {
-                    unreachable = true;
+                if !std::mem::replace(&mut self.unreachable, true) {
                     warn!(event = events::STORE_LOST, table = ?table, %error, "store does not answer");
                 }
-                sleep(RETRY_DELAY).await;
+                if core.table_progress(table).position().next().is_none() {
+                    self.useful_from = Some(LogPosition::default());
+                }
+                let vms = core.peers.count();
+                let callers = if is_reader { vms.min(READERS) } else { vms };
+                let longest = longest_delay(callers);
+                let delay = self.store_backoff.fail(longest, &mut rand::rng());
+                if is_reader {
+                    sleep(delay).await;
+                } else {
+                    self.no_call_before = clock::now() + delay;
+                }
             }
         }
-        expire(&core);
     }
 }
 
-fn is_answered(outcome: &Result<(), StoreError>) -> bool {
+fn is_answered(outcome: &Result<bool, StoreError>) -> bool {
     !matches!(
         outcome,
         Err(StoreError::Busy | StoreError::Unreached(_) | StoreError::Unanswered(_))
     )
 }
 
+/// The place of this VM in the ranking of a table's readers, from 0.
+fn rank(core: &Core, table: Table) -> usize {
+    core.peers.rank(RANK_KEY + table as u64)
+}
+
 /// Whether this VM is a reader of a table.
 fn is_reader(core: &Core, table: Table) -> bool {
-    core.peers.is_among_first(READERS, RANK_KEY + table as u64)
+    rank(core, table) < READERS
 }
 
 /// Maximum time without an update of a table.
@@ -124,12 +277,11 @@
     }
 }
 
-/// Waits for an update of a table; returns false if this VM must read the table itself.
+/// Waits for an update of a table; returns false if this VM lacks one.
 async fn wait_for_update(core: &Core, table: Table) -> bool {
     let known = core.table_progress(table);
     let left = {
-        let mut position = known.position();
-        position.renew(clock::now());
+        let position = known.position();
         position.time_left(max_silence(core, table), clock::now())
     };
     if left.is_zero() {
@@ -165,107 +317,73 @@
     core.table_progress(table).position().require_full_read();
 }
 
+/// Reads a table from the store, for this VM and its peers; returns whether the store has more.
 async fn read_table(
     core: &Core,
     table: Table,
     restored: &mut Option<Moment>,
-) -> Result<(), StoreError> {
+) -> Result<bool, StoreError> {
     let known = core.table_progress(table);
-    let started = clock::now();
     let (next, complete) = {
-        let position = known.position();
+        let mut position = known.position();
+        if rank(core, table) == 0 {
+            position.renew(clock::now());
+        }
         (position.next(), position.complete_until())
     };
-    let Some(from) = next else {
-        let batch = core.store.snapshot(table).await?;
-        let at = batch.next;
-        let records = batch.records.len();
-        let missing = replace_table(core, table, batch, complete);
-        if let Some(since) = restored.take() {
-            info!(event = events::REBUILT, table = ?table, at = %at, records, missing, took_ms = clock::millis(clock::now().since(since)), "table was read again from the restored store");
+    match next {
+        None => {
+            read_whole_table(core, table, complete, restored).await?;
+            Ok(false)
         }
-        known.position().record_read(at, clock::now());
-        known.position().record_call(started);
-        return Ok(());
-    };
-    let reader = is_reader(core, table);
-    let wait = match table {
-        Table::Settings if reader => SETTINGS_WAIT,
-        _ => Duration::ZERO,
-    };
-    let batch = core.store.changes(table, from, wait).await?;
-    let update = apply_batch(core, table, from, batch);
-    known.position().record_read(update.next, clock::now());
-    known.position().record_call(started);
-    if reader {
-        core.peers.outbox.put_reading(update);
+        Some(from) => read_changes(core, table, from).await,
     }
-    Ok(())
 }
 
-/// Applies time limits to upstreams whose entries lapsed or are doubted.
-fn expire(core: &Core) {
-    let changes = core.fleet.lock().expire(clock::now());
-    for (id, change) in changes {
-        info!(event = events::UPSTREAM, upstream = %id, change = ?change, "belief about an upstream changed by time");
+async fn read_whole_table(
+    core: &Core,
+    table: Table,
+    complete: Option<Moment>,
+    restored: &mut Option<Moment>,
+) -> Result<(), StoreError> {
+    let started = clock::now();
+    let batch = core.store.snapshot(table).await?;
+    let at = batch.next;
+    let records = batch.records.len();
+    let replaced = replace_table(core, table, batch, complete);
+    if let Some(since) = restored.take() {
+        info!(event = events::REBUILT, table = ?table, at = %at, records, missing = replaced.missing, took_ms = clock::millis(clock::now().since(since)), "table was read again from the restored store");
     }
-}
-
-/// Keeps this VM's entry in the store and reads those of the others, until the process ends.
-pub async fn follow_vms(core: Arc<Core>) {
-    let mut timelines = core.store.subscribe_timeline();
-    while core.phase() < Phase::Ended {
-        timelines.mark_unchanged();
-        let listed = match core.store.snapshot(Table::Vms).await {
-            Ok(batch) => apply_vms(&core, batch),
-            Err(error) => {
-                info!(event = events::STORE_LOST, table = ?Table::Vms, %error, "cannot read the list of entry VMs");
-                sleep(RETRY_DELAY * 3).await;
-                continue;
-            }
-        };
-        if !listed && let Err(error) = write_vm_entry(&core).await {
-            warn!(event = events::STORE_LOST, table = ?Table::Vms, %error, "cannot write this VM's entry");
-            sleep(RETRY_DELAY * 3).await;
-            continue;
-        }
-        let alone = core.peers.addrs_by_status().alive.is_empty();
-        let interval = if alone { ALONE_INTERVAL } else { VMS_INTERVAL };
-        if timeout(interval, timelines.changed()).await.is_ok() {
-            // All VMs find out at almost the same time that the restored store may lack their entries.
-            sleep(restore_delay(&core)).await;
-        }
+    let known = core.table_progress(table);
+    known.journal().restart(at);
+    {
+        let mut position = known.position();
+        position.record_read(at, clock::now());
+        position.record_call(started);
     }
+    let mut update = TableUpdate::empty(table, at);
+    if replaced.changed.len() <= MAX_RELAYED_CHANGES {
+        update.pieces = replaced.relayed(core);
+    }
+    core.peers.outbox.put_reading(update);
+    Ok(())
 }
 
-/// This VM's share of [`RESTORE_SPREAD`], after which it writes its entry again.
-fn restore_delay(core: &Core) -> Duration {
-    let own_rank = rank(RANK_KEY, seed(core.settings().vm.as_str()));
-    RESTORE_SPREAD * (own_rank >> 56) as u32 / (1 << 8)
-}
-
-async fn write_vm_entry(core: &Core) -> Result<(), StoreError> {
-    let settings = core.settings();
-    core.store
-        .write_vm_entry(&settings.vm, settings.listen.peers)
-        .await
-}
-
-/// Applies the list of entry VMs; returns whether this VM is in it.
-fn apply_vms(core: &Core, batch: Batch) -> bool {
-    let records = batch.records.into_iter().map(|(_, record)| record);
-    let vms: Vec<_> = records
-        .filter_map(|record| match record {
-            Record::Vm(vm, addr) => Some((vm, addr)),
-            Record::Unreadable(record) => {
-                log_unreadable(core, &record);
-                None
-            }
-            _ => None,
-        })
-        .collect();
-    let me = (core.settings().vm.clone(), core.settings().listen.peers);
-    let listed = vms.contains(&me);
-    core.peers.seed_members(vms);
-    listed
+async fn read_changes(core: &Core, table: Table, from: LogPosition) -> Result<bool, StoreError> {
+    let started = clock::now();
+    let wait = match table {
+        Table::Settings if is_reader(core, table) => SETTINGS_WAIT,
+        _ => Duration::ZERO,
+    };
+    let batch = core.store.changes(table, from, wait).await?;
+    let has_more = batch.next < batch.end;
+    let update = apply_batch(core, table, from, batch);
+    {
+        let known = core.table_progress(table);
+        let mut position = known.position();
+        position.record_read(update.next, clock::now());
+        position.record_call(started);
+    }
+    core.peers.outbox.put_reading(update);
+    Ok(has_more)
 }
--- /dev/null
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -0,0 +1,327 @@
+//! Copies of a table from peers, for VMs that missed an update or have just started.
+//!
+//! A VM asks the sender of the update that it missed first, which has what the update announced, then other peers.
+//! Copies of a whole table are large compared to a small VM's link, so a VM sends only as many at once as its link
+//! carries in a fraction of a second; a VM that is turned away asks another one. The number of VMs that have a copy
+//! thus doubles with each round, and no VM has to serve all others.
+
+use super::apply::replace_table;
+use super::snapshot::FleetSnapshot;
+use super::updates::{TableUpdate, apply_update_of};
+use crate::catalogue::{Additions, Document, Revision};
+use crate::clock;
+use crate::core::Core;
+use crate::peers::{self, NamedWeights};
+use crate::ports::Table;
+use crate::telemetry::events;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sesamegap_wire::{LogPosition, Moment};
+use smol_str::ToSmolStr;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tracing::info;
+
+/// Peers asked in one round.
+const PEERS_PER_ROUND: usize = 2;
+
+/// Longest time for which the link may still be occupied by copies when another one is sent: with 20 Mbit/s, two copies
+/// of a list of 10,000 upstreams are on their way at once.
+const MAX_BACKLOG: Duration = Duration::from_millis(300);
+
+/// Age from which an encoded fleet list is renewed before it is sent; the receiver asks for the changes since.
+const ENCODED_TTL: Duration = Duration::from_secs(1);
+
+/// A request for what a peer knows of a table.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PullRequest {
+    /// The table.
+    pub table: Table,
+    /// Position up to which the sender knows it, or `None` if it has nothing.
+    pub since: Option<LogPosition>,
+    /// Revision of the sender's document.
+    pub revision: Revision,
+}
+
+/// The reply to a [`PullRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PullReply {
+    /// The peer knows less than the requester.
+    Behind,
+    /// The peer is sending as many copies as its link carries.
+    Busy,
+    /// All changes since the requester's position, and the age of the peer's data in milliseconds.
+    Changes(TableUpdate, u64),
+    /// The whole fleet list, and the age of the peer's data in milliseconds.
+    Fleet(FleetSnapshot, u64),
+    /// The settings.
+    Settings(Box<SettingsCopy>),
+}
+
+impl PullReply {
+    /// The position up to which the peer knows the table, if it sends its data.
+    fn next(&self) -> Option<LogPosition> {
+        match self {
+            Self::Behind | Self::Busy => None,
+            Self::Changes(update, _) => Some(update.next),
+            Self::Fleet(snapshot, _) => Some(snapshot.next()),
+            Self::Settings(copy) => Some(copy.next),
+        }
+    }
+}
+
+/// The settings as a VM sends them to a peer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SettingsCopy {
+    next: LogPosition,
+    age_ms: u64,
+    document: Option<(Document, Additions)>,
+    weights: Vec<NamedWeights>,
+}
+
+/// Result of asking peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pulled {
+    /// A peer's data was applied.
+    Applied,
+    /// Peers answer, but have nothing to send now.
+    Nothing,
+    /// No peer answers.
+    Isolated,
+}
+
+/// Copies of tables that this VM sends to peers.
+#[derive(Debug)]
+pub struct CopyServer {
+    link_mbps: f64,
+    /// When the link has carried all copies that were sent.
+    link_free: Mutex<Moment>,
+    encoded: Mutex<Option<(Moment, Bytes)>>,
+}
+
+impl CopyServer {
+    /// Creates a server for a VM with this link.
+    pub fn new(link_mbps: f64) -> Self {
+        Self {
+            link_mbps,
+            link_free: Mutex::default(),
+            encoded: Mutex::default(),
+        }
+    }
+
+    /// Encodes the reply to a request.
+    ///
+    /// # Errors
+    /// If the reply cannot be encoded.
+    pub fn answer(
+        &self,
+        core: &Core,
+        request: &PullRequest,
+    ) -> Result<Bytes, rmp_serde::encode::Error> {
+        let reply = match find_reply(core, request) {
+            Found::Reply(reply) => reply,
+            Found::WholeFleet(next, age_ms) => return self.send_fleet(core, next, age_ms),
+        };
+        let is_large = matches!(&reply, PullReply::Settings(copy) if copy.document.is_some());
+        let bytes = Bytes::from(rmp_serde::to_vec(&reply)?);
+        if is_large && !self.occupy_link(bytes.len()) {
+            return busy();
+        }
+        Ok(bytes)
+    }
+
+    fn send_fleet(
+        &self,
+        core: &Core,
+        next: LogPosition,
+        age_ms: u64,
+    ) -> Result<Bytes, rmp_serde::encode::Error> {
+        if self.backlog() > MAX_BACKLOG {
+            return busy();
+        }
+        let bytes = self.encoded_fleet(core, next, age_ms)?;
+        self.occupy_link(bytes.len());
+        Ok(bytes)
+    }
+
+    fn encoded_fleet(
+        &self,
+        core: &Core,
+        next: LogPosition,
+        age_ms: u64,
+    ) -> Result<Bytes, rmp_serde::encode::Error> {
+        let now = clock::now();
+        let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((at, bytes)) = encoded.as_ref()
+            && now.since(*at) < ENCODED_TTL
+        {
+            return Ok(bytes.clone());
+        }
+        let snapshot = FleetSnapshot::of(&core.fleet.lock(), next);
+        let bytes = Bytes::from(rmp_serde::to_vec(&PullReply::Fleet(snapshot, age_ms))?);
+        *encoded = Some((now, bytes.clone()));
+        Ok(bytes)
+    }
+
+    /// For how long the link is still occupied by copies.
+    fn backlog(&self) -> Duration {
+        let link_free = self
+            .link_free
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        link_free.since(clock::now())
+    }
+
+    /// Occupies the link for as long as it needs for this many bytes, unless it is occupied for too long already.
+    fn occupy_link(&self, bytes: usize) -> bool {
+        let now = clock::now();
+        let seconds = bytes as f64 * 8.0 / (self.link_mbps * 1e6);
+        let mut link_free = self
+            .link_free
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if link_free.since(now) > MAX_BACKLOG {
+            return false;
+        }
+        let needed = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_BACKLOG);
+        *link_free = now.max(*link_free) + needed;
+        true
+    }
+}
+
+fn busy() -> Result<Bytes, rmp_serde::encode::Error> {
+    Ok(rmp_serde::to_vec(&PullReply::Busy)?.into())
+}
+
+/// What a request gets.
+enum Found {
+    Reply(PullReply),
+    /// The whole fleet list up to a position, with the age of the data in milliseconds.
+    WholeFleet(LogPosition, u64),
+}
+
+fn find_reply(core: &Core, request: &PullRequest) -> Found {
+    let known = core.table_progress(request.table);
+    let (next, at) = {
+        let position = known.position();
+        (position.next(), position.last_update())
+    };
+    let Some(next) = next.filter(|next| request.since.is_none_or(|since| since <= *next)) else {
+        return Found::Reply(PullReply::Behind);
+    };
+    let age_ms = clock::millis(clock::now().since(at));
+    match request.table {
+        Table::Fleet => {
+            let changes = |since| known.journal().since(Table::Fleet, since);
+            match request.since.and_then(changes) {
+                Some(update) => Found::Reply(PullReply::Changes(update, age_ms)),
+                None => Found::WholeFleet(next, age_ms),
+            }
+        }
+        Table::Settings => Found::Reply(PullReply::Settings(Box::new(SettingsCopy {
+            next,
+            age_ms,
+            document: newer_document(core, request.revision),
+            weights: peers::named_weights(core),
+        }))),
+        Table::Vms | Table::Quarantine => Found::Reply(PullReply::Behind),
+    }
+}
+
+fn newer_document(core: &Core, than: Revision) -> Option<(Document, Additions)> {
+    let catalogue = core.catalogue()?;
+    let document = catalogue.document();
+    (document.revision > than).then(|| (document.as_ref().clone(), document.additions()))
+}
+
+/// Asks a few peers for what this VM lacks of a table.
+pub async fn pull(core: &Core, table: Table) -> Pulled {
+    let mut result = Pulled::Isolated;
+    for peer in choose_peers(core, table) {
+        let request = PullRequest {
+            table,
+            since: core.table_progress(table).position().next(),
+            revision: core.revision(),
+        };
+        match peers::pull(core, peer, &request).await {
+            Ok(reply)
+                if reply
+                    .next()
+                    .is_none_or(|next| is_from_earlier_timeline(core, next)) =>
+            {
+                result = Pulled::Nothing;
+            }
+            Ok(reply) => {
+                apply_reply(core, table, reply, peer);
+                return Pulled::Applied;
+            }
+            Err(error) => {
+                info!(event = events::PEER, %peer, table = ?table, error, "a peer does not send its copy of a table");
+            }
+        }
+    }
+    result
+}
+
+/// The sender of the update that was missed, and other peers at random.
+fn choose_peers(core: &Core, table: Table) -> Vec<SocketAddr> {
+    let port = core.settings().listen.peers.port();
+    let sender = core.table_progress(table).take_sender();
+    let sender = sender.map(|addr| SocketAddr::new(addr.ip(), port));
+    let others = core.peers.random_alive(PEERS_PER_ROUND);
+    let mut chosen: Vec<SocketAddr> = sender.into_iter().collect();
+    chosen.extend(others.into_iter().filter(|peer| Some(*peer) != sender));
+    chosen.truncate(PEERS_PER_ROUND);
+    chosen
+}
+
+/// Whether a peer's data is from before a restore of the store that this VM has noticed.
+fn is_from_earlier_timeline(core: &Core, next: LogPosition) -> bool {
+    next.timeline < core.store.timeline()
+}
+
+fn apply_reply(core: &Core, table: Table, reply: PullReply, from: SocketAddr) {
+    let known = core.table_progress(table);
+    let now = clock::now();
+    let is_restored = |next: LogPosition| {
+        let known = known.position().next();
+        known.is_some_and(|known| known.timeline < next.timeline)
+    };
+    if reply.next().is_some_and(is_restored) {
+        // Entries that the restored store lacks get time to reappear.
+        core.fleet.lock().record_store_restore(now);
+    }
+    let at = |age_ms| clock::ago(Duration::from_millis(age_ms));
+    match reply {
+        PullReply::Behind | PullReply::Busy => {}
+        PullReply::Changes(update, age_ms) => {
+            let next = update.next;
+            apply_update_of(core, update, at(age_ms));
+            known.position().record_pull(next, at(age_ms), now);
+        }
+        PullReply::Fleet(snapshot, age_ms) => {
+            let next = snapshot.next();
+            if known.position().next().is_some_and(|known| known >= next) {
+                return;
+            }
+            let Some(batch) = snapshot.into_batch() else {
+                info!(event = events::PEER, peer = %from, "a peer's copy of the fleet list is inconsistent");
+                return;
+            };
+            replace_table(core, table, batch, None);
+            known.journal().restart(next);
+            known.position().record_pull(next, at(age_ms), now);
+        }
+        PullReply::Settings(copy) => {
+            let document = copy.document.map(|(mut document, additions)| {
+                document.add(additions);
+                document
+            });
+            peers::apply_state(core, document, &copy.weights, &from.to_smolstr());
+            known
+                .position()
+                .record_pull(copy.next, at(copy.age_ms), now);
+        }
+    }
+}
--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -1,6 +1,7 @@
 //! Updates of a table that the VMs that read it send to all others.
 
 use super::apply::{RecordEffect, RecordSource, apply, withdraw};
+use super::journal::Journal;
 use super::reports::Reports;
 use crate::clock;
 use crate::core::Core;
@@ -8,12 +9,12 @@
 use crate::ports::{Batch, Record, Table, Weights};
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::reading::{Position, Span, UpdateOutcome};
-use sesamegap_wire::{LogPosition, UpstreamId};
+use sesamegap_wire::{LogPosition, Moment, UpstreamId};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
-/// Maximum number of changes in one datagram, of about 150 bytes each; a VM that receives an incomplete update
-/// reads the table itself.
+/// Maximum number of changes in one datagram, of about 130 bytes each; an update with more is sent in parts.
 const MAX_CHANGES: usize = 8;
 
 /// A change that a reader reports.
@@ -44,11 +45,50 @@
     pub whole: bool,
 }
 
+impl TableUpdate {
+    /// An update without changes: the sender knows the table up to this position.
+    pub fn empty(table: Table, next: LogPosition) -> Self {
+        Self {
+            table,
+            from: next,
+            next,
+            pieces: Vec::new(),
+            whole: true,
+        }
+    }
+
+    /// Splits the update into parts that fit into datagrams, each complete in its own range.
+    ///
+    /// A VM that receives all parts knows the whole range. If only the first changes were sent, every VM would have to
+    /// ask for the rest whenever more than a few upstreams change between two reads.
+    pub fn into_parts(mut self) -> Vec<Self> {
+        let mut parts = Vec::new();
+        while self.pieces.len() > MAX_CHANGES {
+            let rest = self.pieces.split_off(MAX_CHANGES);
+            // Changes found by reading the whole table lie before the range, in any order.
+            let boundary = rest[0].0.max(self.from);
+            parts.push(Self {
+                table: self.table,
+                from: self.from,
+                next: boundary,
+                pieces: std::mem::replace(&mut self.pieces, rest),
+                whole: true,
+            });
+            self.from = boundary;
+        }
+        parts.push(self);
+        parts
+    }
+}
+
 /// How far this VM has read a table.
 #[derive(Debug, Default)]
 pub struct TableState {
     position: Mutex<Position>,
     reports: Mutex<Reports>,
+    journal: Mutex<Journal>,
+    /// The VM that sent the last update that was missed or incomplete.
+    sender: Mutex<Option<SocketAddr>>,
     /// Wakes the task that follows the table when an update was missed.
     pub missed: Notify,
 }
@@ -63,6 +103,22 @@
     pub fn reports(&self) -> MutexGuard<'_, Reports> {
         self.reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Locks the journal of the latest changes; the guard must not be held across an await point.
+    pub fn journal(&self) -> MutexGuard<'_, Journal> {
+        self.journal.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the address of the VM that sent the last update that was missed or incomplete.
+    pub fn take_sender(&self) -> Option<SocketAddr> {
+        let mut sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
+        sender.take()
+    }
+
+    fn set_sender(&self, addr: SocketAddr) {
+        let mut sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
+        *sender = Some(addr);
+    }
 }
 
 /// Applies what this VM has read, and builds the update for its peers.
@@ -78,15 +134,12 @@
         let change = to_change(&record);
         match (apply(core, at, record, RecordSource::Written), change) {
             (RecordEffect::Heartbeat, _) => {}
-            (RecordEffect::News, Some(change)) if update.pieces.len() < MAX_CHANGES => {
-                update.pieces.push((at, change));
-            }
-            // A document is too large for a datagram, so every VM reads it itself. A change that this VM had
-            // learned of from a peer before reading it is not sent again, but a VM that missed that update must
-            // not take this one for complete.
-            _ => update.whole = false,
+            (_, Some(change)) => update.pieces.push((at, change)),
+            // A document is too large for a datagram, so the others ask for it.
+            (_, None) => update.whole = false,
         }
     }
+    core.table_progress(table).journal().append(&update);
     update
 }
 
@@ -100,9 +153,27 @@
     }
 }
 
-/// Applies what another VM has read.
-pub fn apply_update(core: &Core, update: TableUpdate) {
+/// Applies an update that a peer sent.
+pub fn receive_update(core: &Core, update: TableUpdate, from: SocketAddr) {
+    let known = core.table_progress(update.table);
+    if apply_update(core, update) == UpdateOutcome::Missed {
+        known.set_sender(from);
+        known.missed.notify_one();
+    }
+}
+
+/// Applies what another VM has just read.
+pub fn apply_update(core: &Core, update: TableUpdate) -> UpdateOutcome {
     let now = clock::now();
+    let outcome = apply_update_of(core, update, now);
+    if outcome == UpdateOutcome::Contiguous {
+        core.fleet.lock().record_peer_store_report(now);
+    }
+    outcome
+}
+
+/// Applies what another VM has read, and knew to be current at a given time.
+pub fn apply_update_of(core: &Core, update: TableUpdate, at: Moment) -> UpdateOutcome {
     let known = core.table_progress(update.table);
     let span = Span {
         from: update.from,
@@ -110,18 +181,17 @@
     };
     // The changes are valid in any case, and their positions show whether they were applied before. Only a
     // contiguous update shows that nothing else changed.
-    let outcome = known.position().apply(span, update.whole, now);
+    let outcome = known.position().apply(span, update.whole, at);
     if outcome == UpdateOutcome::Outdated {
-        return;
+        return outcome;
+    }
+    if outcome == UpdateOutcome::Contiguous {
+        known.journal().append(&update);
     }
     for (at, change) in update.pieces {
         apply_change(core, at, change);
     }
-    if outcome == UpdateOutcome::Missed {
-        known.missed.notify_one();
-    } else {
-        core.fleet.lock().record_peer_store_report(now);
-    }
+    outcome
 }
 
 fn apply_change(core: &Core, at: LogPosition, change: TableChange) {
--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -115,6 +115,7 @@
 
 /// Watches all stores of the catalogue until the process ends.
 pub async fn watch(core: Arc<Core>) {
+    core.peers.wait_for_list().await;
     let mut watched = Vec::new();
     while core.phase() < Phase::Ended {
         if let Some(catalogue) = core.catalogue() {
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -1,17 +1,24 @@
 //! Periodic probes of peers, and broadcasts of this process's own state.
 
+use super::datagrams::Datagram;
 use super::message::{Hello, HelloReply, apply_state, named_weights};
+use super::relay::broadcast;
 use crate::catalogue::Quotas;
 use crate::clock;
 use crate::core::{Core, Phase};
+use crate::follow::{PullReply, PullRequest};
+use crate::ports::Table;
 use crate::telemetry::events;
 use futures_util::future::join_all;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sesamegap_policy::agreement::membership::MemberUpdate;
+use sesamegap_policy::routing::dissemination::MAX_DIRECT;
 use smol_str::ToSmolStr;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -24,12 +31,25 @@
 /// Timeout for a peer's reply, about a hundred times the latency within a region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Timeout of a request for a peer's copy of a whole table, some times what a small VM's link needs.
+const COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Longest wait at startup for the store's list of entry VMs.
 const LIST_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Most listed VMs that are contacted at startup.
 const MAX_LISTED: usize = 8;
 
+/// Most VMs of a long list that are contacted at startup: enough to find one that is alive. With more, every VM of a
+/// fleet that restarts would receive that many documents at once.
+const MAX_OF_LONG_LIST: usize = 3;
+
+/// Delay after which a process announces its start.
+const ANNOUNCE_DELAY: Range<Duration> = Duration::from_millis(300)..Duration::from_secs(1);
+
+/// How often a VM's update on itself is spread by relays, each time by other ones.
+const MEMBER_SENDS: usize = 2;
+
 /// Builds the HTTP client for all peers.
 ///
 /// # Panics
@@ -48,12 +68,17 @@
 /// Probes peers until the process ends.
 pub async fn run_probes(core: Arc<Core>) {
     let mut rng = rand::rngs::StdRng::seed_from_u64(clock::now().0);
-    tokio::spawn(contact_listed(Arc::clone(&core)));
-    contact_seeds(&core).await;
+    contact_first(&core).await;
+    tokio::spawn(announce(Arc::clone(&core)));
     while core.phase() < Phase::Ended {
-        if core.peers.count() == 1 {
+        let vms = core.peers.count();
+        core.store.set_vms(vms);
+        if vms == 1 {
             contact_seeds(&core).await;
         }
+        if core.peers.lock().take_refuted() {
+            spread(&core, core.peers.local_update()).await;
+        }
         let probe = core.peers.tick(&mut rng);
         if let Some(probe) = probe {
             let core = Arc::clone(&core);
@@ -61,7 +86,10 @@
                 let reply = send_hello(&core, probe.addr, probe.updates).await;
                 if let Err(error) = reply {
                     warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
-                    core.peers.lock().probe_failed(&probe.target, clock::now());
+                    let suspicion = core.peers.lock().probe_failed(&probe.target, clock::now());
+                    if let Some(update) = suspicion {
+                        spread(&core, update).await;
+                    }
                 }
             });
         }
@@ -70,6 +98,22 @@
     }
 }
 
+/// Tells all peers of a large fleet that this process has started. Gossip takes half a minute to bring the news of 985
+/// processes that start together to all of them.
+async fn announce(core: Arc<Core>) {
+    // Peers that start at the same time receive datagrams by then.
+    let delay = rand::rng().random_range(ANNOUNCE_DELAY);
+    sleep(delay).await;
+    spread(&core, core.peers.local_update()).await;
+}
+
+/// Spreads an update on a VM by relays, in fleets that are too large for gossip to be fast.
+async fn spread(core: &Core, update: MemberUpdate) {
+    if core.peers.datagram_addrs().len() > MAX_DIRECT {
+        broadcast(core, Datagram::Member(update)).await;
+    }
+}
+
 /// Contacts the VMs named in the settings, through which a new VM joins.
 async fn contact_seeds(core: &Core) {
     let settings = core.settings();
@@ -78,15 +122,39 @@
     contact_all(core, seeds.copied()).await;
 }
 
-/// Contacts some VMs listed in the store, because the VMs named in the settings may all be down.
-async fn contact_listed(core: Arc<Core>) {
+/// Contacts the first peers: those named in the settings, and some that the store lists, because all of the former may
+/// be down.
+///
+/// The VMs of a long list are contacted at random, and those named in the settings only if none of them responds:
+/// otherwise all VMs of a fleet that restarts would contact the same three.
+async fn contact_first(core: &Arc<Core>) {
+    let (listed, is_long) = wait_for_listed(core).await;
+    if is_long {
+        contact_all(core, listed.into_iter()).await;
+        if !*core.peers.peer_state_applied.borrow() {
+            contact_seeds(core).await;
+        }
+        return;
+    }
+    tokio::join!(contact_seeds(core), contact_all(core, listed.into_iter()));
+}
+
+/// Waits for the store's list for a short time; returns some VMs of it, and whether it is long.
+async fn wait_for_listed(core: &Core) -> (Vec<SocketAddr>, bool) {
     let deadline = clock::now() + LIST_TIMEOUT;
-    let listed =
-        || -> Vec<SocketAddr> { core.peers.lock().seed_addrs().take(MAX_LISTED).collect() };
+    let listed = || -> Vec<SocketAddr> { core.peers.lock().seed_addrs().collect() };
     while listed().is_empty() && clock::now() < deadline {
-        sleep(LIST_TIMEOUT / 5).await;
+        sleep(LIST_TIMEOUT / 20).await;
     }
-    contact_all(&core, listed().into_iter()).await;
+    let listed = listed();
+    let is_long = listed.len() > super::MAX_CONTACTED;
+    let count = if is_long {
+        MAX_OF_LONG_LIST
+    } else {
+        MAX_LISTED
+    };
+    let chosen = listed.sample(&mut rand::rng(), count).copied().collect();
+    (chosen, is_long)
 }
 
 async fn contact_all(core: &Core, addrs: impl Iterator<Item = SocketAddr>) {
@@ -107,7 +175,15 @@
 }
 
 /// Sends this process's own state to all peers, for example before shutdown.
+///
+/// In a large fleet, relays spread it in datagrams: hundreds of calls would occupy a small VM for most of its shutdown.
 pub async fn broadcast_state(core: &Core) {
+    if core.peers.datagram_addrs().len() > MAX_DIRECT {
+        for _ in 0..MEMBER_SENDS {
+            spread(core, core.peers.local_update()).await;
+        }
+        return;
+    }
     let peers = core.peers.addrs_by_status().alive;
     let sends = peers
         .into_iter()
@@ -134,7 +210,7 @@
         weights: named_weights(core),
     };
     let (mut reply, quotas): (HelloReply, Option<Quotas>) =
-        post(core, addr, "hello", &hello).await?;
+        post(core, addr, "hello", &hello, PROBE_TIMEOUT).await?;
     if let (Some(document), Some(quotas)) = (&mut reply.document, quotas) {
         document.set_quotas(quotas);
     }
@@ -149,18 +225,35 @@
     Ok(())
 }
 
+/// Asks a peer for its copy of a table.
+///
+/// # Errors
+/// If the peer does not reply in time, or its release knows no such request.
+pub async fn pull(
+    core: &Core,
+    addr: SocketAddr,
+    request: &PullRequest,
+) -> Result<PullReply, String> {
+    let is_copy = request.since.is_none() || request.table == Table::Settings;
+    let limit = if is_copy { COPY_TIMEOUT } else { PROBE_TIMEOUT };
+    let (reply, _): (PullReply, Option<()>) = post(core, addr, "table", request, limit).await?;
+    Ok(reply)
+}
+
 /// Sends a message; returns the reply and what follows it, if the peer's release sends that.
 async fn post<Q: Serialize, A: DeserializeOwned, B: DeserializeOwned>(
     core: &Core,
     addr: SocketAddr,
     name: &str,
     message: &Q,
+    limit: Duration,
 ) -> Result<(A, Option<B>), String> {
     let body = rmp_serde::to_vec(message).map_err(|error| error.to_string())?;
     let sent = core
         .peers
         .client
         .post(format!("http://{addr}/peers/{name}"))
+        .timeout(limit)
         .body(body)
         .send();
     let answer = sent.await.map_err(|error| error.to_string())?;
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -11,6 +11,7 @@
 
 use super::loads::UpstreamLoad;
 use super::message::EngineUpdate;
+use super::relay::{Relayed, broadcast, relay};
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::follow::{self, TableUpdate};
@@ -19,6 +20,7 @@
 use crate::quota;
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::agreement::membership::MemberUpdate;
 use sesamegap_policy::routing::belief::Change;
 use sesamegap_policy::routing::dissemination::{FANOUT, RecipientSelector, Recipients, Sum};
 use sesamegap_policy::routing::silence::SilenceReport;
@@ -40,10 +42,10 @@
 const MAX_ENGINE_UPDATES: usize = 16;
 
 /// Longest datagram, in bytes; loads of about fifty upstreams fit.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 1_400;
 
-#[derive(Debug, Serialize, Deserialize)]
-enum Datagram {
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) enum Datagram {
     /// The load that a VM has placed on upstreams.
     Loads(VmId, Vec<UpstreamLoad>),
     /// Updates on engines.
@@ -60,11 +62,15 @@
     Quarantine(quarantine::Message),
     /// A message about rate limits of teams.
     Quota(sesamegap_policy::quota::Message),
+    /// A VM's update on itself.
+    Member(MemberUpdate),
+    /// An event that the receiver relays to other VMs.
+    Relayed(Relayed),
 }
 
 impl Datagram {
     /// Encodes the datagram; logs the reason and returns `None` if it cannot be sent.
-    fn encode(&self) -> Option<Vec<u8>> {
+    pub(super) fn encode(&self) -> Option<Vec<u8>> {
         match rmp_serde::to_vec(self) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => Some(bytes),
             Ok(bytes) => {
@@ -109,6 +115,7 @@
             return;
         }
     };
+    core.peers.set_socket(Arc::clone(&socket));
     core.placement_client.set_socket(Arc::clone(&socket));
     core.quarantine.set_socket(Arc::clone(&socket));
     core.quota.set_socket(Arc::clone(&socket));
@@ -122,20 +129,14 @@
         ticks = ticks.wrapping_add(1);
         quarantine::tick(&core, ticks).await;
         quota::tick(&core);
-        for datagram in pending_events(&core) {
-            send(
-                &core,
-                &socket,
-                &datagram,
-                &core.peers.addrs_by_status().alive,
-            )
-            .await;
+        for event in pending_events(&core) {
+            broadcast(&core, event).await;
         }
         for (owner, reports) in core.placement_client.take_reports() {
             core.placement_client.send(reports, owner).await;
         }
         let loads = own_loads(&core);
-        let peers = core.peers.addrs_by_status().alive;
+        let peers = core.peers.datagram_addrs();
         let changed = loads != last_loads;
         let chosen = match recipients.tick(sum(&loads), changed, peers.len()) {
             Recipients::Nobody => Vec::new(),
@@ -144,7 +145,7 @@
         };
         if !chosen.is_empty() {
             let datagram = Datagram::Loads(core.settings().vm.clone(), loads.clone());
-            send(&core, &socket, &datagram, &chosen).await;
+            send(&socket, &datagram, &chosen).await;
         }
         last_loads = loads;
     }
@@ -167,7 +168,9 @@
             .chunks(MAX_SILENCE_REPORTS)
             .map(|reports| Datagram::Silent(me.clone(), reports.to_vec())),
     );
-    datagrams.extend(outbox.readings().into_iter().map(Datagram::Reading));
+    let readings = outbox.readings().into_iter();
+    let readings = readings.flat_map(TableUpdate::into_parts);
+    datagrams.extend(readings.map(Datagram::Reading));
     datagrams.extend(outbox.stores().into_iter().map(Datagram::StoreOut));
     datagrams
 }
@@ -215,18 +218,13 @@
     chosen
 }
 
-async fn send(core: &Core, socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
+async fn send(socket: &UdpSocket, datagram: &Datagram, peers: &[SocketAddr]) {
     let Some(bytes) = datagram.encode() else {
         return;
     };
-    let port = core.settings().listen.loads.port();
     for peer in peers {
         // A saturated link drops datagrams; important content is sent again.
-        drop(
-            socket
-                .send_to(&bytes, SocketAddr::new(peer.ip(), port))
-                .await,
-        );
+        drop(socket.send_to(&bytes, *peer).await);
     }
 }
 
@@ -238,30 +236,8 @@
             continue;
         };
         match rmp_serde::from_slice::<Datagram>(&buffer[..length]) {
-            Ok(Datagram::Loads(vm, loads)) => {
-                core.fleet.lock().loads.record(vm, loads, clock::now());
-            }
-            Ok(Datagram::Engines(updates)) => apply_engine_updates(&core, &updates),
-            Ok(Datagram::Silent(vm, reports)) => apply_silence_reports(&core, &vm, &reports),
-            Ok(Datagram::Reading(reading)) => follow::apply_update(&core, reading),
-            Ok(Datagram::StoreOut(store)) => {
-                core.fleet.lock().kept.mark_unavailable(store, clock::now());
-            }
-            Ok(Datagram::Placing(PlacementMessage::Ask(ask))) => {
-                let answer = placing::answer_query(&core, from, &ask);
-                core.placement_client
-                    .send(PlacementMessage::Answer(answer), from)
-                    .await;
-            }
-            Ok(Datagram::Placing(PlacementMessage::Answer(answer))) => {
-                core.placement_client
-                    .complete_query(answer.number, answer.chosen);
-            }
-            Ok(Datagram::Placing(PlacementMessage::Reports(reports))) => {
-                placing::apply_reports(&core, from, &reports);
-            }
-            Ok(Datagram::Quota(message)) => quota::receive(&core, from, &message),
-            Ok(Datagram::Quarantine(message)) => quarantine::receive(&core, from, message).await,
+            Ok(Datagram::Relayed(relayed)) => relay(&core, relayed).await,
+            Ok(datagram) => handle(&core, datagram, from).await,
             Err(error) => {
                 info!(event = events::PEER, %from, %error, "failed to decode a datagram");
             }
@@ -269,6 +245,41 @@
     }
 }
 
+/// Applies a datagram from the VM that sent it first.
+pub(super) async fn handle(core: &Arc<Core>, datagram: Datagram, from: SocketAddr) {
+    match datagram {
+        Datagram::Loads(vm, loads) => {
+            core.fleet.lock().loads.record(vm, loads, clock::now());
+        }
+        Datagram::Engines(updates) => apply_engine_updates(core, &updates),
+        Datagram::Silent(vm, reports) => apply_silence_reports(core, &vm, &reports),
+        Datagram::Reading(reading) => follow::receive_update(core, reading, from),
+        Datagram::StoreOut(store) => {
+            core.fleet.lock().kept.mark_unavailable(store, clock::now());
+        }
+        Datagram::Placing(PlacementMessage::Ask(ask)) => {
+            let answer = placing::answer_query(core, from, &ask);
+            core.placement_client
+                .send(PlacementMessage::Answer(answer), from)
+                .await;
+        }
+        Datagram::Placing(PlacementMessage::Answer(answer)) => {
+            core.placement_client
+                .complete_query(answer.number, answer.chosen);
+        }
+        Datagram::Placing(PlacementMessage::Reports(reports)) => {
+            placing::apply_reports(core, from, &reports);
+        }
+        Datagram::Quota(message) => quota::receive(core, from, &message),
+        Datagram::Quarantine(message) => quarantine::receive(core, from, message).await,
+        Datagram::Member(update) => core.peers.apply_update(&update, clock::now()),
+        Datagram::Relayed(_) => {
+            // A relay sends the event itself, so a second level cannot be meant for this VM.
+            info!(event = events::PEER, %from, "discarded an event that was wrapped twice");
+        }
+    }
+}
+
 /// Applies updates on engines.
 pub fn apply_engine_updates(core: &Core, updates: &[EngineUpdate]) {
     let now = clock::now();
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -11,22 +11,25 @@
 mod message;
 mod numbers;
 mod outbox;
+mod relay;
 mod server;
 
-pub use client::{broadcast_state, run_probes};
+pub use client::{broadcast_state, pull, run_probes};
 pub use datagrams::{
     apply_engine_updates, broadcast_engine_update, broadcast_store_unavailable, encode_placing,
     encode_quarantine, encode_quota, run_datagrams,
 };
 pub use loads::{Loads, UpstreamLoad};
-pub use message::{EngineUpdate, learn_weights};
+pub use message::{EngineUpdate, NamedWeights, apply_state, learn_weights, named_weights};
 pub use numbers::MessageNumbers;
 pub use outbox::{Outbox, take_repeated};
+pub use relay::broadcast_quarantine;
 pub use server::endpoints;
 
 use crate::clock;
 use crate::settings::Settings;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use sesamegap_policy::agreement::ProcessId;
 use sesamegap_policy::agreement::membership::{
     MemberUpdate, Members, MembershipConfig, Probe, Status,
@@ -34,10 +37,12 @@
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_wire::{Incarnation, Moment, VmId};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::timeout;
+use tracing::info;
 
 /// How long a suspected peer has to refute the suspicion; callers are not sent to it in the meantime.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -48,6 +53,9 @@
 /// How long a dead peer stays in the membership table.
 const DEAD_PEER_RETENTION: Duration = Duration::from_secs(20);
 
+/// Longest wait for the store's list of VMs at the start of a process.
+const LIST_WAIT: Duration = Duration::from_millis(700);
+
 /// Longest list of VMs that are all contacted when a process starts.
 const MAX_CONTACTED: usize = 16;
 
@@ -56,6 +64,8 @@
 pub struct PeerAddrs {
     /// Peers that are alive.
     pub alive: Vec<SocketAddr>,
+    /// Listed peers of which nothing is known yet.
+    pub presumed: Vec<SocketAddr>,
     /// Peers that did not answer recently.
     pub suspected: Vec<SocketAddr>,
 }
@@ -70,6 +80,9 @@
     client: reqwest::Client,
     /// Whether another VM's state has been applied since this process started.
     peer_state_applied: watch::Sender<bool>,
+    /// Whether the store's list of VMs was read, or cannot be.
+    list_known: watch::Sender<bool>,
+    socket: OnceLock<Arc<UdpSocket>>,
     datagram_port: u16,
     roster: Mutex<Roster>,
 }
@@ -97,6 +110,8 @@
             outbox: Outbox::default(),
             client: client::build(),
             peer_state_applied: watch::channel(false).0,
+            list_known: watch::channel(false).0,
+            socket: OnceLock::new(),
             datagram_port: settings.listen.loads.port(),
             roster: Mutex::default(),
         }
@@ -108,6 +123,26 @@
         drop(timeout(longest, applied.wait_for(|applied| *applied)).await);
     }
 
+    /// Waits until the store's list of VMs is known or cannot be read, at most for [`LIST_WAIT`].
+    ///
+    /// Without the list, every VM of a fleet that starts would take on the duties that a few perform for all.
+    pub async fn wait_for_list(&self) {
+        let mut known = self.list_known.subscribe();
+        drop(timeout(LIST_WAIT, known.wait_for(|known| *known)).await);
+    }
+
+    /// Ends [`Peers::wait_for_list`].
+    pub fn set_list_known(&self) {
+        self.list_known.send_replace(true);
+    }
+
+    /// Sets the socket for datagrams.
+    fn set_socket(&self, socket: Arc<UdpSocket>) {
+        if self.socket.set(socket).is_err() {
+            info!("the socket for datagrams is already set");
+        }
+    }
+
     /// Returns the id of this process.
     pub fn local_process(&self) -> &ProcessId {
         &self.me
@@ -139,7 +174,8 @@
         let mut addrs = PeerAddrs::default();
         for peer in members.peers() {
             match peer.latest.status {
-                Status::Alive => addrs.alive.push(peer.latest.addr),
+                Status::Alive if peer.is_confirmed() => addrs.alive.push(peer.latest.addr),
+                Status::Alive => addrs.presumed.push(peer.latest.addr),
                 Status::Suspect | Status::Dead => addrs.suspected.push(peer.latest.addr),
                 Status::Leaving => {}
             }
@@ -147,6 +183,17 @@
         addrs
     }
 
+    /// Returns the addresses of some peers that are alive, chosen at random.
+    pub fn random_alive(&self, count: usize) -> Vec<SocketAddr> {
+        let PeerAddrs {
+            mut alive,
+            presumed,
+            ..
+        } = self.addrs_by_status();
+        alive.extend(presumed);
+        alive.sample(&mut rand::rng(), count).copied().collect()
+    }
+
     /// Returns the VMs that are alive, including this one.
     pub fn alive(&self) -> Vec<VmId> {
         let members = self.lock();
@@ -174,10 +221,17 @@
     ///
     /// Assigns tasks that a few VMs perform for all, without any message.
     pub fn is_among_first(&self, count: usize, ranking_key: u64) -> bool {
-        let rank_of = |vm: &VmId| rank(ranking_key, seed(vm.as_str()));
-        let own_rank = rank_of(&self.me.vm);
-        let alive = self.alive();
-        alive.iter().filter(|vm| rank_of(vm) > own_rank).count() < count
+        self.rank(ranking_key) < count
+    }
+
+    /// Returns the place of this VM among those that are alive, in the ranking of a key, from 0.
+    pub fn rank(&self, ranking_key: u64) -> usize {
+        let own_rank = rank(ranking_key, seed(self.me.vm.as_str()));
+        let roster = self.roster();
+        let higher = roster
+            .iter()
+            .filter(|(vm, _)| rank(ranking_key, *vm) > own_rank);
+        higher.count()
     }
 
     /// Returns the datagram addresses of the first `count` VMs in the ranking of a key; `None` stands for this VM.
@@ -202,6 +256,7 @@
     /// Seeds the table with the store's list of entry VMs.
     pub fn seed_members(&self, vms: Vec<(VmId, SocketAddr)>) {
         self.lock().seed(vms, clock::now());
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner).0 = None;
     }
 
     /// Marks this process as leaving in all further updates.
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -3,6 +3,7 @@
 use super::message::{Hello, HelloReply, apply_state, named_weights};
 use crate::clock;
 use crate::core::Core;
+use crate::follow::PullRequest;
 use poem::http::StatusCode;
 use poem::web::Data;
 use poem::{Body, EndpointExt, IntoEndpoint, Route, handler, post};
@@ -16,7 +17,10 @@
 
 /// Returns the endpoints for peers.
 pub fn endpoints(core: Arc<Core>) -> impl IntoEndpoint {
-    Route::new().at("/peers/hello", post(hello)).data(core)
+    Route::new()
+        .at("/peers/hello", post(hello))
+        .at("/peers/table", post(table))
+        .data(core)
 }
 
 #[handler]
@@ -48,6 +52,15 @@
     Ok(body)
 }
 
+#[handler]
+async fn table(core: Data<&Arc<Core>>, body: Body) -> poem::Result<Body> {
+    let request: PullRequest = decode(body).await?;
+    let reply = core.copies.answer(&core, &request).map_err(|error| {
+        poem::Error::from_string(error.to_string(), StatusCode::INTERNAL_SERVER_ERROR)
+    })?;
+    Ok(Body::from(reply))
+}
+
 async fn decode<T: DeserializeOwned>(body: Body) -> poem::Result<T> {
     let bytes = body.into_bytes_limit(MAX_MESSAGE_BYTES).await?;
     rmp_serde::from_slice(&bytes)
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -121,6 +121,10 @@
     pub records: Vec<(Offset, Record)>,
     /// Offset to read from next.
     pub next: Offset,
+    /// End of the log; records up to it are still to be read.
+    pub end: Offset,
+    /// Number of calls that the read took.
+    pub calls: u32,
 }
 
 /// Records of a table on one timeline, and where to continue reading.
@@ -130,6 +134,8 @@
     pub records: Vec<(LogPosition, Record)>,
     /// Position to read from next.
     pub next: LogPosition,
+    /// End of the log; records up to it are still to be read.
+    pub end: LogPosition,
 }
 
 /// Error of a call to the store.
--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -37,11 +37,7 @@
     }
     let alive = core.peers.datagram_addrs();
     for records in records.chunks(RECORDS_PER_DATAGRAM) {
-        for to in &alive {
-            quarantine
-                .send(Message::Records(records.to_vec()), *to)
-                .await;
-        }
+        peers::broadcast_quarantine(core, Message::Records(records.to_vec())).await;
     }
     if is_gossip_due {
         gossip(core, &alive, ticks / GOSSIP_INTERVAL_TICKS).await;
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -38,6 +38,10 @@
 /// Key of the ranking of standby VMs.
 const STANDBY_KEY: u64 = 0;
 
+/// Standby VMs that read the lease log at their start, so that the wait for the last claim's expiry begins then. The
+/// others would try to take over only seconds later, and read it then.
+const OBSERVERS: usize = 8;
+
 /// An engine with outdated weights.
 #[derive(Debug, Clone)]
 struct OutdatedEngine {
@@ -51,7 +55,10 @@
 /// Runs rolling updates until the process stops serving.
 pub async fn run(core: Arc<Core>) {
     let mut lease = Lease::new(&core);
-    lease.observe(&core).await;
+    core.peers.wait_for_list().await;
+    if core.peers.is_among_first(OBSERVERS, STANDBY_KEY) {
+        lease.observe(&core).await;
+    }
     let progress = Arc::new(RollProgress::default());
     let mut since: Option<Moment> = None;
     while core.phase() == Phase::Serving {
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -61,4 +61,8 @@
     pub tolerance: Tolerance,
     /// Memory for request bodies held at once, in bytes.
     pub body_memory: usize,
+    /// Bandwidth of the VM's link, in Mbit/s.
+    pub link_mbps: f64,
+    /// Calls per second that the store accepts from all VMs together.
+    pub store_calls_per_s: f64,
 }
--- a/crates/sesamegap-entry/src/store/mod.rs
+++ b/crates/sesamegap-entry/src/store/mod.rs
@@ -5,6 +5,9 @@
 //! right order. A reply from an earlier timeline, or without one, becomes an error before any caller sees it, and so
 //! does a reply on a different timeline than the requested offsets. Subscribers are notified when the timeline
 //! advances, whichever call revealed it.
+//!
+//! All calls of the process draw on one budget, this VM's share of the store's rate limit. Calls over it wait, so that
+//! the calls of the whole fleet stay below the limit whatever makes them repeat.
 
 use crate::clock;
 use crate::ports::{Batch, Records, Reply, Store, StoreError, Table};
@@ -12,11 +15,14 @@
 use bytes::Bytes;
 use sesamegap_policy::agreement::timelines::{TimelineStatus, TimelineTracker};
 use sesamegap_policy::quarantine;
+use sesamegap_policy::routing::reading::CallBudget;
 use sesamegap_wire::{LogPosition, Moment, Timeline, VmId};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use tracing::{info, warn};
 
 /// Minimum interval between log lines about discarded replies: a store may send many of them per second.
@@ -28,6 +34,9 @@
     port: Arc<dyn Store>,
     state: Mutex<State>,
     timeline: watch::Sender<Timeline>,
+    budget: Mutex<CallBudget>,
+    /// Number of entry VMs that share the store's rate limit.
+    vms: AtomicUsize,
 }
 
 #[derive(Debug, Default)]
@@ -38,15 +47,39 @@
 }
 
 impl StoreClient {
-    /// Creates a client that has not contacted the store yet.
-    pub fn new(port: Arc<dyn Store>) -> Self {
+    /// Creates a client of a store that accepts this many calls per second; it has not contacted the store yet.
+    pub fn new(port: Arc<dyn Store>, calls_per_s: f64) -> Self {
         Self {
             port,
             state: Mutex::default(),
             timeline: watch::channel(Timeline::default()).0,
+            budget: Mutex::new(CallBudget::new(calls_per_s, clock::now())),
+            vms: AtomicUsize::new(1),
         }
     }
 
+    /// Sets the number of entry VMs that share the store's rate limit.
+    pub fn set_vms(&self, vms: usize) {
+        self.vms.store(vms, Ordering::Relaxed);
+    }
+
+    /// Waits until the budget allows a call.
+    async fn wait_for_budget(&self) {
+        let wait = self.charge(1);
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
+    }
+
+    /// Takes calls from the budget; returns the wait before the next call may be made.
+    fn charge(&self, calls: u32) -> Duration {
+        let vms = self.vms.load(Ordering::Relaxed);
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = clock::now();
+        let waits = (0..calls).map(|_| budget.take(vms, now));
+        waits.last().unwrap_or_default()
+    }
+
     /// Returns the current timeline.
     pub fn timeline(&self) -> Timeline {
         *self.timeline.borrow()
@@ -62,8 +95,11 @@
     /// # Errors
     /// If the store could not be read.
     pub async fn snapshot(&self, table: Table) -> Result<Batch, StoreError> {
+        self.wait_for_budget().await;
         let reply = self.port.snapshot(table).await;
         let (timeline, records) = self.validate(None, reply)?;
+        // Further pages were read without waiting, so that the table is read within a short time.
+        self.charge(records.calls.saturating_sub(1));
         Ok(Batch::new(timeline, records))
     }
 
@@ -78,6 +114,7 @@
         wait: Duration,
     ) -> Result<Batch, StoreError> {
         self.check_position(from)?;
+        self.wait_for_budget().await;
         let reply = self.port.changes(table, from.offset, wait).await;
         let (timeline, records) = self.validate(Some(from), reply)?;
         Ok(Batch::new(timeline, records))
@@ -88,6 +125,7 @@
     /// # Errors
     /// If the entry was not written.
     pub async fn write_vm_entry(&self, vm: &VmId, peers: SocketAddr) -> Result<(), StoreError> {
+        self.wait_for_budget().await;
         let reply = self.port.write_vm_entry(vm, peers).await;
         self.validate(None, reply).map(|_| ())
     }
@@ -100,6 +138,7 @@
         &self,
         records: &[quarantine::Record],
     ) -> Result<(), StoreError> {
+        self.wait_for_budget().await;
         let reply = self.port.write_quarantine_records(records).await;
         self.validate(None, reply).map(|_| ())
     }
@@ -113,6 +152,7 @@
         from: LogPosition,
     ) -> Result<(Vec<Bytes>, LogPosition), StoreError> {
         self.check_position(from)?;
+        self.wait_for_budget().await;
         let reply = self.port.lease_records(from.offset).await;
         let (timeline, (records, end)) = self.validate(Some(from), reply)?;
         Ok((records, LogPosition::new(timeline, end)))
@@ -128,6 +168,7 @@
         at: LogPosition,
     ) -> Result<LogPosition, StoreError> {
         self.check_position(at)?;
+        self.wait_for_budget().await;
         let reply = self.port.lease_append(record, at.offset).await;
         let (timeline, offset) = self.validate(Some(at), reply)?;
         Ok(LogPosition::new(timeline, offset))
@@ -210,6 +251,7 @@
                 .map(|(offset, record)| (at(offset), record))
                 .collect(),
             next: at(records.next),
+            end: at(records.end),
         }
     }
 }
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -34,6 +34,10 @@
 pub const REBUILT: u16 = 724;
 /// An answer of the store is from an earlier timeline, or states none.
 pub const OFF_TIMELINE: u16 = 725;
+/// A whole table was applied, read from the store or copied from a peer.
+pub const TABLE_READ: u16 = 726;
+/// A VM that is no reader takes over the reading of a table.
+pub const TAKEOVER: u16 = 727;
 /// The view of a peer changed, or a message from or to a peer failed.
 pub const PEER: u16 = 730;
 /// A kept-KV store stopped answering, or answers again.
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -50,7 +50,16 @@
 fn read(core: &Core, from: u64, records: Vec<Record>) -> TableUpdate {
     let next = offset(from + records.len() as u64);
     let records = (from..).map(offset).zip(records).collect();
-    let update = apply_batch(core, Table::Fleet, offset(from), Batch { records, next });
+    let update = apply_batch(
+        core,
+        Table::Fleet,
+        offset(from),
+        Batch {
+            records,
+            next,
+            end: next,
+        },
+    );
     core.table_progress(Table::Fleet)
         .position()
         .record_read(next, clock::now());
@@ -252,7 +261,11 @@
     let core = vm("vm-1");
     read(&core, 0, vec![engine(100, 1, 3)]);
     let mut fleet = core.fleet.lock();
-    assert!(fleet.keep_only(&FxHashSet::default(), offset(0), clock::now()).is_empty());
+    assert!(
+        fleet
+            .keep_only(&FxHashSet::default(), offset(0), clock::now())
+            .is_empty()
+    );
     let kept = fleet.keep_only(&FxHashSet::default(), offset(1), clock::now());
     assert_eq!(kept, [(worker(), Change::Repeat)]);
     assert!(fleet.get(&worker()).is_some());
--- a/crates/sesamegap-entry/tests/testsuite/fleet_records.rs
+++ b/crates/sesamegap-entry/tests/testsuite/fleet_records.rs
@@ -42,7 +42,16 @@
 fn read_records(core: &Core, from: u64, records: Vec<Record>) -> TableUpdate {
     let next = offset(from + records.len() as u64);
     let records = (from..).map(offset).zip(records).collect();
-    apply_batch(core, Table::Fleet, offset(from), Batch { records, next })
+    apply_batch(
+        core,
+        Table::Fleet,
+        offset(from),
+        Batch {
+            records,
+            next,
+            end: next,
+        },
+    )
 }
 
 fn known_upstreams(core: &Core) -> Vec<usize> {
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 
 mod belief;
 mod catalogue;
+mod copies;
 mod fetches;
 mod fleet;
 mod fleet_records;
--- a/crates/sesamegap-entry/tests/testsuite/readings.rs
+++ b/crates/sesamegap-entry/tests/testsuite/readings.rs
@@ -95,6 +95,7 @@
         Batch {
             records: (from..).map(offset).zip(records).collect(),
             next,
+            end: next,
         }
     };
     receiver
@@ -143,6 +144,7 @@
             Batch {
                 records: vec![(offset(0), known)],
                 next: offset(0),
+                end: offset(0),
             },
         );
         apply_batch(
@@ -152,6 +154,7 @@
             Batch {
                 records: vec![(offset(next - 1), record)],
                 next: offset(next),
+                end: offset(next),
             },
         )
     };
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -240,6 +240,8 @@
         Ok(Records {
             records: numbered.filter(|(at, _)| *at >= from).collect(),
             next,
+            end: next,
+            calls: 1,
         })
     }
 
@@ -281,6 +283,8 @@
             let records = records.iter().cloned().map(Box::new);
             Ok(Records {
                 next: Offset(records.len() as u64),
+                end: Offset(records.len() as u64),
+                calls: 1,
                 records: (0..)
                     .map(Offset)
                     .zip(records.map(Record::Quarantine))
--- a/crates/sesamegap-policy/src/routing/dissemination.rs
+++ b/crates/sesamegap-policy/src/routing/dissemination.rs
@@ -1,4 +1,4 @@
-//! Which peers an entry VM sends its load at upstreams to in each tick.
+//! Which peers an entry VM sends its load at upstreams to in each tick, and which peers relay an event to the others.
 //!
 //! With 84 VMs sending prompts to 140 engines, each VM sees one in eighty of them and may take busy engines for
 //! idle. A prompt that is prefilled while another answer is decoded stalls that answer for half a second. When
@@ -7,10 +7,25 @@
 //!
 //! So the start of a prompt is sent to all peers at once, and everything else to some peers in rotation. The
 //! send rate is bounded regardless of the number of VMs; beyond the bound, all updates go out in rotation.
+//!
+//! With 985 VMs a rotation takes most of a minute, and requests last for a second: peers would count load that has long
+//! ended. So a fleet of more than [`MAX_ROTATION`] VMs does not exchange loads. Owners of shards know the prompts of their
+//! engines, and plain workers report their own load.
+//!
+//! Events that all VMs need, such as changes of the fleet list, reach more than [`MAX_DIRECT`] VMs in two hops
+//! ([`relay_groups`]): one VM that sent to all others itself would need its link and processor for tens of milliseconds
+//! per event.
 
 /// Peers notified per tick in rotation.
 pub const FANOUT: usize = 8;
 
+/// Largest number of peers to which an event is sent directly.
+pub const MAX_DIRECT: usize = 256;
+
+/// Largest number of peers that learn of a VM's load: even while it changes all the time, a rotation over more takes
+/// longer than three seconds.
+const MAX_ROTATION: usize = 512;
+
 /// Ticks after which an unchanged load is sent again, so that a lost datagram does no lasting harm.
 const REPEAT: u32 = 8;
 
@@ -56,6 +71,9 @@
         let begun = now.unread > self.last.unread;
         self.last = now;
         self.unchanged = if changed { 0 } else { self.unchanged + 1 };
+        if peers > MAX_ROTATION {
+            return Recipients::Nobody;
+        }
         if begun && peers > FANOUT && self.allowance >= peers {
             self.allowance -= peers;
             return Recipients::All;
@@ -68,3 +86,16 @@
         }
     }
 }
+
+/// Divides peers into groups, in each of which the first peer relays an event to the others; `capacity` is the number
+/// of addresses that fit into a datagram beside the event.
+///
+/// Up to [`MAX_DIRECT`] peers are groups of their own. Of more peers, each VM sends about as many datagrams as any relay.
+pub fn relay_groups<T>(peers: &[T], capacity: usize) -> impl Iterator<Item = &[T]> {
+    let size = if peers.len() <= MAX_DIRECT {
+        1
+    } else {
+        peers.len().isqrt().min(capacity + 1)
+    };
+    peers.chunks(size.max(1))
+}
--- a/crates/sesamegap-policy/src/routing/reading.rs
+++ b/crates/sesamegap-policy/src/routing/reading.rs
@@ -1,11 +1,18 @@
-//! When an entry VM reads a table from the store itself, and when a peer's relayed update suffices.
+//! When an entry VM reads a table from the store itself, and when its peers' copies suffice.
 //!
 //! With 84 VMs following the fleet list and the settings, every call has a cost, and each heartbeat of 143
 //! upstreams would be read 84 times: calls would grow with the number of VMs, and bytes with the product of VMs
-//! and upstreams. So a few VMs act as readers and relay changes to all others. Every VM still has a bound on the
-//! age of its data, whether its peers reach it or not: a VM that misses an update, or receives none in time, reads
-//! from its own position itself, so no record is ever skipped.
+//! and upstreams. So a few VMs act as readers and relay changes to all others. A VM that misses an update, or receives
+//! none in time, asks a peer for what follows its own position, so no record is ever skipped.
+//!
+//! Every VM still has a bound on the age of its data, whether its peers reach it or not. When the readers fail, the
+//! others take over one after another ([`Standby`]). If all of them read at once, a fleet of 1,000 VMs with a
+//! list of 10,000 upstreams would make 20,000 calls; the store would reject most of them, and the repeated calls would
+//! keep it at its rate limit after the cause has gone. For the same reason, failed calls are repeated at a rate that is
+//! bounded for the whole fleet ([`Backoff`], [`CallBudget`]).
 
+use crate::load::limits::add_jitter;
+use rand::Rng;
 use sesamegap_wire::{LogPosition, Moment};
 use std::time::Duration;
 
@@ -13,10 +20,35 @@
 /// polling interval; in smaller fleets every VM reads.
 pub const READERS: usize = 8;
 
-/// Time after which a VM reads the whole table again. Otherwise, a lost update about an upstream to which this VM
-/// sends nothing would never be corrected.
+/// Time after which the first reader reads the whole table again and relays what differs. Otherwise, a record that was
+/// skipped would never be corrected for an upstream whose entry does not change.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Time between the takeovers of two VMs that follow each other in rank, while peers answer: one group of readers in
+/// half a second.
+const TAKEOVER_STEP: Duration = Duration::from_micros(62_500);
+
+/// Time between such takeovers while no peer answers. After all VMs were restarted together, all of them may be in this
+/// state for a moment, and at most 200 a second begin to read.
+const ISOLATED_STEP: Duration = Duration::from_millis(5);
+
+/// Part of [`TAKEOVER_STEP`] for a VM with a fast link that has no data yet. If one VM in twenty has such a link, four
+/// of them begin within half a second.
+const FAST_START_DIVISOR: u32 = 8;
+
+/// Delay after a first failed call. Calls are billed and rate-limited, rejected ones too.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Interval at which a whole fleet repeats failed calls at most, per VM that repeats them: 32 calls a second.
+const RETRY_SPACING: Duration = Duration::from_micros(31_250);
+
+/// Part of the store's rate limit that all VMs together use at most, in percent. The rest is for the operator and for
+/// upstreams, whose heartbeats keep them listed.
+const RATE_PERCENT: u32 = 50;
+
+/// Calls that a VM may make at once: the pages of a list of 20,000 upstreams, and a few others.
+const CALL_BURST: f64 = 48.0;
+
 /// Range of a table's log that one read covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Span {
@@ -82,6 +114,36 @@
         self.next = None;
     }
 
+    /// Records that everything up to a position was received from a peer, whose data was current at `at`.
+    pub fn record_pull(&mut self, next: LogPosition, at: Moment, now: Moment) {
+        if self.next.is_none() {
+            self.last_full_read = now;
+        }
+        if self.next.is_none_or(|known| known <= next) {
+            self.next = Some(next);
+            self.last_update = self.last_update.max(at);
+        }
+    }
+
+    /// Whether an update after the known position was missed.
+    pub fn has_missed(&self) -> bool {
+        self.next.is_none_or(|next| next < self.missed)
+    }
+
+    /// When the data was last known to be current: the last read, or update from a reader.
+    pub fn last_update(&self) -> Moment {
+        self.last_update
+    }
+
+    /// How long ago the data should have been renewed, if it should; a table that was never read counts from `since`.
+    pub fn overdue(&self, interval: Duration, since: Moment, now: Moment) -> Duration {
+        let due = match self.next {
+            Some(_) => self.last_update + interval,
+            None => since,
+        };
+        now.since(due)
+    }
+
     /// Requires a read of the whole table if the last one is older than [`FULL_READ_INTERVAL`].
     pub fn renew(&mut self, now: Moment) {
         if now.since(self.last_full_read) >= FULL_READ_INTERVAL {
@@ -89,8 +151,8 @@
         }
     }
 
-    /// Applies a reader's update; `whole` says whether it names every change in the range.
-    pub fn apply(&mut self, span: Span, whole: bool, now: Moment) -> UpdateOutcome {
+    /// Applies an update that was current at `at`; `whole` says whether it names every change in the range.
+    pub fn apply(&mut self, span: Span, whole: bool, at: Moment) -> UpdateOutcome {
         let Some(next) = self.next else {
             return UpdateOutcome::Missed;
         };
@@ -103,15 +165,101 @@
             return UpdateOutcome::Missed;
         }
         self.next = Some(span.next);
-        self.last_update = now;
+        self.last_update = self.last_update.max(at);
         UpdateOutcome::Contiguous
     }
 
     /// Time until this VM must read the table itself if it receives no update.
     pub fn time_left(&self, interval: Duration, now: Moment) -> Duration {
-        if self.next.is_none_or(|next| next < self.missed) {
+        if self.has_missed() {
             return Duration::ZERO;
         }
         interval.saturating_sub(now.since(self.last_update))
     }
 }
+
+/// A VM that is not a reader, and its data.
+#[derive(Debug, Clone, Copy)]
+pub struct Standby {
+    /// Its place among all VMs in the ranking of the table, from 0.
+    pub rank: usize,
+    /// Whether no peer answers it.
+    pub isolated: bool,
+    /// Whether it has no data yet and a link that carries the whole table in a fraction of a second.
+    pub fast_start: bool,
+}
+
+impl Standby {
+    /// How long its data must be overdue before it reads the table itself.
+    ///
+    /// A VM that starts with a fast link takes over sooner. After all VMs were restarted together, the readers by rank
+    /// would otherwise need seconds to read a long list and to copy it to the first others.
+    pub fn takeover_delay(self) -> Duration {
+        let behind = u32::try_from((self.rank + 1).saturating_sub(READERS)).unwrap_or(u32::MAX);
+        let step = if self.isolated {
+            ISOLATED_STEP
+        } else if self.fast_start {
+            TAKEOVER_STEP / FAST_START_DIVISOR
+        } else {
+            TAKEOVER_STEP
+        };
+        step.saturating_mul(behind)
+    }
+}
+
+/// Longest delay between failed calls of one VM, if this many VMs may be making such calls.
+pub fn longest_delay(callers: usize) -> Duration {
+    let callers = u32::try_from(callers).unwrap_or(u32::MAX);
+    RETRY_SPACING.saturating_mul(callers).max(RETRY_DELAY)
+}
+
+/// Exponential delays with jitter between failed calls.
+#[derive(Debug, Default)]
+pub struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    /// Records a failed call; returns the delay before the next one, at most `longest` before jitter.
+    pub fn fail(&mut self, longest: Duration, rng: &mut dyn Rng) -> Duration {
+        let doubled = RETRY_DELAY.saturating_mul(2u32.saturating_pow(self.failures));
+        self.failures += 1;
+        add_jitter(doubled.min(longest), rng)
+    }
+
+    /// Records a successful call.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
+
+/// A VM's share of the calls that the store accepts per second, as a token bucket.
+#[derive(Debug)]
+pub struct CallBudget {
+    per_s: f64,
+    tokens: f64,
+    last: Moment,
+}
+
+impl CallBudget {
+    /// A full budget for a store with this rate limit.
+    pub fn new(limit_per_s: f64, now: Moment) -> Self {
+        Self {
+            per_s: limit_per_s * f64::from(RATE_PERCENT) / 100.0,
+            tokens: CALL_BURST,
+            last: now,
+        }
+    }
+
+    /// Takes one call from the share of one of `vms` VMs; returns the wait before the call may be made.
+    pub fn take(&mut self, vms: usize, now: Moment) -> Duration {
+        let rate = self.per_s / vms.max(1) as f64;
+        let earned = now.since(self.last).as_secs_f64() * rate;
+        self.last = now;
+        self.tokens = (self.tokens + earned).min(CALL_BURST) - 1.0;
+        if self.tokens >= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(-self.tokens / rate).unwrap_or(Duration::MAX)
+    }
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/dissemination.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/dissemination.rs
@@ -1,4 +1,6 @@
-use sesamegap_policy::routing::dissemination::{FANOUT, RecipientSelector, Recipients, Sum};
+use sesamegap_policy::routing::dissemination::{
+    FANOUT, MAX_DIRECT, RecipientSelector, Recipients, Sum, relay_groups,
+};
 
 /// Ticks in a second.
 const TICKS: usize = 20;
@@ -76,3 +78,37 @@
         (0..100 * TICKS).filter(|_| telling.tick(Sum::default(), false, 8) != Recipients::Nobody);
     assert!(empty.count() <= 1);
 }
+
+/// Guards against load that ended long ago and still counts at the peers of a fleet so large that its turn to be told
+/// comes once in a minute.
+#[test]
+fn vms_of_a_very_large_fleet_do_not_exchange_loads() {
+    let mut telling = RecipientSelector::default();
+    let held = Sum {
+        running: 1,
+        unread: 9_000,
+    };
+    let told = (0..60 * TICKS).filter(|_| telling.tick(held, true, 984) != Recipients::Nobody);
+    assert_eq!(told.count(), 0);
+}
+
+/// Guards against a VM whose link and processor are busy for tens of milliseconds with one event, and against peers that
+/// no datagram reaches.
+#[test]
+fn an_event_reaches_all_peers_in_two_hops_with_few_datagrams_per_vm() {
+    for count in [0, 1, 68, MAX_DIRECT, MAX_DIRECT + 1, 984, 1_969, 4_000] {
+        for capacity in [0, 8, 40, 200] {
+            let peers: Vec<usize> = (0..count).collect();
+            let groups: Vec<&[usize]> = relay_groups(&peers, capacity).collect();
+            assert_eq!(groups.concat(), peers, "every peer is in one group");
+            let longest = groups.iter().map(|group| group.len()).max().unwrap_or(0);
+            assert!(longest <= capacity + 1, "{count}: {longest} addresses");
+            if count <= MAX_DIRECT {
+                assert!(longest <= 1, "{count} peers need no relay");
+            } else if capacity >= 64 {
+                let bound = 2 * count.isqrt() + 2;
+                assert!(groups.len() + longest <= bound, "{count}: {}", groups.len());
+            }
+        }
+    }
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
@@ -1,6 +1,10 @@
 use crate::support::offset;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
-use sesamegap_policy::routing::reading::{Position, Span, UpdateOutcome};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sesamegap_policy::routing::reading::{
+    Backoff, CallBudget, Position, READERS, Span, Standby, UpdateOutcome, longest_delay,
+};
 use sesamegap_wire::{LogPosition, Moment, Offset, Timeline};
 use std::time::Duration;
 
@@ -174,3 +178,126 @@
     );
     assert_eq!(position.next(), Some(on(1, 110)));
 }
+
+fn standby(rank: usize) -> Standby {
+    Standby {
+        rank,
+        isolated: false,
+        fast_start: false,
+    }
+}
+
+/// Simulates an outage of the store; returns when calls are made, in milliseconds.
+fn calls_during_outage(vms: usize, outage: Duration) -> Vec<u128> {
+    let mut calls = Vec::new();
+    let mut rng = StdRng::seed_from_u64(1);
+    for rank in 0..vms {
+        let mut backoff = Backoff::default();
+        let callers = if rank < READERS { READERS } else { vms };
+        let mut next = standby(rank).takeover_delay();
+        while next < outage {
+            calls.push(next.as_millis());
+            next += backoff.fail(longest_delay(callers), &mut rng);
+        }
+    }
+    calls
+}
+
+/// Guards against an outage of the store during which all VMs call it: its rate limit rejects most of them when it is
+/// back, and their repeated calls keep it there.
+#[test]
+fn the_calls_of_a_fleet_during_an_outage_are_bounded_whatever_its_size() {
+    for vms in [9, 195, 985, 1_970] {
+        let calls = calls_during_outage(vms, Duration::from_secs(20));
+        for second in 0..20 {
+            let in_second = calls.iter().filter(|ms| **ms / 1_000 == second).count();
+            // A tenth of what the smallest store accepts.
+            assert!(in_second <= 200, "{vms} VMs: {in_second} calls");
+        }
+        let readers_keep_trying = calls.iter().any(|ms| *ms > 19_000);
+        assert!(readers_keep_trying, "{vms} VMs notice the store's return");
+    }
+}
+
+/// Guards against data that is never renewed after all readers have failed together.
+#[test]
+fn other_vms_take_over_from_readers_that_failed() {
+    let delays: Vec<Duration> = (0..985)
+        .map(|rank| standby(rank).takeover_delay())
+        .collect();
+    assert!(delays[..READERS].iter().all(Duration::is_zero));
+    assert!(delays.is_sorted());
+    assert!(delays[READERS] <= Duration::from_millis(100));
+}
+
+/// Guards against a fleet whose VMs all read the whole list in the same moment, because they were restarted together and
+/// none of them answers yet.
+#[test]
+fn isolated_vms_read_one_after_another() {
+    for vms in [195, 985, 1_970] {
+        let begins = (0..vms).map(|rank| {
+            let isolated = Standby {
+                isolated: true,
+                ..standby(rank)
+            };
+            isolated.takeover_delay().as_millis()
+        });
+        let begins: Vec<u128> = begins.collect();
+        for start in 0..20 {
+            let window = start * 100..(start + 1) * 100;
+            let count = begins.iter().filter(|ms| window.contains(*ms)).count();
+            assert!(count <= 20 + READERS, "{vms} VMs: {count} in 100 ms");
+        }
+        assert!(begins.iter().all(|ms| *ms <= 10_000), "none waits for long");
+    }
+}
+
+/// Guards against a fleet that takes seconds to start because only small VMs read the list for all others.
+#[test]
+fn a_starting_vm_with_a_fast_link_takes_over_sooner() {
+    let fast = Standby {
+        fast_start: true,
+        ..standby(60)
+    };
+    assert!(fast.takeover_delay() <= Duration::from_millis(500));
+    assert!(fast.takeover_delay() * 4 <= standby(60).takeover_delay());
+}
+
+/// Guards against calls over the store's limit, of which each VM makes only a few.
+#[test]
+fn the_budgets_of_all_vms_together_stay_below_the_stores_limit() {
+    const LIMIT: f64 = 16_000.0;
+    for vms in [7, 985, 1_970] {
+        let mut budget = CallBudget::new(LIMIT, at(0));
+        let (mut now, mut calls) = (0, 0);
+        // The VM calls whenever it may. The calls that it may make at once come first.
+        while now < 60_000 {
+            now += u64::try_from(budget.take(vms, at(now)).as_millis())
+                .unwrap()
+                .max(1);
+            calls += 1;
+        }
+        let sustained = f64::from(calls - 64) / 60.0 * vms as f64;
+        assert!(sustained <= LIMIT * 0.6, "{vms} VMs: {sustained} a second");
+    }
+}
+
+/// Guards against data of a peer that counts as current although the peer received it long ago: the bound on leaving
+/// upstreams would not hold.
+#[test]
+fn a_peers_copy_is_as_old_as_the_peer_says() {
+    let mut position = read_up_to(100);
+    position.apply(span(105, 110), true, at(2_500));
+    assert!(position.has_missed());
+    position.record_pull(offset(112), at(500), at(2_600));
+    assert!(!position.has_missed());
+    assert_eq!(position.next(), Some(offset(112)));
+    let overdue = position.overdue(READ_INTERVAL, at(0), at(3_000));
+    assert_eq!(overdue, Duration::from_millis(500));
+    position.record_pull(offset(90), at(2_900), at(2_900));
+    assert_eq!(
+        position.next(),
+        Some(offset(112)),
+        "an older copy changes nothing"
+    );
+}
