Locator: name VMs of the whole fleet

Cause: a locator named the first 63 VMs by name and itself, so that callers of 985 VMs used the same 64, all in one failure domain. Change: each VM names the first ranked by a key of its own, always the same ones; VMs that are only listed make up for missing ones.

--- a/crates/sesamegap-entry/src/locator.rs
+++ b/crates/sesamegap-entry/src/locator.rs
@@ -1,6 +1,8 @@
 //! Selects the addresses that callers should use.
 
 use crate::core::{Core, Phase};
+use sesamegap_policy::routing::engines::{rank, seed};
+use smol_str::ToSmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,12 +22,14 @@
     let port = core.settings().listen.callers.port();
     let peers = core.peers.addrs_by_status();
     let mut alive = peers.alive;
-    let total = alive.len() + peers.suspected.len() + 1;
-    if ((alive.len() + 1) as f64) < MIN_ALIVE_FRACTION * total as f64 {
+    let present = alive.len() + peers.presumed.len() + 1;
+    let total = present + peers.suspected.len();
+    if (present as f64) < MIN_ALIVE_FRACTION * total as f64 {
         alive.extend(peers.suspected);
     }
-    let mut addrs: Vec<SocketAddr> = alive
-        .iter()
+    let own_key = seed(core.settings().vm.as_str());
+    let mut addrs: Vec<SocketAddr> = sample(alive, peers.presumed, own_key)
+        .into_iter()
         .map(|peer| SocketAddr::new(peer.ip(), port))
         .collect();
     // A VM that is stopping, or has no document or upstreams yet, directs callers to other VMs if there are any.
@@ -36,3 +40,26 @@
     addrs.truncate(MAX_ADDRS);
     (addrs, TTL.min(core.settings().spans.answer_ttl))
 }
+
+/// Chooses the VMs to name out of those that are alive; those that are only presumed to be make up for missing ones.
+///
+/// If every VM named the first of one order, all callers of a fleet of hundreds would use the same 64 VMs, and a failure
+/// domain could take all of these with it. So each VM names others, and always the same, since callers leave connections
+/// to VMs that are no longer named.
+fn sample(
+    mut alive: Vec<SocketAddr>,
+    mut presumed: Vec<SocketAddr>,
+    own_key: u64,
+) -> Vec<SocketAddr> {
+    keep_first_ranked(&mut alive, MAX_ADDRS - 1, own_key);
+    keep_first_ranked(&mut presumed, MAX_ADDRS - 1 - alive.len(), own_key);
+    alive.extend(presumed);
+    alive
+}
+
+fn keep_first_ranked(addrs: &mut Vec<SocketAddr>, count: usize, key: u64) {
+    if count < addrs.len() {
+        addrs.select_nth_unstable_by_key(count, |addr| rank(key, seed(&addr.ip().to_smolstr())));
+        addrs.truncate(count);
+    }
+}
