Answer 503, not 404 or 401, while a newer document is on its way

What callers saw: a request for a route acknowledged seconds before ended with 404, after which a caller gives up for good. Change: a VM that knows of a newer document and lacks it says so, with a time to come back. The refusal is true: nothing ran. Test: a_vm_that_awaits_a_newer_document_answers_with_a_retry_after (404 before).

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -159,6 +159,12 @@
             .map_or(Revision::default(), |catalogue| catalogue.revision())
     }
 
+    /// Whether this VM knows that the settings have changed, and has not received the change yet.
+    pub fn awaits_document(&self) -> bool {
+        let position = self.table_progress(Table::Settings).position();
+        position.next().is_some() && position.has_missed()
+    }
+
     /// Puts a document in force unless its revision is not newer than the current one.
     ///
     /// The store may serve stale history, and a peer may be behind. Without this check, a revoked key would work again
--- a/crates/sesamegap-entry/src/intake/reply.rs
+++ b/crates/sesamegap-entry/src/intake/reply.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::time::Duration;
 
-/// `Retry-After` if no document is in force yet: a start takes about this long.
+/// `Retry-After` if no document is in force yet, or a newer one is about to be: a copy takes about this long.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// `Retry-After` if no upstream is available.
@@ -55,6 +55,8 @@
     BodyTimeout,
     /// No document is in force yet.
     NoDocument,
+    /// The document in force does not allow it, but this VM is about to receive a newer one.
+    OldDocument,
     /// No upstream is available; the request was not run and will not be.
     NoUpstream,
     /// Upstreams crashed while they ran it, and another such request is on trial; it was not run
@@ -78,7 +80,7 @@
     /// The delay for `Retry-After`, if a retry can help.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoDocument => Some(START_RETRY_AFTER),
+            Self::NoDocument | Self::OldDocument => Some(START_RETRY_AFTER),
             Self::NoUpstream => Some(UPSTREAM_RETRY_AFTER),
             Self::Suspect => Some(TRIAL_RETRY_AFTER),
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
@@ -99,6 +101,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoDocument
+            | Self::OldDocument
             | Self::NoUpstream
             | Self::Suspect
             | Self::Quarantined
@@ -120,6 +123,7 @@
             Self::BodyTooLarge => "body too long",
             Self::BodyTimeout => "body came too slowly; not run",
             Self::NoDocument => "no settings yet; not run",
+            Self::OldDocument => "not allowed by settings that are being replaced; not run",
             Self::NoUpstream => "no upstream can take it; not run",
             Self::Suspect => {
                 "upstreams ended under it and it runs only by itself, not now; not run"
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -125,16 +125,25 @@
         .ok_or(Refusal::BadHead("no host"))?;
     let route = catalogue
         .route(host, parts.uri.path())
-        .map_err(|_| Refusal::NoRoute)?;
+        .map_err(|_| unless_awaited(core, Refusal::NoRoute))?;
     let key = head.key.as_deref();
     let team = key.and_then(|key| catalogue.team(key)).cloned();
     let is_key_required = catalogue.has_teams() && !route.public;
     if is_key_required && team.is_none() {
-        return Err(Refusal::InvalidKey);
+        return Err(unless_awaited(core, Refusal::InvalidKey));
     }
     Ok((catalogue, route, team))
 }
 
+/// The refusal of a request that the document in force does not allow; a newer one may allow it, if there is one.
+fn unless_awaited(core: &Core, refusal: Refusal) -> Refusal {
+    if core.awaits_document() {
+        Refusal::OldDocument
+    } else {
+        refusal
+    }
+}
+
 /// A complete body, with the permit for its memory.
 struct ReceivedBody {
     bytes: Bytes,
--- a/crates/sesamegap-entry/tests/testsuite/refusals.rs
+++ b/crates/sesamegap-entry/tests/testsuite/refusals.rs
@@ -1,4 +1,7 @@
-use crate::support::{Act, Caller, Process, Upstream, ask, document};
+use crate::support::{Act, Caller, Process, Upstream, ask, document, offset};
+use sesamegap_entry::clock;
+use sesamegap_entry::follow::{TableUpdate, apply_update};
+use sesamegap_entry::ports::Table;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +45,31 @@
     assert_eq!(worker.seen(), Vec::<String>::new());
 }
 
+/// Guards against a caller that gives up for good because a VM has not received the document with its route or its key
+/// yet.
+#[tokio::test]
+async fn a_vm_that_awaits_a_newer_document_answers_with_a_retry_after() {
+    let process = Process::new().await;
+    let missed = TableUpdate {
+        whole: false,
+        ..TableUpdate::empty(Table::Settings, offset(9))
+    };
+    let position = || process.core.table_progress(Table::Settings).position();
+    position().record_read(offset(8), clock::now());
+    apply_update(&process.core, missed);
+    let unknown = || ask(process.callers, "GET", "/unknown/", "", "");
+    let answer = unknown().await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    let mut caller = Caller::connect(process.callers).await;
+    caller
+        .send("GET /pull/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: bad\r\n\r\n")
+        .await;
+    assert_eq!(caller.answer().await.status, 503);
+    position().record_read(offset(9), clock::now());
+    assert_eq!(unknown().await.status, 404);
+}
+
 /// A caller sends a body over the limit and is still sending when the refusal is written. After a connection reset
 /// it would not know the reason and would send the whole body again.
 #[tokio::test]
