--- a/crates/sesamegap-measure/src/slopes/mod.rs
+++ b/crates/sesamegap-measure/src/slopes/mod.rs
@@ -12,6 +12,7 @@
 mod messages;
 mod placing;
 mod queue;
+mod upstreams;
 
 use clap::ValueEnum;
 use serde::Serialize;
@@ -37,6 +38,8 @@
     Claims,
     /// Hashing of prompts.
     Chain,
+    /// The list of upstreams on an entry VM.
+    Upstreams,
 }
 
 /// One figure.
@@ -117,6 +120,7 @@
     };
     match subject {
         Subject::Index => index::measure(&by(&[120_000, 350_000, 1_000_000, 4_000_000])),
+        Subject::Upstreams => upstreams::measure(&by(&[1_000, 10_000, 20_000])),
         Subject::Placing => placing::measure(&by(&[12, 120, 1_700]), by(&[20_000])[0]),
         Subject::Decider => placing::decider(&by(&[12, 120, 1_700]), by(&[20_000])[0]),
         Subject::Queue => queue::measure(&by(&[1_000, 2_000, 4_000, 8_000])),
