Copies and relays stay in a failure domain where they can; fewer calls at a start

Change: the announcement of a start names the VM's domain; groups of a relay are in one domain, and the list is copied from a peer of the own domain first. A VM that has written its entry reads only what was added to the list of VMs meanwhile.

--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -1,6 +1,7 @@
 //! Copies of a table from peers, for VMs that missed an update or have just started.
 //!
-//! A VM asks the sender of the update that it missed first, which has what the update announced, then other peers.
+//! A VM asks the sender of the update that it missed first, which has what the update announced, then other peers. For
+//! the whole fleet list it asks a peer in its own failure domain first.
 //! Copies of a whole table are large compared to a small VM's link, so a VM sends only as many at once as its link
 //! carries in a fraction of a second; a VM that is turned away asks another one. The number of VMs that have a copy
 //! thus doubles with each round, and no VM has to serve all others.
@@ -267,7 +268,9 @@
 /// The sender of the update that was missed, and other peers at random.
 fn choose_peers(core: &Core, table: Table) -> Vec<SocketAddr> {
     let port = core.settings().listen.peers.port();
-    let sender = core.table_progress(table).take_sender();
+    let known = core.table_progress(table);
+    let needs_list = table == Table::Fleet && known.position().next().is_none();
+    let sender = known.take_sender().filter(|_| !needs_list);
     let sender = sender.map(|addr| SocketAddr::new(addr.ip(), port));
     let others = core.peers.random_alive(PEERS_PER_ROUND);
     let mut chosen: Vec<SocketAddr> = sender.into_iter().collect();
--- a/crates/sesamegap-entry/src/follow/vms.rs
+++ b/crates/sesamegap-entry/src/follow/vms.rs
@@ -6,6 +6,8 @@
 use crate::telemetry::events;
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::reading::{Backoff, READERS, longest_delay};
+use sesamegap_wire::VmId;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -54,7 +56,10 @@
 /// Reads the list, and writes this VM's entry if the list lacks it.
 async fn update_entry(core: &Core) -> Result<(), StoreError> {
     let batch = core.store.snapshot(Table::Vms).await?;
-    if apply_list(core, batch) {
+    let next = batch.next;
+    let mut vms = decode(core, batch);
+    core.peers.seed_members(vms.clone());
+    if is_listed(core, &vms) {
         return Ok(());
     }
     let settings = core.settings();
@@ -62,10 +67,15 @@
         .write_vm_entry(&settings.vm, settings.listen.peers)
         .await?;
     sleep(SETTLE_TIME).await;
-    let batch = core.store.snapshot(Table::Vms).await?;
-    if !apply_list(core, batch) {
+    let batch = core.store.changes(Table::Vms, next, Duration::ZERO).await?;
+    for (vm, addr) in decode(core, batch) {
+        vms.retain(|(known, _)| *known != vm);
+        vms.push((vm, addr));
+    }
+    if !is_listed(core, &vms) {
         warn!(event = events::STORE_LOST, table = ?Table::Vms, "the list of entry VMs lacks this VM's entry");
     }
+    core.peers.seed_members(vms);
     Ok(())
 }
 
@@ -88,21 +98,23 @@
     RESTORE_SPREAD * (own_rank >> 56) as u32 / (1 << 8)
 }
 
-/// Applies the list; returns whether this VM is in it.
-fn apply_list(core: &Core, batch: Batch) -> bool {
+/// The entry VMs of a batch of records.
+fn decode(core: &Core, batch: Batch) -> Vec<(VmId, SocketAddr)> {
     let records = batch.records.into_iter().map(|(_, record)| record);
-    let vms: Vec<_> = records
-        .filter_map(|record| match record {
-            Record::Vm(vm, addr) => Some((vm, addr)),
-            Record::Unreadable(record) => {
-                log_unreadable(core, &record);
-                None
-            }
-            _ => None,
-        })
-        .collect();
-    let me = (core.settings().vm.clone(), core.settings().listen.peers);
-    let listed = vms.contains(&me);
-    core.peers.seed_members(vms);
-    listed
+    let vms = records.filter_map(|record| match record {
+        Record::Vm(vm, addr) => Some((vm, addr)),
+        Record::Unreadable(record) => {
+            log_unreadable(core, &record);
+            None
+        }
+        _ => None,
+    });
+    vms.collect()
+}
+
+/// Whether a list has this VM's entry.
+fn is_listed(core: &Core, vms: &[(VmId, SocketAddr)]) -> bool {
+    let settings = core.settings();
+    let mut listed = vms.iter();
+    listed.any(|(vm, addr)| *vm == settings.vm && *addr == settings.listen.peers)
 }
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -16,6 +16,7 @@
 use serde::de::DeserializeOwned;
 use sesamegap_policy::agreement::membership::MemberUpdate;
 use sesamegap_policy::routing::dissemination::MAX_DIRECT;
+use sesamegap_wire::DomainId;
 use smol_str::ToSmolStr;
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -77,7 +78,7 @@
             contact_seeds(&core).await;
         }
         if core.peers.lock().take_refuted() {
-            spread(&core, core.peers.local_update()).await;
+            spread_own_update(&core).await;
         }
         let probe = core.peers.tick(&mut rng);
         if let Some(probe) = probe {
@@ -88,7 +89,7 @@
                     warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
                     let suspicion = core.peers.lock().probe_failed(&probe.target, clock::now());
                     if let Some(update) = suspicion {
-                        spread(&core, update).await;
+                        spread(&core, update, None).await;
                     }
                 }
             });
@@ -104,13 +105,18 @@
     // Peers that start at the same time receive datagrams by then.
     let delay = rand::rng().random_range(ANNOUNCE_DELAY);
     sleep(delay).await;
-    spread(&core, core.peers.local_update()).await;
+    spread_own_update(&core).await;
+}
+
+async fn spread_own_update(core: &Core) {
+    let domain = core.settings().domain.clone();
+    spread(core, core.peers.local_update(), Some(domain)).await;
 }
 
 /// Spreads an update on a VM by relays, in fleets that are too large for gossip to be fast.
-async fn spread(core: &Core, update: MemberUpdate) {
+async fn spread(core: &Core, update: MemberUpdate, domain: Option<DomainId>) {
     if core.peers.datagram_addrs().len() > MAX_DIRECT {
-        broadcast(core, Datagram::Member(update)).await;
+        broadcast(core, Datagram::Member(update, domain)).await;
     }
 }
 
@@ -180,7 +186,7 @@
 pub async fn broadcast_state(core: &Core) {
     if core.peers.datagram_addrs().len() > MAX_DIRECT {
         for _ in 0..MEMBER_SENDS {
-            spread(core, core.peers.local_update()).await;
+            spread_own_update(core).await;
         }
         return;
     }
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -24,7 +24,7 @@
 use sesamegap_policy::routing::belief::Change;
 use sesamegap_policy::routing::dissemination::{FANOUT, RecipientSelector, Recipients, Sum};
 use sesamegap_policy::routing::silence::SilenceReport;
-use sesamegap_wire::VmId;
+use sesamegap_wire::{DomainId, VmId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,8 +62,8 @@
     Quarantine(quarantine::Message),
     /// A message about rate limits of teams.
     Quota(sesamegap_policy::quota::Message),
-    /// A VM's update on itself.
-    Member(MemberUpdate),
+    /// An update on a VM, with its failure domain if the VM itself sends it.
+    Member(MemberUpdate, Option<DomainId>),
     /// An event that the receiver relays to other VMs.
     Relayed(Relayed),
 }
@@ -272,7 +272,12 @@
         }
         Datagram::Quota(message) => quota::receive(core, from, &message),
         Datagram::Quarantine(message) => quarantine::receive(core, from, message).await,
-        Datagram::Member(update) => core.peers.apply_update(&update, clock::now()),
+        Datagram::Member(update, domain) => {
+            if let Some(domain) = domain {
+                core.peers.set_domain(update.addr.ip(), domain);
+            }
+            core.peers.apply_update(&update, clock::now());
+        }
         Datagram::Relayed(_) => {
             // A relay sends the event itself, so a second level cannot be meant for this VM.
             info!(event = events::PEER, %from, "discarded an event that was wrapped twice");
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -30,13 +30,14 @@
 use crate::settings::Settings;
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use rustc_hash::FxHashMap;
 use sesamegap_policy::agreement::ProcessId;
 use sesamegap_policy::agreement::membership::{
     MemberUpdate, Members, MembershipConfig, Probe, Status,
 };
 use sesamegap_policy::routing::engines::{rank, seed};
-use sesamegap_wire::{Incarnation, Moment, VmId};
-use std::net::SocketAddr;
+use sesamegap_wire::{DomainId, Incarnation, Moment, VmId};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -83,6 +84,9 @@
     /// Whether the store's list of VMs was read, or cannot be.
     list_known: watch::Sender<bool>,
     socket: OnceLock<Arc<UdpSocket>>,
+    domain: DomainId,
+    /// Failure domains of peers, as far as known.
+    domains: Mutex<FxHashMap<IpAddr, DomainId>>,
     datagram_port: u16,
     roster: Mutex<Roster>,
 }
@@ -112,6 +116,8 @@
             peer_state_applied: watch::channel(false).0,
             list_known: watch::channel(false).0,
             socket: OnceLock::new(),
+            domain: settings.domain.clone(),
+            domains: Mutex::default(),
             datagram_port: settings.listen.loads.port(),
             roster: Mutex::default(),
         }
@@ -183,7 +189,8 @@
         addrs
     }
 
-    /// Returns the addresses of some peers that are alive, chosen at random.
+    /// Returns some peers that are alive, chosen at random: first one in this VM's failure domain, if any is known, then
+    /// any.
     pub fn random_alive(&self, count: usize) -> Vec<SocketAddr> {
         let PeerAddrs {
             mut alive,
@@ -191,7 +198,32 @@
             ..
         } = self.addrs_by_status();
         alive.extend(presumed);
-        alive.sample(&mut rand::rng(), count).copied().collect()
+        let domains = self.lock_domains();
+        let is_near = |addr: &&SocketAddr| domains.get(&addr.ip()) == Some(&self.domain);
+        let near: Vec<SocketAddr> = alive.iter().filter(is_near).copied().collect();
+        let mut rng = rand::rng();
+        let first = near.choose(&mut rng).copied();
+        let others = alive.sample(&mut rng, count).copied();
+        let others = others.filter(|peer| Some(*peer) != first);
+        first.into_iter().chain(others).take(count).collect()
+    }
+
+    /// Records the failure domain of a VM.
+    pub fn set_domain(&self, vm: IpAddr, domain: DomainId) {
+        self.lock_domains().insert(vm, domain);
+    }
+
+    /// Orders peers by failure domain, those of unknown domains last; within a domain the order stays.
+    pub fn sort_by_domain(&self, peers: &mut [SocketAddr]) {
+        let domains = self.lock_domains();
+        peers.sort_by_cached_key(|addr| {
+            let domain = domains.get(&addr.ip());
+            (domain.is_none(), domain.cloned())
+        });
+    }
+
+    fn lock_domains(&self) -> MutexGuard<'_, FxHashMap<IpAddr, DomainId>> {
+        self.domains.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the VMs that are alive, including this one.
--- a/crates/sesamegap-entry/src/peers/relay.rs
+++ b/crates/sesamegap-entry/src/peers/relay.rs
@@ -1,8 +1,9 @@
 //! Events for all peers, in large fleets by way of relays.
 //!
 //! The sender divides the peers into groups and sends each event to one peer of each group, with the addresses of the
-//! others ([`relay_groups`]). Groups are drawn anew for each event, so that a relay that is down costs a VM one event
-//! and not all of them. What a VM missed it gets from the sender of the next event.
+//! others ([`relay_groups`]). The peers of a group are in one failure domain as far as possible, so that an event crosses
+//! to another domain once per group. Groups are drawn anew for each event, so that a relay that is down costs a VM one
+//! event and not all of them. What a VM missed it gets from the sender of the next event.
 
 use super::datagrams::{Datagram, MAX_DATAGRAM_BYTES, handle};
 use crate::core::Core;
@@ -36,6 +37,7 @@
     };
     let mut peers = core.peers.datagram_addrs();
     peers.shuffle(&mut rand::rng());
+    core.peers.sort_by_domain(&mut peers);
     let room = MAX_DATAGRAM_BYTES.saturating_sub(bytes.len() + FRAME_BYTES);
     let me = ipv4(core.settings().listen.peers.ip());
     for group in relay_groups(&peers, room / ADDR_BYTES) {
