Ask the sender of an update for the list, too, while a VM has none

Change: in each round a near peer is asked, then the VM whose update showed that it has the list; one with a fast link sends hundreds of copies a second.

--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -259,24 +259,28 @@
             }
             Err(error) => {
                 info!(event = events::PEER, %peer, table = ?table, error, "a peer does not send its copy of a table");
+                core.table_progress(table).forget_sender();
             }
         }
     }
     result
 }
 
-/// The sender of the update that was missed, and other peers at random.
+/// The sender of the last update that was missed, and a peer in the own failure domain if one is known.
+///
+/// For the whole fleet list, the near peer comes first. After all VMs were restarted together, few of them have a copy
+/// yet; the sender is one of these, and a VM with a fast link can send hundreds of copies a second.
 fn choose_peers(core: &Core, table: Table) -> Vec<SocketAddr> {
     let port = core.settings().listen.peers.port();
     let known = core.table_progress(table);
-    let needs_list = table == Table::Fleet && known.position().next().is_none();
-    let sender = known.take_sender().filter(|_| !needs_list);
+    let sender = known.sender();
     let sender = sender.map(|addr| SocketAddr::new(addr.ip(), port));
-    let others = core.peers.random_alive(PEERS_PER_ROUND);
-    let mut chosen: Vec<SocketAddr> = sender.into_iter().collect();
-    chosen.extend(others.into_iter().filter(|peer| Some(*peer) != sender));
-    chosen.truncate(PEERS_PER_ROUND);
-    chosen
+    let others = core.peers.random_alive(PEERS_PER_ROUND).into_iter();
+    let mut others = others.filter(|peer| Some(*peer) != sender);
+    let needs_list = table == Table::Fleet && known.position().next().is_none();
+    let near = if needs_list { others.next() } else { None };
+    let chosen = near.into_iter().chain(sender).chain(others);
+    chosen.take(PEERS_PER_ROUND).collect()
 }
 
 /// Whether a peer's data is from before a restore of the store that this VM has noticed.
--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -109,10 +109,15 @@
         self.journal.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the address of the VM that sent the last update that was missed or incomplete.
-    pub fn take_sender(&self) -> Option<SocketAddr> {
+    /// The VM that sent the last update that was missed or incomplete.
+    pub fn sender(&self) -> Option<SocketAddr> {
+        *self.sender.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets the sender of the last update, because it does not answer.
+    pub fn forget_sender(&self) {
         let mut sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
-        sender.take()
+        *sender = None;
     }
 
     fn set_sender(&self, addr: SocketAddr) {
