--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -51,18 +51,6 @@
 }
 
 impl Fleet {
-    /// Seeds of the engines that are reserved for long prompts.
-    pub fn long_prompt_engines(
-        &mut self,
-        service: &ServiceId,
-        stores: &[KvStore],
-        now: Moment,
-    ) -> Vec<u64> {
-        let index = self.index(service, stores, now);
-        let long = index.seats.iter().filter(|seat| seat.long);
-        long.map(|seat| seat.seed).collect()
-    }
-
     /// Running requests of all VMs at an upstream, from its reported load and the VMs' counts.
     pub fn running(&self, upstream: &Upstream, now: Moment) -> u32 {
         upstream
--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -48,11 +48,11 @@
 /// The reply to a [`PullRequest`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PullReply {
-    /// The peer knows less than the requester.
+    /// The peer knows less than the VM that asks.
     Behind,
     /// The peer is sending as many copies as its link carries.
     Busy,
-    /// All changes since the requester's position, and the age of the peer's data in milliseconds.
+    /// All changes since the position in the request, and the age of the peer's data in milliseconds.
     Changes(TableUpdate, u64),
     /// The whole fleet list, and the age of the peer's data in milliseconds.
     Fleet(FleetSnapshot, u64),
@@ -303,9 +303,7 @@
     match reply {
         PullReply::Behind | PullReply::Busy => {}
         PullReply::Changes(update, age_ms) => {
-            let next = update.next;
             apply_update_of(core, update, at(age_ms));
-            known.position().record_pull(next, at(age_ms), now);
         }
         PullReply::Fleet(snapshot, age_ms) => {
             let next = snapshot.next();
--- a/crates/sesamegap-entry/src/locator.rs
+++ b/crates/sesamegap-entry/src/locator.rs
@@ -59,7 +59,7 @@
 
 fn keep_first_ranked(addrs: &mut Vec<SocketAddr>, count: usize, key: u64) {
     if count < addrs.len() {
-        addrs.select_nth_unstable_by_key(count, |addr| rank(key, seed(&addr.ip().to_smolstr())));
+        addrs.sort_by_cached_key(|addr| rank(key, seed(&addr.ip().to_smolstr())));
         addrs.truncate(count);
     }
 }
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -148,11 +148,10 @@
 /// Waits for the store's list for a short time; returns some VMs of it, and whether it is long.
 async fn wait_for_listed(core: &Core) -> (Vec<SocketAddr>, bool) {
     let deadline = clock::now() + LIST_TIMEOUT;
-    let listed = || -> Vec<SocketAddr> { core.peers.lock().seed_addrs().collect() };
-    while listed().is_empty() && clock::now() < deadline {
+    while core.peers.lock().seed_addrs().next().is_none() && clock::now() < deadline {
         sleep(LIST_TIMEOUT / 20).await;
     }
-    let listed = listed();
+    let listed: Vec<SocketAddr> = core.peers.lock().seed_addrs().collect();
     let is_long = listed.len() > super::MAX_CONTACTED;
     let count = if is_long {
         MAX_OF_LONG_LIST
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -115,10 +115,10 @@
             return;
         }
     };
-    core.peers.set_socket(Arc::clone(&socket));
-    core.placement_client.set_socket(Arc::clone(&socket));
-    core.quarantine.set_socket(Arc::clone(&socket));
-    core.quota.set_socket(Arc::clone(&socket));
+    core.peers.socket.set(Arc::clone(&socket));
+    core.placement_client.socket.set(Arc::clone(&socket));
+    core.quarantine.socket.set(Arc::clone(&socket));
+    core.quota.socket.set(Arc::clone(&socket));
     tokio::spawn(receive(Arc::clone(&core), Arc::clone(&socket)));
     let mut last_loads: Vec<UpstreamLoad> = Vec::new();
     let mut recipients = RecipientSelector::default();
--- a/crates/sesamegap-entry/src/peers/message.rs
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -38,7 +38,7 @@
     pub updates: Vec<MemberUpdate>,
     /// Revision of its document.
     pub revision: Revision,
-    /// Its document, if newer than the requester's.
+    /// Its document, if newer than that of the VM that asks.
     pub document: Option<Document>,
     /// Named weights that it knows, including superseded versions that some engines may not have reached yet.
     pub weights: Vec<NamedWeights>,
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -13,6 +13,7 @@
 mod outbox;
 mod relay;
 mod server;
+mod socket;
 
 pub use client::{broadcast_state, pull, run_probes};
 pub use datagrams::{
@@ -25,6 +26,7 @@
 pub use outbox::{Outbox, take_repeated};
 pub use relay::broadcast_quarantine;
 pub use server::endpoints;
+pub use socket::PeerSocket;
 
 use crate::clock;
 use crate::settings::Settings;
@@ -38,12 +40,10 @@
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_wire::{DomainId, Incarnation, Moment, VmId};
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::timeout;
-use tracing::info;
 
 /// How long a suspected peer has to refute the suspicion; callers are not sent to it in the meantime.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -83,7 +83,8 @@
     peer_state_applied: watch::Sender<bool>,
     /// Whether the store's list of VMs was read, or cannot be.
     list_known: watch::Sender<bool>,
-    socket: OnceLock<Arc<UdpSocket>>,
+    /// Socket for events to all peers.
+    pub(crate) socket: PeerSocket,
     domain: DomainId,
     /// Failure domains of peers, as far as known.
     domains: Mutex<FxHashMap<IpAddr, DomainId>>,
@@ -115,7 +116,7 @@
             client: client::build(),
             peer_state_applied: watch::channel(false).0,
             list_known: watch::channel(false).0,
-            socket: OnceLock::new(),
+            socket: PeerSocket::default(),
             domain: settings.domain.clone(),
             domains: Mutex::default(),
             datagram_port: settings.listen.loads.port(),
@@ -142,13 +143,6 @@
         self.list_known.send_replace(true);
     }
 
-    /// Sets the socket for datagrams.
-    fn set_socket(&self, socket: Arc<UdpSocket>) {
-        if self.socket.set(socket).is_err() {
-            info!("the socket for datagrams is already set");
-        }
-    }
-
     /// Returns the id of this process.
     pub fn local_process(&self) -> &ProcessId {
         &self.me
--- a/crates/sesamegap-entry/src/peers/relay.rs
+++ b/crates/sesamegap-entry/src/peers/relay.rs
@@ -53,13 +53,13 @@
                     event: Box::new(event.clone()),
                 });
                 if let Some(bytes) = relayed.encode() {
-                    send(core, &bytes, *first).await;
+                    core.peers.socket.send(&bytes, *first).await;
                 }
             }
             // Addresses of another family cannot be relayed.
             _ => {
                 for addr in group {
-                    send(core, &bytes, *addr).await;
+                    core.peers.socket.send(&bytes, *addr).await;
                 }
             }
         }
@@ -70,7 +70,10 @@
 pub(super) async fn relay(core: &Arc<Core>, relayed: Relayed) {
     if let Some(bytes) = relayed.event.encode() {
         for target in &relayed.targets {
-            send(core, &bytes, datagram_addr(core, *target)).await;
+            core.peers
+                .socket
+                .send(&bytes, datagram_addr(core, *target))
+                .await;
         }
     }
     let origin = datagram_addr(core, relayed.origin);
@@ -82,13 +85,6 @@
     broadcast(core, Datagram::Quarantine(message)).await;
 }
 
-async fn send(core: &Core, bytes: &[u8], to: SocketAddr) {
-    if let Some(socket) = core.peers.socket.get() {
-        // A saturated link drops datagrams; important content is sent again.
-        drop(socket.send_to(bytes, to).await);
-    }
-}
-
 fn ipv4(ip: IpAddr) -> Option<u32> {
     match ip {
         IpAddr::V4(ip) => Some(ip.to_bits()),
--- a/crates/sesamegap-entry/src/placing/client.rs
+++ b/crates/sesamegap-entry/src/placing/client.rs
@@ -3,15 +3,13 @@
 use super::message::{ChosenEngine, PlacementMessage, PromptReport};
 use crate::clock;
 use crate::fleet::Flight;
-use crate::peers::{self, MessageNumbers};
+use crate::peers::{self, MessageNumbers, PeerSocket};
 use rustc_hash::FxHashMap;
 use sesamegap_wire::Moment;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
-use tracing::info;
 
 /// How long an owner that did not answer gets no queries: about the time until its peers suspect
 /// it.
@@ -24,7 +22,8 @@
 #[derive(Debug, Default)]
 pub struct PlacementClient {
     state: Arc<Mutex<State>>,
-    socket: OnceLock<Arc<UdpSocket>>,
+    /// Socket for all messages.
+    pub(crate) socket: PeerSocket,
 }
 
 #[derive(Debug, Default)]
@@ -77,13 +76,6 @@
 }
 
 impl PlacementClient {
-    /// Sets the socket for all messages; a second call has no effect.
-    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
-        if self.socket.set(socket).is_err() {
-            info!("the socket for placement messages is already set");
-        }
-    }
-
     /// Registers a query to an owner; the receiver gets the answer.
     pub fn start_query(
         &self,
@@ -168,12 +160,10 @@
 
     /// Sends a message if the socket is set; the network may drop it.
     pub async fn send(&self, message: PlacementMessage, to: SocketAddr) {
-        if let Some(socket) = self.socket.get()
-            && let Some(bytes) = peers::encode_placing(message)
-        {
+        if let Some(bytes) = peers::encode_placing(message) {
             // A lost query or answer ends in a timeout; the effect of a lost report expires at the
             // owner.
-            drop(socket.send_to(&bytes, to).await);
+            self.socket.send(&bytes, to).await;
         }
     }
 }
--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -35,11 +35,11 @@
     if records.is_empty() && !is_gossip_due {
         return;
     }
-    let alive = core.peers.datagram_addrs();
     for records in records.chunks(RECORDS_PER_DATAGRAM) {
         peers::broadcast_quarantine(core, Message::Records(records.to_vec())).await;
     }
     if is_gossip_due {
+        let alive = core.peers.datagram_addrs();
         gossip(core, &alive, ticks / GOSSIP_INTERVAL_TICKS).await;
     }
 }
@@ -183,11 +183,8 @@
 
     /// Sends a message if the socket is set; ignores errors.
     pub(super) async fn send(&self, message: Message, to: SocketAddr) {
-        if let Some(socket) = self.socket.get()
-            && let Some(bytes) = peers::encode_quarantine(message)
-        {
-            // Lost messages are sent again.
-            drop(socket.send_to(&bytes, to).await);
+        if let Some(bytes) = peers::encode_quarantine(message) {
+            self.socket.send(&bytes, to).await;
         }
     }
 }
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::clock;
 use crate::core::Core;
-use crate::peers::MessageNumbers;
+use crate::peers::{MessageNumbers, PeerSocket};
 use crate::telemetry::events;
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
@@ -29,11 +29,10 @@
     COORDINATOR_RANKING_KEY, Crash, Grant, Record, Registry, Standing,
 };
 use sesamegap_wire::{Fingerprint, Moment, UpstreamId};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
-use tracing::{info, warn};
+use tracing::warn;
 
 /// Time within which an upstream must leave the list for its loss to count as a crash. If it stays listed for longer,
 /// it counts as disconnected.
@@ -67,7 +66,8 @@
     outbox: Mutex<Outbox>,
     unconfirmed: Mutex<Vec<UnconfirmedLoss>>,
     pending_responses: Mutex<PendingResponses>,
-    socket: OnceLock<Arc<UdpSocket>>,
+    /// Socket over which messages are sent.
+    pub(crate) socket: PeerSocket,
     /// Wakes the task that synchronizes with the store.
     changed: Notify,
     /// Probes of upstreams after broken connections.
@@ -91,13 +91,6 @@
 }
 
 impl Quarantine {
-    /// Sets the socket over which messages are sent.
-    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
-        if self.socket.set(socket).is_err() {
-            info!("quarantine socket is already set");
-        }
-    }
-
     /// Locks the registry of crash records.
     pub fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
--- a/crates/sesamegap-entry/src/quota/client.rs
+++ b/crates/sesamegap-entry/src/quota/client.rs
@@ -3,7 +3,7 @@
 use crate::catalogue::{Catalogue, Revision};
 use crate::clock;
 use crate::core::Core;
-use crate::peers::{self, MessageNumbers};
+use crate::peers::{self, MessageNumbers, PeerSocket};
 use crate::relay::Job;
 use crate::settings::Settings;
 use crate::telemetry::events;
@@ -14,9 +14,8 @@
 use sesamegap_policy::routing::engines::seed;
 use sesamegap_wire::TeamId;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tracing::{debug, info};
@@ -35,7 +34,8 @@
 #[derive(Debug)]
 pub struct QuotaClient {
     state: Mutex<State>,
-    socket: OnceLock<Arc<UdpSocket>>,
+    /// Socket for all messages.
+    pub(crate) socket: PeerSocket,
 }
 
 #[derive(Debug)]
@@ -74,14 +74,7 @@
                 revision: Revision::default(),
                 held: [false; SHARDS],
             }),
-            socket: OnceLock::new(),
-        }
-    }
-
-    /// Sets the socket for all messages; a second call has no effect.
-    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
-        if self.socket.set(socket).is_err() {
-            info!("the socket for rate limits is already set");
+            socket: PeerSocket::default(),
         }
     }
 
@@ -96,19 +89,14 @@
 
     /// Sends messages without waiting; one that the network drops is sent again, or its effect expires.
     fn send(&self, out: Vec<Outgoing>) {
-        let Some(socket) = self.socket.get() else {
-            return;
-        };
         let mut encoded: Option<(Message, Vec<u8>)> = None;
         for (to, message) in out {
             // Claims to all VMs are the same message.
             if encoded.as_ref().is_none_or(|(last, _)| *last != message) {
                 encoded = peers::encode_quota(&message).map(|bytes| (message, bytes));
             }
-            if let Some((_, bytes)) = &encoded
-                && let Err(error) = socket.try_send_to(bytes, to)
-            {
-                debug!(%to, %error, "a message about rate limits was not sent");
+            if let Some((_, bytes)) = &encoded {
+                self.socket.try_send(bytes, to);
             }
         }
     }
@@ -239,26 +227,13 @@
     let now = clock::now();
     let mut out = Vec::new();
     let mut state = core.quota.lock();
+    if let Some((number, charge)) = message.as_charge() {
+        let shard = shard_of(seed(charge.team.as_str()));
+        let verdict = state.node.charge(shard, &charge, now, &mut out);
+        out.push((from, Message::charged(number, verdict)));
+    }
     match message {
-        Message::Charge {
-            number,
-            team,
-            cost,
-            priority,
-            limit,
-            revision,
-        } => {
-            let charge = Charge {
-                team,
-                cost: *cost,
-                priority: *priority,
-                limit: *limit,
-                revision: *revision,
-            };
-            let shard = shard_of(seed(team.as_str()));
-            let verdict = state.node.charge(shard, &charge, now, &mut out);
-            out.push((from, Message::charged(*number, verdict)));
-        }
+        Message::Charge { .. } => {}
         Message::Charged(number, outcome) => {
             let sender = state.pending.remove(number);
             if let Some(sender) = sender
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -171,7 +171,9 @@
         let services: BTreeSet<_> = services.map(|up| up.entry.service.clone()).collect();
         let mut long = FxHashSet::default();
         for service in &services {
-            long.extend(fleet.long_prompt_engines(service, stores, now));
+            let index = fleet.index(service, stores, now);
+            let reserved = index.seats.iter().filter(|seat| seat.long);
+            long.extend(reserved.map(|seat| seat.seed));
         }
         let engines = managed_engines(&fleet, catalogue.as_deref());
         let mut views = Vec::new();
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -1,5 +1,5 @@
 use crate::support::{
-    Platform, StandinKvStore, document, entry, offset, settings, unused_addr, wait_until,
+    Platform, StandinKvStore, batch, document, entry, offset, settings, unused_addr, wait_until,
 };
 use rustc_hash::FxHashSet;
 use sesamegap_entry::catalogue::KvStore;
@@ -9,7 +9,7 @@
 use sesamegap_entry::follow::{TableUpdate, apply_batch, apply_update};
 use sesamegap_entry::kept;
 use sesamegap_entry::peers::{self, EngineUpdate};
-use sesamegap_entry::ports::{Batch, CacheUpdate, Record, Table, Weights};
+use sesamegap_entry::ports::{CacheUpdate, Record, Table, Weights};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
@@ -48,18 +48,9 @@
 
 /// Lets a VM read these records from the list.
 fn read(core: &Core, from: u64, records: Vec<Record>) -> TableUpdate {
-    let next = offset(from + records.len() as u64);
-    let records = (from..).map(offset).zip(records).collect();
-    let update = apply_batch(
-        core,
-        Table::Fleet,
-        offset(from),
-        Batch {
-            records,
-            next,
-            end: next,
-        },
-    );
+    let batch = batch(from, records);
+    let next = batch.next;
+    let update = apply_batch(core, Table::Fleet, offset(from), batch);
     core.table_progress(Table::Fleet)
         .position()
         .record_read(next, clock::now());
--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -1,6 +1,8 @@
 //! Tables that VMs copy from each other instead of reading them from the store.
 
-use crate::support::{Platform, document, entry, offset, settings, unused_addr, wait_until};
+use crate::support::{
+    Platform, add_peer, batch, document, entry, offset, settings, unused_addr, wait_until,
+};
 use poem::IntoEndpoint;
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -12,11 +14,9 @@
     FleetSnapshot, PullReply, PullRequest, apply_batch, follow, receive_update,
 };
 use sesamegap_entry::peers;
-use sesamegap_entry::ports::{Batch, Record, Table};
+use sesamegap_entry::ports::{Record, Table};
 use sesamegap_entry::telemetry::Logging;
-use sesamegap_policy::agreement::ProcessId;
-use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
-use sesamegap_wire::{Incarnation, UpstreamId};
+use sesamegap_wire::UpstreamId;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,19 +42,6 @@
     core
 }
 
-fn add_peer(core: &Core, name: &str, addr: SocketAddr) {
-    let update = MemberUpdate {
-        who: ProcessId {
-            vm: name.parse().unwrap(),
-            incarnation: Incarnation(1),
-        },
-        addr,
-        version: 0,
-        status: Status::Alive,
-    };
-    core.peers.apply_update(&update, clock::now());
-}
-
 /// A reader, and a VM that does not read the store while its peers answer.
 async fn reader_and_hearer(last: u8) -> (Arc<Core>, Arc<Core>) {
     let port = unused_addr().port();
@@ -82,12 +69,8 @@
 
 /// Reads records from the store on a VM, and sends the update to its peers if asked.
 fn read(core: &Core, from: u64, records: Vec<Record>, send: bool) {
-    let next = offset(from + records.len() as u64);
-    let batch = Batch {
-        records: (from..).map(offset).zip(records).collect(),
-        next,
-        end: next,
-    };
+    let batch = batch(from, records);
+    let next = batch.next;
     let update = apply_batch(core, Table::Fleet, offset(from), batch);
     core.table_progress(Table::Fleet)
         .position()
@@ -241,15 +224,9 @@
     let PullReply::Fleet(copy, _) = rmp_serde::from_slice(&encoded).unwrap() else {
         panic!("the reply has another kind");
     };
-    let batch = copy.into_batch().unwrap();
-    for (at, record) in batch.records {
-        let next = at.next();
-        let single = Batch {
-            records: vec![(at, record)],
-            next,
-            end: next,
-        };
-        apply_batch(&two, Table::Fleet, at, single);
+    let copied = copy.into_batch().unwrap();
+    for (at, record) in copied.records {
+        apply_batch(&two, Table::Fleet, at, batch(at.offset.0, vec![record]));
     }
     let states = |fleet: &Fleet| -> Vec<_> {
         let upstreams = fleet.upstreams();
@@ -312,12 +289,8 @@
 async fn the_sender_of_a_missed_update_is_known() {
     let (reader, hearer) = reader_and_hearer(5).await;
     read(&hearer, 0, vec![listed(1, 1, false)], false);
-    let batch = Batch {
-        records: vec![(offset(9), listed(2, 1, false))],
-        next: offset(10),
-        end: offset(10),
-    };
-    let update = apply_batch(&reader, Table::Fleet, offset(9), batch);
+    let missed = batch(9, vec![listed(2, 1, false)]);
+    let update = apply_batch(&reader, Table::Fleet, offset(9), missed);
     let from = reader.settings().listen.loads;
     receive_update(&hearer, update, from);
     let progress = hearer.table_progress(Table::Fleet);
--- a/crates/sesamegap-entry/tests/testsuite/fleet_records.rs
+++ b/crates/sesamegap-entry/tests/testsuite/fleet_records.rs
@@ -1,14 +1,14 @@
 //! Records that other writers put into the tables that a process reads.
 
 use crate::support::{
-    Act, LogLines, Platform, Process, Upstream, ask, document, entry, offset, route, settings,
-    unused_addr,
+    Act, LogLines, Platform, Process, Upstream, ask, batch, document, entry, offset, route,
+    settings, unused_addr,
 };
 use sesamegap_entry::catalogue::{Kind, Service};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::follow::{TableUpdate, apply_batch, apply_update};
-use sesamegap_entry::ports::{Batch, Record, Table, Unreadable};
+use sesamegap_entry::ports::{Record, Table, Unreadable};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_wire::{Offset, UpstreamId};
 use std::sync::Arc;
@@ -40,18 +40,7 @@
 
 /// Applies records that start at an offset.
 fn read_records(core: &Core, from: u64, records: Vec<Record>) -> TableUpdate {
-    let next = offset(from + records.len() as u64);
-    let records = (from..).map(offset).zip(records).collect();
-    apply_batch(
-        core,
-        Table::Fleet,
-        offset(from),
-        Batch {
-            records,
-            next,
-            end: next,
-        },
-    )
+    apply_batch(core, Table::Fleet, offset(from), batch(from, records))
 }
 
 fn known_upstreams(core: &Core) -> Vec<usize> {
--- a/crates/sesamegap-entry/tests/testsuite/placing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/placing.rs
@@ -1,16 +1,16 @@
 //! Placing of prompts by the VM that owns the shard of their home.
 
-use crate::support::{Platform, document, entry, offset, settings, unused_addr, wait_until};
+use crate::support::{
+    Platform, add_peer, document, entry, offset, settings, unused_addr, wait_until,
+};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::{Flight, PromptShape, Selection};
 use sesamegap_entry::peers;
 use sesamegap_entry::placing::choose;
 use sesamegap_entry::telemetry::Logging;
-use sesamegap_policy::agreement::ProcessId;
-use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
-use sesamegap_wire::{Incarnation, ServiceId, UpstreamId};
+use sesamegap_wire::{ServiceId, UpstreamId};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,19 +41,6 @@
     core
 }
 
-fn add_peer(core: &Core, name: &str, addr: SocketAddr) {
-    let update = MemberUpdate {
-        who: ProcessId {
-            vm: name.parse().unwrap(),
-            incarnation: Incarnation(1),
-        },
-        addr,
-        version: 0,
-        status: Status::Alive,
-    };
-    core.peers.apply_update(&update, clock::now());
-}
-
 /// Two VMs that know each other. Among peers that never answer, every prompt of the first is placed by the second or by
 /// the first itself.
 fn pair(last: u8) -> (Arc<Core>, Arc<Core>) {
--- a/crates/sesamegap-entry/tests/testsuite/readings.rs
+++ b/crates/sesamegap-entry/tests/testsuite/readings.rs
@@ -1,4 +1,4 @@
-use crate::support::{Platform, entry, offset, settings, unused_addr, wait_until};
+use crate::support::{Platform, batch, entry, offset, settings, unused_addr, wait_until};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::follow::{TableUpdate, apply_batch, apply_update, follow};
@@ -90,14 +90,6 @@
     let reader = vm("vm-1", "127.0.0.1", port);
     let receiver = vm("vm-2", "127.0.0.2", port);
     add_peer(&reader, &receiver);
-    let read = |records: Vec<Record>, from: u64| {
-        let next = offset(from + records.len() as u64);
-        Batch {
-            records: (from..).map(offset).zip(records).collect(),
-            next,
-            end: next,
-        }
-    };
     receiver
         .table_progress(Table::Fleet)
         .position()
@@ -106,11 +98,11 @@
         &reader,
         Table::Fleet,
         offset(4),
-        read(vec![change(false, 1)], 4),
+        batch(4, vec![change(false, 1)]),
     );
     reader.peers.outbox.put_reading(new);
     wait_until(|| receiver.fleet.lock().get(&worker()).is_some()).await;
-    let beats = read(vec![change(false, 2), change(true, 3)], 5);
+    let beats = batch(5, vec![change(false, 2), change(true, 3)]);
     let leaving = apply_batch(&reader, Table::Fleet, offset(5), beats);
     assert_eq!(
         leaving.pieces.len(),
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -15,15 +15,20 @@
 use sesamegap_entry::catalogue::{
     Document, EngineSpec, Kind, Limits, Revision, Route, Service, Target, Team,
 };
+use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::Entry;
 use sesamegap_entry::intake;
-use sesamegap_entry::ports::Weights;
+use sesamegap_entry::ports::{Batch, Record, Weights};
 use sesamegap_entry::settings::{Listen, Settings, Spans};
 use sesamegap_entry::telemetry::Logging;
+use sesamegap_policy::agreement::ProcessId;
+use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
 use sesamegap_policy::quota::Tolerance;
 use sesamegap_policy::routing::budget::Bound;
-use sesamegap_wire::{DomainId, LogPosition, Moment, Offset, ServiceId, Timeline, WeightsVersion};
+use sesamegap_wire::{
+    DomainId, Incarnation, LogPosition, Moment, Offset, ServiceId, Timeline, WeightsVersion,
+};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -126,6 +131,30 @@
     }
 }
 
+/// Adds a live peer with this address to what a VM knows.
+pub fn add_peer(core: &Core, name: &str, addr: SocketAddr) {
+    let update = MemberUpdate {
+        who: ProcessId {
+            vm: name.parse().unwrap(),
+            incarnation: Incarnation(1),
+        },
+        addr,
+        version: 0,
+        status: Status::Alive,
+    };
+    core.peers.apply_update(&update, clock::now());
+}
+
+/// Records of a table that start at an offset and end its log.
+pub fn batch(from: u64, records: Vec<Record>) -> Batch {
+    let next = offset(from + records.len() as u64);
+    Batch {
+        records: (from..).map(offset).zip(records).collect(),
+        next,
+        end: next,
+    }
+}
+
 pub fn entry(service: &str, addr: SocketAddr) -> Entry {
     let is_engine = service == "engines";
     let weights = is_engine.then(|| Weights {
--- a/crates/sesamegap-policy/src/quota/message.rs
+++ b/crates/sesamegap-policy/src/quota/message.rs
@@ -75,6 +75,29 @@
         }
     }
 
+    /// The number and the request of a [`Message::Charge`].
+    pub fn as_charge(&self) -> Option<(u64, Charge<'_>)> {
+        let Self::Charge {
+            number,
+            ref team,
+            cost,
+            priority,
+            limit,
+            revision,
+        } = *self
+        else {
+            return None;
+        };
+        let charge = Charge {
+            team,
+            cost,
+            priority,
+            limit,
+            revision,
+        };
+        Some((number, charge))
+    }
+
     /// The answer to a charge.
     pub fn charged(number: u64, verdict: Verdict) -> Self {
         let ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
--- a/crates/sesamegap-policy/tests/testsuite/quota/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quota/world.rs
@@ -359,27 +359,14 @@
 
     fn deliver(&mut self, from: usize, to: usize, message: Message) {
         let mut out = Vec::new();
+        if let Some((number, charge)) = message.as_charge() {
+            let node = &mut self.vms[to].node;
+            let verdict = node.charge(shard(charge.team), &charge, self.now, &mut out);
+            self.add_fresh_burst(to, charge.team);
+            out.push((addr(from), Message::charged(number, verdict)));
+        }
         match message {
-            Message::Charge {
-                number,
-                team,
-                cost,
-                priority,
-                limit,
-                revision,
-            } => {
-                let charge = Charge {
-                    team: &team,
-                    cost,
-                    priority,
-                    limit,
-                    revision,
-                };
-                let node = &mut self.vms[to].node;
-                let verdict = node.charge(shard(&team), &charge, self.now, &mut out);
-                self.add_fresh_burst(to, &team);
-                out.push((addr(from), Message::charged(number, verdict)));
-            }
+            Message::Charge { .. } => {}
             Message::Charged(number, outcome) => {
                 let Some((request, _)) = self.vms[to].asked.remove(&number) else {
                     return;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -13,3 +13,23 @@
 mod silence;
 mod transfers;
 mod weights;
+
+use sesamegap_policy::routing::Availability;
+use sesamegap_policy::routing::engines::Engine;
+
+/// An engine for long prompts that runs nothing.
+fn idle_engine(seed: u64) -> Engine {
+    Engine {
+        seed,
+        life: seed,
+        near: true,
+        running: 0,
+        slots: 16,
+        waiting: 0,
+        unread: 0,
+        version: 1,
+        state: Availability::Open,
+        long: true,
+        store: 1,
+    }
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/quiet_shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/quiet_shards.rs
@@ -1,10 +1,10 @@
 //! Prompts of a fleet with so many shards that each gets a prompt only every few seconds.
 
+use super::idle_engine;
 use crate::support::at;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustc_hash::{FxHashMap, FxHashSet};
-use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::cache_locations::CacheLocations;
 use sesamegap_policy::routing::candidates::{self, Seat};
 use sesamegap_policy::routing::engines::{Engine, Prefix, Prompt, choose, rank, seed};
@@ -29,22 +29,6 @@
     found: usize,
 }
 
-fn view(seed: u64) -> Engine {
-    Engine {
-        seed,
-        life: seed,
-        near: true,
-        running: 0,
-        slots: 16,
-        waiting: 0,
-        unread: 0,
-        version: 1,
-        state: Availability::Open,
-        long: true,
-        store: 1,
-    }
-}
-
 fn prompt(dossier: u64) -> Prompt {
     let prefix = |hash, tokens| Prefix { hash, tokens };
     Prompt {
@@ -68,7 +52,7 @@
     let mut shards: FxHashMap<u32, Vec<Engine>> = FxHashMap::default();
     for seat in &seats {
         let shard = shards.entry(division.shard(seat.seed)).or_default();
-        shard.push(view(seat.seed));
+        shard.push(idle_engine(seat.seed));
     }
     let mut owners: FxHashMap<u32, CacheLocations> = FxHashMap::default();
     let mut held: FxHashSet<(u64, u64)> = FxHashSet::default();
@@ -116,7 +100,7 @@
 #[test]
 fn a_preamble_of_a_busy_shard_goes_to_its_home_first() {
     let engines: Vec<Engine> = (0..14)
-        .map(|no| view(seed(&format!("engine-{no}"))))
+        .map(|no| idle_engine(seed(&format!("engine-{no}"))))
         .collect();
     let best = |prefix: u64| {
         let best = engines
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -1,8 +1,8 @@
+use super::idle_engine;
 use crate::support::at;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustc_hash::FxHashMap;
-use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::cache_locations::CacheLocations;
 use sesamegap_policy::routing::candidates::{self, Seat};
 use sesamegap_policy::routing::engines::{self, Engine, Prefix, Prompt, seed};
@@ -52,17 +52,8 @@
         let seeds = self.seeds.iter().copied().filter(|seed| only(*seed));
         seeds
             .map(|seed| Engine {
-                seed,
-                life: seed,
-                near: true,
-                running: 0,
-                slots: 16,
-                waiting: 0,
                 unread: unread(seed),
-                version: 1,
-                state: Availability::Open,
-                long: true,
-                store: 1,
+                ..idle_engine(seed)
             })
             .collect()
     }
