Log when a VM reaches no upstream, and why a connection failed

The logs of a partitioned VM showed one 752 "Unreached" after another; whether connections hung, were refused or could not be opened, and whether any upstream was still reached, could be told only from the logs of all VMs together.

A VM now tracks whether upstreams accept its connections: failures at three different ones with none accepted in between count as a partition (732, with the time since the last accepted connection; gauge and dump `partitioned`). 752 gives the reason of a failed connection. Nothing is decided by it yet. Upstreams are called from the address by which the VM is known, so that a link fault of one VM can be brought about, and told from those of others.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -6,6 +6,7 @@
 use crate::ports::Load;
 use crate::quarantine::TrialPermit;
 use sesamegap_policy::routing::engines::Prefix;
+use sesamegap_policy::routing::reachability::ReachChange;
 use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -170,6 +171,16 @@
         }
     }
 
+    /// Records that the upstream accepted a connection.
+    pub fn record_connected(&self, now: Moment) -> ReachChange {
+        self.fleet.lock().record_connected(now)
+    }
+
+    /// Records that a connection to the upstream, attempted since `began`, failed.
+    pub fn record_unreached(&self, began: Moment, now: Moment) -> ReachChange {
+        self.fleet.lock().record_unreached(self.life, began, now)
+    }
+
     /// Records that the upstream could not be reached or stopped responding.
     pub fn record_failure(&self, now: Moment) {
         let mut fleet = self.fleet.lock();
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 };
 use sesamegap_policy::routing::cache_locations::CacheLocations;
 use sesamegap_policy::routing::placements::Placements;
+use sesamegap_policy::routing::reachability::{MIN_UNREACHED, ReachChange, Reachability};
 use sesamegap_policy::routing::silence::SilenceReports;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{Incarnation, LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
@@ -57,13 +58,15 @@
     indices: FxHashMap<ServiceId, Arc<ServiceIndex>>,
     /// Upstreams that may have requests of this VM.
     busy: BTreeSet<UpstreamId>,
-    reachability: StoreReachability,
+    store_reachability: StoreReachability,
     pub(crate) cache_locations: CacheLocations,
     pub(crate) loads: Loads,
     /// Requests that this VM has placed for others, by the address of the asking VM and its request number.
     pub(crate) placements: Placements<(SocketAddr, u64)>,
     pub(crate) kept: KvStoreStates,
     pub(crate) silence_reports: SilenceReports,
+    /// Whether this VM reaches any upstream.
+    reachability: Reachability,
     pub(crate) namings: Namings,
 }
 
@@ -77,12 +80,13 @@
             generation: 0,
             indices: FxHashMap::default(),
             busy: BTreeSet::new(),
-            reachability: StoreReachability::default(),
+            store_reachability: StoreReachability::default(),
             cache_locations: CacheLocations::default(),
             loads: Loads::default(),
             placements: Placements::default(),
             kept: KvStoreStates::default(),
             silence_reports: SilenceReports::default(),
+            reachability: Reachability::default(),
             namings: Namings::new(rules.weights),
         }
     }
@@ -168,20 +172,36 @@
         }
     }
 
+    /// Records that an upstream accepted a connection.
+    pub fn record_connected(&mut self, now: Moment) -> ReachChange {
+        self.reachability.record_connected(now)
+    }
+
+    /// Records that a connection to an upstream, attempted since `began`, failed.
+    pub fn record_unreached(&mut self, life: u64, began: Moment, now: Moment) -> ReachChange {
+        let known = self.upstreams().take(MIN_UNREACHED).count();
+        self.reachability.record_unreached(life, began, known, now)
+    }
+
+    /// Whether this VM counts as partitioned from all upstreams.
+    pub fn is_partitioned(&self) -> bool {
+        self.reachability.is_partitioned()
+    }
+
     /// Records whether the store answered this VM; while it is unreachable, no heartbeat gets through
     /// and entries expire.
     pub fn record_store_response(&mut self, answers: bool, now: Moment) {
-        self.reachability.record_response(answers, now);
+        self.store_reachability.record_response(answers, now);
     }
 
     /// Records that the store was restored from a copy.
     pub fn record_store_restore(&mut self, now: Moment) {
-        self.reachability.restored(now);
+        self.store_reachability.restored(now);
     }
 
     /// Records a peer's report that the store answers it.
     pub fn record_peer_store_report(&mut self, now: Moment) {
-        self.reachability.record_peer_report(now);
+        self.store_reachability.record_peer_report(now);
     }
 
     /// Applies an entry at a position of the list's log.
@@ -201,7 +221,7 @@
         });
         let change = known
             .belief
-            .apply(update, &self.rules.belief, &self.reachability, now);
+            .apply(update, &self.rules.belief, &self.store_reachability, now);
         if changes_presence(change) {
             self.generation += 1;
         }
@@ -240,7 +260,7 @@
                 .or_insert_with(|| Belief::new(now)),
         };
         let update = ListUpdate { at, record };
-        let change = belief.apply(update, &self.rules.belief, &self.reachability, now);
+        let change = belief.apply(update, &self.rules.belief, &self.store_reachability, now);
         if changes_presence(change) {
             self.generation += 1;
         }
@@ -276,7 +296,7 @@
 
     /// Applies time limits to lapsed and doubted entries, and drops old tombstones; returns what changed.
     pub fn expire(&mut self, now: Moment) -> Vec<(UpstreamId, Change)> {
-        let (rules, reachability) = (&self.rules.belief, &self.reachability);
+        let (rules, reachability) = (&self.rules.belief, &self.store_reachability);
         let mut changes = Vec::new();
         for upstream in self.upstreams.values_mut() {
             let change = upstream.belief.expire(rules, reachability, now);
@@ -313,7 +333,9 @@
     /// Whether an entry lapsed and did not reappear in time.
     fn is_overdue(&self, upstream: &Upstream, now: Moment) -> bool {
         let rules = &self.rules.belief;
-        upstream.belief.is_overdue(rules, &self.reachability, now)
+        upstream
+            .belief
+            .is_overdue(rules, &self.store_reachability, now)
     }
 
     /// Removes the upstreams that are missing from the list as read up to position `next` of its log.
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -14,6 +14,7 @@
 use crate::upstream::{self, Exchange, SendError};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use sesamegap_policy::routing::reachability::ReachChange;
 use sesamegap_wire::UpstreamId;
 use std::sync::Arc;
 use std::time::Duration;
@@ -129,7 +130,7 @@
         Err(error) => return Outcome::Lost(error.to_string()),
     };
     let deadline = job.deadline.min(sent + head_timeout);
-    let answer = timeout_at(deadline, upstream::send(flight.addr, request));
+    let answer = timeout_at(deadline, exchange(core, &flight, request));
     let streams = job.route.kind.is_stream();
     let answer = tokio::select! {
         // A response that has already arrived takes precedence over the expiry of the weights.
@@ -140,8 +141,9 @@
     };
     let exchange = match answer {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(SendError::Unreached(_))) => {
+        Ok(Err(SendError::Unreached(error))) => {
             flight.record_failure(clock::now());
+            info!(event = events::ATTEMPT, request = %job.head.id, upstream = %flight.id, error, "no connection");
             return Outcome::NotRun(NotRun::Unreached);
         }
         Ok(Err(SendError::Broken(why))) => {
@@ -160,6 +162,47 @@
     classify_answer(core, job, flight, exchange, sent)
 }
 
+/// Sends a request to its upstream, and records whether the upstream accepted a connection.
+async fn exchange(
+    core: &Core,
+    flight: &Flight,
+    request: Request<Full<hyper::body::Bytes>>,
+) -> Result<Exchange, SendError> {
+    let began = clock::now();
+    let from = core.settings().listen.callers.ip();
+    let connected = upstream::connect(from, flight.addr).await;
+    let now = clock::now();
+    log_reach(match &connected {
+        Ok(_) => flight.record_connected(now),
+        Err(_) => flight.record_unreached(began, now),
+    });
+    upstream::send(connected?, request).await
+}
+
+/// Logs that this VM lost or regained the upstreams.
+fn log_reach(change: ReachChange) {
+    match change {
+        ReachChange::Same => {}
+        ReachChange::Lost {
+            unreached,
+            connected_ago,
+        } => {
+            let connected_ago_ms = connected_ago.map(clock::millis);
+            warn!(
+                event = events::REACHABILITY,
+                unreached, connected_ago_ms, "this VM reaches no upstream"
+            );
+        }
+        ReachChange::Regained { after } => {
+            info!(
+                event = events::REACHABILITY,
+                after_ms = clock::millis(after),
+                "this VM reaches upstreams again"
+            );
+        }
+    }
+}
+
 /// Waits until a request that has not begun must be withdrawn from its engine.
 ///
 /// A request queued at an engine with old weights could otherwise begin on them after they must no longer be
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -34,6 +34,7 @@
         timeline: core.store.timeline().0,
         upstreams: core.fleet.lock().upstreams().count(),
         peers: core.peers.addrs_by_status().alive.len(),
+        partitioned: core.fleet.lock().is_partitioned(),
         dropped: core.logging.dropped(),
     };
     core.metrics.text(values).map_err(|error| {
@@ -63,6 +64,8 @@
     phase: SmolStr,
     revision: u64,
     active: usize,
+    /// Whether this VM reaches no upstream.
+    partitioned: bool,
     upstreams: Vec<UpstreamDump>,
     /// Requests that crashed upstreams.
     quarantine: Vec<RequestDump>,
@@ -159,6 +162,7 @@
         phase: smol_str::format_smolstr!("{:?}", core.phase()),
         revision: core.revision().0,
         active: core.active(),
+        partitioned: fleet.is_partitioned(),
         upstreams: upstreams.collect(),
         quarantine: request_dumps(core),
         peers: known.alive,
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -42,6 +42,8 @@
 pub const PEER: u16 = 730;
 /// A kept-KV store stopped answering, or answers again.
 pub const KV_STORE: u16 = 731;
+/// This VM reaches no upstream any more, or reaches upstreams again.
+pub const REACHABILITY: u16 = 732;
 /// A lease was acquired, renewed or lost.
 pub const LEASE: u16 = 740;
 /// An engine was ordered to load weights.
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -32,6 +32,8 @@
     pub suspects: usize,
     /// Quarantined requests, which are refused since they crash upstreams.
     pub quarantined: usize,
+    /// Whether this VM reaches no upstream.
+    pub partitioned: bool,
     /// Log lines dropped since the start.
     pub dropped: usize,
 }
@@ -152,6 +154,7 @@
             ("peers", values.peers as u64),
             ("suspect_requests", values.suspects as u64),
             ("quarantined_requests", values.quarantined as u64),
+            ("partitioned", u64::from(values.partitioned)),
             ("log_lines_dropped", values.dropped as u64),
         ];
         for (name, value) in gauges {
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -13,9 +13,9 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -70,12 +70,11 @@
     pub connection: Connection,
 }
 
-/// Sends a request and waits for the response head, without a timeout of its own.
+/// Sends a request on a new connection and waits for the response head, without a timeout of its own.
 ///
 /// # Errors
 /// Returns [`SendError::Unreached`] only if no byte of the request was written.
-pub async fn send(addr: SocketAddr, request: Request<Full<Bytes>>) -> Result<Exchange, SendError> {
-    let stream = connect(addr).await?;
+pub async fn send(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Exchange, SendError> {
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake
         .await
@@ -95,23 +94,38 @@
     })
 }
 
-async fn connect(addr: SocketAddr) -> Result<TcpStream, SendError> {
+/// Opens a connection from a local address.
+///
+/// A VM may have several addresses; upstreams and operators know it by one of them.
+///
+/// # Errors
+/// Returns [`SendError::Unreached`] if no connection is made in time.
+pub async fn connect(from: IpAddr, addr: SocketAddr) -> Result<TcpStream, SendError> {
     let unreached = |error: std::io::Error| SendError::Unreached(error.to_string());
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+    let socket = match from {
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(unreached)?;
+    socket.bind(SocketAddr::new(from, 0)).map_err(unreached)?;
+    let stream = match timeout(CONNECT_TIMEOUT, socket.connect(addr)).await {
         Ok(connected) => connected.map_err(unreached)?,
         Err(_) => return Err(SendError::Unreached("connect timed out".to_owned())),
     };
-    stream.set_nodelay(true).map_err(unreached)?;
-    let socket = SockRef::from(&stream);
+    configure(&stream).map_err(unreached)?;
+    Ok(stream)
+}
+
+/// Sends small writes at once, and detects a peer that is gone.
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
     let alive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(3);
-    socket.set_tcp_keepalive(&alive).map_err(unreached)?;
-    socket
-        .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-        .map_err(unreached)?;
-    Ok(stream)
+    socket.set_tcp_keepalive(&alive)?;
+    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
 /// Formats an error with its cause, since the outer message alone says little.
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -7,6 +7,7 @@
 //! - [`plain`] picks the worker of a plain service.
 //! - [`budget`] bounds retries over all entry VMs without messages between them.
 //! - [`timeouts`] sets the timeouts that tell an unresponsive upstream from a slow one.
+//! - [`reachability`] tells whether this VM reaches any upstream at all.
 //! - [`silence`] combines the VMs' reports on unresponsive upstreams.
 //! - [`belief`] tracks whether an upstream is present, and its incarnation.
 //! - [`reading`] decides when a VM reads the store itself.
@@ -24,6 +25,7 @@
 pub mod engines;
 pub mod placements;
 pub mod plain;
+pub mod reachability;
 pub mod reading;
 pub mod rolls;
 pub mod shards;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -7,6 +7,7 @@
 mod engines;
 mod plain;
 mod quiet_shards;
+mod reachability;
 mod reading;
 mod rolls;
 mod shards;
