Failing tests: VMs that are partitioned from all upstreams

The quarantine's VMs of tests move to the support folder, where these tests use them too; its assertions are unchanged.

--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod non_idempotent;
 mod pages;
+mod partitions;
 mod peers;
 mod placing;
 mod quarantine;
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -1,25 +1,20 @@
 //! Quarantine of requests that crash upstreams, with several VMs that share the same engines.
 
 use crate::support::{
-    Act, CRASH_MARK, CrashingUpstream, Platform, Upstream, ask, document, entry, offset, settings,
-    unused_addr, wait_until,
+    Act, CRASH_MARK, CrashingUpstream, Platform, Upstream, Vm, ask, entry, member_update, offset,
+    unused_addr, vm, vms, wait_until,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
-use sesamegap_entry::intake;
 use sesamegap_entry::peers;
 use sesamegap_entry::quarantine::{self, UpstreamLoss};
-use sesamegap_entry::settings::Settings;
-use sesamegap_entry::telemetry::Logging;
-use sesamegap_policy::agreement::ProcessId;
-use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
+use sesamegap_policy::agreement::membership::Status;
 use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Crash, Standing};
-use sesamegap_wire::{Fingerprint, Incarnation, UpstreamId};
+use sesamegap_wire::{Fingerprint, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::net::TcpListener;
 
 const VMS: usize = 3;
 const ENGINES: usize = 6;
@@ -34,58 +29,6 @@
 const MAX_CRASHES: usize = 3;
 const MAX_LATER_SENDS: usize = 3;
 
-/// An entry VM at a loopback address of its own.
-struct Vm {
-    core: Arc<Core>,
-    callers: SocketAddr,
-}
-
-async fn vm(no: usize, net: u8, port: u16, platform: &Arc<Platform>) -> Vm {
-    let mut settings = settings(&format!("vm-{no}"), Vec::new());
-    settings.listen.loads =
-        SocketAddr::new(format!("127.0.{net}.{}", no + 1).parse().unwrap(), port);
-    settings.listen.peers = settings.listen.loads;
-    let core = Arc::new(Core::new(settings, platform.ports(), Logging::disabled()).unwrap());
-    core.adopt(&Arc::new(document(1)), "test");
-    tokio::spawn(peers::run_datagrams(Arc::clone(&core)));
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let callers = listener.local_addr().unwrap();
-    tokio::spawn(intake::serve(Arc::clone(&core), listener));
-    Vm { core, callers }
-}
-
-/// Membership update of a VM with these settings.
-fn member_update(settings: &Settings, status: Status, version: u32) -> MemberUpdate {
-    MemberUpdate {
-        who: ProcessId {
-            vm: settings.vm.clone(),
-            incarnation: Incarnation(1),
-        },
-        addr: settings.listen.peers,
-        version,
-        status,
-    }
-}
-
-/// Starts VMs that have each other as members.
-async fn vms(net: u8) -> Vec<Vm> {
-    let platform = Arc::new(Platform::default());
-    let port = unused_addr().port();
-    let mut all = Vec::new();
-    for no in 0..VMS {
-        all.push(vm(no, net, port, &platform).await);
-    }
-    for one in &all {
-        for other in &all {
-            let update = member_update(&other.core.settings(), Status::Alive, 0);
-            if !Arc::ptr_eq(&one.core, &other.core) {
-                one.core.peers.apply_update(&update, clock::now());
-            }
-        }
-    }
-    all
-}
-
 /// Starts engines that all VMs list; each start of an engine gets a new id.
 async fn engines(vms: &[Vm], down: Duration) -> Vec<CrashingUpstream> {
     let position = Arc::new(AtomicU64::new(0));
@@ -128,7 +71,7 @@
 /// further engines.
 #[tokio::test]
 async fn a_request_that_crashes_its_engines_is_quarantined() {
-    let vms = vms(21).await;
+    let vms = vms(VMS, 21).await;
     let engines = engines(&vms, DOWNTIME).await;
     for no in 0..SENDS {
         let body = format!("{CRASH_MARK} now");
@@ -143,7 +86,7 @@
 /// The request would be quarantined for crashes that it did not cause.
 #[tokio::test]
 async fn unrelated_crashes_quarantine_no_request() {
-    let vms = vms(22).await;
+    let vms = vms(VMS, 22).await;
     let engines = engines(&vms, DOWNTIME).await;
     let send = |no: usize| {
         let callers = vms[no % VMS].callers;
@@ -209,7 +152,7 @@
 /// the request.
 #[tokio::test]
 async fn a_vm_that_missed_a_broadcast_receives_the_record_later() {
-    let vms = vms(24).await;
+    let vms = vms(VMS, 24).await;
     let request = fingerprint("/chat/a", CRASH_MARK);
     for vm in &vms[1..] {
         condemn(&vm.core, request);
@@ -221,7 +164,7 @@
 /// once, only to be refused again.
 #[tokio::test]
 async fn a_quarantined_request_is_refused_at_once_and_reaches_no_upstream() {
-    let vms = vms(25).await;
+    let vms = vms(VMS, 25).await;
     let engines = engines(&vms, DOWNTIME).await;
     condemn(&vms[0].core, fingerprint("/chat/a", CRASH_MARK));
     let answer = ask(vms[0].callers, "POST", "/chat/a", &head(0), CRASH_MARK).await;
@@ -237,7 +180,7 @@
 /// requests on the connections would be quarantined.
 #[tokio::test]
 async fn broken_connections_to_running_upstreams_quarantine_no_request() {
-    let vms = vms(26).await;
+    let vms = vms(VMS, 26).await;
     let cut = Upstream::start(vec![Act::CutEvents(0..2)]).await;
     for no in 0..ENGINES {
         let id: UpstreamId = format!("c{no}").parse().unwrap();
@@ -261,7 +204,7 @@
 /// not count, the request would be sent again and again.
 #[tokio::test]
 async fn immediate_restarts_count_as_crashes() {
-    let vms = vms(27).await;
+    let vms = vms(VMS, 27).await;
     let engines = engines(&vms, Duration::ZERO).await;
     for no in 0..SENDS / 2 {
         let body = format!("{CRASH_MARK} now");
@@ -275,7 +218,7 @@
 /// The coordinator leaves. If crashes were reported to it alone, the next coordinator would not know of earlier ones.
 #[tokio::test]
 async fn trials_continue_when_the_coordinator_leaves() {
-    let vms = vms(28).await;
+    let vms = vms(VMS, 28).await;
     let engines = engines(&vms, DOWNTIME).await;
     let request = async |vm: &Vm, no: usize| {
         ask(vm.callers, "POST", "/chat/a", &head(no), CRASH_MARK).await;
@@ -305,7 +248,7 @@
 /// the second crash were taken for the first one, the request would never become a suspect.
 #[tokio::test]
 async fn repeated_crashes_before_a_list_update_count_separately() {
-    let vms = vms(29).await;
+    let vms = vms(VMS, 29).await;
     let engine = CrashingUpstream::start(Duration::from_millis(700), |_| {}).await;
     let id: UpstreamId = "e1".parse().unwrap();
     for vm in &vms {
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -5,12 +5,14 @@
 mod lines;
 mod platform;
 mod upstream;
+mod vms;
 
 pub use caller::{Answer, Caller, ask, request};
 pub use crashing::{CRASH_MARK, CrashingUpstream};
 pub use lines::LogLines;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
 pub use upstream::{Act, Upstream};
+pub use vms::{Vm, member_update, vm, vms};
 
 use sesamegap_entry::catalogue::{
     Document, EngineSpec, Kind, Limits, Revision, Route, Service, Target, Team,
