A partitioned VM's failed sends make no upstream suspect

Cause: a VM reports a silent upstream as long as half of its attempts of the last 2 s were answered, which holds just after it lost its links; two such VMs are the quorum. The VM itself avoided every upstream for up to 5 s after the links were back.

Now a report is withheld until the VM's next connection is accepted anywhere, which shows that the failure was the upstream's: as a rule that of the same request's next attempt, so that reports go out about as soon. When a VM finds that it is partitioned, the failures since it was last connected are forgotten, and none is recorded while it lasts.

The model in routing::silence now sends a failed request on to another engine at once, as VMs do, and counts these attempts too; its bounds are unchanged.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -6,7 +6,6 @@
 use crate::ports::Load;
 use crate::quarantine::TrialPermit;
 use sesamegap_policy::routing::engines::Prefix;
-use sesamegap_policy::routing::reachability::ReachChange;
 use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -171,16 +170,6 @@
         }
     }
 
-    /// Records that the upstream accepted a connection.
-    pub fn record_connected(&self, now: Moment) -> ReachChange {
-        self.fleet.lock().record_connected(now)
-    }
-
-    /// Records that a connection to the upstream, attempted since `began`, failed.
-    pub fn record_unreached(&self, began: Moment, now: Moment) -> ReachChange {
-        self.fleet.lock().record_unreached(self.life, began, now)
-    }
-
     /// Records that the upstream could not be reached or stopped responding.
     pub fn record_failure(&self, now: Moment) {
         let mut fleet = self.fleet.lock();
@@ -189,6 +178,14 @@
         }
     }
 
+    /// Records that a peer could not reach the upstream for this VM.
+    pub fn record_peer_failure(&self, now: Moment) {
+        let mut fleet = self.fleet.lock();
+        if fleet.in_life(&self.id, self.life).is_some() {
+            fleet.record_peer_failure(&self.id, now);
+        }
+    }
+
     /// Sends nothing to the upstream before this time.
     pub fn pause_at_least(&self, until: Moment) {
         if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -20,6 +20,8 @@
 use crate::kept::KvStoreStates;
 use crate::peers::{Loads, UpstreamLoad};
 use crate::ports::{EngineReport, Weights};
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use rustc_hash::{FxHashMap, FxHashSet};
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::belief::{
@@ -164,7 +166,12 @@
     }
 
     /// Records that an upstream could not be reached or stopped responding.
+    ///
+    /// The failures of a VM that is partitioned from all upstreams are its own.
     pub fn record_failure(&mut self, id: &UpstreamId, now: Moment) {
+        if self.is_partitioned() {
+            return;
+        }
         if let Some(upstream) = self.upstreams.get_mut(id) {
             let avoidance = upstream.record_failure(now);
             let avoided = self.silence_reports.failed(upstream.life, avoidance, now);
@@ -174,13 +181,47 @@
 
     /// Records that an upstream accepted a connection.
     pub fn record_connected(&mut self, now: Moment) -> ReachChange {
+        self.silence_reports.connected(now);
         self.reachability.record_connected(now)
     }
 
     /// Records that a connection to an upstream, attempted since `began`, failed.
     pub fn record_unreached(&mut self, life: u64, began: Moment, now: Moment) -> ReachChange {
         let known = self.upstreams().take(MIN_UNREACHED).count();
-        self.reachability.record_unreached(life, began, known, now)
+        let connected_at = self.reachability.connected_at().unwrap_or_default();
+        let change = self.reachability.record_unreached(life, began, known, now);
+        if matches!(change, ReachChange::Lost { .. }) {
+            self.silence_reports.discard_unconfirmed();
+            for upstream in self.upstreams.values_mut() {
+                upstream.forget_failures_since(connected_at);
+            }
+        }
+        change
+    }
+
+    /// Takes the next connection test of a partitioned VM if it is due; returns the upstream to connect to.
+    pub fn claim_connection_test(
+        &mut self,
+        rng: &mut impl Rng,
+        now: Moment,
+    ) -> Option<(u64, SocketAddr)> {
+        if !self.reachability.claim_test(now) {
+            return None;
+        }
+        let upstream = self.upstreams().choose(rng)?;
+        Some((upstream.life, upstream.entry.addr))
+    }
+
+    /// Addresses of the upstreams from which bytes arrived last, except this one.
+    pub fn last_heard(&self, count: usize, except: SocketAddr) -> Vec<SocketAddr> {
+        let others = self.upstreams().filter(|up| up.entry.addr != except);
+        let mut heard: Vec<_> = others.map(|up| (up.last_received, up.entry.addr)).collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        heard
+            .into_iter()
+            .take(count)
+            .map(|(_, addr)| addr)
+            .collect()
     }
 
     /// Whether this VM counts as partitioned from all upstreams.
@@ -188,6 +229,13 @@
         self.reachability.is_partitioned()
     }
 
+    /// Records that a peer could not reach an upstream, which it then reports itself.
+    pub fn record_peer_failure(&mut self, id: &UpstreamId, now: Moment) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.record_failure(now);
+        }
+    }
+
     /// Records whether the store answered this VM; while it is unreachable, no heartbeat gets through
     /// and entries expire.
     pub fn record_store_response(&mut self, answers: bool, now: Moment) {
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -78,6 +78,7 @@
     /// Requests sent since the last reported load.
     sent_since_load: u32,
     failures: u32,
+    failed_at: Moment,
     avoided_until: Moment,
     paused_until: Moment,
     gone_until: Moment,
@@ -106,6 +107,7 @@
             load: None,
             sent_since_load: 0,
             failures: 0,
+            failed_at: Moment(0),
             avoided_until: Moment(0),
             paused_until: Moment(0),
             gone_until: Moment(0),
@@ -175,16 +177,28 @@
     /// Records that bytes arrived from it.
     pub fn record_received(&mut self, now: Moment) {
         self.last_received = now;
+        self.forget_failures();
+    }
+
+    fn forget_failures(&mut self) {
         self.failures = 0;
         self.avoided_until = Moment(0);
     }
 
+    /// Forgets its failures if the last one came after a moment.
+    pub(super) fn forget_failures_since(&mut self, since: Moment) {
+        if self.failures > 0 && self.failed_at > since {
+            self.forget_failures();
+        }
+    }
+
     /// Records that it could not be reached or stopped responding.
     ///
     /// Returns how long this VM avoids it without regard to peers' reports.
     pub fn record_failure(&mut self, now: Moment) -> Duration {
         let doublings = self.failures.min(MAX_DOUBLINGS);
         self.failures += 1;
+        self.failed_at = now;
         let avoidance = INITIAL_AVOIDANCE * 2u32.pow(doublings);
         self.avoid(now + avoidance);
         avoidance
--- a/crates/sesamegap-policy/src/routing/reachability.rs
+++ b/crates/sesamegap-policy/src/routing/reachability.rs
@@ -16,6 +16,9 @@
 /// Time after which a failed connection no longer counts.
 const FAILURE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Interval of connection tests while this VM counts as partitioned.
+const TEST_INTERVAL: Duration = Duration::from_millis(250);
+
 /// A failed connection to an upstream.
 #[derive(Debug, Clone, Copy)]
 struct Failure {
@@ -49,6 +52,7 @@
     failures: Vec<Failure>,
     connected_at: Option<Moment>,
     lost_at: Option<Moment>,
+    next_test: Moment,
 }
 
 impl Reachability {
@@ -85,6 +89,7 @@
             return ReachChange::Same;
         }
         self.lost_at = Some(now);
+        self.next_test = now + TEST_INTERVAL;
         ReachChange::Lost {
             unreached,
             connected_ago: self.connected_at.map(|at| now.since(at)),
@@ -96,6 +101,15 @@
         self.lost_at.is_some()
     }
 
+    /// Takes the next connection test, which one task performs for all; returns whether it is due.
+    pub fn claim_test(&mut self, now: Moment) -> bool {
+        let is_due = self.is_partitioned() && self.next_test <= now;
+        if is_due {
+            self.next_test = now + TEST_INTERVAL;
+        }
+        is_due
+    }
+
     /// When an upstream last accepted a connection.
     pub fn connected_at(&self) -> Option<Moment> {
         self.connected_at
--- a/crates/sesamegap-policy/src/routing/silence.rs
+++ b/crates/sesamegap-policy/src/routing/silence.rs
@@ -6,8 +6,9 @@
 //! upstream reports it to its peers.
 //!
 //! A VM that is itself cut off finds all upstreams unresponsive, and an upstream may be unreachable from one VM
-//! only. So a report counts only when a second VM confirms it, and a VM sends reports only while most upstreams
-//! that it contacts answer it.
+//! only. So a report counts only when a second VM confirms it, and a VM sends a report only once another connection
+//! has been accepted after the failure, while most upstreams that it contacts answer it. Without the former, several
+//! VMs that lose their links at the same time would report every upstream before they notice.
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -48,6 +49,8 @@
     /// For how long an upstream was last avoided, and until when that is remembered.
     avoided: FxHashMap<u64, (Duration, Moment)>,
     attempts: VecDeque<(Moment, bool)>,
+    /// Failures since this VM last reached an upstream, at most one for each upstream.
+    unconfirmed: Vec<(SilenceReport, Moment)>,
     outgoing: Vec<SilenceReport>,
 }
 
@@ -63,20 +66,44 @@
         });
         let avoided = avoided.max(shared);
         if self.may_report() {
-            self.outgoing.push(SilenceReport {
+            let report = SilenceReport {
                 seed,
                 avoided_ms: u32::try_from(avoided.as_millis()).unwrap_or(u32::MAX),
-            });
+            };
+            self.unconfirmed.retain(|(other, _)| other.seed != seed);
+            self.unconfirmed.push((report, now));
             self.avoided.insert(seed, (avoided, now + AVOIDANCE_MEMORY));
         }
         avoided
     }
 
+    /// Records that an upstream accepted a connection of this VM, so that the failures before were not this VM's.
+    pub fn connected(&mut self, now: Moment) {
+        for (report, at) in self.unconfirmed.drain(..) {
+            let passed = u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+            let avoided_ms = report.avoided_ms.saturating_sub(passed);
+            if avoided_ms > 0 {
+                self.outgoing.push(SilenceReport {
+                    avoided_ms,
+                    ..report
+                });
+            }
+        }
+    }
+
+    /// Discards the failures since this VM last reached an upstream, which were its own.
+    pub fn discard_unconfirmed(&mut self) {
+        for (report, _) in self.unconfirmed.drain(..) {
+            self.avoided.remove(&report.seed);
+        }
+    }
+
     /// Records that an upstream answered this VM; `avoided` says whether this VM avoided it before.
     ///
     /// Discards earlier reports from peers about the upstream.
     pub fn answered(&mut self, seed: u64, avoided: bool, now: Moment) {
         self.record_attempt(true, now);
+        self.unconfirmed.retain(|(report, _)| report.seed != seed);
         let reported = self.reports.remove(&seed).is_some();
         self.avoided.remove(&seed);
         if avoided || reported {
--- a/crates/sesamegap-policy/tests/testsuite/routing/silence.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/silence.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Simulates ten seconds of 500 requests a second over 84 VMs; returns how many hit an unresponsive engine.
+/// Simulates ten seconds of 500 requests a second over 84 VMs; returns how many attempts hit an unresponsive engine.
 fn requests_to_unresponsive(share_reports: bool) -> usize {
     let mut rng = StdRng::seed_from_u64(7);
     let mut vms: Vec<Vm> = Vec::new();
@@ -56,10 +56,14 @@
     for step in 0..5_000 {
         let now = at(2 * step);
         let no = rng.random_range(0..vms.len());
-        let seed = vms[no].choose(&mut rng, now);
-        if seed >= UNRESPONSIVE {
-            vms[no].silence_reports.answered(seed, false, now);
-        } else {
+        // A request whose connection failed is sent to another engine at once.
+        loop {
+            let seed = vms[no].choose(&mut rng, now);
+            if seed >= UNRESPONSIVE {
+                vms[no].silence_reports.connected(now);
+                vms[no].silence_reports.answered(seed, false, now);
+                break;
+            }
             hits += 1;
             vms[no].record_failure(seed, now);
         }
@@ -109,6 +113,29 @@
     assert_eq!(late.take_outgoing(), [], "nothing has answered it");
 }
 
+/// Several VMs lose their links at the same moment, right after upstreams answered them. Together they are enough for a
+/// report to count, before any of them notices.
+#[test]
+fn failures_are_reported_only_once_another_connection_is_accepted() {
+    let mut cut = SilenceReports::default();
+    for seed in 0..5 {
+        cut.connected(at(0));
+        cut.answered(seed, false, at(0));
+    }
+    cut.failed(3, Duration::from_millis(600), at(100));
+    assert_eq!(cut.take_outgoing(), []);
+    cut.connected(at(300));
+    assert_eq!(
+        cut.take_outgoing(),
+        [report(3, 400)],
+        "what is left of the avoidance"
+    );
+    cut.failed(4, Duration::from_millis(600), at(400));
+    cut.discard_unconfirmed();
+    cut.connected(at(450));
+    assert_eq!(cut.take_outgoing(), [], "the failure was this VM's own");
+}
+
 /// Guards against an engine that responds again but stays idle for the rest of the avoidance.
 #[test]
 fn an_engine_that_answers_one_vm_is_available_to_all_again() {
