Send requests through a peer while this VM reaches no upstream

Cause: a VM's only way to an upstream was its own link. It took the loss of that link for the loss of one upstream after the other.

Now an attempt goes through a peer, the gateway, while the VM counts as partitioned, and the attempt whose failure shows the partition does so too. The gateway makes one connection to the upstream that the VM chose and streams the response back; placement, deadline, at most once, retries, quota and load stay with the VM that took the request. A gateway declines before it has connected if it is partitioned itself, stopping, full, or does not list that incarnation, so that 'not run' stays true; anything else that fails may have run. Each hop frames the response anew: one that breaks off never looks whole. Gateways beside the upstream come first, those in the VM's own domain late.

Policy: routing::gateways.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -16,16 +16,22 @@
 use crate::settings::Settings;
 use crate::store::StoreClient;
 use crate::telemetry::metrics::Metrics;
-use crate::telemetry::{Logging, events};
+use crate::telemetry::{Logging, events, log_reach};
+use crate::upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::belief;
 use sesamegap_policy::routing::budget::Budget;
-use sesamegap_wire::ServiceId;
+use sesamegap_policy::routing::reachability::ReachChange;
+use sesamegap_wire::{Moment, ServiceId};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
 
+/// Upstreams that are connected to before the loss of another one is put down to that one.
+const CONTROL_CONNECTIONS: usize = 2;
+
 /// Lifecycle phase of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -58,6 +64,8 @@
     pub metrics: Metrics,
     /// Logging controls.
     pub logging: Logging,
+    /// Wakes the connection tests when this VM reaches no upstream any more.
+    pub upstreams_lost: Notify,
     /// Wakes the roll of weights when a weights version was named.
     pub weights_named: Notify,
     /// Requests in progress.
@@ -96,6 +104,7 @@
             peers: Peers::new(&settings),
             copies: CopyServer::new(settings.link_mbps),
             placement_client: PlacementClient::default(),
+            upstreams_lost: Notify::new(),
             weights_named: Notify::new(),
             active: Arc::default(),
             body_permits: Arc::new(Semaphore::new(settings.body_memory >> 10)),
@@ -186,6 +195,42 @@
         true
     }
 
+    /// Records whether an upstream accepted a connection that was attempted since `began`.
+    pub fn record_connection(&self, life: u64, began: Moment, is_connected: bool) {
+        let now = clock::now();
+        let change = {
+            let mut fleet = self.fleet.lock();
+            if is_connected {
+                fleet.record_connected(now)
+            } else {
+                fleet.record_unreached(life, began, now)
+            }
+        };
+        if matches!(change, ReachChange::Lost { .. }) {
+            self.upstreams_lost.notify_one();
+        }
+        log_reach(change);
+    }
+
+    /// Returns whether this VM reaches other upstreams than the one at `except`, as far as it can tell by connecting to
+    /// some; true if it knows no other.
+    pub async fn reaches_others(&self, except: SocketAddr) -> bool {
+        let others = {
+            let fleet = self.fleet.lock();
+            if fleet.is_partitioned() {
+                return false;
+            }
+            fleet.last_heard(CONTROL_CONNECTIONS, except)
+        };
+        let from = self.settings().listen.callers.ip();
+        for other in &others {
+            if upstream::open(from, *other).await.is_ok() {
+                return true;
+            }
+        }
+        others.is_empty()
+    }
+
     /// Adds a caller's request to the retry budget of its service.
     pub fn count_request(&self, service: &ServiceId) {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -0,0 +1,99 @@
+//! Sends requests on for peers that are partitioned from all upstreams, and tests whether this VM is still partitioned.
+//!
+//! A gateway only carries one attempt to the upstream that the peer chose. It counts neither the request nor its load:
+//! the peer has charged the team and the retry budget, and reports the load as its own.
+
+mod relaying;
+
+use crate::clock;
+use crate::core::{Core, Phase};
+use crate::telemetry::events;
+use crate::upstream;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tracing::{debug, warn};
+
+/// Requests that are sent on at the same time. Each holds the buffers of two connections, about 40 KB.
+const MAX_RELAYED: usize = 256;
+
+/// Delay after a failed accept, which mostly means that the process is out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// How often a partitioned VM looks whether a connection test is due.
+const TEST_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Takes requests of peers until the process ends.
+pub async fn serve(core: Arc<Core>) {
+    let addr = core.settings().listen.loads;
+    let listener = match TcpListener::bind(addr).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            // Peers use other gateways.
+            warn!(event = events::GATEWAY, %addr, %error, "cannot listen for requests of peers");
+            return;
+        }
+    };
+    let permits = Arc::new(Semaphore::new(MAX_RELAYED));
+    while core.phase() < Phase::Ended {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_peer(Arc::clone(&core), stream, Arc::clone(&permits)));
+            }
+            Err(error) => {
+                warn!(event = events::GATEWAY, %error, "cannot accept a connection of a peer");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(core: Arc<Core>, stream: TcpStream, permits: Arc<Semaphore>) {
+    // Without keepalive probes, a request would go on at its upstream although its VM is gone.
+    if let Err(error) = upstream::configure(&stream) {
+        debug!(event = events::GATEWAY, %error, "connection of a peer cannot be set up");
+        return;
+    }
+    let from = stream.peer_addr().ok();
+    let service = service_fn(|request| {
+        let (core, permits) = (Arc::clone(&core), Arc::clone(&permits));
+        async move {
+            Ok::<_, std::convert::Infallible>(relaying::relay(core, request, from, permits).await)
+        }
+    });
+    let connection = http1::Builder::new()
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        debug!(event = events::GATEWAY, %error, "connection of a peer closed with an error");
+    }
+}
+
+/// Tests, while this VM reaches no upstream, whether one accepts connections again.
+pub async fn test_connections(core: Arc<Core>) {
+    while core.phase() < Phase::Ended {
+        core.upstreams_lost.notified().await;
+        while core.fleet.lock().is_partitioned() && core.phase() < Phase::Ended {
+            sleep(TEST_POLL_INTERVAL).await;
+            let claimed = core
+                .fleet
+                .lock()
+                .claim_connection_test(&mut rand::rng(), clock::now());
+            if let Some((life, addr)) = claimed {
+                tokio::spawn(test_connection(Arc::clone(&core), life, addr));
+            }
+        }
+    }
+}
+
+async fn test_connection(core: Arc<Core>, life: u64, addr: std::net::SocketAddr) {
+    let began = clock::now();
+    let from = core.settings().listen.callers.ip();
+    let is_connected = upstream::open(from, addr).await.is_ok();
+    core.record_connection(life, began, is_connected);
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -0,0 +1,125 @@
+//! One request of a peer on its way to an upstream and back.
+
+use crate::clock;
+use crate::core::{ActiveRequestGuard, Core, Phase};
+use crate::relay::strip_hop_by_hop;
+use crate::telemetry::events;
+use crate::upstream::gateway::{self, DECLINED_STATUS, Destination, RelayOutcome};
+use crate::upstream::{self, Exchange, SendError};
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use sesamegap_http::serving::guard_body;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tracing::info;
+
+type Body = UnsyncBoxBody<Bytes, hyper::Error>;
+
+/// Sends a peer's request on to its upstream and returns the response, or why there is none.
+pub async fn relay(
+    core: Arc<Core>,
+    request: Request<Incoming>,
+    from: Option<SocketAddr>,
+    permits: Arc<Semaphore>,
+) -> Response<Body> {
+    let id = core.ports.headers.read_request(request.headers());
+    let id = id.map(|head| head.id).unwrap_or_default();
+    let active = ActiveRequestGuard::new(&core.active, id.clone());
+    let mut destination = None;
+    let sent = match gateway::unwrap(request) {
+        Some((upstream, request)) => {
+            destination = Some(upstream.id.clone());
+            send(&core, &upstream, request, permits).await
+        }
+        None => Err(RelayOutcome::Unlisted),
+    };
+    let outcome = sent.as_ref().err().copied();
+    let outcome = outcome.unwrap_or(RelayOutcome::Answered);
+    core.metrics.count_relayed(outcome.name());
+    info!(
+        event = events::GATEWAY,
+        request = %id,
+        peer = from.map(tracing::field::display),
+        upstream = destination.map(tracing::field::display),
+        outcome = %outcome,
+        "request of a peer"
+    );
+    match sent {
+        Ok((exchange, permit)) => respond(exchange, (active, permit)),
+        Err(outcome) => decline(outcome),
+    }
+}
+
+async fn send(
+    core: &Core,
+    destination: &Destination,
+    mut request: Request<Incoming>,
+    permits: Arc<Semaphore>,
+) -> Result<(Exchange, OwnedSemaphorePermit), RelayOutcome> {
+    // Peers that know of no other gateway left still use a VM that has been asked to stop.
+    if core.phase() > Phase::Leaving {
+        return Err(RelayOutcome::Stopping);
+    }
+    let addr = locate(core, destination)?;
+    let permit = permits.try_acquire_owned();
+    let permit = permit.map_err(|_| RelayOutcome::Busy)?;
+    let began = clock::now();
+    let from = core.settings().listen.callers.ip();
+    let connected = upstream::connect(from, addr).await;
+    core.record_connection(destination.life, began, connected.is_ok());
+    let Ok(stream) = connected else {
+        let mut fleet = core.fleet.lock();
+        fleet.record_failure(&destination.id, clock::now());
+        return Err(RelayOutcome::Unreached);
+    };
+    *request.headers_mut() = strip_hop_by_hop(request.headers(), core.ports.headers.essential());
+    let sent = upstream::send(stream, request).await;
+    let exchange = sent.map_err(|error| match error {
+        SendError::Unreached(_) => RelayOutcome::Unreached,
+        SendError::Broken(_) => RelayOutcome::Broken,
+    })?;
+    Ok((exchange, permit))
+}
+
+/// The address of an upstream to which this VM would send requests of its own.
+fn locate(core: &Core, destination: &Destination) -> Result<SocketAddr, RelayOutcome> {
+    let fleet = core.fleet.lock();
+    if fleet.is_partitioned() {
+        return Err(RelayOutcome::Partitioned);
+    }
+    let listed = fleet.get(&destination.id);
+    let usable = listed.filter(|upstream| {
+        let is_gone = upstream.entry.leaving || upstream.is_gone(clock::now());
+        upstream.life == destination.life && !is_gone
+    });
+    let usable = usable.ok_or(RelayOutcome::Unlisted)?;
+    Ok(usable.entry.addr)
+}
+
+fn respond(
+    exchange: Exchange,
+    guards: (ActiveRequestGuard, OwnedSemaphorePermit),
+) -> Response<Body> {
+    let Exchange {
+        response,
+        connection,
+    } = exchange;
+    let (head, body) = response.into_parts();
+    let mut response = Response::new(guard_body(body, (connection, guards)));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = strip_hop_by_hop(&head.headers, &[]);
+    gateway::mark(response.headers_mut(), RelayOutcome::Answered);
+    response
+}
+
+fn decline(outcome: RelayOutcome) -> Response<Body> {
+    let body = Empty::new().map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = DECLINED_STATUS;
+    gateway::mark(response.headers_mut(), outcome);
+    response
+}
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! One process on each VM accepts callers' requests ([`intake`]), relays each request to an upstream and the response
 //! back ([`relay`] over [`upstream`]), lists live entry VMs for callers ([`locator`]), follows the operator's settings
-//! and the fleet ([`follow`]), exchanges state with its [`peers`], blocks requests that crash upstreams
+//! and the fleet ([`follow`]), exchanges state with its [`peers`], sends requests on for those that reach no upstream
+//! ([`gateway`]), blocks requests that crash upstreams
 //! ([`quarantine`]), and rolls out weights while it holds the lease ([`roll`]). The process itself stores nothing
 //! durably: durable state is behind [`ports::Store`].
 //!
@@ -14,6 +15,7 @@
 pub mod core;
 pub mod fleet;
 pub mod follow;
+pub mod gateway;
 pub mod intake;
 pub mod kept;
 pub mod locator;
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -38,6 +38,7 @@
     MemberUpdate, Members, MembershipConfig, Probe, Status,
 };
 use sesamegap_policy::routing::engines::{rank, seed};
+use sesamegap_policy::routing::gateways::{Avoided, Place};
 use sesamegap_wire::{DomainId, Incarnation, Moment, VmId};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -90,6 +91,8 @@
     domains: Mutex<FxHashMap<IpAddr, DomainId>>,
     datagram_port: u16,
     roster: Mutex<Roster>,
+    /// Peers that recently could not send a request on for this VM.
+    avoided_gateways: Mutex<Avoided<SocketAddr>>,
 }
 
 /// When the roster was built, and its VMs.
@@ -121,6 +124,7 @@
             domains: Mutex::default(),
             datagram_port: settings.listen.loads.port(),
             roster: Mutex::default(),
+            avoided_gateways: Mutex::default(),
         }
     }
 
@@ -274,6 +278,34 @@
         self.roster().iter().filter_map(|(_, addr)| *addr).collect()
     }
 
+    /// Returns the gateways for one attempt at an upstream in a failure domain, the best first.
+    pub fn gateways_to(&self, upstream: &DomainId) -> Vec<SocketAddr> {
+        let members = self.lock();
+        let domains = self.lock_domains();
+        let peers = members.peers().filter_map(|peer| {
+            let ip = peer.latest.addr.ip();
+            let place = match peer.latest.status {
+                Status::Alive => Place::of(domains.get(&ip), upstream, &self.domain),
+                Status::Leaving => Place::Stopping,
+                Status::Suspect | Status::Dead => return None,
+            };
+            Some((SocketAddr::new(ip, self.datagram_port), place))
+        });
+        let avoided = self.lock_avoided();
+        avoided.choose(peers.collect(), clock::now(), &mut rand::rng())
+    }
+
+    /// Records that a peer could not send a request on.
+    pub fn avoid_gateway(&self, gateway: SocketAddr) {
+        self.lock_avoided().avoid(gateway, clock::now());
+    }
+
+    fn lock_avoided(&self) -> MutexGuard<'_, Avoided<SocketAddr>> {
+        self.avoided_gateways
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies a peer's update on itself.
     pub fn apply_update(&self, update: &MemberUpdate, now: Moment) {
         self.lock().apply_update(update, now);
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -5,6 +5,7 @@
 use self::stopping::StopDeadlines;
 use crate::core::{Core, Phase};
 use crate::follow;
+use crate::gateway;
 use crate::intake;
 use crate::kept;
 use crate::peers;
@@ -76,6 +77,8 @@
     tokio::spawn(follow::follow_vms(Arc::clone(&core)));
     tokio::spawn(peers::run_probes(Arc::clone(&core)));
     tokio::spawn(peers::run_datagrams(Arc::clone(&core)));
+    tokio::spawn(gateway::serve(Arc::clone(&core)));
+    tokio::spawn(gateway::test_connections(Arc::clone(&core)));
     tokio::spawn(roll::run(Arc::clone(&core)));
     tokio::spawn(intake::serve(Arc::clone(&core), callers));
     tokio::spawn(kept::watch(Arc::clone(&core)));
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -11,13 +11,14 @@
 use crate::peers::{EngineUpdate, broadcast_engine_update};
 use crate::ports::{AnswerHead, Dispatch};
 use crate::telemetry::events;
+use crate::upstream::gateway::{self, Destination, RelayError, RelayOutcome};
 use crate::upstream::{self, Exchange, SendError};
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use sesamegap_policy::routing::reachability::ReachChange;
 use sesamegap_wire::UpstreamId;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{info, warn};
 
@@ -106,7 +107,7 @@
     resume_after: Option<u64>,
 ) -> Outcome {
     let sent = Instant::now();
-    let dispatch = build_dispatch(core, job, &mut flight, resume_after);
+    let mut dispatch = build_dispatch(core, job, &mut flight, resume_after);
     info!(
         event = events::PLACED,
         request = %job.head.id,
@@ -125,12 +126,8 @@
         left_ms = clock::millis(dispatch.time_left),
         "sent"
     );
-    let request = match build_request(core, job, &dispatch) {
-        Ok(request) => request,
-        Err(error) => return Outcome::Lost(error.to_string()),
-    };
     let deadline = job.deadline.min(sent + head_timeout);
-    let answer = timeout_at(deadline, exchange(core, &flight, request));
+    let answer = timeout_at(deadline, exchange(core, job, &flight, &mut dispatch));
     let streams = job.route.kind.is_stream();
     let answer = tokio::select! {
         // A response that has already arrived takes precedence over the expiry of the weights.
@@ -162,45 +159,69 @@
     classify_answer(core, job, flight, exchange, sent)
 }
 
-/// Sends a request to its upstream, and records whether the upstream accepted a connection.
+/// Sends a request to its upstream, or through a peer while this VM reaches no upstream.
 async fn exchange(
     core: &Core,
+    job: &Job,
     flight: &Flight,
-    request: Request<Full<hyper::body::Bytes>>,
+    dispatch: &mut Dispatch,
 ) -> Result<Exchange, SendError> {
+    if !core.fleet.lock().is_partitioned() {
+        match connect(core, flight).await {
+            Ok(stream) => return upstream::send(stream, build_request(core, job, dispatch)?).await,
+            Err(error) if !core.fleet.lock().is_partitioned() => return Err(error),
+            // This failure shows that the VM is partitioned, so the upstream may be well.
+            Err(_) => {}
+        }
+    }
+    exchange_through_peers(core, job, flight, dispatch).await
+}
+
+/// Connects to an upstream, and records whether it accepted the connection.
+async fn connect(core: &Core, flight: &Flight) -> Result<TcpStream, SendError> {
     let began = clock::now();
     let from = core.settings().listen.callers.ip();
     let connected = upstream::connect(from, flight.addr).await;
-    let now = clock::now();
-    log_reach(match &connected {
-        Ok(_) => flight.record_connected(now),
-        Err(_) => flight.record_unreached(began, now),
-    });
-    upstream::send(connected?, request).await
+    core.record_connection(flight.life(), began, connected.is_ok());
+    connected
 }
 
-/// Logs that this VM lost or regained the upstreams.
-fn log_reach(change: ReachChange) {
-    match change {
-        ReachChange::Same => {}
-        ReachChange::Lost {
-            unreached,
-            connected_ago,
-        } => {
-            let connected_ago_ms = connected_ago.map(clock::millis);
-            warn!(
-                event = events::REACHABILITY,
-                unreached, connected_ago_ms, "this VM reaches no upstream"
-            );
-        }
-        ReachChange::Regained { after } => {
-            info!(
-                event = events::REACHABILITY,
-                after_ms = clock::millis(after),
-                "this VM reaches upstreams again"
-            );
+/// Sends a request through the first peer that sends it on.
+async fn exchange_through_peers(
+    core: &Core,
+    job: &Job,
+    flight: &Flight,
+    dispatch: &mut Dispatch,
+) -> Result<Exchange, SendError> {
+    let from = core.settings().listen.callers.ip();
+    let destination = Destination {
+        id: flight.id.clone(),
+        life: flight.life(),
+    };
+    for gateway in core.peers.gateways_to(&flight.domain) {
+        // The time that failed gateways took is no longer left.
+        dispatch.time_left = job.time_left();
+        let request = build_request(core, job, dispatch)?;
+        let sent = gateway::send_through(from, gateway, &destination, request).await;
+        let error = match sent {
+            Ok(exchange) => {
+                info!(event = events::GATEWAY, request = %job.head.id, upstream = %flight.id, %gateway, "sent through a peer");
+                return Ok(exchange);
+            }
+            Err(error) => error,
+        };
+        info!(event = events::GATEWAY, request = %job.head.id, upstream = %flight.id, %gateway, ?error, "not sent through a peer");
+        match error {
+            RelayError::Broken(why) => return Err(SendError::Broken(why)),
+            RelayError::Declined(RelayOutcome::Unreached) => {
+                flight.record_peer_failure(clock::now());
+                return Err(SendError::Unreached("not reached by a peer".to_owned()));
+            }
+            RelayError::Declined(RelayOutcome::Unlisted) => {}
+            RelayError::Declined(_) | RelayError::NoGateway(_) => core.peers.avoid_gateway(gateway),
         }
     }
+    Err(SendError::Unreached("no peer sends it on".to_owned()))
 }
 
 /// Waits until a request that has not begun must be withdrawn from its engine.
@@ -321,7 +342,8 @@
     core: &Core,
     job: &Job,
     dispatch: &Dispatch,
-) -> Result<Request<Full<hyper::body::Bytes>>, http::Error> {
+) -> Result<Request<Full<hyper::body::Bytes>>, SendError> {
+    let invalid = |error: http::Error| SendError::Broken(error.to_string());
     let target = job
         .uri
         .path_and_query()
@@ -329,7 +351,8 @@
     let mut request = Request::builder()
         .method(job.method.clone())
         .uri(target)
-        .body(Full::new(job.body.clone()))?;
+        .body(Full::new(job.body.clone()))
+        .map_err(invalid)?;
     *request.headers_mut() = upstream_headers(&job.headers, dispatch, core.ports.headers.as_ref());
     Ok(request)
 }
--- a/crates/sesamegap-entry/src/relay/headers.rs
+++ b/crates/sesamegap-entry/src/relay/headers.rs
@@ -38,7 +38,8 @@
     strip_hop_by_hop(from, &[])
 }
 
-fn strip_hop_by_hop(from: &HeaderMap, essential: &[HeaderName]) -> HeaderMap {
+/// Headers without those that concern only one connection; `essential` ones stay even if the sender names them as such.
+pub fn strip_hop_by_hop(from: &HeaderMap, essential: &[HeaderName]) -> HeaderMap {
     let mut forwarded = from.clone();
     // hyper sets the length of the body that is actually sent.
     forwarded.remove(CONTENT_LENGTH);
--- a/crates/sesamegap-entry/src/relay/mod.rs
+++ b/crates/sesamegap-entry/src/relay/mod.rs
@@ -15,6 +15,8 @@
 mod transfer;
 mod waiting;
 
+pub use headers::strip_hop_by_hop;
+
 use crate::catalogue::{Catalogue, Route, Team};
 use crate::core::Core;
 use crate::fleet::PromptShape;
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -15,7 +15,7 @@
     pub ready: SocketAddr,
     /// Messages of peers.
     pub peers: SocketAddr,
-    /// Datagrams of peers; the port is the same on all VMs.
+    /// Datagrams of peers, and over TCP requests to send on for them; the port is the same on all VMs.
     pub loads: SocketAddr,
     /// Operators' requests for metrics or a dump.
     pub operators: SocketAddr,
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -66,6 +66,8 @@
 pub const QUARANTINE: u16 = 757;
 /// A request that had crashed upstreams was admitted, on trial or freely, or refused.
 pub const ADMISSION: u16 = 758;
+/// A request was sent on for a peer that reaches no upstream, or a peer declined to send one on.
+pub const GATEWAY: u16 = 759;
 /// A request was refused for its team's rate limit.
 pub const QUOTA_REFUSED: u16 = 760;
 /// This VM began or ceased to hold most rights to a shard of the rate limits.
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -47,6 +47,7 @@
     attempts: Counter<u64>,
     refusals: Counter<u64>,
     quota_refusals: Counter<u64>,
+    relayed: Counter<u64>,
     request_time: Histogram<f64>,
     first_event_time: Histogram<f64>,
     gauges: Gauge<u64>,
@@ -89,6 +90,10 @@
                 .u64_counter("sesamegap_quota_refusals")
                 .with_description("Requests refused for a team's rate limit, by status")
                 .build(),
+            relayed: meter
+                .u64_counter("sesamegap_relayed")
+                .with_description("Requests sent on for peers, by outcome")
+                .build(),
             request_time: latency("sesamegap_request", "Time from a request's head to its end"),
             first_event_time: latency(
                 "sesamegap_first_event",
@@ -141,6 +146,11 @@
         self.quota_refusals.add(1, &[status]);
     }
 
+    /// Counts a request that this VM sent on for a peer, or declined to.
+    pub fn count_relayed(&self, outcome: &'static str) {
+        self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// All metrics as text.
     ///
     /// # Errors
--- a/crates/sesamegap-entry/src/telemetry/mod.rs
+++ b/crates/sesamegap-entry/src/telemetry/mod.rs
@@ -6,6 +6,9 @@
 pub mod endpoints;
 pub mod events;
 pub mod metrics;
+mod reach;
+
+pub use reach::log_reach;
 
 use tracing::Subscriber;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -6,13 +6,15 @@
 //! proves that the request did not run. Connecting takes a millisecond with the upstreams measured. This module
 //! therefore uses `hyper`'s connection API, which is below the level of `reqwest`.
 
+pub mod gateway;
+
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
@@ -27,8 +29,10 @@
 /// minutes.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Idle time before the first TCP keepalive probe, and interval between probes; a connection is closed after three
-/// unanswered probes.
+/// Idle time before the first TCP keepalive probe, and interval between probes.
+///
+/// With [`TCP_USER_TIMEOUT`] set, the kernel closes a connection at the first probe that is due after that time without
+/// any packet, and disregards the number of probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Error of a request that received no response.
@@ -74,7 +78,12 @@
 ///
 /// # Errors
 /// Returns [`SendError::Unreached`] only if no byte of the request was written.
-pub async fn send(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Exchange, SendError> {
+pub async fn send<B>(stream: TcpStream, request: Request<B>) -> Result<Exchange, SendError>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake
         .await
@@ -94,36 +103,44 @@
     })
 }
 
+/// Opens a connection for a request.
+///
+/// # Errors
+/// Returns [`SendError::Unreached`] if no connection is made in time.
+pub async fn connect(from: IpAddr, addr: SocketAddr) -> Result<TcpStream, SendError> {
+    let opened = open(from, addr).await;
+    opened.map_err(|error| SendError::Unreached(error.to_string()))
+}
+
 /// Opens a connection from a local address.
 ///
 /// A VM may have several addresses; upstreams and operators know it by one of them.
 ///
 /// # Errors
-/// Returns [`SendError::Unreached`] if no connection is made in time.
-pub async fn connect(from: IpAddr, addr: SocketAddr) -> Result<TcpStream, SendError> {
-    let unreached = |error: std::io::Error| SendError::Unreached(error.to_string());
+/// If no connection is made in time, or it cannot be set up.
+pub async fn open(from: IpAddr, addr: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = match from {
-        IpAddr::V4(_) => TcpSocket::new_v4(),
-        IpAddr::V6(_) => TcpSocket::new_v6(),
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    let socket = socket.map_err(unreached)?;
-    socket.bind(SocketAddr::new(from, 0)).map_err(unreached)?;
-    let stream = match timeout(CONNECT_TIMEOUT, socket.connect(addr)).await {
-        Ok(connected) => connected.map_err(unreached)?,
-        Err(_) => return Err(SendError::Unreached("connect timed out".to_owned())),
-    };
-    configure(&stream).map_err(unreached)?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    let timed_out = |_| std::io::Error::new(ErrorKind::TimedOut, "connect timed out");
+    let connected = timeout(CONNECT_TIMEOUT, socket.connect(addr)).await;
+    let stream = connected.map_err(timed_out)??;
+    configure(&stream)?;
     Ok(stream)
 }
 
 /// Sends small writes at once, and detects a peer that is gone.
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
+///
+/// # Errors
+/// If the system rejects an option of the socket.
+pub fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let alive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(3);
+        .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&alive)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -6,7 +6,6 @@
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
-use sesamegap_entry::peers;
 use sesamegap_entry::quarantine::{self, UpstreamLoss};
 use sesamegap_policy::agreement::membership::Status;
 use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Crash, Standing};
--- a/crates/sesamegap-entry/tests/testsuite/support/vms.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/vms.rs
@@ -3,6 +3,7 @@
 use super::{Platform, document, settings, unused_addr};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
+use sesamegap_entry::gateway;
 use sesamegap_entry::intake;
 use sesamegap_entry::peers;
 use sesamegap_entry::settings::Settings;
@@ -30,6 +31,8 @@
     let core = Arc::new(Core::new(settings, platform.ports(), Logging::disabled()).unwrap());
     core.adopt(&Arc::new(document(1)), "test");
     tokio::spawn(peers::run_datagrams(Arc::clone(&core)));
+    tokio::spawn(gateway::serve(Arc::clone(&core)));
+    tokio::spawn(gateway::test_connections(Arc::clone(&core)));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let callers = listener.local_addr().unwrap();
     tokio::spawn(intake::serve(Arc::clone(&core), listener));
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -8,6 +8,7 @@
 //! - [`budget`] bounds retries over all entry VMs without messages between them.
 //! - [`timeouts`] sets the timeouts that tell an unresponsive upstream from a slow one.
 //! - [`reachability`] tells whether this VM reaches any upstream at all.
+//! - [`gateways`] picks the peers that send requests on for a VM that reaches none.
 //! - [`silence`] combines the VMs' reports on unresponsive upstreams.
 //! - [`belief`] tracks whether an upstream is present, and its incarnation.
 //! - [`reading`] decides when a VM reads the store itself.
@@ -23,6 +24,7 @@
 pub mod candidates;
 pub mod dissemination;
 pub mod engines;
+pub mod gateways;
 pub mod placements;
 pub mod plain;
 pub mod reachability;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -5,6 +5,7 @@
 mod candidates;
 mod dissemination;
 mod engines;
+mod gateways;
 mod plain;
 mod quiet_shards;
 mod reachability;
