A refused probe shows a crash only if another upstream accepts a connection

A VM whose links are reset finds every connection refused, as if the upstream's process had ended, and reported each request that broke there as one that crashed it. Three such reports make a request suspect for all VMs.

A refusal now counts only if one of the two upstreams heard last accepts a connection; otherwise the loss stays unconfirmed, and the fleet list decides.

--- a/crates/sesamegap-entry/src/quarantine/probe.rs
+++ b/crates/sesamegap-entry/src/quarantine/probe.rs
@@ -1,20 +1,19 @@
 //! Probes whether an upstream's process is gone.
 //!
+//! A VM that lost its own links finds every connection refused, so a refusal counts only if another upstream accepts one.
+//!
 //! From a broken connection alone, a crashed process, a network failure and an upstream that aborted a single response
 //! look the same. If a new connection is refused, the upstream's own VM confirms that nothing listens there any more; if
 //! it is accepted, a process is listening.
 
+use crate::upstream;
 use rustc_hash::FxHashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
-use tokio::time::{Instant, timeout};
-
-/// Maximum time to connect: many times the network delay within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use tokio::time::Instant;
 
 /// How long a probe's result is shared by requests whose connections break at the same time.
 const RESULT_TTL: Duration = Duration::from_millis(500);
@@ -37,10 +36,23 @@
 pub struct Probes(Mutex<FxHashMap<u64, (Instant, Probe)>>);
 
 impl Probes {
-    /// Probes the given instance of an upstream.
-    pub async fn probe(&self, life: u64, addr: SocketAddr) -> ProcessState {
+    /// Probes the given instance of an upstream, from a local address; `reaches_others` tells whether this VM reaches
+    /// other upstreams, and is polled only if the connection is refused.
+    pub async fn probe(
+        &self,
+        life: u64,
+        from: IpAddr,
+        addr: SocketAddr,
+        reaches_others: impl Future<Output = bool>,
+    ) -> ProcessState {
         let probe = self.shared_probe(life);
-        *probe.get_or_init(|| connect(addr)).await
+        let state = probe.get_or_init(|| async {
+            match connect(from, addr).await {
+                ProcessState::Gone if !reaches_others.await => ProcessState::Unreachable,
+                state => state,
+            }
+        });
+        *state.await
     }
 
     fn shared_probe(&self, life: u64) -> Probe {
@@ -52,10 +64,10 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> ProcessState {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Ok(_)) => ProcessState::Running,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProcessState::Gone,
-        Ok(Err(_)) | Err(_) => ProcessState::Unreachable,
+async fn connect(from: IpAddr, addr: SocketAddr) -> ProcessState {
+    match upstream::open(from, addr).await {
+        Ok(_) => ProcessState::Running,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => ProcessState::Gone,
+        Err(_) => ProcessState::Unreachable,
     }
 }
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -90,7 +90,10 @@
     async fn run_probe(self, core: &Core) {
         let loss = &self.loss;
         let life = loss.crash.life;
-        let process = core.quarantine.probes.probe(life, self.addr).await;
+        let from = core.settings().listen.callers.ip();
+        let reaches_others = core.reaches_others(self.addr);
+        let probes = &core.quarantine.probes;
+        let process = probes.probe(life, from, self.addr, reaches_others).await;
         info!(
             event = events::UPSTREAM_CONNECTION,
             request = %self.request,
