A partitioned VM does not report the kept-KV store as lost

Each of the eight VMs that watch a store tells all others when it does not respond. In the incident four partitioned VMs did so for as long as they had no links, and no VM had prompts fetched from a good store. A VM now speaks only if it reaches some upstream.

Failed before: partitions::a_partitioned_vm_does_not_take_the_kept_kv_store_for_lost

--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -166,8 +166,11 @@
                     answering = false;
                     warn!(event = events::KV_STORE, store = %store, error, "the kept-KV store does not respond");
                 }
-                core.fleet.lock().kept.mark_unavailable(store, clock::now());
-                broadcast_store_unavailable(&core, store);
+                // A VM that lost its own links would keep itself and all others from a good store.
+                if core.reaches_others(store).await {
+                    core.fleet.lock().kept.mark_unavailable(store, clock::now());
+                    broadcast_store_unavailable(&core, store);
+                }
                 sleep(POLL_INTERVAL).await;
             }
         }
