A partitioned VM does not roll weights

The lease holder announces an engine as out of service before it asks for its state. One that reached no engine did so with one after the other, and all VMs kept their requests from engines that nobody loaded; it also kept the lease. It now neither takes nor renews the lease, so that another VM goes on with the roll. Whether engines answer its reports counts as reaching them.

Failed before: rolls::a_partitioned_vm_takes_no_engine_out_of_service

--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -95,6 +95,21 @@
     }
 }
 
+/// Asks an engine for its state, which also shows whether this VM reaches it.
+async fn ask_report(
+    core: &Core,
+    target: &OutdatedEngine,
+    addr: SocketAddr,
+) -> Result<EngineReport, String> {
+    let began = clock::now();
+    let report = core.ports.engines.report(addr).await;
+    let life = core.fleet.lock().get(&target.engine).map(|up| up.life);
+    if let Some(life) = life {
+        core.record_connection(life, began, report.is_ok());
+    }
+    report
+}
+
 /// Waits for a permit to load; returns `None` if the engine does not respond or is no longer listed.
 ///
 /// The engine is asked for its state first: a dead engine with a permit would keep others from loading until its
@@ -105,7 +120,7 @@
     target: &OutdatedEngine,
     addr: SocketAddr,
 ) -> Option<LoadPermit> {
-    if let Err(error) = core.ports.engines.report(addr).await {
+    if let Err(error) = ask_report(core, target, addr).await {
         info!(event = events::ORDER, engine = %target.engine, error, "engine did not report its state");
         return None;
     }
@@ -206,7 +221,7 @@
     addr: SocketAddr,
 ) -> bool {
     for _ in 0..MAX_ATTEMPTS {
-        let report = match core.ports.engines.report(addr).await {
+        let report = match ask_report(core, target, addr).await {
             Ok(report) => report,
             Err(error) => {
                 info!(event = events::ORDER, engine = %target.engine, error, "engine did not report its state");
@@ -320,7 +335,7 @@
         if core.fleet.lock().get(&target.engine).is_none() {
             return LoadOutcome::Failed;
         }
-        match core.ports.engines.report(addr).await {
+        match ask_report(core, target, addr).await {
             Ok(report) if report.born != target.born => {
                 warn!(event = events::ORDER, engine = %target.engine, "engine restarted while loading");
                 return LoadOutcome::Restarted;
--- a/crates/sesamegap-entry/src/roll/mod.rs
+++ b/crates/sesamegap-entry/src/roll/mod.rs
@@ -68,6 +68,12 @@
             drop(timeout(IDLE_INTERVAL, core.weights_named.notified()).await);
             continue;
         }
+        if core.fleet.lock().is_partitioned() {
+            // Another VM takes over once the lease expires; engines that this one announced would be out for nothing.
+            since = None;
+            sleep(IDLE_INTERVAL).await;
+            continue;
+        }
         let began = *since.get_or_insert_with(clock::now);
         let delay = STANDBY_DELAY * standby_rank(&core, &lease);
         if clock::now().since(began) < delay {
--- a/crates/sesamegap-entry/tests/testsuite/partitions.rs
+++ b/crates/sesamegap-entry/tests/testsuite/partitions.rs
@@ -1,12 +1,18 @@
 //! VMs that are partitioned from all upstreams, while callers and the other VMs reach them.
 
-use crate::support::{Act, Upstream, Vm, ask, entry, offset, unused_addr, vms, wait_until};
+use crate::support::{
+    Act, Upstream, Vm, ask, document, entry, offset, unused_addr, vms, wait_until,
+};
+use sesamegap_entry::catalogue::KvStore;
 use sesamegap_entry::clock;
 use sesamegap_entry::fleet::Entry;
+use sesamegap_entry::kept;
+use sesamegap_entry::quarantine::{Probes, ProcessState};
 use sesamegap_policy::routing::Availability;
 use sesamegap_wire::UpstreamId;
 use socket2::{Domain, Socket, Type};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -176,3 +182,56 @@
     assert_eq!(seen, 0, "suspect upstreams at the VM that reaches all");
     wait_until(|| suspects() == 0).await;
 }
+
+/// Connections of a VM that lost its links are refused, as by an upstream whose process ended. The requests that it had
+/// there would be taken for ones that crash upstreams, and refused by all VMs.
+#[tokio::test]
+async fn a_refused_connection_shows_a_crash_only_if_other_upstreams_are_reached() {
+    let own = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    for (reaches_others, state) in [
+        (false, ProcessState::Unreachable),
+        (true, ProcessState::Gone),
+    ] {
+        let probes = Probes::default();
+        let others = async { reaches_others };
+        let found = probes.probe(1, own, unused_addr(), others).await;
+        assert_eq!(found, state);
+    }
+    let vms = vms(1, 44).await;
+    let core = &vms[0].core;
+    let lost = unused_addr();
+    list(&vms[0], "e0", entry("engines", lost), 0);
+    assert!(core.reaches_others(lost).await, "there is no other");
+    list(&vms[0], "e1", entry("engines", unused_addr()), 0);
+    assert!(!core.reaches_others(lost).await);
+    let sound = Upstream::start(vec![Act::Silent]).await;
+    list(&vms[0], "e2", entry("engines", sound.addr), 0);
+    assert!(core.reaches_others(lost).await);
+}
+
+/// A VM that watches the kept-KV store loses its links. By its word all others would read prompts anew that lie there.
+#[tokio::test]
+async fn a_partitioned_vm_does_not_take_the_kept_kv_store_for_lost() {
+    let vms = vms(1, 45).await;
+    let core = &vms[0].core;
+    let store: SocketAddr = unused_addr();
+    let mut with_store = document(2);
+    with_store.kv_stores = vec![KvStore {
+        addr: store,
+        domain: "hall-a".parse().unwrap(),
+        link: 1_000,
+    }];
+    core.adopt(&Arc::new(with_store), "test");
+    let is_lost = || core.fleet.lock().is_store_unavailable(store, clock::now());
+    for id in ["e0", "e1"] {
+        list(&vms[0], id, entry("engines", unused_addr()), 0);
+    }
+    tokio::spawn(kept::watch(Arc::clone(core)));
+    for _ in 0..80 {
+        sleep(Duration::from_millis(10)).await;
+        assert!(!is_lost());
+    }
+    let sound = Upstream::start(vec![Act::Silent]).await;
+    list(&vms[0], "e2", entry("engines", sound.addr), 0);
+    wait_until(is_lost).await;
+}
--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -338,3 +338,35 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert!(platform.engines.lock().unwrap()[3].orders.is_empty());
 }
+
+/// The holder of the lease loses its links to all engines. It would announce one engine after the other as out of
+/// service, and all VMs would keep their requests from engines that nobody loads.
+#[tokio::test]
+async fn a_partitioned_vm_takes_no_engine_out_of_service() {
+    let platform = Arc::new(Platform::default());
+    let core = vm(&platform, "vm-1", 5);
+    let lives = || {
+        let fleet = core.fleet.lock();
+        fleet.upstreams().map(|up| up.life).collect::<Vec<u64>>()
+    };
+    for life in lives() {
+        core.record_connection(life, clock::now(), false);
+    }
+    assert!(core.fleet.lock().is_partitioned());
+    core.peers.set_list_known();
+    tokio::spawn(roll::run(Arc::clone(&core)));
+    name_weights(&core, 2);
+    for _ in 0..100 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let fleet = core.fleet.lock();
+        let now = clock::now();
+        assert!(fleet.upstreams().all(|up| !up.is_paused(now)));
+    }
+    let asked = |platform: &Platform| {
+        let engines = platform.engines.lock().unwrap();
+        engines.iter().map(|engine| engine.reports).sum::<u32>()
+    };
+    assert_eq!(asked(&platform), 0);
+    core.record_connection(lives()[0], clock::now(), true);
+    wait_until(|| all_have(&platform, 2)).await;
+}
