Count requests for brittle upstreams at one VM each

Upstreams may say that they fall over when they reject more than so many requests a second (LIMIT). All VMs saw room at the same moment and sent; what they know of each other's requests is older than a request lasts.

Kept: while a service is brittle, all requests for an upstream pass the VM that is first in its ranking, over the same way as those of partitioned VMs; it counts them exactly, begins low, and learns less room than slots from a rejection. Requests given up at a silent upstream keep their places for a while, since it finds them when it goes on. What does not pass is refused at once and has not run.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -1,6 +1,7 @@
 //! A request in flight at an upstream, which counts towards the upstream's load until it is dropped.
 
 use super::SharedFleet;
+use crate::clock;
 use crate::kept::InFlightTokens;
 use crate::placing::TrackedPrompt;
 use crate::ports::Load;
@@ -9,8 +10,58 @@
 use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+/// A request that this VM has let through to a brittle upstream, until it is dropped.
+#[derive(Debug)]
+pub struct GatePass {
+    fleet: SharedFleet,
+    id: UpstreamId,
+    life: u64,
+    is_answered: AtomicBool,
+}
+
+impl GatePass {
+    /// Lets a request through, or returns `None` if the upstream has no room.
+    pub fn take(fleet: &SharedFleet, id: &UpstreamId, life: u64, now: Moment) -> Option<Self> {
+        let passes = fleet.lock().try_pass(id, life, now);
+        passes.then(|| Self {
+            fleet: fleet.clone(),
+            id: id.clone(),
+            life,
+            is_answered: AtomicBool::new(false),
+        })
+    }
+
+    /// Records whether the upstream had room.
+    pub fn record_answer(&self, is_rejected: bool, now: Moment) {
+        self.is_answered.store(true, Ordering::Relaxed);
+        if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
+            upstream.record_received(now);
+            if is_rejected {
+                upstream.gate.record_rejection(now);
+            } else {
+                upstream.gate.record_accepted();
+            }
+        }
+    }
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
+            if *self.is_answered.get_mut() {
+                upstream.gate.leave();
+            } else {
+                let now = clock::now();
+                let silent = now.since(upstream.last_received);
+                upstream.gate.leave_unanswered(silent, now);
+            }
+        }
+    }
+}
+
 /// A request in flight at an upstream.
 #[derive(Debug)]
 pub struct Flight {
@@ -39,6 +90,8 @@
     pub ahead: u64,
     /// Incarnation of the upstream that was chosen, if it states one.
     pub born: Option<Incarnation>,
+    /// Set if the upstream is brittle and this VM counts its requests.
+    pub gate_pass: Option<GatePass>,
     /// Set if the request runs as a trial of the quarantine.
     pub permit: Option<TrialPermit>,
     pub(super) seed: u64,
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod selection;
 mod upstream;
 
-pub use flight::Flight;
+pub use flight::{Flight, GatePass};
 pub use index::ServiceIndex;
 pub use selection::{Chosen, PromptShape, Selection, Shard};
 pub use sesamegap_policy::routing::belief::Change;
@@ -27,6 +27,7 @@
 use sesamegap_policy::routing::belief::{
     self, Belief, ListRecord, ListUpdate, Listing, StoreReachability,
 };
+use sesamegap_policy::routing::brittle::Brittleness;
 use sesamegap_policy::routing::cache_locations::CacheLocations;
 use sesamegap_policy::routing::placements::Placements;
 use sesamegap_policy::routing::reachability::{MIN_UNREACHED, ReachChange, Reachability};
@@ -67,6 +68,8 @@
     pub(crate) placements: Placements<(SocketAddr, u64)>,
     pub(crate) kept: KvStoreStates,
     pub(crate) silence_reports: SilenceReports,
+    /// Services whose upstreams say that they are brittle.
+    brittle: FxHashMap<ServiceId, Brittleness>,
     /// Whether this VM reaches any upstream.
     reachability: Reachability,
     pub(crate) namings: Namings,
@@ -88,6 +91,7 @@
             placements: Placements::default(),
             kept: KvStoreStates::default(),
             silence_reports: SilenceReports::default(),
+            brittle: FxHashMap::default(),
             reachability: Reachability::default(),
             namings: Namings::new(rules.weights),
         }
@@ -199,6 +203,39 @@
         change
     }
 
+    /// Records whether an answer says that the upstreams of a service are brittle; returns whether that is new.
+    pub fn record_brittle(&mut self, service: &ServiceId, bound: Option<u32>, now: Moment) -> bool {
+        let was_brittle = self.is_brittle(service, now);
+        match bound {
+            Some(bound) => {
+                let said = Brittleness {
+                    bound,
+                    said_at: now,
+                };
+                self.brittle.insert(service.clone(), said);
+            }
+            None if !self.brittle.is_empty() => drop(self.brittle.remove(service)),
+            None => {}
+        }
+        was_brittle != bound.is_some()
+    }
+
+    /// Whether the upstreams of a service fall over when they reject too much.
+    pub fn is_brittle(&self, service: &ServiceId, now: Moment) -> bool {
+        let said = self.brittle.get(service);
+        said.is_some_and(|said| said.is_current(now))
+    }
+
+    /// Lets a request through to a brittle upstream if it has room, as this VM counts.
+    fn try_pass(&mut self, id: &UpstreamId, life: u64, now: Moment) -> bool {
+        let Some(upstream) = self.get(id).filter(|up| up.life == life) else {
+            return false;
+        };
+        let (slots, heard) = (upstream.entry.slots, self.running(upstream, now));
+        let upstream = self.in_life(id, life);
+        upstream.is_some_and(|upstream| upstream.gate.try_pass(slots, heard, now))
+    }
+
     /// Takes the next connection test of a partitioned VM if it is due; returns the upstream to connect to.
     pub fn claim_connection_test(
         &mut self,
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -4,6 +4,7 @@
 use crate::ports::{Load, Weights};
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::belief::{Belief, Change};
+use sesamegap_policy::routing::brittle::Gate;
 use sesamegap_policy::routing::{Availability, engines};
 use sesamegap_wire::{DomainId, Incarnation, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::net::SocketAddr;
@@ -77,6 +78,8 @@
     load: Option<(Load, Moment)>,
     /// Requests sent since the last reported load.
     sent_since_load: u32,
+    /// Requests that this VM lets through while the upstream is brittle.
+    pub(super) gate: Gate,
     failures: u32,
     failed_at: Moment,
     avoided_until: Moment,
@@ -106,6 +109,7 @@
             failure_rate: 0.0,
             load: None,
             sent_since_load: 0,
+            gate: Gate::default(),
             failures: 0,
             failed_at: Moment(0),
             avoided_until: Moment(0),
--- a/crates/sesamegap-entry/src/gateway/mod.rs
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! Sends requests on for peers that are partitioned from all upstreams, and tests whether this VM is still partitioned.
 //!
 //! A gateway only carries one attempt to the upstream that the peer chose. It counts neither the request nor its load:
-//! the peer has charged the team and the retry budget, and reports the load as its own.
+//! the peer has charged the team and the retry budget, and reports the load as its own. Only if the upstream is brittle
+//! does the gateway, then the VM through which all requests for that upstream pass, let a request through or not.
 
 mod relaying;
 
--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -2,12 +2,13 @@
 
 use crate::clock;
 use crate::core::{ActiveRequestGuard, Core, Phase};
+use crate::fleet::GatePass;
 use crate::relay::strip_hop_by_hop;
 use crate::telemetry::events;
 use crate::upstream::gateway::{self, DECLINED_STATUS, Destination, RelayOutcome};
 use crate::upstream::{self, Exchange, SendError};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -19,6 +20,9 @@
 
 type Body = UnsyncBoxBody<Bytes, hyper::Error>;
 
+/// What a request holds until its response has ended.
+type Permits = (OwnedSemaphorePermit, Option<GatePass>);
+
 /// Sends a peer's request on to its upstream and returns the response, or why there is none.
 pub async fn relay(
     core: Arc<Core>,
@@ -31,9 +35,9 @@
     let active = ActiveRequestGuard::new(&core.active, id.clone());
     let mut destination = None;
     let sent = match gateway::unwrap(request) {
-        Some((upstream, request)) => {
+        Some((upstream, is_counted, request)) => {
             destination = Some(upstream.id.clone());
-            send(&core, &upstream, request, permits).await
+            send(&core, &upstream, is_counted, request, permits).await
         }
         None => Err(RelayOutcome::Unlisted),
     };
@@ -49,7 +53,7 @@
         "request of a peer"
     );
     match sent {
-        Ok((exchange, permit)) => respond(exchange, (active, permit)),
+        Ok((exchange, permits)) => respond(exchange, (active, permits)),
         Err(outcome) => decline(outcome),
     }
 }
@@ -57,9 +61,10 @@
 async fn send(
     core: &Core,
     destination: &Destination,
+    is_counted: bool,
     mut request: Request<Incoming>,
     permits: Arc<Semaphore>,
-) -> Result<(Exchange, OwnedSemaphorePermit), RelayOutcome> {
+) -> Result<(Exchange, Permits), RelayOutcome> {
     // Peers that know of no other gateway left still use a VM that has been asked to stop.
     if core.phase() > Phase::Leaving {
         return Err(RelayOutcome::Stopping);
@@ -67,6 +72,12 @@
     let addr = locate(core, destination)?;
     let permit = permits.try_acquire_owned();
     let permit = permit.map_err(|_| RelayOutcome::Busy)?;
+    let gate_pass = if is_counted {
+        let pass = GatePass::take(&core.fleet, &destination.id, destination.life, clock::now());
+        Some(pass.ok_or(RelayOutcome::Full)?)
+    } else {
+        None
+    };
     let began = clock::now();
     let from = core.settings().listen.callers.ip();
     let connected = upstream::connect(from, addr).await;
@@ -80,9 +91,16 @@
     let sent = upstream::send(stream, request).await;
     let exchange = sent.map_err(|error| match error {
         SendError::Unreached(_) => RelayOutcome::Unreached,
+        SendError::Full => RelayOutcome::Full,
         SendError::Broken(_) => RelayOutcome::Broken,
     })?;
-    Ok((exchange, permit))
+    if let Some(pass) = &gate_pass {
+        let head = core.ports.headers.read_answer(exchange.response.headers());
+        let is_rejected =
+            head.not_run && exchange.response.status() != StatusCode::MISDIRECTED_REQUEST;
+        pass.record_answer(is_rejected, clock::now());
+    }
+    Ok((exchange, (permit, gate_pass)))
 }
 
 /// The address of an upstream to which this VM would send requests of its own.
@@ -100,10 +118,7 @@
     Ok(usable.entry.addr)
 }
 
-fn respond(
-    exchange: Exchange,
-    guards: (ActiveRequestGuard, OwnedSemaphorePermit),
-) -> Response<Body> {
+fn respond(exchange: Exchange, guards: (ActiveRequestGuard, Permits)) -> Response<Body> {
     let Exchange {
         response,
         connection,
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -295,6 +295,11 @@
         avoided.choose(peers.collect(), clock::now(), &mut rand::rng())
     }
 
+    /// Returns whether a peer recently could not send a request on.
+    pub fn is_gateway_avoided(&self, gateway: SocketAddr) -> bool {
+        self.lock_avoided().contains(gateway, clock::now())
+    }
+
     /// Records that a peer could not send a request on.
     pub fn avoid_gateway(&self, gateway: SocketAddr) {
         self.lock_avoided().avoid(gateway, clock::now());
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -274,6 +274,8 @@
     pub weights: Option<WeightsVersion>,
     /// Whether the response carries the upstream's seal header.
     pub sealed: bool,
+    /// Rejections a second above which the upstream falls over, if it says that it is brittle.
+    pub brittle: Option<u32>,
 }
 
 /// Load that an upstream reports in its responses.
--- a/crates/sesamegap-entry/src/relay/attempt.rs
+++ b/crates/sesamegap-entry/src/relay/attempt.rs
@@ -7,18 +7,20 @@
 use crate::catalogue::Kind;
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::Flight;
+use crate::fleet::{Flight, GatePass};
 use crate::peers::{EngineUpdate, broadcast_engine_update};
 use crate::ports::{AnswerHead, Dispatch};
 use crate::telemetry::events;
-use crate::upstream::gateway::{self, Destination, RelayError, RelayOutcome};
-use crate::upstream::{self, Exchange, SendError};
+use crate::upstream::gateway::{Destination, RelayError, RelayOutcome};
+use crate::upstream::routes::{Routes, exchange};
+use crate::upstream::{Exchange, SendError};
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use sesamegap_wire::UpstreamId;
+use sesamegap_policy::routing::gateways::MAX_GATEWAYS;
+use sesamegap_wire::{Moment, UpstreamId};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{info, warn};
 
@@ -54,6 +56,8 @@
     Unreached,
     /// The upstream refused it.
     Refused,
+    /// The upstream is brittle and has no room, as the VM counts through which its requests pass.
+    Full,
     /// The engine has other weights than this VM assumed, and reported which.
     OtherWeights,
 }
@@ -127,7 +131,13 @@
         "sent"
     );
     let deadline = job.deadline.min(sent + head_timeout);
-    let answer = timeout_at(deadline, exchange(core, job, &flight, &mut dispatch));
+    let mut routes = AttemptRoutes {
+        core,
+        job,
+        flight: &flight,
+        dispatch: &mut dispatch,
+    };
+    let answer = timeout_at(deadline, exchange(&mut routes));
     let streams = job.route.kind.is_stream();
     let answer = tokio::select! {
         // A response that has already arrived takes precedence over the expiry of the weights.
@@ -137,12 +147,16 @@
         () = until_weights_expire(&flight), if streams => return Outcome::Lost(WEIGHTS_EXPIRED.to_owned()),
     };
     let exchange = match answer {
-        Ok(Ok(exchange)) => exchange,
+        Ok(Ok((exchange, gate_pass))) => {
+            flight.gate_pass = gate_pass;
+            exchange
+        }
         Ok(Err(SendError::Unreached(error))) => {
             flight.record_failure(clock::now());
             info!(event = events::ATTEMPT, request = %job.head.id, upstream = %flight.id, error, "no connection");
             return Outcome::NotRun(NotRun::Unreached);
         }
+        Ok(Err(SendError::Full)) => return Outcome::NotRun(NotRun::Full),
         Ok(Err(SendError::Broken(why))) => {
             flight.record_failure(clock::now());
             loss::report_broken_connection(core, job, &mut flight, sent, false).await;
@@ -159,69 +173,83 @@
     classify_answer(core, job, flight, exchange, sent)
 }
 
-/// Sends a request to its upstream, or through a peer while this VM reaches no upstream.
-async fn exchange(
-    core: &Core,
-    job: &Job,
-    flight: &Flight,
-    dispatch: &mut Dispatch,
-) -> Result<Exchange, SendError> {
-    if !core.fleet.lock().is_partitioned() {
-        match connect(core, flight).await {
-            Ok(stream) => return upstream::send(stream, build_request(core, job, dispatch)?).await,
-            Err(error) if !core.fleet.lock().is_partitioned() => return Err(error),
-            // This failure shows that the VM is partitioned, so the upstream may be well.
-            Err(_) => {}
+/// The ways from this VM to the upstream of an attempt.
+struct AttemptRoutes<'a> {
+    core: &'a Core,
+    job: &'a Job,
+    flight: &'a Flight,
+    dispatch: &'a mut Dispatch,
+}
+
+impl Routes for AttemptRoutes<'_> {
+    type Pass = GatePass;
+
+    fn upstream(&self) -> Destination {
+        Destination {
+            id: self.flight.id.clone(),
+            life: self.flight.life(),
         }
     }
-    exchange_through_peers(core, job, flight, dispatch).await
-}
 
-/// Connects to an upstream, and records whether it accepted the connection.
-async fn connect(core: &Core, flight: &Flight) -> Result<TcpStream, SendError> {
-    let began = clock::now();
-    let from = core.settings().listen.callers.ip();
-    let connected = upstream::connect(from, flight.addr).await;
-    core.record_connection(flight.life(), began, connected.is_ok());
-    connected
-}
+    fn addrs(&self) -> (IpAddr, SocketAddr) {
+        let from = self.core.settings().listen.callers.ip();
+        (from, self.flight.addr)
+    }
 
-/// Sends a request through the first peer that sends it on.
-async fn exchange_through_peers(
-    core: &Core,
-    job: &Job,
-    flight: &Flight,
-    dispatch: &mut Dispatch,
-) -> Result<Exchange, SendError> {
-    let from = core.settings().listen.callers.ip();
-    let destination = Destination {
-        id: flight.id.clone(),
-        life: flight.life(),
-    };
-    for gateway in core.peers.gateways_to(&flight.domain) {
-        // The time that failed gateways took is no longer left.
-        dispatch.time_left = job.time_left();
-        let request = build_request(core, job, dispatch)?;
-        let sent = gateway::send_through(from, gateway, &destination, request).await;
-        let error = match sent {
-            Ok(exchange) => {
-                info!(event = events::GATEWAY, request = %job.head.id, upstream = %flight.id, %gateway, "sent through a peer");
-                return Ok(exchange);
-            }
-            Err(error) => error,
-        };
-        info!(event = events::GATEWAY, request = %job.head.id, upstream = %flight.id, %gateway, ?error, "not sent through a peer");
+    fn is_brittle(&self) -> bool {
+        let fleet = self.core.fleet.lock();
+        fleet.is_brittle(self.job.service(), clock::now())
+    }
+
+    fn is_partitioned(&self) -> bool {
+        self.core.fleet.lock().is_partitioned()
+    }
+
+    fn counting_vms(&self) -> Vec<Option<SocketAddr>> {
+        let peers = &self.core.peers;
+        let mut vms = peers.first_ranked(MAX_GATEWAYS, self.flight.life());
+        vms.retain(|vm| vm.is_none_or(|vm| !peers.is_gateway_avoided(vm)));
+        vms
+    }
+
+    fn gateways(&self) -> Vec<SocketAddr> {
+        self.core.peers.gateways_to(&self.flight.domain)
+    }
+
+    fn take_pass(&self) -> Option<GatePass> {
+        let Flight { id, .. } = self.flight;
+        GatePass::take(&self.core.fleet, id, self.flight.life(), clock::now())
+    }
+
+    fn build_request(&mut self) -> Result<Request<Full<hyper::body::Bytes>>, SendError> {
+        // The time that failed ways took is no longer left.
+        self.dispatch.time_left = self.job.time_left();
+        let request = build_request(self.core, self.job, self.dispatch);
+        request.map_err(|error| SendError::Broken(error.to_string()))
+    }
+
+    fn record_connection(&self, began: Moment, is_connected: bool) {
+        let life = self.flight.life();
+        self.core.record_connection(life, began, is_connected);
+    }
+
+    fn record_relay(&self, gateway: SocketAddr, outcome: Result<(), &RelayError>) {
+        let error = outcome.err();
+        info!(event = events::GATEWAY, request = %self.job.head.id, upstream = %self.flight.id, %gateway, ?error, "sent through a peer");
         match error {
-            RelayError::Broken(why) => return Err(SendError::Broken(why)),
-            RelayError::Declined(RelayOutcome::Unreached) => {
-                flight.record_peer_failure(clock::now());
-                return Err(SendError::Unreached("not reached by a peer".to_owned()));
+            Some(RelayError::Declined(RelayOutcome::Unreached)) => {
+                self.flight.record_peer_failure(clock::now());
+            }
+            None
+            | Some(
+                RelayError::Broken(_)
+                | RelayError::Declined(RelayOutcome::Unlisted | RelayOutcome::Full),
+            ) => {}
+            Some(RelayError::Declined(_) | RelayError::NoGateway(_)) => {
+                self.core.peers.avoid_gateway(gateway);
             }
-            RelayError::Declined(RelayOutcome::Unlisted) => {}
-            RelayError::Declined(_) | RelayError::NoGateway(_) => core.peers.avoid_gateway(gateway),
         }
     }
-    Err(SendError::Unreached("no peer sends it on".to_owned()))
 }
 
 /// Waits until a request that has not begun must be withdrawn from its engine.
@@ -260,6 +288,7 @@
     if let Some(load) = answer_head.load {
         flight.record_load(load, now);
     }
+    record_brittle(core, job, &flight, &answer_head, status);
     if answer_head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(handle_refusal(core, job, &flight, &answer_head, status));
     }
@@ -281,6 +310,25 @@
     }))
 }
 
+/// Records whether the upstream says that it is brittle, and whether it had room.
+fn record_brittle(
+    core: &Core,
+    job: &Job,
+    flight: &Flight,
+    answer_head: &AnswerHead,
+    status: StatusCode,
+) {
+    let now = clock::now();
+    if let Some(pass) = &flight.gate_pass {
+        let is_rejected = answer_head.not_run && status != StatusCode::MISDIRECTED_REQUEST;
+        pass.record_answer(is_rejected, now);
+    }
+    let mut fleet = core.fleet.lock();
+    if fleet.record_brittle(job.service(), answer_head.brittle, now) {
+        info!(event = events::BRITTLE, service = %job.service(), upstream = %flight.id, bound = answer_head.brittle, "upstreams of a service are brittle or no longer so");
+    }
+}
+
 /// Records what a refusal says about the upstream and returns the reason for a retry.
 fn handle_refusal(
     core: &Core,
@@ -342,8 +390,7 @@
     core: &Core,
     job: &Job,
     dispatch: &Dispatch,
-) -> Result<Request<Full<hyper::body::Bytes>>, SendError> {
-    let invalid = |error: http::Error| SendError::Broken(error.to_string());
+) -> Result<Request<Full<hyper::body::Bytes>>, http::Error> {
     let target = job
         .uri
         .path_and_query()
@@ -351,8 +398,7 @@
     let mut request = Request::builder()
         .method(job.method.clone())
         .uri(target)
-        .body(Full::new(job.body.clone()))
-        .map_err(invalid)?;
+        .body(Full::new(job.body.clone()))?;
     *request.headers_mut() = upstream_headers(&job.headers, dispatch, core.ports.headers.as_ref());
     Ok(request)
 }
@@ -377,6 +423,7 @@
         match self {
             Self::Unreached => "unreached",
             Self::Refused => "refused",
+            Self::Full => "full",
             Self::OtherWeights => "other_weights",
         }
     }
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -78,6 +78,11 @@
                 self.connect_failures += 1;
                 self.connect_failures < MAX_CONNECT_FAILURES
             }
+            // It did not arrive anywhere, so it costs no retry.
+            NotRun::Full => {
+                self.refusals += 1;
+                self.refusals < MAX_REFUSALS
+            }
             NotRun::Refused | NotRun::OtherWeights => {
                 self.refusals += 1;
                 self.refusals < MAX_REFUSALS && core.try_retry(&self.service)
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -44,6 +44,8 @@
 pub const KV_STORE: u16 = 731;
 /// This VM reaches no upstream any more, or reaches upstreams again.
 pub const REACHABILITY: u16 = 732;
+/// The upstreams of a service say that they fall over when they reject too much, or say so no more.
+pub const BRITTLE: u16 = 733;
 /// A lease was acquired, renewed or lost.
 pub const LEASE: u16 = 740;
 /// An engine was ordered to load weights.
--- a/crates/sesamegap-entry/src/upstream/gateway.rs
+++ b/crates/sesamegap-entry/src/upstream/gateway.rs
@@ -26,6 +26,9 @@
 /// Header with the path and query of the request.
 const TARGET: HeaderName = HeaderName::from_static("sesamegap-target");
 
+/// Header of a request that the gateway must count, since the upstream is brittle.
+const COUNTED: HeaderName = HeaderName::from_static("sesamegap-counted");
+
 /// Header of a gateway's response with its [`RelayOutcome`].
 const OUTCOME: HeaderName = HeaderName::from_static("sesamegap-relay");
 
@@ -42,6 +45,8 @@
     Unlisted,
     /// The gateway sends on as many requests as it may.
     Busy,
+    /// The upstream is brittle and has no room, as the gateway counts.
+    Full,
     /// The gateway is stopping.
     Stopping,
     /// The upstream accepted a connection and did not respond; the request may have run.
@@ -50,12 +55,13 @@
 
 impl RelayOutcome {
     /// All outcomes.
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Answered,
         Self::Unreached,
         Self::Partitioned,
         Self::Unlisted,
         Self::Busy,
+        Self::Full,
         Self::Stopping,
         Self::Broken,
     ];
@@ -68,6 +74,7 @@
             Self::Partitioned => "partitioned",
             Self::Unlisted => "unlisted",
             Self::Busy => "busy",
+            Self::Full => "full",
             Self::Stopping => "stopping",
             Self::Broken => "broken",
         }
@@ -122,7 +129,8 @@
     Broken(String),
 }
 
-/// Sends a request to its upstream through a gateway and waits for the response head.
+/// Sends a request to its upstream through a gateway and waits for the response head. If it `is_counted`, the gateway
+/// lets it through only if the upstream has room.
 ///
 /// # Errors
 /// Returns [`RelayError::Broken`] unless it is certain that the request has not run.
@@ -130,6 +138,7 @@
     from: IpAddr,
     gateway: SocketAddr,
     destination: &Destination,
+    is_counted: bool,
     request: Request<B>,
 ) -> Result<Exchange, RelayError>
 where
@@ -137,12 +146,13 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let request =
-        wrap(destination, request).map_err(|error| RelayError::Broken(error.to_string()))?;
+    let request = wrap(destination, is_counted, request)
+        .map_err(|error| RelayError::Broken(error.to_string()))?;
     let no_gateway = |error: SendError| RelayError::NoGateway(error.to_string());
     let stream = connect(from, gateway).await.map_err(no_gateway)?;
     let mut exchange = send(stream, request).await.map_err(|error| match error {
         SendError::Unreached(why) => RelayError::NoGateway(why),
+        SendError::Full => RelayError::Declined(RelayOutcome::Full),
         SendError::Broken(why) => RelayError::Broken(why),
     })?;
     let outcome = exchange.response.headers_mut().remove(OUTCOME);
@@ -161,7 +171,11 @@
 }
 
 /// Addresses a request to a gateway.
-fn wrap<B>(destination: &Destination, mut request: Request<B>) -> Result<Request<B>, http::Error> {
+fn wrap<B>(
+    destination: &Destination,
+    is_counted: bool,
+    mut request: Request<B>,
+) -> Result<Request<B>, http::Error> {
     let target = request.uri().path_and_query();
     let target = target.map_or("/", |target| target.as_str());
     let target = HeaderValue::from_str(target)?;
@@ -170,20 +184,24 @@
     headers.insert(TARGET, target);
     headers.insert(UPSTREAM, id);
     headers.insert(LIFE, HeaderValue::from(destination.life));
+    if is_counted {
+        headers.insert(COUNTED, HeaderValue::from_static("1"));
+    }
     *request.uri_mut() = Uri::from_static(PATH);
     Ok(request)
 }
 
-/// Restores a request that a sender addressed to this gateway; `None` if it is not one.
-pub fn unwrap<B>(mut request: Request<B>) -> Option<(Destination, Request<B>)> {
+/// Restores a request that a sender addressed to this gateway, and tells whether it must be counted; `None` if it is none.
+pub fn unwrap<B>(mut request: Request<B>) -> Option<(Destination, bool, Request<B>)> {
     let is_relay = request.uri().path() == PATH;
     let headers = request.headers_mut();
     let destination = Destination {
         id: take(headers, &UPSTREAM)?,
         life: take(headers, &LIFE)?,
     };
+    let is_counted = headers.remove(COUNTED).is_some();
     *request.uri_mut() = take(request.headers_mut(), &TARGET)?;
-    is_relay.then_some((destination, request))
+    is_relay.then_some((destination, is_counted, request))
 }
 
 /// Removes a header and parses its value.
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 //! therefore uses `hyper`'s connection API, which is below the level of `reqwest`.
 
 pub mod gateway;
+pub mod routes;
 
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
@@ -27,7 +28,7 @@
 
 /// Time after which unacknowledged data closes a connection: otherwise a network failure would go unnoticed for
 /// minutes.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 ///
@@ -40,6 +41,8 @@
 pub enum SendError {
     /// No connection was made, so the upstream has not received the request.
     Unreached(String),
+    /// The VM that counts the requests of a brittle upstream let this one not through.
+    Full,
     /// Part of the request may have been written, so the upstream may run it.
     Broken(String),
 }
@@ -48,6 +51,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreached(reason) => write!(f, "no connection: {reason}"),
+            Self::Full => f.write_str("no room at a brittle upstream"),
             Self::Broken(reason) => write!(f, "no complete response: {reason}"),
         }
     }
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 )]
 
 mod belief;
+mod brittle;
 mod catalogue;
 mod copies;
 mod fetches;
@@ -24,6 +25,7 @@
 mod refusals;
 mod restored;
 mod rolls;
+mod silence;
 mod sse;
 mod stopping;
 mod stops;
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -11,7 +11,7 @@
 pub use crashing::{CRASH_MARK, CrashingUpstream};
 pub use lines::LogLines;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
-pub use upstream::{Act, Upstream};
+pub use upstream::{Act, Upstream, header, read};
 pub use vms::{Vm, member_update, vm, vms};
 
 use sesamegap_entry::catalogue::{
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -90,6 +90,8 @@
             weights: text(headers, &HeaderName::from_static("x-weights"))
                 .and_then(|version| version.parse().ok()),
             sealed: headers.contains_key("x-seal"),
+            brittle: text(headers, &HeaderName::from_static("x-brittle"))
+                .and_then(|bound| bound.parse().ok()),
         }
     }
 }
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -208,7 +208,7 @@
 }
 
 /// Reads a request with its body.
-pub(super) async fn read(stream: &mut TcpStream) -> Option<String> {
+pub async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
     loop {
@@ -229,7 +229,7 @@
 }
 
 /// The value of a header in the text of a request.
-pub(super) fn header(text: &str, name: &str) -> Option<String> {
+pub fn header(text: &str, name: &str) -> Option<String> {
     let head = text.split("\r\n\r\n").next()?;
     let lines = head.lines().filter_map(|line| line.split_once(':'));
     lines
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -5,6 +5,7 @@
 //! - [`cache_locations`] records which engines served which prefixes.
 //! - [`transfers`] decides where cached parts are fetched from.
 //! - [`plain`] picks the worker of a plain service.
+//! - [`brittle`] counts requests to upstreams that fall over when they reject too much.
 //! - [`budget`] bounds retries over all entry VMs without messages between them.
 //! - [`timeouts`] sets the timeouts that tell an unresponsive upstream from a slow one.
 //! - [`reachability`] tells whether this VM reaches any upstream at all.
@@ -19,6 +20,7 @@
 //! - [`placements`] counts the prompts that a VM has placed for its peers.
 
 pub mod belief;
+pub mod brittle;
 pub mod budget;
 pub mod cache_locations;
 pub mod candidates;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of an entry VM's routing decisions.
 
 mod belief;
+mod brittle;
 mod budget;
 mod candidates;
 mod dissemination;
