Test other upstreams after a failed connection; ask slow peers last

A failed connection now calls for tests of other upstreams, one in 50 ms, until one accepts or the VM counts as partitioned.

Suspected peers are now asked last instead of not at all.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -22,7 +22,6 @@
 use rustc_hash::FxHashMap;
 use sesamegap_policy::routing::belief;
 use sesamegap_policy::routing::budget::Budget;
-use sesamegap_policy::routing::reachability::ReachChange;
 use sesamegap_wire::{Moment, ServiceId};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -64,8 +63,8 @@
     pub metrics: Metrics,
     /// Logging controls.
     pub logging: Logging,
-    /// Wakes the connection tests when this VM reaches no upstream any more.
-    pub upstreams_lost: Notify,
+    /// Wakes the connection tests when an upstream accepted no connection.
+    pub connection_failed: Notify,
     /// Wakes the roll of weights when a weights version was named.
     pub weights_named: Notify,
     /// Requests in progress.
@@ -104,7 +103,7 @@
             peers: Peers::new(&settings),
             copies: CopyServer::new(settings.link_mbps),
             placement_client: PlacementClient::default(),
-            upstreams_lost: Notify::new(),
+            connection_failed: Notify::new(),
             weights_named: Notify::new(),
             active: Arc::default(),
             body_permits: Arc::new(Semaphore::new(settings.body_memory >> 10)),
@@ -206,8 +205,8 @@
                 fleet.record_unreached(life, began, now)
             }
         };
-        if matches!(change, ReachChange::Lost { .. }) {
-            self.upstreams_lost.notify_one();
+        if !is_connected {
+            self.connection_failed.notify_one();
         }
         log_reach(change);
     }
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -236,7 +236,13 @@
         upstream.is_some_and(|upstream| upstream.gate.try_pass(slots, heard, now))
     }
 
-    /// Takes the next connection test of a partitioned VM if it is due; returns the upstream to connect to.
+    /// Whether connections failed recently and none was accepted since.
+    pub fn is_reach_in_doubt(&self, now: Moment) -> bool {
+        self.reachability.is_in_doubt(now)
+    }
+
+    /// Takes the next connection test if it is due; returns the upstream to connect to, if possible one to which no
+    /// connection has failed.
     pub fn claim_connection_test(
         &mut self,
         rng: &mut impl Rng,
@@ -245,7 +251,9 @@
         if !self.reachability.claim_test(now) {
             return None;
         }
-        let upstream = self.upstreams().choose(rng)?;
+        let is_untried = |up: &&Upstream| !self.reachability.is_unreached(up.life);
+        let untried = self.upstreams().filter(is_untried).choose(rng);
+        let upstream = untried.or_else(|| self.upstreams().choose(rng))?;
         Some((upstream.life, upstream.entry.addr))
     }
 
--- a/crates/sesamegap-entry/src/gateway/mod.rs
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -26,7 +26,7 @@
 /// Delay after a failed accept, which mostly means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// How often a partitioned VM looks whether a connection test is due.
+/// How often a VM whose connections fail looks whether a connection test is due.
 const TEST_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Takes requests of peers until the process ends.
@@ -75,11 +75,11 @@
     }
 }
 
-/// Tests, while this VM reaches no upstream, whether one accepts connections again.
+/// Tests, after a connection failed, whether any upstream accepts one, until one does.
 pub async fn test_connections(core: Arc<Core>) {
     while core.phase() < Phase::Ended {
-        core.upstreams_lost.notified().await;
-        while core.fleet.lock().is_partitioned() && core.phase() < Phase::Ended {
+        core.connection_failed.notified().await;
+        while core.fleet.lock().is_reach_in_doubt(clock::now()) && core.phase() < Phase::Ended {
             sleep(TEST_POLL_INTERVAL).await;
             let claimed = core
                 .fleet
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -287,7 +287,8 @@
             let place = match peer.latest.status {
                 Status::Alive => Place::of(domains.get(&ip), upstream, &self.domain),
                 Status::Leaving => Place::Stopping,
-                Status::Suspect | Status::Dead => return None,
+                Status::Suspect => Place::Unresponsive,
+                Status::Dead => return None,
             };
             Some((SocketAddr::new(ip, self.datagram_port), place))
         });
--- a/crates/sesamegap-entry/tests/testsuite/partitions.rs
+++ b/crates/sesamegap-entry/tests/testsuite/partitions.rs
@@ -152,6 +152,22 @@
     callers_are_served(42, Partition::Hangs).await;
 }
 
+/// A VM has requests for two workers only. Its failures are no sign of a partition unless it looks further.
+#[tokio::test]
+async fn a_vm_that_sends_to_two_upstreams_finds_out_that_it_is_partitioned() {
+    let vms = vms(2, 47).await;
+    let _upstreams = upstreams(&vms).await;
+    for vm in &vms {
+        let id = "w2".parse().unwrap();
+        vm.core.fleet.lock().remove(&id, offset(20), clock::now());
+    }
+    partition(&vms[0], Partition::Refuses);
+    let pull = async || ask(vms[0].callers, "POST", "/pull/a", "", "{}").await;
+    pull().await;
+    wait_until(|| vms[0].core.fleet.lock().is_partitioned()).await;
+    assert_eq!(pull().await.status, 200);
+}
+
 /// Two VMs are partitioned and report every upstream as unresponsive; by their word the third would avoid good upstreams.
 #[tokio::test]
 async fn failures_of_partitioned_vms_make_no_upstream_suspect_elsewhere() {
--- a/crates/sesamegap-policy/src/routing/gateways.rs
+++ b/crates/sesamegap-policy/src/routing/gateways.rs
@@ -31,6 +31,8 @@
     WithSelf,
     /// It is stopping, and cuts what is left when its grace period ends.
     Stopping,
+    /// It did not answer lately; under load all peers may look so to a VM.
+    Unresponsive,
 }
 
 impl Place {
--- a/crates/sesamegap-policy/src/routing/reachability.rs
+++ b/crates/sesamegap-policy/src/routing/reachability.rs
@@ -19,6 +19,10 @@
 /// Interval of connection tests while this VM counts as partitioned.
 const TEST_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval of connection tests after a failure, until a connection is accepted: a VM may send to a few upstreams only,
+/// or rarely, and would never reach [`MIN_UNREACHED`] by its requests.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A failed connection to an upstream.
 #[derive(Debug, Clone, Copy)]
 struct Failure {
@@ -101,11 +105,28 @@
         self.lost_at.is_some()
     }
 
+    /// Whether connections failed recently and none was accepted since.
+    pub fn is_in_doubt(&self, now: Moment) -> bool {
+        let is_recent = |failure: &Failure| now.since(failure.at) < FAILURE_WINDOW;
+        self.is_partitioned() || self.failures.iter().any(is_recent)
+    }
+
+    /// Whether the last connection to an upstream failed, and none to any was accepted since.
+    pub fn is_unreached(&self, upstream: u64) -> bool {
+        let mut failures = self.failures.iter();
+        failures.any(|failure| failure.upstream == upstream)
+    }
+
     /// Takes the next connection test, which one task performs for all; returns whether it is due.
     pub fn claim_test(&mut self, now: Moment) -> bool {
-        let is_due = self.is_partitioned() && self.next_test <= now;
+        let is_due = self.is_in_doubt(now) && self.next_test <= now;
         if is_due {
-            self.next_test = now + TEST_INTERVAL;
+            let interval = if self.is_partitioned() {
+                TEST_INTERVAL
+            } else {
+                DOUBT_INTERVAL
+            };
+            self.next_test = now + interval;
         }
         is_due
     }
--- a/crates/sesamegap-policy/tests/testsuite/routing/gateways.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/gateways.rs
@@ -21,8 +21,9 @@
 }
 
 #[test]
-fn peers_beside_the_upstream_come_first_and_stopping_ones_last() {
+fn peers_beside_the_upstream_come_first_and_unresponsive_ones_last() {
     let places = [
+        (5, Place::Unresponsive),
         (1, Place::Stopping),
         (2, Place::WithSelf),
         (3, Place::Elsewhere),
@@ -31,6 +32,9 @@
     let avoided = Avoided::default();
     let chosen = avoided.choose(places.to_vec(), at(0), &mut StdRng::seed_from_u64(1));
     assert_eq!(chosen, [4, 3, 2]);
+    let left = vec![(5, Place::Unresponsive), (1, Place::Stopping)];
+    let chosen = avoided.choose(left, at(0), &mut StdRng::seed_from_u64(1));
+    assert_eq!(chosen, [1, 5], "better than to refuse");
     assert_eq!(Place::of(Some(&1), &1, &1), Place::WithSelf);
     assert_eq!(Place::of(None, &1, &2), Place::Elsewhere);
 }
--- a/crates/sesamegap-policy/tests/testsuite/routing/reachability.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reachability.rs
@@ -80,6 +80,22 @@
     assert!(!reach.is_partitioned());
 }
 
+/// A VM sends to two workers only. Without tests of other upstreams it would never know that it is partitioned.
+#[test]
+fn a_failure_calls_for_tests_of_other_upstreams_until_one_accepts_a_connection() {
+    let mut reach = Reachability::default();
+    assert!(!reach.claim_test(at(1_000)));
+    let now = fail(&mut reach, 0..2, 1_000);
+    assert!(reach.claim_test(at(now)));
+    assert!(!reach.claim_test(at(now)), "one at a time");
+    assert!(reach.is_unreached(1) && !reach.is_unreached(2));
+    reach.record_unreached(2, at(now), KNOWN, at(now + 300));
+    assert!(reach.is_partitioned());
+    assert!(reach.claim_test(at(now + 600)));
+    reach.record_connected(at(now + 700));
+    assert!(!reach.claim_test(at(now + 2_000)));
+}
+
 /// A deployment may have fewer upstreams than are needed to tell otherwise.
 #[test]
 fn a_vm_that_knows_one_upstream_is_partitioned_with_it() {
