--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -219,7 +219,7 @@
             if fleet.is_partitioned() {
                 return false;
             }
-            fleet.last_heard(CONTROL_CONNECTIONS, except)
+            fleet.last_heard(CONTROL_CONNECTIONS, except, &mut rand::rng())
         };
         let from = self.settings().listen.callers.ip();
         for other in &others {
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 use crate::peers::{Loads, UpstreamLoad};
 use crate::ports::{EngineReport, Weights};
 use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rustc_hash::{FxHashMap, FxHashSet};
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::belief::{
@@ -34,6 +34,7 @@
 use sesamegap_policy::routing::silence::SilenceReports;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{Incarnation, LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -257,16 +258,22 @@
         Some((upstream.life, upstream.entry.addr))
     }
 
-    /// Addresses of the upstreams from which bytes arrived last, except this one.
-    pub fn last_heard(&self, count: usize, except: SocketAddr) -> Vec<SocketAddr> {
+    /// Addresses of the upstreams from which bytes arrived last, except this one; which of those that are equal in this
+    /// is random, so that a dead one is not asked each time.
+    pub fn last_heard(
+        &self,
+        count: usize,
+        except: SocketAddr,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
         let others = self.upstreams().filter(|up| up.entry.addr != except);
-        let mut heard: Vec<_> = others.map(|up| (up.last_received, up.entry.addr)).collect();
-        heard.sort_unstable_by(|a, b| b.cmp(a));
-        heard
-            .into_iter()
-            .take(count)
-            .map(|(_, addr)| addr)
-            .collect()
+        let mut heard: Vec<_> = others
+            .map(|up| (Reverse(up.last_received), up.entry.addr))
+            .collect();
+        heard.shuffle(rng);
+        heard.sort_by_key(|(received, _)| *received);
+        let first = heard.into_iter().take(count);
+        first.map(|(_, addr)| addr).collect()
     }
 
     /// Whether this VM counts as partitioned from all upstreams.
