--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -7,7 +7,7 @@
 use crate::ports::Load;
 use crate::quarantine::TrialPermit;
 use sesamegap_policy::routing::engines::Prefix;
-use sesamegap_wire::{DomainId, Incarnation, Moment, UpstreamId, WeightsVersion};
+use sesamegap_wire::{DomainId, Incarnation, Moment, SoftwareVersion, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -90,6 +90,8 @@
     pub ahead: u64,
     /// Incarnation of the upstream that was chosen, if it states one.
     pub born: Option<Incarnation>,
+    /// Version of the upstream's software, as far as this VM knew when it was chosen.
+    pub software: SoftwareVersion,
     /// Set if the upstream is brittle and this VM counts its requests.
     pub gate_pass: Option<GatePass>,
     /// Set if the request runs as a trial of the quarantine.
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -174,6 +174,7 @@
             running: fleet.running(upstream, now),
             ahead: fleet.unread(upstream),
             born: upstream.entry.born,
+            software: upstream.entry.software.clone(),
             gate_pass: None,
             permit: None,
             seed: upstream.seed,
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -6,7 +6,9 @@
 use sesamegap_policy::routing::belief::{Belief, Change};
 use sesamegap_policy::routing::brittle::Gate;
 use sesamegap_policy::routing::{Availability, engines};
-use sesamegap_wire::{DomainId, Incarnation, Moment, ServiceId, UpstreamId, WeightsVersion};
+use sesamegap_wire::{
+    DomainId, Incarnation, Moment, ServiceId, SoftwareVersion, UpstreamId, WeightsVersion,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,6 +43,9 @@
     pub beat: u64,
     /// Incarnation that wrote the entry, if it states one.
     pub born: Option<Incarnation>,
+    /// Version of its software. VMs of releases that do not send it take it for unstated.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// Requests that the owner of the engine's shard knows.
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxHashSet;
 use sesamegap_policy::routing::belief::{Belief, Change};
 use sesamegap_policy::routing::weights::Named;
-use sesamegap_wire::{Incarnation, LogPosition, Moment, UpstreamId};
+use sesamegap_wire::{Incarnation, LogPosition, Moment, SoftwareVersion, UpstreamId};
 use tracing::{info, warn};
 
 /// Effect of a record on what this VM knows.
@@ -188,19 +188,25 @@
     if matches!(change, Change::Same | Change::Repeat) {
         return;
     }
-    let (born, beat) = known_state(core, id);
+    let (born, beat, software) = known_state(core, id);
     if change.is_discarded() {
         info!(event = events::DISCARDED, upstream = %id, why = ?change, at = %at, born, beat, "record is older than what is known and was discarded");
     } else {
-        info!(event = events::UPSTREAM, upstream = %id, change = ?change, at = %at, born, beat, "belief about an upstream changed");
+        info!(event = events::UPSTREAM, upstream = %id, change = ?change, at = %at, born, beat, %software, "belief about an upstream changed");
     }
 }
 
-/// The newest known incarnation and heartbeat of an upstream.
-fn known_state(core: &Core, id: &UpstreamId) -> (Option<u64>, Option<u64>) {
+/// The newest known incarnation, heartbeat and software version of an upstream.
+fn known_state(core: &Core, id: &UpstreamId) -> (Option<u64>, Option<u64>, SoftwareVersion) {
     let fleet = core.fleet.lock();
     let belief = fleet.belief(id);
     let born = belief.and_then(Belief::born);
     let beat = belief.and_then(Belief::beat);
-    (born.map(|Incarnation(born)| born), beat)
+    let upstream = fleet.get(id);
+    let software = upstream.map(|upstream| upstream.entry.software.clone());
+    (
+        born.map(|Incarnation(born)| born),
+        beat,
+        software.unwrap_or_default(),
+    )
 }
--- a/crates/sesamegap-entry/src/follow/snapshot.rs
+++ b/crates/sesamegap-entry/src/follow/snapshot.rs
@@ -7,7 +7,9 @@
 use crate::ports::{Batch, Record, Weights};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
-use sesamegap_wire::{DomainId, Incarnation, LogPosition, ServiceId, UpstreamId, WeightsVersion};
+use sesamegap_wire::{
+    DomainId, Incarnation, LogPosition, ServiceId, SoftwareVersion, UpstreamId, WeightsVersion,
+};
 use smol_str::SmolStr;
 use std::hash::Hash;
 use std::net::SocketAddr;
@@ -20,6 +22,8 @@
     domains: Vec<DomainId>,
     models: Vec<SmolStr>,
     upstreams: Vec<PackedUpstream>,
+    #[serde(default)]
+    software: Vec<SoftwareVersion>,
 }
 
 /// An upstream's entry; shared names are indices into the lists of the snapshot.
@@ -38,6 +42,8 @@
     beat: u64,
     born: Option<Incarnation>,
     weights: Vec<(usize, WeightsVersion)>,
+    #[serde(default)]
+    software: usize,
 }
 
 /// Distinct names in the order of their first use.
@@ -72,6 +78,7 @@
         let mut services = Names::new();
         let mut domains = Names::new();
         let mut models = Names::new();
+        let mut software = Names::new();
         let upstreams = fleet
             .listed()
             .map(|(upstream, at)| {
@@ -91,6 +98,7 @@
                     weights: weights
                         .map(|held| (models.index(&held.model), held.version))
                         .collect(),
+                    software: software.index(&entry.software),
                 }
             })
             .collect();
@@ -100,6 +108,7 @@
             domains: domains.list,
             models: models.list,
             upstreams,
+            software: software.list,
         }
     }
 
@@ -147,6 +156,12 @@
             weights: weights.collect::<Option<_>>()?,
             beat: packed.beat,
             born: packed.born,
+            // A VM of a release that does not send versions sends no list of them.
+            software: self
+                .software
+                .get(packed.software)
+                .cloned()
+                .unwrap_or_default(),
         })
     }
 }
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -234,6 +234,10 @@
     pub parts: Vec<PromptPart>,
     /// Tokens of the prompt and the longest answer, if the request states them.
     pub usage: Option<u64>,
+    /// Id of the last event that the caller received of a stream that it takes up again.
+    pub after: Option<SmolStr>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub resumes: Option<SmolStr>,
 }
 
 /// Values that the process sends to an upstream in the headers of a request.
--- a/crates/sesamegap-entry/src/relay/stream.rs
+++ b/crates/sesamegap-entry/src/relay/stream.rs
@@ -378,7 +378,7 @@
     /// Resumes, at another upstream, a stream that broke off.
     async fn resume(&mut self, stream: UpstreamStream, why: &str) -> Option<UpstreamStream> {
         let id = stream.flight.id.clone();
-        warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, why, passed = self.last_event_id, "stream broke off");
+        warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, software = %stream.flight.software, why, passed = self.last_event_id, "stream broke off");
         // Closes the connection so that two upstreams do not work on one request.
         drop(stream);
         // Without an event id there is no position to resume from.
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -29,7 +29,8 @@
 use sesamegap_policy::quota::Tolerance;
 use sesamegap_policy::routing::budget::Bound;
 use sesamegap_wire::{
-    DomainId, Incarnation, LogPosition, Moment, Offset, ServiceId, Timeline, WeightsVersion,
+    DomainId, Incarnation, LogPosition, Moment, Offset, ServiceId, SoftwareVersion, Timeline,
+    WeightsVersion,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -172,6 +173,7 @@
         weights: weights.into_iter().collect(),
         beat: 1,
         born: None,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -57,6 +57,8 @@
                     tokens: Tokens(500),
                 })
                 .collect(),
+            after: text(headers, &AFTER),
+            resumes: text(headers, &HeaderName::from_static("x-resumes")),
         })
     }
 
--- a/crates/sesamegap-measure/src/slopes/upstreams.rs
+++ b/crates/sesamegap-measure/src/slopes/upstreams.rs
@@ -8,8 +8,8 @@
 use sesamegap_policy::routing::belief;
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{
-    DomainId, Incarnation, LogPosition, Moment, Offset, ServiceId, Timeline, UpstreamId,
-    WeightsVersion,
+    DomainId, Incarnation, LogPosition, Moment, Offset, ServiceId, SoftwareVersion, Timeline,
+    UpstreamId, WeightsVersion,
 };
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -45,6 +45,7 @@
         }],
         beat: 100,
         born: Some(Incarnation(1_770_000_000_000 + no as u64)),
+        software: id::<SoftwareVersion>("v1"),
     }
 }
 
--- a/crates/sesamegap-wire/src/ids/mod.rs
+++ b/crates/sesamegap-wire/src/ids/mod.rs
@@ -4,8 +4,10 @@
 //! rejected when parsed, so that a name needs no escaping in a path, a header or a log line.
 
 mod request;
+mod software;
 
 pub use request::RequestId;
+pub use software::SoftwareVersion;
 
 use crate::error::ParseError;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
--- a/crates/sesamegap-wire/src/lib.rs
+++ b/crates/sesamegap-wire/src/lib.rs
@@ -19,7 +19,8 @@
 pub use error::ParseError;
 pub use fingerprint::Fingerprint;
 pub use ids::{
-    ClassId, DomainId, ModelId, RequestId, ServiceId, StreamId, TeamId, UpstreamId, VmId,
+    ClassId, DomainId, ModelId, RequestId, ServiceId, SoftwareVersion, StreamId, TeamId,
+    UpstreamId, VmId,
 };
 pub use quantity::{
     Fence, Incarnation, LogPosition, Moment, Offset, Seq, Timeline, Tokens, WeightsVersion,
