Failing tests: streams that go on at another software version

A stream that breaks off goes on at an engine of another version within its answer, and so does one that its caller takes up at another VM. One that two versions can have begun is placed like a new one.

--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod restored;
 mod rolls;
 mod silence;
+mod software_versions;
 mod sse;
 mod stopping;
 mod stops;
--- a/crates/sesamegap-entry/tests/testsuite/support/caller.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/caller.rs
@@ -107,8 +107,13 @@
 
 /// The text of a request with [`KEY`] and an id.
 pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    request_of("r1", method, path, headers, body)
+}
+
+/// The text of a request with [`KEY`] and this id.
+pub fn request_of(id: &str, method: &str, path: &str, headers: &str, body: &str) -> String {
     format!(
-        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-id: r1\r\nauthorization: {KEY}\r\n{headers}content-length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-id: {id}\r\nauthorization: {KEY}\r\n{headers}content-length: {}\r\n\r\n{body}",
         body.len()
     )
 }
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -7,7 +7,7 @@
 mod upstream;
 mod vms;
 
-pub use caller::{Answer, Caller, ask, request};
+pub use caller::{Answer, Caller, ask, request, request_of};
 pub use crashing::{CRASH_MARK, CrashingUpstream};
 pub use lines::LogLines;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
