Move requests and refusals out of the relay; split its attempts and streams

The ways to an upstream, the request that is built for it, what its response head says and the reading of events are files of their own now.

--- a/crates/sesamegap-entry/src/intake/mod.rs
+++ b/crates/sesamegap-entry/src/intake/mod.rs
@@ -7,7 +7,7 @@
 mod reply;
 mod request;
 
-pub use reply::{Body, Refusal, full_body, refusal_response};
+pub use reply::{Body, full_body, refusal_response};
 
 use crate::core::{Core, Phase};
 use std::sync::Arc;
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -1,11 +1,13 @@
 //! Reads and admits a caller's request, and hands it to the relay.
 
 use super::connection::limits;
-use super::reply::{Body, Refusal, refusal_response};
+use super::reply::{Body, refusal_response};
 use crate::catalogue::{Catalogue, Route, Team};
 use crate::core::{ActiveRequestGuard, Core, Phase};
+use crate::job::Job;
 use crate::ports::RequestHead;
-use crate::relay::{self, Job};
+use crate::refusal::Refusal;
+use crate::relay;
 use crate::telemetry::events;
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, HOST, HeaderValue};
--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -4,7 +4,7 @@
 use super::{Quarantine, lock};
 use crate::clock;
 use crate::core::Core;
-use crate::relay::Job;
+use crate::job::Job;
 use crate::telemetry::events;
 use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Grant, Record, Standing};
 use sesamegap_wire::Fingerprint;
--- a/crates/sesamegap-entry/src/quota/client.rs
+++ b/crates/sesamegap-entry/src/quota/client.rs
@@ -3,8 +3,8 @@
 use crate::catalogue::{Catalogue, Revision};
 use crate::clock;
 use crate::core::Core;
+use crate::job::Job;
 use crate::peers::{self, MessageNumbers, PeerSocket};
-use crate::relay::Job;
 use crate::settings::Settings;
 use crate::telemetry::events;
 use rustc_hash::{FxHashMap, FxHashSet};
--- a/crates/sesamegap-entry/src/quota/mod.rs
+++ b/crates/sesamegap-entry/src/quota/mod.rs
@@ -12,8 +12,8 @@
 
 use crate::clock;
 use crate::core::Core;
-use crate::intake::Refusal;
-use crate::relay::Job;
+use crate::job::Job;
+use crate::refusal::Refusal;
 use crate::telemetry::events;
 use sesamegap_policy::quota::Verdict;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/sesamegap-entry/src/refusal.rs
@@ -0,0 +1,125 @@
+//! Error responses of the entry VM itself.
+
+use http::StatusCode;
+use std::fmt;
+use std::time::Duration;
+
+/// `Retry-After` if no document is in force yet, or a newer one is about to be: a copy takes about this long.
+const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// `Retry-After` if no upstream is available.
+///
+/// The restart of a worker or a full queue takes about this long, and the caller still has time for
+/// a second attempt.
+const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// `Retry-After` if the request has to wait for its trial: a few trials have ended by then.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// `Retry-After` if the request is quarantined: only an operator or other software on the upstreams
+/// ends that.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_hours(1);
+
+/// `Retry-After` if the memory for bodies is used up: a body is held for about a second.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Least `Retry-After` of a request refused for its team's rate limit: a sooner return would mostly be refused too.
+const MIN_QUOTA_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Why a request is answered by the entry VM instead of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The head is invalid or incomplete, or the body was aborted.
+    BadHead(&'static str),
+    /// The key is missing or unknown.
+    InvalidKey,
+    /// No route matches.
+    NoRoute,
+    /// The body is too long.
+    BodyTooLarge,
+    /// The body was not complete in time.
+    BodyTimeout,
+    /// No document is in force yet.
+    NoDocument,
+    /// The document in force does not allow it, but this VM is about to receive a newer one.
+    OldDocument,
+    /// No upstream is available; the request was not run and will not be.
+    NoUpstream,
+    /// Upstreams crashed while they ran it, and another such request is on trial; it was not run
+    /// and will not be.
+    Suspect,
+    /// Upstreams crash while they run it; it was not run and will not be.
+    Quarantined,
+    /// Its team has used up its rate limit; it was not run and will not be.
+    OverQuota(Duration),
+    /// This VM cannot tell whether its team's rate limit allows it; it was not run and will not be.
+    NoQuotaRights(Duration),
+    /// The memory for request bodies is used up.
+    OutOfMemory,
+    /// It may have run, but no complete response came.
+    Lost,
+    /// Its deadline has passed; it may have run.
+    Timeout,
+}
+
+impl Refusal {
+    /// The delay for `Retry-After`, if a retry can help.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NoDocument | Self::OldDocument => Some(START_RETRY_AFTER),
+            Self::NoUpstream => Some(UPSTREAM_RETRY_AFTER),
+            Self::Suspect => Some(TRIAL_RETRY_AFTER),
+            Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
+            Self::OutOfMemory => Some(MEMORY_RETRY_AFTER),
+            Self::OverQuota(wait) | Self::NoQuotaRights(wait) => {
+                Some(wait.max(MIN_QUOTA_RETRY_AFTER))
+            }
+            _ => None,
+        }
+    }
+
+    /// The status code of the response.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadHead(_) => StatusCode::BAD_REQUEST,
+            Self::InvalidKey => StatusCode::UNAUTHORIZED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::NoDocument
+            | Self::OldDocument
+            | Self::NoUpstream
+            | Self::Suspect
+            | Self::Quarantined
+            | Self::NoQuotaRights(_)
+            | Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::BadHead(why) => why,
+            Self::InvalidKey => "unknown or missing key",
+            Self::NoRoute => "no such route",
+            Self::BodyTooLarge => "body too long",
+            Self::BodyTimeout => "body came too slowly; not run",
+            Self::NoDocument => "no settings yet; not run",
+            Self::OldDocument => "not allowed by settings that are being replaced; not run",
+            Self::NoUpstream => "no upstream can take it; not run",
+            Self::Suspect => {
+                "upstreams ended under it and it runs only by itself, not now; not run"
+            }
+            Self::Quarantined => "quarantined, upstreams end under it; not run",
+            Self::OverQuota(_) => "over the team's rate limit; not run",
+            Self::NoQuotaRights(_) => "the team's rate limit cannot be checked now; not run",
+            Self::OutOfMemory => "too many requests at once; not run",
+            Self::Lost => "no whole answer from the upstream; it may have run",
+            Self::Timeout => "time is over; it may have run",
+        })
+    }
+}
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -1,9 +1,9 @@
 //! Reports connections that break or go silent while a request is in flight.
 
-use super::Job;
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::Flight;
+use crate::job::Job;
 use crate::quarantine::{ProcessState, TrialPermit, UpstreamLoss};
 use crate::telemetry::events;
 use sesamegap_policy::quarantine::Crash;
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -3,7 +3,6 @@
 //! A response is read to its end before its head is sent to the caller. If the upstream breaks off, the request
 //! can still be retried where the route allows it, and otherwise fails with an error status.
 
-use super::Job;
 use super::attempt::{Answered, Outcome, falsely_implies_not_run, send};
 use super::headers::caller_headers;
 use super::loss::{self, BrokenAnswer};
@@ -11,7 +10,9 @@
 use super::retry::RetryState;
 use super::waiting::wait_for_upstream;
 use crate::core::Core;
-use crate::intake::{Body, Refusal, full_body, refusal_response};
+use crate::intake::{Body, full_body, refusal_response};
+use crate::job::Job;
+use crate::refusal::Refusal;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
--- a/crates/sesamegap-entry/src/relay/request_log.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -1,9 +1,9 @@
 //! The log line and metrics written when a request ends.
 
-use super::Job;
 use crate::catalogue::Kind;
 use crate::clock;
 use crate::core::Core;
+use crate::job::Job;
 use crate::telemetry::events;
 use smol_str::SmolStr;
 use std::sync::Arc;
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -1,12 +1,12 @@
 //! Tracks the attempts of a request and decides whether it may be retried.
 
-use super::Job;
 use super::attempt::NotRun;
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::{Flight, PromptShape, Selection, Upstream};
-use crate::intake::Refusal;
+use crate::job::Job;
 use crate::placing;
+use crate::refusal::Refusal;
 use sesamegap_policy::routing::Availability;
 use sesamegap_wire::{ServiceId, UpstreamId};
 use std::time::Duration;
--- /dev/null
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -0,0 +1,205 @@
+//! Reads the events of an upstream, and decides how long its silence is tolerated.
+
+use super::{Opened, StreamRelay};
+use crate::clock;
+use crate::fleet::Flight;
+use crate::intake::full_body;
+use crate::relay::attempt::{Answered, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run};
+use crate::relay::loss::{self, BrokenAnswer};
+use crate::relay::plain::caller_response;
+use crate::relay::sse::{EventBatch, EventSplitter};
+use crate::upstream::Connection;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use sesamegap_policy::routing::timeouts;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// How often a waiting stream rechecks its deadlines, which change as engines join and leave.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// An event stream from an upstream.
+#[derive(Debug)]
+pub(super) struct UpstreamStream {
+    pub(super) flight: Flight,
+    /// When the request was sent.
+    sent: Instant,
+    body: Incoming,
+    _connection: Connection,
+    splitter: EventSplitter,
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) first_events: Option<EventBatch>,
+    /// Whether any byte of the body has arrived.
+    body_begun: bool,
+    /// Whether a complete event has arrived.
+    event_received: bool,
+}
+
+impl UpstreamStream {
+    /// Time until the request is withdrawn because its weights expire. Returns `None` without locking the fleet
+    /// once the response has begun, as it is called for each event.
+    fn left_to_begin(&self) -> Option<Duration> {
+        if self.body_begun {
+            return None;
+        }
+        self.flight.time_to_start(clock::now())
+    }
+
+    /// Whether the response has not begun and the engine's weights must no longer be used.
+    fn weights_expired(&self) -> bool {
+        self.left_to_begin().is_some_and(|left| left.is_zero())
+    }
+
+    /// When to recheck the deadlines.
+    fn next_check(&self) -> Instant {
+        let left = self
+            .left_to_begin()
+            .map_or(RECHECK_INTERVAL, |left| left.min(RECHECK_INTERVAL));
+        Instant::now() + left.max(READ_GRACE)
+    }
+}
+
+impl StreamRelay {
+    /// Reads up to the first complete event, or an error response to its end.
+    pub(super) async fn read_start(&mut self, answered: Answered) -> Result<Opened, String> {
+        let Answered {
+            mut flight,
+            exchange,
+            sent,
+        } = answered;
+        let (head, body) = exchange.response.into_parts();
+        if falsely_implies_not_run(self.job.route.kind, head.status) {
+            return Err(format!(
+                "status {} from an upstream that may have run the request",
+                head.status
+            ));
+        }
+        if !head.status.is_success() {
+            let read = timeout_at(self.job.deadline, body.collect()).await;
+            let body = match read
+                .map_err(|_| "response body did not end before the deadline".to_owned())?
+            {
+                Ok(body) => body.to_bytes(),
+                Err(error) => {
+                    loss::report_broken_connection(&self.core, &self.job, &mut flight, sent, true)
+                        .await;
+                    return Err(error.to_string());
+                }
+            };
+            return Ok(Opened::Complete(caller_response(
+                head.status,
+                &head.headers,
+                full_body(body),
+            )));
+        }
+        let mut stream = UpstreamStream {
+            flight,
+            sent,
+            body,
+            _connection: exchange.connection,
+            splitter: EventSplitter::default(),
+            status: head.status,
+            headers: head.headers,
+            first_events: None,
+            body_begun: false,
+            event_received: false,
+        };
+        let first = self.read_events(&mut stream).await?;
+        stream.first_events = Some(first.unwrap_or(EventBatch {
+            bytes: Bytes::new(),
+            ids: Vec::new(),
+        }));
+        Ok(Opened::Stream(Box::new(stream)))
+    }
+
+    /// Reads the next complete events from an upstream; `None` at the end of the stream.
+    pub(super) async fn read_events(
+        &self,
+        stream: &mut UpstreamStream,
+    ) -> Result<Option<EventBatch>, String> {
+        let mut silent_since = Instant::now();
+        loop {
+            let until = self
+                .silence_deadline(stream, silent_since)
+                .min(stream.next_check());
+            let frame = match timeout_at(until, stream.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => {
+                    return Err(self.report_broken(stream, &error.to_string()).await);
+                }
+                Ok(None) if stream.splitter.is_partial() => {
+                    return Err(self
+                        .report_broken(stream, "stream ended within an event")
+                        .await);
+                }
+                Ok(None) => return Ok(None),
+                Err(_) if Instant::now() >= self.job.deadline => {
+                    return Err("request deadline expired".to_owned());
+                }
+                Err(_) if stream.weights_expired() => return Err(WEIGHTS_EXPIRED.to_owned()),
+                Err(_) if Instant::now() < self.silence_deadline(stream, silent_since) => continue,
+                Err(_) if Self::is_active_on_other_connections(stream, silent_since) => {
+                    return Err(
+                        "stream went silent while its upstream sent on other connections"
+                            .to_owned(),
+                    );
+                }
+                Err(_) => {
+                    stream.flight.record_failure(clock::now());
+                    let loss = BrokenAnswer::new(
+                        &self.job,
+                        &mut stream.flight,
+                        stream.sent,
+                        stream.body_begun,
+                    );
+                    loss.report_silence(&self.core);
+                    return Err("upstream went silent".to_owned());
+                }
+            };
+            stream.flight.record_received(clock::now());
+            silent_since = Instant::now();
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            stream.body_begun = true;
+            let events = stream.splitter.push(&data);
+            if let Some(events) = events.map_err(|_| "event exceeds the size limit".to_owned())? {
+                stream.event_received = true;
+                return Ok(Some(events));
+            }
+        }
+    }
+
+    /// Reports that a stream's connection broke, and returns the reason.
+    async fn report_broken(&self, stream: &mut UpstreamStream, why: &str) -> String {
+        let (sent, body_begun) = (stream.sent, stream.body_begun);
+        loss::report_broken_connection(&self.core, &self.job, &mut stream.flight, sent, body_begun)
+            .await;
+        why.to_owned()
+    }
+
+    /// Until when silence is tolerated.
+    fn silence_deadline(&self, stream: &UpstreamStream, silent_since: Instant) -> Instant {
+        // Without another engine to resume at, waiting is better: the response may still continue.
+        if !self.can_move()
+            || !self
+                .retry
+                .has_other_upstream(&self.core, &self.job, Some(&stream.flight.id))
+        {
+            return self.job.deadline;
+        }
+        let active_on_other_connections =
+            Self::is_active_on_other_connections(stream, silent_since);
+        let tolerated = timeouts::stream(stream.event_received, active_on_other_connections);
+        self.job.deadline.min(silent_since + tolerated)
+    }
+
+    /// Whether bytes arrived from the upstream on another connection since.
+    fn is_active_on_other_connections(stream: &UpstreamStream, silent_since: Instant) -> bool {
+        let silent = clock::now().since(stream.flight.last_received());
+        silent + Duration::from_millis(1) < silent_since.elapsed()
+    }
+}
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -1,10 +1,10 @@
 //! Decides which KV cache transfers a prompt is worth.
 
-use super::Job;
 use crate::catalogue::KvStore;
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::Flight;
+use crate::job::Job;
 use crate::kept::InFlightTokens;
 use sesamegap_policy::routing::transfers::{self, Fetch, PlacedPrompt};
 use sesamegap_wire::WeightsVersion;
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -5,12 +5,12 @@
 //! serve; a long wait would only keep the caller from retrying. After an eighth of the latency objective the
 //! request is refused with a `Retry-After` time.
 
-use super::Job;
 use super::retry::RetryState;
 use crate::core::Core;
 use crate::fleet::Flight;
-use crate::intake::Refusal;
+use crate::job::Job;
 use crate::quarantine::{Admission, admit};
+use crate::refusal::Refusal;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
--- a/crates/sesamegap-entry/tests/testsuite/software_versions.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions.rs
@@ -142,7 +142,7 @@
         engines.list_others(&vm.core);
     }
     let began_at = &vms[0];
-    engines.pause_others(&began_at.core, Duration::from_secs(60));
+    engines.pause_others(&began_at.core, Duration::from_mins(1));
     list(&began_at.core, "first", first.addr, "v1");
     for no in 0..STREAMS {
         let mut caller = send(began_at.callers, &format!("s{no}"), &prompt(no)).await;
