--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -13,6 +13,7 @@
 use crate::ports::{Ports, Table};
 use crate::quarantine::Quarantine;
 use crate::quota::QuotaClient;
+use crate::resumption::Resumption;
 use crate::settings::Settings;
 use crate::store::StoreClient;
 use crate::telemetry::metrics::Metrics;
@@ -73,6 +74,8 @@
     pub body_permits: Arc<Semaphore>,
     /// Rate limits of teams.
     pub quota: QuotaClient,
+    /// Which software versions began streams.
+    pub resumption: Resumption,
     /// Requests quarantined because upstreams crashed while running them.
     pub quarantine: Quarantine,
     tables: [TableState; 4],
@@ -108,6 +111,7 @@
             active: Arc::default(),
             body_permits: Arc::new(Semaphore::new(settings.body_memory >> 10)),
             quarantine: Quarantine::default(),
+            resumption: Resumption::default(),
             quota: QuotaClient::new(&settings),
             tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -122,6 +122,17 @@
         self.life
     }
 
+    /// The version of the upstream's software, or an unstated one if the upstream has restarted with another since it was
+    /// chosen: which of the two processes took the request is not known.
+    pub fn confirmed_software(&self) -> SoftwareVersion {
+        let fleet = self.fleet.lock();
+        let present = fleet.get(&self.id).map(|upstream| &upstream.entry.software);
+        if present.is_some_and(|present| *present != self.software) {
+            return SoftwareVersion::default();
+        }
+        self.software.clone()
+    }
+
     /// Address of the VM that placed the request or was notified of it, if there is one.
     pub fn owner(&self) -> Option<SocketAddr> {
         self.tracked_prompt.as_ref().map(TrackedPrompt::owner)
--- a/crates/sesamegap-entry/src/fleet/index.rs
+++ b/crates/sesamegap-entry/src/fleet/index.rs
@@ -9,7 +9,7 @@
 use sesamegap_policy::routing::candidates::{COMPARED, Seat};
 use sesamegap_policy::routing::engines::{EngineLocation, for_long};
 use sesamegap_policy::routing::shards::Division;
-use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
+use sesamegap_wire::{DomainId, Moment, ServiceId, SoftwareVersion, UpstreamId};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,8 @@
     pub seats: Vec<Seat>,
     /// Their division into shards.
     pub division: Division,
+    /// Their software versions, without repeats.
+    pub software: Vec<SoftwareVersion>,
     store_domains: Vec<DomainId>,
     generation: u64,
     built: Moment,
@@ -48,10 +50,17 @@
             seed: location.seed,
             long,
         });
+        let mut software: Vec<SoftwareVersion> = Vec::new();
+        for member in &members {
+            if !software.contains(&member.entry.software) {
+                software.push(member.entry.software.clone());
+            }
+        }
         Self {
             seats: seats.collect(),
             ids: members.iter().map(|up| up.id.clone()).collect(),
             division,
+            software,
             store_domains: stores.iter().map(|store| store.domain.clone()).collect(),
             generation: fleet.generation,
             built: now,
@@ -87,7 +96,10 @@
             return Arc::clone(index);
         }
         let index = Arc::new(ServiceIndex::new(self, service, stores, now));
-        self.indices.insert(service.clone(), Arc::clone(&index));
+        let former = self.indices.insert(service.clone(), Arc::clone(&index));
+        if let Some(former) = former {
+            self.record_versions(service, &former.software, now);
+        }
         index
     }
 }
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -8,8 +8,10 @@
 
 mod flight;
 mod index;
+mod list;
 mod selection;
 mod upstream;
+mod versions;
 
 pub use flight::{Flight, GatePass};
 pub use index::ServiceIndex;
@@ -19,21 +21,20 @@
 
 use crate::kept::KvStoreStates;
 use crate::peers::{Loads, UpstreamLoad};
-use crate::ports::{EngineReport, Weights};
+use crate::ports::Weights;
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
+use sesamegap_policy::resumption::ServedVersions;
 use sesamegap_policy::routing::Availability;
-use sesamegap_policy::routing::belief::{
-    self, Belief, ListRecord, ListUpdate, Listing, StoreReachability,
-};
+use sesamegap_policy::routing::belief::{self, Belief, StoreReachability};
 use sesamegap_policy::routing::brittle::Brittleness;
 use sesamegap_policy::routing::cache_locations::CacheLocations;
 use sesamegap_policy::routing::placements::Placements;
 use sesamegap_policy::routing::reachability::{MIN_UNREACHED, ReachChange, Reachability};
 use sesamegap_policy::routing::silence::SilenceReports;
 use sesamegap_policy::routing::weights::{Named, Namings};
-use sesamegap_wire::{Incarnation, LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
+use sesamegap_wire::{LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -74,6 +75,8 @@
     /// Whether this VM reaches any upstream.
     reachability: Reachability,
     pub(crate) namings: Namings,
+    /// Software versions that served each service lately.
+    pub(crate) served: ServedVersions,
 }
 
 impl Fleet {
@@ -95,6 +98,7 @@
             brittle: FxHashMap::default(),
             reachability: Reachability::default(),
             namings: Namings::new(rules.weights),
+            served: ServedVersions::default(),
         }
     }
 
@@ -304,115 +308,6 @@
         self.store_reachability.record_peer_report(now);
     }
 
-    /// Applies an entry at a position of the list's log.
-    pub fn apply(&mut self, id: &UpstreamId, entry: Entry, at: LogPosition, now: Moment) -> Change {
-        let update = ListUpdate {
-            at,
-            record: ListRecord::Listed(Listing {
-                beat: entry.beat,
-                born: entry.born,
-                leaving: entry.leaving,
-            }),
-        };
-        let unlisted = self.unlisted.remove(id);
-        let known = self.upstreams.entry(id.clone()).or_insert_with(|| {
-            let belief = unlisted.unwrap_or_else(|| Belief::new(now));
-            Upstream::new(id.clone(), entry.clone(), belief)
-        });
-        let change = known
-            .belief
-            .apply(update, &self.rules.belief, &self.store_reachability, now);
-        if changes_presence(change) {
-            self.generation += 1;
-        }
-        match change {
-            Change::Restarted => {
-                known.restart(entry);
-                change
-            }
-            Change::New | Change::Leaving | Change::Same => known.update(entry, change),
-            _ => change,
-        }
-    }
-
-    /// Applies the removal of an entry at a position of the list's log.
-    pub fn remove(&mut self, id: &UpstreamId, at: LogPosition, now: Moment) -> Change {
-        self.unlist(id, at, ListRecord::Removed, now)
-    }
-
-    /// Applies a record that hides an upstream's entry; unlike a lapsed upstream, it gets no time to reappear.
-    pub fn withdraw(&mut self, id: &UpstreamId, at: LogPosition, now: Moment) -> Change {
-        self.unlist(id, at, ListRecord::Withdrawn, now)
-    }
-
-    fn unlist(
-        &mut self,
-        id: &UpstreamId,
-        at: LogPosition,
-        record: ListRecord,
-        now: Moment,
-    ) -> Change {
-        let belief = match self.upstreams.get_mut(id) {
-            Some(upstream) => &mut upstream.belief,
-            None => self
-                .unlisted
-                .entry(id.clone())
-                .or_insert_with(|| Belief::new(now)),
-        };
-        let update = ListUpdate { at, record };
-        let change = belief.apply(update, &self.rules.belief, &self.store_reachability, now);
-        if changes_presence(change) {
-            self.generation += 1;
-        }
-        change
-    }
-
-    /// Applies the incarnation that an upstream, or a peer that asked it, reports.
-    pub fn observe_incarnation(&mut self, id: &UpstreamId, born: Option<Incarnation>) -> Change {
-        let Some(upstream) = self.upstreams.get_mut(id) else {
-            return Change::Same;
-        };
-        let change = upstream.belief.observe_incarnation(born);
-        if change == Change::Restarted {
-            self.generation += 1;
-            let entry = upstream.entry.clone();
-            upstream.restart(Entry { born, ..entry });
-        }
-        change
-    }
-
-    /// Applies an engine's report about itself.
-    pub fn apply_report(&mut self, id: &UpstreamId, report: &EngineReport) -> Change {
-        let change = self.observe_incarnation(id, report.born);
-        if change == Change::Restarted
-            && let Some(engine) = self.upstreams.get_mut(id)
-        {
-            for weights in &report.weights {
-                engine.record_version(&weights.model, weights.version);
-            }
-        }
-        change
-    }
-
-    /// Applies time limits to lapsed and doubted entries, and drops old tombstones; returns what changed.
-    pub fn expire(&mut self, now: Moment) -> Vec<(UpstreamId, Change)> {
-        let (rules, reachability) = (&self.rules.belief, &self.store_reachability);
-        let mut changes = Vec::new();
-        for upstream in self.upstreams.values_mut() {
-            let change = upstream.belief.expire(rules, reachability, now);
-            if change != Change::Same {
-                changes.push((upstream.id.clone(), change));
-            }
-        }
-        self.upstreams.retain(|_, up| !up.belief.is_forgotten(now));
-        self.unlisted.retain(|_, belief| !belief.is_forgotten(now));
-        self.namings.forget(now);
-        if !changes.is_empty() {
-            self.generation += 1;
-        }
-        changes
-    }
-
     /// Records that a request of this VM begins at an upstream.
     fn begin(&mut self, id: &UpstreamId, unread: u64) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -438,43 +333,12 @@
             .is_overdue(rules, &self.store_reachability, now)
     }
 
-    /// Removes the upstreams that are missing from the list as read up to position `next` of its log.
-    ///
-    /// Returns the missing upstreams and the effect of their removal.
-    pub fn keep_only(
-        &mut self,
-        listed: &FxHashSet<UpstreamId>,
-        next: LogPosition,
-        now: Moment,
-    ) -> Vec<(UpstreamId, Change)> {
-        let Some(at) = next.previous() else {
-            return Vec::new();
-        };
-        let known = self.upstreams().map(|up| &up.id);
-        let missing: Vec<UpstreamId> = known.filter(|id| !listed.contains(id)).cloned().collect();
-        missing
-            .into_iter()
-            .map(|id| {
-                let change = self.remove(&id, at, now);
-                (id, change)
-            })
-            .collect()
-    }
-
     /// Whether prompts should not wait for this kept-KV store.
     pub fn is_store_unavailable(&self, store: SocketAddr, now: Moment) -> bool {
         self.kept.is_unavailable(store, now)
     }
 }
 
-/// Whether a change adds an upstream to those present, replaces it or removes it.
-fn changes_presence(change: Change) -> bool {
-    matches!(
-        change,
-        Change::New | Change::Restarted | Change::Gone | Change::Doubted | Change::Lapsed
-    )
-}
-
 /// The fleet, shared by all tasks of a process.
 #[derive(Debug, Clone)]
 pub struct SharedFleet(Arc<Mutex<Fleet>>);
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -6,7 +6,7 @@
 use crate::placing::{ChosenEngine, TrackedPrompt};
 use sesamegap_policy::routing::shards::Division;
 use sesamegap_policy::routing::{Availability, candidates, engines, plain};
-use sesamegap_wire::{DomainId, Moment, ServiceId, UpstreamId};
+use sesamegap_wire::{DomainId, Moment, ServiceId, SoftwareVersion, UpstreamId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -48,6 +48,8 @@
     pub shard: Option<Shard>,
     /// Whether to choose the upstream with the fewest running requests.
     pub least_loaded: bool,
+    /// Software version that the upstream must run, if the request goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 impl Fleet {
@@ -128,7 +130,7 @@
             let engine = fleet.get(&found.engine)?;
             let state = fleet.availability_for(engine, selection.shape, now);
             let is_usable = state == Availability::Open && engine.life == found.life;
-            if !is_usable || selection.tried.contains(&found.engine) {
+            if !is_usable || !selection.accepts(engine) {
                 return None;
             }
             let chosen = Chosen {
@@ -230,10 +232,13 @@
         let candidates = self.candidates(&index, selection, now);
         let open = candidates.into_iter().filter_map(|no| {
             let upstream = self.get(&index.ids[no])?;
-            let is_tried = selection.tried.contains(&upstream.id);
-            (!is_tried).then_some((upstream, index.seats[no].long))
+            let accepted = selection.accepts(upstream);
+            accepted.then_some((upstream, index.seats[no].long))
         });
-        let open: Vec<(&Upstream, bool)> = open.collect();
+        let mut open: Vec<(&Upstream, bool)> = open.collect();
+        if selection.begins_stream() && index.software.len() > 1 {
+            self.reserve_room(&mut open, selection, now);
+        }
         if selection.least_loaded {
             let id = self.least_loaded(&open, selection, now)?.id.clone();
             return Some(Chosen {
@@ -316,7 +321,7 @@
     ) -> bool {
         let is_open = |upstream| {
             self.availability_for(upstream, Some(shape), now) == Availability::Open
-                && !selection.tried.contains(id)
+                && selection.accepts(upstream)
         };
         self.get(id).is_some_and(is_open)
     }
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -85,6 +85,8 @@
     sent_since_load: u32,
     /// Requests that this VM lets through while the upstream is brittle.
     pub(super) gate: Gate,
+    /// When its newest entry was read.
+    listed_at: Moment,
     failures: u32,
     failed_at: Moment,
     avoided_until: Moment,
@@ -115,6 +117,7 @@
             load: None,
             sent_since_load: 0,
             gate: Gate::default(),
+            listed_at: Moment(0),
             failures: 0,
             failed_at: Moment(0),
             avoided_until: Moment(0),
@@ -126,8 +129,12 @@
     /// Applies a newer entry of the same incarnation; `change` is its effect on the belief.
     ///
     /// Returns [`Change::Reloaded`] instead of [`Change::Same`] if the entry names newer weights.
-    pub(super) fn update(&mut self, entry: Entry, change: Change) -> Change {
+    pub(super) fn update(&mut self, entry: Entry, change: Change, now: Moment) -> Change {
         let mut entry = entry;
+        self.listed_at = now;
+        if !entry.software.is_stated() {
+            entry.software = self.entry.software.clone();
+        }
         let mut reloaded = false;
         // An upstream never cancels its announcement to leave, but a delayed heartbeat may look like that.
         entry.leaving = self.belief.is_leaving();
@@ -147,8 +154,25 @@
     }
 
     /// Starts a new incarnation, discarding all observations of the previous one.
-    pub(super) fn restart(&mut self, entry: Entry) {
+    pub(super) fn restart(&mut self, entry: Entry, now: Moment) {
         *self = Self::new(self.id.clone(), entry, self.belief.clone());
+        self.listed_at = now;
+    }
+
+    /// Whether an entry states another software version than the known one, so that another process wrote it.
+    pub(super) fn is_other_software(&self, entry: &Entry) -> bool {
+        let (known, stated) = (&self.entry.software, &entry.software);
+        known.is_stated() && stated.is_stated() && known != stated
+    }
+
+    /// Forgets the software version, since two processes claim the id and neither is known to be the newer one.
+    pub(super) fn doubt_software(&mut self) {
+        self.entry.software = SoftwareVersion::default();
+    }
+
+    /// Whether it has failed since bytes last arrived from it and since its newest entry was read.
+    pub(super) fn has_failed_since_listed(&self) -> bool {
+        self.has_failed() && self.listed_at <= self.failed_at
     }
 
     /// Whether it is a model engine.
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -109,6 +109,7 @@
         arrived,
         deadline,
         charge: None,
+        origin: None,
         fingerprint: OnceLock::new(),
     })
 }
--- a/crates/sesamegap-entry/src/job.rs
+++ b/crates/sesamegap-entry/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that was accepted and is to be forwarded.
 
-use crate::catalogue::{Catalogue, Route, Team};
+use crate::catalogue::{Catalogue, Kind, Route, Team};
 use crate::fleet::PromptShape;
 use crate::ports::RequestHead;
 use crate::quota::Charged;
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use rustc_hash::FxHasher;
+use sesamegap_policy::resumption::{self, Origin, StreamKey};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{Fingerprint, ServiceId};
 use std::hash::{Hash, Hasher};
@@ -46,6 +47,8 @@
     pub deadline: Instant,
     /// The charge to its team's rate limit, if it has one.
     pub charge: Option<Charged>,
+    /// The version at which it must run, if it takes a stream up again.
+    pub origin: Option<Origin>,
     /// Computed on first use by [`Job::fingerprint`].
     pub fingerprint: OnceLock<Fingerprint>,
 }
@@ -96,8 +99,39 @@
         })
     }
 
-    /// The target service, selected by the route's weights.
+    /// Whether it takes up a stream that an earlier attempt of its caller began.
+    pub fn takes_up(&self) -> bool {
+        let head = &self.head;
+        let is_named = head.after.is_some() || head.resumes.is_some();
+        is_named && self.route.kind == Kind::ResumableStream
+    }
+
+    /// Identifies its stream over all attempts of the caller.
+    pub fn stream_key(&self) -> StreamKey {
+        let first = self.head.resumes.as_ref().unwrap_or(&self.head.id);
+        let team = self.team.as_ref().map(|team| team.name.as_str());
+        StreamKey::of(team, first)
+    }
+
+    /// Time for which its caller may still take the stream up again.
+    pub fn caller_time_left(&self) -> Duration {
+        let window = resumption::window(self.route.timeout);
+        let patience = self.head.timeout.unwrap_or(window);
+        patience.saturating_sub(self.arrived.elapsed())
+    }
+
+    /// Services to which its route sends requests.
+    pub fn services(&self) -> Vec<ServiceId> {
+        let targets = self.route.targets.iter();
+        let targets = targets.filter(|target| target.weight > 0);
+        targets.map(|target| target.service.clone()).collect()
+    }
+
+    /// The target service: the one that began its stream, or else one selected by the route's weights.
     pub fn service(&self) -> &ServiceId {
+        if let Some(origin) = &self.origin {
+            return &origin.service;
+        }
         let targets = &self.route.targets;
         let total: u32 = targets.iter().map(|target| target.weight).sum();
         let mut point = u32::try_from(self.hash() >> 32).unwrap_or(0) % total.max(1);
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -4,7 +4,8 @@
 //! back ([`relay`] over [`upstream`]), lists live entry VMs for callers ([`locator`]), follows the operator's settings
 //! and the fleet ([`follow`]), exchanges state with its [`peers`], sends requests on for those that reach no upstream
 //! ([`gateway`]), blocks requests that crash upstreams
-//! ([`quarantine`]), and rolls out weights while it holds the lease ([`roll`]). The process itself stores nothing
+//! ([`quarantine`]), finds the software version at which a stream goes on that a caller takes up again
+//! ([`resumption`]), and rolls out weights while it holds the lease ([`roll`]). The process itself stores nothing
 //! durably: durable state is behind [`ports::Store`].
 //!
 //! The protocols and names of the platform are behind the traits in [`ports`]. An adapter implements them and makes no
@@ -28,6 +29,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod relay;
+pub mod resumption;
 pub mod roll;
 pub mod settings;
 pub mod store;
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -18,6 +18,7 @@
 use crate::placing::{self, PlacementMessage};
 use crate::quarantine;
 use crate::quota;
+use crate::resumption;
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::agreement::membership::MemberUpdate;
@@ -64,6 +65,8 @@
     Quota(sesamegap_policy::quota::Message),
     /// An update on a VM, with its failure domain if the VM itself sends it.
     Member(MemberUpdate, Option<DomainId>),
+    /// A message about streams that callers may take up again.
+    Resumption(sesamegap_policy::resumption::Message),
     /// An event that the receiver relays to other VMs.
     Relayed(Relayed),
 }
@@ -104,6 +107,11 @@
     Datagram::Quota(message.clone()).encode()
 }
 
+/// Encodes a message about streams that callers may take up again, if it can be sent.
+pub fn encode_resumption(message: &sesamegap_policy::resumption::Message) -> Option<Vec<u8>> {
+    Datagram::Resumption(message.clone()).encode()
+}
+
 /// Sends and receives datagrams until the process ends.
 pub async fn run_datagrams(core: Arc<Core>) {
     let addr = core.settings().listen.loads;
@@ -119,6 +127,7 @@
     core.placement_client.socket.set(Arc::clone(&socket));
     core.quarantine.socket.set(Arc::clone(&socket));
     core.quota.socket.set(Arc::clone(&socket));
+    core.resumption.socket.set(Arc::clone(&socket));
     tokio::spawn(receive(Arc::clone(&core), Arc::clone(&socket)));
     let mut last_loads: Vec<UpstreamLoad> = Vec::new();
     let mut recipients = RecipientSelector::default();
@@ -129,6 +138,7 @@
         ticks = ticks.wrapping_add(1);
         quarantine::tick(&core, ticks).await;
         quota::tick(&core);
+        resumption::tick(&core);
         for event in pending_events(&core) {
             broadcast(&core, event).await;
         }
@@ -271,6 +281,7 @@
             placing::apply_reports(core, from, &reports);
         }
         Datagram::Quota(message) => quota::receive(core, from, &message),
+        Datagram::Resumption(message) => resumption::receive(core, from, message),
         Datagram::Quarantine(message) => quarantine::receive(core, from, message).await,
         Datagram::Member(update, domain) => {
             if let Some(domain) = domain {
@@ -290,7 +301,7 @@
     let now = clock::now();
     let mut fleet = core.fleet.lock();
     for update in updates {
-        match fleet.observe_incarnation(&update.engine, update.born) {
+        match fleet.observe_incarnation(&update.engine, update.born, now) {
             // A pause, or weights, of an earlier incarnation do not apply to the current one.
             Change::Former => {
                 info!(event = events::DISCARDED, upstream = %update.engine, born = update.born.map(|born| born.0), "discarded a peer's update on an earlier incarnation");
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -18,7 +18,7 @@
 pub use client::{broadcast_state, pull, run_probes};
 pub use datagrams::{
     apply_engine_updates, broadcast_engine_update, broadcast_store_unavailable, encode_placing,
-    encode_quarantine, encode_quota, run_datagrams,
+    encode_quarantine, encode_quota, encode_resumption, run_datagrams,
 };
 pub use loads::{Loads, UpstreamLoad};
 pub use message::{EngineUpdate, NamedWeights, apply_state, learn_weights, named_weights};
@@ -40,6 +40,7 @@
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::gateways::{Avoided, Place};
 use sesamegap_wire::{DomainId, Incarnation, Moment, VmId};
+use std::cmp::Reverse;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -267,10 +268,16 @@
     /// Returns the datagram addresses of the first `count` VMs in the ranking of a key; `None` stands for this VM.
     pub fn first_ranked(&self, count: usize, ranking_key: u64) -> Vec<Option<SocketAddr>> {
         let roster = self.roster();
-        let mut ranked: Vec<_> = roster.iter().collect();
-        ranked.sort_unstable_by_key(|(vm, _)| std::cmp::Reverse(rank(ranking_key, *vm)));
-        let first = ranked.into_iter().take(count);
-        first.map(|(_, addr)| *addr).collect()
+        let ranked = roster.iter();
+        let mut ranked: Vec<_> = ranked
+            .map(|(vm, addr)| (Reverse(rank(ranking_key, *vm)), *addr))
+            .collect();
+        if count < ranked.len() {
+            ranked.select_nth_unstable_by_key(count, |(rank, _)| *rank);
+            ranked.truncate(count);
+        }
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, addr)| addr).collect()
     }
 
     /// Returns the datagram addresses of all other VMs that are alive.
--- a/crates/sesamegap-entry/src/placing/mod.rs
+++ b/crates/sesamegap-entry/src/placing/mod.rs
@@ -43,6 +43,8 @@
         return core.fleet.choose(selection, clock::now());
     };
     let flight = match owner {
+        // Owners place prompts at any software version: their messages name none.
+        _ if selection.software.is_some() => None,
         Owner::Local => {
             let in_shard = Selection {
                 shard: Some(shard),
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -22,6 +22,7 @@
             tried: &query.tried,
             tie_breaker: 0,
             least_loaded: false,
+            software: None,
             shard: Some(Shard {
                 division: Division::from_bits(bits),
                 number,
--- a/crates/sesamegap-entry/src/refusal.rs
+++ b/crates/sesamegap-entry/src/refusal.rs
@@ -20,6 +20,13 @@
 /// ends that.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_hours(1);
 
+/// `Retry-After` if this VM cannot tell which software version began a stream: another VM, or this one a little later,
+/// may know.
+const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// `Retry-After` of a stream that cannot go on; only a new start helps its caller.
+const NOT_RESUMABLE_RETRY_AFTER: Duration = Duration::from_hours(1);
+
 /// `Retry-After` if the memory for bodies is used up: a body is held for about a second.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -54,6 +61,11 @@
     OverQuota(Duration),
     /// This VM cannot tell whether its team's rate limit allows it; it was not run and will not be.
     NoQuotaRights(Duration),
+    /// It takes a stream up of which this VM cannot tell the software version that began it; it was not run and will not
+    /// be.
+    UnknownOrigin,
+    /// It takes a stream up that can go on at no upstream; it was not run and will not be.
+    NotResumable,
     /// The memory for request bodies is used up.
     OutOfMemory,
     /// It may have run, but no complete response came.
@@ -70,6 +82,8 @@
             Self::NoUpstream => Some(UPSTREAM_RETRY_AFTER),
             Self::Suspect => Some(TRIAL_RETRY_AFTER),
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
+            Self::UnknownOrigin => Some(ORIGIN_RETRY_AFTER),
+            Self::NotResumable => Some(NOT_RESUMABLE_RETRY_AFTER),
             Self::OutOfMemory => Some(MEMORY_RETRY_AFTER),
             Self::OverQuota(wait) | Self::NoQuotaRights(wait) => {
                 Some(wait.max(MIN_QUOTA_RETRY_AFTER))
@@ -92,6 +106,8 @@
             | Self::Suspect
             | Self::Quarantined
             | Self::NoQuotaRights(_)
+            | Self::UnknownOrigin
+            | Self::NotResumable
             | Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -117,6 +133,12 @@
             Self::Quarantined => "quarantined, upstreams end under it; not run",
             Self::OverQuota(_) => "over the team's rate limit; not run",
             Self::NoQuotaRights(_) => "the team's rate limit cannot be checked now; not run",
+            Self::UnknownOrigin => {
+                "the software version that began the stream is not known here now; not run"
+            }
+            Self::NotResumable => {
+                "the stream cannot go on at the software version that began it; not run"
+            }
             Self::OutOfMemory => "too many requests at once; not run",
             Self::Lost => "no whole answer from the upstream; it may have run",
             Self::Timeout => "time is over; it may have run",
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -8,7 +8,7 @@
 use crate::placing;
 use crate::refusal::Refusal;
 use sesamegap_policy::routing::Availability;
-use sesamegap_wire::{ServiceId, UpstreamId};
+use sesamegap_wire::{ServiceId, SoftwareVersion, UpstreamId};
 use std::time::Duration;
 
 /// Least time left for which a retry is worthwhile.
@@ -28,6 +28,8 @@
     pub service: ServiceId,
     /// The prompt's shape, if the request is a prompt.
     pub shape: Option<PromptShape>,
+    /// The software version that it must run at, once an event has been delivered.
+    pub software: Option<SoftwareVersion>,
     /// Attempts that may have run.
     pub runs: u32,
     excluded: Vec<UpstreamId>,
@@ -42,6 +44,7 @@
         Self {
             service: job.service().clone(),
             shape: job.prompt_shape(),
+            software: job.origin.as_ref().map(|origin| origin.software.clone()),
             runs: 0,
             excluded: Vec::new(),
             possibly_run_at: Vec::new(),
@@ -63,6 +66,7 @@
             tie_breaker,
             shard: None,
             least_loaded: on_trial,
+            software: self.software.as_ref(),
         };
         placing::choose(core, &selection, job.time_left()).await
     }
@@ -131,13 +135,28 @@
         self.excluded.clone_from(&self.possibly_run_at);
     }
 
+    /// Whether no upstream is left at which the stream may go on, not even a busy one.
+    pub fn is_version_gone(&self, core: &Core) -> bool {
+        let Some(software) = &self.software else {
+            return false;
+        };
+        let fleet = core.fleet.lock();
+        fleet.is_version_gone(&self.service, software, &self.possibly_run_at, clock::now())
+    }
+
     /// Whether an upstream other than `except` is available for the request.
     pub fn has_other_upstream(&self, core: &Core, job: &Job, except: Option<&UpstreamId>) -> bool {
         let now = clock::now();
         let mut fleet = core.fleet.lock();
         let index = fleet.index(&self.service, job.catalogue.kv_stores(), now);
         let shape = self.shape.as_ref();
-        let is_open = |up: &Upstream| fleet.availability_for(up, shape, now) == Availability::Open;
+        let is_open = |up: &Upstream| {
+            fleet.availability_for(up, shape, now) == Availability::Open
+                && self
+                    .software
+                    .as_ref()
+                    .is_none_or(|version| up.continues(version))
+        };
         let mut others = index.ids.iter().filter(|id| Some(*id) != except);
         others.any(|id| !self.excluded.contains(id) && fleet.get(id).is_some_and(is_open))
     }
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -17,19 +17,21 @@
 use crate::intake::{Body, refusal_response};
 use crate::job::Job;
 use crate::refusal::Refusal;
+use crate::resumption::record_begin;
 use crate::telemetry::events;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use reading::UpstreamStream;
+use sesamegap_policy::resumption::Origin;
 use sesamegap_policy::routing::timeouts;
-use sesamegap_wire::UpstreamId;
+use sesamegap_wire::{SoftwareVersion, UpstreamId};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Delay before all engines are tried again to resume a stream.
 const RESUME_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -51,6 +53,8 @@
     retry: RetryState,
     /// Id of the last event sent to the caller.
     last_event_id: Option<u64>,
+    /// The version that was recorded to have begun the stream.
+    recorded: Option<SoftwareVersion>,
 }
 
 /// Relays a stream request.
@@ -62,6 +66,7 @@
         job,
         retry,
         last_event_id: None,
+        recorded: None,
     };
     match relay.open().await {
         Ok(Opened::Stream(stream)) => {
@@ -175,9 +180,30 @@
             return Ok(None);
         };
         self.check_order(&events)?;
+        if self.recorded.is_none() {
+            self.record_version(stream);
+        }
         Ok(Some(events.bytes))
     }
 
+    /// Binds a resumable stream to the software version of its upstream, for this VM and those that may take it up.
+    fn record_version(&mut self, stream: &UpstreamStream) {
+        if self.job.route.kind != Kind::ResumableStream {
+            return;
+        }
+        let software = stream.flight.confirmed_software();
+        if self.recorded.as_ref() == Some(&software) {
+            return;
+        }
+        let origin = Origin {
+            service: self.retry.service.clone(),
+            software: software.clone(),
+        };
+        record_begin(&self.core, &self.job, origin);
+        self.retry.software = Some(software.clone());
+        self.recorded = Some(software);
+    }
+
     /// Checks that event ids continue without gaps or repeats.
     fn check_order(&mut self, events: &EventBatch) -> Result<(), String> {
         for id in &events.ids {
@@ -195,12 +221,20 @@
     async fn resume(&mut self, stream: UpstreamStream, why: &str) -> Option<UpstreamStream> {
         let id = stream.flight.id.clone();
         warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, software = %stream.flight.software, why, passed = self.last_event_id, "stream broke off");
+        if self.recorded.is_some() {
+            // The upstream may have turned out to run other software than was believed.
+            self.record_version(&stream);
+        }
         // Closes the connection so that two upstreams do not work on one request.
         drop(stream);
         // Without an event id there is no position to resume from.
         self.last_event_id?;
         self.retry.record_run(id);
         while self.retry.can_run_again(&self.job) {
+            if self.retry.is_version_gone(&self.core) {
+                info!(event = events::ATTEMPT, request = %self.job.head.id, software = self.retry.software.as_ref().map(tracing::field::display), "no upstream of the stream's software version is left");
+                return None;
+            }
             // Counts against the retry budget only if an upstream is available.
             let other = self.retry.has_other_upstream(&self.core, &self.job, None);
             if other && self.core.try_retry(&self.retry.service) {
--- /dev/null
+++ b/crates/sesamegap-entry/src/resumption/client.rs
@@ -0,0 +1,202 @@
+//! Records of streams, and questions about them, as entry VMs exchange them in datagrams.
+
+use crate::clock;
+use crate::core::Core;
+use crate::job::Job;
+use crate::peers::{self, MessageNumbers, PeerSocket};
+use crate::ports::Table;
+use rustc_hash::FxHashMap;
+use sesamegap_policy::resumption::{
+    self, Answer, HOLDERS, Message, Origin, Question, Records, StreamKey, Testimony,
+};
+use sesamegap_wire::{Moment, ServiceId};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tracing::debug;
+
+/// Records in one datagram, at about 15 bytes each.
+const RECORDS_PER_DATAGRAM: usize = 64;
+
+/// Time between two passes that drop expired records.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time within which a second version of a service makes this VM send the records that it has kept for itself. Longer
+/// than any stream may be old that is taken up; an earlier one costs a few messages.
+const UNSENT_WINDOW: Duration = Duration::from_mins(1);
+
+/// Age from which the fleet list may lack a version that other VMs know: readers renew it every second or two.
+const MAX_LIST_AGE: Duration = Duration::from_secs(5);
+
+/// Streams that were begun at this VM or for which it is a holder, and its open questions.
+#[derive(Debug, Default)]
+pub struct Resumption {
+    state: Mutex<State>,
+    /// Socket for all messages.
+    pub(crate) socket: PeerSocket,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    records: Records,
+    numbers: MessageNumbers,
+    pending: FxHashMap<u64, UnboundedSender<(SocketAddr, Answer)>>,
+    expired_at: Moment,
+}
+
+/// A question that waits for answers; dropping it discards those that come later.
+#[derive(Debug)]
+pub(super) struct PendingQuestion<'a> {
+    resumption: &'a Resumption,
+    pub(super) number: u64,
+    pub(super) answers: UnboundedReceiver<(SocketAddr, Answer)>,
+}
+
+impl Drop for PendingQuestion<'_> {
+    fn drop(&mut self) {
+        self.resumption.lock().pending.remove(&self.number);
+    }
+}
+
+impl Resumption {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The version that began a stream, if this VM has a record of it.
+    pub(super) fn record(&self, stream: StreamKey) -> Option<Origin> {
+        self.lock().records.get(stream, clock::now()).cloned()
+    }
+
+    /// Number of records that this VM keeps.
+    pub fn record_count(&self) -> usize {
+        self.lock().records.len()
+    }
+
+    pub(super) fn start_question(&self) -> PendingQuestion<'_> {
+        let (sender, answers) = unbounded_channel();
+        let mut state = self.lock();
+        let number = state.numbers.allocate();
+        state.pending.insert(number, sender);
+        PendingQuestion {
+            resumption: self,
+            number,
+            answers,
+        }
+    }
+
+    /// Sends a message without waiting; one that is lost costs at most the resumption of a stream.
+    pub(super) fn send(&self, message: &Message, to: SocketAddr) {
+        if let Some(bytes) = peers::encode_resumption(message) {
+            self.socket.try_send(&bytes, to);
+        }
+    }
+}
+
+/// Records which version began a stream, or took it up, before its first event goes to the caller.
+pub fn record_begin(core: &Core, job: &Job, origin: Origin) {
+    let stream = job.stream_key();
+    let left = job.caller_time_left();
+    let known = testimony(core, &job.services(), resumption::window(job.route.timeout));
+    // Without a record, a VM would take any other version for the one that began the stream.
+    let is_mixed = known.origins.iter().any(|other| *other != origin);
+    {
+        let mut state = core.resumption.lock();
+        let until = clock::now() + left;
+        state.records.insert(stream, origin.clone(), until);
+        if !is_mixed {
+            state.records.mark_unsent(stream, &origin.service);
+        }
+    }
+    if is_mixed {
+        publish(core, vec![(stream, origin, left)]);
+    }
+}
+
+/// Sends records that were kept before a second version of their service appeared, and drops expired ones; called at
+/// fixed intervals.
+pub fn tick(core: &Core) {
+    let now = clock::now();
+    let services: Vec<ServiceId> = {
+        let mut state = core.resumption.lock();
+        if now.since(state.expired_at) >= EXPIRY_INTERVAL {
+            state.expired_at = now;
+            state.records.expire(now);
+        }
+        state.records.unsent_services().cloned().collect()
+    };
+    for service in services {
+        let known = testimony(core, std::slice::from_ref(&service), UNSENT_WINDOW);
+        if known.origins.len() > 1 {
+            let unsent = core.resumption.lock().records.take_unsent(&service, now);
+            publish(core, unsent);
+        }
+    }
+}
+
+/// Handles a message of another VM.
+pub fn receive(core: &Core, from: SocketAddr, message: Message) {
+    match message {
+        Message::Began(origin, streams) => {
+            let now = clock::now();
+            let mut state = core.resumption.lock();
+            for (stream, left_ms) in streams {
+                let left = Duration::from_millis(u64::from(left_ms));
+                state.records.insert(stream, origin.clone(), now + left);
+            }
+        }
+        Message::Ask(question) => {
+            let answer = Message::Answer(question.number, answer(core, &question));
+            core.resumption.send(&answer, from);
+        }
+        Message::Answer(number, answer) => {
+            let state = core.resumption.lock();
+            let sender = state.pending.get(&number);
+            if sender.is_none_or(|sender| sender.send((from, answer)).is_err()) {
+                debug!(number, %from, "an answer about a stream came too late");
+            }
+        }
+    }
+}
+
+fn answer(core: &Core, question: &Question) -> Answer {
+    if let Some(origin) = core.resumption.record(question.stream) {
+        return Answer::Record(origin);
+    }
+    let window = Duration::from_millis(u64::from(question.window_ms));
+    Answer::Versions(testimony(core, &question.services, window))
+}
+
+/// What this VM knows of the versions of some services that served within a time.
+pub(super) fn testimony(core: &Core, services: &[ServiceId], window: Duration) -> Testimony {
+    let catalogue = core.catalogue();
+    let stores = catalogue.as_ref().map(|all| all.kv_stores());
+    let mut fleet = core.fleet.lock();
+    fleet.testimony(services, stores.unwrap_or_default(), window, clock::now())
+}
+
+/// Whether this VM has heard of changes of the fleet list lately.
+pub(super) fn is_list_current(core: &Core) -> bool {
+    let position = core.table_progress(Table::Fleet).position();
+    position.next().is_some() && clock::now().since(position.last_update()) < MAX_LIST_AGE
+}
+
+/// Sends records to the holders of their streams.
+fn publish(core: &Core, records: Vec<(StreamKey, Origin, Duration)>) {
+    let mut batches: FxHashMap<(SocketAddr, Origin), Vec<(StreamKey, u32)>> = FxHashMap::default();
+    for (stream, origin, left) in records {
+        let left_ms = clock::wire_millis(left);
+        let ranked = core.peers.first_ranked(HOLDERS + 1, stream.0);
+        for holder in ranked.into_iter().flatten().take(HOLDERS) {
+            let batch = batches.entry((holder, origin.clone())).or_default();
+            batch.push((stream, left_ms));
+        }
+    }
+    for ((holder, origin), streams) in batches {
+        for streams in streams.chunks(RECORDS_PER_DATAGRAM) {
+            let message = Message::Began(origin.clone(), streams.to_vec());
+            core.resumption.send(&message, holder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -0,0 +1,147 @@
+//! Looks up which version began a stream that a caller takes up again.
+
+use super::client::{is_list_current, testimony};
+use crate::clock;
+use crate::core::Core;
+
+use crate::job::Job;
+use crate::refusal::Refusal;
+use crate::telemetry::events;
+use sesamegap_policy::resumption::{
+    self, ASKED, Answer, Message, Origin, Question, Verdict, decide,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+use tracing::info;
+
+/// Timeout of a question, after which it is sent once more: several times a round trip, and the time for which a small
+/// VM may have to wait for its share of a core.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// How often a question is sent to a VM that does not answer.
+const SENDS: u32 = 2;
+
+/// Answers of other VMs about a stream.
+#[derive(Debug, Default)]
+struct Answers {
+    /// Number of VMs asked.
+    asked: usize,
+    given: Vec<Answer>,
+}
+
+/// The version at which a request must run, or `None` if it does not take a stream up again.
+///
+/// # Errors
+/// If the stream cannot go on, or not at a version that this VM can tell; the error is the caller's response.
+pub async fn find_origin(core: &Core, job: &Job) -> Result<Option<Origin>, Refusal> {
+    if !job.takes_up() {
+        return Ok(None);
+    }
+    let window = resumption::window(job.route.timeout);
+    let answers = match core.resumption.record(job.stream_key()) {
+        Some(origin) => Answers {
+            asked: 0,
+            given: vec![Answer::Record(origin)],
+        },
+        None => ask(core, job, window).await,
+    };
+    let mut own = testimony(core, &job.services(), window);
+    // A VM that has heard nothing for a while may lack a version that others have used since.
+    own.complete &= is_list_current(core) || !answers.given.is_empty();
+    let verdict = decide(&own, &answers.given);
+    let found = match &verdict {
+        Verdict::At(origin, _) => place(core, job, origin),
+        // The record may be at a VM that does not answer now.
+        Verdict::Ambiguous if answers.given.len() < answers.asked => Err(Refusal::UnknownOrigin),
+        Verdict::Ambiguous => Err(Refusal::NotResumable),
+        Verdict::Uninformed => Err(Refusal::UnknownOrigin),
+    };
+    info!(
+        event = events::RESUMED,
+        request = %job.head.id,
+        resumes = job.head.resumes.as_deref(),
+        after = job.head.after.as_deref(),
+        ?verdict,
+        asked = answers.asked,
+        answered = answers.given.len(),
+        versions = own.origins.len(),
+        refused = found.as_ref().err().map(tracing::field::display),
+        "a caller takes a stream up again"
+    );
+    core.metrics
+        .count_resumption(label(&verdict, found.is_ok()));
+    found.map(Some)
+}
+
+/// Moves an origin to the service of the request's route, if the route has changed meanwhile.
+fn place(core: &Core, job: &Job, origin: &Origin) -> Result<Origin, Refusal> {
+    let is_target = job.services().contains(&origin.service);
+    let service = if is_target {
+        &origin.service
+    } else {
+        job.service()
+    };
+    let fleet = core.fleet.lock();
+    if fleet.is_version_gone(service, &origin.software, &[], clock::now()) {
+        return Err(Refusal::NotResumable);
+    }
+    Ok(Origin {
+        service: service.clone(),
+        software: origin.software.clone(),
+    })
+}
+
+/// Asks the VMs that may hold the record of a stream.
+async fn ask(core: &Core, job: &Job, window: Duration) -> Answers {
+    let stream = job.stream_key();
+    let mut silent: Vec<SocketAddr> = core
+        .peers
+        .first_ranked(ASKED, stream.0)
+        .into_iter()
+        .flatten()
+        .collect();
+    let mut answers = Answers {
+        asked: silent.len(),
+        given: Vec::new(),
+    };
+    let mut pending = core.resumption.start_question();
+    let message = Message::Ask(Question {
+        number: pending.number,
+        stream,
+        services: job.services(),
+        window_ms: clock::wire_millis(window),
+    });
+    for _ in 0..SENDS {
+        for vm in &silent {
+            core.resumption.send(&message, *vm);
+        }
+        let until = Instant::now() + ANSWER_TIMEOUT;
+        while !silent.is_empty() {
+            let Ok(Some((from, answer))) = timeout_at(until, pending.answers.recv()).await else {
+                break;
+            };
+            let Some(at) = silent.iter().position(|vm| *vm == from) else {
+                continue;
+            };
+            silent.swap_remove(at);
+            let is_record = answer.record().is_some();
+            answers.given.push(answer);
+            if is_record {
+                return answers;
+            }
+        }
+    }
+    answers
+}
+
+/// The metric label of an outcome.
+fn label(verdict: &Verdict, is_placed: bool) -> &'static str {
+    match verdict {
+        Verdict::At(..) if !is_placed => "version_gone",
+        Verdict::At(_, resumption::Evidence::Record) => "record",
+        Verdict::At(_, resumption::Evidence::OnlyVersion) => "only_version",
+        Verdict::Ambiguous => "ambiguous",
+        Verdict::Uninformed => "uninformed",
+    }
+}
--- a/crates/sesamegap-entry/src/roll/engine.rs
+++ b/crates/sesamegap-entry/src/roll/engine.rs
@@ -229,7 +229,10 @@
             }
         };
         // A restarted engine has not accepted any earlier order, whatever its former instance answered.
-        let change = core.fleet.lock().apply_report(&target.engine, &report);
+        let change = core
+            .fleet
+            .lock()
+            .apply_report(&target.engine, &report, clock::now());
         if change == Change::Restarted {
             info!(event = events::UPSTREAM, upstream = %target.engine, change = ?change, born = report.born.map(|born| born.0), "report comes from a newer instance of the engine");
         }
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -74,3 +74,5 @@
 pub const QUOTA_REFUSED: u16 = 760;
 /// This VM began or ceased to hold most rights to a shard of the rate limits.
 pub const QUOTA_RIGHTS: u16 = 761;
+/// A caller takes a stream up again; the line says which software version began it, how that was found, or why it is not.
+pub const RESUMED: u16 = 762;
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -48,6 +48,7 @@
     refusals: Counter<u64>,
     quota_refusals: Counter<u64>,
     relayed: Counter<u64>,
+    resumptions: Counter<u64>,
     request_time: Histogram<f64>,
     first_event_time: Histogram<f64>,
     gauges: Gauge<u64>,
@@ -94,6 +95,10 @@
                 .u64_counter("sesamegap_relayed")
                 .with_description("Requests sent on for peers, by outcome")
                 .build(),
+            resumptions: meter
+                .u64_counter("sesamegap_resumptions")
+                .with_description("Streams that callers took up again, by outcome")
+                .build(),
             request_time: latency("sesamegap_request", "Time from a request's head to its end"),
             first_event_time: latency(
                 "sesamegap_first_event",
@@ -146,6 +151,12 @@
         self.quota_refusals.add(1, &[status]);
     }
 
+    /// Counts a stream that a caller takes up again.
+    pub fn count_resumption(&self, outcome: &'static str) {
+        self.resumptions
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that this VM sent on for a peer, or declined to.
     pub fn count_relayed(&self, outcome: &'static str) {
         self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -128,6 +128,7 @@
         tie_breaker: 0,
         shard: None,
         least_loaded: false,
+        software: None,
     };
     core.fleet.choose(&selection, clock::now())
 }
--- a/crates/sesamegap-entry/tests/testsuite/placing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/placing.rs
@@ -88,6 +88,7 @@
         tie_breaker: 0,
         shard: None,
         least_loaded: false,
+        software: None,
     };
     choose(core, &selection, Duration::from_secs(5)).await
 }
--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -294,6 +294,7 @@
         tie_breaker: 0,
         shard: None,
         least_loaded: false,
+        software: None,
     };
     let stream = core.fleet.choose(&selection, clock::now()).unwrap();
     assert_eq!(stream.id, ids[8]);
--- a/crates/sesamegap-entry/tests/testsuite/software_versions.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions.rs
@@ -1,12 +1,18 @@
 //! Upstreams of several software versions in one service: a stream goes on only at the version that began it.
 
-use crate::support::{Act, Answer, Caller, Process, Upstream, entry, offset, request_of, vms};
+use crate::support::{
+    Act, Answer, Caller, Process, Upstream, document, entry, offset, request_of, unused_addr, vms,
+    wait_until,
+};
+use sesamegap_entry::catalogue::Target;
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
-use sesamegap_entry::fleet::Entry;
-use sesamegap_wire::UpstreamId;
+use sesamegap_entry::fleet::{Change, Entry, PromptShape, Selection};
+use sesamegap_policy::routing::engines::Prompt;
+use sesamegap_wire::{Moment, UpstreamId};
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Streams of a test, with prompts of their own: which upstream one goes to is a matter of chance.
@@ -174,3 +180,312 @@
     }
     assert_eq!(engines.seen_by_others() + engines.same.seen().len(), 0);
 }
+
+/// A VM whose list lags knows one version only, and would take it for the one that began the stream.
+#[tokio::test]
+async fn a_vm_whose_list_lags_asks_others_which_versions_serve() {
+    let vms = vms(3, 63).await;
+    let engines = Engines::start().await;
+    for vm in &vms {
+        vm.core.fleet.lock().record_list(Moment(1));
+        list(&vm.core, "same", engines.same.addr, "v1");
+    }
+    engines.list_others(&vms[2].core);
+    let answer = take_up(vms[1].callers, 0, "s0").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(engines.same.seen().len(), 0);
+}
+
+/// Refusals of streams that can only have begun at one version would be needless.
+#[tokio::test]
+async fn a_stream_without_a_record_goes_on_if_one_version_has_served() {
+    let vms = vms(3, 64).await;
+    let engines = Engines::start().await;
+    for vm in &vms {
+        vm.core.fleet.lock().record_list(Moment(1));
+        list(&vm.core, "same", engines.same.addr, "v1");
+    }
+    let answer = take_up(vms[1].callers, 0, "s0").await;
+    assert_eq!((answer.status, answer.body), (200, events(4..9)));
+}
+
+/// The last upstream of a version has gone, and one of the streams that it began is taken up.
+#[tokio::test]
+async fn a_version_that_served_lately_counts() {
+    let vms = vms(2, 65).await;
+    let engines = Engines::start().await;
+    for vm in &vms {
+        vm.core.fleet.lock().record_list(Moment(1));
+        list(&vm.core, "other-0", engines.others[0].addr, "v2");
+        let gone = "other-0".parse().unwrap();
+        let mut fleet = vm.core.fleet.lock();
+        fleet.remove(&gone, offset(1), clock::now());
+        drop(fleet);
+        list(&vm.core, "same", engines.same.addr, "v1");
+    }
+    let answer = take_up(vms[1].callers, 0, "s0").await;
+    assert_eq!(answer.status, 503);
+}
+
+/// A VM that has just started, or hears from nobody, does not know which versions have served.
+#[tokio::test]
+async fn a_vm_that_knows_nothing_of_the_past_refuses_a_stream_without_a_record() {
+    let process = Process::new().await;
+    let engine = Upstream::start(vec![Act::Events(4..9)]).await;
+    list(&process.core, "same", engine.addr, "v1");
+    let answer = take_up(process.callers, 0, "s0").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("retry-after"), Some("0.50"));
+    assert_eq!(engine.seen().len(), 0);
+}
+
+/// A release begins while streams run, whose VM is then killed: other VMs need the records of these too.
+#[tokio::test]
+async fn records_are_sent_when_a_second_version_appears() {
+    let vms = vms(3, 66).await;
+    let first = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    let engines = Engines::start().await;
+    for vm in &vms {
+        list(&vm.core, "first", first.addr, "v1");
+    }
+    let began_at = &vms[0];
+    for no in 0..STREAMS {
+        let mut caller = send(began_at.callers, &format!("s{no}"), &prompt(no)).await;
+        caller.until("t3").await;
+    }
+    for vm in &vms {
+        assert_eq!(
+            vm.core.resumption.record_count() > 0,
+            Arc::ptr_eq(&vm.core, &began_at.core)
+        );
+        engines.list(&vm.core);
+        pause(&vm.core, "first");
+    }
+    wait_until(|| vms[1].core.resumption.record_count() == STREAMS).await;
+    for no in 0..STREAMS {
+        let answer = take_up(vms[1].callers, no, &format!("s{no}")).await;
+        assert_eq!((answer.status, answer.body), (200, events(4..9)));
+    }
+    assert_eq!(engines.seen_by_others(), 0);
+}
+
+/// A stream that breaks twice comes to a third VM, which asks for the attempt that brought its first event.
+#[tokio::test]
+async fn a_stream_taken_up_twice_stays_at_its_software_version() {
+    let vms = vms(4, 67).await;
+    let first = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    let engines = Engines::start().await;
+    for vm in &vms {
+        engines.list(&vm.core);
+    }
+    engines.pause_others(&vms[0].core, Duration::from_mins(1));
+    list(&vms[0].core, "first", first.addr, "v1");
+    vms[0]
+        .core
+        .fleet
+        .lock()
+        .get_mut(&"same".parse().unwrap())
+        .unwrap()
+        .pause(clock::now() + Duration::from_mins(1));
+    let mut caller = send(vms[0].callers, "s0", &prompt(0)).await;
+    assert_eq!(caller.answer().await.body, events(1..4));
+    for vm in &vms[1..] {
+        let answer = take_up(vm.callers, 0, "s0").await;
+        assert_eq!((answer.status, answer.body), (200, events(4..9)));
+    }
+    assert_eq!(engines.seen_by_others(), 0);
+}
+
+/// The platform may start another version under the id of an upstream that ended.
+#[tokio::test]
+async fn another_version_under_the_same_id_is_a_restart() {
+    let process = Process::new().await;
+    let first = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    let restarted = Upstream::start(vec![Act::Events(4..9)]).await;
+    list(&process.core, "first", first.addr, "v1");
+    list(&process.core, "second", restarted.addr, "v1");
+    pause(&process.core, "second");
+    let mut caller = send(process.callers, "s0", &prompt(0)).await;
+    caller.until("t3").await;
+    let second: UpstreamId = "second".parse().unwrap();
+    let entry = Entry {
+        software: "v2".parse().unwrap(),
+        beat: 2,
+        ..entry("engines", restarted.addr)
+    };
+    let change = process
+        .core
+        .fleet
+        .lock()
+        .apply(&second, entry, offset(1), clock::now());
+    assert_eq!(change, Change::Restarted);
+    assert!(!caller.answer().await.is_complete);
+    assert_eq!(restarted.seen().len(), 0);
+}
+
+fn pause(core: &Core, id: &str) {
+    let mut fleet = core.fleet.lock();
+    let upstream = fleet.get_mut(&id.parse().unwrap()).unwrap();
+    upstream.pause(clock::now() + Duration::from_mins(1));
+}
+
+/// A record without an incarnation and with an older heartbeat may be of either of two processes under one id.
+#[tokio::test]
+async fn an_upstream_whose_version_is_in_doubt_continues_no_stream() {
+    let core = Process::new().await.core;
+    let addr = unused_addr();
+    list(&core, "e1", addr, "v1");
+    let id: UpstreamId = "e1".parse().unwrap();
+    let late = Entry {
+        software: "v2".parse().unwrap(),
+        beat: 0,
+        ..entry("engines", addr)
+    };
+    let mut fleet = core.fleet.lock();
+    assert_eq!(
+        fleet.apply(&id, late, offset(1), clock::now()),
+        Change::Late
+    );
+    let upstream = fleet.get(&id).unwrap();
+    for version in ["v1", "v2"] {
+        assert!(!upstream.continues(&version.parse().unwrap()));
+    }
+}
+
+/// An upstream that crashed may be back with other software before its entry is: its address answers, and workers do
+/// not check which version began a stream.
+#[tokio::test]
+async fn an_upstream_that_failed_since_its_entry_was_read_continues_no_stream() {
+    let core = Process::new().await.core;
+    let addr = unused_addr();
+    list(&core, "e1", addr, "v1");
+    let id: UpstreamId = "e1".parse().unwrap();
+    let version = "v1".parse().unwrap();
+    let mut fleet = core.fleet.lock();
+    assert!(fleet.get(&id).unwrap().continues(&version));
+    fleet.record_failure(&id, clock::now());
+    assert!(!fleet.get(&id).unwrap().continues(&version));
+    let newer = Entry {
+        software: version.clone(),
+        beat: 2,
+        ..entry("engines", addr)
+    };
+    fleet.apply(
+        &id,
+        newer,
+        offset(1),
+        clock::now() + Duration::from_millis(1),
+    );
+    assert!(fleet.get(&id).unwrap().continues(&version));
+}
+
+/// VMs of a release that sends no versions relay entries of upstreams whose version is known.
+#[tokio::test]
+async fn an_entry_without_a_version_changes_none() {
+    let core = Process::new().await.core;
+    let addr = unused_addr();
+    list(&core, "e1", addr, "v1");
+    let id: UpstreamId = "e1".parse().unwrap();
+    let relayed = Entry {
+        beat: 2,
+        ..entry("engines", addr)
+    };
+    let mut fleet = core.fleet.lock();
+    assert_eq!(
+        fleet.apply(&id, relayed, offset(1), clock::now()),
+        Change::Same
+    );
+    assert!(fleet.get(&id).unwrap().continues(&"v1".parse().unwrap()));
+}
+
+/// New streams fill the few upstreams of a version, and one that breaks off has nowhere to go.
+#[tokio::test]
+async fn new_streams_leave_room_at_each_version() {
+    let core = Process::new().await.core;
+    list(&core, "e1", unused_addr(), "v1");
+    list(&core, "e2", unused_addr(), "v2");
+    let shape = PromptShape {
+        model: "m".into(),
+        prompt: Prompt::default(),
+    };
+    let version = "v1".parse().unwrap();
+    let domain = "hall-a".parse().unwrap();
+    let service = "engines".parse().unwrap();
+    let selection = |software| Selection {
+        service: &service,
+        domain: &domain,
+        stores: &[],
+        shape: Some(&shape),
+        tried: &[],
+        tie_breaker: 0,
+        shard: None,
+        least_loaded: false,
+        software,
+    };
+    let slots = entry("engines", unused_addr()).slots;
+    let new: Vec<_> = (0..2 * (slots - 1))
+        .map(|_| core.fleet.choose(&selection(None), clock::now()).unwrap())
+        .collect();
+    for id in ["e1", "e2"] {
+        let begun = new.iter().filter(|flight| flight.id.as_str() == id);
+        assert_eq!(begun.count(), slots as usize - 1, "{id}");
+    }
+    let resumed = core
+        .fleet
+        .choose(&selection(Some(&version)), clock::now())
+        .unwrap();
+    assert_eq!(resumed.id.as_str(), "e1");
+    assert!(resumed.running < slots);
+}
+
+/// A route is split over services, and each attempt of a caller would be placed by its own id.
+#[tokio::test]
+async fn a_stream_goes_on_in_the_service_that_began_it() {
+    let vms = vms(2, 68).await;
+    let engines = Engines::start().await;
+    let spare = Upstream::start(vec![Act::Events(4..9)]).await;
+    let first = Upstream::start(vec![Act::CutEvents(1..4)]).await;
+    let mut split = document(2);
+    let target = |service: &str| Target {
+        service: service.parse().unwrap(),
+        weight: 50,
+    };
+    let review = split
+        .routes
+        .iter_mut()
+        .find(|route| route.prefix == "/review/");
+    review.unwrap().targets = vec![target("engines"), target("spare")];
+    for vm in &vms {
+        vm.core.adopt(&Arc::new(split.clone()), "test");
+        for (id, service, addr) in [
+            ("same", "engines", engines.same.addr),
+            ("spare", "spare", spare.addr),
+        ] {
+            let mut listed = entry("engines", addr);
+            listed.service = service.parse().unwrap();
+            listed.software = "v1".parse().unwrap();
+            vm.core
+                .fleet
+                .lock()
+                .apply(&id.parse().unwrap(), listed, offset(0), clock::now());
+        }
+    }
+    pause(&vms[0].core, "same");
+    list(&vms[0].core, "first", first.addr, "v1");
+    let mut begun = Vec::new();
+    for no in 0..4 * STREAMS {
+        let mut caller = send(vms[0].callers, &format!("s{no}"), &prompt(no)).await;
+        caller.until("t").await;
+        let before = first.seen().len();
+        if before > begun.len() {
+            begun.push(no);
+        }
+    }
+    assert!(begun.len() > STREAMS, "{begun:?}");
+    let before = spare.seen().len();
+    for no in begun {
+        let answer = take_up(vms[1].callers, no, &format!("s{no}")).await;
+        assert_eq!((answer.status, answer.body), (200, events(4..9)));
+    }
+    assert_eq!(spare.seen().len(), before);
+}
--- a/crates/sesamegap-measure/src/slopes/upstreams.rs
+++ b/crates/sesamegap-measure/src/slopes/upstreams.rs
@@ -125,6 +125,7 @@
         tie_breaker: 0,
         shard,
         least_loaded: false,
+        software: None,
     };
     let start = Instant::now();
     drop(fleet.index(service, &[], now));
--- a/crates/sesamegap-policy/src/lib.rs
+++ b/crates/sesamegap-policy/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`placing`] tracks which engine caches which prefix and picks the engine, [`load`] has queues,
 //! limits and budgets, [`shifting`] decides which engine loads which model, [`quarantine`]
 //! restricts requests that crash upstreams, [`quota`] enforces rate limits of teams over all entry
-//! VMs, and [`agreement`] has the rules by which processes
-//! agree through the platform's log. Time and randomness are always passed as arguments, so that
+//! VMs, [`resumption`] finds the software version at which a stream goes on, and [`agreement`] has the
+//! rules by which processes agree through the platform's log. Time and randomness are always passed as arguments, so that
 //! tests and the measuring driver can simulate hours of traffic quickly.
 
 pub mod agreement;
@@ -14,6 +14,7 @@
 pub mod placing;
 pub mod quarantine;
 pub mod quota;
+pub mod resumption;
 pub mod routing;
 pub mod shifting;
 
--- /dev/null
+++ b/crates/sesamegap-policy/src/resumption/message.rs
@@ -0,0 +1,57 @@
+//! Messages between VMs about streams that may be taken up again.
+
+use super::records::StreamKey;
+use super::versions::{Origin, Testimony};
+use serde::{Deserialize, Serialize};
+use sesamegap_wire::ServiceId;
+
+/// A message between VMs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Streams that a version began, with the milliseconds left to their callers; the receiver is one of their holders.
+    Began(Origin, Vec<(StreamKey, u32)>),
+    /// Asks which version began a stream.
+    Ask(Question),
+    /// The answer to a question, with its number.
+    Answer(u64, Answer),
+}
+
+/// Asks a holder which version began a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Number of the question, unique among those of the sender.
+    pub number: u64,
+    /// The stream.
+    pub stream: StreamKey,
+    /// Services of its route.
+    pub services: Vec<ServiceId>,
+    /// Milliseconds before now in which it may have begun.
+    pub window_ms: u32,
+}
+
+/// What a VM knows of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The version that began it.
+    Record(Origin),
+    /// No record of it, but the versions that can have begun it.
+    Versions(Testimony),
+}
+
+impl Answer {
+    /// The record of the stream.
+    pub fn record(&self) -> Option<&Origin> {
+        match self {
+            Self::Record(origin) => Some(origin),
+            Self::Versions(_) => None,
+        }
+    }
+
+    /// The versions that can have begun the stream, if there is no record of it.
+    pub fn testimony(&self) -> Option<&Testimony> {
+        match self {
+            Self::Record(_) => None,
+            Self::Versions(testimony) => Some(testimony),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/resumption/versions.rs
@@ -0,0 +1,75 @@
+//! The software versions of each service that served lately.
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use sesamegap_wire::{Moment, ServiceId, SoftwareVersion};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// How long a version is remembered after its last upstream has gone; longer than callers take streams up again.
+const RETENTION: Duration = Duration::from_mins(10);
+
+/// A service and the version of its software that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// The service.
+    pub service: ServiceId,
+    /// The version of its software.
+    pub software: SoftwareVersion,
+}
+
+/// What a VM knows of the versions that can have begun a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Testimony {
+    /// Versions that served in the time in question.
+    pub origins: BTreeSet<Origin>,
+    /// Whether no other version served in that time.
+    pub complete: bool,
+}
+
+/// When each version of a service was last known to serve.
+#[derive(Debug, Default)]
+pub struct ServedVersions {
+    services: FxHashMap<ServiceId, Vec<(SoftwareVersion, Moment)>>,
+    /// Since when the fleet list has been followed.
+    followed_since: Option<Moment>,
+}
+
+impl ServedVersions {
+    /// Records that the fleet list is known from now on.
+    pub fn record_list(&mut self, now: Moment) {
+        self.followed_since.get_or_insert(now);
+    }
+
+    /// Records that an upstream of a version serves or served until now.
+    pub fn record(&mut self, service: &ServiceId, software: &SoftwareVersion, now: Moment) {
+        let Some(versions) = self.services.get_mut(service) else {
+            let versions = vec![(software.clone(), now)];
+            self.services.insert(service.clone(), versions);
+            return;
+        };
+        match versions.iter_mut().find(|(known, _)| known == software) {
+            Some((_, served)) => *served = now.max(*served),
+            None => versions.push((software.clone(), now)),
+        }
+        versions.retain(|(_, served)| now.since(*served) < RETENTION);
+    }
+
+    /// The versions of a service that served within a time before now.
+    pub fn within(
+        &self,
+        service: &ServiceId,
+        window: Duration,
+        now: Moment,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        let versions = self.services.get(service).into_iter().flatten();
+        let recent = versions.filter(move |(_, served)| now.since(*served) <= window);
+        recent.map(|(software, _)| software)
+    }
+
+    /// Whether the list has been followed for this long.
+    pub fn covers(&self, window: Duration, now: Moment) -> bool {
+        let since = self.followed_since;
+        since.is_some_and(|since| now.since(since) >= window)
+    }
+}
