Model of resumption in virtual time: releases that overlap while VMs are killed, cut off and lag

Decisions, records and versions are checked by themselves, and a fleet of seven VMs in random histories: releases that overlap, stop halfway and go back, lists that lag by up to 1.3 s, VMs that are killed, restarted and cut off. Three planted faults (records kept at one VM, others not asked, versions forgotten) are caught.

--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -13,6 +13,11 @@
     reason = "a test fails if one of its helpers does"
 )]
 mod quota;
+#[expect(
+    clippy::unwrap_used,
+    reason = "a test fails if one of its helpers does"
+)]
+mod resumption;
 mod routing;
 mod serving;
 mod shifting;
--- /dev/null
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/world.rs
@@ -0,0 +1,313 @@
+//! Entry VMs before a service whose releases overlap, in virtual time.
+//!
+//! Each VM knows the versions with a lag of its own. Messages between VMs that run and reach each other arrive at once.
+
+use rand::rngs::ChaCha12Rng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use sesamegap_policy::resumption::{
+    ASKED, Answer, HOLDERS, Origin, Records, ServedVersions, StreamKey, Testimony, Verdict, decide,
+};
+use sesamegap_policy::routing::engines::rank;
+use sesamegap_wire::{Moment, ServiceId, SoftwareVersion};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Entry VMs.
+const VMS: usize = 7;
+
+/// Steps of a history, and the time that each takes.
+const STEPS: u32 = 600;
+const STEP: Duration = Duration::from_millis(100);
+
+/// Time within which callers take streams up again.
+const WINDOW: Duration = Duration::from_secs(12);
+
+/// Longest time until a VM knows a change of the list, in steps.
+const LAG: usize = 13;
+
+/// Versions that releases choose from.
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+
+/// A fault planted in the protocol, which the checks must notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// Records stay at the VM that began the stream.
+    KeepsRecords,
+    /// A VM does not ask others.
+    TrustsItself,
+    /// A version is forgotten once its last upstream has gone.
+    ForgetsVersions,
+}
+
+#[derive(Debug, Default)]
+struct Vm {
+    runs: bool,
+    cut_until: u32,
+    lag: usize,
+    records: Records,
+    served: ServedVersions,
+}
+
+#[derive(Debug)]
+struct Stream {
+    key: StreamKey,
+    origin: Origin,
+    vm: usize,
+    until: Moment,
+}
+
+/// A history and what came of its streams.
+#[derive(Debug)]
+pub struct World {
+    rng: ChaCha12Rng,
+    flaw: Option<Flaw>,
+    step: u32,
+    vms: Vec<Vm>,
+    /// The versions that serve, at each step so far.
+    serving: Vec<BTreeSet<SoftwareVersion>>,
+    streams: Vec<Stream>,
+    /// Streams that went on at another version.
+    pub mixed: usize,
+    /// Streams that were taken up while an upstream of their version served.
+    pub taken_up: usize,
+    /// Those of them that went on.
+    pub went_on: usize,
+}
+
+fn service() -> ServiceId {
+    "engines".parse().unwrap()
+}
+
+impl World {
+    /// Plays a history to its end.
+    pub fn play(seed: u64, flaw: Option<Flaw>) -> Self {
+        let first = BTreeSet::from([VERSIONS[0].parse().unwrap()]);
+        let mut world = Self {
+            rng: ChaCha12Rng::seed_from_u64(seed),
+            flaw,
+            step: 0,
+            vms: (0..VMS).map(|_| Vm::default()).collect(),
+            serving: vec![first; 1],
+            streams: Vec::new(),
+            mixed: 0,
+            taken_up: 0,
+            went_on: 0,
+        };
+        for vm in &mut world.vms {
+            vm.runs = true;
+            vm.lag = world.rng.random_range(0..LAG);
+            // All have run for a while.
+            vm.served.record_list(Moment(0));
+        }
+        while world.step < STEPS {
+            world.advance();
+        }
+        world
+    }
+
+    fn now(&self) -> Moment {
+        Moment(0) + Duration::from_hours(1) + STEP * self.step
+    }
+
+    fn advance(&mut self) {
+        self.step += 1;
+        self.release();
+        self.learn();
+        self.begin();
+        self.disturb();
+    }
+
+    /// Adds or takes away a version; at least one stays.
+    fn release(&mut self) {
+        let mut now = self.serving[self.serving.len() - 1].clone();
+        if self.rng.random_bool(0.02) {
+            let version = VERSIONS.iter().choose(&mut self.rng).unwrap();
+            let version: SoftwareVersion = version.parse().unwrap();
+            if !now.remove(&version) || now.is_empty() {
+                now.insert(version);
+            }
+        }
+        self.serving.push(now);
+    }
+
+    /// Versions that a VM knows to serve.
+    fn known(&self, vm: usize) -> &BTreeSet<SoftwareVersion> {
+        let at = self.serving.len() - 1;
+        &self.serving[at.saturating_sub(self.vms[vm].lag)]
+    }
+
+    fn learn(&mut self) {
+        let now = self.now();
+        for vm in 0..VMS {
+            let known = self.known(vm).clone();
+            if !self.vms[vm].runs || self.is_cut(vm) {
+                continue;
+            }
+            for software in &known {
+                self.vms[vm].served.record(&service(), software, now);
+            }
+            let is_mixed = self.testimony(vm).origins.len() > 1;
+            if is_mixed && self.flaw != Some(Flaw::KeepsRecords) {
+                let unsent = self.vms[vm].records.take_unsent(&service(), now);
+                for (stream, origin, left) in unsent {
+                    self.publish(vm, stream, &origin, now + left);
+                }
+            }
+        }
+    }
+
+    fn testimony(&self, vm: usize) -> Testimony {
+        let service = service();
+        let origin = |software: &SoftwareVersion| Origin {
+            service: service.clone(),
+            software: software.clone(),
+        };
+        let window = match self.flaw {
+            Some(Flaw::ForgetsVersions) => Duration::ZERO,
+            _ => WINDOW,
+        };
+        let served = &self.vms[vm].served;
+        let past = served.within(&service, window, self.now()).map(origin);
+        Testimony {
+            origins: past.chain(self.known(vm).iter().map(origin)).collect(),
+            complete: served.covers(WINDOW, self.now()),
+        }
+    }
+
+    fn is_cut(&self, vm: usize) -> bool {
+        self.step < self.vms[vm].cut_until
+    }
+
+    /// VMs that run, ranked for a stream.
+    fn ranked(&self, stream: StreamKey) -> Vec<usize> {
+        let mut ranked: Vec<usize> = (0..VMS).filter(|vm| self.vms[*vm].runs).collect();
+        ranked.sort_by_key(|vm| std::cmp::Reverse(rank(stream.0, *vm as u64 + 1)));
+        ranked
+    }
+
+    fn publish(&mut self, vm: usize, stream: StreamKey, origin: &Origin, until: Moment) {
+        if self.is_cut(vm) {
+            return;
+        }
+        let ranked = self.ranked(stream).into_iter().take(HOLDERS + 1);
+        let holders: Vec<usize> = ranked
+            .filter(|holder| *holder != vm)
+            .take(HOLDERS)
+            .collect();
+        for holder in holders {
+            if !self.is_cut(holder) {
+                self.vms[holder]
+                    .records
+                    .insert(stream, origin.clone(), until);
+            }
+        }
+    }
+
+    /// Begins streams at VMs that run, at versions that these know and that serve.
+    fn begin(&mut self) {
+        for vm in 0..VMS {
+            let serving = &self.serving[self.serving.len() - 1];
+            let usable = self.known(vm).intersection(serving).cloned();
+            let usable: Vec<SoftwareVersion> = usable.collect();
+            let Some(software) = usable.into_iter().choose(&mut self.rng) else {
+                continue;
+            };
+            if !self.vms[vm].runs || self.rng.random_bool(0.7) {
+                continue;
+            }
+            let key = StreamKey(self.rng.random());
+            let origin = Origin {
+                service: service(),
+                software,
+            };
+            let until = self.now() + WINDOW;
+            let is_mixed = self.testimony(vm).origins.len() > 1;
+            let records = &mut self.vms[vm].records;
+            records.insert(key, origin.clone(), until);
+            if !is_mixed {
+                records.mark_unsent(key, &service());
+            } else if self.flaw != Some(Flaw::KeepsRecords) {
+                self.publish(vm, key, &origin, until);
+            }
+            self.streams.push(Stream {
+                key,
+                origin,
+                vm,
+                until,
+            });
+        }
+        let now = self.now();
+        self.streams.retain(|stream| now < stream.until);
+    }
+
+    /// Kills, restarts and cuts VMs; the streams of a VM that is killed, or of some others, are taken up elsewhere.
+    fn disturb(&mut self) {
+        let vm = self.rng.random_range(0..VMS);
+        if !self.vms[vm].runs {
+            if self.rng.random_bool(0.3) {
+                let now = self.now();
+                let lag = self.vms[vm].lag;
+                self.vms[vm] = Vm {
+                    runs: true,
+                    lag,
+                    ..Vm::default()
+                };
+                self.vms[vm].served.record_list(now);
+            }
+            return;
+        }
+        if self.rng.random_bool(0.01) {
+            let time = self.rng.random_range(10..40);
+            self.vms[vm].cut_until = self.step + time;
+        }
+        if self.rng.random_bool(0.015) {
+            self.vms[vm].runs = false;
+            let (moved, kept) = std::mem::take(&mut self.streams)
+                .into_iter()
+                .partition(|stream| stream.vm == vm);
+            self.streams = kept;
+            for stream in moved {
+                self.take_up(stream);
+            }
+        }
+    }
+
+    /// A caller comes to any VM that runs.
+    fn take_up(&mut self, mut stream: Stream) {
+        let running = (0..VMS).filter(|vm| self.vms[*vm].runs);
+        let Some(vm) = running.choose(&mut self.rng) else {
+            return;
+        };
+        let now = self.now();
+        let answer = |world: &Self, vm: usize| match world.vms[vm].records.get(stream.key, now) {
+            Some(origin) => Answer::Record(origin.clone()),
+            None => Answer::Versions(world.testimony(vm)),
+        };
+        let mut own = self.testimony(vm);
+        let mut answers = Vec::new();
+        if let record @ Answer::Record(_) = answer(self, vm) {
+            answers.push(record);
+        } else if !self.is_cut(vm) && self.flaw != Some(Flaw::TrustsItself) {
+            let asked = self.ranked(stream.key).into_iter().take(ASKED);
+            let asked = asked.filter(|other| *other != vm && !self.is_cut(*other));
+            answers.extend(asked.map(|other| answer(self, other)));
+        }
+        own.complete &= !self.is_cut(vm);
+        let is_served = self.serving[self.serving.len() - 1].contains(&stream.origin.software);
+        self.taken_up += usize::from(is_served);
+        match decide(&own, &answers) {
+            Verdict::At(origin, _) if origin != stream.origin => self.mixed += 1,
+            Verdict::At(origin, _) => {
+                self.went_on += usize::from(is_served);
+                stream.vm = vm;
+                self.vms[vm]
+                    .records
+                    .insert(stream.key, origin.clone(), stream.until);
+                self.publish(vm, stream.key, &origin, stream.until);
+                self.streams.push(stream);
+            }
+            Verdict::Ambiguous | Verdict::Uninformed => {}
+        }
+    }
+}
