sesamegap-router: an answer goes on only at the software version that began it

The VM list may state a version now; once an answer has begun, engines of other versions are barred from its further attempts, and it ends with an error if none is left. Engines that state none count as one version. The stand-in's engines take versions in turn from the plan.

The test fails without the change (the answer of a v1 engine is finished by a v2) and passes with it.

--- a/crates/sesamegap-platform/src/vms/mod.rs
+++ b/crates/sesamegap-platform/src/vms/mod.rs
@@ -7,7 +7,7 @@
 use crate::error::PlatformError;
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use sesamegap_wire::{DomainId, ServiceId, UpstreamId, VmId};
+use sesamegap_wire::{DomainId, ServiceId, SoftwareVersion, UpstreamId, VmId};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -62,6 +62,9 @@
     pub domain: DomainId,
     /// Lifecycle state.
     pub state: VmState,
+    /// Version of the software that runs on it, where the platform states one.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// The list of live and leaving VMs.
--- a/crates/sesamegap-standin/src/deployment/start.rs
+++ b/crates/sesamegap-standin/src/deployment/start.rs
@@ -14,7 +14,7 @@
 use crate::worker::WorkerStandin;
 use poem::Route;
 use sesamegap_platform::{VmEntry, VmRole, VmState};
-use sesamegap_wire::DomainId;
+use sesamegap_wire::{DomainId, SoftwareVersion};
 use std::io::Result as IoResult;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
@@ -134,7 +134,10 @@
         let addr = opened.serve(host, |host| host.serve(door, engine.endpoint()));
         opened.tasks.push(reporter);
         let id = own.id.clone();
-        vms.enlist(&live(VmRole::Engine { id }, addr, &own.domain));
+        vms.enlist(&VmEntry {
+            software: own.software.clone(),
+            ..live(VmRole::Engine { id }, addr, &own.domain)
+        });
         engines.push(engine);
     }
     Ok(engines)
@@ -173,5 +176,6 @@
         addr,
         domain: domain.clone(),
         state: VmState::Live,
+        software: SoftwareVersion::default(),
     }
 }
--- a/crates/sesamegap-standin/src/plan/builder.rs
+++ b/crates/sesamegap-standin/src/plan/builder.rs
@@ -3,7 +3,9 @@
 use super::{EngineLimits, EnginePlan, Plan, PlatformLimits, WorkerPlan};
 use crate::host::ANY_PORT;
 use blake3::Hash;
-use sesamegap_wire::{DomainId, ModelId, ServiceId, Tokens, UpstreamId, WeightsVersion};
+use sesamegap_wire::{
+    DomainId, ModelId, ServiceId, SoftwareVersion, Tokens, UpstreamId, WeightsVersion,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +23,7 @@
     domains: Vec<DomainId>,
     engines: usize,
     fencing: Fencing,
+    software: Vec<SoftwareVersion>,
     models: Vec<(ModelId, Vec<WeightsVersion>)>,
     workers: Vec<(ServiceId, usize)>,
     store: bool,
@@ -39,6 +42,7 @@
             domains: vec![name("domain-1")],
             engines: 1,
             fencing: Fencing::EverySecond,
+            software: Vec::new(),
             models: Vec::new(),
             workers: Vec::new(),
             store: false,
@@ -77,6 +81,13 @@
         self
     }
 
+    /// Software versions, which the engines have in turn; otherwise they state none.
+    #[must_use]
+    pub fn software(mut self, versions: Vec<SoftwareVersion>) -> Self {
+        self.software = versions;
+        self
+    }
+
     /// A model with its versions; engines start with the first one.
     #[must_use]
     pub fn model(mut self, model: ModelId, versions: &[u32]) -> Self {
@@ -188,6 +199,11 @@
                 Fencing::Nobody => false,
                 Fencing::EverySecond => index.is_multiple_of(2),
             },
+            software: self
+                .software
+                .get(index % self.software.len().max(1))
+                .cloned()
+                .unwrap_or_default(),
         };
         (0..self.engines).map(plan).collect()
     }
--- a/crates/sesamegap-standin/src/plan/mod.rs
+++ b/crates/sesamegap-standin/src/plan/mod.rs
@@ -10,7 +10,9 @@
 pub use limits::{EngineLimits, PlatformLimits};
 
 use blake3::Hash;
-use sesamegap_wire::{DomainId, ModelId, ServiceId, Tokens, UpstreamId, WeightsVersion};
+use sesamegap_wire::{
+    DomainId, ModelId, ServiceId, SoftwareVersion, Tokens, UpstreamId, WeightsVersion,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +27,8 @@
     pub loaded: Vec<(ModelId, WeightsVersion)>,
     /// Whether it refuses orders with an old fencing number.
     pub fencing: bool,
+    /// Version of its software, as the VM list states it.
+    pub software: SoftwareVersion,
 }
 
 /// One worker of a plain service.
--- a/crates/sesamegap-standin/tests/testsuite/vms.rs
+++ b/crates/sesamegap-standin/tests/testsuite/vms.rs
@@ -3,6 +3,7 @@
 use crate::support::{PATIENCE, plan, platform_limits, settings, start, url};
 use sesamegap_platform::{HttpVms, VmEntry, VmList, VmRole, VmState};
 use sesamegap_standin::{Fault, Hit};
+use sesamegap_wire::SoftwareVersion;
 use std::time::Duration;
 
 fn entry() -> VmEntry {
@@ -15,6 +16,7 @@
         addr: "127.0.0.1:1".parse().unwrap(),
         domain: "domain-1".parse().unwrap(),
         state: VmState::Live,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/sesamegap/src/local/deployment.rs
+++ b/crates/sesamegap/src/local/deployment.rs
@@ -18,7 +18,7 @@
 use sesamegap_platform::{VmEntry, VmRole, VmState};
 use sesamegap_settings::{Catalogue, Findings, Tree, key_hash};
 use sesamegap_standin::{Deployment as Standins, Restart};
-use sesamegap_wire::{DomainId, VmId};
+use sesamegap_wire::{DomainId, SoftwareVersion, VmId};
 use smol_str::{SmolStr, format_smolstr};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -216,6 +216,7 @@
             addr: router,
             domain: config.domain.clone(),
             state: VmState::Live,
+            software: SoftwareVersion::default(),
         };
         standins.enlist(&entry(router));
         let vms = Links::http(&config).vms;
--- a/crates/sesamegap/src/router/fleet/mod.rs
+++ b/crates/sesamegap/src/router/fleet/mod.rs
@@ -16,7 +16,9 @@
 use sesamegap_policy::Observation;
 use sesamegap_upstream::{Engine, PlainService};
 use sesamegap_wire::engine::{EngineEntry, LoadReport};
-use sesamegap_wire::{DomainId, ModelId, ServiceId, UpstreamId, VmId, WeightsVersion};
+use sesamegap_wire::{
+    DomainId, ModelId, ServiceId, SoftwareVersion, UpstreamId, VmId, WeightsVersion,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -48,6 +50,8 @@
 #[derive(Debug)]
 struct EngineLink {
     entry: EngineEntry,
+    /// Version of its software.
+    software: SoftwareVersion,
     addr: SocketAddr,
     client: Arc<dyn Engine>,
 }
@@ -125,7 +129,7 @@
                     domain: vm.domain.clone(),
                     leaving,
                 };
-                let link = self.engine_link(old, entry, vm.addr);
+                let link = self.engine_link(old, entry, vm);
                 new.engines.insert(id.clone(), link);
             }
             VmRole::Worker { id, service } => {
@@ -138,7 +142,8 @@
         }
     }
 
-    fn engine_link(&self, old: &Members, entry: EngineEntry, addr: SocketAddr) -> Arc<EngineLink> {
+    fn engine_link(&self, old: &Members, entry: EngineEntry, vm: &VmEntry) -> Arc<EngineLink> {
+        let addr = vm.addr;
         let known = old.engines.get(&entry.id).filter(|link| link.addr == addr);
         let client = known.map_or_else(
             || self.connect.engine(&entry.id, addr),
@@ -146,11 +151,27 @@
         );
         Arc::new(EngineLink {
             entry,
+            software: vm.software.clone(),
             addr,
             client,
         })
     }
 
+    /// The version of an engine's software, if the list has the engine.
+    pub fn software(&self, engine: &UpstreamId) -> Option<SoftwareVersion> {
+        let members = self.members.load();
+        let link = members.engines.get(engine)?;
+        Some(link.software.clone())
+    }
+
+    /// Engines of other versions than this one.
+    pub fn engines_of_other_software(&self, software: &SoftwareVersion) -> Vec<UpstreamId> {
+        let members = self.members.load();
+        let others = members.engines.iter();
+        let others = others.filter(|(_, link)| link.software != *software);
+        others.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Keeps a known worker, and with it the count of its calls in flight.
     fn worker_link(
         &self,
--- a/crates/sesamegap/src/router/streams/model/flight.rs
+++ b/crates/sesamegap/src/router/streams/model/flight.rs
@@ -13,7 +13,7 @@
 use sesamegap_upstream::UpstreamError;
 use sesamegap_upstream::error::Fault;
 use sesamegap_wire::engine::Dispatch;
-use sesamegap_wire::{RequestId, Seq, UpstreamId};
+use sesamegap_wire::{RequestId, Seq, SoftwareVersion, UpstreamId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -40,6 +40,8 @@
     pub(super) assembly: Assembly,
     pub(super) attempt: u32,
     pub(super) barred: Vec<UpstreamId>,
+    /// The software version that the answer goes on at, once it has begun.
+    pub(super) software: Option<SoftwareVersion>,
     /// Id of the current attempt at its engine and in the decider.
     pub(super) attempt_id: RequestId,
     /// Whether any engine may have run the request.
@@ -58,6 +60,7 @@
             assembly: Assembly::default(),
             attempt: 0,
             barred: Vec::new(),
+            software: None,
             may_have_run: false,
             hedged: false,
         }
@@ -83,6 +86,9 @@
                 from = %at.engine,
                 "trying another engine"
             );
+            if self.software.is_none() && self.assembly.next() > Seq(0) {
+                self.software = self.core.fleet.software(&at.engine);
+            }
             self.barred.push(at.engine);
             self.attempt += 1;
         }
@@ -157,11 +163,21 @@
                 self.job.arrived
             },
             attempt: self.attempt,
-            barred: self.barred.clone(),
+            barred: self.barred_engines(),
             repeatable: self.job.repeatable,
         }
     }
 
+    /// Engines that must not run the next attempt: those where one has failed, and those of other software versions once
+    /// the answer has begun, since what two versions write does not fit together.
+    fn barred_engines(&self) -> Vec<UpstreamId> {
+        let mut barred = self.barred.clone();
+        if let Some(software) = &self.software {
+            barred.extend(self.core.fleet.engines_of_other_software(software));
+        }
+        barred
+    }
+
     pub(super) fn dispatch(&self, request: &RequestId, at: &Placement, priority: u8) -> Dispatch {
         Dispatch {
             request: request.clone(),
--- a/crates/sesamegap/tests/testsuite/router/streams.rs
+++ b/crates/sesamegap/tests/testsuite/router/streams.rs
@@ -75,6 +75,22 @@
     assert_eq!(site.deployment.executions().of_request(&id), 2);
 }
 
+/// An engine dies in the middle of an answer during a release. What engines of two software versions write does not fit
+/// together.
+#[tokio::test]
+async fn an_answer_does_not_go_on_at_another_software_version() {
+    let versions = vec!["v1".parse().unwrap(), "v2".parse().unwrap()];
+    let site = Site::start(plan().software(versions), 1).await;
+    let sent = site.stream("hello", 400).await;
+    let id = request_id(&sent);
+    let on = site.runs_at(&id);
+    site.hit(Hit::once(Fault::EngineCrash), Some(on.as_str()));
+    let got = Got::all(sent).await;
+    assert!(answer("hello", 400).starts_with(&got.text));
+    assert!(!got.done && got.error.is_some());
+    assert_eq!(site.deployment.executions().of_request(&id), 1);
+}
+
 /// The same happens to a request that must not run twice. It cannot be finished, so the caller
 /// gets what there is and an explicit error, never an end that looks whole, and it runs once.
 #[tokio::test]
--- a/crates/sesamegap/tests/testsuite/support.rs
+++ b/crates/sesamegap/tests/testsuite/support.rs
@@ -9,7 +9,7 @@
 use sesamegap_settings::key_hash;
 use sesamegap_standin::plan::{Builder, EngineLimits, PlatformLimits};
 use sesamegap_standin::{Deployment, Hit, Plan, expected_answer};
-use sesamegap_wire::{DomainId, RequestId, Tokens, UpstreamId};
+use sesamegap_wire::{DomainId, RequestId, SoftwareVersion, Tokens, UpstreamId};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -160,6 +160,7 @@
             addr: router,
             domain: domain(),
             state: VmState::Live,
+            software: SoftwareVersion::default(),
         });
     }
 
