Bind a stream to its version once the doubt about its upstream is over

A stream without one is recorded again with its next event once it is known, and one whose upstream turns out to have restarted loses it.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -122,29 +122,36 @@
         self.life
     }
 
-    /// The version whose first event has arrived; an unstated one if the upstream may have restarted since it was chosen,
-    /// as it is not known which of the two processes took the request.
+    /// The version of the software that takes the request; an unstated one as long as the upstream may have restarted with
+    /// another one before.
     pub fn begun_software(&self) -> SoftwareVersion {
-        self.software_unless(Fleet::software_of)
+        let known = self.software_by(Fleet::software_of);
+        known.unwrap_or_else(|| self.software.clone())
     }
 
-    /// The version that took the request, as far as the list has caught up: an unstated one if it names another.
-    pub fn listed_software(&self) -> SoftwareVersion {
-        self.software_unless(|_, upstream| upstream.entry.software.clone())
+    /// Whether the list has turned out to name another version than the one that was taken to have begun the stream.
+    pub fn contradicts(&self, software: &SoftwareVersion) -> bool {
+        // Connections that broke meanwhile, such as its own, do not count.
+        let listed = self.software_by(|_, upstream| upstream.entry.software.clone());
+        software.is_stated() && listed.is_some_and(|listed| listed != *software)
     }
 
-    /// The version that was believed, unless another is known now.
-    fn software_unless(
+    /// The version that is known now; `None` if the upstream is no longer listed, and an unstated one if it restarted.
+    fn software_by(
         &self,
-        now: impl Fn(&Fleet, &Upstream) -> SoftwareVersion,
-    ) -> SoftwareVersion {
+        known: impl Fn(&Fleet, &Upstream) -> SoftwareVersion,
+    ) -> Option<SoftwareVersion> {
         let fleet = self.fleet.lock();
-        let present = fleet.get(&self.id);
-        if present.is_some_and(|present| now(&fleet, present) != self.software) {
+        let present = fleet.get(&self.id)?;
+        let software = known(&fleet, present);
+        let was_other = self.software.is_stated() && software != self.software;
+        // Which of the two processes took the request is not known.
+        let is_restarted = was_other || present.life != self.life;
+        Some(if is_restarted {
             SoftwareVersion::default()
         } else {
-            self.software.clone()
-        }
+            software
+        })
     }
 
     /// Records that its connection broke, so that the upstream may have restarted.
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -180,7 +180,8 @@
             return Ok(None);
         };
         self.check_order(&events)?;
-        if self.recorded.is_none() {
+        let recorded = self.recorded.as_ref();
+        if !recorded.is_some_and(SoftwareVersion::is_stated) {
             self.record_version(stream.flight.begun_software());
         }
         Ok(Some(events.bytes))
@@ -220,9 +221,9 @@
     async fn resume(&mut self, stream: UpstreamStream, why: &str) -> Option<UpstreamStream> {
         let id = stream.flight.id.clone();
         warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, software = %stream.flight.software, why, passed = self.last_event_id, "stream broke off");
-        if self.recorded.is_some() {
-            // The upstream may have turned out to run other software than was believed.
-            self.record_version(stream.flight.listed_software());
+        let recorded = self.recorded.as_ref();
+        if recorded.is_some_and(|software| stream.flight.contradicts(software)) {
+            self.record_version(SoftwareVersion::default());
         }
         // Closes the connection so that two upstreams do not work on one request.
         drop(stream);
--- a/crates/sesamegap-entry/tests/testsuite/software_versions.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions.rs
@@ -386,9 +386,40 @@
     let doubted = (false, "unstated".to_owned());
     assert_eq!(software(&vms[0].core), doubted);
     wait_until(|| software(&vms[1].core) == doubted).await;
+    let begun_in_doubt = choose(&vms[1].core, None).unwrap();
     let later = clock::now() + Duration::from_secs(2);
     vms[1].core.fleet.lock().record_list(later);
     assert_eq!(software(&vms[1].core), (true, "v1".to_owned()));
+    assert_eq!(
+        begun_in_doubt.begun_software(),
+        version,
+        "the list has caught up"
+    );
+}
+
+/// The list names the version of a restarted upstream only after a stream has begun there.
+#[tokio::test]
+async fn a_stream_whose_upstream_turns_out_to_have_restarted_does_not_go_on() {
+    let core = Process::new().await.core;
+    let addr = unused_addr();
+    let id: UpstreamId = "e1".parse().unwrap();
+    let entry = |born, software: &str| Entry {
+        software: software.parse().unwrap(),
+        born: Some(Incarnation(born)),
+        ..entry("engines", addr)
+    };
+    let mut fleet = core.fleet.lock();
+    fleet.apply(&id, entry(7, "v1"), offset(0), clock::now());
+    drop(fleet);
+    let flight = choose(&core, None).unwrap();
+    let begun = flight.begun_software();
+    assert_eq!(begun.as_str(), "v1");
+    assert!(!flight.contradicts(&begun));
+    let mut fleet = core.fleet.lock();
+    fleet.apply(&id, entry(8, "v2"), offset(1), clock::now());
+    drop(fleet);
+    assert!(flight.contradicts(&begun));
+    assert!(!flight.begun_software().is_stated());
 }
 
 /// Chooses an engine for a prompt without parts.
