Relay the word of upstreams that may have restarted as other events are

A break at one VM was told to each of 984 others in turn; it goes by relays now, like engines that are gone. The test of two VMs passes as before.

--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -138,7 +138,7 @@
         ticks = ticks.wrapping_add(1);
         quarantine::tick(&core, ticks).await;
         quota::tick(&core);
-        resumption::tick(&core);
+        resumption::tick(&core).await;
         for event in pending_events(&core) {
             broadcast(&core, event).await;
         }
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -24,7 +24,7 @@
 pub use message::{EngineUpdate, NamedWeights, apply_state, learn_weights, named_weights};
 pub use numbers::MessageNumbers;
 pub use outbox::{Outbox, take_repeated};
-pub use relay::broadcast_quarantine;
+pub use relay::{broadcast_quarantine, broadcast_resumption};
 pub use server::endpoints;
 pub use socket::PeerSocket;
 
--- a/crates/sesamegap-entry/src/peers/relay.rs
+++ b/crates/sesamegap-entry/src/peers/relay.rs
@@ -10,6 +10,7 @@
 use crate::quarantine;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::resumption;
 use sesamegap_policy::routing::dissemination::relay_groups;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -85,6 +86,11 @@
     broadcast(core, Datagram::Quarantine(message)).await;
 }
 
+/// Sends a message about upstreams that may have restarted to all peers.
+pub async fn broadcast_resumption(core: &Core, message: resumption::Message) {
+    broadcast(core, Datagram::Resumption(message)).await;
+}
+
 fn ipv4(ip: IpAddr) -> Option<u32> {
     match ip {
         IpAddr::V4(ip) => Some(ip.to_bits()),
--- a/crates/sesamegap-entry/src/resumption/client.rs
+++ b/crates/sesamegap-entry/src/resumption/client.rs
@@ -117,14 +117,11 @@
 }
 
 /// Tells peers which upstreams may have restarted, and drops expired records; called at fixed intervals.
-pub fn tick(core: &Core) {
+pub async fn tick(core: &Core) {
     core.resumption.expire();
     let broke = core.fleet.lock().take_broken();
     for broke in broke.chunks(LIVES_PER_DATAGRAM) {
-        let message = Message::Broke(broke.to_vec());
-        for peer in core.peers.datagram_addrs() {
-            core.resumption.send(&message, peer);
-        }
+        peers::broadcast_resumption(core, Message::Broke(broke.to_vec())).await;
     }
 }
 
