Two upstreams whose software versions are unknown are not the same

By reading: a stream recorded without a version, since its upstream may have restarted, could go on at another upstream that has just restarted and states none yet. Where any upstream of a service states a version, one without is no match.

--- a/crates/sesamegap-entry/src/fleet/versions.rs
+++ b/crates/sesamegap-entry/src/fleet/versions.rs
@@ -37,7 +37,16 @@
 
     /// Whether a stream that a version began may go on at an upstream.
     pub fn continues(&self, upstream: &Upstream, software: &SoftwareVersion) -> bool {
-        upstream.entry.software == *software && !upstream.is_software_doubted(self.list_as_of)
+        let is_same = upstream.entry.software == *software;
+        is_same
+            && self.is_resumable(&upstream.entry.service, software)
+            && !upstream.is_software_doubted(self.list_as_of)
+    }
+
+    /// Whether two upstreams of this version run the same software: two that are not known where others are known may run
+    /// different ones.
+    fn is_resumable(&self, service: &ServiceId, software: &SoftwareVersion) -> bool {
+        software.is_stated() || !self.served.is_stated(service)
     }
 
     /// Whether a selection does not exclude an upstream.
@@ -99,7 +108,8 @@
         testimony
     }
 
-    /// Whether no upstream of a version is left to go on at, not even a busy one, while others serve the service.
+    /// Whether no upstream of a version is left to go on at, not even a busy one, while others serve the service, or the
+    /// version is not known.
     ///
     /// An upstream that is alone in its service may come back, and then as what it was.
     pub fn is_version_gone(
@@ -109,6 +119,9 @@
         except: &[UpstreamId],
         now: Moment,
     ) -> bool {
+        if !self.is_resumable(service, software) {
+            return true;
+        }
         let mut others_serve = false;
         for upstream in self.of_service(service) {
             let is_left = !upstream.entry.leaving && !upstream.is_gone(now);
--- a/crates/sesamegap-entry/src/resumption/client.rs
+++ b/crates/sesamegap-entry/src/resumption/client.rs
@@ -5,6 +5,7 @@
 use crate::job::Job;
 use crate::peers::{self, MessageNumbers, PeerSocket};
 use crate::ports::Table;
+use crate::telemetry::events;
 use rustc_hash::FxHashMap;
 use sesamegap_policy::resumption::{
     Answer, HOLDERS, Message, Origin, Question, Records, StreamKey, Testimony,
@@ -14,7 +15,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tracing::debug;
+use tracing::{debug, info};
 
 /// Incarnations of upstreams in one datagram, at nine bytes each.
 const LIVES_PER_DATAGRAM: usize = 128;
@@ -120,6 +121,9 @@
 pub async fn tick(core: &Core) {
     core.resumption.expire();
     let broke = core.fleet.lock().take_broken();
+    if !broke.is_empty() {
+        info!(event = events::UPSTREAM, lives = ?broke, change = "may have restarted", "connections broke");
+    }
     for broke in broke.chunks(LIVES_PER_DATAGRAM) {
         peers::broadcast_resumption(core, Message::Broke(broke.to_vec())).await;
     }
@@ -132,10 +136,11 @@
             let left = Duration::from_millis(u64::from(left_ms));
             core.resumption.insert(stream, origin, left);
         }
-        Message::Broke(lives) => core
-            .fleet
-            .lock()
-            .record_broken_elsewhere(&lives, clock::now()),
+        Message::Broke(lives) => {
+            info!(event = events::UPSTREAM, ?lives, change = "may have restarted", by = %from, "others say so");
+            let mut fleet = core.fleet.lock();
+            fleet.record_broken_elsewhere(&lives, clock::now());
+        }
         Message::Ask(question) => {
             let answer = Message::Answer(question.number, answer(core, &question));
             core.resumption.send(&answer, from);
--- a/crates/sesamegap-entry/tests/testsuite/software_versions.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions.rs
@@ -442,6 +442,28 @@
     core.fleet.choose(&selection, clock::now())
 }
 
+/// Two upstreams whose versions are not known yet, as after restarts, may run different ones.
+#[tokio::test]
+async fn unknown_versions_are_not_the_same() {
+    let core = Process::new().await.core;
+    list(&core, "e1", unused_addr(), "");
+    let unknown = SoftwareVersion::default();
+    let id: UpstreamId = "e1".parse().unwrap();
+    let service = "engines".parse().unwrap();
+    let may_go_on = |core: &Core| {
+        let fleet = core.fleet.lock();
+        let continues = fleet.continues(fleet.get(&id).unwrap(), &unknown);
+        assert_eq!(
+            continues,
+            !fleet.is_version_gone(&service, &unknown, &[], clock::now())
+        );
+        continues
+    };
+    assert!(may_go_on(&core), "the platform states no versions");
+    list(&core, "e2", unused_addr(), "v1");
+    assert!(!may_go_on(&core));
+}
+
 /// VMs of a release that sends no versions relay entries of upstreams whose version is known.
 #[tokio::test]
 async fn an_entry_without_a_version_changes_none() {
--- a/crates/sesamegap-policy/src/resumption/versions.rs
+++ b/crates/sesamegap-policy/src/resumption/versions.rs
@@ -67,6 +67,12 @@
         recent.map(|(software, _)| software)
     }
 
+    /// Whether any upstream of a service has stated its version lately.
+    pub fn is_stated(&self, service: &ServiceId) -> bool {
+        let mut versions = self.services.get(service).into_iter().flatten();
+        versions.any(|(software, _)| software.is_stated())
+    }
+
     /// Whether the list has been followed for this long.
     pub fn covers(&self, window: Duration, now: Moment) -> bool {
         let since = self.followed_since;
