--- a/crates/sesamegap-entry/src/resumption/origin.rs
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -3,7 +3,6 @@
 use super::client::{is_list_current, testimony};
 use crate::clock;
 use crate::core::Core;
-
 use crate::job::Job;
 use crate::refusal::Refusal;
 use crate::telemetry::events;
