--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -1,8 +1,9 @@
 //! Relays event streams.
 //!
 //! The head is sent to the caller with the first complete event; until then a retryable request can move to
-//! another upstream unnoticed. A resumable stream that breaks off continues at another upstream after the last
-//! event sent to the caller. Any other is aborted so that the caller does not take it for complete.
+//! another upstream unnoticed. A resumable stream that breaks off continues at another upstream of the same software
+//! version after the last event sent to the caller. Any other is aborted so that the caller does not take it for
+//! complete.
 
 mod reading;
 
