A VM that has just restarted resumes streams while one version serves

A stream that is taken up ran until a moment ago, so that its upstream is listed, or was when the VM began to follow the list: a current list is enough.

The new test fails without the change (503) and passes with it; a VM without a current list and without answers refuses as before.

--- a/crates/sesamegap-entry/src/resumption/origin.rs
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -46,8 +46,9 @@
         None => ask(core, job, window).await,
     };
     let mut own = testimony(core, &job.services(), window);
-    // A VM that has heard nothing for a while may lack a version that others have used since.
-    own.complete &= is_list_current(core) || !answers.given.is_empty();
+    // A VM that has heard nothing for a while may lack a version that others have used since. One that has just started
+    // does not: a stream that is taken up ran until a moment ago, so that its upstream was still listed.
+    own.complete = is_list_current(core) || (own.complete && !answers.given.is_empty());
     let verdict = decide(&own, &answers.given);
     let found = match &verdict {
         Verdict::At(origin, _) => place(core, job, origin),
--- a/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
@@ -9,6 +9,7 @@
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::{Change, Entry};
+use sesamegap_entry::ports::Table;
 use sesamegap_wire::{Moment, UpstreamId};
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -239,6 +240,20 @@
     assert_eq!(engine.seen().len(), 0);
 }
 
+/// All VMs were killed at once, and no record is left. Callers would lose every stream although one version serves.
+#[tokio::test]
+async fn a_stream_goes_on_after_all_vms_restarted_while_one_version_serves() {
+    let process = Process::new().await;
+    let engines = Engines::start().await;
+    list(&process.core, "same", engines.same.addr, "v1");
+    let known = process.core.table_progress(Table::Fleet);
+    known.position().record_read(offset(1), clock::now());
+    let answer = take_up(process.callers, 0, "s0").await;
+    assert_eq!((answer.status, answer.body), (200, events(4..9)));
+    engines.list_others(&process.core);
+    assert_eq!(take_up(process.callers, 1, "s1").await.status, 503);
+}
+
 /// A release begins while streams run, whose VM is then killed: other VMs need the records of these too.
 #[tokio::test]
 async fn streams_that_began_before_a_release_are_known_elsewhere() {
