Log the shared parts of a prompt when it is sent and when its connection breaks

Both lines now name the shared parts, at most eight of them, since callers choose the names. No change of behaviour.

--- a/crates/sesamegap-entry/src/job.rs
+++ b/crates/sesamegap-entry/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::catalogue::{Catalogue, Kind, Route, Team};
 use crate::fleet::PromptShape;
-use crate::ports::RequestHead;
+use crate::ports::{PromptPart, RequestHead};
 use crate::quota::Charged;
 use crate::refusal::Refusal;
 use bytes::Bytes;
@@ -20,6 +20,9 @@
 /// Fraction of the latency objective that a request may wait before it is refused, as a divisor.
 const WAIT_DIVISOR: u32 = 8;
 
+/// Maximum number of shared parts of a prompt that are told apart; prompts are nested in a few levels.
+const MAX_SHARED_PARTS: usize = 8;
+
 /// An accepted request.
 #[derive(Debug)]
 pub struct Job {
@@ -99,6 +102,22 @@
         })
     }
 
+    /// The parts of its prompt that other prompts may share, outermost first: all but the last.
+    ///
+    /// Callers name the parts, so their number is limited.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let parts = &self.head.parts;
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        &shared[..shared.len().min(MAX_SHARED_PARTS)]
+    }
+
+    /// Names of the shared parts for a log line, if there are any.
+    pub fn part_names(&self) -> Option<String> {
+        let names = self.shared_parts().iter().map(|part| part.name.as_str());
+        let names: Vec<&str> = names.collect();
+        (!names.is_empty()).then(|| names.join(","))
+    }
+
     /// Whether it takes up a stream that an earlier attempt of its caller began.
     pub fn takes_up(&self) -> bool {
         let head = &self.head;
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -112,6 +112,7 @@
         event = events::PLACED,
         request = %job.head.id,
         fingerprint = %job.fingerprint(),
+        parts = job.part_names(),
         route = %job.route.name,
         revision = job.catalogue.revision().0,
         upstream = %flight.id,
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub struct BrokenAnswer {
     request: SmolStr,
+    /// Names of the shared parts of its prompt.
+    parts: Option<String>,
     loss: UpstreamLoss,
     addr: SocketAddr,
     /// Held until the loss is reported, so that no other trial begins before.
@@ -56,6 +58,7 @@
         let permit = flight.permit.take();
         Self {
             request: job.head.id.clone(),
+            parts: job.part_names(),
             loss: UpstreamLoss {
                 request: job.fingerprint(),
                 upstream: flight.id.clone(),
@@ -99,6 +102,7 @@
             event = events::UPSTREAM_CONNECTION,
             request = %self.request,
             fingerprint = %loss.request,
+            parts = self.parts,
             upstream = %loss.upstream,
             life,
             trial = loss.crash.trial,
