--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -1,8 +1,8 @@
 //! Quarantine of requests that crash upstreams, with several VMs that share the same engines.
 
 use crate::support::{
-    Act, CRASH_MARK, CrashingUpstream, Platform, Upstream, Vm, ask, entry, member_update, offset,
-    unused_addr, vm, vms, wait_until,
+    Act, CRASH_MARK, CrashingUpstream, Platform, Upstream, Vm, ask, crashing_engines, entry,
+    marked, member_update, offset, unused_addr, vm, vms, wait_until,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
@@ -10,9 +10,7 @@
 use sesamegap_policy::agreement::membership::Status;
 use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Crash, Standing};
 use sesamegap_wire::{Fingerprint, UpstreamId};
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 const VMS: usize = 3;
@@ -28,40 +26,6 @@
 const MAX_CRASHES: usize = 3;
 const MAX_LATER_SENDS: usize = 3;
 
-/// Starts engines that all VMs list; each start of an engine gets a new id.
-async fn engines(vms: &[Vm], down: Duration) -> Vec<CrashingUpstream> {
-    let position = Arc::new(AtomicU64::new(0));
-    let mut all = Vec::new();
-    for no in 0..ENGINES {
-        let cores: Vec<Arc<Core>> = vms.iter().map(|vm| Arc::clone(&vm.core)).collect();
-        let position = Arc::clone(&position);
-        let addr = Arc::new(std::sync::OnceLock::<SocketAddr>::new());
-        let own = Arc::clone(&addr);
-        let list = move |start: usize| {
-            let Some(addr) = own.get() else { return };
-            let id = |start: usize| format!("e{no}-{start}").parse::<UpstreamId>().unwrap();
-            for core in &cores {
-                let mut fleet = core.fleet.lock();
-                let at = || offset(position.fetch_add(1, Ordering::Relaxed));
-                if start > 0 {
-                    fleet.remove(&id(start - 1), at(), clock::now());
-                }
-                fleet.apply(&id(start), entry("engines", *addr), at(), clock::now());
-            }
-        };
-        let first = list.clone();
-        let engine = CrashingUpstream::start(down, list).await;
-        addr.set(engine.addr).unwrap();
-        first(0);
-        all.push(engine);
-    }
-    all
-}
-
-fn marked(engines: &[CrashingUpstream]) -> usize {
-    engines.iter().map(|engine| engine.counts().marked).sum()
-}
-
 fn head(no: usize) -> String {
     format!("x-model: m\r\nx-nonce: {no}\r\n")
 }
@@ -71,7 +35,7 @@
 #[tokio::test]
 async fn a_request_that_crashes_its_engines_is_quarantined() {
     let vms = vms(VMS, 21).await;
-    let engines = engines(&vms, DOWNTIME).await;
+    let engines = crashing_engines(&vms, ENGINES, DOWNTIME).await;
     for no in 0..SENDS {
         let body = format!("{CRASH_MARK} now");
         ask(vms[no % VMS].callers, "POST", "/chat/a", &head(no), &body).await;
@@ -86,7 +50,7 @@
 #[tokio::test]
 async fn unrelated_crashes_quarantine_no_request() {
     let vms = vms(VMS, 22).await;
-    let engines = engines(&vms, DOWNTIME).await;
+    let engines = crashing_engines(&vms, ENGINES, DOWNTIME).await;
     let send = |no: usize| {
         let callers = vms[no % VMS].callers;
         async move { ask(callers, "POST", "/review/a", &head(no), "popular").await }
@@ -164,7 +128,7 @@
 #[tokio::test]
 async fn a_quarantined_request_is_refused_at_once_and_reaches_no_upstream() {
     let vms = vms(VMS, 25).await;
-    let engines = engines(&vms, DOWNTIME).await;
+    let engines = crashing_engines(&vms, ENGINES, DOWNTIME).await;
     condemn(&vms[0].core, fingerprint("/chat/a", CRASH_MARK));
     let answer = ask(vms[0].callers, "POST", "/chat/a", &head(0), CRASH_MARK).await;
     assert_eq!(answer.status, 503);
@@ -204,7 +168,7 @@
 #[tokio::test]
 async fn immediate_restarts_count_as_crashes() {
     let vms = vms(VMS, 27).await;
-    let engines = engines(&vms, Duration::ZERO).await;
+    let engines = crashing_engines(&vms, ENGINES, Duration::ZERO).await;
     for no in 0..SENDS / 2 {
         let body = format!("{CRASH_MARK} now");
         ask(vms[no % VMS].callers, "POST", "/chat/a", &head(no), &body).await;
@@ -218,7 +182,7 @@
 #[tokio::test]
 async fn trials_continue_when_the_coordinator_leaves() {
     let vms = vms(VMS, 28).await;
-    let engines = engines(&vms, DOWNTIME).await;
+    let engines = crashing_engines(&vms, ENGINES, DOWNTIME).await;
     let request = async |vm: &Vm, no: usize| {
         ask(vm.callers, "POST", "/chat/a", &head(no), CRASH_MARK).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/sesamegap-entry/tests/testsuite/support/crashing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/crashing.rs
@@ -1,8 +1,13 @@
 //! An upstream that crashes when it runs a marked request, and restarts after a delay.
 
 use super::upstream::{header, read};
+use super::{Vm, entry, offset};
+use sesamegap_entry::clock;
+use sesamegap_entry::core::Core;
+use sesamegap_wire::UpstreamId;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -13,6 +18,12 @@
 /// A request whose body contains this crashes the upstream that runs it.
 pub const CRASH_MARK: &str = "crash";
 
+/// A request whose body contains this gets an answer with neither a length nor chunks.
+pub const UNFRAMED_MARK: &str = "unframed";
+
+/// A request whose body contains this crashes the upstream between two events of its answer.
+pub const MIDWAY_MARK: &str = "midway";
+
 /// Time before the first byte of an answer, and between two events.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -120,16 +131,63 @@
             std::future::pending::<()>().await;
         }
         let id = header(&request, "x-id").unwrap_or_default();
-        let head = format!(
-            "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
-        );
+        let is_framed = !request.contains(UNFRAMED_MARK);
+        let framing = if is_framed {
+            "transfer-encoding: chunked\r\n"
+        } else {
+            ""
+        };
+        let head = format!("HTTP/1.1 200 X\r\nx-id: {id}\r\nx-seal: s\r\n{framing}\r\n");
         drop(stream.write_all(head.as_bytes()).await);
         for no in 0..EVENTS {
-            let event = format!("id: {no}\ndata: t\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            drop(stream.write_all(chunk.as_bytes()).await);
+            if no == EVENTS / 2 && request.contains(MIDWAY_MARK) {
+                self.crash.notify_one();
+                std::future::pending::<()>().await;
+            }
+            let mut event = format!("id: {no}\ndata: t\n\n");
+            if is_framed {
+                event = format!("{:x}\r\n{event}\r\n", event.len());
+            }
+            drop(stream.write_all(event.as_bytes()).await);
             sleep(STEP).await;
         }
-        drop(stream.write_all(b"0\r\n\r\n").await);
+        if is_framed {
+            drop(stream.write_all(b"0\r\n\r\n").await);
+        }
     }
 }
+
+/// Starts engines that all VMs list; each start of an engine gets a new id.
+pub async fn crashing_engines(vms: &[Vm], count: usize, down: Duration) -> Vec<CrashingUpstream> {
+    let position = Arc::new(AtomicU64::new(0));
+    let mut all = Vec::new();
+    for no in 0..count {
+        let cores: Vec<Arc<Core>> = vms.iter().map(|vm| Arc::clone(&vm.core)).collect();
+        let position = Arc::clone(&position);
+        let addr = Arc::new(OnceLock::<SocketAddr>::new());
+        let own = Arc::clone(&addr);
+        let list = move |start: usize| {
+            let Some(addr) = own.get() else { return };
+            let id = |start: usize| format!("e{no}-{start}").parse::<UpstreamId>().unwrap();
+            for core in &cores {
+                let mut fleet = core.fleet.lock();
+                let at = || offset(position.fetch_add(1, Ordering::Relaxed));
+                if start > 0 {
+                    fleet.remove(&id(start - 1), at(), clock::now());
+                }
+                fleet.apply(&id(start), entry("engines", *addr), at(), clock::now());
+            }
+        };
+        let first = list.clone();
+        let engine = CrashingUpstream::start(down, list).await;
+        addr.set(engine.addr).unwrap();
+        first(0);
+        all.push(engine);
+    }
+    all
+}
+
+/// Marked requests that these engines have received.
+pub fn marked(engines: &[CrashingUpstream]) -> usize {
+    engines.iter().map(|engine| engine.counts().marked).sum()
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -8,7 +8,9 @@
 mod vms;
 
 pub use caller::{Answer, Caller, ask, request, request_of};
-pub use crashing::{CRASH_MARK, CrashingUpstream};
+pub use crashing::{
+    CRASH_MARK, CrashingUpstream, MIDWAY_MARK, UNFRAMED_MARK, crashing_engines, marked,
+};
 pub use lines::LogLines;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
 pub use upstream::{Act, Upstream, header, read};
