--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -110,7 +110,7 @@
         deadline,
         charge: None,
         origin: None,
-        fingerprint: OnceLock::new(),
+        subjects: OnceLock::new(),
     })
 }
 
--- a/crates/sesamegap-entry/src/job.rs
+++ b/crates/sesamegap-entry/src/job.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use rustc_hash::FxHasher;
+use sesamegap_policy::quarantine::Subjects;
 use sesamegap_policy::resumption::{self, Origin, StreamKey};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{Fingerprint, ServiceId};
@@ -52,8 +53,8 @@
     pub charge: Option<Charged>,
     /// The version at which it must run, if it takes a stream up again.
     pub origin: Option<Origin>,
-    /// Computed on first use by [`Job::fingerprint`].
-    pub fingerprint: OnceLock<Fingerprint>,
+    /// Computed on first use by [`Job::subjects`].
+    pub subjects: OnceLock<Arc<Subjects>>,
 }
 
 impl Job {
@@ -94,11 +95,20 @@
 
     /// Identifies the request across attempts and VMs.
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
+        self.subjects().request()
+    }
+
+    /// What a crash of its upstream counts against: the request and the shared parts of its prompt.
+    pub fn subjects(&self) -> &Arc<Subjects> {
+        self.subjects.get_or_init(|| {
             let caller = self.team.as_ref().map(|team| team.name.as_str());
             let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
             let target = format!("{} {path}", self.method);
-            Fingerprint::of(&target, caller, &self.body)
+            let request = Fingerprint::of(&target, caller, &self.body);
+            let model = self.head.model.as_deref().unwrap_or_default();
+            let parts = self.shared_parts().iter();
+            let parts = parts.map(|part| Fingerprint::of_part(model, &part.name));
+            Arc::new(Subjects::new(parts, caller, request))
         })
     }
 
--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -6,7 +6,7 @@
 use crate::core::Core;
 use crate::job::Job;
 use crate::telemetry::events;
-use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Grant, Record, Standing};
+use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Grant, Standing, Subjects};
 use sesamegap_wire::Fingerprint;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -53,15 +53,18 @@
     if quarantine.registry().is_empty() {
         return Admission::Free;
     }
-    let request = job.fingerprint();
-    let grant = match quarantine.standing(request) {
+    let subjects = job.subjects();
+    let request = subjects.request();
+    let grant = match quarantine.standing(subjects) {
         Standing::Clear => return Admission::Free,
         Standing::Quarantined => Grant::Refused,
-        Standing::Suspect => request_trial(core, request, job.time_left()).await,
+        Standing::Suspect => request_trial(core, subjects, job.time_left()).await,
     };
     // Not logged for deferred requests: they ask again, and the log line of their end says why they were not served.
     if grant != Grant::Busy {
-        info!(event = events::ADMISSION, request = %job.head.id, fingerprint = %request, grant = ?grant, "a request under which upstreams ended");
+        let restricted = quarantine.restricted(subjects);
+        let restricted: Vec<_> = restricted.iter().map(ToString::to_string).collect();
+        info!(event = events::ADMISSION, request = %job.head.id, fingerprint = %request, restricted = ?restricted, grant = ?grant, "a request under which upstreams ended");
     }
     match grant {
         Grant::Free => Admission::Free,
@@ -75,7 +78,7 @@
 }
 
 /// Asks the coordinator for permission to run a suspect; without a response in time, the request is deferred.
-async fn request_trial(core: &Core, request: Fingerprint, left: Duration) -> Grant {
+async fn request_trial(core: &Core, subjects: &Subjects, left: Duration) -> Grant {
     let quarantine = &core.quarantine;
     let Some(coordinator) = core
         .peers
@@ -84,14 +87,11 @@
         .flatten()
     else {
         let mut registry = quarantine.registry();
-        return registry.request_trial(request, left, clock::now(), clock::unix_ms());
-    };
-    let Some(record) = quarantine.registry().get(request).cloned() else {
-        return Grant::Free;
+        return registry.request_trial(subjects, left, clock::now(), clock::unix_ms());
     };
     let answer = timeout(
         RESPONSE_TIMEOUT,
-        quarantine.send_trial_request(record, left, coordinator),
+        quarantine.send_trial_request(subjects, left, coordinator),
     )
     .await;
     answer.unwrap_or_else(|_| {
@@ -101,7 +101,12 @@
 }
 
 impl Quarantine {
-    async fn send_trial_request(&self, record: Record, left: Duration, to: SocketAddr) -> Grant {
+    async fn send_trial_request(
+        &self,
+        subjects: &Subjects,
+        left: Duration,
+        to: SocketAddr,
+    ) -> Grant {
         let (sender, answer) = oneshot::channel();
         let number = {
             let mut pending = lock(&self.pending_responses);
@@ -114,7 +119,8 @@
         let left_ms = clock::wire_millis(left);
         let ask = TrialRequest {
             number,
-            record,
+            subjects: subjects.clone(),
+            records: self.records(&self.restricted(subjects)),
             left_ms,
         };
         self.send(Message::Ask(ask), to).await;
--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -1,16 +1,22 @@
 //! Exchange of quarantine messages between VMs in datagrams.
 
-use super::message::{Message, TrialRequest, TrialResponse};
+use super::message::{Message, Report, TrialRequest, TrialResponse};
 use super::{Quarantine, UpstreamLoss, is_coordinator, lock};
 use crate::clock;
 use crate::core::Core;
 use crate::peers;
-use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, REPORT_REPLICAS, Record, Standing};
+use sesamegap_policy::quarantine::{
+    COORDINATOR_RANKING_KEY, REPORT_REPLICAS, Record, Role, Standing,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Maximum number of reports in a datagram; each has about 35 bytes.
-const REPORTS_PER_DATAGRAM: usize = 32;
+/// Maximum number of bytes of reports in a datagram.
+const REPORT_BYTES_PER_DATAGRAM: usize = 1_200;
+
+/// Size of a report in bytes, and of each subject in it.
+const REPORT_BYTES: usize = 48;
+const SUBJECT_BYTES: usize = 18;
 
 /// Maximum number of records in a datagram; each has up to 130 bytes.
 const RECORDS_PER_DATAGRAM: usize = 8;
@@ -24,6 +30,7 @@
 /// Sends the messages that are due; called at fixed intervals.
 pub async fn tick(core: &Core, ticks: u32) {
     let quarantine = &core.quarantine;
+    quarantine.set_coordinator(is_coordinator(core));
     quarantine.resolve_unconfirmed_losses(core);
     if quarantine.registry().is_empty() {
         return;
@@ -55,27 +62,54 @@
         .peers
         .first_ranked(REPORT_REPLICAS, COORDINATOR_RANKING_KEY);
     for to in replicas.into_iter().flatten() {
-        for reports in reports.chunks(REPORTS_PER_DATAGRAM) {
-            let reports = Message::Reports(reports.to_vec());
-            quarantine.send(reports, to).await;
+        for reports in split_reports(&reports) {
+            quarantine.send(Message::Reports(reports), to).await;
         }
     }
 }
 
+/// Splits reports into those that fit into one datagram each.
+fn split_reports(reports: &[Report]) -> Vec<Vec<Report>> {
+    let mut split: Vec<Vec<Report>> = Vec::new();
+    let mut room = 0;
+    for report in reports {
+        let bytes = match report {
+            Report::Crashed { subjects, .. } => {
+                REPORT_BYTES + SUBJECT_BYTES * subjects.iter().count()
+            }
+            Report::Completed { .. } | Report::Released { .. } => REPORT_BYTES,
+        };
+        if bytes > room {
+            split.push(Vec::new());
+            room = REPORT_BYTES_PER_DATAGRAM;
+        }
+        room = room.saturating_sub(bytes);
+        if let Some(last) = split.last_mut() {
+            last.push(report.clone());
+        }
+    }
+    split
+}
+
 /// If this VM is the coordinator, judges trials and queues changed records for broadcast.
 fn judge(core: &Core) {
     let quarantine = &core.quarantine;
-    let is_coordinator = is_coordinator(core);
+    let is_coordinator = quarantine.role() == Role::Coordinator;
+    let mut is_any_condemned = false;
     let changed = {
         let mut registry = quarantine.registry();
         if is_coordinator {
             for request in registry.judge(clock::now(), clock::unix_ms()) {
                 super::log(request, Standing::Quarantined, registry.get(request), "own");
+                is_any_condemned = true;
             }
             super::log_cleared(&mut registry);
         }
         registry.take_unpublished()
     };
+    if is_any_condemned {
+        quarantine.announce_verdict();
+    }
     if is_coordinator && !changed.is_empty() {
         lock(&quarantine.outbox).queue_broadcast(changed);
         quarantine.changed.notify_one();
@@ -125,7 +159,7 @@
             quarantine.send(Message::Answer(answer), from).await;
         }
         Message::Answer(answer) => {
-            if let Some(record) = &answer.record {
+            for record in &answer.records {
                 quarantine.merge(record, "peer");
             }
             let sender = lock(&quarantine.pending_responses)
@@ -146,15 +180,19 @@
 impl Quarantine {
     /// Decides on a trial request, from the records of this VM and of the sender.
     fn respond(&self, ask: &TrialRequest) -> TrialResponse {
-        self.merge(&ask.record, "peer");
-        let request = ask.record.fingerprint;
+        for record in &ask.records {
+            self.merge(record, "peer");
+        }
         let left = Duration::from_millis(u64::from(ask.left_ms));
-        let mut registry = self.registry();
-        let grant = registry.request_trial(request, left, clock::now(), clock::unix_ms());
+        let grant = {
+            let mut registry = self.registry();
+            registry.request_trial(&ask.subjects, left, clock::now(), clock::unix_ms())
+        };
+        let records = ask.records.iter().map(|record| record.fingerprint);
         TrialResponse {
             number: ask.number,
             grant,
-            record: registry.get(request).cloned(),
+            records: self.records(&records.collect::<Vec<_>>()),
         }
     }
 
--- a/crates/sesamegap-entry/src/quarantine/message.rs
+++ b/crates/sesamegap-entry/src/quarantine/message.rs
@@ -1,7 +1,7 @@
-//! Messages between VMs about requests that crash upstreams.
+//! Messages between VMs about requests and prompt parts that crash upstreams.
 
 use serde::{Deserialize, Serialize};
-use sesamegap_policy::quarantine::{Crash, Grant, Record};
+use sesamegap_policy::quarantine::{Crash, Grant, Record, Subjects};
 use sesamegap_wire::Fingerprint;
 
 /// A message between entry VMs.
@@ -17,21 +17,23 @@
     Answer(TrialResponse),
 }
 
-/// Report of one event of a request.
+/// Report of one event of a request or prompt part.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Report {
     /// An upstream crashed while it ran the request.
     Crashed {
-        /// The request.
-        request: Fingerprint,
+        /// The request and the shared parts of its prompt.
+        subjects: Subjects,
         /// The crash.
         crash: Crash,
+        /// Time from the crash to the report in milliseconds, if the crash was noticed when it occurred.
+        age_ms: Option<u32>,
     },
-    /// The request completed.
+    /// A request of the subject completed.
     Completed {
-        /// The request.
-        request: Fingerprint,
-        /// Epoch of the request's record, which increases each time the request is cleared.
+        /// The request or the prompt part.
+        subject: Fingerprint,
+        /// Epoch of the subject's record, which increases each time the subject is cleared.
         epoch: u32,
     },
     /// The trial of the request ended, with any outcome.
@@ -46,8 +48,10 @@
 pub struct TrialRequest {
     /// Number by which the sender matches the response.
     pub number: u64,
-    /// The sender's record of the request.
-    pub record: Record,
+    /// The request and the shared parts of its prompt.
+    pub subjects: Subjects,
+    /// The sender's records of those that are suspects.
+    pub records: Vec<Record>,
     /// Remaining time until the request's deadline, in milliseconds.
     pub left_ms: u32,
 }
@@ -59,6 +63,6 @@
     pub number: u64,
     /// The decision.
     pub grant: Grant,
-    /// The coordinator's record of the request.
-    pub record: Option<Record>,
+    /// The coordinator's records of the subjects that the sender took for suspects.
+    pub records: Vec<Record>,
 }
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -1,10 +1,11 @@
-//! Quarantine of requests that crash upstreams, shared by all entry VMs.
+//! Quarantine of requests and prompt parts that crash upstreams, shared by all entry VMs.
 //!
 //! A VM whose connection to an upstream broke probes whether the upstream's process is gone ([`Probes`]) and reports each
-//! request that it had there to the coordinator and its replicas. The coordinator grants trials and judges them. Its
+//! request that it had there, with the shared parts of its prompt, to the coordinator and its replicas. The coordinator grants trials and judges them. Its
 //! verdicts are broadcast to all VMs (`exchange`) and written to the store ([`sync()`]), for VMs that were all restarted
 //! at once and for VMs that no peer can reach. Before each attempt of a request, [`admit`] decides whether it runs
-//! normally, runs as a trial, is deferred or is refused. The policy is in [`sesamegap_policy::quarantine`].
+//! normally, runs as a trial, is deferred or is refused. Streams that wait at an upstream and have not begun are withdrawn
+//! when a verdict comes. The policy is in [`sesamegap_policy::quarantine`].
 
 mod admission;
 mod exchange;
@@ -26,12 +27,14 @@
 use outbox::Outbox;
 use rustc_hash::FxHashMap;
 use sesamegap_policy::quarantine::{
-    COORDINATOR_RANKING_KEY, Crash, Grant, Record, Registry, Standing,
+    COORDINATOR_RANKING_KEY, Crash, Grant, Record, Registry, Role, Standing, Subjects,
 };
 use sesamegap_wire::{Fingerprint, Moment, UpstreamId};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
 use tracing::warn;
 
 /// Time within which an upstream must leave the list for its loss to count as a crash. If it stays listed for longer,
@@ -41,6 +44,9 @@
 /// Maximum number of unconfirmed losses: enough for all requests at a few upstreams.
 const MAX_UNCONFIRMED: usize = 512;
 
+/// Maximum number of records in a request for a trial and its response; a prompt has few suspect parts.
+const MAX_ASKED_RECORDS: usize = 4;
+
 /// Loss of an upstream that is not yet known to have crashed.
 #[derive(Debug)]
 struct UnconfirmedLoss {
@@ -51,12 +57,14 @@
 /// Loss of an upstream while it ran a request.
 #[derive(Debug, Clone)]
 pub struct UpstreamLoss {
-    /// The request.
-    pub request: Fingerprint,
+    /// The request and the shared parts of its prompt.
+    pub subjects: Arc<Subjects>,
     /// The upstream.
     pub upstream: UpstreamId,
-    /// The upstream's instance, and whether the request ran there as a trial.
+    /// The upstream's instance, and how the request ran there.
     pub crash: Crash,
+    /// When the upstream was lost, unless it only fell silent.
+    pub at: Option<Moment>,
 }
 
 /// The quarantine as known to this VM, and its messages to other VMs.
@@ -70,6 +78,10 @@
     pub(crate) socket: PeerSocket,
     /// Wakes the task that synchronizes with the store.
     changed: Notify,
+    /// Number of verdicts that this VM has learned of.
+    verdicts: watch::Sender<u64>,
+    /// Whether this VM was the coordinator at the last tick.
+    is_coordinator: AtomicBool,
     /// Probes of upstreams after broken connections.
     pub probes: Probes,
 }
@@ -97,15 +109,62 @@
     }
 
     /// Returns how a request is currently treated.
-    pub fn standing(&self, request: Fingerprint) -> Standing {
-        self.registry().standing(request, clock::unix_ms())
+    pub fn standing(&self, subjects: &Subjects) -> Standing {
+        self.registry().request_standing(subjects, clock::unix_ms())
+    }
+
+    /// Returns the subjects because of which a request is restricted.
+    pub fn restricted(&self, subjects: &Subjects) -> Vec<Fingerprint> {
+        let registry = self.registry();
+        let unix_ms = clock::unix_ms();
+        let all = subjects.iter().map(|subject| subject.fingerprint);
+        all.filter(|subject| registry.standing(*subject, unix_ms) != Standing::Clear)
+            .collect()
+    }
+
+    /// Returns the records of some subjects.
+    fn records(&self, subjects: &[Fingerprint]) -> Vec<Record> {
+        let registry = self.registry();
+        let known = subjects.iter().filter_map(|subject| registry.get(*subject));
+        known.take(MAX_ASKED_RECORDS).cloned().collect()
+    }
+
+    /// Waits until a request is quarantined.
+    pub async fn wait_until_refused(&self, subjects: &Subjects) {
+        let mut verdicts = self.verdicts.subscribe();
+        while self.standing(subjects) != Standing::Quarantined {
+            // The sender lives as long as this.
+            if verdicts.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Wakes the requests that wait for a verdict.
+    fn announce_verdict(&self) {
+        self.verdicts.send_modify(|count| *count += 1);
+    }
+
+    /// Sets whether this VM is the coordinator.
+    fn set_coordinator(&self, is_coordinator: bool) {
+        self.is_coordinator.store(is_coordinator, Ordering::Relaxed);
+    }
+
+    fn role(&self) -> Role {
+        if self.is_coordinator.load(Ordering::Relaxed) {
+            Role::Coordinator
+        } else {
+            Role::Follower
+        }
     }
 
     /// Records that an upstream crashed while it ran a request of this VM, and reports it.
     pub fn record_crash(&self, loss: &UpstreamLoss) {
+        let age = loss.at.map(|at| clock::now().since(at));
         let report = Report::Crashed {
-            request: loss.request,
+            subjects: Subjects::clone(&loss.subjects),
             crash: loss.crash,
+            age_ms: age.map(clock::wire_millis),
         };
         self.submit_report(report);
     }
@@ -121,11 +180,18 @@
         }
     }
 
-    /// Records and reports that a request of this VM completed, if there is a record of it.
-    pub fn record_completion(&self, request: Fingerprint) {
-        let epoch = self.registry().get(request).map(|record| record.epoch);
-        if let Some(epoch) = epoch {
-            self.submit_report(Report::Completed { request, epoch });
+    /// Records and reports that a request of this VM completed, given when it was sent, for all its subjects that
+    /// crashes count against.
+    pub fn record_completion(&self, subjects: &Subjects, sent: Instant) {
+        let sent = clock::ago(sent.elapsed());
+        let blamed: Vec<(Fingerprint, u32)> = {
+            let registry = self.registry();
+            let all = subjects.iter().map(|subject| subject.fingerprint);
+            all.filter_map(|subject| Some((subject, registry.completion_epoch(subject, sent)?)))
+                .collect()
+        };
+        for (subject, epoch) in blamed {
+            self.submit_report(Report::Completed { subject, epoch });
         }
     }
 
@@ -139,11 +205,21 @@
     fn apply_report(&self, report: &Report, source: &str) {
         let now = clock::now();
         match report {
-            Report::Crashed { request, crash } => self.update(*request, source, |registry| {
-                registry.record_crash(*request, *crash, now, clock::unix_ms());
-            }),
-            Report::Completed { request, epoch } => self.update(*request, source, |registry| {
-                registry.record_completion(*request, *epoch, now);
+            Report::Crashed {
+                subjects,
+                crash,
+                age_ms,
+            } => {
+                let age = age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+                let at = age.map(|age| now.saturating_sub(age));
+                let all: Vec<Fingerprint> =
+                    subjects.iter().map(|subject| subject.fingerprint).collect();
+                self.update(&all, source, |registry| {
+                    registry.record_crash(subjects, *crash, at, now, clock::unix_ms());
+                });
+            }
+            Report::Completed { subject, epoch } => self.update(&[*subject], source, |registry| {
+                registry.record_completion(*subject, *epoch, self.role(), now);
             }),
             Report::Released { request } => self.registry().end_trial(*request),
         }
@@ -151,7 +227,7 @@
 
     /// Merges a record from another VM or the store.
     fn merge(&self, record: &Record, source: &str) {
-        self.update(record.fingerprint, source, |registry| {
+        self.update(&[record.fingerprint], source, |registry| {
             registry.merge(record, clock::now(), clock::unix_ms());
         });
     }
@@ -159,7 +235,7 @@
     /// Clears a request on behalf of an operator; returns whether it had any crashes.
     pub fn lift(&self, request: Fingerprint) -> bool {
         let mut lifted = false;
-        self.update(request, "operator", |registry| {
+        self.update(&[request], "operator", |registry| {
             lifted = registry.lift(request, clock::now());
         });
         if lifted {
@@ -170,20 +246,30 @@
         lifted
     }
 
-    /// Updates the registry and logs the request's standing if it changed.
-    fn update(&self, request: Fingerprint, source: &str, act: impl FnOnce(&mut Registry)) {
+    /// Updates the registry, and logs the standings of these subjects that changed.
+    fn update(&self, subjects: &[Fingerprint], source: &str, act: impl FnOnce(&mut Registry)) {
         let unix_ms = clock::unix_ms();
-        let (was, is, record) = {
+        let mut is_any_condemned = false;
+        {
             let mut registry = self.registry();
-            let was = registry.standing(request, unix_ms);
+            let standings = |registry: &Registry| -> Vec<Standing> {
+                let each = subjects.iter();
+                each.map(|subject| registry.standing(*subject, unix_ms))
+                    .collect()
+            };
+            let before = standings(&registry);
             act(&mut registry);
             log_cleared(&mut registry);
-            let is = registry.standing(request, unix_ms);
-            let changed = registry.get(request).filter(|_| was != is);
-            (was, is, changed.cloned())
-        };
-        if was != is {
-            log(request, is, record.as_ref(), source);
+            let after = standings(&registry);
+            for ((subject, was), is) in subjects.iter().zip(before).zip(after) {
+                if was != is {
+                    log(*subject, is, registry.get(*subject), source);
+                    is_any_condemned |= is == Standing::Quarantined;
+                }
+            }
+        }
+        if is_any_condemned {
+            self.announce_verdict();
         }
     }
 }
@@ -195,11 +281,12 @@
     }
 }
 
-/// Logs the new standing of a request.
-fn log(request: Fingerprint, standing: Standing, record: Option<&Record>, source: &str) {
+/// Logs the new standing of a subject.
+fn log(subject: Fingerprint, standing: Standing, record: Option<&Record>, source: &str) {
     let lives = record.map(|record| record.crashes.iter().map(|crash| crash.life));
     let ended: Vec<u64> = lives.into_iter().flatten().collect();
     let trials = record.map_or(0, Record::failed_trials);
     let epoch = record.map_or(0, |record| record.epoch);
-    warn!(event = events::QUARANTINE, fingerprint = %request, standing = ?standing, ended = ?ended, trials, epoch, by = source, "standing of a request changed");
+    let part = record.is_some_and(Record::is_part);
+    warn!(event = events::QUARANTINE, fingerprint = %subject, part, standing = ?standing, ended = ?ended, trials, epoch, by = source, "standing of a request changed");
 }
--- a/crates/sesamegap-entry/src/quarantine/outbox.rs
+++ b/crates/sesamegap-entry/src/quarantine/outbox.rs
@@ -20,12 +20,12 @@
         self.reports.push((report, TRANSMISSIONS));
     }
 
-    /// Queues records for all VMs, replacing queued records of the same requests.
+    /// Queues records for all VMs, replacing queued records of the same subjects.
     pub fn queue_broadcast(&mut self, records: impl IntoIterator<Item = Record>) {
         for record in records {
-            let request = record.fingerprint;
+            let subject = record.fingerprint;
             self.records
-                .retain(|(older, _)| older.fingerprint != request);
+                .retain(|(older, _)| older.fingerprint != subject);
             self.records.push((record, TRANSMISSIONS));
         }
     }
--- a/crates/sesamegap-entry/src/quarantine/sync.rs
+++ b/crates/sesamegap-entry/src/quarantine/sync.rs
@@ -105,10 +105,9 @@
         published
             .filter(|record| !stored.contains(record))
             .filter(|record| {
-                let is_stored = stored
-                    .iter()
-                    .any(|old| old.fingerprint == record.fingerprint);
-                is_stored || record.standing(unix_ms) != Standing::Clear
+                let subject = record.fingerprint;
+                let is_stored = stored.iter().any(|old| old.fingerprint == subject);
+                is_stored || registry.standing(subject, unix_ms) != Standing::Clear
             })
             .cloned()
             .collect()
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -34,6 +34,9 @@
 /// Why a request was withdrawn.
 pub const WEIGHTS_EXPIRED: &str = "engine did not begin before its weights expired";
 
+/// Why a request was withdrawn.
+pub const QUARANTINED: &str = "quarantined before the upstream began";
+
 /// The outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -145,6 +148,8 @@
         answer = answer => answer,
         // A plain response arrives only once it is complete, so there is no telling whether it has begun.
         () = until_weights_expire(&flight), if streams => return Outcome::Lost(WEIGHTS_EXPIRED.to_owned()),
+        // The upstream drops a request that has not begun once its connection closes, and is spared.
+        () = core.quarantine.wait_until_refused(job.subjects()), if streams => return Outcome::Lost(QUARANTINED.to_owned()),
     };
     let exchange = match answer {
         Ok(Ok((exchange, gate_pass))) => {
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -7,7 +7,6 @@
 use crate::quarantine::{ProcessState, TrialPermit, UpstreamLoss};
 use crate::telemetry::events;
 use sesamegap_policy::quarantine::Crash;
-use sesamegap_wire::Fingerprint;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,6 +23,7 @@
     parts: Option<String>,
     loss: UpstreamLoss,
     addr: SocketAddr,
+    sent: Instant,
     /// Held until the loss is reported, so that no other trial begins before.
     permit: Option<TrialPermit>,
     /// Requests running at the upstream when this one was sent.
@@ -60,13 +60,16 @@
             request: job.head.id.clone(),
             parts: job.part_names(),
             loss: UpstreamLoss {
-                request: job.fingerprint(),
+                subjects: Arc::clone(job.subjects()),
                 upstream: flight.id.clone(),
                 crash: Crash {
                     life: flight.life(),
                     trial: permit.is_some(),
+                    begun,
                 },
+                at: None,
             },
+            sent,
             addr: flight.addr,
             permit,
             concurrent: flight.running,
@@ -75,8 +78,10 @@
         }
     }
 
-    pub fn request(&self) -> Fingerprint {
-        self.loss.request
+    /// Records that the response was complete after all.
+    pub fn record_completion(&self, core: &Core) {
+        let quarantine = &core.quarantine;
+        quarantine.record_completion(&self.loss.subjects, self.sent);
     }
 
     /// Reports that the upstream went silent. Whether its process ended follows from the fleet list, so that an
@@ -91,7 +96,8 @@
         tokio::spawn(async move { self.run_probe(&core).await })
     }
 
-    async fn run_probe(self, core: &Core) {
+    async fn run_probe(mut self, core: &Core) {
+        self.loss.at = Some(clock::now());
         let loss = &self.loss;
         let life = loss.crash.life;
         let from = core.settings().listen.callers.ip();
@@ -101,7 +107,7 @@
         info!(
             event = events::UPSTREAM_CONNECTION,
             request = %self.request,
-            fingerprint = %loss.request,
+            fingerprint = %loss.subjects.request(),
             parts = self.parts,
             upstream = %loss.upstream,
             life,
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -131,7 +131,8 @@
     }
     let failed = head.status.is_server_error();
     if head.status.is_success() {
-        core.quarantine.record_completion(job.fingerprint());
+        core.quarantine
+            .record_completion(job.subjects(), answered.sent);
     }
     answered
         .flight
@@ -163,7 +164,7 @@
                 }
             }
         }
-        core.quarantine.record_completion(loss.request());
+        loss.record_completion(&core);
     };
     StreamBody::new(stream).boxed_unsync()
 }
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -25,6 +25,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use reading::UpstreamStream;
+use sesamegap_policy::quarantine::Standing;
 use sesamegap_policy::resumption::Origin;
 use sesamegap_policy::routing::timeouts;
 use sesamegap_wire::{SoftwareVersion, UpstreamId};
@@ -103,7 +104,8 @@
                     yield Ok(Frame::data(bytes));
                 }
                 Ok(None) => {
-                    relay.core.quarantine.record_completion(relay.job.fingerprint());
+                    let quarantine = &relay.core.quarantine;
+                    quarantine.record_completion(relay.job.subjects(), stream.sent);
                     log.record_end(stream.status.as_u16(), relay.retry.runs + 1, "");
                     return;
                 }
@@ -166,6 +168,11 @@
         }
     }
 
+    /// Whether the request is quarantined by now.
+    fn is_refused(&self) -> bool {
+        self.core.quarantine.standing(self.job.subjects()) == Standing::Quarantined
+    }
+
     fn can_move(&self) -> bool {
         let route = &self.job.route;
         route.kind == Kind::ResumableStream && self.retry.runs + 1 < route.attempts
@@ -232,6 +239,9 @@
         self.last_event_id?;
         self.retry.record_run(id);
         while self.retry.can_run_again(&self.job) {
+            if self.is_refused() {
+                return None;
+            }
             if self.retry.is_version_gone(&self.core) {
                 info!(event = events::ATTEMPT, request = %self.job.head.id, software = self.retry.software.as_ref().map(tracing::field::display), "no upstream of the stream's software version is left");
                 return None;
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -4,7 +4,9 @@
 use crate::clock;
 use crate::fleet::Flight;
 use crate::intake::full_body;
-use crate::relay::attempt::{Answered, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run};
+use crate::relay::attempt::{
+    Answered, QUARANTINED, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run,
+};
 use crate::relay::loss::{self, BrokenAnswer};
 use crate::relay::plain::caller_response;
 use crate::relay::sse::{EventBatch, EventSplitter};
@@ -25,7 +27,7 @@
 pub(super) struct UpstreamStream {
     pub(super) flight: Flight,
     /// When the request was sent.
-    sent: Instant,
+    pub(super) sent: Instant,
     body: Incoming,
     _connection: Connection,
     splitter: EventSplitter,
@@ -125,7 +127,14 @@
             let until = self
                 .silence_deadline(stream, silent_since)
                 .min(stream.next_check());
-            let frame = match timeout_at(until, stream.body.frame()).await {
+            let frame = tokio::select! {
+                biased;
+                frame = timeout_at(until, stream.body.frame()) => frame,
+                () = self.core.quarantine.wait_until_refused(self.job.subjects()), if !stream.body_begun => {
+                    return Err(QUARANTINED.to_owned());
+                }
+            };
+            let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => {
                     return Err(self.report_broken(stream, &error.to_string()).await);
--- a/crates/sesamegap-entry/tests/testsuite/quarantine.rs
+++ b/crates/sesamegap-entry/tests/testsuite/quarantine.rs
@@ -8,7 +8,7 @@
 use sesamegap_entry::core::Core;
 use sesamegap_entry::quarantine::{self, UpstreamLoss};
 use sesamegap_policy::agreement::membership::Status;
-use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Crash, Standing};
+use sesamegap_policy::quarantine::{COORDINATOR_RANKING_KEY, Crash, Standing, Subjects};
 use sesamegap_wire::{Fingerprint, UpstreamId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,11 +79,21 @@
     Fingerprint::of(&format!("POST {path}"), Some("clerks"), body.as_bytes())
 }
 
+fn standing(vm: &Vm, request: Fingerprint) -> Standing {
+    let quarantine = &vm.core.quarantine;
+    quarantine.standing(&Subjects::of_request(request))
+}
+
 fn upstream_loss(request: Fingerprint, life: u64, trial: bool) -> UpstreamLoss {
     UpstreamLoss {
-        request,
+        subjects: Arc::new(Subjects::of_request(request)),
         upstream: format!("e{life}").parse().unwrap(),
-        crash: Crash { life, trial },
+        crash: Crash {
+            life,
+            trial,
+            begun: false,
+        },
+        at: None,
     }
 }
 
@@ -108,7 +118,7 @@
     wait_until(|| platform.quarantine.lock().unwrap().len() == 1).await;
     let after = vm(1, 23, port, &platform).await;
     tokio::spawn(quarantine::sync(Arc::clone(&after.core)));
-    wait_until(|| after.core.quarantine.standing(request) == Standing::Quarantined).await;
+    wait_until(|| standing(&after, request) == Standing::Quarantined).await;
 }
 
 /// A VM misses all datagrams that are sent when a request is condemned. If they were not repeated, it would keep sending
@@ -120,7 +130,7 @@
     for vm in &vms[1..] {
         condemn(&vm.core, request);
     }
-    wait_until(|| vms[0].core.quarantine.standing(request) == Standing::Quarantined).await;
+    wait_until(|| standing(&vms[0], request) == Standing::Quarantined).await;
 }
 
 /// The caller of a quarantined request learns that the request did not run. Without a retry delay it would return at
@@ -159,7 +169,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let request = fingerprint("/chat/a", "cut");
     for vm in &vms {
-        assert_eq!(vm.core.quarantine.standing(request), Standing::Clear);
+        assert_eq!(standing(vm, request), Standing::Clear);
     }
 }
 
--- a/crates/sesamegap-policy/src/quarantine/record.rs
+++ b/crates/sesamegap-policy/src/quarantine/record.rs
@@ -1,62 +1,85 @@
-//! Crash record of one request.
+//! Crash record of one request or prompt part.
 
+use super::subject::{REQUEST_DEPTH, Subject};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::Fingerprint;
 use std::time::Duration;
 
-/// Crashes after which a request is a suspect.
+/// Crashes after which a subject is a suspect.
 pub(super) const SUSPECT_CRASHES: usize = 2;
 
 /// Crashes during trials after which a request is condemned, whatever else may have caused them.
+///
+/// This does not hold for prompt parts: all parts of a prompt share its trials, though at most one is the cause.
 const CONDEMNING_TRIALS: usize = 4;
 
 /// Maximum number of crashes in a record; further ones add no information.
 const MAX_CRASHES: usize = 8;
 
-/// Time after the last crash at which a quarantined request is granted another trial, since its upstreams may run other
+/// Time after the last crash at which a quarantined subject is granted another trial, since its upstreams may run other
 /// software by then.
 const QUARANTINE_TIME: Duration = Duration::from_hours(24);
 
-/// Crash of an upstream while it ran a request.
+/// Crash of an upstream while it ran a request of a subject.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// Number of the upstream's instance; a restarted upstream has another one.
     pub life: u64,
     /// Whether the request ran there as a trial.
     pub trial: bool,
+    /// Whether all requests of the subject had begun to be answered there.
+    #[serde(default)]
+    pub begun: bool,
 }
 
-/// How a request is treated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// How requests of a subject are treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
-    /// It runs without restriction.
+    /// They run without restriction.
     Clear,
-    /// It runs as a trial only.
+    /// They run as trials only.
     Suspect,
-    /// It is refused.
+    /// They are refused.
     Quarantined,
 }
 
-/// What is known of one request.
+/// What is known of one request or prompt part.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// The request.
+    /// The request or the prompt part.
     pub fingerprint: Fingerprint,
-    /// Number of times that the request was cleared; a record with a lower epoch is outdated.
+    /// Number of times that the subject was cleared; a record with a lower epoch is outdated.
     pub epoch: u32,
-    /// Crashes since the request was last cleared, ordered by `life`.
+    /// Crashes since the subject was last cleared, ordered by `life`.
     pub crashes: Vec<Crash>,
-    /// Whether the request was condemned.
+    /// Whether the subject was condemned.
     pub condemned: bool,
     /// Time of the last crash, in Unix milliseconds.
     pub lost_ms: u64,
+    /// Place of the subject among those of a request, see [`Subject::depth`].
+    #[serde(default = "request_depth")]
+    pub depth: u8,
+}
+
+/// The depth in records that were stored without one.
+fn request_depth() -> u8 {
+    REQUEST_DEPTH
 }
 
 impl Record {
+    /// Creates a record of a request, without crashes.
+    pub fn new(request: Fingerprint) -> Self {
+        Self::of(Subject {
+            fingerprint: request,
+            depth: REQUEST_DEPTH,
+        })
+    }
+
     /// Creates a record without crashes.
-    pub fn new(fingerprint: Fingerprint) -> Self {
+    pub fn of(subject: Subject) -> Self {
         Self {
-            fingerprint,
+            fingerprint: subject.fingerprint,
+            depth: subject.depth,
             epoch: 0,
             crashes: Vec::new(),
             condemned: false,
@@ -64,7 +87,20 @@
         }
     }
 
-    /// Returns how the request is treated at the given Unix time in milliseconds.
+    /// The subject.
+    pub fn subject(&self) -> Subject {
+        Subject {
+            fingerprint: self.fingerprint,
+            depth: self.depth,
+        }
+    }
+
+    /// Whether the subject is a prompt part.
+    pub fn is_part(&self) -> bool {
+        self.depth != REQUEST_DEPTH
+    }
+
+    /// Returns how requests of the subject are treated at the given Unix time in milliseconds.
     pub fn standing(&self, unix_ms: u64) -> Standing {
         if !self.is_condemned() {
             return match self.crashes.len() {
@@ -80,9 +116,9 @@
         }
     }
 
-    /// Whether the request is condemned, by a verdict or by its number of failed trials.
+    /// Whether the subject is condemned, by a verdict or, if it is a request, by its number of failed trials.
     pub fn is_condemned(&self) -> bool {
-        self.condemned || self.failed_trials() >= CONDEMNING_TRIALS
+        self.condemned || !self.is_part() && self.failed_trials() >= CONDEMNING_TRIALS
     }
 
     /// Returns the number of trials that ended in a crash.
@@ -90,6 +126,31 @@
         self.crashes.iter().filter(|crash| crash.trial).count()
     }
 
+    /// Whether a trial of both subjects crashed the same upstream instance: some request belongs to both.
+    pub fn shares_trial(&self, other: &Self) -> bool {
+        let trials = self.crashes.iter().filter(|crash| crash.trial);
+        let mut trials = trials.map(|crash| crash.life);
+        trials.any(|life| other.has_trial(life))
+    }
+
+    /// Whether all crashes of another record are in this one, as far as it has room.
+    pub fn covers(&self, other: &Self) -> bool {
+        let mut lives = other.crashes.iter().map(|crash| crash.life);
+        self.crashes.len() >= MAX_CRASHES || lives.all(|life| self.has(life))
+    }
+
+    /// Whether all failed trials of another record are in this one.
+    pub fn covers_trials(&self, other: &Self) -> bool {
+        let mut trials = other.crashes.iter().filter(|crash| crash.trial);
+        trials.all(|crash| self.has_trial(crash.life))
+    }
+
+    /// Whether the record has a trial that crashed the given upstream instance.
+    pub fn has_trial(&self, life: u64) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| crash.trial && crash.life == life)
+    }
+
     /// Whether the record has a crash of the given upstream instance.
     pub fn has(&self, life: u64) -> bool {
         self.crashes.iter().any(|crash| crash.life == life)
@@ -103,8 +164,9 @@
             .iter_mut()
             .find(|known| known.life == crash.life)
         {
-            let changed = crash.trial && !known.trial;
+            let changed = crash.trial && !known.trial || known.begun && !crash.begun;
             known.trial |= crash.trial;
+            known.begun &= crash.begun;
             return changed;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -122,7 +184,7 @@
         true
     }
 
-    /// Clears the request and starts a new epoch, in which earlier crashes no longer count.
+    /// Clears the subject and starts a new epoch, in which earlier crashes no longer count.
     pub fn clear(&mut self) {
         self.epoch += 1;
         self.crashes.clear();
--- a/crates/sesamegap-policy/src/quarantine/registry.rs
+++ b/crates/sesamegap-policy/src/quarantine/registry.rs
@@ -1,38 +1,35 @@
-//! Crash records of all requests, as known to one VM.
+//! Crash records of all subjects, as known to one VM.
 
-use super::record::{Crash, Record, SUSPECT_CRASHES, Standing};
-use crate::routing::engines::rank;
+use super::instances::Instances;
+use super::judging::Counts;
+use super::record::{Crash, Record, Standing};
+use super::subject::{Subject, Subjects};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Fingerprint, Moment};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Maximum number of requests tracked, at about 200 bytes each. A crash adds every request that ran on the upstream, up
-/// to a hundred at a time.
-const MAX_REQUESTS: usize = 4_096;
+/// Maximum number of subjects tracked, at about 250 bytes each. A crash adds every request that ran on the upstream, up
+/// to a hundred at a time, and the parts of their prompts.
+const MAX_SUBJECTS: usize = 8_192;
 
-/// Number of requests that are dropped when the maximum is exceeded.
-const TRIM_COUNT: usize = MAX_REQUESTS / 8;
+/// Number of subjects that are dropped when the maximum is exceeded.
+const TRIM_COUNT: usize = MAX_SUBJECTS / 8;
 
 /// Time window in which all crashes are compared with those of a suspect.
-const RECENT_WINDOW: Duration = Duration::from_secs(30);
+pub(super) const RECENT_WINDOW: Duration = Duration::from_secs(30);
 
 /// Maximum number of crashes remembered for that comparison.
-const MAX_RECENT_CRASHES: usize = 1_024;
+pub(super) const MAX_RECENT_CRASHES: usize = 1_024;
 
-/// Minimum time between the crashes of an upstream and of its next instance. Repeated reports of the same crash arrive
-/// sooner.
-const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(600);
-
-/// Maximum number of upstream instances per request for which repeated reports are told from new crashes.
-const MAX_REPORTED_INSTANCES: usize = 16;
+/// Maximum number of crashes per subject that are remembered after it was cleared, so that late and repeated reports of
+/// them do not count again.
+const MAX_SETTLED_CRASHES: usize = 16;
 
 /// Time after a failed trial in which other VMs' reports of crashes at the same moment arrive.
-const SETTLE_TIME: Duration = Duration::from_millis(250);
-
-/// Time after a failed trial in which the other recent crashes are evidence about its cause.
-const EVIDENCE_WINDOW: Duration = Duration::from_secs(5);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(250);
 
 /// Maximum time for which a trial blocks other trials; it may continue to run after that.
 const MAX_TRIAL_HOLD: Duration = Duration::from_secs(2);
@@ -50,182 +47,271 @@
     Refused,
 }
 
-#[derive(Debug)]
-struct Tracked {
-    record: Record,
-    /// When the record last changed.
-    changed_at: Moment,
-    /// When a trial of the request last ended in a crash.
-    trial_failed_at: Option<Moment>,
-    /// Crashes by instance number as reported, that is, as in the list of upstreams.
-    reported: Vec<ReportedCrashes>,
+/// Role of a VM in the quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Numbers the epochs of records that other VMs know, judges, and grants trials.
+    Coordinator,
+    /// Follows the coordinator's records.
+    Follower,
 }
 
-/// Crashes of an upstream that were reported with the same instance number.
-///
-/// A crashed upstream may be running again before the list shows its new instance number. Its next crash is then reported
-/// with the former number and, without this count, would be ignored as a repeated report.
 #[derive(Debug)]
-struct ReportedCrashes {
-    life: u64,
-    /// Number of crashes before the last one.
-    count: u64,
-    /// When the last crash was first reported.
-    last_at: Moment,
+pub(super) struct Tracked {
+    pub(super) record: Record,
+    /// When the record last changed.
+    changed_at: Moment,
+    /// When this VM learned of the first of the crashes that count.
+    blamed_at: Moment,
+    /// When a trial of the subject last ended in a crash.
+    pub(super) trial_failed_at: Option<Moment>,
+    /// Crashes that no longer count.
+    settled: VecDeque<u64>,
+    /// Whether other VMs may have the record.
+    is_shared: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Trial {
-    fingerprint: Fingerprint,
+    request: Fingerprint,
     until: Moment,
 }
 
-/// Crash records of all requests, as known to one VM.
+/// Crash records of all subjects, as known to one VM.
 #[derive(Debug, Default)]
 pub struct Registry {
-    requests: FxHashMap<Fingerprint, Tracked>,
+    pub(super) subjects: FxHashMap<Fingerprint, Tracked>,
+    instances: Instances,
     /// Recent crashes, by instance number.
-    recent_crashes: VecDeque<(u64, Moment)>,
+    pub(super) recent_crashes: VecDeque<(u64, Moment)>,
     trial: Option<Trial>,
-    /// Requests whose records are to be published.
+    /// Subjects whose records are to be published.
     unpublished: FxHashSet<Fingerprint>,
-    /// Suspects whose crashes were all explained by condemned requests.
-    cleared: Vec<Fingerprint>,
-    /// Crashed instances, with the condemned request that explains each crash.
-    explained: FxHashMap<u64, Fingerprint>,
+    /// Suspects whose crashes were all explained by condemned subjects.
+    pub(super) cleared: Vec<Fingerprint>,
+    /// Crashed instances, with the condemned subject that explains each crash.
+    pub(super) explained: FxHashMap<u64, Fingerprint>,
+    /// Least numbers of crashes of a prompt part that stands out, until something changes.
+    pub(super) prominence: Cell<Option<Counts>>,
 }
 
 impl Tracked {
-    /// Returns the number of the instance that crashed, given the reported one.
-    fn instance_number(&mut self, life: u64, now: Moment) -> u64 {
-        if self.reported.len() >= MAX_REPORTED_INSTANCES {
-            self.reported.clear();
+    fn new(subject: Subject, now: Moment) -> Self {
+        Self {
+            record: Record::of(subject),
+            changed_at: now,
+            blamed_at: now,
+            trial_failed_at: None,
+            settled: VecDeque::new(),
+            is_shared: false,
         }
-        let Some(known) = self.reported.iter_mut().find(|known| known.life == life) else {
-            let last_at = now;
-            self.reported.push(ReportedCrashes {
-                life,
-                count: 0,
-                last_at,
-            });
-            return life;
-        };
-        if now.since(known.last_at) >= MIN_CRASH_INTERVAL {
-            known.count += 1;
-            known.last_at = now;
+    }
+
+    /// Adds a crash unless it no longer counts; returns whether the record changed.
+    fn add(&mut self, crash: Crash, now: Moment, unix_ms: u64) -> bool {
+        if self.settled.contains(&crash.life) {
+            return false;
+        }
+        let is_first = self.record.crashes.is_empty();
+        if !self.record.add(crash, unix_ms) {
+            return false;
+        }
+        if is_first {
+            self.blamed_at = now;
         }
-        match known.count {
-            0 => life,
-            count => rank(life, count),
+        if crash.trial {
+            self.trial_failed_at = Some(now);
         }
+        self.changed_at = now;
+        true
+    }
+
+    /// Stops counting the crashes so far.
+    pub(super) fn settle(&mut self) {
+        let lives = self.record.crashes.drain(..).map(|crash| crash.life);
+        self.settled.extend(lives);
+        let excess = self.settled.len().saturating_sub(MAX_SETTLED_CRASHES);
+        self.settled.drain(..excess);
+        self.record.condemned = false;
+        self.trial_failed_at = None;
+    }
+
+    /// Stops counting the crashes so far, and starts a new epoch if other VMs may know of them.
+    fn clear(&mut self, role: Role, now: Moment) {
+        self.settle();
+        if self.is_shared && role == Role::Coordinator {
+            self.record.clear();
+        }
+        self.changed_at = now;
     }
 }
 
 impl Registry {
-    /// Whether no request is tracked.
+    /// Whether no subject is tracked.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.subjects.is_empty()
+    }
+
+    /// Returns how requests of a subject are treated at the given Unix time in milliseconds.
+    pub fn standing(&self, subject: Fingerprint, unix_ms: u64) -> Standing {
+        let Some(known) = self.subjects.get(&subject) else {
+            return Standing::Clear;
+        };
+        let record = &known.record;
+        match record.standing(unix_ms) {
+            // A loss of many upstreams leaves crashes with most parts. Requests of parts that crashes do not
+            // single out are not held up.
+            Standing::Suspect if record.is_part() && !record.condemned => {
+                if self.stands_out(record) {
+                    Standing::Suspect
+                } else {
+                    Standing::Clear
+                }
+            }
+            standing => standing,
+        }
     }
 
-    /// Returns how a request is treated at the given Unix time in milliseconds.
-    pub fn standing(&self, request: Fingerprint, unix_ms: u64) -> Standing {
-        let known = self.requests.get(&request);
-        known.map_or(Standing::Clear, |known| known.record.standing(unix_ms))
+    /// Returns how a request is treated: as the worst of its subjects.
+    pub fn request_standing(&self, subjects: &Subjects, unix_ms: u64) -> Standing {
+        let each = subjects.iter();
+        let standings = each.map(|subject| self.standing(subject.fingerprint, unix_ms));
+        standings.max().unwrap_or(Standing::Clear)
     }
 
-    /// Returns the record of a request.
-    pub fn get(&self, request: Fingerprint) -> Option<&Record> {
-        self.requests.get(&request).map(|known| &known.record)
+    /// Returns the record of a subject.
+    pub fn get(&self, subject: Fingerprint) -> Option<&Record> {
+        self.subjects.get(&subject).map(|known| &known.record)
     }
 
-    /// Returns the records of requests that are restricted or were cleared.
+    /// Returns the records that other VMs need: those with enough crashes to be a suspect's, and those that were
+    /// cleared of them.
     pub fn published(&self, unix_ms: u64) -> impl Iterator<Item = &Record> {
-        let records = self.requests.values().map(|known| &known.record);
+        let records = self.subjects.values().map(|known| &known.record);
         records
             .filter(move |record| record.epoch > 0 || record.standing(unix_ms) != Standing::Clear)
     }
 
-    /// Records that an upstream crashed while it ran a request.
-    pub fn record_crash(&mut self, request: Fingerprint, crash: Crash, now: Moment, unix_ms: u64) {
-        let known = self.track(request, now);
-        let life = known.instance_number(crash.life, now);
+    /// Records that an upstream crashed while it ran a request, at a time that may not be known.
+    pub fn record_crash(
+        &mut self,
+        subjects: &Subjects,
+        crash: Crash,
+        at: Option<Moment>,
+        now: Moment,
+        unix_ms: u64,
+    ) {
+        let life = self.instances.identify(crash.life, at, now);
         let crash = Crash { life, ..crash };
-        let added = known.record.add(crash, unix_ms);
         self.record_recent_crash(life, now);
-        if !added {
-            return;
-        }
-        let known = self.track(request, now);
-        known.changed_at = now;
-        if crash.trial {
-            known.trial_failed_at = Some(now);
+        for subject in subjects.iter() {
+            if self.track(subject, now).add(crash, now, unix_ms) {
+                if subject.fingerprint == subjects.request() {
+                    self.end_trial(subject.fingerprint);
+                }
+                self.apply_change(subject.fingerprint, unix_ms);
+            }
         }
-        self.end_trial(request);
-        self.clear_if_explained(request);
-        self.publish(request, unix_ms);
         self.trim(unix_ms);
     }
 
-    /// Records that a request completed, as of the given epoch; returns whether that cleared any crashes.
-    pub fn record_completion(&mut self, request: Fingerprint, epoch: u32, now: Moment) -> bool {
-        self.end_trial(request);
-        let Some(known) = self.requests.get_mut(&request) else {
+    /// Returns the epoch in which a whole answer counts for a subject, if it does, given when its request was sent.
+    ///
+    /// An answer of a condemned subject counts only if its request was sent after the crashes: the cause may be newer
+    /// than requests that were running already.
+    pub fn completion_epoch(&self, subject: Fingerprint, sent: Moment) -> Option<u32> {
+        let known = self.subjects.get(&subject)?;
+        let record = &known.record;
+        let counts = !record.is_condemned() || sent > known.blamed_at;
+        (!record.crashes.is_empty() && counts).then_some(record.epoch)
+    }
+
+    /// Records that a request of a subject completed, as of the given epoch; returns whether that cleared any crashes.
+    pub fn record_completion(
+        &mut self,
+        subject: Fingerprint,
+        epoch: u32,
+        role: Role,
+        now: Moment,
+    ) -> bool {
+        self.end_trial(subject);
+        let Some(known) = self.subjects.get_mut(&subject) else {
             return false;
         };
         if known.record.epoch != epoch || known.record.crashes.is_empty() {
             return false;
         }
-        known.record.clear();
-        known.changed_at = now;
-        known.trial_failed_at = None;
-        self.explained.retain(|_, by| *by != request);
-        self.unpublished.insert(request);
+        known.clear(role, now);
+        if known.record.epoch > epoch {
+            self.unpublished.insert(subject);
+        }
+        self.explained.retain(|_, by| *by != subject);
+        self.prominence.set(None);
         true
     }
 
-    /// Clears a request; returns whether it had any crashes.
-    pub fn lift(&mut self, request: Fingerprint, now: Moment) -> bool {
-        let epoch = self.get(request).map(|record| record.epoch);
-        epoch.is_some_and(|epoch| self.record_completion(request, epoch, now))
+    /// Clears a subject on all VMs; returns whether it had any crashes.
+    pub fn lift(&mut self, subject: Fingerprint, now: Moment) -> bool {
+        let Some(known) = self.subjects.get_mut(&subject) else {
+            return false;
+        };
+        known.is_shared = true;
+        let epoch = known.record.epoch;
+        self.record_completion(subject, epoch, Role::Coordinator, now)
     }
 
     /// Merges the record of another VM.
     pub fn merge(&mut self, other: &Record, now: Moment, unix_ms: u64) {
-        let request = other.fingerprint;
-        let known = self.track(request, now);
+        let known = self.track(other.subject(), now);
+        known.is_shared = true;
         let failed = known.record.failed_trials();
-        if !known.record.merge(other) {
+        let changed = if other.epoch > known.record.epoch {
+            known.settle();
+            known.blamed_at = now;
+            known.record.merge(other)
+        } else {
+            let mut other = other.clone();
+            let settled = &known.settled;
+            other.crashes.retain(|crash| !settled.contains(&crash.life));
+            let was_empty = known.record.crashes.is_empty();
+            if was_empty {
+                known.blamed_at = now;
+            }
+            // A verdict holds as long as some of its crashes count.
+            other.condemned &= !other.crashes.is_empty();
+            known.record.merge(&other)
+        };
+        if !changed {
             return;
         }
         known.changed_at = now;
         if known.record.failed_trials() > failed {
             known.trial_failed_at = Some(now);
         }
-        self.clear_if_explained(request);
-        self.publish(request, unix_ms);
+        self.apply_change(other.fingerprint, unix_ms);
         self.trim(unix_ms);
     }
 
     /// Decides whether a VM may run a request. Called on the coordinator only.
     pub fn request_trial(
         &mut self,
-        request: Fingerprint,
+        subjects: &Subjects,
         left: Duration,
         now: Moment,
         unix_ms: u64,
     ) -> Grant {
         self.judge(now, unix_ms);
-        match self.standing(request, unix_ms) {
+        match self.request_standing(subjects, unix_ms) {
             Standing::Clear => return Grant::Free,
             Standing::Quarantined => return Grant::Refused,
             Standing::Suspect => {}
         }
         let running = self.trial.filter(|trial| now < trial.until);
-        if running.is_some() || self.is_settling(request, now) {
+        if running.is_some() || self.is_settling(subjects, now, unix_ms) {
             return Grant::Busy;
         }
         self.trial = Some(Trial {
-            fingerprint: request,
+            request: subjects.request(),
             until: now + left.min(MAX_TRIAL_HOLD),
         });
         Grant::Trial
@@ -233,120 +319,36 @@
 
     /// Ends a request's trial, so that another one may start.
     pub fn end_trial(&mut self, request: Fingerprint) {
-        self.trial = self.trial.filter(|trial| trial.fingerprint != request);
-    }
-
-    /// Condemns the suspects that are found to be the cause of their failed trials, once all reports have had time to
-    /// arrive, and returns them. Called on the coordinator only.
-    pub fn judge(&mut self, now: Moment, unix_ms: u64) -> Vec<Fingerprint> {
-        let failed = self.requests.values_mut().filter(|known| {
-            let at = known.trial_failed_at;
-            at.is_some_and(|at| now.since(at) >= SETTLE_TIME) && !known.record.is_condemned()
-        });
-        let failed: Vec<(Fingerprint, bool)> = failed
-            .map(|known| {
-                let fresh = known
-                    .trial_failed_at
-                    .is_some_and(|at| now.since(at) < EVIDENCE_WINDOW);
-                (known.record.fingerprint, fresh)
-            })
-            .collect();
-        let condemned: Vec<Fingerprint> = failed
-            .into_iter()
-            .filter(|(request, fresh)| {
-                let record = self.get(*request);
-                record.is_some_and(|record| self.is_cause(record, *fresh, now))
-            })
-            .map(|(request, _)| request)
-            .collect();
-        for request in &condemned {
-            if let Some(known) = self.requests.get_mut(request) {
-                known.record.condemned = true;
-                known.changed_at = now;
-            }
-            self.publish(*request, unix_ms);
-        }
-        condemned
+        self.trial = self.trial.filter(|trial| trial.request != request);
     }
 
     /// Returns the records to be published that changed since the last call.
     pub fn take_unpublished(&mut self) -> Vec<Record> {
         let unpublished = std::mem::take(&mut self.unpublished);
-        let known = unpublished.iter().filter_map(|request| self.get(*request));
+        for subject in &unpublished {
+            if let Some(known) = self.subjects.get_mut(subject) {
+                // Once all VMs have a record without crashes, none has anything to clear.
+                known.is_shared = !known.record.crashes.is_empty();
+            }
+        }
+        let known = unpublished.iter().filter_map(|subject| self.get(*subject));
         known.cloned().collect()
     }
 
-    /// Returns the suspects that were cleared since the last call because condemned requests explain their crashes.
+    /// Returns the suspects that were cleared since the last call because condemned subjects explain their crashes.
     pub fn take_cleared(&mut self) -> Vec<Fingerprint> {
         std::mem::take(&mut self.cleared)
     }
 
-    /// Whether the failed trials of a request are enough to condemn it.
-    ///
-    /// Other requests run beside a trial, and one that is not a suspect yet may have caused the crash. One failed trial is
-    /// enough if there were no other recent crashes, two if the request was involved in at least half of the recent
-    /// crashes, and three in any case. No number is enough while another request was involved in the same crashes, and
-    /// crashes that a condemned request explains do not count.
-    fn is_cause(&self, record: &Record, fresh: bool, now: Moment) -> bool {
-        let recent_crashes = self.recent_crashes.iter();
-        let recent_crashes = recent_crashes.filter(|(_, at)| now.since(*at) < RECENT_WINDOW);
-        let (own, others): (Vec<u64>, Vec<u64>) = recent_crashes
-            .map(|(life, _)| *life)
-            .partition(|life| record.has(*life));
-        let trials = self.unexplained(record, true);
-        match trials.len() {
-            0 => false,
-            1 => fresh && others.is_empty() && !self.may_have_other_cause(record, trials[0]),
-            2 => fresh && own.len() >= others.len() && !self.is_shared_by_another(record, &trials),
-            _ => !self.is_shared_by_another(record, &trials),
-        }
-    }
-
-    /// Returns the instances that crashed under a request, in its trials or, if `trial` is not set, outside them, and that
-    /// no condemned request explains.
-    fn unexplained(&self, record: &Record, trial: bool) -> Vec<u64> {
-        let crashes = record.crashes.iter().filter(|crash| crash.trial == trial);
-        let lives = crashes.map(|crash| crash.life);
-        lives
-            .filter(|life| !self.is_explained(record.fingerprint, *life))
-            .collect()
-    }
-
-    /// Whether a condemned request other than this one explains the crash of an instance.
-    fn is_explained(&self, request: Fingerprint, life: u64) -> bool {
-        self.explained.get(&life).is_some_and(|by| *by != request)
-    }
-
-    /// Whether another request that is not condemned was running on all of these instances as well.
-    fn is_shared_by_another(&self, record: &Record, lives: &[u64]) -> bool {
-        let covers = |other: &Record| lives.iter().all(|life| other.has(*life));
-        self.other_uncondemned(record).any(covers)
-    }
-
-    /// Whether another request may have caused the crash of a single failed trial: it was on trial on the same instance, or
-    /// was running on all that crashed before.
-    fn may_have_other_cause(&self, record: &Record, trial: u64) -> bool {
-        let tried = |crash: &Crash| crash.trial && crash.life == trial;
-        let before = self.unexplained(record, false);
-        let beside = self
-            .other_uncondemned(record)
-            .any(|other| other.crashes.iter().any(tried));
-        beside || self.is_shared_by_another(record, &before)
-    }
-
-    fn other_uncondemned(&self, record: &Record) -> impl Iterator<Item = &Record> {
-        let request = record.fingerprint;
-        let others = self.requests.values().map(|known| &known.record);
-        others.filter(move |other| other.fingerprint != request && !other.is_condemned())
-    }
-
-    /// Whether reports of other VMs about a request's last failed trial may still arrive.
-    fn is_settling(&self, request: Fingerprint, now: Moment) -> bool {
-        let failed_at = self
-            .requests
-            .get(&request)
-            .and_then(|known| known.trial_failed_at);
-        failed_at.is_some_and(|at| now.since(at) < SETTLE_TIME)
+    /// Whether reports of other VMs about the last failed trial of one of a request's suspects may still arrive.
+    fn is_settling(&self, subjects: &Subjects, now: Moment, unix_ms: u64) -> bool {
+        let mut suspects = subjects.iter().map(|subject| subject.fingerprint);
+        suspects.any(|subject| {
+            let known = self.subjects.get(&subject);
+            let failed_at = known.and_then(|known| known.trial_failed_at);
+            failed_at.is_some_and(|at| now.since(at) < SETTLE_TIME)
+                && self.standing(subject, unix_ms) == Standing::Suspect
+        })
     }
 
     fn record_recent_crash(&mut self, life: u64, now: Moment) {
@@ -359,86 +361,63 @@
         }
     }
 
-    fn track(&mut self, request: Fingerprint, now: Moment) -> &mut Tracked {
-        self.requests.entry(request).or_insert_with(|| Tracked {
-            record: Record::new(request),
-            changed_at: now,
-            trial_failed_at: None,
-            reported: Vec::new(),
-        })
+    fn track(&mut self, subject: Subject, now: Moment) -> &mut Tracked {
+        let entry = self.subjects.entry(subject.fingerprint);
+        entry.or_insert_with(|| Tracked::new(subject, now))
     }
 
-    /// Marks a record for publication if the request is restricted or was cleared. If it is condemned, also records the
-    /// crashes that it explains.
-    fn publish(&mut self, request: Fingerprint, unix_ms: u64) {
-        let Some(record) = self.get(request) else {
-            return;
-        };
-        if record.epoch > 0 || record.standing(unix_ms) != Standing::Clear {
-            self.unpublished.insert(request);
-        }
-        if self.get(request).is_some_and(Record::is_condemned) {
-            self.record_explained(request);
-        }
+    /// Follows up a change of a record.
+    fn apply_change(&mut self, subject: Fingerprint, unix_ms: u64) {
+        self.prominence.set(None);
+        self.clear_if_explained(subject);
+        self.publish(subject, unix_ms);
     }
 
-    /// Records the crashes that a condemned request explains.
-    fn record_explained(&mut self, condemned: Fingerprint) {
-        let Some(record) = self.get(condemned).cloned() else {
+    /// Marks a record for publication if other VMs need it. If it is condemned, also records the crashes that it
+    /// explains.
+    pub(super) fn publish(&mut self, subject: Fingerprint, unix_ms: u64) {
+        let Some(known) = self.subjects.get_mut(&subject) else {
             return;
         };
-        if self.explained.len() >= MAX_RECENT_CRASHES {
-            self.explained.clear();
+        let is_restricted = known.record.standing(unix_ms) != Standing::Clear;
+        if is_restricted || known.record.is_condemned() {
+            known.is_shared = true;
+            self.unpublished.insert(subject);
         }
-        let lives = record.crashes.iter().map(|crash| crash.life);
-        self.explained.extend(lives.map(|life| (life, condemned)));
-        let requests: Vec<Fingerprint> = self.requests.keys().copied().collect();
-        for request in requests {
-            self.clear_if_explained(request);
+        if known.record.is_condemned() {
+            self.record_explained(subject);
         }
-        self.requests
-            .retain(|_, known| known.record.epoch > 0 || !known.record.crashes.is_empty());
     }
 
-    /// Clears the crashes of a request if condemned requests explain all of them.
-    fn clear_if_explained(&mut self, request: Fingerprint) {
-        let Some(known) = self.requests.get_mut(&request) else {
-            return;
-        };
-        let explained = &self.explained;
-        let is_explained = |life: u64| explained.get(&life).is_some_and(|by| *by != request);
-        let crashes = &mut known.record.crashes;
-        if !known.record.condemned && crashes.iter().all(|crash| is_explained(crash.life)) {
-            if crashes.len() >= SUSPECT_CRASHES {
-                self.cleared.push(request);
-            }
-            crashes.clear();
+    /// Marks a subject as condemned.
+    pub(super) fn condemn(&mut self, subject: Fingerprint, now: Moment, unix_ms: u64) {
+        if let Some(known) = self.subjects.get_mut(&subject) {
+            known.record.condemned = true;
+            known.changed_at = now;
         }
+        self.prominence.set(None);
+        self.publish(subject, unix_ms);
     }
 
-    /// Drops requests if the maximum is exceeded: the least restricted first, and among these the least recently changed.
+    /// Drops subjects if the maximum is exceeded: the least restricted first, requests before prompt parts, and among
+    /// these the least recently changed.
     fn trim(&mut self, unix_ms: u64) {
-        if self.requests.len() <= MAX_REQUESTS {
+        if self.subjects.len() <= MAX_SUBJECTS {
             return;
         }
-        let class = |record: &Record| match record.standing(unix_ms) {
-            Standing::Clear => 0,
-            Standing::Suspect => 1,
-            Standing::Quarantined => 2,
-        };
-        let known = self.requests.values();
-        let mut order: Vec<_> = known
-            .map(|known| {
-                (
-                    class(&known.record),
-                    known.changed_at,
-                    known.record.fingerprint,
-                )
+        let mut order: Vec<_> = self
+            .subjects
+            .iter()
+            .map(|(subject, known)| {
+                let record = &known.record;
+                let blamed = (!record.crashes.is_empty(), record.is_part());
+                (record.standing(unix_ms), blamed, known.changed_at, *subject)
             })
             .collect();
         order.sort_unstable();
-        for (_, _, request) in order.into_iter().take(TRIM_COUNT) {
-            self.requests.remove(&request);
+        for (_, _, _, subject) in order.into_iter().take(TRIM_COUNT) {
+            self.subjects.remove(&subject);
         }
+        self.prominence.set(None);
     }
 }
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/merging.rs
@@ -1,7 +1,7 @@
 //! Tests of merging, bounding and expiring crash records.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sesamegap_policy::quarantine::{Crash, Grant, Record, Registry, Standing};
+use sesamegap_policy::quarantine::{Crash, Grant, Record, Registry, Standing, Subjects};
 use sesamegap_wire::{Fingerprint, Moment};
 use std::time::Duration;
 
@@ -13,7 +13,11 @@
 }
 
 fn crash(life: u64, trial: bool) -> Crash {
-    Crash { life, trial }
+    Crash {
+        life,
+        trial,
+        begun: false,
+    }
 }
 
 /// An arbitrary record of one request, as a VM may hold it.
@@ -55,10 +59,16 @@
     }
 }
 
+/// Records that a request was lost with its upstream.
+fn lose(registry: &mut Registry, no: u64, crash: Crash, now: Moment, unix_ms: u64) {
+    let subjects = Subjects::of_request(request(no));
+    registry.record_crash(&subjects, crash, Some(now), now, unix_ms);
+}
+
 fn condemn(registry: &mut Registry, no: u64) {
     for life in 0..6 {
         let new_crash = crash(no * 10 + life, life >= 2);
-        registry.record_crash(request(no), new_crash, NOW, UNIX);
+        lose(registry, no, new_crash, NOW, UNIX);
     }
 }
 
@@ -72,7 +82,13 @@
     }
     for no in 1_000..20_000 {
         let new_crash = crash(1_000_000 + no / 100, false);
-        registry.record_crash(request(no), new_crash, NOW + Duration::from_secs(no), UNIX);
+        lose(
+            &mut registry,
+            no,
+            new_crash,
+            NOW + Duration::from_secs(no),
+            UNIX,
+        );
     }
     let quarantined =
         (0..50).filter(|no| registry.standing(request(*no), UNIX) == Standing::Quarantined);
@@ -88,15 +104,15 @@
     let at = |hours: u64| (NOW + Duration::from_hours(hours), UNIX + hours * 3_600_000);
     let (now, unix) = at(23);
     assert_eq!(
-        registry.request_trial(request(1), left, now, unix),
+        registry.request_trial(&Subjects::of_request(request(1)), left, now, unix),
         Grant::Refused
     );
     let (now, unix) = at(25);
     assert_eq!(
-        registry.request_trial(request(1), left, now, unix),
+        registry.request_trial(&Subjects::of_request(request(1)), left, now, unix),
         Grant::Trial
     );
-    registry.record_crash(request(1), crash(99, true), now, unix);
+    lose(&mut registry, 1, crash(99, true), now, unix);
     assert_eq!(registry.standing(request(1), unix), Standing::Quarantined);
     assert!(registry.lift(request(1), now));
     assert_eq!(registry.standing(request(1), unix), Standing::Clear);
@@ -122,18 +138,18 @@
     let mut registry = Registry::default();
     let at = |ms: u64| NOW + Duration::from_millis(ms);
     let (innocent, culprit) = (request(1), request(2));
-    registry.record_crash(request(3), crash(9, false), at(0), UNIX);
+    lose(&mut registry, 3, crash(9, false), at(0), UNIX);
     for life in [1, 2] {
-        registry.record_crash(innocent, crash(life, false), at(life), UNIX);
+        lose(&mut registry, 1, crash(life, false), at(life), UNIX);
     }
     for life in [3, 4] {
-        registry.record_crash(innocent, crash(life, true), at(1_000 * life), UNIX);
-        registry.record_crash(culprit, crash(life, false), at(1_000 * life), UNIX);
+        lose(&mut registry, 1, crash(life, true), at(1_000 * life), UNIX);
+        lose(&mut registry, 2, crash(life, false), at(1_000 * life), UNIX);
         registry.judge(at(1_000 * life + 300), UNIX);
     }
     assert_eq!(registry.standing(innocent, UNIX), Standing::Suspect);
     for life in [5, 6, 7, 8] {
-        registry.record_crash(culprit, crash(life, true), at(1_000 * life), UNIX);
+        lose(&mut registry, 2, crash(life, true), at(1_000 * life), UNIX);
         registry.judge(at(1_000 * life + 300), UNIX);
     }
     assert_eq!(registry.standing(culprit, UNIX), Standing::Quarantined);
@@ -149,7 +165,7 @@
     let at = |ms: u64| NOW + Duration::from_millis(ms);
     for (no, lives) in [(1, [1, 2, 3]), (2, [2, 3, 3])] {
         for life in lives {
-            registry.record_crash(request(no), crash(life, life == 3), at(life), UNIX);
+            lose(&mut registry, no, crash(life, life == 3), at(life), UNIX);
         }
     }
     registry.judge(at(500), UNIX);
@@ -165,11 +181,11 @@
     let mut registry = Registry::default();
     let at = |ms: u64| NOW + Duration::from_millis(ms);
     for ms in [0, 50, 150] {
-        registry.record_crash(request(1), crash(7, false), at(ms), UNIX);
+        lose(&mut registry, 1, crash(7, false), at(ms), UNIX);
     }
     assert_eq!(registry.standing(request(1), UNIX), Standing::Clear);
     for ms in [2_000, 2_050] {
-        registry.record_crash(request(1), crash(7, false), at(ms), UNIX);
+        lose(&mut registry, 1, crash(7, false), at(ms), UNIX);
     }
     assert_eq!(registry.standing(request(1), UNIX), Standing::Suspect);
     let record = registry.get(request(1)).map(|record| record.crashes.len());
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/mod.rs
@@ -1,6 +1,7 @@
-//! Tests of the quarantine: simulated loads with crashing requests, and merging of crash records.
+//! Tests of the quarantine: simulated loads with crashing requests and prompt parts, and merging of crash records.
 
 mod merging;
+mod parts;
 mod world;
 
 use std::time::Duration;
--- a/crates/sesamegap-wire/src/fingerprint.rs
+++ b/crates/sesamegap-wire/src/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Request fingerprints, which recognize a request that is sent again.
+//! Fingerprints, which recognize a request that is sent again, and a part that prompts share.
 //!
 //! Ids, deadlines and other headers may differ between two sends of a request; its target, caller
 //! and body do not. The hash resists second preimages, so that no caller can craft a request that
@@ -10,33 +10,63 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// Domain separation string of the hash.
-const KEY_CONTEXT: &str = "sesamegap request fingerprint v1";
+/// Domain separation string of the hash of a request.
+const REQUEST_CONTEXT: &str = "sesamegap request fingerprint v1";
+
+/// Domain separation string of the hash of a prompt part.
+const PART_CONTEXT: &str = "sesamegap prompt part fingerprint v1";
+
+/// Domain separation string of the hash of a prompt part as one team names it.
+const TEAM_PART_CONTEXT: &str = "sesamegap team prompt part fingerprint v1";
 
 /// Size of a fingerprint in bytes.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// A hash of a request's target, caller and body.
+/// A hash of a request's target, caller and body, or of a prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
 
 impl Fingerprint {
     /// Hashes a request; `caller` is `None` for a request without a key.
     pub fn of(target: &str, caller: Option<&str>, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new_derive_key(KEY_CONTEXT);
-        // Length prefixes mark where each field ends, so that bytes cannot shift between fields.
-        for field in [target, caller.unwrap_or_default()] {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field.as_bytes());
-        }
+        let mut hasher = hash_fields(REQUEST_CONTEXT, &[target, caller.unwrap_or_default()]);
         hasher.update(&[u8::from(caller.is_some())]);
         hasher.update(body);
+        Self::finish(&hasher)
+    }
+
+    /// Hashes a prompt part by its name and the model that reads it.
+    pub fn of_part(model: &str, name: &str) -> Self {
+        Self::finish(&hash_fields(PART_CONTEXT, &[model, name]))
+    }
+
+    /// Hashes a prompt part as a team names it; `team` is `None` for a caller without a key.
+    #[must_use]
+    pub fn of_team(self, team: Option<&str>) -> Self {
+        let mut hasher = hash_fields(TEAM_PART_CONTEXT, &[team.unwrap_or_default()]);
+        hasher.update(&[u8::from(team.is_some())]);
+        hasher.update(&self.0);
+        Self::finish(&hasher)
+    }
+
+    fn finish(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; FINGERPRINT_BYTES];
         hasher.finalize_xof().fill(&mut bytes);
         Self(bytes)
     }
 }
 
+/// Starts a hash with text fields.
+fn hash_fields(context: &str, fields: &[&str]) -> blake3::Hasher {
+    let mut hasher = blake3::Hasher::new_derive_key(context);
+    // Length prefixes mark where each field ends, so that bytes cannot shift between fields.
+    for field in fields {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field.as_bytes());
+    }
+    hasher
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
