Quarantine: a trial that had been answered for a while is weak evidence

Crashes now say whether the request had been answered for 250 ms or more, and the first three failed trials count only if one had not. Four trials condemn as before.

--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -164,11 +164,11 @@
         Ok(Err(SendError::Full)) => return Outcome::NotRun(NotRun::Full),
         Ok(Err(SendError::Broken(why))) => {
             flight.record_failure(clock::now());
-            loss::report_broken_connection(core, job, &mut flight, sent, false).await;
+            loss::report_broken_connection(core, job, &mut flight, sent, None).await;
             return Outcome::Lost(why);
         }
         Err(_) => {
-            BrokenAnswer::new(job, &mut flight, sent, false).report_silence(core);
+            BrokenAnswer::new(job, &mut flight, sent, None).report_silence(core);
             if flight.last_received() < clock::ago(head_timeout) {
                 flight.record_failure(clock::now());
             }
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -15,6 +15,10 @@
 use tokio::time::Instant;
 use tracing::info;
 
+/// Time for which an upstream must have answered a request for its crash to be less likely due to this one. Upstreams
+/// mostly crash when they begin an answer.
+const ANSWERED_FOR: Duration = Duration::from_millis(250);
+
 /// A request whose response stopped before its end.
 #[derive(Debug)]
 pub struct BrokenAnswer {
@@ -30,8 +34,8 @@
     concurrent: u32,
     /// Time from sending the request to the failure.
     elapsed: Duration,
-    /// Whether part of the response had arrived.
-    begun: bool,
+    /// When the first part of the response arrived.
+    begun: Option<Instant>,
 }
 
 /// Reports that a request's connection broke.
@@ -42,7 +46,7 @@
     job: &Job,
     flight: &mut Flight,
     sent: Instant,
-    begun: bool,
+    begun: Option<Instant>,
 ) {
     flight.record_broken(clock::now());
     let reported = BrokenAnswer::new(job, flight, sent, begun).probe_and_report(core);
@@ -54,7 +58,7 @@
 
 impl BrokenAnswer {
     /// Captures the request's current state; takes its trial permit.
-    pub fn new(job: &Job, flight: &mut Flight, sent: Instant, begun: bool) -> Self {
+    pub fn new(job: &Job, flight: &mut Flight, sent: Instant, begun: Option<Instant>) -> Self {
         let permit = flight.permit.take();
         Self {
             request: job.head.id.clone(),
@@ -65,7 +69,7 @@
                 crash: Crash {
                     life: flight.life(),
                     trial: permit.is_some(),
-                    begun,
+                    begun: begun.is_some_and(|at| at.elapsed() >= ANSWERED_FOR),
                 },
                 at: None,
             },
@@ -114,7 +118,7 @@
             trial = loss.crash.trial,
             beside = self.concurrent,
             ran_ms = clock::millis(self.elapsed),
-            begun = self.begun,
+            begun = self.begun.is_some(),
             process = ?process,
             "connection broke"
         );
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -19,7 +19,7 @@
 use hyper::body::{Frame, Incoming};
 use sesamegap_policy::routing::timeouts;
 use std::sync::Arc;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// Largest response that is buffered, in bytes; what follows in a longer one is streamed.
 const BUFFER_LIMIT: usize = 256 << 10;
@@ -109,7 +109,7 @@
                     job,
                     &mut answered.flight,
                     answered.sent,
-                    true,
+                    Some(Instant::now()),
                 )
                 .await;
                 return None;
@@ -123,7 +123,12 @@
             bytes.extend_from_slice(&data);
         }
         if bytes.len() > BUFFER_LIMIT {
-            let loss = BrokenAnswer::new(job, &mut answered.flight, answered.sent, true);
+            let loss = BrokenAnswer::new(
+                job,
+                &mut answered.flight,
+                answered.sent,
+                Some(Instant::now()),
+            );
             let rest = (body, answered.exchange.connection, answered.flight);
             let body = stream_rest(Arc::clone(core), bytes.freeze(), rest, loss);
             return Some(caller_response(head.status, &head.headers, body));
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -34,8 +34,8 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) first_events: Option<EventBatch>,
-    /// Whether any byte of the body has arrived.
-    body_begun: bool,
+    /// When the first bytes of the body arrived.
+    begun_at: Option<Instant>,
     /// Whether a complete event has arrived.
     event_received: bool,
 }
@@ -44,7 +44,7 @@
     /// Time until the request is withdrawn because its weights expire. Returns `None` without locking the fleet
     /// once the response has begun, as it is called for each event.
     fn left_to_begin(&self) -> Option<Duration> {
-        if self.body_begun {
+        if self.begun_at.is_some() {
             return None;
         }
         self.flight.time_to_start(clock::now())
@@ -86,8 +86,14 @@
             {
                 Ok(body) => body.to_bytes(),
                 Err(error) => {
-                    loss::report_broken_connection(&self.core, &self.job, &mut flight, sent, true)
-                        .await;
+                    loss::report_broken_connection(
+                        &self.core,
+                        &self.job,
+                        &mut flight,
+                        sent,
+                        Some(Instant::now()),
+                    )
+                    .await;
                     return Err(error.to_string());
                 }
             };
@@ -106,7 +112,7 @@
             status: head.status,
             headers: head.headers,
             first_events: None,
-            body_begun: false,
+            begun_at: None,
             event_received: false,
         };
         let first = self.read_events(&mut stream).await?;
@@ -130,7 +136,7 @@
             let frame = tokio::select! {
                 biased;
                 frame = timeout_at(until, stream.body.frame()) => frame,
-                () = self.core.quarantine.wait_until_refused(self.job.subjects()), if !stream.body_begun => {
+                () = self.core.quarantine.wait_until_refused(self.job.subjects()), if stream.begun_at.is_none() => {
                     return Err(QUARANTINED.to_owned());
                 }
             };
@@ -162,7 +168,7 @@
                         &self.job,
                         &mut stream.flight,
                         stream.sent,
-                        stream.body_begun,
+                        stream.begun_at,
                     );
                     loss.report_silence(&self.core);
                     return Err("upstream went silent".to_owned());
@@ -173,7 +179,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            stream.body_begun = true;
+            stream.begun_at.get_or_insert(silent_since);
             let events = stream.splitter.push(&data);
             if let Some(events) = events.map_err(|_| "event exceeds the size limit".to_owned())? {
                 stream.event_received = true;
@@ -184,8 +190,8 @@
 
     /// Reports that a stream's connection broke, and returns the reason.
     async fn report_broken(&self, stream: &mut UpstreamStream, why: &str) -> String {
-        let (sent, body_begun) = (stream.sent, stream.body_begun);
-        loss::report_broken_connection(&self.core, &self.job, &mut stream.flight, sent, body_begun)
+        let (sent, begun) = (stream.sent, stream.begun_at);
+        loss::report_broken_connection(&self.core, &self.job, &mut stream.flight, sent, begun)
             .await;
         why.to_owned()
     }
--- a/crates/sesamegap-policy/src/quarantine/judging.rs
+++ b/crates/sesamegap-policy/src/quarantine/judging.rs
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Counts {
     all: usize,
-    /// Those at which a request of the part had not begun to be answered.
+    /// Those at which a request of the part had just begun to be answered, or not yet.
     unbegun: usize,
 }
 
@@ -52,7 +52,7 @@
     }
 
     /// Whether a prompt part is among the few with the most crashes that nothing explains, of all crashes or of those
-    /// at which one of its requests had not begun to be answered.
+    /// at which one of its requests had just begun to be answered, or not yet.
     ///
     /// An upstream mostly crashes when it begins an answer, while most of the requests beside it had begun long before.
     pub(super) fn stands_out(&self, record: &Record) -> bool {
@@ -93,11 +93,17 @@
     /// Other requests run beside a trial, and one that is not a suspect yet may have caused the crash. One failed trial is
     /// enough if there were no other recent crashes, two if the subject was involved in at least half of the recent
     /// crashes, and three in any case. No number is enough while another subject was involved in the same crashes, unless
-    /// this one explains them better, and crashes that a condemned subject explains do not count.
+    /// this one explains them better. Crashes that a condemned subject explains do not count, nor trials that had been
+    /// answered for a while.
     fn is_cause(&self, record: &Record, fresh: bool, now: Moment) -> bool {
         let trials = self.unexplained(record, true);
+        let is_certain = record.is_part() && trials.len() >= CONDEMNING_PART_TRIALS;
+        let early: Vec<u64> = trials
+            .into_iter()
+            .filter(|life| record.is_early(*life))
+            .collect();
         // Whether the subject was involved in recent crashes matters only as long as these are known.
-        let has_enough = fresh && !trials.is_empty() || trials.len() > 2;
+        let has_enough = is_certain || early.len() > 2 || fresh && !early.is_empty();
         if !has_enough || self.is_outdone(record) {
             return false;
         }
@@ -106,11 +112,11 @@
         let (own, others): (Vec<u64>, Vec<u64>) = recent_crashes
             .map(|(life, _)| *life)
             .partition(|life| record.has(*life));
-        match trials.len() {
-            1 => others.is_empty() && !self.may_have_other_cause(record, trials[0]),
-            2 => own.len() >= others.len() && !self.is_shared_by_another(record, &trials),
-            CONDEMNING_PART_TRIALS.. if record.is_part() => true,
-            _ => !self.is_shared_by_another(record, &trials),
+        match early.len() {
+            _ if is_certain => true,
+            1 => others.is_empty() && !self.may_have_other_cause(record, early[0]),
+            2 => own.len() >= others.len() && !self.is_shared_by_another(record, &early),
+            _ => !self.is_shared_by_another(record, &early),
         }
     }
 
--- a/crates/sesamegap-policy/src/quarantine/record.rs
+++ b/crates/sesamegap-policy/src/quarantine/record.rs
@@ -27,7 +27,7 @@
     pub life: u64,
     /// Whether the request ran there as a trial.
     pub trial: bool,
-    /// Whether all requests of the subject had begun to be answered there.
+    /// Whether all requests of the subject had been answered for a while there.
     #[serde(default)]
     pub begun: bool,
 }
@@ -145,6 +145,12 @@
         trials.all(|crash| self.has_trial(crash.life))
     }
 
+    /// Whether an instance crashed before it had answered a request of the subject for a while.
+    pub fn is_early(&self, life: u64) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| crash.life == life && !crash.begun)
+    }
+
     /// Whether the record has a trial that crashed the given upstream instance.
     pub fn has_trial(&self, life: u64) -> bool {
         let mut crashes = self.crashes.iter();
