Confirm the end of a response that has neither a length nor chunks

What callers saw: an engine that crashed between two events of such a stream left a stream that looked complete; a plain answer that broke off was passed on as whole.

Cause: such a response ends with its connection, and so it does if the upstream crashes. The end was taken for that of the response, and the quarantine took it for a completion, which cleared the request that caused the crash.

Change: after the end of such a response the VM that read it connects to the upstream once more, after the end and for this response alone. If nothing listens there, or the incarnation has been replaced, the body ends with an error, as for any connection that breaks: the stream goes on elsewhere, the request is repeated or the answer aborted, and the loss is reported. An upstream that is leaving is not asked, since it may have stopped accepting before its last answers end.

The check sits in the body that the connection module hands out, so that streams, plain answers and gateways share it.

Ways weighed: the list (late by seconds), bytes on other connections (may have been sent before the crash), a probe shared with other requests (may have been made before the end), counting tokens (an event may hold several). Cost: a connection for each such answer.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -6,10 +6,11 @@
 use crate::placing::TrackedPrompt;
 use crate::ports::Load;
 use crate::quarantine::TrialPermit;
+use crate::upstream;
 use sesamegap_policy::routing::engines::Prefix;
 use sesamegap_wire::{DomainId, Incarnation, Moment, SoftwareVersion, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -62,6 +63,28 @@
     }
 }
 
+/// Whether the incarnation of an upstream still runs, or leaves.
+///
+/// One that leaves may have stopped to accept connections before its last responses end, so it is not asked.
+pub async fn confirm_running(
+    fleet: SharedFleet,
+    id: UpstreamId,
+    life: u64,
+    from: IpAddr,
+    addr: SocketAddr,
+) -> bool {
+    let listed = fleet
+        .lock()
+        .get(&id)
+        .map(|listed| (listed.life, listed.entry.leaving));
+    match listed {
+        // Some leave the list without notice and go on for a while.
+        None | Some((_, true)) => true,
+        Some((listed, _)) if listed != life => false,
+        Some(_) => upstream::is_running(from, addr).await,
+    }
+}
+
 /// A request in flight at an upstream.
 #[derive(Debug)]
 pub struct Flight {
@@ -154,6 +177,17 @@
         })
     }
 
+    /// Returns a future that tells whether the upstream still runs, from the moment at which it is polled.
+    pub fn confirm_running(&self, from: IpAddr) -> impl Future<Output = bool> + Send + 'static {
+        confirm_running(
+            self.fleet.clone(),
+            self.id.clone(),
+            self.life,
+            from,
+            self.addr,
+        )
+    }
+
     /// Records that its connection broke, so that the upstream may have restarted.
     pub fn record_broken(&self, now: Moment) {
         self.fleet.lock().record_broken(&self.id, self.life, now);
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 mod upstream;
 mod versions;
 
-pub use flight::{Flight, GatePass};
+pub use flight::{Flight, GatePass, confirm_running};
 pub use index::ServiceIndex;
 pub use selection::{Chosen, PromptShape, Selection, Shard};
 pub use sesamegap_policy::routing::belief::Change;
--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -2,14 +2,12 @@
 
 use crate::clock;
 use crate::core::{ActiveRequestGuard, Core, Phase};
-use crate::fleet::GatePass;
+use crate::fleet::{GatePass, confirm_running};
 use crate::relay::strip_hop_by_hop;
 use crate::telemetry::events;
 use crate::upstream::gateway::{self, DECLINED_STATUS, Destination, RelayOutcome};
-use crate::upstream::{self, Exchange, SendError};
-use bytes::Bytes;
+use crate::upstream::{self, Exchange, ResponseBody, SendError};
 use http::{Request, Response, StatusCode};
-use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use sesamegap_http::serving::guard_body;
@@ -18,8 +16,6 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tracing::info;
 
-type Body = UnsyncBoxBody<Bytes, hyper::Error>;
-
 /// What a request holds until its response has ended.
 type Permits = (OwnedSemaphorePermit, Option<GatePass>);
 
@@ -29,7 +25,7 @@
     request: Request<Incoming>,
     from: Option<SocketAddr>,
     permits: Arc<Semaphore>,
-) -> Response<Body> {
+) -> Response<ResponseBody> {
     let id = core.ports.headers.read_request(request.headers());
     let id = id.map(|head| head.id).unwrap_or_default();
     let active = ActiveRequestGuard::new(&core.active, id.clone());
@@ -100,7 +96,10 @@
             head.not_run && exchange.response.status() != StatusCode::MISDIRECTED_REQUEST;
         pass.record_answer(is_rejected, clock::now());
     }
-    Ok((exchange, (permit, gate_pass)))
+    let fleet = core.fleet.clone();
+    let Destination { id, life } = destination.clone();
+    let is_running = confirm_running(fleet, id, life, from, addr);
+    Ok((exchange.confirm_end(is_running), (permit, gate_pass)))
 }
 
 /// The address of an upstream to which this VM would send requests of its own.
@@ -118,7 +117,7 @@
     Ok(usable.entry.addr)
 }
 
-fn respond(exchange: Exchange, guards: (ActiveRequestGuard, Permits)) -> Response<Body> {
+fn respond(exchange: Exchange, guards: (ActiveRequestGuard, Permits)) -> Response<ResponseBody> {
     let Exchange {
         response,
         connection,
@@ -131,7 +130,7 @@
     response
 }
 
-fn decline(outcome: RelayOutcome) -> Response<Body> {
+fn decline(outcome: RelayOutcome) -> Response<ResponseBody> {
     let body = Empty::new().map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = DECLINED_STATUS;
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -154,7 +154,8 @@
     let exchange = match answer {
         Ok(Ok((exchange, gate_pass))) => {
             flight.gate_pass = gate_pass;
-            exchange
+            let from = core.settings().listen.callers.ip();
+            exchange.confirm_end(flight.confirm_running(from))
         }
         Ok(Err(SendError::Unreached(error))) => {
             flight.record_failure(clock::now());
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -13,10 +13,11 @@
 use crate::intake::{Body, full_body, refusal_response};
 use crate::job::Job;
 use crate::refusal::Refusal;
+use crate::upstream::ResponseBody;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use sesamegap_policy::routing::timeouts;
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
@@ -153,7 +154,7 @@
 fn stream_rest<G: Send + 'static>(
     core: Arc<Core>,
     first_bytes: Bytes,
-    rest: (Incoming, G, crate::fleet::Flight),
+    rest: (ResponseBody, G, crate::fleet::Flight),
     loss: BrokenAnswer,
 ) -> Body {
     let stream = async_stream::stream! {
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -10,11 +10,10 @@
 use crate::relay::loss::{self, BrokenAnswer};
 use crate::relay::plain::caller_response;
 use crate::relay::sse::{EventBatch, EventSplitter};
-use crate::upstream::Connection;
+use crate::upstream::{Connection, ResponseBody};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use sesamegap_policy::routing::timeouts;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -28,7 +27,7 @@
     pub(super) flight: Flight,
     /// When the request was sent.
     pub(super) sent: Instant,
-    body: Incoming,
+    body: ResponseBody,
     _connection: Connection,
     splitter: EventSplitter,
     pub(super) status: StatusCode,
--- /dev/null
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -0,0 +1,52 @@
+//! Bodies of upstreams' responses.
+
+use bytes::Bytes;
+use http::Response;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Body;
+use std::error::Error;
+use std::fmt;
+
+/// A response body, whose last frame is an error unless it is complete.
+pub type ResponseBody = UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>>;
+
+/// A response ended with its connection, and its upstream does not run any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct UnconfirmedEnd;
+
+impl fmt::Display for UnconfirmedEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a response without a length ended together with its upstream")
+    }
+}
+
+impl Error for UnconfirmedEnd {}
+
+/// Whether only the end of the connection ends a response.
+pub(super) fn is_unframed(response: &Response<ResponseBody>) -> bool {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    !is_framed && !response.body().is_end_stream()
+}
+
+/// A body that ends with an error if the upstream does not run any more.
+pub(super) fn confirm_end(
+    mut body: ResponseBody,
+    is_running: impl Future<Output = bool> + Send + 'static,
+) -> ResponseBody {
+    let frames = async_stream::stream! {
+        while let Some(frame) = body.frame().await {
+            let is_last = frame.is_err();
+            yield frame;
+            if is_last {
+                return;
+            }
+        }
+        if !is_running.await {
+            yield Err(UnconfirmedEnd.into());
+        }
+    };
+    StreamBody::new(frames).boxed_unsync()
+}
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -6,11 +6,16 @@
 //! proves that the request did not run. Connecting takes a millisecond with the upstreams measured. This module
 //! therefore uses `hyper`'s connection API, which is below the level of `reqwest`.
 
+mod body;
 pub mod gateway;
 pub mod routes;
 
+pub use body::ResponseBody;
+
+use body::{confirm_end, is_unframed};
 use http::{Request, Response};
-use hyper::body::{Body, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -26,6 +31,12 @@
 /// reach an overloaded or dead upstream another one can still respond in time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum number of connections by which an upstream is found to be running.
+const CONFIRMATIONS: usize = 3;
+
+/// Time within which a process that ends closes a connection that it has just accepted.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// Time after which unacknowledged data closes a connection: otherwise a network failure would go unnoticed for
 /// minutes.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -73,11 +84,26 @@
 #[derive(Debug)]
 pub struct Exchange {
     /// The response head and the body to read.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     /// The connection, which must outlive the body.
     pub connection: Connection,
 }
 
+impl Exchange {
+    /// Confirms the end of a response with neither a length nor chunks. Such a response ends with its connection, also if
+    /// the upstream crashes; it is complete only if `is_running` finds the upstream running afterwards.
+    #[must_use]
+    pub fn confirm_end(self, is_running: impl Future<Output = bool> + Send + 'static) -> Self {
+        if !is_unframed(&self.response) {
+            return self;
+        }
+        Self {
+            response: self.response.map(|body| confirm_end(body, is_running)),
+            ..self
+        }
+    }
+}
+
 /// Sends a request on a new connection and waits for the response head, without a timeout of its own.
 ///
 /// # Errors
@@ -102,11 +128,34 @@
         .await
         .map_err(|error| SendError::Broken(error_with_cause(&error)))?;
     Ok(Exchange {
-        response,
+        response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
         connection,
     })
 }
 
+/// Whether the process still runs that listens at an address.
+///
+/// A process that ends may accept a connection before its listening socket is closed, and one that has no room resets
+/// connections; the next one tells them apart.
+pub async fn is_running(from: IpAddr, addr: SocketAddr) -> bool {
+    let mut accepts = false;
+    for _ in 0..CONFIRMATIONS {
+        match open(from, addr).await {
+            Ok(stream) if !closes_soon(&stream).await => return true,
+            Ok(_) => accepts = true,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return false,
+            Err(_) => accepts = false,
+        }
+    }
+    accepts
+}
+
+async fn closes_soon(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let closed = timeout(CLOSE_TIMEOUT, stream.peek(&mut byte)).await;
+    matches!(closed, Ok(Ok(0) | Err(_)))
+}
+
 /// Opens a connection for a request.
 ///
 /// # Errors
--- a/crates/sesamegap-entry/tests/testsuite/unframed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/unframed.rs
@@ -1,21 +1,34 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
-use crate::support::{MIDWAY_MARK, UNFRAMED_MARK, ask, crashing_engines, vms};
+use crate::support::{
+    Act, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask, crashing_engines, entry, offset,
+    read, unused_addr, vms,
+};
+use sesamegap_entry::clock;
+use sesamegap_entry::fleet::Entry;
+use sesamegap_wire::Moment;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
 
 /// Time for which a crashed engine is down.
 const DOWNTIME: Duration = Duration::from_secs(2);
 
+fn midway() -> String {
+    format!("{UNFRAMED_MARK} {MIDWAY_MARK}")
+}
+
 /// The engine crashes between two events of a stream with neither a length nor chunks. The end of the connection was taken
 /// for the end of the stream, and the caller for the whole answer.
 #[tokio::test]
 async fn a_crash_between_two_events_does_not_end_an_unframed_stream() {
     let vms = vms(1, 32).await;
     let _engines = crashing_engines(&vms, 2, DOWNTIME).await;
-    let body = format!("{UNFRAMED_MARK} {MIDWAY_MARK}");
-    let answer = ask(vms[0].callers, "POST", "/chat/a", CHAT, &body).await;
+    let answer = ask(vms[0].callers, "POST", "/chat/a", CHAT, &midway()).await;
     assert!(answer.body.contains("id: 1\n"), "{}", answer.body);
     assert!(!answer.is_complete, "a broken stream looks complete");
 }
@@ -29,3 +42,88 @@
     assert!(answer.body.contains("id: 3\n"), "{}", answer.body);
     assert!(answer.is_complete);
 }
+
+/// A crash in an unframed plain answer must not make its first half look whole; the request is repeated elsewhere.
+#[tokio::test]
+async fn a_crash_does_not_end_an_unframed_plain_answer() {
+    let process = Process::new().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    process.add("w1", "desk", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        read(&mut stream).await;
+        let half = "HTTP/1.1 200 X\r\nx-id: r1\r\nx-seal: s\r\n\r\nhalf of";
+        drop(stream.write_all(half.as_bytes()).await);
+    });
+    let other = Upstream::start(vec![Act::Answer(200, "whole")]).await;
+    let answer = tokio::join!(ask(process.callers, "GET", "/pull/a", "", ""), async {
+        // The first attempt goes to the only upstream that is listed by then.
+        sleep(Duration::from_millis(5)).await;
+        process.add("w2", "desk", other.addr);
+    });
+    let answer = answer.0;
+    assert!(
+        answer.status != 200 || answer.body == "whole",
+        "{} {}",
+        answer.status,
+        answer.body
+    );
+}
+
+/// An engine that leaves accepts no connections any more and ends its last answers. They are whole, and lost if they were
+/// taken for broken.
+#[tokio::test]
+async fn the_last_unframed_stream_of_a_leaving_engine_is_complete() {
+    let process = Process::new().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    process.add("e1", "engines", addr);
+    let core = Arc::clone(&process.core);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        read(&mut stream).await;
+        let leaving = Entry {
+            leaving: true,
+            beat: 2,
+            ..entry("engines", addr)
+        };
+        let id = "e1".parse().unwrap();
+        core.fleet.lock().apply(&id, leaving, offset(1), Moment(2));
+        let answer = "HTTP/1.1 200 X\r\nx-id: r1\r\nx-seal: s\r\n\r\nid: 0\ndata: t\n\n";
+        drop(stream.write_all(answer.as_bytes()).await);
+    });
+    let answer = ask(process.callers, "POST", "/chat/a", CHAT, "hello").await;
+    assert!(answer.body.contains("id: 0\n"), "{answer:?}");
+    assert!(answer.is_complete);
+}
+
+/// A VM that reaches no upstream gets its answers through another VM, which frames them anew. A crash must not look like the
+/// end there either.
+#[tokio::test]
+async fn a_crash_does_not_end_an_unframed_stream_through_a_gateway() {
+    let vms = vms(2, 34).await;
+    let engines = crashing_engines(&vms, 3, DOWNTIME).await;
+    let partitioned = &vms[0];
+    for no in 0..engines.len() {
+        list_elsewhere(partitioned, &format!("e{no}-0"));
+    }
+    for _ in 0..6 {
+        ask(partitioned.callers, "POST", "/chat/a", CHAT, "hello").await;
+    }
+    let answer = ask(partitioned.callers, "POST", "/chat/a", CHAT, &midway()).await;
+    assert!(answer.body.contains("id: 1\n"), "{answer:?}");
+    assert!(!answer.is_complete, "a broken stream looks complete");
+}
+
+/// Lists an engine at an address that refuses connections.
+fn list_elsewhere(vm: &Vm, id: &str) {
+    let entry = Entry {
+        beat: 2,
+        ..entry("engines", unused_addr())
+    };
+    let id = id.parse().unwrap();
+    let mut fleet = vm.core.fleet.lock();
+    fleet.apply(&id, entry, offset(1_000), clock::now());
+}
