Quarantine: end a trial's turn early, and ask two failed trials of a prompt part

Its turn is over now once it was answered for 250 ms; the trial itself goes on, and a crash under it still counts. Any trial has popular parts; a part now needs two.

Besides, an upstream whose connections are accepted and closed at once is not taken to be running when a response with neither length nor chunks has ended: a proxy before a dead one does that.

--- a/crates/sesamegap-entry/src/quarantine/admission.rs
+++ b/crates/sesamegap-entry/src/quarantine/admission.rs
@@ -31,19 +31,30 @@
     Refused,
 }
 
-/// Permission to run a suspect as a trial. Dropping it reports the end of the trial.
+/// Permission to run a suspect as a trial. Dropping it ends the turn.
 #[derive(Debug)]
 pub struct TrialPermit {
     core: Arc<Core>,
     request: Fingerprint,
+    /// Whether another trial may begin.
+    is_turn_over: bool,
+}
+
+impl TrialPermit {
+    /// Lets another trial begin, while this one goes on.
+    pub fn end_turn(&mut self) {
+        if std::mem::replace(&mut self.is_turn_over, true) {
+            return;
+        }
+        let request = self.request;
+        let quarantine = &self.core.quarantine;
+        quarantine.submit_report(Report::Released { request });
+    }
 }
 
 impl Drop for TrialPermit {
     fn drop(&mut self) {
-        let request = self.request;
-        self.core
-            .quarantine
-            .submit_report(Report::Released { request });
+        self.end_turn();
     }
 }
 
@@ -71,6 +82,7 @@
         Grant::Trial => Admission::Trial(TrialPermit {
             core: Arc::clone(core),
             request,
+            is_turn_over: false,
         }),
         Grant::Busy => Admission::Deferred,
         Grant::Refused => Admission::Refused,
--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -17,7 +17,7 @@
 
 /// Time for which an upstream must have answered a request for its crash to be less likely due to this one. Upstreams
 /// mostly crash when they begin an answer.
-const ANSWERED_FOR: Duration = Duration::from_millis(250);
+pub const ANSWERED_FOR: Duration = Duration::from_millis(250);
 
 /// A request whose response stopped before its end.
 #[derive(Debug)]
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -7,7 +7,7 @@
 use crate::relay::attempt::{
     Answered, QUARANTINED, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run,
 };
-use crate::relay::loss::{self, BrokenAnswer};
+use crate::relay::loss::{self, ANSWERED_FOR, BrokenAnswer};
 use crate::relay::plain::caller_response;
 use crate::relay::sse::{EventBatch, EventSplitter};
 use crate::upstream::{Connection, ResponseBody};
@@ -178,7 +178,12 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            stream.begun_at.get_or_insert(silent_since);
+            let begun_at = *stream.begun_at.get_or_insert(silent_since);
+            if let Some(permit) = &mut stream.flight.permit
+                && begun_at.elapsed() >= ANSWERED_FOR
+            {
+                permit.end_turn();
+            }
             let events = stream.splitter.push(&data);
             if let Some(events) = events.map_err(|_| "event exceeds the size limit".to_owned())? {
                 stream.event_received = true;
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -34,7 +34,7 @@
 /// Maximum number of connections by which an upstream is found to be running.
 const CONFIRMATIONS: usize = 3;
 
-/// Time within which a process that ends closes a connection that it has just accepted.
+/// Time within which a connection is closed that was accepted for a process that does not run any more.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
 
 /// Time after which unacknowledged data closes a connection: otherwise a network failure would go unnoticed for
@@ -135,19 +135,17 @@
 
 /// Whether the process still runs that listens at an address.
 ///
-/// A process that ends may accept a connection before its listening socket is closed, and one that has no room resets
-/// connections; the next one tells them apart.
+/// A process that ends, or a load balancer before it, may accept a connection and close it at once. An upstream that has no
+/// room does the same, so that several connections are made.
 pub async fn is_running(from: IpAddr, addr: SocketAddr) -> bool {
-    let mut accepts = false;
     for _ in 0..CONFIRMATIONS {
         match open(from, addr).await {
             Ok(stream) if !closes_soon(&stream).await => return true,
-            Ok(_) => accepts = true,
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => return false,
-            Err(_) => accepts = false,
+            _ => {}
         }
     }
-    accepts
+    false
 }
 
 async fn closes_soon(stream: &TcpStream) -> bool {
--- a/crates/sesamegap-policy/src/quarantine/judging.rs
+++ b/crates/sesamegap-policy/src/quarantine/judging.rs
@@ -18,7 +18,7 @@
 
 /// Maximum number of prompt parts that stand out by their crashes. Trials run one at a time, so that more of them would
 /// hold up the requests of the others for seconds.
-const MAX_PROMINENT_PARTS: usize = 8;
+const MAX_PROMINENT_PARTS: usize = 4;
 
 /// Most crashes of a subject that are told apart when parts are compared.
 const MAX_COMPARED: usize = 16;
@@ -94,7 +94,7 @@
     /// enough if there were no other recent crashes, two if the subject was involved in at least half of the recent
     /// crashes, and three in any case. No number is enough while another subject was involved in the same crashes, unless
     /// this one explains them better. Crashes that a condemned subject explains do not count, nor trials that had been
-    /// answered for a while.
+    /// answered for a while. A prompt part needs two trials at least, since any trial has popular ones.
     fn is_cause(&self, record: &Record, fresh: bool, now: Moment) -> bool {
         let trials = self.unexplained(record, true);
         let is_certain = record.is_part() && trials.len() >= CONDEMNING_PART_TRIALS;
@@ -114,6 +114,8 @@
             .partition(|life| record.has(*life));
         match early.len() {
             _ if is_certain => true,
+            // Popular parts are in the prompt of any trial.
+            1 if record.is_part() => false,
             1 => others.is_empty() && !self.may_have_other_cause(record, early[0]),
             2 => own.len() >= others.len() && !self.is_shared_by_another(record, &early),
             _ => !self.is_shared_by_another(record, &early),
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/world.rs
@@ -448,6 +448,13 @@
         for at in 0..self.upstreams.len() {
             let now = self.now;
             let runs = &mut self.upstreams[at].runs;
+            // The turn of a trial is over once it was answered for a while.
+            for run in runs
+                .iter()
+                .filter(|run| run.trial && run.begins + ANSWERED_FOR <= now)
+            {
+                self.registry.end_trial(run.ask.subjects.request());
+            }
             let done: Vec<Run> = runs.extract_if(.., |run| run.ends <= now).collect();
             for run in &done {
                 if run.ask.crashing.is_none() {
