Quarantine: parts that were at the crashes of a condemned one do not hide others

Cause: a wider part that may be the cause as well stays a suspect after a narrower one is condemned. It counted among the few parts that stand out, so that after some verdicts a new crashing part would never have been a suspect. Found by reading. Only crashes without a condemned subject count in that comparison now; the wider part remains a suspect.

--- a/crates/sesamegap-policy/src/quarantine/judging.rs
+++ b/crates/sesamegap-policy/src/quarantine/judging.rs
@@ -18,7 +18,7 @@
 
 /// Maximum number of prompt parts that stand out by their crashes. Trials run one at a time, so that more of them would
 /// hold up the requests of the others for seconds.
-const MAX_PROMINENT_PARTS: usize = 4;
+const MAX_PROMINENT_PARTS: usize = 8;
 
 /// Most crashes of a subject that are told apart when parts are compared.
 const MAX_COMPARED: usize = 16;
@@ -57,7 +57,7 @@
     /// An upstream mostly crashes when it begins an answer, while most of the requests beside it had begun long before.
     pub(super) fn stands_out(&self, record: &Record) -> bool {
         let least = self.prominence();
-        let counts = self.compared_counts(record);
+        let counts = count(record, |life| !self.is_explained(record, life));
         counts.all >= least.all || counts.unbegun >= least.unbegun
     }
 
@@ -68,7 +68,9 @@
         }
         let parts = self.subjects.values().map(|known| &known.record);
         let parts = parts.filter(|record| record.subject().is_common_part() && !record.condemned);
-        let counts: Vec<Counts> = parts.map(|record| self.compared_counts(record)).collect();
+        // One that was at the crashes of a condemned subject remains a suspect, but must not hide the others.
+        let counts = parts.map(|record| count(record, |life| !self.explained.contains_key(&life)));
+        let counts: Vec<Counts> = counts.collect();
         let least = Counts {
             all: least_prominent(counts.iter().map(|counts| counts.all)),
             unbegun: least_prominent(counts.iter().map(|counts| counts.unbegun)),
@@ -77,17 +79,6 @@
         least
     }
 
-    fn compared_counts(&self, record: &Record) -> Counts {
-        let open = || {
-            let crashes = record.crashes.iter();
-            crashes.filter(|crash| !self.is_explained(record, crash.life))
-        };
-        Counts {
-            all: open().count(),
-            unbegun: open().filter(|crash| !crash.begun).count(),
-        }
-    }
-
     /// Whether the failed trials of a subject are enough to condemn it.
     ///
     /// Other requests run beside a trial, and one that is not a suspect yet may have caused the crash. One failed trial is
@@ -217,6 +208,15 @@
     }
 }
 
+/// Counts the crashes of a subject that are open, that is, have no other explanation.
+fn count(record: &Record, is_open: impl Fn(u64) -> bool) -> Counts {
+    let open = || record.crashes.iter().filter(|crash| is_open(crash.life));
+    Counts {
+        all: open().count(),
+        unbegun: open().filter(|crash| !crash.begun).count(),
+    }
+}
+
 /// Returns the least number of crashes that so few parts have that they stand out.
 fn least_prominent(counts: impl Iterator<Item = usize>) -> usize {
     let mut by_count = [0; MAX_COMPARED + 1];
--- a/crates/sesamegap-policy/tests/testsuite/quarantine/parts.rs
+++ b/crates/sesamegap-policy/tests/testsuite/quarantine/parts.rs
@@ -76,6 +76,20 @@
     });
 }
 
+/// More parts crash upstreams than may stand out at a time: those that are found must not hide the others.
+#[test]
+fn more_parts_than_stand_out_are_refused_one_after_another() {
+    let load = Load {
+        upstreams: 40,
+        interval: Duration::from_secs(4),
+        ..load(Cause::Inner, 8)
+    };
+    each_seed(&load, |world| {
+        assert_only_the_cause(world);
+        assert_kin_served(world);
+    });
+}
+
 /// Requests with a crashing part come every twenty seconds. Their record must outlast the time between them.
 #[test]
 fn a_rare_part_is_refused() {
