--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -42,12 +42,13 @@
     })
 }
 
-/// Numbers of suspect and of quarantined requests.
+/// Numbers of suspect and of quarantined requests and prompt parts.
 fn count_restricted(core: &Core) -> (usize, usize) {
     let unix_ms = clock::unix_ms();
     let registry = core.quarantine.registry();
     let records = registry.published(unix_ms);
-    let standings: Vec<Standing> = records.map(|record| record.standing(unix_ms)).collect();
+    let standings = records.map(|record| registry.standing(record.fingerprint, unix_ms));
+    let standings: Vec<Standing> = standings.collect();
     let count = |expected| {
         standings
             .iter()
@@ -67,7 +68,7 @@
     /// Whether this VM reaches no upstream.
     partitioned: bool,
     upstreams: Vec<UpstreamDump>,
-    /// Requests that crashed upstreams.
+    /// Requests and prompt parts that crashed upstreams.
     quarantine: Vec<RequestDump>,
     peers: Vec<SocketAddr>,
     doubted: Vec<SocketAddr>,
@@ -87,10 +88,12 @@
     weights: Vec<(SmolStr, u32)>,
 }
 
-/// A request that crashed upstreams.
+/// A request or prompt part that crashed upstreams.
 #[derive(Debug, Serialize)]
 struct RequestDump {
     fingerprint: Fingerprint,
+    /// Whether it is a prompt part.
+    part: bool,
     standing: SmolStr,
     /// Upstreams that crashed while they ran it.
     ended: usize,
@@ -109,7 +112,11 @@
     records
         .map(|record| RequestDump {
             fingerprint: record.fingerprint,
-            standing: smol_str::format_smolstr!("{:?}", record.standing(unix_ms)),
+            part: record.is_part(),
+            standing: smol_str::format_smolstr!(
+                "{:?}",
+                registry.standing(record.fingerprint, unix_ms)
+            ),
             ended: record.crashes.len(),
             trials: record.failed_trials(),
             lost_ms: record.lost_ms,
