Quarantine: gossip sends restricted records before cleared ones; a file for what one VM knows of a subject

Cause: gossip went through all published records in turn, eight to three peers a second. With parts there are hundreds of cleared ones, so that a VM that had missed a verdict, or had just started while the store was away, waited many seconds for it. Found by reading. Six of eight places of a datagram are for restricted subjects now, each rotated on its own.

--- a/crates/sesamegap-entry/src/quarantine/exchange.rs
+++ b/crates/sesamegap-entry/src/quarantine/exchange.rs
@@ -21,6 +21,9 @@
 /// Maximum number of records in a datagram; each has up to 130 bytes.
 const RECORDS_PER_DATAGRAM: usize = 8;
 
+/// Number of these that gossip leaves to restricted subjects, if there are so many.
+const RESTRICTED_PER_DATAGRAM: usize = 6;
+
 /// Ticks between two gossip rounds, which bring records to VMs that missed a broadcast.
 const GOSSIP_INTERVAL_TICKS: u32 = 20;
 
@@ -117,18 +120,27 @@
 }
 
 /// Sends a part of the records to some of the peers, rotating through both from round to round.
+///
+/// Most records are of subjects that were cleared. A VM that missed a verdict needs that sooner.
 async fn gossip(core: &Core, alive: &[SocketAddr], round: u32) {
     let quarantine = &core.quarantine;
-    let mut records: Vec<Record> = {
+    let (mut restricted, mut cleared): (Vec<Record>, Vec<Record>) = {
         let registry = quarantine.registry();
-        registry.published(clock::unix_ms()).cloned().collect()
+        let unix_ms = clock::unix_ms();
+        let published = registry.published(unix_ms).cloned();
+        published
+            .partition(|record| registry.standing(record.fingerprint, unix_ms) != Standing::Clear)
     };
-    if records.is_empty() || alive.is_empty() {
+    if alive.is_empty() || restricted.is_empty() && cleared.is_empty() {
         return;
     }
-    records.sort_unstable_by_key(|record| record.fingerprint);
+    restricted.sort_unstable_by_key(|record| record.fingerprint);
+    cleared.sort_unstable_by_key(|record| record.fingerprint);
     let round = round as usize;
-    let records = cyclic_slice(&records, round * RECORDS_PER_DATAGRAM, RECORDS_PER_DATAGRAM);
+    let count = RESTRICTED_PER_DATAGRAM.min(restricted.len());
+    let mut records = cyclic_slice(&restricted, round * count, count);
+    let count = RECORDS_PER_DATAGRAM - records.len();
+    records.extend(cyclic_slice(&cleared, round * count, count));
     for to in cyclic_slice(alive, round * GOSSIP_FANOUT, GOSSIP_FANOUT) {
         quarantine.send(Message::Records(records.clone()), to).await;
     }
--- a/crates/sesamegap-entry/src/quarantine/mod.rs
+++ b/crates/sesamegap-entry/src/quarantine/mod.rs
@@ -1,11 +1,11 @@
 //! Quarantine of requests and prompt parts that crash upstreams, shared by all entry VMs.
 //!
 //! A VM whose connection to an upstream broke probes whether the upstream's process is gone ([`Probes`]) and reports each
-//! request that it had there, with the shared parts of its prompt, to the coordinator and its replicas. The coordinator grants trials and judges them. Its
-//! verdicts are broadcast to all VMs (`exchange`) and written to the store ([`sync()`]), for VMs that were all restarted
-//! at once and for VMs that no peer can reach. Before each attempt of a request, [`admit`] decides whether it runs
-//! normally, runs as a trial, is deferred or is refused. Streams that wait at an upstream and have not begun are withdrawn
-//! when a verdict comes. The policy is in [`sesamegap_policy::quarantine`].
+//! request that it had there, with the shared parts of its prompt, to the coordinator and its replicas. The coordinator
+//! grants trials and judges them. Its verdicts are broadcast to all VMs (`exchange`) and written to the store
+//! ([`sync()`]), for VMs that were all restarted at once and for VMs that no peer can reach. Before each attempt of a
+//! request, [`admit`] decides whether it runs normally, runs as a trial, is deferred or is refused. Streams that wait at an
+//! upstream and have not begun are withdrawn when a verdict comes. The policy is in [`sesamegap_policy::quarantine`].
 
 mod admission;
 mod exchange;
--- a/crates/sesamegap-policy/src/quarantine/mod.rs
+++ b/crates/sesamegap-policy/src/quarantine/mod.rs
@@ -21,10 +21,12 @@
 mod record;
 mod registry;
 mod subject;
+mod tracked;
 
 pub use record::{Crash, Record, Standing};
-pub use registry::{Grant, Registry, Role};
+pub use registry::{Grant, Registry};
 pub use subject::{REQUEST_DEPTH, Subject, Subjects};
+pub use tracked::Role;
 
 /// Key of the ranking in which VMs become the coordinator, which grants trials.
 pub const COORDINATOR_RANKING_KEY: u64 = 0x7175_6172;
--- a/crates/sesamegap-policy/src/quarantine/registry.rs
+++ b/crates/sesamegap-policy/src/quarantine/registry.rs
@@ -4,6 +4,7 @@
 use super::judging::Counts;
 use super::record::{Crash, Record, Standing};
 use super::subject::{Subject, Subjects};
+use super::tracked::{Role, Tracked};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::{Fingerprint, Moment};
@@ -24,10 +25,6 @@
 /// Maximum number of crashes remembered for that comparison.
 pub(super) const MAX_RECENT_CRASHES: usize = 1_024;
 
-/// Maximum number of crashes per subject that are remembered after it was cleared, so that late and repeated reports of
-/// them do not count again.
-const MAX_SETTLED_CRASHES: usize = 16;
-
 /// Time after a failed trial in which other VMs' reports of crashes at the same moment arrive.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(250);
 
@@ -47,30 +44,6 @@
     Refused,
 }
 
-/// Role of a VM in the quarantine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Role {
-    /// Numbers the epochs of records that other VMs know, judges, and grants trials.
-    Coordinator,
-    /// Follows the coordinator's records.
-    Follower,
-}
-
-#[derive(Debug)]
-pub(super) struct Tracked {
-    pub(super) record: Record,
-    /// When the record last changed.
-    changed_at: Moment,
-    /// When this VM learned of the first of the crashes that count.
-    blamed_at: Moment,
-    /// When a trial of the subject last ended in a crash.
-    pub(super) trial_failed_at: Option<Moment>,
-    /// Crashes that no longer count.
-    settled: VecDeque<u64>,
-    /// Whether other VMs may have the record.
-    is_shared: bool,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Trial {
     request: Fingerprint,
@@ -95,57 +68,6 @@
     pub(super) prominence: Cell<Option<Counts>>,
 }
 
-impl Tracked {
-    fn new(subject: Subject, now: Moment) -> Self {
-        Self {
-            record: Record::of(subject),
-            changed_at: now,
-            blamed_at: now,
-            trial_failed_at: None,
-            settled: VecDeque::new(),
-            is_shared: false,
-        }
-    }
-
-    /// Adds a crash unless it no longer counts; returns whether the record changed.
-    fn add(&mut self, crash: Crash, now: Moment, unix_ms: u64) -> bool {
-        if self.settled.contains(&crash.life) {
-            return false;
-        }
-        let is_first = self.record.crashes.is_empty();
-        if !self.record.add(crash, unix_ms) {
-            return false;
-        }
-        if is_first {
-            self.blamed_at = now;
-        }
-        if crash.trial {
-            self.trial_failed_at = Some(now);
-        }
-        self.changed_at = now;
-        true
-    }
-
-    /// Stops counting the crashes so far.
-    pub(super) fn settle(&mut self) {
-        let lives = self.record.crashes.drain(..).map(|crash| crash.life);
-        self.settled.extend(lives);
-        let excess = self.settled.len().saturating_sub(MAX_SETTLED_CRASHES);
-        self.settled.drain(..excess);
-        self.record.condemned = false;
-        self.trial_failed_at = None;
-    }
-
-    /// Stops counting the crashes so far, and starts a new epoch if other VMs may know of them.
-    fn clear(&mut self, role: Role, now: Moment) {
-        self.settle();
-        if self.is_shared && role == Role::Coordinator {
-            self.record.clear();
-        }
-        self.changed_at = now;
-    }
-}
-
 impl Registry {
     /// Whether no subject is tracked.
     pub fn is_empty(&self) -> bool {
