Resumption: three small duplications

The VMs that may hold a stream's record come from one function for those who record and those who ask; the services of a route are listed once for each stream that is taken up; the room of an upstream is computed once when it is reserved. No change of behaviour.

--- a/crates/sesamegap-entry/src/fleet/versions.rs
+++ b/crates/sesamegap-entry/src/fleet/versions.rs
@@ -162,8 +162,11 @@
             self.running(upstream, now) + reserved < slots
                 && self.availability_for(upstream, selection.shape, now) == Availability::Open
         };
-        if open.iter().any(|(upstream, _)| has_room(upstream)) {
-            open.retain(|(upstream, _)| has_room(upstream));
+        let all = open.iter().copied();
+        let roomy: Vec<(&Upstream, bool)> =
+            all.filter(|(upstream, _)| has_room(upstream)).collect();
+        if !roomy.is_empty() {
+            *open = roomy;
         }
     }
 }
--- a/crates/sesamegap-entry/src/resumption/client.rs
+++ b/crates/sesamegap-entry/src/resumption/client.rs
@@ -8,7 +8,7 @@
 use crate::telemetry::events;
 use rustc_hash::FxHashMap;
 use sesamegap_policy::resumption::{
-    Answer, HOLDERS, Message, Origin, Question, Records, StreamKey, Testimony,
+    ASKED, Answer, HOLDERS, Message, Origin, Question, Records, StreamKey, Testimony,
 };
 use sesamegap_wire::{Moment, ServiceId};
 use std::net::SocketAddr;
@@ -105,14 +105,19 @@
     }
 }
 
+/// Returns the other VMs that may hold the record of a stream, the first ones most likely.
+pub(super) fn record_vms(core: &Core, stream: StreamKey) -> impl Iterator<Item = SocketAddr> {
+    let ranked = core.peers.first_ranked(ASKED, stream.0);
+    ranked.into_iter().flatten()
+}
+
 /// Records which version began a stream, or took it up, before its first event goes to the caller.
 pub fn record_begin(core: &Core, job: &Job, origin: Origin) {
     let stream = job.stream_key();
     let left = job.caller_time_left();
     let message = Message::Began(origin.clone(), stream, clock::wire_millis(left));
     core.resumption.insert(stream, origin, left);
-    let ranked = core.peers.first_ranked(HOLDERS + 1, stream.0);
-    for holder in ranked.into_iter().flatten().take(HOLDERS) {
+    for holder in record_vms(core, stream).take(HOLDERS) {
         core.resumption.send(&message, holder);
     }
 }
--- a/crates/sesamegap-entry/src/resumption/origin.rs
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -1,14 +1,13 @@
 //! Looks up which version began a stream that a caller takes up again.
 
-use super::client::{is_list_current, testimony};
+use super::client::{is_list_current, record_vms, testimony};
 use crate::clock;
 use crate::core::Core;
 use crate::job::Job;
 use crate::refusal::Refusal;
 use crate::telemetry::events;
-use sesamegap_policy::resumption::{
-    self, ASKED, Answer, Message, Origin, Question, Verdict, decide,
-};
+use sesamegap_policy::resumption::{self, Answer, Message, Origin, Question, Verdict, decide};
+use sesamegap_wire::ServiceId;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -38,20 +37,21 @@
         return Ok(None);
     }
     let window = resumption::window(job.route.timeout);
+    let services = job.services();
     let answers = match core.resumption.record(job.stream_key()) {
         Some(origin) => Answers {
             asked: 0,
             given: vec![Answer::Record(origin)],
         },
-        None => ask(core, job, window).await,
+        None => ask(core, job, &services, window).await,
     };
-    let mut own = testimony(core, &job.services(), window);
+    let mut own = testimony(core, &services, window);
     // A VM that has heard nothing for a while may lack a version that others have used since. One that has just started
     // does not: a stream that is taken up ran until a moment ago, so that its upstream was still listed.
     own.complete = is_list_current(core) || (own.complete && !answers.given.is_empty());
     let verdict = decide(&own, &answers.given);
     let found = match &verdict {
-        Verdict::At(origin, _) => place(core, job, origin),
+        Verdict::At(origin, _) => place(core, job, &services, origin),
         // The record may be at a VM that does not answer now.
         Verdict::Ambiguous if answers.given.len() < answers.asked => Err(Refusal::UnknownOrigin),
         Verdict::Ambiguous => Err(Refusal::NotResumable),
@@ -75,8 +75,13 @@
 }
 
 /// Moves an origin to the service of the request's route, if the route has changed meanwhile.
-fn place(core: &Core, job: &Job, origin: &Origin) -> Result<Origin, Refusal> {
-    let is_target = job.services().contains(&origin.service);
+fn place(
+    core: &Core,
+    job: &Job,
+    services: &[ServiceId],
+    origin: &Origin,
+) -> Result<Origin, Refusal> {
+    let is_target = services.contains(&origin.service);
     let service = if is_target {
         &origin.service
     } else {
@@ -93,14 +98,9 @@
 }
 
 /// Asks the VMs that may hold the record of a stream.
-async fn ask(core: &Core, job: &Job, window: Duration) -> Answers {
+async fn ask(core: &Core, job: &Job, services: &[ServiceId], window: Duration) -> Answers {
     let stream = job.stream_key();
-    let mut silent: Vec<SocketAddr> = core
-        .peers
-        .first_ranked(ASKED, stream.0)
-        .into_iter()
-        .flatten()
-        .collect();
+    let mut silent: Vec<SocketAddr> = record_vms(core, stream).collect();
     let mut answers = Answers {
         asked: silent.len(),
         given: Vec::new(),
@@ -109,7 +109,7 @@
     let message = Message::Ask(Question {
         number: pending.number,
         stream,
-        services: job.services(),
+        services: services.to_vec(),
         window_ms: clock::wire_millis(window),
     });
     for _ in 0..SENDS {
