--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -64,7 +64,7 @@
 pub const CALLER_CONNECTION: u16 = 755;
 /// A connection to an upstream broke during a request; the line says whether its process is gone.
 pub const UPSTREAM_CONNECTION: u16 = 756;
-/// The quarantine state of a request changed: it is a suspect, quarantined, or clear again.
+/// The quarantine state of a request or prompt part changed: it is a suspect, quarantined, or clear again.
 pub const QUARANTINE: u16 = 757;
 /// A request that had crashed upstreams was admitted, on trial or freely, or refused.
 pub const ADMISSION: u16 = 758;
