A response of a leaving upstream that ends with its connection is confirmed, too

Cause: an upstream that was leaving was not asked after the end, for the case that it stops accepting connections before its last answers end. The soak's engine was told to stop and crashed on a part 0.6 s later. The platform says that leaving upstreams serve until they exit, and that an answer which ends early must not look complete goes before a whole one that is lost; so all are asked.

The test the_last_unframed_stream_of_a_leaving_engine_is_complete asserted the wrong thing and is replaced by two: a crash of a leaving engine does not end a stream (failed before), and the stream of a leaving engine that goes on is complete.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -63,9 +63,7 @@
     }
 }
 
-/// Whether the incarnation of an upstream still runs, or leaves.
-///
-/// One that leaves may have stopped to accept connections before its last responses end, so it is not asked.
+/// Whether the incarnation of an upstream still runs.
 pub async fn confirm_running(
     fleet: SharedFleet,
     id: UpstreamId,
@@ -73,16 +71,9 @@
     from: IpAddr,
     addr: SocketAddr,
 ) -> bool {
-    let listed = fleet
-        .lock()
-        .get(&id)
-        .map(|listed| (listed.life, listed.entry.leaving));
-    match listed {
-        // Some leave the list without notice and go on for a while.
-        None | Some((_, true)) => true,
-        Some((listed, _)) if listed != life => false,
-        Some(_) => upstream::is_running(from, addr).await,
-    }
+    // One that leaves accepts connections until it ends.
+    let listed = fleet.lock().get(&id).map(|listed| listed.life);
+    listed.is_none_or(|listed| listed == life) && upstream::is_running(from, addr).await
 }
 
 /// A request in flight at an upstream.
--- a/crates/sesamegap-entry/tests/testsuite/unframed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/unframed.rs
@@ -1,8 +1,8 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
 use crate::support::{
-    Act, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask, crashing_engines, entry, offset,
-    read, unused_addr, vms,
+    Act, Answer, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask, crashing_engines, entry,
+    offset, read, unused_addr, vms,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::fleet::Entry;
@@ -71,10 +71,9 @@
     );
 }
 
-/// An engine that leaves accepts no connections any more and ends its last answers. They are whole, and lost if they were
-/// taken for broken.
-#[tokio::test]
-async fn the_last_unframed_stream_of_a_leaving_engine_is_complete() {
+/// Answers one request at a leaving engine with the first event of a stream, and ends it with its connection. The engine ends
+/// with it or goes on.
+async fn answer_of_leaving_engine(ends: bool) -> Answer {
     let process = Process::new().await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
@@ -82,7 +81,6 @@
     let core = Arc::clone(&process.core);
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        drop(listener);
         read(&mut stream).await;
         let leaving = Entry {
             leaving: true,
@@ -93,8 +91,28 @@
         core.fleet.lock().apply(&id, leaving, offset(1), Moment(2));
         let answer = "HTTP/1.1 200 X\r\nx-id: r1\r\nx-seal: s\r\n\r\nid: 0\ndata: t\n\n";
         drop(stream.write_all(answer.as_bytes()).await);
+        if ends {
+            drop(listener);
+        } else {
+            drop(stream);
+            sleep(DOWNTIME).await;
+        }
     });
-    let answer = ask(process.callers, "POST", "/chat/a", CHAT, "hello").await;
+    ask(process.callers, "POST", "/chat/a", CHAT, "hello").await
+}
+
+/// An engine that leaves serves until it ends, and may crash before. It was taken to be sound whatever became of it.
+#[tokio::test]
+async fn a_crash_of_a_leaving_engine_does_not_end_an_unframed_stream() {
+    let answer = answer_of_leaving_engine(true).await;
+    assert!(answer.body.contains("id: 0\n"), "{answer:?}");
+    assert!(!answer.is_complete, "a broken stream looks complete");
+}
+
+/// The last answers of an engine that leaves are whole while it goes on.
+#[tokio::test]
+async fn an_unframed_stream_of_a_leaving_engine_is_complete() {
+    let answer = answer_of_leaving_engine(false).await;
     assert!(answer.body.contains("id: 0\n"), "{answer:?}");
     assert!(answer.is_complete);
 }
