Confirm an unframed end by broken connections beside it, and for longer

The engines were not leaving.

Change: a connection has to stay open for 25 ms, and no other connection of the VM to this upstream may have broken since 30 ms before the end. The second also tells of a crash when a supervisor hands the listening socket to the next start: its test failed before.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -63,6 +63,9 @@
     }
 }
 
+/// Time before the end of a response within which other connections break that end with the same crash.
+const BREAK_WINDOW: Duration = Duration::from_millis(30);
+
 /// Whether the incarnation of an upstream still runs.
 pub async fn confirm_running(
     fleet: SharedFleet,
@@ -71,9 +74,17 @@
     from: IpAddr,
     addr: SocketAddr,
 ) -> bool {
+    let ended_at = clock::now();
     // One that leaves accepts connections until it ends.
-    let listed = fleet.lock().get(&id).map(|listed| listed.life);
-    listed.is_none_or(|listed| listed == life) && upstream::is_running(from, addr).await
+    if !upstream::is_running(from, addr).await {
+        return false;
+    }
+    let fleet = fleet.lock();
+    fleet.get(&id).is_none_or(|listed| {
+        // Another process may listen there by now.
+        let broke = listed.connection_broke_at + BREAK_WINDOW >= ended_at;
+        listed.life == life && !broke
+    })
 }
 
 /// A request in flight at an upstream.
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -91,6 +91,8 @@
     pub(super) gate: Gate,
     /// When a connection to it last broke or failed, at any VM.
     broke_at: Moment,
+    /// When a connection of this VM to it last broke.
+    pub(super) connection_broke_at: Moment,
     failures: u32,
     failed_at: Moment,
     avoided_until: Moment,
@@ -122,6 +124,7 @@
             sent_since_load: 0,
             gate: Gate::default(),
             broke_at: Moment(0),
+            connection_broke_at: Moment(0),
             failures: 0,
             failed_at: Moment(0),
             avoided_until: Moment(0),
--- a/crates/sesamegap-entry/src/fleet/versions.rs
+++ b/crates/sesamegap-entry/src/fleet/versions.rs
@@ -60,7 +60,11 @@
     pub fn record_broken(&mut self, id: &UpstreamId, life: u64, now: Moment) {
         let list_as_of = self.list_as_of;
         let upstream = self.in_life(id, life);
-        if upstream.is_some_and(|upstream| upstream.doubt_software(list_as_of, now)) {
+        let is_new = upstream.is_some_and(|upstream| {
+            upstream.connection_broke_at = now;
+            upstream.doubt_software(list_as_of, now)
+        });
+        if is_new {
             self.broken.push(life);
         }
     }
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -35,7 +35,7 @@
 const CONFIRMATIONS: usize = 3;
 
 /// Time within which a connection is closed that was accepted for a process that does not run any more.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Time after which unacknowledged data closes a connection: otherwise a network failure would go unnoticed for
 /// minutes.
--- a/crates/sesamegap-entry/tests/testsuite/unframed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/unframed.rs
@@ -1,8 +1,8 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
 use crate::support::{
-    Act, Answer, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask, crashing_engines, entry,
-    offset, read, unused_addr, vms,
+    Act, Answer, CrashingUpstream, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask,
+    crashing_engines, entry, offset, read, unused_addr, vms,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::fleet::Entry;
@@ -33,6 +33,25 @@
     assert!(!answer.is_complete, "a broken stream looks complete");
 }
 
+/// The supervisor starts a crashed engine again at once, so that it accepts connections. Another answer that broke at the same
+/// moment tells of the crash.
+#[tokio::test]
+async fn a_restart_at_once_does_not_end_an_unframed_stream() {
+    let process = Process::new().await;
+    // The list still has the first start.
+    let engine = CrashingUpstream::start(Duration::ZERO, |_| {}).await;
+    process.add("e1", "engines", engine.addr);
+    let callers = process.callers;
+    let (midway, framed) = (midway(), "hello");
+    let (answer, other) = tokio::join!(
+        ask(callers, "POST", "/chat/a", CHAT, &midway),
+        ask(callers, "POST", "/chat/b", CHAT, framed),
+    );
+    assert!(!other.is_complete, "{other:?}");
+    assert!(answer.body.contains("id: 1\n"), "{answer:?}");
+    assert!(!answer.is_complete, "a broken stream looks complete");
+}
+
 /// A stream that ends with its connection at an engine that goes on is whole.
 #[tokio::test]
 async fn an_unframed_stream_of_a_running_engine_is_complete() {
