Log each charge to the retry budget, the age of the settings in refusals, and entries that return

Line 763 says, for each retry, whether the budget allowed it, what is left, the requests and VMs that it is computed from, and the age of the process. Line 750 says how long ago the document was last known to be the newest. An entry that had lapsed and is written again is a change of its own (713 Returned), which was not logged. No decision changes.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a process.
 
 mod active;
+mod retries;
 
 pub use active::{ActiveRequestGuard, ActiveRequests};
 
@@ -20,12 +21,13 @@
 use crate::telemetry::{Logging, events, log_reach};
 use crate::upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use rustc_hash::FxHashMap;
+use retries::RetryBudgets;
 use sesamegap_policy::routing::belief;
-use sesamegap_policy::routing::budget::Budget;
 use sesamegap_wire::{Moment, ServiceId};
+use smol_str::SmolStr;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
 
@@ -81,7 +83,7 @@
     tables: [TableState; 4],
     settings: ArcSwap<Settings>,
     catalogue: ArcSwapOption<Catalogue>,
-    budgets: Mutex<FxHashMap<ServiceId, Budget>>,
+    retries: RetryBudgets,
     phase: watch::Sender<Phase>,
 }
 
@@ -115,7 +117,7 @@
             quota: QuotaClient::new(&settings),
             tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
-            budgets: Mutex::default(),
+            retries: RetryBudgets::new(),
             phase: watch::channel(Phase::Serving).0,
             store: StoreClient::new(Arc::clone(&ports.store), settings.store_calls_per_s),
             settings: ArcSwap::from_pointee(settings),
@@ -149,11 +151,7 @@
             slack = settings.repeats.slack,
             "process settings reloaded"
         );
-        self.budgets
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .values_mut()
-            .for_each(|budget| budget.set(settings.repeats));
+        self.retries.set(settings.repeats);
         self.quota.set_tolerance(settings.tolerance);
         self.settings.store(Arc::new(settings));
     }
@@ -177,6 +175,13 @@
         position.next().is_some() && position.has_missed()
     }
 
+    /// How long ago the document in force was last known to be the newest; `None` if the store's log of it was never read.
+    pub fn settings_age(&self) -> Option<Duration> {
+        let position = self.table_progress(Table::Settings).position();
+        position.next()?;
+        Some(clock::now().since(position.last_update()))
+    }
+
     /// Puts a document in force unless its revision is not newer than the current one.
     ///
     /// The store may serve stale history, and a peer may be behind. Without this check, a revoked key would work again
@@ -236,20 +241,13 @@
 
     /// Adds a caller's request to the retry budget of its service.
     pub fn count_request(&self, service: &ServiceId) {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.settings().repeats));
-        budget.record_request(clock::now());
+        self.retries.count_request(service, self.settings().repeats);
     }
 
     /// Takes one retry from the budget of a service; returns whether the fleet's bound allowed it.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
+    pub fn try_retry(&self, service: &ServiceId, request: &SmolStr) -> bool {
         let vms = self.peers.count();
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        budgets
-            .get_mut(service)
-            .is_some_and(|budget| budget.try_retry(clock::now(), vms))
+        self.retries.try_retry(service, request, vms)
     }
 
     /// Returns the current phase.
--- a/crates/sesamegap-entry/src/fleet/list.rs
+++ b/crates/sesamegap-entry/src/fleet/list.rs
@@ -36,11 +36,11 @@
         }
         match change {
             Change::Restarted => known.restart(entry),
-            Change::New | Change::Leaving | Change::Same if is_other => {
+            Change::New | Change::Leaving | Change::Returned | Change::Same if is_other => {
                 change = Change::Restarted;
                 known.restart(entry);
             }
-            Change::New | Change::Leaving | Change::Same => {
+            Change::New | Change::Leaving | Change::Returned | Change::Same => {
                 change = known.update(entry, change);
             }
             // Without an incarnation, a delayed record of the previous process looks like one of the present process.
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -3,6 +3,7 @@
 use super::connection::limits;
 use super::reply::{Body, refusal_response};
 use crate::catalogue::{Catalogue, Route, Team};
+use crate::clock;
 use crate::core::{ActiveRequestGuard, Core, Phase};
 use crate::job::Job;
 use crate::ports::RequestHead;
@@ -47,6 +48,7 @@
                 event = events::REFUSED,
                 request = %id,
                 revision = core.revision().0,
+                known_ms = core.settings_age().map(clock::millis),
                 status = refusal.status().as_u16(),
                 why = %refusal,
                 "request refused"
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -9,6 +9,7 @@
 use crate::refusal::Refusal;
 use sesamegap_policy::routing::Availability;
 use sesamegap_wire::{ServiceId, SoftwareVersion, UpstreamId};
+use smol_str::SmolStr;
 use std::time::Duration;
 
 /// Least time left for which a retry is worthwhile.
@@ -24,6 +25,7 @@
 /// The attempts of one request so far.
 #[derive(Debug)]
 pub struct RetryState {
+    request: SmolStr,
     /// The target service.
     pub service: ServiceId,
     /// The prompt's shape, if the request is a prompt.
@@ -42,6 +44,7 @@
     /// The state of a request that has not been sent.
     pub fn new(job: &Job) -> Self {
         Self {
+            request: job.head.id.clone(),
             service: job.service().clone(),
             shape: job.prompt_shape(),
             software: job.origin.as_ref().map(|origin| origin.software.clone()),
@@ -89,7 +92,7 @@
             }
             NotRun::Refused | NotRun::OtherWeights => {
                 self.refusals += 1;
-                self.refusals < MAX_REFUSALS && core.try_retry(&self.service)
+                self.refusals < MAX_REFUSALS && self.try_charge(core)
             }
         }
     }
@@ -97,7 +100,12 @@
     /// Records that the request may have run at `at`; returns whether it may be sent again.
     pub fn should_retry_possible_run(&mut self, core: &Core, job: &Job, at: UpstreamId) -> bool {
         self.record_run(at);
-        self.can_run_again(job) && core.try_retry(&self.service)
+        self.can_run_again(job) && self.try_charge(core)
+    }
+
+    /// Charges one more arrival to the fleet's retry budget; returns whether it may be made.
+    pub fn try_charge(&self, core: &Core) -> bool {
+        core.try_retry(&self.service, &self.request)
     }
 
     /// Records that the request may have run at an upstream.
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -248,7 +248,7 @@
             }
             // Counts against the retry budget only if an upstream is available.
             let other = self.retry.has_other_upstream(&self.core, &self.job, None);
-            if other && self.core.try_retry(&self.retry.service) {
+            if other && self.retry.try_charge(&self.core) {
                 match self.open().await {
                     Ok(Opened::Stream(stream)) => return Some(*stream),
                     Ok(Opened::Complete(_)) => return None,
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -76,3 +76,5 @@
 pub const QUOTA_RIGHTS: u16 = 761;
 /// A caller takes a stream up again; the line says which software version began it, how that was found, or why it is not.
 pub const RESUMED: u16 = 762;
+/// A retry was charged to the retry budget of all entry VMs, or the budget did not allow it.
+pub const RETRY: u16 = 763;
--- a/crates/sesamegap-entry/tests/testsuite/weights.rs
+++ b/crates/sesamegap-entry/tests/testsuite/weights.rs
@@ -129,7 +129,7 @@
     drop(ask(process.callers, "POST", "/review/", CHAT, "hello").await);
     assert_eq!(expired.seen().len(), 0);
     let mut left = 0;
-    while process.core.try_retry(&service) {
+    while process.core.try_retry(&service, &"r1".into()) {
         left += 1;
     }
     assert!(
--- a/crates/sesamegap-policy/src/routing/belief/mod.rs
+++ b/crates/sesamegap-policy/src/routing/belief/mod.rs
@@ -118,6 +118,8 @@
     Gone,
     /// The entry was removed, but may reappear.
     Lapsed,
+    /// The entry had lapsed and was written again.
+    Returned,
     /// The upstream was gone and a record of unknown age lists it; it is not used until that entry has remained
     /// for [`Rules::confirmation`].
     Doubted,
@@ -365,9 +367,12 @@
                 Change::New
             }
             State::Listed | State::Lapsed(_) => {
+                let returns = self.is_lapsed();
                 self.state = State::Listed;
                 if leaves {
                     Change::Leaving
+                } else if returns {
+                    Change::Returned
                 } else {
                     Change::Same
                 }
--- a/crates/sesamegap-policy/src/routing/budget.rs
+++ b/crates/sesamegap-policy/src/routing/budget.rs
@@ -34,18 +34,35 @@
     retries: u32,
 }
 
+/// The budget's decision on a retry, and what it was based on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Charge {
+    /// Whether the retry was charged and may be made.
+    pub is_granted: bool,
+    /// Retries that are left after it.
+    pub left: f64,
+    /// Requests of the last window.
+    pub requests: u32,
+    /// Entry VMs among which the slack is divided.
+    pub vms: usize,
+    /// Age of the process that decides.
+    pub age: Duration,
+}
+
 /// Retry budget of one VM for one service.
 #[derive(Debug)]
 pub struct Budget {
     bound: Bound,
+    started: Moment,
     buckets: VecDeque<Bucket>,
 }
 
 impl Budget {
-    /// Creates a budget with empty counts.
-    pub fn new(bound: Bound) -> Self {
+    /// Creates the budget of a process that started at a given time.
+    pub fn new(bound: Bound, started: Moment) -> Self {
         Self {
             bound,
+            started,
             buckets: VecDeque::new(),
         }
     }
@@ -60,9 +77,9 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Counts a retry and returns true if the bound allows it; `vms` is the number of entry VMs.
+    /// Charges a retry if the bound allows it; `vms` is the number of entry VMs.
     #[must_use]
-    pub fn try_retry(&mut self, now: Moment, vms: usize) -> bool {
+    pub fn try_retry(&mut self, now: Moment, vms: usize) -> Charge {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
@@ -72,7 +89,14 @@
         if within_budget {
             self.bucket(now).retries += 1;
         }
-        within_budget
+        let charged = f64::from(u8::from(within_budget));
+        Charge {
+            is_granted: within_budget,
+            left: allowed - f64::from(retries) - charged,
+            requests,
+            vms,
+            age: now.since(self.started),
+        }
     }
 
     fn bucket(&mut self, now: Moment) -> &mut Bucket {
--- a/crates/sesamegap-policy/tests/testsuite/routing/budget.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/budget.rs
@@ -18,14 +18,14 @@
 #[test]
 fn all_vms_together_stay_under_the_bound() {
     let vms = 7;
-    let mut budgets: Vec<Budget> = (0..vms).map(|_| Budget::new(BOUND)).collect();
+    let mut budgets: Vec<Budget> = (0..vms).map(|_| Budget::new(BOUND, at(0))).collect();
     let mut retries: Vec<u64> = Vec::new();
     let mut requests: Vec<u64> = Vec::new();
     for ms in (0..30_000).step_by(10) {
         for budget in &mut budgets {
             budget.record_request(at(ms));
             requests.push(ms);
-            if budget.try_retry(at(ms), vms) {
+            if budget.try_retry(at(ms), vms).is_granted {
                 retries.push(ms);
             }
         }
@@ -52,14 +52,16 @@
 /// A VM that has restarted and knows no peer yet treats the whole allowance as its own.
 #[test]
 fn a_vm_that_knows_no_peer_takes_less_than_the_fleets_allowance() {
-    let mut budget = Budget::new(BOUND);
-    let taken = (0..1_000).filter(|_| budget.try_retry(at(0), 1)).count();
+    let mut budget = Budget::new(BOUND, at(0));
+    let taken = (0..1_000)
+        .filter(|_| budget.try_retry(at(0), 1).is_granted)
+        .count();
     assert!((1..54).contains(&taken), "{taken}");
 }
 
 quickcheck! {
     fn no_window_of_one_vm_exceeds_its_share(steps: Vec<(u16, bool)>) -> bool {
-        let mut budget = Budget::new(BOUND);
+        let mut budget = Budget::new(BOUND, at(0));
         let mut now = 0;
         let mut requests = Vec::new();
         let mut retries = Vec::new();
@@ -68,7 +70,7 @@
             if is_request {
                 budget.record_request(at(now));
                 requests.push(now);
-            } else if budget.try_retry(at(now), 9) {
+            } else if budget.try_retry(at(now), 9).is_granted {
                 retries.push(now);
             }
         }
