--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -16,6 +16,7 @@
 use sesamegap_entry::peers;
 use sesamegap_entry::ports::{Record, Table};
 use sesamegap_entry::telemetry::Logging;
+use sesamegap_policy::routing::belief::Belief;
 use sesamegap_wire::UpstreamId;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -123,6 +124,31 @@
     assert_eq!(next(&hearer), Some(52));
 }
 
+/// Guards against upstreams that most VMs hold for gone for ever: their entries lapsed while the store was away, and only
+/// the VMs that read the list learned that they were written again.
+#[tokio::test]
+async fn entries_that_lapsed_and_came_back_reach_vms_that_do_not_read_the_list() {
+    let (reader, hearer) = reader_and_hearer(5).await;
+    for core in [&reader, &hearer] {
+        let records = (0..20).map(|no| listed(no, 1, false)).collect();
+        read(core, 0, records, false);
+        core.fleet.lock().record_store_response(false, clock::now());
+    }
+    tokio::spawn(follow(Arc::clone(&hearer), Table::Fleet));
+    let lapsed = (0..20).map(|no| Record::Removed(id(no))).collect();
+    read(&reader, 20, lapsed, true);
+    let usable = |core: &Core| {
+        let fleet = core.fleet.lock();
+        let lapsed = (0..20).filter(|no| fleet.belief(&id(*no)).is_some_and(Belief::is_lapsed));
+        20 - lapsed.count()
+    };
+    wait_until(|| usable(&hearer) == 0).await;
+    let again = (0..20).map(|no| listed(no, 2, false)).collect();
+    read(&reader, 40, again, true);
+    wait_until(|| next(&hearer) == Some(60)).await;
+    assert_eq!((usable(&reader), usable(&hearer)), (20, 20));
+}
+
 /// Guards against a fleet that starts, or is restarted, and whose VMs all read the whole list from the store.
 #[tokio::test]
 async fn a_starting_vm_copies_the_list_from_a_peer() {
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod brittle;
 mod catalogue;
 mod copies;
+mod dead_calls;
 mod fetches;
 mod fleet;
 mod fleet_records;
--- a/crates/sesamegap-entry/tests/testsuite/refusals.rs
+++ b/crates/sesamegap-entry/tests/testsuite/refusals.rs
@@ -70,6 +70,26 @@
     assert_eq!(unknown().await.status, 404);
 }
 
+/// Guards against a caller that gives up for good because a VM whose calls to the store are dead denies its request by a
+/// document that may have been replaced.
+#[tokio::test]
+async fn a_vm_that_cannot_tell_its_document_is_current_denies_nothing() {
+    let process = Process::new().await;
+    let position = || process.core.table_progress(Table::Settings).position();
+    position().record_read(offset(8), clock::ago(Duration::from_secs(5)));
+    let unknown = || ask(process.callers, "GET", "/unknown/", "", "");
+    let answer = unknown().await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    let mut caller = Caller::connect(process.callers).await;
+    caller
+        .send("GET /pull/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: bad\r\n\r\n")
+        .await;
+    assert_eq!(caller.answer().await.status, 503);
+    position().record_read(offset(8), clock::now());
+    assert_eq!(unknown().await.status, 404);
+}
+
 /// A caller sends a body over the limit and is still sending when the refusal is written. After a connection reset
 /// it would not know the reason and would send the whole body again.
 #[tokio::test]
