Retry budget: processes earn their allowance, and restarts cannot renew it

Cause: each process began with a whole part of the slack and with empty counts, so that every restart of a VM in a window spent the part again, and what was saved from the ratio besides.

Change: a process starts with nothing. Requests and time earn retries; a quarter of the ratio of the last window and half of the part of the slack may be saved. Savings and earnings of a window add up to the bound, so that processes that end and start in it cannot enlarge the sum, however many. The slack is divided by the VMs that are listed, by the most that were known in the window; a VM that does not know the list takes none of it.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -246,7 +246,7 @@
 
     /// Takes one retry from the budget of a service; returns whether the fleet's bound allowed it.
     pub fn try_retry(&self, service: &ServiceId, request: &SmolStr) -> bool {
-        let vms = self.peers.count();
+        let vms = usize::try_from(self.peers.listed_count()).unwrap_or(usize::MAX);
         self.retries.try_retry(service, request, vms)
     }
 
--- a/crates/sesamegap-policy/src/routing/budget.rs
+++ b/crates/sesamegap-policy/src/routing/budget.rs
@@ -1,9 +1,20 @@
-//! Fleet-wide retry budget that needs no messages between entry VMs.
+//! Fleet-wide retry budget that needs no messages between entry VMs, and nothing that survives a process.
 //!
-//! When upstreams fail for many callers at once, all entry VMs retry together, and the retries would displace
-//! first attempts. Each VM may therefore spend its part of a fixed allowance plus a share of its own
-//! requests, so that the sum over any number of VMs stays below the fleet's bound even if the VMs cannot
-//! reach each other.
+//! When upstreams fail for many callers at once, all entry VMs retry together, and the retries would displace first
+//! attempts. The users bound the retries of all VMs in any window by a ratio of the requests, plus a slack. The bound holds
+//! whatever becomes of the processes and of the links between them:
+//!
+//! - **Earned, not given.** A process starts with nothing. Its own requests earn it retries, and time earns it its VM's part of
+//!   the slack. It spends in a window at most what it had saved at the start of the window, and what it earned since.
+//! - **Savings are bounded.** Of what the bound allows in a window, a part is earned at once and the rest may be saved: at most
+//!   [`SAVED_RATIO`] of the ratio of the last window's requests, and [`SAVED_SLACK`] of the part of the slack. Earnings and
+//!   savings add up to the bound. Processes that end lose their savings, and those that replace them have none, so that no
+//!   number of restarts enlarges the sum.
+//! - **Parts of the slack** are divided by the VMs that are listed, not by those that answer. A count that falls is used only
+//!   a window later, since VMs that are gone may have spent their parts just before.
+//!
+//! Requests saved from one window into the next count with the ratio of the earlier one, which is how the bound itself
+//! treats a load that falls.
 
 use sesamegap_wire::Moment;
 use std::collections::VecDeque;
@@ -12,9 +23,15 @@
 /// Buckets per window; the bound is off by at most one bucket's retries.
 const BUCKETS: u32 = 20;
 
-/// Usable part of the budget. The rest is a reserve for peers that are discovered late: a VM that has just
-/// started knows fewer peers than there are, and takes too large a part.
-const USABLE: f64 = 0.8;
+/// Part of the ratio that may be saved: enough to repeat the requests that an upstream loses at once.
+const SAVED_RATIO: f64 = 0.25;
+
+/// Part of the slack that may be saved.
+const SAVED_SLACK: f64 = 0.5;
+
+/// Usable part of the slack. The rest is a reserve for VMs that are discovered late: a VM that is cut off does not learn
+/// of those that are added, and takes too large a part.
+const USABLE_SLACK: f64 = 0.8;
 
 /// The fleet's bound on retries to one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,7 +48,8 @@
 struct Bucket {
     start: Moment,
     requests: u32,
-    retries: u32,
+    /// Most VMs that were known.
+    vms: usize,
 }
 
 /// The budget's decision on a retry, and what it was based on.
@@ -43,7 +61,7 @@
     pub left: f64,
     /// Requests of the last window.
     pub requests: u32,
-    /// Entry VMs among which the slack is divided.
+    /// Entry VMs among which the slack is divided; zero if they are not known.
     pub vms: usize,
     /// Age of the process that decides.
     pub age: Duration,
@@ -55,6 +73,10 @@
     bound: Bound,
     started: Moment,
     buckets: VecDeque<Bucket>,
+    /// Retries that may be made now.
+    saved: f64,
+    /// Up to when the part of the slack was earned.
+    earned_until: Moment,
 }
 
 impl Budget {
@@ -64,6 +86,8 @@
             bound,
             started,
             buckets: VecDeque::new(),
+            saved: 0.0,
+            earned_until: started,
         }
     }
 
@@ -75,30 +99,51 @@
     /// Counts a caller's request.
     pub fn record_request(&mut self, now: Moment) {
         self.bucket(now).requests += 1;
+        self.saved += (1.0 - SAVED_RATIO) * self.bound.ratio;
     }
 
-    /// Charges a retry if the bound allows it; `vms` is the number of entry VMs.
+    /// Charges a retry if the bound allows it; `vms` is the number of entry VMs that may hold a part of the slack, or zero
+    /// if it is not known.
     #[must_use]
     pub fn try_retry(&mut self, now: Moment, vms: usize) -> Charge {
-        self.bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack_share = self.bound.slack / vms.max(1) as f64;
-        let allowed = USABLE * (self.bound.ratio * f64::from(requests) + slack_share);
-        let within_budget = f64::from(retries) + 1.0 <= allowed;
-        if within_budget {
-            self.bucket(now).retries += 1;
+        let bucket = self.bucket(now);
+        bucket.vms = bucket.vms.max(vms);
+        let requests = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let known = self.buckets.iter().map(|bucket| bucket.vms).max();
+        let vms = known.unwrap_or_default();
+        self.earn_slack(now, vms);
+        self.saved = self.saved.min(self.most_saved(requests, vms));
+        let is_granted = self.saved >= 1.0;
+        if is_granted {
+            self.saved -= 1.0;
         }
-        let charged = f64::from(u8::from(within_budget));
         Charge {
-            is_granted: within_budget,
-            left: allowed - f64::from(retries) - charged,
+            is_granted,
+            left: self.saved,
             requests,
             vms,
             age: now.since(self.started),
         }
     }
 
+    /// This VM's part of the slack in a window.
+    fn slack_part(&self, vms: usize) -> f64 {
+        if vms == 0 {
+            return 0.0;
+        }
+        USABLE_SLACK * self.bound.slack / vms as f64
+    }
+
+    fn earn_slack(&mut self, now: Moment, vms: usize) {
+        let windows = now.since(self.earned_until).as_secs_f64() / self.bound.window.as_secs_f64();
+        self.earned_until = now;
+        self.saved += (1.0 - SAVED_SLACK) * self.slack_part(vms) * windows;
+    }
+
+    fn most_saved(&self, requests: u32, vms: usize) -> f64 {
+        SAVED_RATIO * self.bound.ratio * f64::from(requests) + SAVED_SLACK * self.slack_part(vms)
+    }
+
     fn bucket(&mut self, now: Moment) -> &mut Bucket {
         let window = self.bound.window;
         self.buckets
@@ -112,7 +157,7 @@
             self.buckets.push_back(Bucket {
                 start: now,
                 requests: 0,
-                retries: 0,
+                vms: 0,
             });
         }
         self.buckets.back_mut().expect("a bucket was just added")
