Fleet list: an entry that lapsed and came back reaches VMs that do not read the list

Cause: a reader tells the others of changes, not of heartbeats, and took the return of a lapsed entry for a heartbeat. The others held the upstream for gone two seconds later, for ever: their position covered the record. Class: a summary that is computed from the sender's state and applied to another one. Change: the return is a change of its own, told and logged.

--- a/crates/sesamegap-entry/src/fleet/list.rs
+++ b/crates/sesamegap-entry/src/fleet/list.rs
@@ -180,6 +180,11 @@
 fn changes_presence(change: Change) -> bool {
     matches!(
         change,
-        Change::New | Change::Restarted | Change::Gone | Change::Doubted | Change::Lapsed
+        Change::New
+            | Change::Restarted
+            | Change::Gone
+            | Change::Doubted
+            | Change::Lapsed
+            | Change::Returned
     )
 }
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -176,7 +176,7 @@
 
 fn effect_of(change: Change) -> RecordEffect {
     match change {
-        Change::Same | Change::Returned => RecordEffect::Heartbeat,
+        Change::Same => RecordEffect::Heartbeat,
         Change::Repeat => RecordEffect::Known,
         // Peers may know less about the upstream, and must apply their own rules to the record.
         _ => RecordEffect::News,
