Settings: a dead call or silent peers leave no VM with an older document for longer than its bounds

Callers are refused, or served by a dropped route, as an older document says. Cause: a call that waits for changes was given up 3.7 s after it began and repeated 0.3 s later, and a VM's bounds hold again 3 s after a disturbance; a VM that does not read the store itself asked two silent peers for up to 1.5 s each first. Both constants knew nothing of the bounds. Class: a time limit that is chosen apart from the bound that it serves.

A VM that has heard no message of any peer for 0.8 s reads the settings itself.

Tests: dead_calls (virtual time, 558 phases) was up to 0.95 s late before and is in time; a_vm_that_hears_no_peer_reads_the_settings_at_once fails without the rule (it asks a peer first).

--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -22,22 +22,20 @@
 
 use crate::clock;
 use crate::core::{Core, Phase};
-use crate::ports::{StoreError, Table};
+use crate::ports::{MAX_STORE_SILENCE, StoreError, Table};
 use crate::telemetry::events;
 use apply::replace_table;
 use pull::Pulled;
 use sesamegap_policy::load::limits::add_jitter;
-use sesamegap_policy::routing::reading::{Backoff, READERS, Standby, longest_delay};
+use sesamegap_policy::routing::reading::{
+    Backoff, READERS, SettingsBounds, Standby, longest_delay,
+};
 use sesamegap_wire::{LogPosition, Moment};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-/// Maximum wait of a call for changed settings: short enough to detect a dead connection well before a change must
-/// be in force.
-const SETTINGS_WAIT: Duration = Duration::from_millis(2_500);
-
 /// Polling interval of the fleet list, in percent of the time after which a leaving upstream must get no more
 /// requests. The rest covers the slowest call and a request that is on its way.
 const FLEET_INTERVAL_PERCENT: u32 = 65;
@@ -62,6 +60,9 @@
 /// Most differences found by reading a whole table again that are relayed. A VM that lacks more asks for a copy.
 const MAX_RELAYED_CHANGES: usize = 64;
 
+/// How often a VM that relies on its peers' readings of the settings checks whether it hears any peer.
+const HEARING_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Bandwidth in Mbit/s of a link that carries a list of 10,000 upstreams in a fraction of a second.
 const FAST_LINK_MBPS: f64 = 100.0;
 
@@ -122,7 +123,7 @@
         if core.table_progress(self.table).position().next().is_some() {
             self.unknown_since = clock::now();
         }
-        let is_reader = is_reader(core, self.table);
+        let is_reader = is_reader(core, self.table) || must_read_alone(core, self.table);
         if !is_reader && wait_for_update(core, self.table).await {
             return;
         }
@@ -207,9 +208,19 @@
         }
     }
 
+    /// How long a call waits at the store for a change. After a failed call the next one does not wait, so that its answer
+    /// shows whether the store is back.
+    fn call_wait(&self, core: &Core, is_reader: bool) -> Duration {
+        match self.table {
+            Table::Settings if is_reader && !self.unreachable => settings_bounds(core).wait(),
+            _ => Duration::ZERO,
+        }
+    }
+
     async fn read(&mut self, core: &Core, is_reader: bool) {
         let table = self.table;
-        let outcome = read_table(core, table, &mut self.restored).await;
+        let wait = self.call_wait(core, is_reader);
+        let outcome = read_table(core, table, wait, &mut self.restored).await;
         core.fleet
             .lock()
             .record_store_response(is_answered(&outcome), clock::now());
@@ -230,15 +241,27 @@
                 self.useful_from = Some(LogPosition::new(core.store.timeline(), first));
             }
             Err(error) => {
-                if !std::mem::replace(&mut self.unreachable, true) {
+                let was_reachable = !std::mem::replace(&mut self.unreachable, true);
+                if was_reachable {
                     warn!(event = events::STORE_LOST, table = ?table, %error, "store does not answer");
                 }
                 if core.table_progress(table).position().next().is_none() {
                     self.useful_from = Some(LogPosition::default());
                 }
+                if was_reachable && is_long_call(table, &error) {
+                    // A change may have been missed for as long as the call took.
+                    return;
+                }
                 let vms = core.peers.count();
-                let callers = if is_reader { vms.min(READERS) } else { vms };
-                let longest = longest_delay(callers);
+                let callers = if self::is_reader(core, table) {
+                    vms.min(READERS)
+                } else {
+                    vms
+                };
+                let longest = match table {
+                    Table::Settings => settings_bounds(core).longest_delay(callers),
+                    Table::Fleet | Table::Vms | Table::Quarantine => longest_delay(callers),
+                };
                 let delay = self.store_backoff.fail(longest, &mut rand::rng());
                 if is_reader {
                     sleep(delay).await;
@@ -250,6 +273,27 @@
     }
 }
 
+/// Whether a call that failed was waiting for a change.
+fn is_long_call(table: Table, error: &StoreError) -> bool {
+    table == Table::Settings && matches!(error, StoreError::Unanswered(_))
+}
+
+/// The bounds on the age of the settings.
+pub(crate) fn settings_bounds(core: &Core) -> SettingsBounds {
+    let spans = core.settings().spans;
+    SettingsBounds {
+        apply: spans.apply,
+        contact: spans.contact,
+        silence: MAX_STORE_SILENCE,
+    }
+}
+
+/// Whether this VM must read a table itself because it hears none of the peers that read it for all.
+fn must_read_alone(core: &Core, table: Table) -> bool {
+    let has_data = || core.table_progress(table).position().next().is_some();
+    table == Table::Settings && core.peers.is_cut_off() && has_data()
+}
+
 fn is_answered(outcome: &Result<bool, StoreError>) -> bool {
     !matches!(
         outcome,
@@ -270,7 +314,7 @@
 /// Maximum time without an update of a table.
 fn max_silence(core: &Core, table: Table) -> Duration {
     match table {
-        Table::Settings => SETTINGS_WAIT,
+        Table::Settings => settings_bounds(core).wait(),
         Table::Fleet | Table::Vms | Table::Quarantine => {
             core.settings().spans.drain * FLEET_INTERVAL_PERCENT / 100
         }
@@ -287,6 +331,10 @@
     if left.is_zero() {
         return false;
     }
+    let left = match table {
+        Table::Settings => left.min(HEARING_INTERVAL),
+        Table::Fleet | Table::Vms | Table::Quarantine => left,
+    };
     // An update that arrives meanwhile extends the time left, and a missed one ends it; the next call finds out.
     tokio::select! {
         () = known.missed.notified() => {}
@@ -321,6 +369,7 @@
 async fn read_table(
     core: &Core,
     table: Table,
+    wait: Duration,
     restored: &mut Option<Moment>,
 ) -> Result<bool, StoreError> {
     let known = core.table_progress(table);
@@ -336,7 +385,7 @@
             read_whole_table(core, table, complete, restored).await?;
             Ok(false)
         }
-        Some(from) => read_changes(core, table, from).await,
+        Some(from) => read_changes(core, table, from, wait).await,
     }
 }
 
@@ -377,12 +426,13 @@
     }
 }
 
-async fn read_changes(core: &Core, table: Table, from: LogPosition) -> Result<bool, StoreError> {
+async fn read_changes(
+    core: &Core,
+    table: Table,
+    from: LogPosition,
+    wait: Duration,
+) -> Result<bool, StoreError> {
     let started = clock::now();
-    let wait = match table {
-        Table::Settings if is_reader(core, table) => SETTINGS_WAIT,
-        _ => Duration::ZERO,
-    };
     let batch = core.store.changes(table, from, wait).await?;
     let has_more = batch.next < batch.end;
     let update = apply_batch(core, table, from, batch);
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -262,6 +262,7 @@
         .body(body)
         .send();
     let answer = sent.await.map_err(|error| error.to_string())?;
+    core.peers.record_heard();
     if !answer.status().is_success() {
         return Err(format!("{addr} answered {}", answer.status()));
     }
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -245,6 +245,7 @@
             sleep(TICK).await;
             continue;
         };
+        core.peers.record_heard();
         match rmp_serde::from_slice::<Datagram>(&buffer[..length]) {
             Ok(Datagram::Relayed(relayed)) => relay(&core, relayed).await,
             Ok(datagram) => handle(&core, datagram, from).await,
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -39,6 +39,7 @@
 };
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::gateways::{Avoided, Place};
+use sesamegap_policy::routing::reading::Hearing;
 use sesamegap_wire::{DomainId, Incarnation, Moment, VmId};
 use std::cmp::Reverse;
 use std::net::{IpAddr, SocketAddr};
@@ -94,6 +95,7 @@
     roster: Mutex<Roster>,
     /// Peers that recently could not send a request on for this VM.
     avoided_gateways: Mutex<Avoided<SocketAddr>>,
+    hearing: Mutex<Hearing>,
 }
 
 /// When the roster was built, and its VMs.
@@ -126,6 +128,7 @@
             datagram_port: settings.listen.loads.port(),
             roster: Mutex::default(),
             avoided_gateways: Mutex::default(),
+            hearing: Mutex::default(),
         }
     }
 
@@ -173,6 +176,20 @@
         }
     }
 
+    /// Records that a message of a peer has arrived.
+    pub fn record_heard(&self) {
+        self.lock_hearing().record(clock::now());
+    }
+
+    /// Returns whether this VM knows peers and hears none of them.
+    pub fn is_cut_off(&self) -> bool {
+        self.count() > 1 && self.lock_hearing().is_cut_off(clock::now())
+    }
+
+    fn lock_hearing(&self) -> MutexGuard<'_, Hearing> {
+        self.hearing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the addresses of peers by membership status.
     pub fn addrs_by_status(&self) -> PeerAddrs {
         let members = self.lock();
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -34,6 +34,10 @@
     pub heartbeat: Duration,
     /// Time after which an upstream that announced it is leaving must get no more work.
     pub drain: Duration,
+    /// Time after the acknowledgement of a document from which it must be in force.
+    pub apply: Duration,
+    /// Time after a disturbance of a VM or its links from which its bounds hold again.
+    pub contact: Duration,
     /// Time after weights were named from which no request may start on older weights.
     pub weights: Duration,
     /// Shortest time between the orders of two successive lease holders.
--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -149,6 +149,36 @@
     assert_eq!((usable(&reader), usable(&hearer)), (20, 20));
 }
 
+/// Guards against an older document on a VM that does not read the store and hears no peer: it waited for its peers'
+/// answers until the newer document was long due.
+#[tokio::test]
+async fn a_vm_that_hears_no_peer_reads_the_settings_at_once() {
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let platform = Arc::new(Platform::default());
+    *platform.records.lock().unwrap() = (1..3)
+        .map(|revision| Record::Document(Arc::new(document(revision))))
+        .collect();
+    let settings = settings("vm-1", Vec::new());
+    let core = Core::new(settings, platform.ports(), Logging::disabled()).unwrap();
+    let core = Arc::new(core);
+    core.peers.set_list_known();
+    for no in 0..STRANGERS {
+        add_peer(
+            &core,
+            &format!("stranger-{no}"),
+            silent.local_addr().unwrap(),
+        );
+    }
+    core.adopt(&Arc::new(document(1)), "test");
+    core.table_progress(Table::Settings)
+        .position()
+        .record_read(offset(1), clock::now());
+    tokio::spawn(follow(Arc::clone(&core), Table::Settings));
+    wait_until(|| core.revision() == Revision(2)).await;
+    let asked = tokio::time::timeout(Duration::ZERO, silent.accept()).await;
+    assert!(asked.is_err(), "the VM asked a peer first");
+}
+
 /// Guards against a fleet that starts, or is restarted, and whose VMs all read the whole list from the store.
 #[tokio::test]
 async fn a_starting_vm_copies_the_list_from_a_peer() {
--- a/crates/sesamegap-entry/tests/testsuite/dead_calls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/dead_calls.rs
@@ -9,6 +9,7 @@
 use sesamegap_entry::ports::{
     MAX_STORE_SILENCE, Ports, Record, Records, Reply, Store, StoreCall, StoreError, Table,
 };
+use sesamegap_entry::settings::Settings;
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::quarantine;
 use sesamegap_wire::{Offset, VmId};
@@ -96,7 +97,12 @@
 
 /// Follows the settings while the store is mute from `from` for `time`; returns how late, after the moment at which it
 /// must be in force, the document is that is published `published` after the end.
-async fn lateness(from: Duration, time: Duration, published: Duration) -> Duration {
+async fn lateness(
+    settings: Settings,
+    from: Duration,
+    time: Duration,
+    published: Duration,
+) -> Duration {
     let mute = Instant::now() + from;
     let healed = mute + time;
     let changed = healed + published;
@@ -108,7 +114,7 @@
         store: Arc::new(store),
         ..Arc::new(Platform::default()).ports()
     };
-    let core = Core::new(settings("vm-1", Vec::new()), ports, Logging::disabled());
+    let core = Core::new(settings, ports, Logging::disabled());
     let core = Arc::new(core.unwrap());
     core.peers.set_list_known();
     let task = tokio::spawn(follow(Arc::clone(&core), Table::Settings));
@@ -125,12 +131,13 @@
 /// with its connection and no peer can tell it.
 #[tokio::test(start_paused = true)]
 async fn a_dead_call_does_not_delay_a_document() {
+    let settings = settings("vm-1", Vec::new());
     for from_ms in (0..4_000).step_by(130) {
         for time_ms in [1, 300, 600, 1_000, 2_400, 5_000] {
             for published_ms in [0, 500, 1_000] {
                 let [from, time, published] =
                     [from_ms, time_ms, published_ms].map(Duration::from_millis);
-                let late = lateness(from, time, published).await;
+                let late = lateness(settings.clone(), from, time, published).await;
                 assert_eq!(
                     late,
                     Duration::ZERO,
--- a/crates/sesamegap-policy/src/routing/reading.rs
+++ b/crates/sesamegap-policy/src/routing/reading.rs
@@ -49,6 +49,22 @@
 /// Calls that a VM may make at once: the pages of a list of 20,000 upstreams, and a few others.
 const CALL_BURST: f64 = 48.0;
 
+/// Longest wait of a call for changed settings.
+const MAX_SETTINGS_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Shortest wait of such a call: the calls of [`READERS`] VMs stay few.
+const MIN_SETTINGS_WAIT: Duration = Duration::from_millis(200);
+
+/// Time for the call after one that got no answer, of a store that is slow.
+const REREAD_TIME: Duration = Duration::from_millis(300);
+
+/// Time without any message from a peer after which a VM counts as cut off. Probes and their answers alone come twice a
+/// second.
+const PEER_SILENCE: Duration = Duration::from_millis(800);
+
+/// Failed calls for settings that fit into the time after which a VM's bounds hold again.
+const SETTINGS_CALLS_PER_CONTACT: u32 = 3;
+
 /// Range of a table's log that one read covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Span {
@@ -207,6 +223,60 @@
     }
 }
 
+/// Bounds on the age of the settings that a VM uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettingsBounds {
+    /// Time after its acknowledgement from which a document must be in force.
+    pub apply: Duration,
+    /// Time after a disturbance from which that holds again.
+    pub contact: Duration,
+    /// Time after which a call without an answer is given up, in addition to the time for which it waits.
+    pub silence: Duration,
+}
+
+impl SettingsBounds {
+    /// How long a call waits at the store for a change.
+    ///
+    /// The answer of a call that was open during a disturbance may never come, and the VM learns of no change until it gives
+    /// the call up. The next call must be answered by the time the bounds hold again. Besides, an answer without a change
+    /// must come before what the VM knows is too old.
+    pub fn wait(&self) -> Duration {
+        let by_contact = self.contact.saturating_sub(self.silence + REREAD_TIME);
+        let by_apply = self.apply.saturating_sub(REREAD_TIME);
+        let wait = MAX_SETTINGS_WAIT.min(by_contact).min(by_apply);
+        wait.max(MIN_SETTINGS_WAIT)
+    }
+
+    /// Whether a VM that knew this long ago that its document is the newest may deny a request by it. A denial ends the
+    /// request for good, so it must not rest on a document that is replaced by one in force already.
+    pub fn allows_denial(&self, age: Duration) -> bool {
+        age <= self.apply
+    }
+
+    /// Longest delay between failed calls, if this many VMs may be making them.
+    pub fn longest_delay(&self, callers: usize) -> Duration {
+        longest_delay(callers).min(self.contact / SETTINGS_CALLS_PER_CONTACT)
+    }
+}
+
+/// Whether a VM hears its peers, so that it can rely on those that read the store.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Hearing {
+    last: Moment,
+}
+
+impl Hearing {
+    /// Records a message from a peer.
+    pub fn record(&mut self, now: Moment) {
+        self.last = self.last.max(now);
+    }
+
+    /// Whether no peer was heard for so long that the VM must read the settings itself.
+    pub fn is_cut_off(&self, now: Moment) -> bool {
+        now.since(self.last) >= PEER_SILENCE
+    }
+}
+
 /// Longest delay between failed calls of one VM, if this many VMs may be making such calls.
 pub fn longest_delay(callers: usize) -> Duration {
     let callers = u32::try_from(callers).unwrap_or(u32::MAX);
--- a/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
@@ -3,7 +3,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sesamegap_policy::routing::reading::{
-    Backoff, CallBudget, Position, READERS, Span, Standby, UpdateOutcome, longest_delay,
+    Backoff, CallBudget, Hearing, Position, READERS, SettingsBounds, Span, Standby, UpdateOutcome,
+    longest_delay,
 };
 use sesamegap_wire::{LogPosition, Moment, Offset, Timeline};
 use std::time::Duration;
@@ -301,3 +302,49 @@
         "an older copy changes nothing"
     );
 }
+
+/// Guards against a VM that uses an older document after a call for changes died with its connection: the next call must
+/// be answered before the bounds hold again, and an answer without a change must come before a denial is doubted.
+#[test]
+fn a_dead_call_for_settings_ends_before_the_bounds_hold_again() {
+    let slow_answer = Duration::from_millis(250);
+    for (apply_ms, contact_ms) in [
+        (2_000, 3_000),
+        (3_000, 4_000),
+        (4_000, 5_000),
+        (5_000, 6_000),
+    ] {
+        let bounds = SettingsBounds {
+            apply: Duration::from_millis(apply_ms),
+            contact: Duration::from_millis(contact_ms),
+            silence: Duration::from_millis(1_200),
+        };
+        let given_up = bounds.wait() + bounds.silence;
+        assert!(given_up + slow_answer <= bounds.contact, "{bounds:?}");
+        assert!(
+            bounds.allows_denial(bounds.wait() + slow_answer),
+            "{bounds:?}"
+        );
+        assert!(!bounds.allows_denial(bounds.apply + Duration::from_millis(1)));
+        for vms in [7, 84, 985] {
+            let delay = bounds.longest_delay(vms);
+            let next_answer = bounds.silence + delay + slow_answer;
+            assert!(next_answer <= bounds.contact, "{vms} VMs, {bounds:?}");
+        }
+    }
+}
+
+/// Guards against a VM that relies on readers of which it hears nothing.
+#[test]
+fn a_vm_that_hears_no_peer_is_cut_off_soon() {
+    let mut hearing = Hearing::default();
+    assert!(hearing.is_cut_off(at(10_000)));
+    hearing.record(at(10_000));
+    assert!(!hearing.is_cut_off(at(10_600)), "a probe may be late");
+    assert!(hearing.is_cut_off(at(11_000)));
+    hearing.record(at(9_000));
+    assert!(
+        !hearing.is_cut_off(at(10_600)),
+        "an earlier time changes nothing"
+    );
+}
