Denials need a document that is known to be current

401 and 404 end a request for good, as callers do not return after them. They were answered from the document at hand, however long ago it was known to be the newest. Now a VM denies only if it has known within the time in which a document must be in force that there is no newer one, and no peer has named a newer revision; otherwise it answers 503, not run, with a time to come back. Evidence: refusals::a_vm_that_cannot_tell_its_document_is_current_denies_nothing failed (404 instead of 503) and passes.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -8,7 +8,7 @@
 use crate::catalogue::{Catalogue, Document, Revision};
 use crate::clock;
 use crate::fleet::{Fleet, Rules, SharedFleet};
-use crate::follow::{CopyServer, TableState};
+use crate::follow::{CopyServer, TableState, settings_bounds};
 use crate::peers::Peers;
 use crate::placing::PlacementClient;
 use crate::ports::{Ports, Table};
@@ -27,6 +27,7 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
@@ -84,6 +85,8 @@
     settings: ArcSwap<Settings>,
     catalogue: ArcSwapOption<Catalogue>,
     retries: RetryBudgets,
+    /// Newest revision of which a peer has told.
+    newest_heard: AtomicU64,
     phase: watch::Sender<Phase>,
 }
 
@@ -118,6 +121,7 @@
             tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
             retries: RetryBudgets::new(),
+            newest_heard: AtomicU64::new(0),
             phase: watch::channel(Phase::Serving).0,
             store: StoreClient::new(Arc::clone(&ports.store), settings.store_calls_per_s),
             settings: ArcSwap::from_pointee(settings),
@@ -169,10 +173,19 @@
             .map_or(Revision::default(), |catalogue| catalogue.revision())
     }
 
-    /// Whether this VM knows that the settings have changed, and has not received the change yet.
-    pub fn awaits_document(&self) -> bool {
-        let position = self.table_progress(Table::Settings).position();
-        position.next().is_some() && position.has_missed()
+    /// Whether a request may be denied for good by the document in force: this VM has known recently enough that it is the
+    /// newest, and has not heard of a newer one.
+    pub fn may_deny(&self) -> bool {
+        let is_missed = self.table_progress(Table::Settings).position().has_missed();
+        let is_behind = self.newest_heard.load(Ordering::Relaxed) > self.revision().0;
+        let bounds = settings_bounds(self);
+        let age = self.settings_age();
+        !is_missed && !is_behind && age.is_some_and(|age| bounds.allows_denial(age))
+    }
+
+    /// Records the revision of a peer's document.
+    pub fn record_revision(&self, revision: Revision) {
+        self.newest_heard.fetch_max(revision.0, Ordering::Relaxed);
     }
 
     /// How long ago the document in force was last known to be the newest; `None` if the store's log of it was never read.
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -130,22 +130,23 @@
         .ok_or(Refusal::BadHead("no host"))?;
     let route = catalogue
         .route(host, parts.uri.path())
-        .map_err(|_| unless_awaited(core, Refusal::NoRoute))?;
+        .map_err(|_| unless_replaced(core, Refusal::NoRoute))?;
     let key = head.key.as_deref();
     let team = key.and_then(|key| catalogue.team(key)).cloned();
     let is_key_required = catalogue.has_teams() && !route.public;
     if is_key_required && team.is_none() {
-        return Err(unless_awaited(core, Refusal::InvalidKey));
+        return Err(unless_replaced(core, Refusal::InvalidKey));
     }
     Ok((catalogue, route, team))
 }
 
-/// The refusal of a request that the document in force does not allow; a newer one may allow it, if there is one.
-fn unless_awaited(core: &Core, refusal: Refusal) -> Refusal {
-    if core.awaits_document() {
-        Refusal::OldDocument
+/// The refusal of a request that the document in force does not allow. A newer one may allow it, unless this VM knows that
+/// there is none.
+fn unless_replaced(core: &Core, denial: Refusal) -> Refusal {
+    if core.may_deny() {
+        denial
     } else {
-        refusal
+        Refusal::OldDocument
     }
 }
 
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -27,6 +27,8 @@
 async fn hello(core: Data<&Arc<Core>>, body: Body) -> poem::Result<Vec<u8>> {
     let hello: Hello = decode(body).await?;
     let now = clock::now();
+    core.peers.record_heard();
+    core.record_revision(hello.revision);
     let source = hello.me.who.vm.to_smolstr();
     let (me, updates) = {
         let mut members = core.peers.lock();
--- a/crates/sesamegap-entry/src/refusal.rs
+++ b/crates/sesamegap-entry/src/refusal.rs
@@ -48,7 +48,7 @@
     BodyTimeout,
     /// No document is in force yet.
     NoDocument,
-    /// The document in force does not allow it, but this VM is about to receive a newer one.
+    /// The document in force does not allow it, but there is a newer one, or this VM cannot tell that there is none.
     OldDocument,
     /// No upstream is available; the request was not run and will not be.
     NoUpstream,
@@ -125,7 +125,7 @@
             Self::BodyTooLarge => "body too long",
             Self::BodyTimeout => "body came too slowly; not run",
             Self::NoDocument => "no settings yet; not run",
-            Self::OldDocument => "not allowed by settings that are being replaced; not run",
+            Self::OldDocument => "not allowed by settings that may have been replaced; not run",
             Self::NoUpstream => "no upstream can take it; not run",
             Self::Suspect => {
                 "upstreams ended under it and it runs only by itself, not now; not run"
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -23,7 +23,7 @@
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::Entry;
 use sesamegap_entry::intake;
-use sesamegap_entry::ports::{Batch, Record, Weights};
+use sesamegap_entry::ports::{Batch, Record, Table, Weights};
 use sesamegap_entry::settings::{Listen, Settings, Spans};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::ProcessId;
@@ -87,6 +87,8 @@
             answer_ttl: Duration::from_secs(5),
             heartbeat: Duration::from_millis(1_200),
             drain: Duration::from_secs(2),
+            apply: Duration::from_secs(2),
+            contact: Duration::from_secs(3),
             weights: Duration::from_secs(8),
             lease: Duration::from_secs(3),
             lapse: Duration::from_secs(2),
@@ -124,6 +126,8 @@
     pub async fn new() -> Self {
         let process = Self::empty().await;
         process.core.adopt(&Arc::new(document(1)), "test");
+        let settings = process.core.table_progress(Table::Settings);
+        settings.position().record_read(offset(1), clock::now());
         process
     }
 
