--- a/crates/sesamegap-policy/tests/testsuite/routing/budget/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/budget/world.rs
@@ -127,12 +127,14 @@
             let start = end.saturating_sub(window);
             times.partition_point(|ms| *ms < end) - times.partition_point(|ms| *ms < start)
         };
-        let windows = (60_000..=self.now).step_by(STEP_MS as usize).map(|end| {
-            let requests = [0, window / 2, window].map(|by| count(&self.requests, end - by));
-            let most = requests.into_iter().max().unwrap_or_default();
-            let allowed = self.bound.ratio * most as f64 + self.bound.slack;
-            (count(&self.retries, end), allowed)
-        });
+        let windows = (60_000..=self.now)
+            .filter(|ms| ms % STEP_MS == 0)
+            .map(|end| {
+                let requests = [0, window / 2, window].map(|by| count(&self.requests, end - by));
+                let most = requests.into_iter().max().unwrap_or_default();
+                let allowed = self.bound.ratio * most as f64 + self.bound.slack;
+                (count(&self.retries, end), allowed)
+            });
         let over = |(retries, allowed): &(usize, f64)| *retries as f64 - *allowed;
         windows
             .max_by(|one, other| over(one).total_cmp(&over(other)))
