Streams: a silent engine is not abandoned while engines are brittle

Cause: an upstream that is listed counted as one to move to. A brittle upstream lets none wait, and asking it costs a rejection. Evidence: a_stream_stays_at_a_silent_engine_while_engines_are_brittle failed (the answer was cut) and passes.

--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -152,6 +152,15 @@
         fleet.is_version_gone(&self.service, software, &self.possibly_run_at, clock::now())
     }
 
+    /// Whether the request may move to another upstream while `at` is silent.
+    ///
+    /// An upstream that falls over when it rejects too much lets none wait, so that one that is available mostly has no
+    /// room. What a silent one has done would be lost for it.
+    pub fn may_abandon(&self, core: &Core, job: &Job, at: &UpstreamId) -> bool {
+        let is_brittle = core.fleet.lock().is_brittle(&self.service, clock::now());
+        !is_brittle && self.has_other_upstream(core, job, Some(at))
+    }
+
     /// Whether an upstream other than `except` is available for the request.
     pub fn has_other_upstream(&self, core: &Core, job: &Job, except: Option<&UpstreamId>) -> bool {
         let now = clock::now();
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -157,11 +157,7 @@
 
     fn head_timeout(&self, at: &UpstreamId) -> Duration {
         // Without an alternative, abandoning the upstream would only lose its response.
-        if self.can_move()
-            && self
-                .retry
-                .has_other_upstream(&self.core, &self.job, Some(at))
-        {
+        if self.can_move() && self.retry.may_abandon(&self.core, &self.job, at) {
             timeouts::FIRST_EVENT_BUSY
         } else {
             self.job.time_left()
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -206,7 +206,7 @@
         if !self.can_move()
             || !self
                 .retry
-                .has_other_upstream(&self.core, &self.job, Some(&stream.flight.id))
+                .may_abandon(&self.core, &self.job, &stream.flight.id)
         {
             return self.job.deadline;
         }
--- a/crates/sesamegap-entry/tests/testsuite/streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/streams.rs
@@ -1,4 +1,6 @@
 use crate::support::{Act, Caller, Process, Upstream, ask, request};
+use sesamegap_entry::clock;
+use std::sync::Arc;
 use std::time::Duration;
 
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
@@ -230,6 +232,37 @@
     assert_eq!(slow.seen().len(), 1);
 }
 
+/// Guards against a stream that is cut though its engine goes on: the engine is silent for a while, and the other one, which
+/// falls over when it rejects too much, has no room.
+#[tokio::test]
+async fn a_stream_stays_at_a_silent_engine_while_engines_are_brittle() {
+    let process = Process::new().await;
+    let pause = Duration::from_millis(2_600);
+    let slow = Upstream::start(vec![Act::PausedEvents(1..3, pause, 6)]).await;
+    let full = Upstream::start(vec![Act::NotRun(503)]).await;
+    process.add("e1", "engines", slow.addr);
+    let core = Arc::clone(&process.core);
+    let states_brittle = tokio::spawn(async move {
+        let engines = "engines".parse().unwrap();
+        loop {
+            let now = clock::now();
+            core.fleet.lock().record_brittle(&engines, Some(1_000), now);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let mut caller = Caller::connect(process.callers).await;
+    caller.send(&request("POST", "/review/", CHAT, "")).await;
+    while slow.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    process.add("e2", "engines", full.addr);
+    let answer = caller.answer().await;
+    states_brittle.abort();
+    assert!(answer.is_complete, "{answer:?}");
+    assert_eq!(answer.body, events(1..6));
+    assert_eq!((slow.seen().len(), full.seen().len()), (1, 0));
+}
+
 /// An engine crashes in the middle of a resumable stream while the others briefly refuse requests. Giving up
 /// would cut off a response that could be resumed a little later.
 #[tokio::test]
