Follow: reading a table beside applying it; document bounds without an import of the core

The functions that read a table move beside those that apply it, and the bounds are a method of the spans, so that no import circle grows.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -8,7 +8,7 @@
 use crate::catalogue::{Catalogue, Document, Revision};
 use crate::clock;
 use crate::fleet::{Fleet, Rules, SharedFleet};
-use crate::follow::{CopyServer, TableState, settings_bounds};
+use crate::follow::{CopyServer, TableState};
 use crate::peers::Peers;
 use crate::placing::PlacementClient;
 use crate::ports::{Ports, Table};
@@ -178,7 +178,7 @@
     pub fn may_deny(&self) -> bool {
         let is_missed = self.table_progress(Table::Settings).position().has_missed();
         let is_behind = self.newest_heard.load(Ordering::Relaxed) > self.revision().0;
-        let bounds = settings_bounds(self);
+        let bounds = self.settings().spans.document_bounds();
         let age = self.settings_age();
         !is_missed && !is_behind && age.is_some_and(|age| bounds.allows_denial(age))
     }
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -17,19 +17,17 @@
 pub use journal::Journal;
 pub use pull::{CopyServer, PullReply, PullRequest};
 pub use snapshot::FleetSnapshot;
+use updates::read_table;
 pub use updates::{TableState, TableUpdate, apply_batch, apply_update, receive_update};
 pub use vms::follow_vms;
 
 use crate::clock;
 use crate::core::{Core, Phase};
-use crate::ports::{MAX_STORE_SILENCE, StoreError, Table};
+use crate::ports::{StoreError, Table};
 use crate::telemetry::events;
-use apply::replace_table;
 use pull::Pulled;
 use sesamegap_policy::load::limits::add_jitter;
-use sesamegap_policy::routing::reading::{
-    Backoff, READERS, SettingsBounds, Standby, longest_delay,
-};
+use sesamegap_policy::routing::reading::{Backoff, READERS, Standby, longest_delay};
 use sesamegap_wire::{LogPosition, Moment};
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,9 +55,6 @@
 /// Delay before peers are asked again if they are busy, or receive the same data right now.
 const BUSY_DELAY: Duration = Duration::from_millis(80);
 
-/// Most differences found by reading a whole table again that are relayed. A VM that lacks more asks for a copy.
-const MAX_RELAYED_CHANGES: usize = 64;
-
 /// How often a VM that relies on its peers' readings of the settings checks whether it hears any peer.
 const HEARING_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -212,7 +207,9 @@
     /// shows whether the store is back.
     fn call_wait(&self, core: &Core, is_reader: bool) -> Duration {
         match self.table {
-            Table::Settings if is_reader && !self.unreachable => settings_bounds(core).wait(),
+            Table::Settings if is_reader && !self.unreachable => {
+                core.settings().spans.document_bounds().wait()
+            }
             _ => Duration::ZERO,
         }
     }
@@ -259,7 +256,11 @@
                     vms
                 };
                 let longest = match table {
-                    Table::Settings => settings_bounds(core).longest_delay(callers),
+                    Table::Settings => core
+                        .settings()
+                        .spans
+                        .document_bounds()
+                        .longest_delay(callers),
                     Table::Fleet | Table::Vms | Table::Quarantine => longest_delay(callers),
                 };
                 let delay = self.store_backoff.fail(longest, &mut rand::rng());
@@ -278,16 +279,6 @@
     table == Table::Settings && matches!(error, StoreError::Unanswered(_))
 }
 
-/// The bounds on the age of the settings.
-pub(crate) fn settings_bounds(core: &Core) -> SettingsBounds {
-    let spans = core.settings().spans;
-    SettingsBounds {
-        apply: spans.apply,
-        contact: spans.contact,
-        silence: MAX_STORE_SILENCE,
-    }
-}
-
 /// Whether this VM must read a table itself because it hears none of the peers that read it for all.
 fn must_read_alone(core: &Core, table: Table) -> bool {
     let has_data = || core.table_progress(table).position().next().is_some();
@@ -314,7 +305,7 @@
 /// Maximum time without an update of a table.
 fn max_silence(core: &Core, table: Table) -> Duration {
     match table {
-        Table::Settings => settings_bounds(core).wait(),
+        Table::Settings => core.settings().spans.document_bounds().wait(),
         Table::Fleet | Table::Vms | Table::Quarantine => {
             core.settings().spans.drain * FLEET_INTERVAL_PERCENT / 100
         }
@@ -364,87 +355,3 @@
     core.fleet.lock().record_store_restore(clock::now());
     core.table_progress(table).position().require_full_read();
 }
-
-/// Reads a table from the store, for this VM and its peers; returns whether the store has more.
-async fn read_table(
-    core: &Core,
-    table: Table,
-    wait: Duration,
-    restored: &mut Option<Moment>,
-) -> Result<bool, StoreError> {
-    let known = core.table_progress(table);
-    let (next, complete) = {
-        let mut position = known.position();
-        if rank(core, table) == 0 {
-            position.renew(clock::now());
-        }
-        (position.next(), position.complete_until())
-    };
-    match next {
-        None => {
-            read_whole_table(core, table, complete, restored).await?;
-            Ok(false)
-        }
-        Some(from) => read_changes(core, table, from, wait).await,
-    }
-}
-
-async fn read_whole_table(
-    core: &Core,
-    table: Table,
-    complete: Option<Moment>,
-    restored: &mut Option<Moment>,
-) -> Result<(), StoreError> {
-    let started = clock::now();
-    let batch = core.store.snapshot(table).await?;
-    let at = batch.next;
-    let records = batch.records.len();
-    let replaced = replace_table(core, table, batch, complete);
-    record_as_of(core, table, started);
-    if let Some(since) = restored.take() {
-        info!(event = events::REBUILT, table = ?table, at = %at, records, missing = replaced.missing, took_ms = clock::millis(clock::now().since(since)), "table was read again from the restored store");
-    }
-    let known = core.table_progress(table);
-    known.journal().restart(at);
-    {
-        let mut position = known.position();
-        position.record_read(at, clock::now());
-        position.record_call(started);
-    }
-    let mut update = TableUpdate::empty(table, at);
-    if replaced.changed.len() <= MAX_RELAYED_CHANGES {
-        update.pieces = replaced.relayed(core);
-    }
-    core.peers.outbox.put_reading(update);
-    Ok(())
-}
-
-/// Records up to when the fleet list is known.
-pub(crate) fn record_as_of(core: &Core, table: Table, as_of: Moment) {
-    if table == Table::Fleet {
-        core.fleet.lock().record_list(as_of);
-    }
-}
-
-async fn read_changes(
-    core: &Core,
-    table: Table,
-    from: LogPosition,
-    wait: Duration,
-) -> Result<bool, StoreError> {
-    let started = clock::now();
-    let batch = core.store.changes(table, from, wait).await?;
-    let has_more = batch.next < batch.end;
-    let update = apply_batch(core, table, from, batch);
-    if !has_more {
-        record_as_of(core, table, started);
-    }
-    {
-        let known = core.table_progress(table);
-        let mut position = known.position();
-        position.record_read(update.next, clock::now());
-        position.record_call(started);
-    }
-    core.peers.outbox.put_reading(update);
-    Ok(has_more)
-}
--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -7,8 +7,8 @@
 //! thus doubles with each round, and no VM has to serve all others.
 
 use super::apply::replace_table;
-use super::record_as_of;
 use super::snapshot::FleetSnapshot;
+use super::updates::record_as_of;
 use super::updates::{TableUpdate, apply_update_of};
 use crate::catalogue::{Additions, Document, Revision};
 use crate::clock;
--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -1,23 +1,28 @@
 //! Updates of a table that the VMs that read it send to all others.
 
-use super::apply::{RecordEffect, RecordSource, apply, withdraw};
+use super::apply::{RecordEffect, RecordSource, apply, replace_table, withdraw};
 use super::journal::Journal;
-use super::record_as_of;
 use super::reports::Reports;
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::Entry;
-use crate::ports::{Batch, Record, Table, Weights};
+use crate::ports::{Batch, Record, StoreError, Table, Weights};
+use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::reading::{Position, Span, UpdateOutcome};
 use sesamegap_wire::{LogPosition, Moment, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::Notify;
+use tracing::info;
 
 /// Maximum number of changes in one datagram, of about 130 bytes each; an update with more is sent in parts.
 const MAX_CHANGES: usize = 8;
 
+/// Most differences found by reading a whole table again that are relayed. A VM that lacks more asks for a copy.
+const MAX_RELAYED_CHANGES: usize = 64;
+
 /// A change that a reader reports.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum TableChange {
@@ -215,3 +220,87 @@
     };
     apply(core, at, record, RecordSource::Written);
 }
+
+/// Reads a table from the store, for this VM and its peers; returns whether the store has more.
+pub(super) async fn read_table(
+    core: &Core,
+    table: Table,
+    wait: Duration,
+    restored: &mut Option<Moment>,
+) -> Result<bool, StoreError> {
+    let known = core.table_progress(table);
+    let (next, complete) = {
+        let mut position = known.position();
+        if super::rank(core, table) == 0 {
+            position.renew(clock::now());
+        }
+        (position.next(), position.complete_until())
+    };
+    match next {
+        None => {
+            read_whole_table(core, table, complete, restored).await?;
+            Ok(false)
+        }
+        Some(from) => read_changes(core, table, from, wait).await,
+    }
+}
+
+async fn read_whole_table(
+    core: &Core,
+    table: Table,
+    complete: Option<Moment>,
+    restored: &mut Option<Moment>,
+) -> Result<(), StoreError> {
+    let started = clock::now();
+    let batch = core.store.snapshot(table).await?;
+    let at = batch.next;
+    let records = batch.records.len();
+    let replaced = replace_table(core, table, batch, complete);
+    record_as_of(core, table, started);
+    if let Some(since) = restored.take() {
+        info!(event = events::REBUILT, table = ?table, at = %at, records, missing = replaced.missing, took_ms = clock::millis(clock::now().since(since)), "table was read again from the restored store");
+    }
+    let known = core.table_progress(table);
+    known.journal().restart(at);
+    {
+        let mut position = known.position();
+        position.record_read(at, clock::now());
+        position.record_call(started);
+    }
+    let mut update = TableUpdate::empty(table, at);
+    if replaced.changed.len() <= MAX_RELAYED_CHANGES {
+        update.pieces = replaced.relayed(core);
+    }
+    core.peers.outbox.put_reading(update);
+    Ok(())
+}
+
+/// Records up to when the fleet list is known.
+pub(super) fn record_as_of(core: &Core, table: Table, as_of: Moment) {
+    if table == Table::Fleet {
+        core.fleet.lock().record_list(as_of);
+    }
+}
+
+async fn read_changes(
+    core: &Core,
+    table: Table,
+    from: LogPosition,
+    wait: Duration,
+) -> Result<bool, StoreError> {
+    let started = clock::now();
+    let batch = core.store.changes(table, from, wait).await?;
+    let has_more = batch.next < batch.end;
+    let update = apply_batch(core, table, from, batch);
+    if !has_more {
+        record_as_of(core, table, started);
+    }
+    {
+        let known = core.table_progress(table);
+        let mut position = known.position();
+        position.record_read(update.next, clock::now());
+        position.record_call(started);
+    }
+    core.peers.outbox.put_reading(update);
+    Ok(has_more)
+}
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -189,10 +189,6 @@
 /// The future of a call to the store.
 pub type StoreCall<'a, T> = BoxFuture<'a, Reply<T>>;
 
-/// Longest wait for the next bytes of the store's answer, in addition to the time that a call waits for new records. It
-/// is some hundred times what the store needs, so that a slow store is still used.
-pub const MAX_STORE_SILENCE: Duration = Duration::from_millis(1_200);
-
 /// The durable store; offsets refer to the timeline that the reply reports.
 pub trait Store: fmt::Debug + Send + Sync {
     /// Reads the newest record of each key of a table.
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use sesamegap_policy::quota::Tolerance;
 use sesamegap_policy::routing::budget::Bound;
+use sesamegap_policy::routing::reading::SettingsBounds;
 use sesamegap_wire::{DomainId, VmId};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,16 @@
     pub lapse: Duration,
 }
 
+impl Spans {
+    /// The bounds on the age of documents.
+    pub fn document_bounds(&self) -> SettingsBounds {
+        SettingsBounds {
+            apply: self.apply,
+            contact: self.contact,
+        }
+    }
+}
+
 /// Settings of one process, as read by its adapter.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
--- a/crates/sesamegap-entry/tests/testsuite/dead_calls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/dead_calls.rs
@@ -6,12 +6,11 @@
 use sesamegap_entry::catalogue::Revision;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::follow::follow;
-use sesamegap_entry::ports::{
-    MAX_STORE_SILENCE, Ports, Record, Records, Reply, Store, StoreCall, StoreError, Table,
-};
+use sesamegap_entry::ports::{Ports, Record, Records, Reply, Store, StoreCall, StoreError, Table};
 use sesamegap_entry::settings::Settings;
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::quarantine;
+use sesamegap_policy::routing::reading::MAX_STORE_SILENCE;
 use sesamegap_wire::{Offset, VmId};
 use std::net::SocketAddr;
 use std::ops::Range;
--- a/crates/sesamegap-policy/src/routing/reading.rs
+++ b/crates/sesamegap-policy/src/routing/reading.rs
@@ -49,6 +49,10 @@
 /// Calls that a VM may make at once: the pages of a list of 20,000 upstreams, and a few others.
 const CALL_BURST: f64 = 48.0;
 
+/// Longest wait for the next bytes of the store's answer, in addition to the time that a call waits for new records. It
+/// is some hundred times what the store needs, so that a slow store is still used.
+pub const MAX_STORE_SILENCE: Duration = Duration::from_millis(1_200);
+
 /// Longest wait of a call for changed settings.
 const MAX_SETTINGS_WAIT: Duration = Duration::from_millis(2_500);
 
@@ -230,8 +234,6 @@
     pub apply: Duration,
     /// Time after a disturbance from which that holds again.
     pub contact: Duration,
-    /// Time after which a call without an answer is given up, in addition to the time for which it waits.
-    pub silence: Duration,
 }
 
 impl SettingsBounds {
@@ -241,7 +243,7 @@
     /// the call up. The next call must be answered by the time the bounds hold again. Besides, an answer without a change
     /// must come before what the VM knows is too old.
     pub fn wait(&self) -> Duration {
-        let by_contact = self.contact.saturating_sub(self.silence + REREAD_TIME);
+        let by_contact = self.contact.saturating_sub(MAX_STORE_SILENCE + REREAD_TIME);
         let by_apply = self.apply.saturating_sub(REREAD_TIME);
         let wait = MAX_SETTINGS_WAIT.min(by_contact).min(by_apply);
         wait.max(MIN_SETTINGS_WAIT)
--- a/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
@@ -3,8 +3,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sesamegap_policy::routing::reading::{
-    Backoff, CallBudget, Hearing, Position, READERS, SettingsBounds, Span, Standby, UpdateOutcome,
-    longest_delay,
+    Backoff, CallBudget, Hearing, MAX_STORE_SILENCE, Position, READERS, SettingsBounds, Span,
+    Standby, UpdateOutcome, longest_delay,
 };
 use sesamegap_wire::{LogPosition, Moment, Offset, Timeline};
 use std::time::Duration;
@@ -317,9 +317,8 @@
         let bounds = SettingsBounds {
             apply: Duration::from_millis(apply_ms),
             contact: Duration::from_millis(contact_ms),
-            silence: Duration::from_millis(1_200),
         };
-        let given_up = bounds.wait() + bounds.silence;
+        let given_up = bounds.wait() + MAX_STORE_SILENCE;
         assert!(given_up + slow_answer <= bounds.contact, "{bounds:?}");
         assert!(
             bounds.allows_denial(bounds.wait() + slow_answer),
@@ -328,7 +327,7 @@
         assert!(!bounds.allows_denial(bounds.apply + Duration::from_millis(1)));
         for vms in [7, 84, 985] {
             let delay = bounds.longest_delay(vms);
-            let next_answer = bounds.silence + delay + slow_answer;
+            let next_answer = MAX_STORE_SILENCE + delay + slow_answer;
             assert!(next_answer <= bounds.contact, "{vms} VMs, {bounds:?}");
         }
     }
