--- a/crates/sesamegap-entry/tests/testsuite/refusals.rs
+++ b/crates/sesamegap-entry/tests/testsuite/refusals.rs
@@ -45,6 +45,18 @@
     assert_eq!(worker.seen(), Vec::<String>::new());
 }
 
+/// Asserts that callers of an unknown route and with an unknown key may come back.
+async fn assert_puts_off(process: &Process) {
+    let answer = ask(process.callers, "GET", "/unknown/", "", "").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    let mut caller = Caller::connect(process.callers).await;
+    caller
+        .send("GET /pull/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: bad\r\n\r\n")
+        .await;
+    assert_eq!(caller.answer().await.status, 503);
+}
+
 /// Guards against a caller that gives up for good because a VM has not received the document with its route or its key
 /// yet.
 #[tokio::test]
@@ -58,14 +70,7 @@
     position().record_read(offset(8), clock::now());
     apply_update(&process.core, missed);
     let unknown = || ask(process.callers, "GET", "/unknown/", "", "");
-    let answer = unknown().await;
-    assert_eq!(answer.status, 503);
-    assert!(answer.header("retry-after").is_some());
-    let mut caller = Caller::connect(process.callers).await;
-    caller
-        .send("GET /pull/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: bad\r\n\r\n")
-        .await;
-    assert_eq!(caller.answer().await.status, 503);
+    assert_puts_off(&process).await;
     position().record_read(offset(9), clock::now());
     assert_eq!(unknown().await.status, 404);
 }
@@ -78,14 +83,7 @@
     let position = || process.core.table_progress(Table::Settings).position();
     position().record_read(offset(8), clock::ago(Duration::from_secs(5)));
     let unknown = || ask(process.callers, "GET", "/unknown/", "", "");
-    let answer = unknown().await;
-    assert_eq!(answer.status, 503);
-    assert!(answer.header("retry-after").is_some());
-    let mut caller = Caller::connect(process.callers).await;
-    caller
-        .send("GET /pull/ HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: bad\r\n\r\n")
-        .await;
-    assert_eq!(caller.answer().await.status, 503);
+    assert_puts_off(&process).await;
     position().record_read(offset(8), clock::now());
     assert_eq!(unknown().await.status, 404);
 }
