--- a/crates/sesamegap-policy/src/routing/budget.rs
+++ b/crates/sesamegap-policy/src/routing/budget.rs
@@ -13,7 +13,7 @@
 //! - **Parts of the slack** are divided by the VMs that are listed, not by those that answer. A count that falls is used only
 //!   a window later, since VMs that are gone may have spent their parts just before.
 //!
-//! Requests saved from one window into the next count with the ratio of the earlier one, which is how the bound itself
+//! Retries saved from one window into the next count with the ratio of the earlier one, which is how the bound itself
 //! treats a load that falls.
 
 use sesamegap_wire::Moment;
