--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -167,7 +167,13 @@
 /// Applies an update that a peer sent.
 pub fn receive_update(core: &Core, update: TableUpdate, from: SocketAddr) {
     let known = core.table_progress(update.table);
+    let (table, start) = (update.table, update.from);
     if apply_update(core, update) == UpdateOutcome::Missed {
+        let (next, known_at) = {
+            let position = known.position();
+            (position.next(), position.last_update())
+        };
+        info!(event = events::TABLE_GAP, table = ?table, known = ?next, start = %start, %from, known_ms = clock::millis(clock::now().since(known_at)), "an update shows that an earlier one is missing");
         known.set_sender(from);
         known.missed.notify_one();
     }
--- a/crates/sesamegap-entry/src/locator.rs
+++ b/crates/sesamegap-entry/src/locator.rs
@@ -1,10 +1,12 @@
 //! Selects the addresses that callers should use.
 
 use crate::core::{Core, Phase};
+use crate::telemetry::events;
 use sesamegap_policy::routing::engines::{rank, seed};
 use smol_str::ToSmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tracing::info;
 
 /// Most addresses in one answer; callers read no more.
 const MAX_ADDRS: usize = 64;
@@ -22,6 +24,7 @@
     let port = core.settings().listen.callers.port();
     let peers = core.peers.addrs_by_status();
     let mut alive = peers.alive;
+    let counts = (alive.len(), peers.presumed.len(), peers.suspected.len());
     let present = alive.len() + peers.presumed.len() + 1;
     let total = present + peers.suspected.len();
     if (present as f64) < MIN_ALIVE_FRACTION * total as f64 {
@@ -38,6 +41,18 @@
         addrs.insert(0, core.settings().listen.callers);
     }
     addrs.truncate(MAX_ADDRS);
+    if core.peers.is_answer_log_due() {
+        info!(
+            event = events::LOCATED,
+            named = addrs.len(),
+            own = serves,
+            alive = counts.0,
+            presumed = counts.1,
+            suspected = counts.2,
+            cut_off = core.peers.is_cut_off(),
+            "named VMs to a caller"
+        );
+    }
     (addrs, TTL.min(core.settings().spans.answer_ttl))
 }
 
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -136,6 +136,7 @@
     while core.phase() < Phase::Ended {
         sleep(TICK).await;
         ticks = ticks.wrapping_add(1);
+        core.peers.log_changes();
         quarantine::tick(&core, ticks).await;
         quota::tick(&core);
         resumption::tick(&core).await;
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::clock;
 use crate::settings::Settings;
+use crate::telemetry::events;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rustc_hash::FxHashMap;
@@ -47,6 +48,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::timeout;
+use tracing::info;
 
 /// How long a suspected peer has to refute the suspicion; callers are not sent to it in the meantime.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -74,6 +76,9 @@
     pub suspected: Vec<SocketAddr>,
 }
 
+/// Minimum time between two log lines about answers of the locator, which come hundreds of times a second.
+const ANSWER_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The membership table, shared by all tasks.
 #[derive(Debug)]
 pub struct Peers {
@@ -96,6 +101,8 @@
     /// Peers that recently could not send a request on for this VM.
     avoided_gateways: Mutex<Avoided<SocketAddr>>,
     hearing: Mutex<Hearing>,
+    /// When an answer of the locator was last logged.
+    answer_logged: Mutex<Moment>,
 }
 
 /// When the roster was built, and its VMs.
@@ -129,6 +136,7 @@
             roster: Mutex::default(),
             avoided_gateways: Mutex::default(),
             hearing: Mutex::default(),
+            answer_logged: Mutex::default(),
         }
     }
 
@@ -356,6 +364,28 @@
         self.members.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a line about an answer of the locator is due; if so, the next one is due after [`ANSWER_LOG_INTERVAL`].
+    pub fn is_answer_log_due(&self) -> bool {
+        let now = clock::now();
+        let mut logged = self
+            .answer_logged
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_due = now.since(*logged) >= ANSWER_LOG_INTERVAL;
+        if is_due {
+            *logged = now;
+        }
+        is_due
+    }
+
+    /// Logs the changes of peers' status since the last call.
+    fn log_changes(&self) {
+        let changes = self.lock().take_changes();
+        for change in changes {
+            info!(event = events::MEMBER, vm = %change.vm, former = ?change.former, status = ?change.status, lasted_ms = clock::millis(change.lasted), "the status of an entry VM changed");
+        }
+    }
+
     fn tick(&self, rng: &mut dyn Rng) -> Option<Probe> {
         self.lock().tick(clock::now(), rng)
     }
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -38,12 +38,18 @@
 pub const TABLE_READ: u16 = 726;
 /// A VM that is no reader takes over the reading of a table.
 pub const TAKEOVER: u16 = 727;
+/// An update of a table shows that an earlier one, or a part of one, did not arrive.
+pub const TABLE_GAP: u16 = 728;
 /// The view of a peer changed, or a message from or to a peer failed.
 pub const PEER: u16 = 730;
 /// A kept-KV store stopped answering, or answers again.
 pub const KV_STORE: u16 = 731;
 /// This VM reaches no upstream any more, or reaches upstreams again.
 pub const REACHABILITY: u16 = 732;
+/// The status of another entry VM changed.
+pub const MEMBER: u16 = 734;
+/// What an answer of the locator was made from.
+pub const LOCATED: u16 = 735;
 /// The upstreams of a service say that they fall over when they reject too much, or say so no more.
 pub const BRITTLE: u16 = 733;
 /// A lease was acquired, renewed or lost.
--- a/crates/sesamegap-policy/src/agreement/membership/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/mod.rs
@@ -15,4 +15,4 @@
 mod update;
 
 pub use table::{Members, MembershipConfig, Peer, Probe};
-pub use update::{MemberUpdate, Status};
+pub use update::{MemberUpdate, Status, StatusChange};
--- a/crates/sesamegap-policy/src/agreement/membership/table.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table.rs
@@ -1,6 +1,6 @@
 //! Table of peers and selection of the peer to probe in each round.
 
-use super::{MemberUpdate, Status};
+use super::{MemberUpdate, Status, StatusChange};
 use crate::agreement::ProcessId;
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
@@ -80,6 +80,7 @@
     refuted: bool,
     /// Targets still to be probed in this pass over the peers.
     probe_queue: Vec<VmId>,
+    changes: Vec<StatusChange>,
 }
 
 impl Members {
@@ -99,9 +100,15 @@
             seeded: false,
             refuted: false,
             probe_queue: Vec::new(),
+            changes: Vec::new(),
         }
     }
 
+    /// Takes the changes of peers' status since the last call.
+    pub fn take_changes(&mut self) -> Vec<StatusChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Replaces the platform's list of entry VMs.
     ///
     /// The list may be out of date, so it determines only which peers to probe, not their status. Only the VMs of a list
@@ -268,6 +275,15 @@
         if known.is_some_and(|known| !update.replaces(&known.latest)) {
             return;
         }
+        let former = known.map(|known| (known.latest.status, known.since));
+        if former.is_none_or(|(status, _)| status != update.status) {
+            self.changes.push(StatusChange {
+                vm: update.who.vm.clone(),
+                former: former.map(|(status, _)| status),
+                status: update.status,
+                lasted: former.map_or(Duration::ZERO, |(_, since)| now.since(since)),
+            });
+        }
         let peer = Peer {
             latest: update.clone(),
             since: now,
@@ -295,6 +311,12 @@
         for peer in self.peers.values_mut() {
             if peer.latest.status == Status::Suspect && now.since(peer.since) >= timeout {
                 peer.latest.status = Status::Dead;
+                self.changes.push(StatusChange {
+                    vm: peer.latest.who.vm.clone(),
+                    former: Some(Status::Suspect),
+                    status: Status::Dead,
+                    lasted: now.since(peer.since),
+                });
                 peer.since = now;
                 peer.sends = 0;
             }
--- a/crates/sesamegap-policy/src/agreement/membership/update.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/update.rs
@@ -2,7 +2,9 @@
 
 use crate::agreement::ProcessId;
 use serde::{Deserialize, Serialize};
+use sesamegap_wire::VmId;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// State of a process as another process sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -31,6 +33,19 @@
     pub status: Status,
 }
 
+/// Change of a peer's status in a process's view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StatusChange {
+    /// The peer's VM.
+    pub vm: VmId,
+    /// Its former status; unset if it was unknown.
+    pub former: Option<Status>,
+    /// Its status now.
+    pub status: Status,
+    /// How long it had the former status.
+    pub lasted: Duration,
+}
+
 impl MemberUpdate {
     /// Whether this update supersedes `other`, which is for the same VM.
     ///
