--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -358,3 +358,23 @@
         Duration::ZERO
     );
 }
+
+/// Guards against requests to upstreams that announced that they leave, on a VM that received the first part of a reading
+/// and took it for the whole.
+#[tokio::test]
+async fn the_first_part_of_a_reading_is_not_the_whole() {
+    let (reader, hearer) = reader_and_hearer(6).await;
+    for core in [&reader, &hearer] {
+        let records = (0..40).map(|no| listed(no, 1, false)).collect();
+        read(core, 0, records, false);
+    }
+    let leaving = (0..24).map(|no| listed(no, 2, true)).collect();
+    let update = apply_batch(&reader, Table::Fleet, offset(40), batch(40, leaving));
+    let mut parts = update.into_parts();
+    parts.truncate(1);
+    for part in parts {
+        receive_update(&hearer, part, reader.settings().listen.loads);
+    }
+    let progress = hearer.table_progress(Table::Fleet);
+    assert!(progress.position().has_missed(), "16 changes are missing");
+}
