Entry VMs: all learn soon that many others are off, and a listed VM that nobody heard is not named

What callers saw: answers of the locator named VMs that had been off for seven seconds and more, after many had lost power, had been removed, or were cut off, and after a restart of all VMs. They met it as refused or hanging connections.

Cause: what a VM knew of the others had no bound in time. Probes went out one in half a second, dead targets included; in fleets of up to 256 VMs a failed one was told only by gossip, eight updates a message; a listed VM that was never heard counted as alive until an own probe failed; and whenever fewer than half were alive, suspected ones were named.

Change: - A failed probe is broadcast, to the suspected VM too, and a refutation likewise. As many peers are probed in a round as are suspected, up to twelve. Dead peers get one round in four. - A process that begins, that was cut off, or that sees many suspicions copies what a peer knows of all VMs. - A listed VM that was not heard within three seconds counts as dead. The locator names VMs that were heard and not found gone, and itself; others only if there would be no address at all. - A VM that hears nobody learns nothing from failed probes. After three seconds it does without its peers. - The entry of a VM that has been dead for a minute is removed from the store's list by the first reader, on the condition that the list has not changed, and only while most listed VMs are alive. A VM that hears that it was taken for dead reads the list and writes its entry again.

--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -126,7 +126,7 @@
             log_change(core, &id, change, at);
             effect_of(change)
         }
-        Record::Vm(..) | Record::Quarantine(_) => RecordEffect::Known,
+        Record::Vm(..) | Record::VmRemoved(_) | Record::Quarantine(_) => RecordEffect::Known,
         Record::Unreadable(record) => {
             log_unreadable(core, &record);
             match record.key.parse() {
--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -18,6 +18,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::agreement::membership::MemberUpdate;
 use sesamegap_wire::{LogPosition, Moment};
 use smol_str::ToSmolStr;
 use std::net::SocketAddr;
@@ -69,13 +70,15 @@
     Fleet(FleetSnapshot, u64),
     /// The settings.
     Settings(Box<SettingsCopy>),
+    /// What the peer knows of all entry VMs.
+    Members(Vec<MemberUpdate>),
 }
 
 impl PullReply {
     /// The position up to which the peer knows the table, if it sends its data.
     fn next(&self) -> Option<LogPosition> {
         match self {
-            Self::Behind | Self::Busy => None,
+            Self::Behind | Self::Busy | Self::Members(_) => None,
             Self::Changes(update, _) => Some(update.next),
             Self::Fleet(snapshot, _) => Some(snapshot.next()),
             Self::Settings(copy) => Some(copy.next),
@@ -213,6 +216,9 @@
 }
 
 fn find_reply(core: &Core, request: &PullRequest) -> Found {
+    if request.table == Table::Vms {
+        return Found::Reply(PullReply::Members(core.peers.export()));
+    }
     let known = core.table_progress(request.table);
     let (next, at) = {
         let position = known.position();
@@ -355,7 +361,7 @@
     // The reply may have been on its way for as long as the call took.
     let at = |age_ms| asked.saturating_sub(Duration::from_millis(age_ms));
     match reply {
-        PullReply::Behind | PullReply::Busy => {}
+        PullReply::Behind | PullReply::Busy | PullReply::Members(_) => {}
         PullReply::Changes(update, age_ms) => {
             apply_update_of(core, update, at(age_ms));
             apply_held_parts(core, table);
--- a/crates/sesamegap-entry/src/follow/vms.rs
+++ b/crates/sesamegap-entry/src/follow/vms.rs
@@ -6,7 +6,7 @@
 use crate::telemetry::events;
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::reading::{Backoff, READERS, longest_delay};
-use sesamegap_wire::VmId;
+use sesamegap_wire::{LogPosition, VmId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,13 @@
 /// within a few tenths of a second, and the list that each reads first lacks those that start after it.
 const SETTLE_TIME: Duration = Duration::from_millis(400);
 
+/// Delay between hearing that peers took this VM for dead and reading the list. It bounds the calls of VMs that are taken
+/// for dead again and again.
+const DOUBT_DELAY: Duration = Duration::from_secs(5);
+
+/// Most entries that are removed after one read of the list.
+const MAX_REMOVED: usize = 16;
+
 /// Time over which all VMs spread reading the list of entry VMs and writing their own entries after the store was
 /// restored, so that hundreds of VMs stay below its rate limits.
 const RESTORE_SPREAD: Duration = Duration::from_secs(1);
@@ -43,10 +50,11 @@
         }
         backoff.reset();
         core.peers.set_list_known();
-        if timeout(read_interval(&core), timelines.changed())
-            .await
-            .is_ok()
-        {
+        tokio::select! {
+            _ = timeout(read_interval(&core), timelines.changed()) => {}
+            () = core.peers.list_doubted.notified() => sleep(DOUBT_DELAY).await,
+        }
+        if timelines.has_changed().unwrap_or(false) {
             // All VMs find out at almost the same time that the restored store may lack their entries.
             sleep(restore_delay(&core)).await;
         }
@@ -60,6 +68,7 @@
     let mut vms = decode(core, batch);
     core.peers.seed_members(vms.clone());
     if is_listed(core, &vms) {
+        remove_dead(core, next).await;
         return Ok(());
     }
     let settings = core.settings();
@@ -68,6 +77,9 @@
         .await?;
     sleep(SETTLE_TIME).await;
     let batch = core.store.changes(Table::Vms, next, Duration::ZERO).await?;
+    for vm in removed(&batch) {
+        vms.retain(|(known, _)| *known != vm);
+    }
     for (vm, addr) in decode(core, batch) {
         vms.retain(|(known, _)| *known != vm);
         vms.push((vm, addr));
@@ -79,6 +91,38 @@
     Ok(())
 }
 
+/// Removes the entries of VMs that have been dead for long, on the first of the VMs that read the list for all others.
+///
+/// Every process that begins would probe these VMs, and divide fleet-wide bounds by them.
+async fn remove_dead(core: &Core, end: LogPosition) {
+    if core.peers.rank(RANK_KEY + Table::Vms as u64) > 0 {
+        return;
+    }
+    let mut at = end;
+    for vm in core.peers.removable().into_iter().take(MAX_REMOVED) {
+        match core.store.remove_vm_entry(&vm, at).await {
+            Ok(end) => {
+                info!(event = events::MEMBER, vm = %vm, at = %at, "removed the entry of a VM that has been dead for long");
+                at = end;
+            }
+            Err(error) => {
+                info!(event = events::MEMBER, vm = %vm, at = %at, %error, "the entry of a dead VM was not removed; the next read of the list tries again");
+                return;
+            }
+        }
+    }
+}
+
+/// The VMs of removed entries, of a batch of records.
+fn removed(batch: &Batch) -> Vec<VmId> {
+    let records = batch.records.iter();
+    let removed = records.filter_map(|(_, record)| match record {
+        Record::VmRemoved(vm) => Some(vm.clone()),
+        _ => None,
+    });
+    removed.collect()
+}
+
 /// How long until this VM reads the list again.
 ///
 /// If every VM read it at the same interval, calls and bytes would grow with the number and the square of the number of
--- a/crates/sesamegap-entry/src/locator.rs
+++ b/crates/sesamegap-entry/src/locator.rs
@@ -15,32 +15,37 @@
 /// one small locator request for about forty requests of a caller.
 const TTL: Duration = Duration::from_secs(2);
 
-/// Fraction of alive VMs below which suspected VMs are named too: it is then more likely that this VM is partitioned
-/// from the others.
-const MIN_ALIVE_FRACTION: f64 = 0.5;
+/// How long callers cache an answer of a VM that does not know all others yet, or is cut off from them.
+const UNSURE_TTL: Duration = Duration::from_secs(1);
 
 /// Returns the addresses for callers, and how long to cache them.
+///
+/// VMs are named that were heard of, by this VM or by another one, and were not found to be gone since. A listed VM that
+/// nobody heard may have left long ago: after a restart of all VMs, each names itself until the others have announced
+/// themselves. It is the same on a VM that hears no other one.
 pub fn answer(core: &Core) -> (Vec<SocketAddr>, Duration) {
     let port = core.settings().listen.callers.port();
     let peers = core.peers.addrs_by_status();
-    let mut alive = peers.alive;
-    let counts = (alive.len(), peers.presumed.len(), peers.suspected.len());
-    let present = alive.len() + peers.presumed.len() + 1;
-    let total = present + peers.suspected.len();
-    if (present as f64) < MIN_ALIVE_FRACTION * total as f64 {
-        alive.extend(peers.suspected);
-    }
+    let is_unsure = !peers.presumed.is_empty() || core.peers.is_cut_off();
+    let counts = (
+        peers.alive.len(),
+        peers.presumed.len(),
+        peers.suspected.len(),
+    );
     let own_key = seed(core.settings().vm.as_str());
-    let mut addrs: Vec<SocketAddr> = sample(alive, peers.presumed, own_key)
-        .into_iter()
-        .map(|peer| SocketAddr::new(peer.ip(), port))
-        .collect();
+    let named = sample(peers.alive, own_key).into_iter();
+    let mut addrs: Vec<SocketAddr> = named.map(|peer| SocketAddr::new(peer.ip(), port)).collect();
     // A VM that is stopping, or has no document or upstreams yet, directs callers to other VMs if there are any.
     let serves = core.is_ready() || (addrs.is_empty() && core.phase() == Phase::Serving);
     if serves {
         addrs.insert(0, core.settings().listen.callers);
     }
-    addrs.truncate(MAX_ADDRS);
+    if addrs.is_empty() {
+        let others = sample(peers.presumed, own_key).into_iter();
+        addrs = others
+            .map(|peer| SocketAddr::new(peer.ip(), port))
+            .collect();
+    }
     if core.peers.is_answer_log_due() {
         info!(
             event = events::LOCATED,
@@ -53,28 +58,20 @@
             "named VMs to a caller"
         );
     }
-    (addrs, TTL.min(core.settings().spans.answer_ttl))
+    let ttl = if is_unsure { UNSURE_TTL } else { TTL };
+    (addrs, ttl.min(core.settings().spans.answer_ttl))
 }
 
-/// Chooses the VMs to name out of those that are alive; those that are only presumed to be make up for missing ones.
+/// Chooses the VMs to name out of those that are alive.
 ///
 /// If every VM named the first of one order, all callers of a fleet of hundreds would use the same 64 VMs, and a failure
 /// domain could take all of these with it. So each VM names others, and always the same, since callers leave connections
 /// to VMs that are no longer named.
-fn sample(
-    mut alive: Vec<SocketAddr>,
-    mut presumed: Vec<SocketAddr>,
-    own_key: u64,
-) -> Vec<SocketAddr> {
-    keep_first_ranked(&mut alive, MAX_ADDRS - 1, own_key);
-    keep_first_ranked(&mut presumed, MAX_ADDRS - 1 - alive.len(), own_key);
-    alive.extend(presumed);
-    alive
-}
-
-fn keep_first_ranked(addrs: &mut Vec<SocketAddr>, count: usize, key: u64) {
+fn sample(mut addrs: Vec<SocketAddr>, own_key: u64) -> Vec<SocketAddr> {
+    let count = MAX_ADDRS - 1;
     if count < addrs.len() {
-        addrs.sort_by_cached_key(|addr| rank(key, seed(&addr.ip().to_smolstr())));
+        addrs.sort_by_cached_key(|addr| rank(own_key, seed(&addr.ip().to_smolstr())));
         addrs.truncate(count);
     }
+    addrs
 }
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -14,9 +14,8 @@
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sesamegap_policy::agreement::membership::MemberUpdate;
+use sesamegap_policy::agreement::membership::{MemberUpdate, Probe, Status};
 use sesamegap_policy::routing::dissemination::MAX_DIRECT;
-use sesamegap_wire::DomainId;
 use smol_str::ToSmolStr;
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -48,6 +47,17 @@
 /// Delay after which a process announces its start.
 const ANNOUNCE_DELAY: Range<Duration> = Duration::from_millis(300)..Duration::from_secs(1);
 
+/// Delays of the copies of what peers know of all VMs: peers that started at the same time know more by then, and the last
+/// comes before a listed VM that nobody heard is taken for dead.
+const COPY_DELAYS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(1_200),
+    Duration::from_millis(1_200),
+];
+
+/// Peers that are asked for such a copy.
+const COPY_TRIES: usize = 2;
+
 /// How often a VM's update on itself is spread by relays, each time by other ones.
 const MEMBER_SENDS: usize = 2;
 
@@ -71,55 +81,104 @@
     let mut rng = rand::rngs::StdRng::seed_from_u64(clock::now().0);
     contact_first(&core).await;
     tokio::spawn(announce(Arc::clone(&core)));
+    tokio::spawn(copy_members(Arc::clone(&core)));
+    let mut was_cut_off = false;
     while core.phase() < Phase::Ended {
         let vms = core.peers.count();
         core.store.set_vms(vms);
         if vms == 1 {
             contact_seeds(&core).await;
         }
-        if core.peers.lock().take_refuted() {
-            spread_own_update(&core).await;
+        let is_cut_off = core.peers.is_cut_off();
+        let is_alarm = core.peers.lock().take_alarm();
+        if (was_cut_off && !is_cut_off) || is_alarm {
+            tokio::spawn(copy_members(Arc::clone(&core)));
         }
-        let probe = core.peers.tick(&mut rng);
-        if let Some(probe) = probe {
-            let core = Arc::clone(&core);
-            tokio::spawn(async move {
-                let reply = send_hello(&core, probe.addr, probe.updates).await;
-                if let Err(error) = reply {
-                    warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
-                    let suspicion = core.peers.lock().probe_failed(&probe.target, clock::now());
-                    if let Some(update) = suspicion {
-                        spread(&core, update, None).await;
-                    }
-                }
-            });
+        was_cut_off = is_cut_off;
+        answer_suspicions(&core);
+        for probe in core.peers.tick(&mut rng) {
+            tokio::spawn(run_probe(Arc::clone(&core), probe));
         }
         let jitter = rng.random_range(0.9..1.1);
         sleep(PROBE_INTERVAL.mul_f64(jitter)).await;
     }
 }
 
-/// Tells all peers of a large fleet that this process has started. Gossip takes half a minute to bring the news of 985
-/// processes that start together to all of them.
-async fn announce(core: Arc<Core>) {
-    // Peers that start at the same time receive datagrams by then.
-    let delay = rand::rng().random_range(ANNOUNCE_DELAY);
-    sleep(delay).await;
-    spread_own_update(&core).await;
+async fn run_probe(core: Arc<Core>, probe: Probe) {
+    if let Err(error) = send_hello(&core, probe.addr, probe.updates).await {
+        warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
+        core.peers.record_failed_probe(&probe.target);
+    }
+    answer_suspicions(&core);
 }
 
-async fn spread_own_update(core: &Core) {
-    let domain = core.settings().domain.clone();
-    spread(core, core.peers.local_update(), Some(domain)).await;
+/// Tells all peers that this process is alive, if some took it for suspect or dead. Its entry may have been removed from the
+/// store's list in the latter case.
+pub(super) fn answer_suspicions(core: &Core) {
+    let refuted = core.peers.lock().take_refutation();
+    if refuted.is_some() {
+        core.peers.outbox.put_member(core.peers.local_update());
+    }
+    if refuted == Some(Status::Dead) {
+        core.peers.list_doubted.notify_one();
+    }
 }
 
-/// Spreads an update on a VM by relays, in fleets that are too large for gossip to be fast.
-async fn spread(core: &Core, update: MemberUpdate, domain: Option<DomainId>) {
-    if core.peers.datagram_addrs().len() > MAX_DIRECT {
-        broadcast(core, Datagram::Member(update, domain)).await;
+/// Copies what peers know of all VMs: for a process that has just begun or was cut off, and after many peers failed, since
+/// updates on some may have been lost. By itself it would find out one probe after another.
+async fn copy_members(core: Arc<Core>) {
+    for delay in COPY_DELAYS {
+        sleep(delay).await;
+        for _ in 0..COPY_TRIES {
+            if copy_members_once(&core).await {
+                break;
+            }
+        }
     }
 }
 
+/// Copies what one peer knows of all VMs; returns whether it answered.
+async fn copy_members_once(core: &Core) -> bool {
+    let Some(peer) = core.peers.random_confirmed() else {
+        return false;
+    };
+    let request = PullRequest {
+        table: Table::Vms,
+        since: None,
+        revision: core.revision(),
+    };
+    match pull(core, peer, &request).await {
+        Ok(PullReply::Members(members)) => core.peers.import(&members),
+        // A peer of an earlier release does not send what it knows.
+        Ok(_) => return false,
+        Err(error) => {
+            info!(event = events::PEER, %peer, error, "a peer does not send what it knows of the entry VMs");
+            return false;
+        }
+    }
+    true
+}
+
+/// Tells all peers that this process has started. Gossip takes half a minute to bring the news of 985 processes that start
+/// together to all of them.
+async fn announce(core: Arc<Core>) {
+    for _ in 0..MEMBER_SENDS {
+        // Peers that start at the same time receive datagrams by then.
+        let delay = rand::rng().random_range(ANNOUNCE_DELAY);
+        sleep(delay).await;
+        spread_own_update(&core).await;
+    }
+}
+
+async fn spread_own_update(core: &Core) {
+    let domain = core.settings().domain.clone();
+    broadcast(
+        core,
+        Datagram::Member(core.peers.local_update(), Some(domain)),
+    )
+    .await;
+}
+
 /// Contacts the VMs named in the settings, through which a new VM joins.
 async fn contact_seeds(core: &Core) {
     let settings = core.settings();
@@ -221,10 +280,14 @@
     }
     let now = clock::now();
     let source = reply.me.who.vm.to_smolstr();
-    {
+    let is_back = {
         let mut members = core.peers.lock();
-        members.apply_update(&reply.me, now);
+        let is_back = members.apply_update(&reply.me, now);
         members.apply_updates(&reply.updates, now);
+        is_back
+    };
+    if is_back {
+        core.peers.outbox.put_member(reply.me.clone());
     }
     apply_state(core, reply.document, &reply.weights, &source);
     Ok(())
@@ -239,7 +302,8 @@
     addr: SocketAddr,
     request: &PullRequest,
 ) -> Result<PullReply, String> {
-    let is_copy = request.since.is_none() || request.table == Table::Settings;
+    let is_long = request.since.is_none() && request.table != Table::Vms;
+    let is_copy = is_long || request.table == Table::Settings;
     let limit = if is_copy { COPY_TIMEOUT } else { PROBE_TIMEOUT };
     let (reply, _): (PullReply, Option<()>) = post(core, addr, "table", request, limit).await?;
     Ok(reply)
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -9,6 +9,7 @@
 //! engine and peer, 84 VMs and 140 engines kept the VM that carries out the roll busy for seconds, and it never gave an
 //! order to any engine.
 
+use super::client::answer_suspicions;
 use super::loads::UpstreamLoad;
 use super::message::EngineUpdate;
 use super::readings::run_readings;
@@ -22,7 +23,7 @@
 use crate::resumption;
 use crate::telemetry::events;
 use serde::{Deserialize, Serialize};
-use sesamegap_policy::agreement::membership::MemberUpdate;
+use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
 use sesamegap_policy::routing::belief::Change;
 use sesamegap_policy::routing::dissemination::{FANOUT, RecipientSelector, Recipients, Sum};
 use sesamegap_policy::routing::silence::SilenceReport;
@@ -146,6 +147,9 @@
         quarantine::tick(&core, ticks).await;
         quota::tick(&core);
         resumption::tick(&core).await;
+        for update in core.peers.outbox.members() {
+            spread_member(&core, update).await;
+        }
         for event in pending_events(&core) {
             broadcast(&core, event).await;
         }
@@ -168,6 +172,17 @@
     }
 }
 
+/// Sends an update on a VM to all peers, and to that VM if it is suspected, so that it can refute it.
+async fn spread_member(core: &Core, update: MemberUpdate) {
+    let is_failed = update.status >= Status::Suspect;
+    let addr = SocketAddr::new(update.addr.ip(), core.settings().listen.loads.port());
+    let event = Datagram::Member(update, None);
+    if is_failed && let Some(bytes) = event.encode() {
+        core.peers.socket.send(&bytes, addr).await;
+    }
+    broadcast(core, event).await;
+}
+
 /// Takes the events to send to all peers.
 fn pending_events(core: &Core) -> Vec<Datagram> {
     let me = &core.settings().vm;
@@ -297,7 +312,12 @@
             if let Some(domain) = domain {
                 core.peers.set_domain(update.addr.ip(), domain);
             }
-            core.peers.apply_update(&update, clock::now());
+            let is_own = update.addr.ip() == from.ip();
+            let is_back = core.peers.apply_update(&update, clock::now());
+            if is_own && is_back {
+                core.peers.outbox.put_member(update);
+            }
+            answer_suspicions(core);
         }
         Datagram::Relayed(_) | Datagram::Delegated(_) => {
             // A relay sends the event itself, so a second level cannot be meant for this VM.
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -47,7 +47,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 use tracing::info;
 
@@ -102,6 +102,8 @@
     /// Peers that recently could not send a request on for this VM.
     avoided_gateways: Mutex<Avoided<SocketAddr>>,
     hearing: Mutex<Hearing>,
+    /// Wakes the task that keeps this VM's entry on the store's list when peers took it for dead.
+    pub list_doubted: Notify,
     /// When an answer of the locator was last logged.
     answer_logged: Mutex<Moment>,
 }
@@ -136,7 +138,8 @@
             datagram_port: settings.listen.loads.port(),
             roster: Mutex::default(),
             avoided_gateways: Mutex::default(),
-            hearing: Mutex::default(),
+            hearing: Mutex::new(Hearing::begin(clock::now())),
+            list_doubted: Notify::new(),
             answer_logged: Mutex::default(),
         }
     }
@@ -190,6 +193,11 @@
         self.lock_hearing().record(clock::now());
     }
 
+    /// Returns whether this VM has heard no peer for so long that it must do without them.
+    pub fn is_isolated(&self) -> bool {
+        self.count() > 1 && self.lock_hearing().is_isolated(clock::now())
+    }
+
     /// Returns whether this VM knows peers and hears none of them.
     pub fn is_cut_off(&self) -> bool {
         self.count() > 1 && self.lock_hearing().is_cut_off(clock::now())
@@ -201,10 +209,12 @@
 
     /// Returns the addresses of peers by membership status.
     pub fn addrs_by_status(&self) -> PeerAddrs {
+        let is_isolated = self.is_isolated();
         let members = self.lock();
         let mut addrs = PeerAddrs::default();
         for peer in members.peers() {
             match peer.latest.status {
+                Status::Alive if is_isolated => addrs.suspected.push(peer.latest.addr),
                 Status::Alive if peer.is_confirmed() => addrs.alive.push(peer.latest.addr),
                 Status::Alive => addrs.presumed.push(peer.latest.addr),
                 Status::Suspect | Status::Dead => addrs.suspected.push(peer.latest.addr),
@@ -233,6 +243,12 @@
         first.into_iter().chain(others).take(count).collect()
     }
 
+    /// Returns a peer that is alive and was heard of, chosen at random.
+    fn random_confirmed(&self) -> Option<SocketAddr> {
+        let alive = self.addrs_by_status().alive;
+        alive.choose(&mut rand::rng()).copied()
+    }
+
     /// Records the failure domain of a VM.
     pub fn set_domain(&self, vm: IpAddr, domain: DomainId) {
         self.lock_domains().insert(vm, domain);
@@ -253,8 +269,10 @@
 
     /// Returns the VMs that are alive, including this one.
     pub fn alive(&self) -> Vec<VmId> {
+        let is_isolated = self.is_isolated();
         let members = self.lock();
-        let others = members.alive().map(|peer| peer.latest.who.vm.clone());
+        let others = members.alive().filter(|_| !is_isolated);
+        let others = others.map(|peer| peer.latest.who.vm.clone());
         others.chain([self.me.vm.clone()]).collect()
     }
 
@@ -263,8 +281,9 @@
         let now = clock::now();
         let mut roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
         if roster.0.is_none_or(|at| now.since(at) >= ROSTER_TTL) {
+            let is_isolated = self.is_isolated();
             let members = self.lock();
-            let others = members.alive().map(|peer| {
+            let others = members.alive().filter(|_| !is_isolated).map(|peer| {
                 let addr = SocketAddr::new(peer.latest.addr.ip(), self.datagram_port);
                 (seed(peer.latest.who.vm.as_str()), Some(addr))
             });
@@ -345,9 +364,38 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies a peer's update on itself.
-    pub fn apply_update(&self, update: &MemberUpdate, now: Moment) {
-        self.lock().apply_update(update, now);
+    /// Applies an update on a peer; returns whether it shows that one is alive that was suspected or dead.
+    pub fn apply_update(&self, update: &MemberUpdate, now: Moment) -> bool {
+        self.lock().apply_update(update, now)
+    }
+
+    /// Records the failure of a probe; all peers learn of it at once.
+    ///
+    /// A VM that hears nobody is likely cut off itself. It learns nothing about its peers by probes, and would have to
+    /// learn of each of them again afterwards.
+    fn record_failed_probe(&self, vm: &VmId) {
+        if self.is_cut_off() {
+            return;
+        }
+        let suspicion = self.lock().probe_failed(vm, clock::now());
+        if let Some(update) = suspicion {
+            self.outbox.put_member(update);
+        }
+    }
+
+    /// What this VM knows of all entry VMs.
+    pub fn export(&self) -> Vec<MemberUpdate> {
+        self.lock().export()
+    }
+
+    /// Applies what a peer knows of all entry VMs.
+    pub fn import(&self, updates: &[MemberUpdate]) {
+        self.lock().import(updates, clock::now());
+    }
+
+    /// The VMs whose entries are to be removed from the store's list.
+    pub fn removable(&self) -> Vec<VmId> {
+        self.lock().removable(clock::now())
     }
 
     /// Seeds the table with the store's list of entry VMs.
@@ -387,8 +435,12 @@
         }
     }
 
-    fn tick(&self, rng: &mut dyn Rng) -> Option<Probe> {
-        self.lock().tick(clock::now(), rng)
+    /// Expires suspicions, and selects the peers to probe in this round.
+    fn tick(&self, rng: &mut dyn Rng) -> Vec<Probe> {
+        let now = clock::now();
+        let mut members = self.lock();
+        let count = members.probes_due();
+        (0..count).filter_map(|_| members.tick(now, rng)).collect()
     }
 
     fn local_update(&self) -> MemberUpdate {
--- a/crates/sesamegap-entry/src/peers/outbox.rs
+++ b/crates/sesamegap-entry/src/peers/outbox.rs
@@ -2,6 +2,7 @@
 
 use super::message::EngineUpdate;
 use crate::follow::TableReading;
+use sesamegap_policy::agreement::membership::MemberUpdate;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use tokio::sync::Notify;
@@ -15,6 +16,7 @@
     engines: Mutex<Vec<(EngineUpdate, u8)>>,
     stores: Mutex<Vec<SocketAddr>>,
     readings: Mutex<Vec<TableReading>>,
+    members: Mutex<Vec<MemberUpdate>>,
     /// Wakes the task that sends readings.
     pub reading_queued: Notify,
 }
@@ -47,6 +49,18 @@
         std::mem::take(&mut readings)
     }
 
+    /// Queues an update on a VM that all peers need at once.
+    pub fn put_member(&self, update: MemberUpdate) {
+        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        members.push(update);
+    }
+
+    /// Takes the updates on VMs to broadcast.
+    pub fn members(&self) -> Vec<MemberUpdate> {
+        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut members)
+    }
+
     /// Queues an engine update; it replaces an older one of the same engine.
     pub fn put(&self, update: EngineUpdate) {
         let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -30,12 +30,16 @@
     core.peers.record_heard();
     core.record_revision(hello.revision);
     let source = hello.me.who.vm.to_smolstr();
-    let (me, updates) = {
+    let (me, updates, is_back) = {
         let mut members = core.peers.lock();
-        members.apply_update(&hello.me, now);
+        let is_back = members.apply_update(&hello.me, now);
         members.apply_updates(&hello.updates, now);
-        (members.me().clone(), members.select_updates())
+        let updates = members.select_updates_for(&hello.me.who.vm);
+        (members.me().clone(), updates, is_back)
     };
+    if is_back {
+        core.peers.outbox.put_member(hello.me.clone());
+    }
     apply_state(&core, None, &hello.weights, &source);
     let catalogue = core.catalogue();
     let newer = catalogue.filter(|catalogue| catalogue.revision() > hello.revision);
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -45,6 +45,8 @@
     Removed(UpstreamId),
     /// The address at which an entry VM receives its peers' messages.
     Vm(VmId, SocketAddr),
+    /// An entry VM's entry was removed.
+    VmRemoved(VmId),
     /// A quarantine record of a request during which upstreams crashed.
     Quarantine(Box<quarantine::Record>),
     /// A record that cannot be decoded.
@@ -200,6 +202,9 @@
     /// Writes this VM's entry.
     fn write_vm_entry(&self, vm: &VmId, peers: SocketAddr) -> StoreCall<'_, ()>;
 
+    /// Removes an entry VM's entry, if the list's log ends at this offset; returns the new end.
+    fn remove_vm_entry(&self, vm: &VmId, at: Offset) -> StoreCall<'_, Offset>;
+
     /// Writes quarantine records of requests during which upstreams crashed; each replaces its previous record.
     fn write_quarantine_records(&self, records: &[quarantine::Record]) -> StoreCall<'_, ()>;
 
--- a/crates/sesamegap-entry/src/store/mod.rs
+++ b/crates/sesamegap-entry/src/store/mod.rs
@@ -130,6 +130,24 @@
         self.validate(None, reply).map(|_| ())
     }
 
+    /// Removes another VM's entry if the list's log ends at the given position; returns the new end.
+    ///
+    /// The condition keeps a removal that the store carries out late from undoing an entry that the VM wrote meanwhile.
+    ///
+    /// # Errors
+    /// If the removal is not known to have succeeded.
+    pub async fn remove_vm_entry(
+        &self,
+        vm: &VmId,
+        at: LogPosition,
+    ) -> Result<LogPosition, StoreError> {
+        self.check_position(at)?;
+        self.wait_for_budget().await;
+        let reply = self.port.remove_vm_entry(vm, at.offset).await;
+        let (timeline, end) = self.validate(Some(at), reply)?;
+        Ok(LogPosition::new(timeline, end))
+    }
+
     /// Writes quarantine records of requests during which upstreams crashed.
     ///
     /// # Errors
--- a/crates/sesamegap-entry/tests/testsuite/dead_calls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/dead_calls.rs
@@ -81,6 +81,10 @@
         unreachable!("only settings are followed")
     }
 
+    fn remove_vm_entry(&self, _vm: &VmId, _at: Offset) -> StoreCall<'_, Offset> {
+        unreachable!("only settings are followed")
+    }
+
     fn write_quarantine_records(&self, _records: &[quarantine::Record]) -> StoreCall<'_, ()> {
         unreachable!("only settings are followed")
     }
--- a/crates/sesamegap-entry/tests/testsuite/locating.rs
+++ b/crates/sesamegap-entry/tests/testsuite/locating.rs
@@ -1,7 +1,7 @@
 //! Which VMs the locator names to callers.
 
 use crate::support::{Platform, add_peer, settings};
-use sesamegap_entry::core::Core;
+use sesamegap_entry::core::{Core, Phase};
 use sesamegap_entry::locator;
 use sesamegap_entry::telemetry::Logging;
 use std::net::{IpAddr, SocketAddr};
@@ -43,3 +43,11 @@
     add_peer(&core, "listed-7", peer_addr(7));
     assert_eq!(named(&core), [peer_addr(7).ip()]);
 }
+
+/// Guards against callers that get no address from a VM that stops, if it has heard no other one.
+#[tokio::test]
+async fn a_vm_that_stops_names_listed_ones_rather_than_none() {
+    let core = beginning_vm();
+    core.advance_phase(Phase::Leaving);
+    assert_eq!(named(&core).len(), usize::from(LISTED));
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -202,6 +202,8 @@
     pub records: Mutex<Vec<Record>>,
     /// VMs whose entries were written.
     pub announced: Mutex<Vec<VmId>>,
+    /// VMs whose entries were removed.
+    pub removed: Mutex<Vec<VmId>>,
     /// Records of requests that crashed upstreams.
     pub quarantine: Mutex<Vec<quarantine::Record>>,
     leases: Mutex<Vec<Bytes>>,
@@ -318,6 +320,11 @@
         async move { self.reply(self.check_available()) }.boxed()
     }
 
+    fn remove_vm_entry(&self, vm: &VmId, at: Offset) -> StoreCall<'_, Offset> {
+        self.removed.lock().unwrap().push(vm.clone());
+        async move { self.reply(self.check_available().map(|()| at.next())) }.boxed()
+    }
+
     fn write_quarantine_records(&self, records: &[quarantine::Record]) -> StoreCall<'_, ()> {
         let written = self.check_available().map(|()| {
             let mut kept = self.quarantine.lock().unwrap();
--- a/crates/sesamegap-policy/src/agreement/membership/table.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table.rs
@@ -2,7 +2,7 @@
 
 use super::{MemberUpdate, Status, StatusChange};
 use crate::agreement::ProcessId;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, RngExt};
 use sesamegap_wire::{Incarnation, Moment, VmId};
 use std::collections::BTreeMap;
@@ -19,9 +19,26 @@
 /// Incarnation of a VM that is presumed alive: older than any that a process can have.
 const PRESUMED: Incarnation = Incarnation(0);
 
-/// Time in which a listed VM that was never heard of may not answer yet: all VMs of a fleet may be starting together.
+/// How long a listed VM that was never heard of is presumed alive: all VMs of a fleet may be starting together.
 const START_TIME: Duration = Duration::from_secs(3);
 
+/// Rounds of which one probes a dead peer. Peers that are dead for good would otherwise take the probes of live ones.
+const DEAD_PROBE_ROUNDS: u32 = 4;
+
+/// Most probes in a round, while many peers are suspected. Failures come together, when a failure domain or a switch is lost,
+/// and with one probe in each round it takes ten seconds until all VMs know of 34 dead ones out of 84.
+const MAX_PROBES: usize = 12;
+
+/// Suspected peers that count as a failure of many, besides one of each [`ALARM_PART`] peers: single ones are told by
+/// gossip, and copies of what all know are long in large fleets.
+const ALARM_SUSPECTS: usize = 2;
+
+/// See [`ALARM_SUSPECTS`].
+const ALARM_PART: usize = 32;
+
+/// How long a listed peer must be dead before its entry is removed from the platform's list.
+const REMOVAL_AGE: Duration = Duration::from_mins(1);
+
 /// Parameters of the failure detector.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipConfig {
@@ -77,9 +94,12 @@
     peers: BTreeMap<VmId, Peer>,
     seeds: BTreeMap<VmId, SocketAddr>,
     seeded: bool,
-    refuted: bool,
+    /// The worst status that others said this process has, until that was asked for.
+    refuted: Option<Status>,
     /// Targets still to be probed in this pass over the peers.
     probe_queue: Vec<VmId>,
+    rounds: u32,
+    alarmed: bool,
     changes: Vec<StatusChange>,
 }
 
@@ -98,8 +118,10 @@
             peers: BTreeMap::new(),
             seeds: BTreeMap::new(),
             seeded: false,
-            refuted: false,
+            refuted: None,
             probe_queue: Vec::new(),
+            rounds: 0,
+            alarmed: false,
             changes: Vec::new(),
         }
     }
@@ -216,9 +238,75 @@
         None
     }
 
-    /// Applies a peer's update on itself, from a probe or from the answer to one.
-    pub fn apply_update(&mut self, update: &MemberUpdate, now: Moment) {
+    /// Number of peers to probe in this round: as many as are suspected, within bounds.
+    pub fn probes_due(&self) -> usize {
+        self.suspects().clamp(1, MAX_PROBES)
+    }
+
+    fn suspects(&self) -> usize {
+        let suspects = self.peers.values();
+        let suspects = suspects.filter(|peer| peer.latest.status == Status::Suspect);
+        suspects.count()
+    }
+
+    /// Whether suspicions of many peers have come up, or have been decided, since this was last asked. Some of the updates
+    /// on them may be lost, so this is the time to copy what a peer knows.
+    pub fn take_alarm(&mut self) -> bool {
+        let is_alarmed = self.suspects() >= ALARM_SUSPECTS + self.peers.len() / ALARM_PART;
+        std::mem::replace(&mut self.alarmed, is_alarmed) != is_alarmed
+    }
+
+    /// Applies a peer's update on itself, from a probe or from the answer to one; returns whether it shows that a peer is
+    /// alive that was suspected or dead.
+    pub fn apply_update(&mut self, update: &MemberUpdate, now: Moment) -> bool {
+        let is_failed = |peer: &Peer| peer.latest.status >= Status::Suspect;
+        let was_failed = self.peer(&update.who.vm).is_some_and(is_failed);
         self.merge(update, now);
+        was_failed && !self.peer(&update.who.vm).is_some_and(is_failed)
+    }
+
+    /// Returns what is known of all peers, for a process that has just begun.
+    pub fn export(&self) -> Vec<MemberUpdate> {
+        let known = self.peers.values().filter(|peer| peer.is_confirmed());
+        let known = known.map(|peer| peer.latest.clone());
+        known.chain([self.me.clone()]).collect()
+    }
+
+    /// Applies what a peer knows of all VMs. It is not gossiped, since others have it.
+    pub fn import(&mut self, updates: &[MemberUpdate], now: Moment) {
+        for update in updates {
+            self.merge(update, now);
+            if let Some(peer) = self.peers.get_mut(&update.who.vm)
+                && peer.latest == *update
+            {
+                peer.sends = u32::MAX;
+            }
+        }
+    }
+
+    /// Selects the updates for a peer that has sent a message: the one on itself first, so that it can refute it, if it is
+    /// suspected or dead.
+    pub fn select_updates_for(&mut self, vm: &VmId) -> Vec<MemberUpdate> {
+        let known = self.peers.get(vm).map(|peer| peer.latest.clone());
+        let known = known.filter(|latest| latest.status >= Status::Suspect);
+        known.into_iter().chain(self.select_updates()).collect()
+    }
+
+    /// Returns the VMs whose entries are to be removed from the platform's list: they have been dead for long.
+    ///
+    /// A VM that sees fewer than half of the listed ones alive may itself be on the smaller side of a partition, and
+    /// removes none. A VM whose entry is removed wrongly is unknown to processes that begin, until it reads the list.
+    pub fn removable(&self, now: Moment) -> Vec<VmId> {
+        let listed = || self.seeds.keys().filter_map(|vm| self.peers.get(vm));
+        let alive = listed().filter(|peer| peer.latest.status == Status::Alive);
+        if (alive.count() + 1) * 2 <= self.seeds.len() + 1 {
+            return Vec::new();
+        }
+        let is_old = |peer: &&Peer| {
+            peer.latest.status == Status::Dead && now.since(peer.since) >= REMOVAL_AGE
+        };
+        let old = listed().filter(is_old);
+        old.map(|peer| peer.latest.who.vm.clone()).collect()
     }
 
     /// Suspects a peer that answered neither a direct nor an indirect probe; returns the suspicion if it is new.
@@ -238,7 +326,12 @@
 
     /// Whether this process has refuted a suspicion since this was last asked.
     pub fn take_refuted(&mut self) -> bool {
-        std::mem::take(&mut self.refuted)
+        self.take_refutation().is_some()
+    }
+
+    /// Returns the worst status of this process that it has refuted since this was last asked.
+    pub fn take_refutation(&mut self) -> Option<Status> {
+        self.refuted.take()
     }
 
     /// Applies updates piggybacked on a message.
@@ -300,7 +393,9 @@
         let about_us = update.who.incarnation == self.me.who.incarnation;
         let wrong = matches!(update.status, Status::Suspect | Status::Dead);
         // An update on an earlier incarnation shows that its sender does not know the present one.
-        self.refuted |= wrong;
+        if wrong {
+            self.refuted = self.refuted.max(Some(update.status));
+        }
         if about_us && wrong && update.version >= self.me.version {
             self.me.version = update.version + 1;
         }
@@ -309,6 +404,19 @@
     fn expire(&mut self, now: Moment) {
         let timeout = self.config.suspicion;
         for peer in self.peers.values_mut() {
+            let is_presumed = !peer.is_confirmed() && peer.latest.status == Status::Alive;
+            if is_presumed && now.since(peer.since) >= START_TIME {
+                // Neither the VM nor a peer that knows it was heard, so its entry on the list is out of date.
+                peer.latest.status = Status::Dead;
+                self.changes.push(StatusChange {
+                    vm: peer.latest.who.vm.clone(),
+                    former: Some(Status::Alive),
+                    status: Status::Dead,
+                    lasted: now.since(peer.since),
+                });
+                peer.since = now;
+                continue;
+            }
             if peer.latest.status == Status::Suspect && now.since(peer.since) >= timeout {
                 peer.latest.status = Status::Dead;
                 self.changes.push(StatusChange {
@@ -330,23 +438,45 @@
     }
 
     fn next_target(&mut self, rng: &mut dyn Rng) -> Option<VmId> {
+        self.rounds = self.rounds.wrapping_add(1);
+        if self.rounds.is_multiple_of(DEAD_PROBE_ROUNDS)
+            && let Some(dead) = self.any_dead(rng)
+        {
+            return Some(dead);
+        }
         if self.probe_queue.is_empty() {
             self.probe_queue = self.targets();
             self.probe_queue.shuffle(rng);
         }
-        self.probe_queue.pop()
+        self.probe_queue.pop().or_else(|| self.any_dead(rng))
     }
 
-    /// Returns all VMs on the platform's list, including dead ones, and all other peers not dead.
-    ///
-    /// A dead peer that is still listed continues to be probed: after a network partition both
-    /// sides consider each other dead, and without probes they would never reconnect.
+    /// Returns all listed VMs and all other peers, except dead ones.
     fn targets(&self) -> Vec<VmId> {
-        let live = self.peers.iter().filter(|(vm, peer)| {
-            peer.latest.status != Status::Dead && !self.seeds.contains_key(*vm)
-        });
-        let seeds = self.seeds.keys();
-        seeds.chain(live.map(|(vm, _)| vm)).cloned().collect()
+        let is_dead = |vm: &VmId| {
+            self.peer(vm)
+                .is_some_and(|peer| peer.latest.status == Status::Dead)
+        };
+        let unlisted = self.peers.keys();
+        let unlisted = unlisted.filter(|vm| !self.seeds.contains_key(*vm));
+        let known = self.seeds.keys().chain(unlisted);
+        known.filter(|vm| !is_dead(vm)).cloned().collect()
+    }
+
+    /// Chooses a listed VM that is dead.
+    ///
+    /// It continues to be probed: after a network partition both sides consider each other dead, and without probes they
+    /// would never reconnect.
+    fn any_dead(&self, rng: &mut dyn Rng) -> Option<VmId> {
+        let dead: Vec<&VmId> = self
+            .seeds
+            .keys()
+            .filter(|vm| {
+                self.peer(vm)
+                    .is_some_and(|peer| peer.latest.status == Status::Dead)
+            })
+            .collect();
+        dead.choose(rng).map(|vm| (*vm).clone())
     }
 
     /// Returns the address at which to probe a VM.
--- a/crates/sesamegap-policy/src/routing/reading.rs
+++ b/crates/sesamegap-policy/src/routing/reading.rs
@@ -66,6 +66,10 @@
 /// second.
 const PEER_SILENCE: Duration = Duration::from_millis(800);
 
+/// Time without any message from a peer after which a VM does without its peers: it reads all tables itself, and names only
+/// itself to callers. A shorter one costs no more than a few calls that are asked twice.
+const PEER_ABSENCE: Duration = Duration::from_secs(3);
+
 /// Time in which the rest of a reading may still arrive: parts take different ways and may overtake each other.
 const REST_WAIT: Duration = Duration::from_millis(120);
 
@@ -336,15 +340,29 @@
 /// Whether a VM hears its peers, so that it can rely on those that read the store.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Hearing {
+    began: Moment,
     last: Moment,
 }
 
 impl Hearing {
+    /// The state of a process that begins.
+    pub fn begin(now: Moment) -> Self {
+        Self {
+            began: now,
+            last: Moment::default(),
+        }
+    }
+
     /// Records a message from a peer.
     pub fn record(&mut self, now: Moment) {
         self.last = self.last.max(now);
     }
 
+    /// Whether no peer was heard for so long that the VM must do without them.
+    pub fn is_isolated(&self, now: Moment) -> bool {
+        now.since(self.last.max(self.began)) >= PEER_ABSENCE
+    }
+
     /// Whether no peer was heard for so long that the VM must read the settings itself.
     pub fn is_cut_off(&self, now: Moment) -> bool {
         now.since(self.last) >= PEER_SILENCE
--- a/crates/sesamegap-policy/tests/agreement/main.rs
+++ b/crates/sesamegap-policy/tests/agreement/main.rs
@@ -3,6 +3,7 @@
 mod cas_lease;
 mod claims;
 mod lease;
+mod mass_failure;
 mod membership;
 mod support;
 mod tickets;
--- a/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/reading.rs
@@ -347,3 +347,15 @@
         "an earlier time changes nothing"
     );
 }
+
+/// Guards against a VM that hears no other one for long and still sends callers to them, and against one that has just begun
+/// and takes itself for the only one.
+#[test]
+fn a_vm_that_hears_no_peer_for_seconds_does_without_them() {
+    let mut hearing = Hearing::begin(at(60_000));
+    assert!(!hearing.is_isolated(at(62_000)));
+    assert!(hearing.is_isolated(at(63_000)));
+    hearing.record(at(70_000));
+    assert!(!hearing.is_isolated(at(72_999)));
+    assert!(hearing.is_isolated(at(73_000)));
+}
