--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -162,7 +162,10 @@
 /// Tells all peers that this process has started. Gossip takes half a minute to bring the news of 985 processes that start
 /// together to all of them.
 async fn announce(core: Arc<Core>) {
-    for _ in 0..MEMBER_SENDS {
+    // In a large fleet, hundreds of VMs that start together send to all others; copies bring what was lost.
+    let is_large = core.peers.datagram_addrs().len() > MAX_DIRECT;
+    let sends = if is_large { 1 } else { MEMBER_SENDS };
+    for _ in 0..sends {
         // Peers that start at the same time receive datagrams by then.
         let delay = rand::rng().random_range(ANNOUNCE_DELAY);
         sleep(delay).await;
--- a/crates/sesamegap-policy/src/agreement/membership/table.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table/mod.rs
@@ -1,9 +1,12 @@
-//! Table of peers and selection of the peer to probe in each round.
+//! Table of the peers that a process knows.
+
+mod listing;
+mod probing;
+
+pub use probing::Probe;
 
 use super::{MemberUpdate, Status, StatusChange};
 use crate::agreement::ProcessId;
-use rand::seq::{IndexedRandom, SliceRandom};
-use rand::{Rng, RngExt};
 use sesamegap_wire::{Incarnation, Moment, VmId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,23 +25,6 @@
 /// How long a listed VM that was never heard of is presumed alive: all VMs of a fleet may be starting together.
 const START_TIME: Duration = Duration::from_secs(3);
 
-/// Rounds of which one probes a dead peer. Peers that are dead for good would otherwise take the probes of live ones.
-const DEAD_PROBE_ROUNDS: u32 = 4;
-
-/// Most probes in a round, while many peers are suspected. Failures come together, when a failure domain or a switch is lost,
-/// and with one probe in each round it takes ten seconds until all VMs know of 34 dead ones out of 84.
-const MAX_PROBES: usize = 12;
-
-/// Suspected peers that count as a failure of many, besides one of each [`ALARM_PART`] peers: single ones are told by
-/// gossip, and copies of what all know are long in large fleets.
-const ALARM_SUSPECTS: usize = 2;
-
-/// See [`ALARM_SUSPECTS`].
-const ALARM_PART: usize = 32;
-
-/// How long a listed peer must be dead before its entry is removed from the platform's list.
-const REMOVAL_AGE: Duration = Duration::from_mins(1);
-
 /// Parameters of the failure detector.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipConfig {
@@ -55,19 +41,6 @@
     pub contactable: usize,
 }
 
-/// A probe to send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Probe {
-    /// VM to probe.
-    pub target: VmId,
-    /// Address to probe.
-    pub addr: SocketAddr,
-    /// Peers that can probe the target on our behalf if it does not answer us.
-    pub through: Vec<SocketAddr>,
-    /// Updates to send along. The one on the target comes first, so that the target can refute it.
-    pub updates: Vec<MemberUpdate>,
-}
-
 /// Current state of a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -131,58 +104,6 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Replaces the platform's list of entry VMs.
-    ///
-    /// The list may be out of date, so it determines only which peers to probe, not their status. Only the VMs of a list
-    /// longer than [`MembershipConfig::contactable`] are presumed alive if nothing is known of them.
-    pub fn seed(&mut self, list: impl IntoIterator<Item = (VmId, SocketAddr)>, now: Moment) {
-        self.seeded = true;
-        self.seeds = list
-            .into_iter()
-            .filter(|(vm, _)| *vm != self.me.who.vm)
-            .collect();
-        if self.seeds.len() > self.config.contactable {
-            self.presume_listed(now);
-        }
-    }
-
-    /// Adds the listed VMs of which nothing is known, as alive. These entries are not gossiped: every process has the
-    /// list, and the first update from the VM itself replaces them.
-    fn presume_listed(&mut self, now: Moment) {
-        for (vm, addr) in &self.seeds {
-            self.peers.entry(vm.clone()).or_insert_with(|| Peer {
-                latest: MemberUpdate {
-                    who: ProcessId {
-                        vm: vm.clone(),
-                        incarnation: PRESUMED,
-                    },
-                    addr: *addr,
-                    version: 0,
-                    status: Status::Alive,
-                },
-                since: now,
-                sends: u32::MAX,
-            });
-        }
-    }
-
-    /// Returns the addresses of the other entry VMs on the platform's list.
-    pub fn seed_addrs(&self) -> impl Iterator<Item = SocketAddr> {
-        self.seeds.values().copied()
-    }
-
-    /// Whether the platform's list has been read.
-    pub fn is_seeded(&self) -> bool {
-        self.seeded
-    }
-
-    /// Number of other VMs that are listed or were alive recently.
-    pub fn known(&self) -> usize {
-        let unlisted = self.peers.keys();
-        let unlisted = unlisted.filter(|vm| !self.seeds.contains_key(*vm));
-        self.seeds.len() + unlisted.count()
-    }
-
     /// Announces that this process is about to stop.
     pub fn leave(&mut self) {
         self.me.status = Status::Leaving;
@@ -219,43 +140,6 @@
         })
     }
 
-    /// Expires overdue suspicions and selects the peer to probe in this round.
-    pub fn tick(&mut self, now: Moment, rng: &mut dyn Rng) -> Option<Probe> {
-        self.expire(now);
-        while let Some(vm) = self.next_target(rng) {
-            if let Some(addr) = self.addr_of(&vm) {
-                let through = self.pick_helpers(&vm, rng);
-                let known = self.peers.get(&vm).map(|peer| peer.latest.clone());
-                let updates = known.into_iter().chain(self.select_updates()).collect();
-                return Some(Probe {
-                    target: vm,
-                    addr,
-                    through,
-                    updates,
-                });
-            }
-        }
-        None
-    }
-
-    /// Number of peers to probe in this round: as many as are suspected, within bounds.
-    pub fn probes_due(&self) -> usize {
-        self.suspects().clamp(1, MAX_PROBES)
-    }
-
-    fn suspects(&self) -> usize {
-        let suspects = self.peers.values();
-        let suspects = suspects.filter(|peer| peer.latest.status == Status::Suspect);
-        suspects.count()
-    }
-
-    /// Whether suspicions of many peers have come up, or have been decided, since this was last asked. Some of the updates
-    /// on them may be lost, so this is the time to copy what a peer knows.
-    pub fn take_alarm(&mut self) -> bool {
-        let is_alarmed = self.suspects() >= ALARM_SUSPECTS + self.peers.len() / ALARM_PART;
-        std::mem::replace(&mut self.alarmed, is_alarmed) != is_alarmed
-    }
-
     /// Applies a peer's update on itself, from a probe or from the answer to one; returns whether it shows that a peer is
     /// alive that was suspected or dead.
     pub fn apply_update(&mut self, update: &MemberUpdate, now: Moment) -> bool {
@@ -292,23 +176,6 @@
         known.into_iter().chain(self.select_updates()).collect()
     }
 
-    /// Returns the VMs whose entries are to be removed from the platform's list: they have been dead for long.
-    ///
-    /// A VM that sees fewer than half of the listed ones alive may itself be on the smaller side of a partition, and
-    /// removes none. A VM whose entry is removed wrongly is unknown to processes that begin, until it reads the list.
-    pub fn removable(&self, now: Moment) -> Vec<VmId> {
-        let listed = || self.seeds.keys().filter_map(|vm| self.peers.get(vm));
-        let alive = listed().filter(|peer| peer.latest.status == Status::Alive);
-        if (alive.count() + 1) * 2 <= self.seeds.len() + 1 {
-            return Vec::new();
-        }
-        let is_old = |peer: &&Peer| {
-            peer.latest.status == Status::Dead && now.since(peer.since) >= REMOVAL_AGE
-        };
-        let old = listed().filter(is_old);
-        old.map(|peer| peer.latest.who.vm.clone()).collect()
-    }
-
     /// Suspects a peer that answered neither a direct nor an indirect probe; returns the suspicion if it is new.
     pub fn probe_failed(&mut self, vm: &VmId, now: Moment) -> Option<MemberUpdate> {
         let peer = self.peers.get(vm)?;
@@ -436,75 +303,4 @@
             !old || seeds.contains_key(vm)
         });
     }
-
-    fn next_target(&mut self, rng: &mut dyn Rng) -> Option<VmId> {
-        self.rounds = self.rounds.wrapping_add(1);
-        if self.rounds.is_multiple_of(DEAD_PROBE_ROUNDS)
-            && let Some(dead) = self.any_dead(rng)
-        {
-            return Some(dead);
-        }
-        if self.probe_queue.is_empty() {
-            self.probe_queue = self.targets();
-            self.probe_queue.shuffle(rng);
-        }
-        self.probe_queue.pop().or_else(|| self.any_dead(rng))
-    }
-
-    /// Returns all listed VMs and all other peers, except dead ones.
-    fn targets(&self) -> Vec<VmId> {
-        let is_dead = |vm: &VmId| {
-            self.peer(vm)
-                .is_some_and(|peer| peer.latest.status == Status::Dead)
-        };
-        let unlisted = self.peers.keys();
-        let unlisted = unlisted.filter(|vm| !self.seeds.contains_key(*vm));
-        let known = self.seeds.keys().chain(unlisted);
-        known.filter(|vm| !is_dead(vm)).cloned().collect()
-    }
-
-    /// Chooses a listed VM that is dead.
-    ///
-    /// It continues to be probed: after a network partition both sides consider each other dead, and without probes they
-    /// would never reconnect.
-    fn any_dead(&self, rng: &mut dyn Rng) -> Option<VmId> {
-        let dead: Vec<&VmId> = self
-            .seeds
-            .keys()
-            .filter(|vm| {
-                self.peer(vm)
-                    .is_some_and(|peer| peer.latest.status == Status::Dead)
-            })
-            .collect();
-        dead.choose(rng).map(|vm| (*vm).clone())
-    }
-
-    /// Returns the address at which to probe a VM.
-    ///
-    /// A restarted VM may listen on another address, so the list's address is preferred unless the
-    /// peer is alive or leaving.
-    fn addr_of(&self, vm: &VmId) -> Option<SocketAddr> {
-        let known = self.peers.get(vm);
-        let answering = known.filter(|peer| peer.latest.status <= Status::Leaving);
-        answering
-            .map(|peer| peer.latest.addr)
-            .or_else(|| self.seeds.get(vm).copied())
-            .or_else(|| known.map(|peer| peer.latest.addr))
-    }
-
-    /// Selects random peers that can probe `target` on our behalf.
-    fn pick_helpers(&self, target: &VmId, rng: &mut dyn Rng) -> Vec<SocketAddr> {
-        let mut helpers: Vec<SocketAddr> = self
-            .alive()
-            .filter(|peer| peer.latest.who.vm != *target)
-            .map(|peer| peer.latest.addr)
-            .collect();
-        let count = self.config.indirect.min(helpers.len());
-        for i in 0..count {
-            let j = rng.random_range(i..helpers.len());
-            helpers.swap(i, j);
-        }
-        helpers.truncate(count);
-        helpers
-    }
 }
