Fleet list: a round of asking for changes ends after 0.7 s, and a long reply has that time

With 985 VMs before 9,997 upstreams, half of which change at once, a reading has 625 parts and a reply up to 4,096 changes, which take 0.4 s on 10 Mbit/s; it was given up after 0.35 s. A frozen peer no longer holds up the next round. Parts that wait for one before them are held up to 1,024 instead of 64.

--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tracing::info;
 
 /// Peers asked in one round.
@@ -33,7 +33,11 @@
 /// Time after which the next peer is asked for changes too.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
 
-/// Longer than any call to a peer takes.
+/// Longest time for a round of asking for changes: a second round, of other peers, must fit into the bound too. A small VM's
+/// link carries thousands of changes in it.
+const ROUND_TIME: Duration = Duration::from_millis(700);
+
+/// Longer than a round of asking for copies takes.
 const LONGEST_CALL: Duration = Duration::from_secs(5);
 
 /// Reply from which the link's occupation is considered, in bytes.
@@ -258,19 +262,21 @@
 /// is slow: it may have died, or its link may be occupied.
 pub async fn pull(core: &Core, table: Table) -> Pulled {
     let is_copy = table != Table::Fleet || core.table_progress(table).position().next().is_none();
-    let patience = if is_copy { LONGEST_CALL } else { HEDGE_DELAY };
+    let round_time = if is_copy { LONGEST_CALL } else { ROUND_TIME };
+    let deadline = Instant::now() + round_time;
     let mut peers = choose_peers(core, table, is_copy).into_iter();
     let mut asked = FuturesUnordered::new();
     let mut result = Pulled::Isolated;
     loop {
         asked.extend(peers.next().map(|peer| ask(core, table, peer)));
-        if asked.is_empty() {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if asked.is_empty() || left.is_zero() {
             return result;
         }
-        let patience = if peers.len() == 0 {
-            LONGEST_CALL
+        let patience = if is_copy || peers.len() == 0 {
+            left
         } else {
-            patience
+            HEDGE_DELAY.min(left)
         };
         match timeout(patience, asked.next()).await {
             Ok(Some(Pulled::Applied)) => {
--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -21,7 +21,7 @@
 const MAX_CHANGES: usize = 8;
 
 /// Most parts of a reading that are held because one before them is missing, of about a kilobyte each.
-const MAX_HELD_PARTS: usize = 64;
+const MAX_HELD_PARTS: usize = 1_024;
 
 /// Most differences found by reading a whole table again that are relayed. A VM that lacks more asks for a copy.
 const MAX_RELAYED_CHANGES: usize = 64;
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -305,9 +305,10 @@
     addr: SocketAddr,
     request: &PullRequest,
 ) -> Result<PullReply, String> {
-    let is_long = request.since.is_none() && request.table != Table::Vms;
-    let is_copy = is_long || request.table == Table::Settings;
-    let limit = if is_copy { COPY_TIMEOUT } else { PROBE_TIMEOUT };
+    let limit = match request.table {
+        Table::Vms => PROBE_TIMEOUT,
+        Table::Settings | Table::Fleet | Table::Quarantine => COPY_TIMEOUT,
+    };
     let (reply, _): (PullReply, Option<()>) = post(core, addr, "table", request, limit).await?;
     Ok(reply)
 }
