Fleet list: a reader that the store turns away asks its peers for what it lacks, and no request to peers delays its own call

Found by reading, in the search for the same cause elsewhere: a VM that reads the list itself asked nobody while its calls failed, so that a part of another VM's reading that was lost stayed hidden until the store served it again. The test a_reader_that_the_store_turns_away_asks_for_what_it_missed failed before.

--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -35,7 +35,7 @@
 use sesamegap_wire::{LogPosition, Moment};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::{info, warn};
 
 /// Key of the ranking that selects the readers of a table; the number of the table is added to it.
@@ -272,6 +272,10 @@
                 };
                 let delay = self.store_backoff.fail(longest, &mut rand::rng());
                 if is_reader {
+                    if has_gap(core, table) {
+                        log_gap(core, table);
+                        pull::pull(core, table).await;
+                    }
                     sleep(delay).await;
                 } else {
                     self.no_call_before = clock::now() + delay;
@@ -339,6 +343,12 @@
     }
 }
 
+/// Whether a VM that knows a table lacks a part of a reading of it.
+fn has_gap(core: &Core, table: Table) -> bool {
+    let position = core.table_progress(table).position();
+    position.next().is_some() && position.has_missed()
+}
+
 /// Logs that a reading did not arrive, or a part of one.
 fn log_gap(core: &Core, table: Table) {
     let known = core.table_progress(table);
@@ -403,7 +413,8 @@
         };
         if is_missing {
             log_gap(core, table);
-            pull::pull(core, table).await;
+            // This VM's own bound holds even if no peer answers.
+            drop(timeout_at(deadline, pull::pull(core, table)).await);
         }
     }
 }
--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -378,3 +378,26 @@
     let progress = hearer.table_progress(Table::Fleet);
     assert!(progress.position().has_missed(), "16 changes are missing");
 }
+
+/// Guards against requests to upstreams that leave, on a VM that reads the list itself, is turned away by the store, and lost
+/// a part of another VM's reading.
+#[tokio::test]
+async fn a_reader_that_the_store_turns_away_asks_for_what_it_missed() {
+    let port = unused_addr().port();
+    let one = vm("vm-1", "127.0.31.1", port).await;
+    let two = vm("vm-2", "127.0.31.2", port).await;
+    add_peer(&two, "vm-1", one.settings().listen.peers);
+    for core in [&one, &two] {
+        let records = (0..40).map(|no| listed(no, 1, false)).collect();
+        read(core, 0, records, false);
+    }
+    let leaving = (0..24).map(|no| listed(no, 2, true)).collect();
+    let update = apply_batch(&one, Table::Fleet, offset(40), batch(40, leaving));
+    one.table_progress(Table::Fleet)
+        .position()
+        .record_read(offset(64), clock::now());
+    let first = update.into_parts().swap_remove(0);
+    receive_update(&two, first, one.settings().listen.loads);
+    tokio::spawn(follow(Arc::clone(&two), Table::Fleet));
+    wait_until(|| next(&two) == Some(64)).await;
+}
