--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -1,7 +1,8 @@
 //! Tables that VMs copy from each other instead of reading them from the store.
 
 use crate::support::{
-    Platform, add_peer, batch, document, entry, offset, settings, unused_addr, wait_until,
+    Platform, add_peer, batch, document, entry, lossy_path, offset, settings, unused_addr,
+    wait_until,
 };
 use poem::IntoEndpoint;
 use poem::Server;
@@ -401,3 +402,30 @@
     tokio::spawn(follow(Arc::clone(&two), Table::Fleet));
     wait_until(|| next(&two) == Some(64)).await;
 }
+
+/// Guards against changes that never reach a VM since most datagrams with parts of a reading are lost on the way to it.
+#[tokio::test]
+async fn a_reading_whose_parts_are_lost_is_completed_by_peers() {
+    let port = unused_addr().port();
+    let reader = vm("vm-reader", "127.0.33.1", port).await;
+    let hearer = vm("vm-hearer", "127.0.33.2", port).await;
+    let path = SocketAddr::from(([127, 0, 33, 3], port));
+    lossy_path(path, hearer.settings().listen.loads, 3).await;
+    add_peer(&reader, "vm-hearer", path);
+    add_peer(&hearer, "vm-reader", reader.settings().listen.peers);
+    for no in 0..STRANGERS {
+        let name = format!("stranger-{no}");
+        add_peer(&hearer, &name, reader.settings().listen.peers);
+    }
+    for core in [&reader, &hearer] {
+        let records = (0..300).map(|no| listed(no, 1, false)).collect();
+        read(core, 0, records, false);
+    }
+    tokio::spawn(follow(Arc::clone(&hearer), Table::Fleet));
+    for turn in 0..4 {
+        let from = 300 * (turn + 1);
+        let leaving = (0..300).map(|no| listed(no, turn + 2, turn % 2 == 0));
+        read(&reader, from, leaving.collect(), true);
+        wait_until(|| next(&hearer) == Some(from + 300)).await;
+    }
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod crashing;
 mod lines;
+mod lossy;
 mod platform;
 mod upstream;
 mod vms;
@@ -12,6 +13,7 @@
     CRASH_MARK, CrashingUpstream, MIDWAY_MARK, UNFRAMED_MARK, crashing_engines, marked,
 };
 pub use lines::LogLines;
+pub use lossy::lossy_path;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
 pub use upstream::{Act, Upstream, header, read};
 pub use vms::{Vm, member_update, vm, vms};
