--- a/crates/sesamegap-entry/src/follow/vms.rs
+++ b/crates/sesamegap-entry/src/follow/vms.rs
@@ -50,11 +50,14 @@
         }
         backoff.reset();
         core.peers.set_list_known();
-        tokio::select! {
-            _ = timeout(read_interval(&core), timelines.changed()) => {}
-            () = core.peers.list_doubted.notified() => sleep(DOUBT_DELAY).await,
-        }
-        if timelines.has_changed().unwrap_or(false) {
+        let is_restored = tokio::select! {
+            changed = timeout(read_interval(&core), timelines.changed()) => changed.is_ok(),
+            () = core.peers.list_doubted.notified() => {
+                sleep(DOUBT_DELAY).await;
+                false
+            }
+        };
+        if is_restored {
             // All VMs find out at almost the same time that the restored store may lack their entries.
             sleep(restore_delay(&core)).await;
         }
--- a/crates/sesamegap-policy/src/agreement/membership/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/mod.rs
@@ -8,8 +8,9 @@
 //! Each process increments its own version to refute a false suspicion, and a newer incarnation
 //! replaces an older one.
 //!
-//! A round costs one probe and occasionally a few indirect ones, regardless of the number of peers.
-//! An update reaches all peers in a number of rounds logarithmic in their number.
+//! A round costs one probe and occasionally a few indirect ones, regardless of the number of peers; while many peers are
+//! suspected, it has more. An update reaches all peers in a number of rounds logarithmic in their number, unless its
+//! sender broadcasts it. A process that has just begun, or was cut off, imports what a peer knows of all.
 
 mod table;
 mod update;
--- a/crates/sesamegap-policy/src/agreement/membership/table/probing.rs
+++ b/crates/sesamegap-policy/src/agreement/membership/table/probing.rs
@@ -15,8 +15,7 @@
 const MAX_PROBES: usize = 12;
 
 /// Suspected peers that count as a failure of many, besides one of each [`ALARM_PART`] peers: single ones are told by
-/// gossip, and more probes and copies of what all know cost
-/// much in large fleets.
+/// gossip, and more probes and copies of what all know cost much in large fleets.
 const ALARM_SUSPECTS: usize = 2;
 
 /// See [`ALARM_SUSPECTS`].
