Fleet list: a VM does not hang when a part of a reading completes one that arrived before

Cause: the loop that applies held parts kept the lock of the position in its condition while it applied a part, which takes the same lock, and the process stood still for good. No test had parts that overtake each other; parts_of_a_reading_may_arrive_in_any_order hung before and passes now.

--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -273,9 +273,12 @@
 /// Applies the held parts that now follow what is known.
 pub(super) fn apply_held_parts(core: &Core, table: Table) {
     let known = core.table_progress(table);
-    while let Some(next) = known.position().next()
-        && let Some((update, reading)) = known.take_held(next)
-    {
+    loop {
+        // The lock must not be held while a part is applied.
+        let next = known.position().next();
+        let Some((update, reading)) = next.and_then(|next| known.take_held(next)) else {
+            return;
+        };
         apply_part(core, update, reading);
     }
 }
--- a/crates/sesamegap-entry/tests/testsuite/copies.rs
+++ b/crates/sesamegap-entry/tests/testsuite/copies.rs
@@ -429,3 +429,25 @@
         wait_until(|| next(&hearer) == Some(from + 300)).await;
     }
 }
+
+/// Guards against a VM that hangs, or asks for what it has, because the parts of a reading overtook each other on the way.
+#[tokio::test]
+async fn parts_of_a_reading_may_arrive_in_any_order() {
+    let (reader, hearer) = reader_and_hearer(7).await;
+    for core in [&reader, &hearer] {
+        let records = (0..40).map(|no| listed(no, 1, false)).collect();
+        read(core, 0, records, false);
+    }
+    let leaving = (0..40).map(|no| listed(no, 2, true)).collect();
+    let update = apply_batch(&reader, Table::Fleet, offset(40), batch(40, leaving));
+    let mut parts = update.into_parts();
+    assert_eq!(parts.len(), 5);
+    parts.reverse();
+    parts.swap(0, 2);
+    for part in parts {
+        receive_update(&hearer, part, reader.settings().listen.loads);
+    }
+    assert_eq!(next(&hearer), Some(80));
+    let progress = hearer.table_progress(Table::Fleet);
+    assert!(!progress.position().has_missed());
+}
