--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -12,8 +12,7 @@
 use super::client::answer_suspicions;
 use super::loads::UpstreamLoad;
 use super::message::EngineUpdate;
-use super::readings::run_readings;
-use super::relay::{Delegated, Relayed, broadcast, relay, send_for};
+use super::relay::{Delegated, Relayed, broadcast, relay, run_readings, send_for};
 use crate::clock;
 use crate::core::{Core, Phase};
 use crate::follow::{self, TablePart, TableUpdate};
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -11,7 +11,6 @@
 mod message;
 mod numbers;
 mod outbox;
-mod readings;
 mod relay;
 mod server;
 mod socket;
--- a/crates/sesamegap-entry/src/peers/relay.rs
+++ b/crates/sesamegap-entry/src/peers/relay.rs
@@ -4,16 +4,24 @@
 //! others ([`relayed_groups`]). The peers of a group are in one failure domain as far as possible, so that an event crosses
 //! to another domain once per group. Groups are drawn anew for each event, so that a relay that is down costs a VM one
 //! event and not all of them. What a VM missed it gets from the sender of the next event.
+//!
+//! A reading of the store may be longer than a datagram by far: when a release replaces most upstreams, or a failure domain
+//! comes back. It is sent in parts, along a path that the VM's link can bear, and paced so that the link's queue does not drop
+//! the last parts. Peers that miss some ask for them, which takes the same link again.
 
 use super::datagrams::{Datagram, MAX_DATAGRAM_BYTES, handle};
-use crate::core::Core;
+use crate::clock;
+use crate::core::{Core, Phase};
+use crate::follow::{TablePart, TableReading};
 use crate::quarantine;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::resumption;
-use sesamegap_policy::routing::dissemination::{MAX_DIRECT, relayed_groups};
+use sesamegap_policy::routing::dissemination::{MAX_DIRECT, Path, pace, relayed_groups};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
 
 /// Bytes that an address takes in a datagram.
 const ADDR_BYTES: usize = 5;
@@ -21,6 +29,9 @@
 /// Bytes of the origin and of the encoding around an event.
 const FRAME_BYTES: usize = 32;
 
+/// How often the task checks whether the process ends.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An event with the VMs to which its receiver relays it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Relayed {
@@ -163,3 +174,42 @@
     let port = core.settings().listen.loads.port();
     SocketAddr::new(Ipv4Addr::from_bits(ip).into(), port)
 }
+
+/// Sends readings until the process ends.
+pub(super) async fn run_readings(core: Arc<Core>) {
+    while core.phase() < Phase::Ended {
+        let readings = core.peers.outbox.readings();
+        if readings.is_empty() {
+            let queued = core.peers.outbox.reading_queued.notified();
+            drop(timeout(CHECK_INTERVAL, queued).await);
+        }
+        for reading in readings {
+            send_reading(&core, reading).await;
+        }
+    }
+}
+
+async fn send_reading(core: &Core, reading: TableReading) {
+    let at = reading.at();
+    let parts = reading.into_parts();
+    let link_mbps = core.settings().link_mbps;
+    let bytes = parts.iter().map(encoded_len).sum();
+    let path = Path::choose(core.peers.datagram_addrs().len(), bytes, link_mbps);
+    let is_long = parts.len() > 1;
+    for part in parts {
+        let event = Datagram::Part(part, clock::wire_millis(clock::now().since(at)));
+        let sent = match path {
+            Path::Direct => broadcast_directly(core, event).await,
+            Path::Relays => broadcast_by_relays(core, event).await,
+            Path::Delegates => delegate(core, event).await,
+        };
+        if is_long {
+            sleep(pace(sent, link_mbps)).await;
+        }
+    }
+}
+
+fn encoded_len(part: &TablePart) -> usize {
+    let datagram = Datagram::Part(part.clone(), 0);
+    datagram.encode().map_or(0, |bytes| bytes.len())
+}
