Entry VMs: a refutation is sent on by the VMs that met its sender, not by every receiver

Found reading the diff: each VM that learned by a datagram that another is alive again broadcast that itself, which is 7,000 datagrams for one refutation at 84 VMs and a million at 985. Now only a VM that hears it in a probe or its answer does; a VM that refutes a suspicion in an exchange sends its state to that peer once more. Updates on VMs are sent twice, as those on engines are, by the same function: without the repetitions by receivers, single lost datagrams were noticed. The tests in virtual time do the same and pass with their bounds unchanged; without the second send the one on partitions failed.

--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -108,13 +108,21 @@
     if let Err(error) = send_hello(&core, probe.addr, probe.updates).await {
         warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
         core.peers.record_failed_probe(&probe.target);
+        return;
+    }
+    // A peer that took this VM for failed tells all others once it hears from it directly.
+    if answer_suspicions(&core)
+        && let Err(error) = send_hello(&core, probe.addr, Vec::new()).await
+    {
+        info!(event = events::PEER, peer = %probe.target, error, "a peer was not told that this VM is alive");
     }
-    answer_suspicions(&core);
 }
 
 /// Tells all peers that this process is alive, if some took it for suspect or dead. Its entry may have been removed from the
 /// store's list in the latter case.
-pub(super) fn answer_suspicions(core: &Core) {
+///
+/// Returns whether some did.
+pub(super) fn answer_suspicions(core: &Core) -> bool {
     let refuted = core.peers.lock().take_refutation();
     if refuted.is_some() {
         core.peers.outbox.put_member(core.peers.local_update());
@@ -122,6 +130,7 @@
     if refuted == Some(Status::Dead) {
         core.peers.list_doubted.notify_one();
     }
+    refuted.is_some()
 }
 
 /// Copies what peers know of all VMs: for a process that has just begun or was cut off, and after many peers failed, since
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -311,11 +311,8 @@
             if let Some(domain) = domain {
                 core.peers.set_domain(update.addr.ip(), domain);
             }
-            let is_own = update.addr.ip() == from.ip();
-            let is_back = core.peers.apply_update(&update, clock::now());
-            if is_own && is_back {
-                core.peers.outbox.put_member(update);
-            }
+            // Not sent on: every receiver of a broadcast would send another one.
+            core.peers.apply_update(&update, clock::now());
             answer_suspicions(core);
         }
         Datagram::Relayed(_) | Datagram::Delegated(_) => {
--- a/crates/sesamegap-entry/src/peers/outbox.rs
+++ b/crates/sesamegap-entry/src/peers/outbox.rs
@@ -7,7 +7,8 @@
 use std::sync::{Mutex, PoisonError};
 use tokio::sync::Notify;
 
-/// How often each engine update is sent: a lost datagram costs requests that the engine then refuses.
+/// How often each update on an engine or a VM is sent: a lost datagram costs requests that the engine then refuses, or leaves
+/// a VM named or not named for seconds.
 const SEND_COUNT: u8 = 2;
 
 /// Updates that are still to be sent, and how often.
@@ -16,7 +17,7 @@
     engines: Mutex<Vec<(EngineUpdate, u8)>>,
     stores: Mutex<Vec<SocketAddr>>,
     readings: Mutex<Vec<TableReading>>,
-    members: Mutex<Vec<MemberUpdate>>,
+    members: Mutex<Vec<(MemberUpdate, u8)>>,
     /// Wakes the task that sends readings.
     pub reading_queued: Notify,
 }
@@ -52,13 +53,13 @@
     /// Queues an update on a VM that all peers need at once.
     pub fn put_member(&self, update: MemberUpdate) {
         let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        members.push(update);
+        members.push((update, SEND_COUNT));
     }
 
     /// Takes the updates on VMs to broadcast.
     pub fn members(&self) -> Vec<MemberUpdate> {
         let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut members)
+        take_repeated(&mut members)
     }
 
     /// Queues an engine update; it replaces an older one of the same engine.
--- a/crates/sesamegap-policy/tests/agreement/mass_failure.rs
+++ b/crates/sesamegap-policy/tests/agreement/mass_failure.rs
@@ -36,6 +36,8 @@
     failing: Vec<(u64, usize, usize)>,
     /// Updates to broadcast, by sender.
     outbox: Vec<(usize, MemberUpdate)>,
+    /// Updates that are broadcast a second time in the next step.
+    again: Vec<(usize, MemberUpdate)>,
     /// When a VM last heard another one.
     heard: Vec<u64>,
     /// Whether a VM heard nobody when its last round began.
@@ -69,6 +71,7 @@
             sides: vec![0; VMS],
             failing: Vec::new(),
             outbox: Vec::new(),
+            again: Vec::new(),
             heard: vec![0; VMS],
             cut_off: vec![false; VMS],
             copies: BTreeSet::new(),
@@ -147,8 +150,13 @@
         for (_, no) in std::mem::replace(&mut self.copies, due) {
             self.copy(no);
         }
+        let again = std::mem::take(&mut self.again);
+        for (from, update) in &again {
+            self.broadcast(*from, update);
+        }
         for (from, update) in std::mem::take(&mut self.outbox) {
             self.broadcast(from, &update);
+            self.again.push((from, update));
         }
     }
 
@@ -197,7 +205,16 @@
         if node.apply_update(&other, now) {
             self.outbox.push((from, other));
         }
-        self.node(from).apply_updates(&reply, now);
+        let node = self.node(from);
+        node.apply_updates(&reply, now);
+        if node.take_refuted() {
+            // The process sends its refutation to the peer directly, and to all others.
+            let me = node.me().clone();
+            self.outbox.push((from, me.clone()));
+            if self.node(to).apply_update(&me, now) {
+                self.outbox.push((to, me));
+            }
+        }
     }
 
     fn copy(&mut self, no: usize) {
@@ -233,10 +250,7 @@
                 continue;
             }
             self.heard[to] = self.ms;
-            let is_own = update.addr == addr(from);
-            if self.node(to).apply_update(update, now) && is_own {
-                self.outbox.push((to, update.clone()));
-            }
+            self.node(to).apply_update(update, now);
         }
     }
 
