Log an upstream's limit on requests: when it is named, changes notably, ends, or cannot be read

Sight for the incident: neither logs nor metrics told that an upstream names a limit. The header is read by the adapter as a rate (zero or more, finite; anything else is logged once an incarnation, 764), and what is known of it is ordered by when answers were given: a late answer neither brings a limit back nor ends one. Nothing acts on it yet. 765 is reserved for requests that a limit keeps from an upstream. Test: the_limit_that_an_upstream_names_is_read.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -109,6 +109,8 @@
     pub on_way: Option<InFlightTokens>,
     /// Number of engines of the service when it was chosen.
     pub engines: usize,
+    /// When the request was sent; until then, when its upstream was chosen.
+    pub sent_at: Moment,
     /// Requests running at the upstream when it was chosen.
     pub running: u32,
     /// Prompt tokens of all VMs that the upstream had not prefilled at that time.
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 use sesamegap_policy::routing::placements::Placements;
 use sesamegap_policy::routing::reachability::{MIN_UNREACHED, ReachChange, Reachability};
 use sesamegap_policy::routing::silence::SilenceReports;
+use sesamegap_policy::routing::upstream_limits::UpstreamLimits;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::cmp::Reverse;
@@ -70,6 +71,8 @@
     pub(crate) placements: Placements<(SocketAddr, u64)>,
     pub(crate) kept: KvStoreStates,
     pub(crate) silence_reports: SilenceReports,
+    /// Requests that upstreams say they take.
+    pub(crate) limits: UpstreamLimits,
     /// Services whose upstreams say that they are brittle.
     brittle: FxHashMap<ServiceId, Brittleness>,
     /// Whether this VM reaches any upstream.
@@ -99,6 +102,7 @@
             placements: Placements::default(),
             kept: KvStoreStates::default(),
             silence_reports: SilenceReports::default(),
+            limits: UpstreamLimits::default(),
             brittle: FxHashMap::default(),
             reachability: Reachability::default(),
             namings: Namings::new(rules.weights),
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -173,6 +173,7 @@
             at_store: chosen.at_store,
             on_way: None,
             engines: chosen.engines,
+            sent_at: now,
             running: fleet.running(upstream, now),
             ahead: fleet.unread(upstream),
             born: upstream.entry.born,
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -10,8 +10,8 @@
 use sesamegap_policy::agreement::timelines::{ReportedTimeline, TimelineStatus};
 use sesamegap_policy::quarantine;
 use sesamegap_wire::{
-    Fence, Incarnation, LogPosition, Offset, TeamId, Timeline, Tokens, UpstreamId, VmId,
-    WeightsVersion,
+    Fence, Incarnation, LogPosition, Offset, ParseError, RequestRate, TeamId, Timeline, Tokens,
+    UpstreamId, VmId, WeightsVersion,
 };
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt;
@@ -285,6 +285,9 @@
     pub sealed: bool,
     /// Rejections a second above which the upstream falls over, if it says that it is brittle.
     pub brittle: Option<u32>,
+    /// Requests a second that the upstream takes from all VMs together, if it names such a limit, or the error if its limit
+    /// cannot be read.
+    pub limit: Option<Result<RequestRate, ParseError>>,
 }
 
 /// Load that an upstream reports in its responses.
--- a/crates/sesamegap-entry/src/relay/attempt/answer.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/answer.rs
@@ -6,6 +6,7 @@
 use crate::core::Core;
 use crate::fleet::Flight;
 use crate::job::Job;
+use crate::limits;
 use crate::peers::{EngineUpdate, broadcast_engine_update};
 use crate::ports::AnswerHead;
 use crate::telemetry::events;
@@ -34,6 +35,7 @@
         flight.record_load(load, now);
     }
     record_brittle(core, job, &flight, &answer_head, status);
+    limits::observe::record_answer(core, &flight, &answer_head, now);
     if answer_head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(handle_refusal(core, job, &flight, &answer_head, status));
     }
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -110,6 +110,8 @@
     resume_after: Option<u64>,
 ) -> Outcome {
     let sent = Instant::now();
+    // The time in which a VM is suspended counts for answers that arrive after it.
+    flight.sent_at = clock::now();
     let mut dispatch = build_dispatch(core, job, &mut flight, resume_after);
     info!(
         event = events::PLACED,
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -84,3 +84,7 @@
 pub const RESUMED: u16 = 762;
 /// A retry was charged to the retry budget of all entry VMs, or the budget did not allow it.
 pub const RETRY: u16 = 763;
+/// What is known of an upstream's limit on requests changed, or an answer names one that cannot be read.
+pub const UPSTREAM_LIMIT: u16 = 764;
+/// A request was not sent to an upstream, which takes no more for now.
+pub const LIMITED: u16 = 765;
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -94,6 +94,7 @@
             sealed: headers.contains_key("x-seal"),
             brittle: text(headers, &HeaderName::from_static("x-brittle"))
                 .and_then(|bound| bound.parse().ok()),
+            limit: text(headers, &HeaderName::from_static("x-limit")).map(|rate| rate.parse()),
         }
     }
 }
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -5,6 +5,7 @@
 //! - [`cache_locations`] records which engines served which prefixes.
 //! - [`transfers`] decides where cached parts are fetched from.
 //! - [`plain`] picks the worker of a plain service.
+//! - [`upstream_limits`] keeps to the requests a second that upstreams say they take.
 //! - [`brittle`] counts requests to upstreams that fall over when they reject too much.
 //! - [`budget`] bounds retries over all entry VMs without messages between them.
 //! - [`timeouts`] sets the timeouts that tell an unresponsive upstream from a slow one.
@@ -37,6 +38,7 @@
 pub mod silence;
 pub mod timeouts;
 pub mod transfers;
+pub mod upstream_limits;
 pub mod weights;
 
 /// Whether an upstream accepts work.
--- a/crates/sesamegap-wire/src/lib.rs
+++ b/crates/sesamegap-wire/src/lib.rs
@@ -23,5 +23,6 @@
     UpstreamId, VmId,
 };
 pub use quantity::{
-    Fence, Incarnation, LogPosition, Moment, Offset, Seq, Timeline, Tokens, WeightsVersion,
+    Fence, Incarnation, LogPosition, Moment, Offset, RequestRate, Seq, Timeline, Tokens,
+    WeightsVersion,
 };
--- a/crates/sesamegap-wire/src/quantity/mod.rs
+++ b/crates/sesamegap-wire/src/quantity/mod.rs
@@ -1,5 +1,9 @@
 //! Newtypes for numbers, so that two kinds of number cannot be confused.
 
+mod rate;
+
+pub use rate::RequestRate;
+
 use crate::error::ParseError;
 use serde::{Deserialize, Serialize};
 use std::fmt;
