--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -71,14 +71,14 @@
     let addr = locate(core, destination)?;
     let permit = permits.try_acquire_owned();
     let permit = permit.map_err(|_| RelayOutcome::Busy)?;
+    let limited = |Closed| RelayOutcome::Full;
+    let send_permit = acquire(core, destination, id).await.map_err(limited)?;
     let gate_pass = if is_counted {
         let pass = GatePass::take(&core.fleet, &destination.id, destination.life, clock::now());
         Some(pass.ok_or(RelayOutcome::Full)?)
     } else {
         None
     };
-    let limited = |Closed(_)| RelayOutcome::Full;
-    let send_permit = acquire(core, destination, id).await.map_err(limited)?;
     let began = clock::now();
     let from = core.settings().listen.callers.ip();
     let connected = upstream::connect(from, addr).await;
--- a/crates/sesamegap-entry/src/limits/acquire.rs
+++ b/crates/sesamegap-entry/src/limits/acquire.rs
@@ -22,9 +22,9 @@
 /// Longest wait for the answer of a VM that counts: about ten round trips between failure domains.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 
-/// The upstream takes no request of this VM for so long.
+/// The upstream takes no request of this VM for now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Closed(pub Duration);
+pub struct Closed;
 
 /// Permits one request to an upstream.
 ///
@@ -41,12 +41,10 @@
     let life = destination.life;
     let asked_at = clock::now();
     let known = {
-        let limits = client.limits.lock();
+        let limits = client.known.lock();
         let known = limits.news_in_force(life, asked_at);
-        if known.is_some()
-            && let Some(until) = limits.closed_until(life, asked_at)
-        {
-            return Err(Closed(until.since(asked_at)));
+        if known.is_some() && limits.closed_until(life, asked_at).is_some() {
+            return Err(Closed);
         }
         known
     };
@@ -57,10 +55,10 @@
     let until = asked_at + PERMIT_TTL;
     let (verdict, permit) = match counter {
         Counter::Here(place) => {
-            let verdict = client.limits.lock().try_grant(life, place, asked_at);
+            let verdict = client.known.lock().try_grant(life, place, asked_at);
             let granted = verdict == Verdict::Granted;
             let permit =
-                granted.then(|| SendPermit::granted_here(until, client.limits.clone(), life));
+                granted.then(|| SendPermit::granted_here(until, client.known.clone(), life));
             (verdict, permit)
         }
         Counter::At(vm) => {
@@ -81,9 +79,9 @@
         Verdict::Closed(ms) => Duration::from_millis(u64::from(ms)),
         _ => NO_ANSWER_PAUSE,
     };
-    client.limits.lock().close(life, clock::now() + wait);
+    client.known.lock().close(life, clock::now() + wait);
     info!(event = events::LIMITED, %request, upstream = %destination.id, rate = news.rate.map(tracing::field::display), known_ms = news.received_ms, ?counter, ?verdict, wait_ms = clock::millis(wait), "not sent");
-    Err(Closed(wait))
+    Err(Closed)
 }
 
 /// Returns the permit if it still holds, or else acquires another one: connecting may have taken as long as it holds.
@@ -108,7 +106,7 @@
     let Verdict::Ended(news) = verdict else {
         return false;
     };
-    let mut limits = client.limits.lock();
+    let mut limits = client.known.lock();
     limits.learn(&news, clock::now());
     limits.rate(life).is_none()
 }
--- a/crates/sesamegap-entry/src/limits/client.rs
+++ b/crates/sesamegap-entry/src/limits/client.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct LimitClient {
     /// The limits.
-    pub limits: SharedLimits,
+    pub known: SharedLimits,
     state: Mutex<State>,
 }
 
@@ -62,9 +62,9 @@
 
 impl LimitClient {
     /// Creates a client for these limits.
-    pub fn new(limits: SharedLimits) -> Self {
+    pub fn new(known: SharedLimits) -> Self {
         Self {
-            limits,
+            known,
             state: Mutex::default(),
         }
     }
@@ -102,7 +102,7 @@
             }
             take_repeated(&mut state.news)
         };
-        let limits = self.limits.lock();
+        let limits = self.known.lock();
         let news = lives.into_iter().filter_map(|life| limits.news(life, now));
         in_datagrams(&news.collect::<Vec<_>>())
     }
@@ -121,7 +121,7 @@
             Message::Ask { number, news } => {
                 self.learn(&[news], &mut received, now);
                 let verdict = match counter(news.life) {
-                    Counter::Here(place) => self.limits.lock().try_grant(news.life, place, now),
+                    Counter::Here(place) => self.known.lock().try_grant(news.life, place, now),
                     Counter::At(_) | Counter::Nobody => Verdict::NotCounting,
                 };
                 received.replies.push(Message::Answer(number, verdict));
@@ -133,7 +133,7 @@
                 }
             }
             Message::Copy => {
-                let known = self.limits.lock().all_news(now);
+                let known = self.known.lock().all_news(now);
                 received.replies = in_datagrams(&known);
             }
         }
@@ -141,7 +141,7 @@
     }
 
     fn learn(&self, news: &[LimitNews], received: &mut Received, now: Moment) {
-        let mut limits = self.limits.lock();
+        let mut limits = self.known.lock();
         for one in news {
             let change = limits.learn(one, now);
             received
--- a/crates/sesamegap-entry/src/limits/observe.rs
+++ b/crates/sesamegap-entry/src/limits/observe.rs
@@ -14,7 +14,7 @@
         None => None,
         Some(Ok(rate)) => Some(*rate),
         Some(Err(error)) => {
-            if core.limits.limits.lock().record_unreadable(flight.life()) {
+            if core.limits.known.lock().record_unreadable(flight.life()) {
                 warn!(event = events::UPSTREAM_LIMIT, upstream = %flight.id, %error, "the limit of an upstream cannot be read");
             }
             return;
@@ -25,7 +25,7 @@
         sent: flight.sent_at,
         received,
     };
-    let change = core.limits.limits.lock().observe(flight.life(), statement);
+    let change = core.limits.known.lock().observe(flight.life(), statement);
     if let Some(change) = change {
         core.limits.announce(flight.life());
         info!(event = events::UPSTREAM_LIMIT, upstream = %flight.id, ?change, "limit of an upstream");
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -192,7 +192,7 @@
     }
     if ticks.is_multiple_of(LIMIT_EXPIRY_TICKS) {
         let fleet = core.fleet.lock();
-        let mut limits = core.limits.limits.lock();
+        let mut limits = core.limits.known.lock();
         if !limits.is_empty() {
             let listed: FxHashSet<u64> = fleet.upstreams().map(|up| up.life).collect();
             limits.expire(|life| listed.contains(&life), now);
--- a/crates/sesamegap-entry/src/relay/attempt/routes.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/routes.rs
@@ -109,5 +109,5 @@
 }
 
 fn limited(permit: Result<SendPermit, Closed>) -> Result<SendPermit, SendError> {
-    permit.map_err(|Closed(_)| SendError::Limited)
+    permit.map_err(|Closed| SendError::Limited)
 }
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -3,7 +3,8 @@
 //! All upstreams of a service may be loading weights, full or draining, or another suspect request may be on
 //! trial. Such states often end within moments, so refusing at once would fail requests that a short wait would
 //! serve; a long wait would only keep the caller from retrying. After an eighth of the latency objective the
-//! request is refused with a `Retry-After` time.
+//! request is refused with a `Retry-After` time. If it is known before that the limits of all upstreams are used up for
+//! longer, it is refused at once.
 
 use super::retry::RetryState;
 use crate::clock;
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -34,7 +34,7 @@
         timeline: core.store.timeline().0,
         upstreams: core.fleet.lock().upstreams().count(),
         peers: core.peers.addrs_by_status().alive.len(),
-        limited: core.limits.limits.lock().count(),
+        limited: core.limits.known.lock().count(),
         partitioned: core.fleet.lock().is_partitioned(),
         dropped: core.logging.dropped(),
     };
--- a/crates/sesamegap-entry/tests/testsuite/limits.rs
+++ b/crates/sesamegap-entry/tests/testsuite/limits.rs
@@ -7,9 +7,13 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use sesamegap_entry::clock;
+use sesamegap_entry::limits::client::LimitClient;
+use sesamegap_entry::limits::shared::SharedLimits;
+use sesamegap_entry::peers::encode_limits;
 use sesamegap_entry::upstream::gateway::{Destination, RelayError, RelayOutcome, send_through};
 use sesamegap_policy::routing::engines::{rank, seed};
-use sesamegap_policy::routing::upstream_limits::Counter;
+use sesamegap_policy::routing::upstream_limits::{Counter, Statement};
+use sesamegap_wire::RequestRate;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -169,7 +173,7 @@
     list(&vms, &[limited.start().await]);
     ask(vms[0].callers, "POST", "/save/a", "", "{}").await;
     let life = seed("w0");
-    let limit = |vm: &Vm| vm.core.limits.limits.lock().rate(life);
+    let limit = |vm: &Vm| vm.core.limits.known.lock().rate(life);
     wait_until(|| vms.iter().all(|vm| limit(vm).is_some())).await;
     let before = limited.count();
     for vm in &vms {
@@ -197,7 +201,7 @@
     list(&vms, &[workers[0].start().await, workers[1].start().await]);
     let lives = [seed("w0"), seed("w1")];
     let is_known = |vm: &Vm| {
-        let limits = vm.core.limits.limits.lock();
+        let limits = vm.core.limits.known.lock();
         lives.iter().all(|life| limits.rate(*life).is_some())
     };
     while !is_known(&vms[0]) {
@@ -233,7 +237,7 @@
     let worker = LimitedWorker::with_limit("50");
     list(&vms, &[worker.start().await]);
     let life = seed("w0");
-    let limit = |vm: &Vm| vm.core.limits.limits.lock().rate(life);
+    let limit = |vm: &Vm| vm.core.limits.known.lock().rate(life);
     ask(vms[0].callers, "POST", "/save/a", "", "{}").await;
     wait_until(|| vms.iter().all(|vm| limit(vm).is_some())).await;
     worker.set_limit(None);
@@ -294,3 +298,30 @@
     });
     files.collect()
 }
+
+/// News that does not fit into a datagram is not sent at all; each VM would find out about the limits by itself.
+#[test]
+fn news_of_many_limits_fits_into_datagrams() {
+    let client = LimitClient::new(SharedLimits::default());
+    let now = clock::now();
+    let old = now.saturating_sub(Duration::from_secs(20 * 3_600));
+    for life in 0..500u64 {
+        let statement = Statement {
+            rate: RequestRate::new(4.4 + life as f64 / 7.0),
+            sent: old,
+            received: old,
+        };
+        let life = u64::MAX - life;
+        client.known.lock().observe(life, statement);
+        client.announce(life);
+    }
+    let messages = client.take_news(now);
+    assert!(messages.len() >= 10);
+    let sizes: Vec<_> = messages
+        .iter()
+        .map(|message| encode_limits(message).map(|bytes| bytes.len()))
+        .collect();
+    assert!(sizes.iter().all(Option::is_some), "{sizes:?}");
+    assert_eq!(messages, client.take_news(now), "sent twice");
+    assert!(client.take_news(now).is_empty());
+}
