--- a/crates/sesamegap-entry/tests/testsuite/limits.rs
+++ b/crates/sesamegap-entry/tests/testsuite/limits.rs
@@ -304,7 +304,7 @@
 fn news_of_many_limits_fits_into_datagrams() {
     let client = LimitClient::new(SharedLimits::default());
     let now = clock::now();
-    let old = now.saturating_sub(Duration::from_secs(20 * 3_600));
+    let old = now.saturating_sub(Duration::from_hours(20));
     for life in 0..500u64 {
         let statement = Statement {
             rate: RequestRate::new(4.4 + life as f64 / 7.0),
