Limits of upstreams: the ends of the range, and upstreams that are paused do not delay a refusal

Found reading: a limit of 1e308 gave a debt that overflows, and one far above what an upstream gets closed it for two seconds; rates are capped and the debt is at most 100 requests. A service whose other upstreams are leaving waited before it refused; only those that would take requests count now. A request tries four upstreams without a permit before it waits, not eight, since a question may take 30 ms. Test: limits_at_the_ends_of_the_range_are_kept fails on the code before (7,999 permits of 10,000 at a limit of 1e300).

--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -107,10 +107,14 @@
         self.limits.lock().closed_until(upstream.life, now)
     }
 
-    /// When the first of a service's upstreams takes requests of this VM again, if all are closed for their limits.
+    /// When the first of a service's upstreams takes requests of this VM again, if all that would take some are closed for
+    /// their limits.
     pub fn all_closed_until(&self, service: &ServiceId, now: Moment) -> Option<Moment> {
         let mut first: Option<Moment> = None;
         for upstream in self.of_service(service) {
+            if self.availability(upstream, now) == Availability::Paused {
+                continue;
+            }
             let until = self.closed_until(upstream, now)?;
             first = Some(first.map_or(until, |first| first.min(until)));
         }
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -24,8 +24,8 @@
 /// How often a suspect request asks for its trial. After the loss of a rack, hundreds of them ask one VM.
 const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Upstreams without a permit after which a request waits before it looks for others.
-const MAX_UNPERMITTED: usize = 8;
+/// Upstreams without a permit after which a request waits before it looks for others: a question may take 30 ms.
+const MAX_UNPERMITTED: usize = 4;
 
 /// Chooses the upstream for a request, waiting briefly if none is available.
 ///
--- a/crates/sesamegap-policy/src/routing/upstream_limits/counting.rs
+++ b/crates/sesamegap-policy/src/routing/upstream_limits/counting.rs
@@ -22,6 +22,9 @@
 /// that take a second, most of what is allowed for a span that begins before.
 const DEBT: Duration = Duration::from_secs(2);
 
+/// Largest such debt, in requests: more than an upstream gets in that time. A limit far above what it gets closes nothing.
+const MAX_DEBT: f64 = 100.0;
+
 /// Time after which an upstream that takes fewer requests gets one all the same. Only its answers tell that the limit has
 /// ended.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
@@ -113,9 +116,10 @@
 impl Bucket {
     /// A bucket for a limit that was named at `named_at`.
     pub(super) fn new(rate: RequestRate, named_at: Moment, now: Moment) -> Self {
-        let debt = DEBT.saturating_sub(now.since(named_at));
+        let owed = DEBT.saturating_sub(now.since(named_at));
+        let debt = (rate.per_second() * owed.as_secs_f64()).min(MAX_DEBT);
         Self {
-            level: -rate.per_second() * debt.as_secs_f64(),
+            level: -debt,
             filled_at: now,
             granted_at: now,
             next_return: now,
--- a/crates/sesamegap-policy/tests/testsuite/routing/upstream_limits/statements.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/upstream_limits/statements.rs
@@ -132,3 +132,19 @@
         "{waits:?}"
     );
 }
+
+/// Limits that are next to nothing, or beyond all that a fleet sends, neither overflow nor close an upstream for good.
+#[test]
+fn limits_at_the_ends_of_the_range_are_kept() {
+    for (limit, grants) in [(0.0, 2), (1e-300, 2), (1e300, 10_000)] {
+        let mut limits = UpstreamLimits::default();
+        limits.observe(LIFE, said(Some(limit), 0, 0));
+        let granted = (0..10_000).filter(|ms| {
+            let verdict = limits.try_grant(LIFE, Place::FIRST, at(*ms));
+            verdict == Verdict::Granted
+        });
+        let granted = granted.count();
+        assert!(granted <= grants, "{granted} at {limit}");
+        assert!(granted >= grants * 9 / 10, "{granted} at {limit}");
+    }
+}
--- a/crates/sesamegap-wire/src/quantity/rate.rs
+++ b/crates/sesamegap-wire/src/quantity/rate.rs
@@ -5,15 +5,18 @@
 use std::fmt;
 use std::str::FromStr;
 
+/// Highest rate, in requests a second: a higher one is no limit to any fleet, and sums of it would overflow.
+const MAX_RATE: f64 = 1e9;
+
 /// Requests a second that an upstream takes from all VMs together: zero or more, and finite.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
 pub struct RequestRate(f64);
 
 impl RequestRate {
-    /// A rate; `None` if the number is negative or not finite.
+    /// A rate, at most a thousand million; `None` if the number is negative or not finite.
     pub fn new(per_second: f64) -> Option<Self> {
         let is_valid = per_second.is_finite() && per_second >= 0.0;
-        is_valid.then_some(Self(per_second))
+        is_valid.then_some(Self(per_second.min(MAX_RATE)))
     }
 
     /// Requests a second.
