Tests of limits: one listener for hand-made workers, and the policy's own times in the virtual world; an ordering that nothing used

The workers of limits.rs and brittle.rs listened with the same lines; support::listen does it for both. The virtual world repeated two times of the policy (10 s of absence, 250 ms without an answer) as numbers of its own and would not have followed a change of them; it takes them from the policy, with the same values. Place derived an order that is not used. Behaviour and assertions are unchanged.

--- a/crates/sesamegap-entry/tests/testsuite/brittle.rs
+++ b/crates/sesamegap-entry/tests/testsuite/brittle.rs
@@ -1,12 +1,12 @@
 //! Upstreams that fall over when they have to reject too much in a second.
 
-use crate::support::{ask, entry, header, offset, read, vms, wait_until};
+use crate::support::{ask, entry, header, listen, offset, read, vms, wait_until};
 use sesamegap_entry::clock;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// Requests that the worker runs at the same time; none waits.
@@ -30,15 +30,8 @@
 
 impl BrittleWorker {
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
         let worker = self.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(worker.clone().serve(stream));
-            }
-        });
-        addr
+        listen(move |stream| worker.clone().serve(stream)).await
     }
 
     async fn serve(self, mut stream: TcpStream) {
--- a/crates/sesamegap-entry/tests/testsuite/limits.rs
+++ b/crates/sesamegap-entry/tests/testsuite/limits.rs
@@ -1,7 +1,7 @@
 //! Upstreams that name how many requests a second they take.
 
 use crate::support::{
-    Caller, Vm, add_peer, ask, entry, header, offset, read, request_of, vms, wait_until,
+    Caller, Vm, add_peer, ask, entry, header, listen, offset, read, request_of, vms, wait_until,
 };
 use http::Request;
 use http_body_util::Full;
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -52,15 +52,8 @@
     }
 
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
         let worker = self.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(worker.clone().serve(stream));
-            }
-        });
-        addr
+        listen(move |stream| worker.clone().serve(stream)).await
     }
 
     async fn serve(self, mut stream: TcpStream) {
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -15,7 +15,7 @@
 pub use lines::LogLines;
 pub use lossy::lossy_path;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
-pub use upstream::{Act, Upstream, header, read};
+pub use upstream::{Act, Upstream, header, listen, read};
 pub use vms::{Vm, member_update, vm, vms};
 
 use sesamegap_entry::catalogue::{
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -237,3 +237,18 @@
         .map(|(_, value)| value.trim().to_owned())
         .next()
 }
+
+/// Listens on a free port and serves each connection in a task of its own.
+pub async fn listen<F>(serve: impl Fn(TcpStream) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream));
+        }
+    });
+    addr
+}
--- a/crates/sesamegap-policy/src/routing/upstream_limits/counting.rs
+++ b/crates/sesamegap-policy/src/routing/upstream_limits/counting.rs
@@ -44,7 +44,7 @@
 }
 
 /// The place of a VM among those that may count.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Place(usize);
 
 impl Place {
--- a/crates/sesamegap-policy/tests/testsuite/routing/upstream_limits/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/upstream_limits/world.rs
@@ -4,7 +4,8 @@
 use rand::{RngExt, SeedableRng};
 use sesamegap_policy::routing::engines::rank;
 use sesamegap_policy::routing::upstream_limits::{
-    Counter, Message, PERMIT_TTL, Standing, Statement, UpstreamLimits, Verdict, counter,
+    ABSENCE, Counter, Message, NO_ANSWER_PAUSE, PERMIT_TTL, Standing, Statement, UpstreamLimits,
+    Verdict, counter,
 };
 use sesamegap_wire::{Moment, RequestRate};
 use std::time::Duration;
@@ -21,18 +22,12 @@
 /// How long a VM waits for the answer of the one that counts, in milliseconds.
 const ANSWER_TIMEOUT: u64 = 30;
 
-/// How long a VM passes the upstream over after no answer, in milliseconds.
-const NO_ANSWER_PAUSE: u64 = 250;
-
 /// Time after which a VM suspects one that is off, at least and at most, in milliseconds.
 const SUSPECTED: (u64, u64) = (500, 1_200);
 
 /// Time from a suspicion until the VM is held for dead, in milliseconds.
 const DIES: u64 = 1_500;
 
-/// Time after which a dead VM loses its place, in milliseconds.
-const ABSENCE: u64 = 10_000;
-
 /// Time until VMs know that another is back, in milliseconds.
 const KNOWN: u64 = 1_000;
 
@@ -120,6 +115,10 @@
     pub kept_back: u64,
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).expect("a short time")
+}
+
 fn at(ms: u64) -> Moment {
     Moment(0) + Duration::from_hours(1) + Duration::from_millis(ms)
 }
@@ -223,7 +222,7 @@
                 continue;
             }
             let suspected = one.from + spread(SUSPECTED.0, SUSPECTED.1);
-            let gone = suspected + DIES + ABSENCE;
+            let gone = suspected + DIES + millis(ABSENCE);
             let back = one.to + spread(0, KNOWN);
             let doubts = one.trouble != Trouble::Doubt || viewer.is_multiple_of(2);
             if one.trouble == Trouble::Unknown {
@@ -300,7 +299,7 @@
             }
             Verdict::NotCounting => {
                 self.kept_back += 1;
-                let until = now + Duration::from_millis(NO_ANSWER_PAUSE);
+                let until = now + NO_ANSWER_PAUSE;
                 self.vms[vm].limits.close(LIFE, until);
             }
         }
@@ -308,7 +307,7 @@
 
     fn send(&mut self, vm: usize) {
         // Connecting takes up to as long as the permit lasts.
-        let ttl = u64::try_from(PERMIT_TTL.as_millis()).expect("a short time");
+        let ttl = millis(PERMIT_TTL);
         let connect = if self.rng.random_bool(0.05) {
             self.rng.random_range(0..ttl - ANSWER_TIMEOUT)
         } else {
