Log large answers of peers, and how much of an answer arrived when it broke off

Line 766 names call, size and time of answers of 4 KiB and more; a failed call says how many bytes had arrived. Reads of peers' answers are bounded by the size that peers accept for requests, 4 MiB.

--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -3,6 +3,7 @@
 use super::datagrams::{Datagram, encode_limits};
 use super::message::{Hello, HelloReply, apply_state, named_weights};
 use super::relay::broadcast;
+use super::server::MAX_MESSAGE_BYTES;
 use crate::catalogue::Quotas;
 use crate::clock;
 use crate::core::{Core, Phase};
@@ -14,6 +15,7 @@
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use sesamegap_http::read_body;
 use sesamegap_policy::agreement::membership::{MemberUpdate, Probe, Status};
 use sesamegap_policy::routing::dissemination::MAX_DIRECT;
 use sesamegap_policy::routing::upstream_limits;
@@ -62,6 +64,9 @@
 /// How often a VM's update on itself is spread by relays, each time by other ones.
 const MEMBER_SENDS: usize = 2;
 
+/// Reply from which its size is logged, in bytes; the reply to a probe is far smaller.
+const LARGE_REPLY_BYTES: usize = 4_096;
+
 /// Builds the HTTP client for all peers.
 ///
 /// # Panics
@@ -354,12 +359,18 @@
         .timeout(limit)
         .body(body)
         .send();
+    let began = clock::now();
     let answer = sent.await.map_err(|error| error.to_string())?;
     core.peers.record_heard();
     if !answer.status().is_success() {
         return Err(format!("{addr} answered {}", answer.status()));
     }
-    let bytes = answer.bytes().await.map_err(|error| error.to_string())?;
+    let bytes = read_body(answer, MAX_MESSAGE_BYTES)
+        .await
+        .map_err(|error| error.to_string())?;
+    if bytes.len() >= LARGE_REPLY_BYTES {
+        info!(event = events::LARGE_REPLY, peer = %addr, call = name, bytes = bytes.len(), took_ms = clock::millis(clock::now().since(began)), "large answer of a peer");
+    }
     let mut rest = bytes.as_ref();
     let reply = rmp_serde::from_read(&mut rest).map_err(|error| error.to_string())?;
     let following = if rest.is_empty() {
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 /// Largest accepted message, in bytes; a document with thousands of routes is under a megabyte.
-const MAX_MESSAGE_BYTES: usize = 4 << 20;
+pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
 /// Returns the endpoints for peers.
 pub fn endpoints(core: Arc<Core>) -> impl IntoEndpoint {
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -88,3 +88,5 @@
 pub const UPSTREAM_LIMIT: u16 = 764;
 /// A request was not sent to an upstream, which takes no more for now.
 pub const LIMITED: u16 = 765;
+/// A peer answered with a large message; the line says to which call, its size and the time that it took.
+pub const LARGE_REPLY: u16 = 766;
--- a/crates/sesamegap-http/src/lib.rs
+++ b/crates/sesamegap-http/src/lib.rs
@@ -8,12 +8,14 @@
 //! [`Failure`] distinguishes requests that were not sent from those that may have been. Redirects
 //! are not followed and nothing is retried here, since either would send a request twice.
 
+pub mod body;
 pub mod failure;
 pub mod pool;
 pub mod serving;
 pub mod settings;
 pub mod sse;
 
+pub use body::read_body;
 pub use failure::Failure;
 pub use pool::Pool;
 pub use settings::{Settings, SettingsBuilder};
