--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod fleet_records;
 mod forwarding;
 mod idle_close;
+mod large_documents;
 mod limits;
 mod locating;
 mod logs;
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -5,6 +5,7 @@
 mod lines;
 mod lossy;
 mod platform;
+mod thin;
 mod upstream;
 mod vms;
 
@@ -15,6 +16,7 @@
 pub use lines::LogLines;
 pub use lossy::lossy_path;
 pub use platform::{Platform, StandinEngine, StandinKvStore};
+pub use thin::ThinPath;
 pub use upstream::{Act, Upstream, header, listen, read};
 pub use vms::{Vm, member_update, vm, vms};
 
--- /dev/null
+++ b/crates/sesamegap-entry/tests/testsuite/support/thin.rs
@@ -0,0 +1,97 @@
+//! A network path that carries a limited number of bytes a second towards the side that connects.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+
+/// Bytes that are passed on at once: what a packet carries.
+const PACKET_BYTES: usize = 1_400;
+
+/// Shorter ones take longer than asked for.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
+
+/// What a path does, for the test that made it.
+#[derive(Debug, Default)]
+pub struct ThinPath {
+    /// Bytes passed on towards the side that connects.
+    carried: AtomicUsize,
+    /// Reads of what the connecting side sends: a small request each.
+    asked: AtomicUsize,
+    /// Whether the path loses everything from now on.
+    is_cut: AtomicBool,
+    /// All connections share the link.
+    link: Mutex<()>,
+}
+
+impl ThinPath {
+    /// Listens at an address and connects to another one for each connection.
+    pub async fn open(at: SocketAddr, to: SocketAddr, bytes_per_s: f64) -> Arc<Self> {
+        let listener = TcpListener::bind(at).await.unwrap();
+        let path = Arc::new(Self::default());
+        let shared = Arc::clone(&path);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let path = Arc::clone(&shared);
+                tokio::spawn(async move { path.join(near, to, bytes_per_s).await });
+            }
+        });
+        path
+    }
+
+    /// Bytes passed on so far.
+    pub fn carried(&self) -> usize {
+        self.carried.load(Ordering::Relaxed)
+    }
+
+    /// Small requests passed on so far.
+    pub fn asked(&self) -> usize {
+        self.asked.load(Ordering::Relaxed)
+    }
+
+    /// Loses everything from now on.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::Relaxed);
+    }
+
+    async fn join(&self, near: TcpStream, to: SocketAddr, bytes_per_s: f64) {
+        let Ok(far) = TcpStream::connect(to).await else {
+            return;
+        };
+        let (mut near_in, mut near_out) = near.into_split();
+        let (mut far_in, mut far_out) = far.into_split();
+        let asked = async {
+            let mut buffer = vec![0; PACKET_BYTES];
+            while let Ok(length @ 1..) = near_in.read(&mut buffer).await {
+                self.asked.fetch_add(1, Ordering::Relaxed);
+                if far_out.write_all(&buffer[..length]).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let answered = async {
+            let mut buffer = vec![0; PACKET_BYTES];
+            while let Ok(length @ 1..) = far_in.read(&mut buffer).await {
+                let _turn = self.link.lock().await;
+                let time = Duration::from_secs_f64(length as f64 / bytes_per_s);
+                if time >= SHORTEST_SLEEP {
+                    tokio::time::sleep(time).await;
+                }
+                if self.is_cut.load(Ordering::Relaxed) {
+                    std::future::pending::<()>().await;
+                }
+                self.carried.fetch_add(length, Ordering::Relaxed);
+                if near_out.write_all(&buffer[..length]).await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            () = asked => {}
+            () = answered => {}
+        }
+    }
+}
