Fetch documents by their parts, from several peers; probes carry none

Copies by table requests were as large whatever had changed (291 KB for one route), and ended after 1.5 s although they made progress. Congestion was taken for death, and answered with more copies.

Change: a document is a set of entries, each known by the hash of its encoding. A VM that is behind asks one peer what changed since its version, and several peers for the entries that it lacks, in pieces of 16 KB. Entries stay useful if their sender is lost or a newer document appears; a digest shows that two VMs have the same. The answer to a probe carries no document, and at most 24 named weights. All that a VM sends to peers in answers is charged to one budget, a quarter of its link; a copy is refused before it is encoded. VMs of the release before get whole documents by table requests, and send them.

--- a/crates/sesamegap-entry/src/catalogue/mod.rs
+++ b/crates/sesamegap-entry/src/catalogue/mod.rs
@@ -3,9 +3,16 @@
 //! The operator publishes complete [`Document`]s with increasing revisions. A [`Catalogue`] indexes one of them
 //! for lookups by requests. A process never returns to an older revision, even if the store or a peer delivers
 //! one.
+//!
+//! Among VMs a document travels as a set of entries: each route, each team, and what is left. A newer document shares the
+//! entries that it has in common with the one before, so that a change is sent, decoded and indexed without the rest.
 
+mod entries;
+mod exchange;
 mod index;
 
+pub use entries::Entry;
+pub use exchange::{Answer, answer, apply_answer};
 pub use index::{Catalogue, NoRoute};
 
 use serde::{Deserialize, Serialize};
@@ -254,7 +261,9 @@
 }
 
 /// A complete configuration, as published by the operator.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+///
+/// The order of routes and teams has no meaning.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Document {
     /// Its revision.
     pub revision: Revision,
--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -5,12 +5,12 @@
 
 pub use active::{ActiveRequestGuard, ActiveRequests};
 
-use crate::catalogue::{Catalogue, Document, Revision};
+use crate::catalogue::{Catalogue, Document, Entry, Revision};
 use crate::clock;
 use crate::fleet::{Fleet, Rules, SharedFleet};
-use crate::follow::{CopyServer, TableState};
+use crate::follow::TableState;
 use crate::limits::client::LimitClient;
-use crate::peers::Peers;
+use crate::peers::{CopyServer, Peers};
 use crate::placing::PlacementClient;
 use crate::ports::{Ports, Table};
 use crate::quarantine::Quarantine;
@@ -23,12 +23,13 @@
 use crate::upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use retries::RetryBudgets;
+use sesamegap_policy::agreement::replication::{Content, Fetch};
 use sesamegap_policy::routing::belief;
+use sesamegap_policy::routing::revisions::NewestHeard;
 use sesamegap_wire::{Moment, ServiceId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
@@ -72,6 +73,10 @@
     pub connection_failed: Notify,
     /// Wakes the roll of weights when a weights version was named.
     pub weights_named: Notify,
+    /// Wakes the task that fetches newer documents when a peer told of one.
+    pub document_heard: Notify,
+    /// Held by the task that fetches a document.
+    pub fetch_turn: tokio::sync::Mutex<()>,
     /// Requests in progress.
     pub active: Arc<ActiveRequests>,
     /// Memory left for request bodies, one permit per KiB.
@@ -89,7 +94,9 @@
     catalogue: ArcSwapOption<Catalogue>,
     retries: RetryBudgets,
     /// Newest revision of which a peer has told.
-    newest_heard: AtomicU64,
+    newest_heard: Mutex<NewestHeard>,
+    /// A newer document that is being fetched from peers.
+    fetch: Mutex<Fetch<Entry>>,
     phase: watch::Sender<Phase>,
 }
 
@@ -119,6 +126,8 @@
             placement_client: PlacementClient::default(),
             connection_failed: Notify::new(),
             weights_named: Notify::new(),
+            document_heard: Notify::new(),
+            fetch_turn: tokio::sync::Mutex::default(),
             active: Arc::default(),
             body_permits: Arc::new(Semaphore::new(settings.body_memory >> 10)),
             quarantine: Quarantine::default(),
@@ -127,7 +136,8 @@
             tables: Default::default(),
             catalogue: ArcSwapOption::empty(),
             retries: RetryBudgets::new(),
-            newest_heard: AtomicU64::new(0),
+            newest_heard: Mutex::default(),
+            fetch: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
             store: StoreClient::new(Arc::clone(&ports.store), settings.store_calls_per_s),
             settings: ArcSwap::from_pointee(settings),
@@ -183,15 +193,47 @@
     /// newest, and has not heard of a newer one.
     pub fn may_deny(&self) -> bool {
         let is_missed = self.table_progress(Table::Settings).position().has_missed();
-        let is_behind = self.newest_heard.load(Ordering::Relaxed) > self.revision().0;
+        let is_behind = self.behind_for().is_some();
         let bounds = self.settings().spans.document_bounds();
         let age = self.settings_age();
         !is_missed && !is_behind && age.is_some_and(|age| bounds.allows_denial(age))
     }
 
-    /// Records the revision of a peer's document.
+    /// For how long this VM has known that its peers have a newer document, if they have.
+    pub fn behind_for(&self) -> Option<Duration> {
+        let own = self.revision().0;
+        self.lock_heard().behind_for(own, clock::now())
+    }
+
+    /// Whether a newer document has been in force on peers for so long that no request may be served by the one here.
+    pub fn is_document_overdue(&self) -> bool {
+        let apply = self.settings().spans.apply;
+        self.behind_for().is_some_and(|time| time >= apply)
+    }
+
+    /// Records the revision of a peer's document; wakes the task that fetches it if it is newer.
     pub fn record_revision(&self, revision: Revision) {
-        self.newest_heard.fetch_max(revision.0, Ordering::Relaxed);
+        let own = self.revision().0;
+        if self.lock_heard().record(revision.0, own, clock::now()) {
+            self.document_heard.notify_one();
+        }
+    }
+
+    /// The newest revision of which a peer has told lately, or the own one.
+    pub fn newest_heard(&self) -> Revision {
+        let own = self.revision();
+        Revision(self.lock_heard().newest(own.0, clock::now()))
+    }
+
+    fn lock_heard(&self) -> MutexGuard<'_, NewestHeard> {
+        self.newest_heard
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The newer document that is being fetched; the guard must not be held across an await point.
+    pub fn fetch(&self) -> MutexGuard<'_, Fetch<Entry>> {
+        self.fetch.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// How long ago the document in force was last known to be the newest; `None` if the store's log of it was never read.
@@ -209,14 +251,46 @@
         if document.revision <= self.revision() {
             return false;
         }
-        let catalogue = Catalogue::new(Arc::clone(document));
-        self.catalogue.store(Some(Arc::new(catalogue)));
+        let Some(known) = self.catalogue() else {
+            return self.put_in_force(Some(Catalogue::new(document)), source);
+        };
+        let entries = document.entries();
+        let delta = known.content().delta_to(entries.iter().map(|(id, _)| *id));
+        let content = known
+            .content()
+            .changed(document.revision.0, delta.removed, entries);
+        self.put_in_force(known.updated(content), source)
+    }
+
+    /// Puts the entries of a newer document in force that were fetched from peers.
+    pub fn adopt_entries(&self, content: Content<Entry>, source: &str) -> bool {
+        if content.version().revision <= self.revision().0 {
+            return false;
+        }
+        let catalogue = match self.catalogue() {
+            Some(known) => known.updated(content),
+            None => Catalogue::from_content(content),
+        };
+        self.put_in_force(catalogue, source)
+    }
+
+    fn put_in_force(&self, catalogue: Option<Catalogue>, source: &str) -> bool {
+        let Some(catalogue) = catalogue else {
+            info!(
+                event = events::DOCUMENT,
+                source, "entries without a common part are no document"
+            );
+            return false;
+        };
+        let catalogue = Arc::new(catalogue);
+        self.catalogue.store(Some(Arc::clone(&catalogue)));
         info!(
             event = events::DOCUMENT,
-            revision = document.revision.0,
+            revision = catalogue.revision().0,
+            version = %catalogue.content().version(),
             source,
-            routes = document.routes.len(),
-            teams = document.teams.len(),
+            routes = catalogue.route_count(),
+            teams = catalogue.team_count(),
             "document in force"
         );
         true
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -15,7 +15,9 @@
 mod vms;
 
 pub use journal::Journal;
-pub use pull::{CopyServer, PullReply, PullRequest};
+pub use pull::{
+    DocumentQuestion, DocumentReply, PullReply, PullRequest, SettingsCopy, fetch_documents,
+};
 pub use snapshot::FleetSnapshot;
 use updates::read_table;
 pub use updates::{
--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -1,31 +1,40 @@
 //! Copies of a table from peers, for VMs that missed an update or have just started.
 //!
 //! A VM asks the sender of the update that it missed, which has what the update announced, and other peers.
-//! Copies of a whole table are large compared to a small VM's link, so a VM sends only as many at once as its link
-//! carries in a fraction of a second; a VM that is turned away asks another one. The number of VMs that have a copy
-//! thus doubles with each round, and no VM has to serve all others.
+//! Copies of a whole table are large compared to a small VM's link, so a VM sends only as many at once as its link's budget
+//! allows; a VM that is turned away asks another one. The number of VMs that have a copy thus doubles with each round, and no
+//! VM has to serve all others.
+//!
+//! A newer document is fetched by its parts, see [`replication`](sesamegap_policy::agreement::replication): one peer says
+//! what changed, and several peers send the missing entries. The fetch goes on with what has arrived as long as
+//! anything arrives, whatever time it takes, and turns to a newer document as soon as a peer tells of it.
 
 use super::apply::replace_table;
 use super::snapshot::FleetSnapshot;
 use super::updates::{TableUpdate, apply_held_parts, apply_update_of, record_as_of};
-use crate::catalogue::{Additions, Document, Revision};
+use super::{BUSY_DELAY, MAX_PULL_DELAY, RANK_KEY};
+use crate::catalogue::{Additions, Answer, Document, Entry, Revision, apply_answer};
 use crate::clock;
-use crate::core::Core;
-use crate::peers::{self, NamedWeights};
+use crate::core::{Core, Phase};
+use crate::peers::{self, NamedWeights, PeerError};
 use crate::ports::Table;
 use crate::telemetry::events;
-use bytes::Bytes;
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::agreement::membership::MemberUpdate;
+use sesamegap_policy::agreement::replication::{Ask, Content};
+use sesamegap_policy::load::limits::add_jitter;
+use sesamegap_policy::routing::reading::READERS;
 use sesamegap_wire::{LogPosition, Moment};
 use smol_str::ToSmolStr;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
-use tracing::info;
+use tokio::time::{Instant, sleep, timeout};
+use tracing::{info, warn};
 
 /// Peers asked in one round.
 const PEERS_PER_ROUND: usize = 2;
@@ -37,18 +46,17 @@
 /// link carries thousands of changes in it.
 const ROUND_TIME: Duration = Duration::from_millis(700);
 
-/// Longer than a round of asking for copies takes.
-const LONGEST_CALL: Duration = Duration::from_secs(5);
+/// Peers that are asked for entries at once.
+const LANES: usize = 3;
 
-/// Reply from which the link's occupation is considered, in bytes.
-const LARGE_REPLY_BYTES: usize = 4_096;
+/// Time without any part of a document after which a fetch begins anew, with another source.
+const MAX_STALL: Duration = Duration::from_secs(1);
 
-/// Longest time for which the link may still be occupied by copies when another one is sent: with 20 Mbit/s, two copies
-/// of a list of 10,000 upstreams are on their way at once.
-const MAX_BACKLOG: Duration = Duration::from_millis(300);
+/// Delay before entries are asked for again after an answer without any.
+const LANE_POLL: Duration = Duration::from_millis(60);
 
-/// Age from which an encoded fleet list is renewed before it is sent; the receiver asks for the changes since.
-const ENCODED_TTL: Duration = Duration::from_secs(1);
+/// Longer than a round of asking for copies takes.
+const LONGEST_CALL: Duration = Duration::from_secs(5);
 
 /// A request for what a peer knows of a table.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -90,13 +98,39 @@
     }
 }
 
-/// The settings as a VM sends them to a peer.
+/// The settings as a VM sends them to a peer of an earlier release.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SettingsCopy {
-    next: LogPosition,
-    age_ms: u64,
-    document: Option<(Document, Additions)>,
-    weights: Vec<NamedWeights>,
+    /// Position up to which the sender has read the table.
+    pub next: LogPosition,
+    /// Age of what the sender knows, in milliseconds.
+    pub age_ms: u64,
+    /// Its document, if newer than that of the VM that asks.
+    pub document: Option<(Document, Additions)>,
+    /// Named weights.
+    pub weights: Vec<NamedWeights>,
+}
+
+/// A question about a peer's document.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DocumentQuestion {
+    /// Revision of the sender's document.
+    pub revision: Revision,
+    /// The question.
+    pub ask: Ask,
+}
+
+/// The reply to a [`DocumentQuestion`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DocumentReply {
+    /// Revision of the peer's document.
+    pub revision: Revision,
+    /// Position up to which the peer has read the settings, and the age of what it knows in milliseconds.
+    pub known: Option<(LogPosition, u64)>,
+    /// Named weights.
+    pub weights: Vec<NamedWeights>,
+    /// The answer.
+    pub answer: Answer,
 }
 
 /// Result of asking peers.
@@ -110,157 +144,14 @@
     Isolated,
 }
 
-/// Copies of tables that this VM sends to peers.
-#[derive(Debug)]
-pub struct CopyServer {
-    link_mbps: f64,
-    /// When the link has carried all copies that were sent.
-    link_free: Mutex<Moment>,
-    encoded: Mutex<Option<(Moment, Bytes)>>,
-}
-
-impl CopyServer {
-    /// Creates a server for a VM with this link.
-    pub fn new(link_mbps: f64) -> Self {
-        Self {
-            link_mbps,
-            link_free: Mutex::default(),
-            encoded: Mutex::default(),
-        }
-    }
-
-    /// Encodes the reply to a request.
-    ///
-    /// # Errors
-    /// If the reply cannot be encoded.
-    pub fn answer(
-        &self,
-        core: &Core,
-        request: &PullRequest,
-    ) -> Result<Bytes, rmp_serde::encode::Error> {
-        let reply = match find_reply(core, request) {
-            Found::Reply(reply) => reply,
-            Found::WholeFleet(next, age_ms) => return self.send_fleet(core, next, age_ms),
-        };
-        let bytes = Bytes::from(rmp_serde::to_vec(&reply)?);
-        if bytes.len() >= LARGE_REPLY_BYTES && !self.occupy_link(bytes.len()) {
-            return busy();
-        }
-        Ok(bytes)
-    }
-
-    fn send_fleet(
-        &self,
-        core: &Core,
-        next: LogPosition,
-        age_ms: u64,
-    ) -> Result<Bytes, rmp_serde::encode::Error> {
-        if self.backlog() > MAX_BACKLOG {
-            return busy();
-        }
-        let bytes = self.encoded_fleet(core, next, age_ms)?;
-        self.occupy_link(bytes.len());
-        Ok(bytes)
-    }
-
-    fn encoded_fleet(
-        &self,
-        core: &Core,
-        next: LogPosition,
-        age_ms: u64,
-    ) -> Result<Bytes, rmp_serde::encode::Error> {
-        let now = clock::now();
-        let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((at, bytes)) = encoded.as_ref()
-            && now.since(*at) < ENCODED_TTL
-        {
-            return Ok(bytes.clone());
-        }
-        let snapshot = FleetSnapshot::of(&core.fleet.lock(), next);
-        let bytes = Bytes::from(rmp_serde::to_vec(&PullReply::Fleet(snapshot, age_ms))?);
-        *encoded = Some((now, bytes.clone()));
-        Ok(bytes)
-    }
-
-    /// For how long the link is still occupied by copies.
-    fn backlog(&self) -> Duration {
-        let link_free = self
-            .link_free
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        link_free.since(clock::now())
-    }
-
-    /// Occupies the link for as long as it needs for this many bytes, unless it is occupied for too long already.
-    fn occupy_link(&self, bytes: usize) -> bool {
-        let now = clock::now();
-        let seconds = bytes as f64 * 8.0 / (self.link_mbps * 1e6);
-        let mut link_free = self
-            .link_free
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if link_free.since(now) > MAX_BACKLOG {
-            return false;
-        }
-        let needed = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_BACKLOG);
-        *link_free = now.max(*link_free) + needed;
-        true
-    }
-}
-
-fn busy() -> Result<Bytes, rmp_serde::encode::Error> {
-    Ok(rmp_serde::to_vec(&PullReply::Busy)?.into())
-}
-
-/// What a request gets.
-enum Found {
-    Reply(PullReply),
-    /// The whole fleet list up to a position, with the age of the data in milliseconds.
-    WholeFleet(LogPosition, u64),
-}
-
-fn find_reply(core: &Core, request: &PullRequest) -> Found {
-    if request.table == Table::Vms {
-        return Found::Reply(PullReply::Members(core.peers.export()));
-    }
-    let known = core.table_progress(request.table);
-    let (next, at) = {
-        let position = known.position();
-        (position.next(), position.last_update())
-    };
-    let Some(next) = next.filter(|next| request.since.is_none_or(|since| since <= *next)) else {
-        return Found::Reply(PullReply::Behind);
-    };
-    let age_ms = clock::millis(clock::now().since(at));
-    match request.table {
-        Table::Fleet => {
-            let changes = |since| known.journal().since(Table::Fleet, since);
-            match request.since.and_then(changes) {
-                Some(update) => Found::Reply(PullReply::Changes(update, age_ms)),
-                None => Found::WholeFleet(next, age_ms),
-            }
-        }
-        Table::Settings => Found::Reply(PullReply::Settings(Box::new(SettingsCopy {
-            next,
-            age_ms,
-            document: newer_document(core, request.revision),
-            weights: peers::named_weights(core),
-        }))),
-        Table::Vms | Table::Quarantine => Found::Reply(PullReply::Behind),
-    }
-}
-
-fn newer_document(core: &Core, than: Revision) -> Option<(Document, Additions)> {
-    let catalogue = core.catalogue()?;
-    let document = catalogue.document();
-    (document.revision > than).then(|| (document.as_ref().clone(), document.additions()))
-}
-
 /// Asks a few peers for what this VM lacks of a table.
 ///
 /// Copies of a whole table are asked for one after another. Changes are small, and the next peer is asked for them too if one
 /// is slow: it may have died, or its link may be occupied.
 pub async fn pull(core: &Core, table: Table) -> Pulled {
+    if table == Table::Settings {
+        return fetch_document(core).await;
+    }
     let is_copy = table != Table::Fleet || core.table_progress(table).position().next().is_none();
     let round_time = if is_copy { LONGEST_CALL } else { ROUND_TIME };
     let deadline = Instant::now() + round_time;
@@ -291,6 +182,176 @@
     }
 }
 
+/// Fetches each newer document that a peer tells of, until the process ends.
+///
+/// The task that follows the settings may be waiting for the store, which may lag behind the peers or turn this VM away.
+pub async fn fetch_documents(core: Arc<Core>) {
+    while core.phase() < Phase::Ended {
+        let before = core.revision();
+        if core.behind_for().is_some() {
+            fetch_document(&core).await;
+        }
+        let pause = if core.behind_for().is_none() {
+            MAX_PULL_DELAY
+        } else if core.revision() > before {
+            Duration::ZERO
+        } else {
+            add_jitter(BUSY_DELAY, &mut rand::rng())
+        };
+        drop(timeout(pause, core.document_heard.notified()).await);
+    }
+}
+
+/// Fetches a newer document from peers, if they have one.
+async fn fetch_document(core: &Core) -> Pulled {
+    let _turn = core.fetch_turn.lock().await;
+    let mut result = Pulled::Isolated;
+    let deadline = Instant::now() + LONGEST_CALL;
+    for peer in choose_peers(core, Table::Settings, true) {
+        let question = core.fetch().first_ask(&content(core));
+        let asked = clock::now();
+        let reply = match ask_document(core, peer, question).await {
+            Ok(reply) => reply,
+            Err(PeerError::Unknown) => {
+                // A peer of an earlier release sends its whole document.
+                result = ask(core, Table::Settings, peer).await;
+                if result == Pulled::Applied {
+                    return result;
+                }
+                continue;
+            }
+            Err(PeerError::Failed(_)) => continue,
+        };
+        result = Pulled::Nothing;
+        let known = reply.known;
+        let offered = reply.revision;
+        apply_reply_of(core, peer, reply);
+        if core.fetch().target().is_some() {
+            fetch_entries(core, peer, deadline).await;
+        }
+        let is_from_earlier = known.is_none_or(|(next, _)| is_from_earlier_timeline(core, next));
+        if core.revision() < offered || is_from_earlier {
+            continue;
+        }
+        if let Some((next, age_ms)) = known {
+            record_settings(core, next, age_ms, asked);
+            return Pulled::Applied;
+        }
+    }
+    result
+}
+
+/// Fetches what the target lacks from several peers, until all of it has arrived, a newer document is heard of, or nothing
+/// arrives any more; puts the document in force.
+async fn fetch_entries(core: &Core, source: SocketAddr, deadline: Instant) {
+    let began = clock::now();
+    let progress = Mutex::new(Instant::now());
+    let lanes = (0..LANES).map(|_| run_lane(core, source, &progress, deadline));
+    join_all(lanes).await;
+    let known = content(core);
+    let outcome = core.fetch().finish(&known);
+    match outcome {
+        Ok(Some(content)) => {
+            core.adopt_entries(content, &source.to_smolstr());
+        }
+        Ok(None) => {
+            let target = core.fetch().target().map(tracing::field::display);
+            info!(event = events::FETCH, target, source = %source, took_ms = clock::millis(clock::now().since(began)), "a newer document has not arrived in full yet");
+        }
+        Err(error) => {
+            warn!(event = events::FETCH, %error, source = %source, "a fetched document is not the one that was announced");
+        }
+    }
+}
+
+/// Asks one peer after another for entries.
+async fn run_lane(core: &Core, source: SocketAddr, progress: &Mutex<Instant>, deadline: Instant) {
+    let mut peer = source;
+    while lock(progress).elapsed() < MAX_STALL && Instant::now() < deadline {
+        if core.fetch().is_complete() || has_newer_than_target(core) {
+            return;
+        }
+        let next = core.fetch().next_ask(&mut rand::rng());
+        let Some(ask) = next else {
+            // Another lane has asked for the rest; it may fail.
+            sleep(LANE_POLL).await;
+            continue;
+        };
+        let reply = ask_document(core, peer, ask.clone()).await;
+        let is_useful = reply.is_ok_and(|reply| apply_reply_of(core, peer, reply));
+        core.fetch().release(&ask);
+        if is_useful {
+            *lock(progress) = Instant::now();
+            continue;
+        }
+        // The peer's link is occupied, it has nothing of what is missing, or it failed.
+        let others = core.peers.random_alive(PEERS_PER_ROUND).into_iter();
+        peer = others
+            .chain([source])
+            .choose(&mut rand::rng())
+            .unwrap_or(source);
+        let pause = add_jitter(LANE_POLL, &mut rand::rng());
+        sleep(pause).await;
+    }
+}
+
+fn lock(progress: &Mutex<Instant>) -> MutexGuard<'_, Instant> {
+    progress.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whether a peer has told of a newer document than the one that is being fetched.
+fn has_newer_than_target(core: &Core) -> bool {
+    let target = core.fetch().target();
+    target.is_none_or(|target| core.newest_heard() > Revision(target.revision))
+}
+
+/// The entries of the document in force.
+fn content(core: &Core) -> Arc<Content<Entry>> {
+    let catalogue = core.catalogue();
+    catalogue.map_or_else(Arc::default, |catalogue| Arc::clone(catalogue.content()))
+}
+
+/// Applies a peer's reply about the document; returns whether it brought anything of it.
+fn apply_reply_of(core: &Core, peer: SocketAddr, reply: DocumentReply) -> bool {
+    core.record_revision(reply.revision);
+    peers::apply_state(core, None, &reply.weights, &peer.to_smolstr());
+    let applied = apply_answer(&content(core), &mut core.fetch(), reply.answer);
+    applied.unwrap_or_else(|error| {
+        info!(event = events::FETCH, %peer, %error, "a part of a document cannot be decoded");
+        false
+    })
+}
+
+/// Asks a peer about its document.
+async fn ask_document(core: &Core, peer: SocketAddr, ask: Ask) -> Result<DocumentReply, PeerError> {
+    let question = DocumentQuestion {
+        revision: core.revision(),
+        ask,
+    };
+    let reply = peers::ask_document(core, peer, &question).await;
+    if let Err(PeerError::Failed(error)) = &reply {
+        info!(event = events::PEER, %peer, table = ?Table::Settings, error, "a peer does not send a part of its document");
+        core.table_progress(Table::Settings).forget_sender();
+    }
+    reply
+}
+
+/// Records how far the settings are known.
+fn record_settings(core: &Core, next: LogPosition, age_ms: u64, asked: Moment) {
+    let known = core.table_progress(Table::Settings);
+    let is_restored = known
+        .position()
+        .next()
+        .is_some_and(|known| known.timeline < next.timeline);
+    if is_restored {
+        // Entries that the restored store lacks get time to reappear.
+        core.fleet.lock().record_store_restore(clock::now());
+    }
+    // The reply may have been on its way for as long as the call took.
+    let at = asked.saturating_sub(Duration::from_millis(age_ms));
+    known.position().record_pull(next, at, clock::now());
+}
+
 /// Asks a peer for what this VM lacks of a table, and applies its reply.
 async fn ask(core: &Core, table: Table, peer: SocketAddr) -> Pulled {
     let asked = clock::now();
@@ -312,7 +373,7 @@
             Pulled::Applied
         }
         Err(error) => {
-            info!(event = events::PEER, %peer, table = ?table, error, "a peer does not send its copy of a table");
+            info!(event = events::PEER, %peer, table = ?table, %error, "a peer does not send its copy of a table");
             core.table_progress(table).forget_sender();
             Pulled::Isolated
         }
@@ -329,6 +390,15 @@
     let port = core.settings().listen.peers.port();
     let sender = core.table_progress(table).sender();
     let sender = sender.map(|addr| SocketAddr::new(addr.ip(), port));
+    // All readers of the settings learn of a document at almost the same time, and one alone would serve all VMs.
+    let sender = if table == Table::Settings {
+        let readers = core.peers.first_ranked(READERS, RANK_KEY + table as u64);
+        let readers = readers.into_iter().flatten();
+        let readers = readers.map(|addr| SocketAddr::new(addr.ip(), port));
+        readers.chain(sender).choose(&mut rand::rng())
+    } else {
+        sender
+    };
     let others = core.peers.random_alive(PEERS_PER_ROUND).into_iter();
     let mut others = others.filter(|peer| Some(*peer) != sender);
     let before = match (table, is_copy) {
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -7,10 +7,11 @@
 use crate::catalogue::Quotas;
 use crate::clock;
 use crate::core::{Core, Phase};
-use crate::follow::{PullReply, PullRequest};
+use crate::follow::{self, DocumentQuestion, DocumentReply, PullReply, PullRequest};
 use crate::ports::Table;
 use crate::telemetry::events;
 use futures_util::future::join_all;
+use http::StatusCode;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -20,6 +21,7 @@
 use sesamegap_policy::routing::dissemination::MAX_DIRECT;
 use sesamegap_policy::routing::upstream_limits;
 use smol_str::ToSmolStr;
+use std::fmt;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -85,6 +87,7 @@
 /// Probes peers until the process ends.
 pub async fn run_probes(core: Arc<Core>) {
     let mut rng = rand::rngs::StdRng::seed_from_u64(clock::now().0);
+    tokio::spawn(follow::fetch_documents(Arc::clone(&core)));
     contact_first(&core).await;
     tokio::spawn(announce(Arc::clone(&core)));
     tokio::spawn(copy_members(Arc::clone(&core)));
@@ -112,7 +115,7 @@
 
 async fn run_probe(core: Arc<Core>, probe: Probe) {
     if let Err(error) = send_hello(&core, probe.addr, probe.updates).await {
-        warn!(event = events::PEER, peer = %probe.target, error, "no answer to a probe");
+        warn!(event = events::PEER, peer = %probe.target, %error, "no answer to a probe");
         core.peers.record_failed_probe(&probe.target);
         return;
     }
@@ -120,7 +123,7 @@
     if answer_suspicions(&core)
         && let Err(error) = send_hello(&core, probe.addr, Vec::new()).await
     {
-        info!(event = events::PEER, peer = %probe.target, error, "a peer was not told that this VM is alive");
+        info!(event = events::PEER, peer = %probe.target, %error, "a peer was not told that this VM is alive");
     }
 }
 
@@ -182,7 +185,7 @@
         // A peer of an earlier release does not send what it knows.
         Ok(_) => return false,
         Err(error) => {
-            info!(event = events::PEER, %peer, error, "a peer does not send what it knows of the entry VMs");
+            info!(event = events::PEER, %peer, %error, "a peer does not send what it knows of the entry VMs");
             return false;
         }
     }
@@ -263,7 +266,7 @@
             Err(error) => {
                 info!(
                     event = events::PEER,
-                    error, "a VM contacted at startup did not respond"
+                    %error, "a VM contacted at startup did not respond"
                 );
             }
         }
@@ -289,7 +292,7 @@
         if let Err(error) = outcome {
             info!(
                 event = events::PEER,
-                error, "a peer did not receive this process's state"
+                %error, "a peer did not receive this process's state"
             );
         }
     }
@@ -299,7 +302,7 @@
     core: &Core,
     addr: SocketAddr,
     updates: Vec<MemberUpdate>,
-) -> Result<(), String> {
+) -> Result<(), PeerError> {
     let hello = Hello {
         me: core.peers.local_update(),
         updates,
@@ -322,6 +325,7 @@
     if is_back {
         core.peers.outbox.put_member(reply.me.clone());
     }
+    core.record_revision(reply.revision);
     apply_state(core, reply.document, &reply.weights, &source);
     Ok(())
 }
@@ -334,7 +338,7 @@
     core: &Core,
     addr: SocketAddr,
     request: &PullRequest,
-) -> Result<PullReply, String> {
+) -> Result<PullReply, PeerError> {
     let limit = match request.table {
         Table::Vms => PROBE_TIMEOUT,
         Table::Settings | Table::Fleet | Table::Quarantine => COPY_TIMEOUT,
@@ -343,6 +347,44 @@
     Ok(reply)
 }
 
+/// Asks a peer about its document.
+///
+/// # Errors
+/// If the peer does not reply in time, or its release knows no such request.
+pub async fn ask_document(
+    core: &Core,
+    addr: SocketAddr,
+    question: &DocumentQuestion,
+) -> Result<DocumentReply, PeerError> {
+    let (reply, _): (DocumentReply, Option<()>) =
+        post(core, addr, "document", question, COPY_TIMEOUT).await?;
+    Ok(reply)
+}
+
+/// Why a peer sent no reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerError {
+    /// Its release knows no such request.
+    Unknown,
+    /// The call failed.
+    Failed(String),
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => f.write_str("the peer's release knows no such request"),
+            Self::Failed(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+fn failed(error: impl fmt::Display) -> PeerError {
+    PeerError::Failed(error.to_string())
+}
+
 /// Sends a message; returns the reply and what follows it, if the peer's release sends that.
 async fn post<Q: Serialize, A: DeserializeOwned, B: DeserializeOwned>(
     core: &Core,
@@ -350,8 +392,8 @@
     name: &str,
     message: &Q,
     limit: Duration,
-) -> Result<(A, Option<B>), String> {
-    let body = rmp_serde::to_vec(message).map_err(|error| error.to_string())?;
+) -> Result<(A, Option<B>), PeerError> {
+    let body = rmp_serde::to_vec(message).map_err(failed)?;
     let sent = core
         .peers
         .client
@@ -360,23 +402,23 @@
         .body(body)
         .send();
     let began = clock::now();
-    let answer = sent.await.map_err(|error| error.to_string())?;
+    let answer = sent.await.map_err(failed)?;
     core.peers.record_heard();
-    if !answer.status().is_success() {
-        return Err(format!("{addr} answered {}", answer.status()));
+    match answer.status() {
+        status if status.is_success() => {}
+        StatusCode::NOT_FOUND => return Err(PeerError::Unknown),
+        status => return Err(PeerError::Failed(format!("{addr} answered {status}"))),
     }
-    let bytes = read_body(answer, MAX_MESSAGE_BYTES)
-        .await
-        .map_err(|error| error.to_string())?;
+    let bytes = read_body(answer, MAX_MESSAGE_BYTES).await.map_err(failed)?;
     if bytes.len() >= LARGE_REPLY_BYTES {
         info!(event = events::LARGE_REPLY, peer = %addr, call = name, bytes = bytes.len(), took_ms = clock::millis(clock::now().since(began)), "large answer of a peer");
     }
     let mut rest = bytes.as_ref();
-    let reply = rmp_serde::from_read(&mut rest).map_err(|error| error.to_string())?;
+    let reply = rmp_serde::from_read(&mut rest).map_err(failed)?;
     let following = if rest.is_empty() {
         None
     } else {
-        Some(rmp_serde::from_read(&mut rest).map_err(|error| error.to_string())?)
+        Some(rmp_serde::from_read(&mut rest).map_err(failed)?)
     };
     Ok((reply, following))
 }
--- a/crates/sesamegap-entry/src/peers/message.rs
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -5,6 +5,7 @@
 use crate::core::Core;
 use crate::ports::Weights;
 use crate::telemetry::events;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::agreement::membership::MemberUpdate;
 use sesamegap_policy::routing::weights::{Named, Naming};
@@ -139,12 +140,17 @@
     }
 }
 
-/// Returns the named weights, for a peer.
+/// Most named weights in one message. A probe's size must not grow with them; each probe names others.
+const MAX_NAMED_WEIGHTS: usize = 24;
+
+/// Returns the named weights, or some of them if they are many, for a peer.
 pub fn named_weights(core: &Core) -> Vec<NamedWeights> {
     let now = clock::now();
     let fleet = core.fleet.lock();
     let namings = fleet.namings().all();
-    namings
+    let chosen = namings.sample(&mut rand::rng(), MAX_NAMED_WEIGHTS);
+    chosen
+        .into_iter()
         .map(|(model, naming)| NamedWeights {
             weights: Weights {
                 model: model.clone(),
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -17,7 +17,7 @@
 mod server;
 mod socket;
 
-pub use client::{broadcast_state, pull, run_probes};
+pub use client::{PeerError, ask_document, broadcast_state, pull, run_probes};
 pub use datagrams::{
     apply_engine_updates, broadcast_engine_update, broadcast_store_unavailable, encode_limits,
     encode_placing, encode_quarantine, encode_quota, encode_resumption, run_datagrams,
@@ -28,7 +28,7 @@
 pub use outbox::Outbox;
 pub use relay::{broadcast_quarantine, broadcast_resumption};
 pub use repeated::take_repeated;
-pub use server::endpoints;
+pub use server::{CopyServer, endpoints};
 pub use socket::PeerSocket;
 
 use crate::clock;
--- a/crates/sesamegap-entry/src/quota/client.rs
+++ b/crates/sesamegap-entry/src/quota/client.rs
@@ -54,8 +54,7 @@
     fn retain_teams(&mut self, catalogue: &Catalogue) {
         if self.revision != catalogue.revision() {
             self.revision = catalogue.revision();
-            let teams = catalogue.document().teams.iter();
-            let limited = teams.filter(|team| team.quota.is_some());
+            let limited = catalogue.limited_teams();
             let limited: FxHashSet<&TeamId> = limited.map(|team| &team.name).collect();
             self.node.retain(|team| limited.contains(team));
         }
--- a/crates/sesamegap-entry/tests/testsuite/catalogue.rs
+++ b/crates/sesamegap-entry/tests/testsuite/catalogue.rs
@@ -8,7 +8,7 @@
     document
         .routes
         .push(route("/pull/old/", Kind::Once, "desk", 1));
-    let catalogue = Catalogue::new(Arc::new(document));
+    let catalogue = Catalogue::new(&document);
     let kind = |path: &str| catalogue.route(HOST, path).map(|route| route.kind);
     assert_eq!(kind("/pull/x"), Ok(Kind::Idempotent));
     assert_eq!(kind("/pull/old/x"), Ok(Kind::Once));
--- a/crates/sesamegap-policy/src/agreement/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/mod.rs
@@ -5,6 +5,7 @@
 //! - [`lease`] decides which controller may give orders to engines.
 //! - [`cas_lease`] is a lease on a log that supports conditional appends but has no timestamps.
 //! - [`membership`] detects which peers are alive.
+//! - [`replication`] copies a large value among peers at the cost of what changed.
 //! - [`timelines`] tells which history of a restored log a response belongs to.
 //!
 //! All are state machines without I/O: inputs are messages and the time, outputs are the actions to
@@ -14,6 +15,7 @@
 pub mod claims;
 pub mod lease;
 pub mod membership;
+pub mod replication;
 pub mod tickets;
 pub mod timelines;
 
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -13,6 +13,8 @@
 //! - [`gateways`] picks the peers that send requests on for a VM that reaches none.
 //! - [`silence`] combines the VMs' reports on unresponsive upstreams.
 //! - [`belief`] tracks whether an upstream is present, and its incarnation.
+//! - [`link_budget`] bounds the bytes that a VM sends to its peers.
+//! - [`revisions`] tracks the newest document that peers have told of.
 //! - [`reading`] decides when a VM reads the store itself.
 //! - [`dissemination`] picks the peers that receive a VM's load.
 //! - [`weights`] bounds the time until which a request may start on older weights.
@@ -29,10 +31,12 @@
 pub mod dissemination;
 pub mod engines;
 pub mod gateways;
+pub mod link_budget;
 pub mod placements;
 pub mod plain;
 pub mod reachability;
 pub mod reading;
+pub mod revisions;
 pub mod rolls;
 pub mod shards;
 pub mod silence;
