Fetches over thin links: answers that arrive are not given up, work is spread, copies yield to callers

Cause: in virtual time, with links of which callers use nine tenths and one VM in ten five times slower, the first form of the fetch did not end: three answers at once took longer than the timeout and were asked for again without end; all VMs asked the readers for everything; a change each 0.33 s made them turn to another revision before anything had arrived; the budget took a quarter of links that callers had filled.

Change: an answer is given up only if it pauses; after a late one less is asked for; a VM that is still fetching names what changed and sends on what it has; peers that have sent nothing are asked for little; a newer revision is aimed at no sooner than 0.7 s after the one before. A late answer to a probe is no failure if the peer was heard meanwhile, and a VM whose probes are late one after the other waits longer. A VM that has known for configApplyMs that its document was replaced serves nothing by it: 503, not run.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -373,7 +373,10 @@
     pub fn is_ready(&self) -> bool {
         let has_document = self.catalogue.load().is_some();
         let has_upstreams = self.fleet.lock().upstreams().next().is_some();
-        has_document && has_upstreams && self.phase() == Phase::Serving
+        has_document
+            && !self.is_document_overdue()
+            && has_upstreams
+            && self.phase() == Phase::Serving
     }
 
     /// Returns the number of requests in progress.
--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -52,6 +52,12 @@
 /// Time without any part of a document after which a fetch begins anew, with another source.
 const MAX_STALL: Duration = Duration::from_secs(1);
 
+/// Longest such delay: in a large fleet, most peers have nothing at first.
+const MAX_LANE_POLL: Duration = Duration::from_millis(240);
+
+/// Shortest time for which entries of a document are fetched before a newer one is aimed at.
+const MIN_AIM_TIME: Duration = Duration::from_millis(700);
+
 /// Delay before entries are asked for again after an answer without any.
 const LANE_POLL: Duration = Duration::from_millis(60);
 
@@ -208,7 +214,7 @@
     let mut result = Pulled::Isolated;
     let deadline = Instant::now() + LONGEST_CALL;
     for peer in choose_peers(core, Table::Settings, true) {
-        let question = core.fetch().first_ask(&content(core));
+        let question = core.fetch().first_ask(&content(core), &mut rand::rng());
         let asked = clock::now();
         let reply = match ask_document(core, peer, question).await {
             Ok(reply) => reply,
@@ -220,13 +226,17 @@
                 }
                 continue;
             }
-            Err(PeerError::Failed(_)) => continue,
+            Err(error) => {
+                core.fetch().record_timing(error == PeerError::Late);
+                continue;
+            }
         };
         result = Pulled::Nothing;
         let known = reply.known;
         let offered = reply.revision;
         apply_reply_of(core, peer, reply);
-        if core.fetch().target().is_some() {
+        let is_aimed = core.fetch().target().is_some();
+        if is_aimed {
             fetch_entries(core, peer, deadline).await;
         }
         let is_from_earlier = known.is_none_or(|(next, _)| is_from_earlier_timeline(core, next));
@@ -246,7 +256,10 @@
 async fn fetch_entries(core: &Core, source: SocketAddr, deadline: Instant) {
     let began = clock::now();
     let progress = Mutex::new(Instant::now());
-    let lanes = (0..LANES).map(|_| run_lane(core, source, &progress, deadline));
+    // One goes on with the peer that has the document; the others spread the work.
+    let others = core.peers.random_alive(LANES);
+    let peers = [source].into_iter().chain(others).take(LANES);
+    let lanes = peers.map(|peer| run_lane(core, source, peer, &progress, deadline));
     join_all(lanes).await;
     let known = content(core);
     let outcome = core.fetch().finish(&known);
@@ -265,23 +278,35 @@
 }
 
 /// Asks one peer after another for entries.
-async fn run_lane(core: &Core, source: SocketAddr, progress: &Mutex<Instant>, deadline: Instant) {
-    let mut peer = source;
+async fn run_lane(
+    core: &Core,
+    source: SocketAddr,
+    mut peer: SocketAddr,
+    progress: &Mutex<Instant>,
+    deadline: Instant,
+) {
+    let began = Instant::now();
+    let mut pause = LANE_POLL;
+    let mut is_proven = peer == source;
     while lock(progress).elapsed() < MAX_STALL && Instant::now() < deadline {
-        if core.fetch().is_complete() || has_newer_than_target(core) {
+        if core.fetch().is_complete() || is_replaced(core, began) {
             return;
         }
-        let next = core.fetch().next_ask(&mut rand::rng());
+        let next = core.fetch().next_ask(is_proven, &mut rand::rng());
         let Some(ask) = next else {
             // Another lane has asked for the rest; it may fail.
             sleep(LANE_POLL).await;
             continue;
         };
         let reply = ask_document(core, peer, ask.clone()).await;
+        core.fetch()
+            .record_timing(matches!(reply, Err(PeerError::Late)));
         let is_useful = reply.is_ok_and(|reply| apply_reply_of(core, peer, reply));
         core.fetch().release(&ask);
         if is_useful {
             *lock(progress) = Instant::now();
+            pause = LANE_POLL;
+            is_proven = true;
             continue;
         }
         // The peer's link is occupied, it has nothing of what is missing, or it failed.
@@ -290,8 +315,10 @@
             .chain([source])
             .choose(&mut rand::rng())
             .unwrap_or(source);
-        let pause = add_jitter(LANE_POLL, &mut rand::rng());
-        sleep(pause).await;
+        is_proven = false;
+        let jittered = add_jitter(pause, &mut rand::rng());
+        sleep(jittered).await;
+        pause = (pause * 2).min(MAX_LANE_POLL);
     }
 }
 
@@ -299,10 +326,12 @@
     progress.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Whether a peer has told of a newer document than the one that is being fetched.
-fn has_newer_than_target(core: &Core) -> bool {
+/// Whether a peer has told of a newer document than the one that is being fetched, some time after that began. While
+/// documents change all the time, most of what is missing of one is also missing of the next.
+fn is_replaced(core: &Core, began: Instant) -> bool {
     let target = core.fetch().target();
-    target.is_none_or(|target| core.newest_heard() > Revision(target.revision))
+    let is_newest = target.is_some_and(|target| core.newest_heard() <= Revision(target.revision));
+    !is_newest && began.elapsed() >= MIN_AIM_TIME
 }
 
 /// The entries of the document in force.
@@ -329,8 +358,10 @@
         ask,
     };
     let reply = peers::ask_document(core, peer, &question).await;
-    if let Err(PeerError::Failed(error)) = &reply {
-        info!(event = events::PEER, %peer, table = ?Table::Settings, error, "a peer does not send a part of its document");
+    if let Err(error) = &reply
+        && *error != PeerError::Unknown
+    {
+        info!(event = events::PEER, %peer, table = ?Table::Settings, %error, "a peer does not send a part of its document");
         core.table_progress(Table::Settings).forget_sender();
     }
     reply
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -60,7 +60,14 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response.map(|body| guard_body(body, (busy, active)))
+    response.map(|body| {
+        let counted = body.map_frame(move |frame| {
+            core.copies
+                .count_callers(frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
+        guard_body(counted, (busy, active))
+    })
 }
 
 /// A request that was refused before it was placed.
@@ -124,6 +131,9 @@
     head: &RequestHead,
 ) -> Result<Admitted, Refusal> {
     let catalogue = core.catalogue().ok_or(Refusal::NoDocument)?;
+    if core.is_document_overdue() {
+        return Err(Refusal::Outdated);
+    }
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host
         .or_else(|| parts.uri.host())
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -26,7 +26,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 /// Time between probes. A peer detects a dead VM within about this time, and each VM sends one probe per interval
@@ -77,7 +77,6 @@
     reqwest::Client::builder()
         .no_proxy()
         .connect_timeout(PROBE_TIMEOUT)
-        .timeout(PROBE_TIMEOUT)
         .pool_idle_timeout(Duration::from_secs(20))
         .tcp_nodelay(true)
         .build()
@@ -114,11 +113,21 @@
 }
 
 async fn run_probe(core: Arc<Core>, probe: Probe) {
-    if let Err(error) = send_hello(&core, probe.addr, probe.updates).await {
-        warn!(event = events::PEER, peer = %probe.target, %error, "no answer to a probe");
-        core.peers.record_failed_probe(&probe.target);
+    let began = clock::now();
+    let limit = core.peers.lock_probing().timeout(PROBE_TIMEOUT);
+    if let Err(error) = send_hello_within(&core, probe.addr, probe.updates, limit).await {
+        let is_failed = error != PeerError::Late
+            || core
+                .peers
+                .lock_probing()
+                .record_late(&probe.addr.ip(), began);
+        warn!(event = events::PEER, peer = %probe.target, %error, limit_ms = clock::millis(limit), is_failed, "no answer to a probe");
+        if is_failed {
+            core.peers.record_failed_probe(&probe.target);
+        }
         return;
     }
+    core.peers.lock_probing().record_answer();
     // A peer that took this VM for failed tells all others once it hears from it directly.
     if answer_suspicions(&core)
         && let Err(error) = send_hello(&core, probe.addr, Vec::new()).await
@@ -302,6 +311,15 @@
     core: &Core,
     addr: SocketAddr,
     updates: Vec<MemberUpdate>,
+) -> Result<(), PeerError> {
+    send_hello_within(core, addr, updates, PROBE_TIMEOUT).await
+}
+
+async fn send_hello_within(
+    core: &Core,
+    addr: SocketAddr,
+    updates: Vec<MemberUpdate>,
+    limit: Duration,
 ) -> Result<(), PeerError> {
     let hello = Hello {
         me: core.peers.local_update(),
@@ -310,7 +328,7 @@
         weights: named_weights(core),
     };
     let (mut reply, quotas): (HelloReply, Option<Quotas>) =
-        post(core, addr, "hello", &hello, PROBE_TIMEOUT).await?;
+        post(core, addr, "hello", &hello, limit).await?;
     if let (Some(document), Some(quotas)) = (&mut reply.document, quotas) {
         document.set_quotas(quotas);
     }
@@ -366,6 +384,8 @@
 pub enum PeerError {
     /// Its release knows no such request.
     Unknown,
+    /// No reply came within the time limit; it may still come.
+    Late,
     /// The call failed.
     Failed(String),
 }
@@ -374,6 +394,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unknown => f.write_str("the peer's release knows no such request"),
+            Self::Late => f.write_str("no reply in time"),
             Self::Failed(why) => f.write_str(why),
         }
     }
@@ -398,18 +419,27 @@
         .peers
         .client
         .post(format!("http://{addr}/peers/{name}"))
-        .timeout(limit)
         .body(body)
         .send();
     let began = clock::now();
-    let answer = sent.await.map_err(failed)?;
-    core.peers.record_heard();
+    let answer = timeout(limit, sent).await.map_err(|_| PeerError::Late)?;
+    let answer = answer.map_err(|error| {
+        if error.is_timeout() {
+            PeerError::Late
+        } else {
+            failed(error)
+        }
+    })?;
+    core.peers.record_heard(addr.ip());
     match answer.status() {
         status if status.is_success() => {}
         StatusCode::NOT_FOUND => return Err(PeerError::Unknown),
         status => return Err(PeerError::Failed(format!("{addr} answered {status}"))),
     }
-    let bytes = read_body(answer, MAX_MESSAGE_BYTES).await.map_err(failed)?;
+    // An answer that is arriving is not given up: over a thin link the next one would take as long.
+    let bytes = read_body(answer, MAX_MESSAGE_BYTES, limit)
+        .await
+        .map_err(failed)?;
     if bytes.len() >= LARGE_REPLY_BYTES {
         info!(event = events::LARGE_REPLY, peer = %addr, call = name, bytes = bytes.len(), took_ms = clock::millis(clock::now().since(began)), "large answer of a peer");
     }
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -309,7 +309,7 @@
             sleep(TICK).await;
             continue;
         };
-        core.peers.record_heard();
+        core.peers.record_heard(from.ip());
         match rmp_serde::from_slice::<Datagram>(&buffer[..length]) {
             Ok(Datagram::Relayed(relayed)) => relay(&core, relayed).await,
             Ok(Datagram::Delegated(delegated)) => send_for(&core, delegated).await,
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -43,6 +43,7 @@
 };
 use sesamegap_policy::routing::engines::{rank, seed};
 use sesamegap_policy::routing::gateways::{Avoided, Place};
+use sesamegap_policy::routing::probing::Probing;
 use sesamegap_policy::routing::reading::Hearing;
 use sesamegap_wire::{DomainId, Incarnation, Moment, VmId};
 use std::cmp::Reverse;
@@ -104,6 +105,7 @@
     /// Peers that recently could not send a request on for this VM.
     avoided_gateways: Mutex<Avoided<SocketAddr>>,
     hearing: Mutex<Hearing>,
+    probing: Mutex<Probing<IpAddr>>,
     /// Wakes the task that keeps this VM's entry on the store's list when peers took it for dead.
     pub list_doubted: Notify,
     /// When an answer of the locator was last logged.
@@ -141,6 +143,7 @@
             roster: Mutex::default(),
             avoided_gateways: Mutex::default(),
             hearing: Mutex::new(Hearing::begin(clock::now())),
+            probing: Mutex::default(),
             list_doubted: Notify::new(),
             answer_logged: Mutex::default(),
         }
@@ -191,8 +194,14 @@
     }
 
     /// Records that a message of a peer has arrived.
-    pub fn record_heard(&self) {
-        self.lock_hearing().record(clock::now());
+    pub fn record_heard(&self, peer: IpAddr) {
+        let now = clock::now();
+        self.lock_hearing().record(now);
+        self.lock_probing().record_heard(peer, now);
+    }
+
+    fn lock_probing(&self) -> MutexGuard<'_, Probing<IpAddr>> {
+        self.probing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether this VM has heard no peer for so long that it must do without them.
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -21,6 +21,7 @@
 use sesamegap_policy::routing::link_budget::LinkBudget;
 use sesamegap_wire::{LogPosition, Moment};
 use smol_str::ToSmolStr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -46,7 +47,7 @@
 async fn hello(core: Data<&Arc<Core>>, body: Body) -> poem::Result<Vec<u8>> {
     let hello: Hello = decode(body).await?;
     let now = clock::now();
-    core.peers.record_heard();
+    core.peers.record_heard(hello.me.addr.ip());
     core.record_revision(hello.revision);
     let source = hello.me.who.vm.to_smolstr();
     let (me, updates, is_back) = {
@@ -110,6 +111,8 @@
 #[derive(Debug)]
 pub struct CopyServer {
     budget: Mutex<LinkBudget>,
+    /// Bytes sent to callers that the budget does not know of yet.
+    for_callers: AtomicUsize,
     encoded: Mutex<Option<(Moment, Bytes)>>,
 }
 
@@ -118,17 +121,26 @@
     pub fn new(link_mbps: f64) -> Self {
         Self {
             budget: Mutex::new(LinkBudget::new(link_mbps, clock::now())),
+            for_callers: AtomicUsize::new(0),
             encoded: Mutex::default(),
         }
     }
 
+    /// Counts bytes sent to callers, which go before copies.
+    pub fn count_callers(&self, bytes: usize) {
+        self.for_callers.fetch_add(bytes, Ordering::Relaxed);
+    }
+
     /// Charges a message to peers to the link's budget.
     pub fn charge(&self, bytes: usize) {
         self.lock_budget().charge(bytes, clock::now());
     }
 
     fn allows_copy(&self) -> bool {
-        self.lock_budget().allows_copy(clock::now())
+        let now = clock::now();
+        let mut budget = self.lock_budget();
+        budget.count_callers(self.for_callers.swap(0, Ordering::Relaxed), now);
+        budget.allows_copy(now)
     }
 
     fn lock_budget(&self) -> MutexGuard<'_, LinkBudget> {
@@ -249,7 +261,7 @@
 
 /// The reply to a question about the document; how far the store was read is told with the first one.
 fn document_reply(core: &Core, question: &DocumentQuestion, answer: Answer) -> DocumentReply {
-    let is_first = matches!(question.ask, Ask::Changes(_) | Ask::Outline);
+    let is_first = matches!(question.ask, Ask::Changes(..) | Ask::Outline);
     let position = core.table_progress(Table::Settings).position();
     let age_ms = clock::millis(clock::now().since(position.last_update()));
     DocumentReply {
--- a/crates/sesamegap-entry/src/refusal.rs
+++ b/crates/sesamegap-entry/src/refusal.rs
@@ -50,6 +50,8 @@
     NoDocument,
     /// The document in force does not allow it, but there is a newer one, or this VM cannot tell that there is none.
     OldDocument,
+    /// A newer document should have been in force here for long; it was not run and will not be.
+    Outdated,
     /// No upstream is available; the request was not run and will not be.
     NoUpstream,
     /// The limits that all upstreams name are used up; it was not run and will not be.
@@ -88,7 +90,7 @@
     /// The delay for `Retry-After`, if a retry can help.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoDocument | Self::OldDocument => Some(START_RETRY_AFTER),
+            Self::NoDocument | Self::OldDocument | Self::Outdated => Some(START_RETRY_AFTER),
             Self::NoUpstream => Some(UPSTREAM_RETRY_AFTER),
             Self::Suspect => Some(TRIAL_RETRY_AFTER),
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
@@ -112,6 +114,7 @@
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoDocument
             | Self::OldDocument
+            | Self::Outdated
             | Self::NoUpstream
             | Self::AllLimited(_)
             | Self::Suspect
@@ -137,6 +140,7 @@
             Self::BodyTimeout => "body came too slowly; not run",
             Self::NoDocument => "no settings yet; not run",
             Self::OldDocument => "not allowed by settings that may have been replaced; not run",
+            Self::Outdated => "the settings here were replaced some time ago; not run",
             Self::NoUpstream => "no upstream can take it; not run",
             Self::AllLimited(_) => "the upstreams take no more requests now; not run",
             Self::Suspect => {
--- a/crates/sesamegap-http/src/body.rs
+++ b/crates/sesamegap-http/src/body.rs
@@ -3,23 +3,32 @@
 use crate::failure::Failure;
 use bytes::{Bytes, BytesMut};
 use reqwest::Response;
+use std::fmt;
+use std::time::Duration;
+use tokio::time::timeout;
 
-/// Reads a complete body of at most `limit` bytes; the request's own timeout bounds the time.
+/// Reads a complete body of at most `limit` bytes. It may take any time, as long as no pause in it is longer than `silence`.
 ///
 /// A peer or upstream in trouble may send bytes without end.
 ///
 /// # Errors
 /// If the body breaks off or is longer; the message says how much of it arrived.
-pub async fn read_body(mut response: Response, limit: usize) -> Result<Bytes, Failure> {
+pub async fn read_body(
+    mut response: Response,
+    limit: usize,
+    silence: Duration,
+) -> Result<Bytes, Failure> {
     let mut body = BytesMut::new();
     loop {
-        let chunk = match response.chunk().await {
-            Ok(Some(chunk)) => chunk,
-            Ok(None) => return Ok(body.freeze()),
-            Err(error) => {
-                let received = body.len();
-                return Err(Failure::Broken(format!("{error} after {received} bytes")));
-            }
+        let broken = |why: &dyn fmt::Display| {
+            let received = body.len();
+            Failure::Broken(format!("{why} after {received} bytes"))
+        };
+        let chunk = match timeout(silence, response.chunk()).await {
+            Ok(Ok(Some(chunk))) => chunk,
+            Ok(Ok(None)) => return Ok(body.freeze()),
+            Ok(Err(error)) => return Err(broken(&error)),
+            Err(_) => return Err(broken(&"the connection went silent")),
         };
         if body.len() + chunk.len() > limit {
             return Err(Failure::Oversized(limit));
--- a/crates/sesamegap-policy/src/agreement/replication/fetch.rs
+++ b/crates/sesamegap-policy/src/agreement/replication/fetch.rs
@@ -1,23 +1,33 @@
 //! Decides what a process that is behind asks its peers for.
 
 use super::{BUCKETS, Content, Delta, Digest, EntryId, Version};
-use rand::Rng;
 use rand::seq::IteratorRandom;
+use rand::{Rng, RngExt};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Most entries that are asked for at once: about a piece of them, so that several peers share the work.
-const ENTRIES_PER_ASK: usize = 96;
+const ENTRIES_PER_ASK: usize = 192;
 
-/// Buckets whose ids are asked for at once: 1,250 ids of a value with 20,000 entries.
-const BUCKETS_PER_ASK: usize = 16;
+/// Entries that a peer is asked for that has sent none yet.
+const TRIAL_ENTRIES: usize = 24;
+
+/// Fewest entries that are asked for at once, over a link on which larger answers come too late.
+const MIN_ENTRIES_PER_ASK: usize = 4;
+
+/// Entries for which one bucket is asked for: 16 buckets at once on a link that is not thin, 1,250 ids of a value with 20,000
+/// entries.
+const ENTRIES_PER_BUCKET: usize = 12;
+
+/// Bytes that are allowed in an answer for each entry that is asked for.
+const ROOM_PER_ENTRY: usize = 128;
 
 /// A question to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
-    /// What changed since a version.
-    Changes(Version),
+    /// What changed since a version, in at most this many bytes. The number selects the added entries that come with it.
+    Changes(Version, usize, usize),
     /// The digests of the buckets of the peer's version.
     Outline,
     /// The ids in some buckets of the peer's version.
@@ -52,13 +62,35 @@
 #[derive(Debug)]
 struct Target {
     version: Version,
+    /// The own version, from which it differs by what follows.
+    base: Version,
     removed: Vec<EntryId>,
     /// Entries that the own version lacks.
     added: FxHashSet<EntryId>,
+    /// Those that no peer is being asked for; some may have arrived since.
+    queue: Vec<EntryId>,
+    /// Number of those that have not arrived.
+    missing: usize,
     /// Buckets that differ and whose ids are not known yet, with their digests.
     unlisted: FxHashMap<u8, Digest>,
 }
 
+impl Target {
+    /// Adds entries that the own version lacks.
+    fn require<E>(
+        &mut self,
+        ids: impl IntoIterator<Item = EntryId>,
+        arrived: &FxHashMap<EntryId, E>,
+    ) {
+        for id in ids {
+            if self.added.insert(id) && !arrived.contains_key(&id) {
+                self.queue.push(id);
+                self.missing += 1;
+            }
+        }
+    }
+}
+
 /// A newer version that is being fetched from peers.
 #[derive(Debug)]
 pub struct Fetch<E> {
@@ -67,10 +99,10 @@
     arrived: FxHashMap<EntryId, E>,
     /// Ids of buckets that peers listed, by the bucket's digest.
     listed: FxHashMap<(u8, Digest), Vec<EntryId>>,
-    /// Entries that a peer was asked for and has not sent yet.
-    asked: FxHashSet<EntryId>,
     /// Whether a peer's account of what changed was wrong.
     needs_outline: bool,
+    /// Entries that are asked for at once.
+    batch: usize,
 }
 
 impl<E> Default for Fetch<E> {
@@ -79,8 +111,8 @@
             target: None,
             arrived: FxHashMap::default(),
             listed: FxHashMap::default(),
-            asked: FxHashSet::default(),
             needs_outline: false,
+            batch: ENTRIES_PER_ASK,
         }
     }
 }
@@ -91,43 +123,67 @@
         self.target.as_ref().map(|target| target.version)
     }
 
+    /// What changed between a version and the target, if all of it is known.
+    pub fn delta_from(&self, base: Version) -> Option<(Version, Delta)> {
+        let target = self.target.as_ref();
+        let target = target.filter(|target| target.base == base && target.unlisted.is_empty())?;
+        let delta = Delta {
+            removed: target.removed.clone(),
+            added: target.added.iter().copied().collect(),
+        };
+        Some((target.version, delta))
+    }
+
     /// An entry that has arrived.
     pub fn get(&self, id: EntryId) -> Option<&E> {
         self.arrived.get(&id)
     }
 
     /// The question that finds out about a newer version.
-    pub fn first_ask(&self, own: &Content<E>) -> Ask {
+    pub fn first_ask(&self, own: &Content<E>, rng: &mut dyn Rng) -> Ask {
         if self.needs_outline {
             Ask::Outline
         } else {
-            Ask::Changes(own.version())
+            let selector = rng.random_range(0..=usize::from(u16::MAX));
+            Ask::Changes(own.version(), self.batch * ROOM_PER_ENTRY, selector)
         }
     }
 
-    /// Aims at a version whose difference from `base` a peer named.
+    /// Aims at a version whose difference from `base` a peer named, if it is newer than the target.
     pub fn aim_by_delta(
         &mut self,
         own: &Content<E>,
         base: Version,
         version: Version,
         delta: Delta,
-    ) {
-        if base == own.version() && self.is_newer(own, version) {
-            self.target = Some(Target {
+    ) -> bool {
+        let is_aimed = base == own.version() && self.is_newer(own, version);
+        if is_aimed {
+            let mut target = Target {
                 version,
+                base,
                 removed: delta.removed,
-                added: delta.added.into_iter().collect(),
+                added: FxHashSet::default(),
+                queue: Vec::new(),
+                missing: 0,
                 unlisted: FxHashMap::default(),
-            });
+            };
+            target.require(delta.added, &self.arrived);
+            self.target = Some(target);
             self.discard_useless();
         }
+        is_aimed
     }
 
-    /// Aims at a version of which a peer sent the digests of its buckets.
-    pub fn aim_by_outline(&mut self, own: &Content<E>, version: Version, outline: &[Digest]) {
+    /// Aims at a version of which a peer sent the digests of its buckets, if it is newer than the target.
+    pub fn aim_by_outline(
+        &mut self,
+        own: &Content<E>,
+        version: Version,
+        outline: &[Digest],
+    ) -> bool {
         if outline.len() != BUCKETS || !self.is_newer(own, version) {
-            return;
+            return false;
         }
         let buckets = (0..=u8::MAX).zip(outline.iter().copied());
         let unlisted = buckets.filter(|(bucket, digest)| own.digest(*bucket) != *digest);
@@ -136,14 +192,18 @@
             .retain(|(bucket, digest), _| unlisted.get(bucket) == Some(digest));
         self.target = Some(Target {
             version,
+            base: own.version(),
             removed: Vec::new(),
             added: FxHashSet::default(),
+            queue: Vec::new(),
+            missing: 0,
             unlisted,
         });
         for ((bucket, _), ids) in std::mem::take(&mut self.listed) {
             self.add_ids(own, bucket, ids);
         }
         self.discard_useless();
+        true
     }
 
     /// Adds the ids that a peer listed of a bucket; returns whether they are those of the target.
@@ -159,52 +219,72 @@
         let present: FxHashSet<EntryId> = own.ids(bucket).into_iter().collect();
         let wanted: FxHashSet<EntryId> = ids.iter().copied().collect();
         target.removed.extend(present.difference(&wanted));
-        target.added.extend(wanted.difference(&present));
+        let added = wanted.difference(&present).copied();
+        target.require(added, &self.arrived);
         self.listed.insert((bucket, digest), ids);
         true
     }
 
     /// Adds an entry that a peer sent; returns whether it was missing.
     pub fn add_entry(&mut self, id: EntryId, entry: E) -> bool {
-        self.asked.remove(&id);
-        let target = self.target.as_ref();
-        let is_wanted = target.is_some_and(|target| target.added.contains(&id));
-        is_wanted && self.arrived.insert(id, entry).is_none()
+        let Some(target) = &mut self.target else {
+            return false;
+        };
+        let is_missing = target.added.contains(&id) && self.arrived.insert(id, entry).is_none();
+        target.missing -= usize::from(is_missing);
+        is_missing
     }
 
-    /// What to ask a peer for next; `None` if everything is known or was asked for.
-    pub fn next_ask(&mut self, rng: &mut dyn Rng) -> Option<Ask> {
-        let target = self.target.as_ref()?;
+    /// What to ask a peer for next; `None` if everything is known or was asked for. A peer that has sent nothing yet, and
+    /// may have nothing, is asked for a few entries.
+    pub fn next_ask(&mut self, is_proven: bool, rng: &mut dyn Rng) -> Option<Ask> {
+        let batch = if is_proven {
+            self.batch
+        } else {
+            self.batch.min(TRIAL_ENTRIES)
+        };
+        let target = self.target.as_mut()?;
         if !target.unlisted.is_empty() {
             let buckets = target.unlisted.keys().copied();
-            return Some(Ask::Ids(buckets.sample(rng, BUCKETS_PER_ASK)));
+            let count = (self.batch / ENTRIES_PER_BUCKET).max(1);
+            return Some(Ask::Ids(buckets.sample(rng, count)));
         }
-        let missing = target.added.iter();
-        let missing = missing.filter(|id| !self.arrived.contains_key(id));
-        let missing = missing.filter(|id| !self.asked.contains(id)).copied();
-        let ids = missing.sample(rng, ENTRIES_PER_ASK);
-        if ids.is_empty() {
-            return None;
+        // Peers that fetch the same document send each other what they have, so each begins elsewhere.
+        let mut ids = Vec::new();
+        while ids.len() < batch && !target.queue.is_empty() {
+            let at = rng.random_range(0..target.queue.len());
+            let id = target.queue.swap_remove(at);
+            if !self.arrived.contains_key(&id) {
+                ids.push(id);
+            }
         }
-        self.asked.extend(&ids);
-        Some(Ask::Entries(ids))
+        (!ids.is_empty()).then_some(Ask::Entries(ids))
+    }
+
+    /// Records whether an answer came in time. After one that did not, less is asked for at once: over a thin link, a large
+    /// answer would be given up and asked for again without end.
+    pub fn record_timing(&mut self, is_late: bool) {
+        self.batch = if is_late {
+            (self.batch / 2).max(MIN_ENTRIES_PER_ASK)
+        } else {
+            (self.batch + self.batch / 4 + 1).min(ENTRIES_PER_ASK)
+        };
     }
 
     /// Records that a question was answered, or will not be: what did not arrive may be asked for again.
     pub fn release(&mut self, ask: &Ask) {
-        if let Ask::Entries(ids) = ask {
-            for id in ids {
-                self.asked.remove(id);
-            }
-        }
+        let (Ask::Entries(ids), Some(target)) = (ask, &mut self.target) else {
+            return;
+        };
+        let missing = ids.iter().filter(|id| target.added.contains(id));
+        let missing = missing.filter(|id| !self.arrived.contains_key(id));
+        target.queue.extend(missing);
     }
 
     /// Whether all entries of the target have arrived.
     pub fn is_complete(&self) -> bool {
-        self.target.as_ref().is_some_and(|target| {
-            let mut added = target.added.iter();
-            target.unlisted.is_empty() && added.all(|id| self.arrived.contains_key(id))
-        })
+        let target = self.target.as_ref();
+        target.is_some_and(|target| target.unlisted.is_empty() && target.missing == 0)
     }
 
     /// Builds the target version if all of it has arrived.
@@ -218,10 +298,12 @@
         let Some(target) = self.target.take() else {
             return Ok(None);
         };
-        let arrived = std::mem::take(self).arrived;
-        if target.version.revision <= own.version().revision {
+        if target.base != own.version() {
+            // Another version was put in force meanwhile; what has arrived may still be of use.
             return Ok(None);
         }
+        let Self { arrived, batch, .. } = std::mem::take(self);
+        self.batch = batch;
         let added = arrived.into_iter();
         let added = added.filter(|(id, _)| target.added.contains(id)).collect();
         let next = own.changed(target.version.revision, target.removed, added);
@@ -235,15 +317,13 @@
         })
     }
 
-    /// Drops the target because the own version changed meanwhile; what has arrived stays.
-    pub fn abandon(&mut self) {
-        self.target = None;
-        self.asked.clear();
-    }
-
     fn is_newer(&self, own: &Content<E>, version: Version) -> bool {
-        let target = self.target.as_ref().map(|target| target.version.revision);
-        version.revision > own.version().revision.max(target.unwrap_or_default())
+        let target = self.target.as_ref();
+        let target = target.filter(|target| target.base == own.version());
+        let revision = target
+            .map_or(own.version(), |target| target.version)
+            .revision;
+        version.revision > revision
     }
 
     /// Drops entries that the target lacks, so that an unending series of versions does not fill the memory.
--- a/crates/sesamegap-policy/src/agreement/replication/mod.rs
+++ b/crates/sesamegap-policy/src/agreement/replication/mod.rs
@@ -12,9 +12,11 @@
 //! target; versions in between are never completed.
 
 mod content;
+mod exchange;
 mod fetch;
 
 pub use content::{BUCKETS, Content, Delta};
+pub use exchange::{Answer, Encode, answer, apply_answer};
 pub use fetch::{Ask, Fetch, FetchError};
 
 use serde::{Deserialize, Serialize};
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -11,6 +11,7 @@
 //! - [`timeouts`] sets the timeouts that tell an unresponsive upstream from a slow one.
 //! - [`reachability`] tells whether this VM reaches any upstream at all.
 //! - [`gateways`] picks the peers that send requests on for a VM that reaches none.
+//! - [`probing`] tells a late answer to a probe from a failed peer.
 //! - [`silence`] combines the VMs' reports on unresponsive upstreams.
 //! - [`belief`] tracks whether an upstream is present, and its incarnation.
 //! - [`link_budget`] bounds the bytes that a VM sends to its peers.
@@ -34,6 +35,7 @@
 pub mod link_budget;
 pub mod placements;
 pub mod plain;
+pub mod probing;
 pub mod reachability;
 pub mod reading;
 pub mod revisions;
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -17,6 +17,11 @@
     clippy::unwrap_used,
     reason = "a test fails if one of its helpers does"
 )]
+mod replication;
+#[expect(
+    clippy::unwrap_used,
+    reason = "a test fails if one of its helpers does"
+)]
 mod resumption;
 mod routing;
 mod serving;
