Bound every read of upstreams' and peers' answers

Callers of an upstream that sends bytes without end, in a head or a body, got an answer that went on until they left; the VM that read the body of an error response, an engine's report, the events of a cache or a peer's answer kept it in its memory of 88 MB until a time limit.

Change: the head of an upstream's response is at most 64 KiB; error bodies of stream routes, reports and events have limits of bytes; a streamed answer ends with its request and does not look complete; streams whose events never pause end at the deadline. A body or event without end counts as the upstream's failure. The standalone router's peers have a limit too (16 MiB).

Tests: stand-ins without end for head, body, error body, events, peers' answers, reports and cache events.

Soak: a thin link carries so many bytes a second for all its connections together.

--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -9,6 +9,7 @@
 use super::request_log::RequestLog;
 use super::retry::RetryState;
 use super::waiting::wait_for_upstream;
+use crate::clock;
 use crate::core::Core;
 use crate::intake::{Body, full_body, refusal_response};
 use crate::job::Job;
@@ -23,7 +24,7 @@
 use tokio::time::{Instant, timeout_at};
 
 /// Largest response that is buffered, in bytes; what follows in a longer one is streamed.
-const BUFFER_LIMIT: usize = 256 << 10;
+pub(super) const BUFFER_LIMIT: usize = 256 << 10;
 
 /// Relays a request to a plain service.
 pub async fn run(core: &Arc<Core>, job: &Job) -> Response<Body> {
@@ -131,7 +132,7 @@
                 Some(Instant::now()),
             );
             let rest = (body, answered.exchange.connection, answered.flight);
-            let body = stream_rest(Arc::clone(core), bytes.freeze(), rest, loss);
+            let body = stream_rest(Arc::clone(core), bytes.freeze(), rest, loss, job.deadline);
             return Some(caller_response(head.status, &head.headers, body));
         }
     }
@@ -150,20 +151,28 @@
     ))
 }
 
-/// A body whose start has been read. The connection and the flight in `rest` live as long as the body.
+/// A body whose start has been read; it ends at the deadline, since the upstream may send without end. The connection and the flight in `rest` live as long as the body.
 fn stream_rest<G: Send + 'static>(
     core: Arc<Core>,
     first_bytes: Bytes,
     rest: (ResponseBody, G, crate::fleet::Flight),
     loss: BrokenAnswer,
+    deadline: Instant,
 ) -> Body {
     let stream = async_stream::stream! {
-        let (mut body, _connection, _flight) = rest;
+        let (mut body, _connection, flight) = rest;
         yield Ok(Frame::data(first_bytes));
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => yield Ok(frame),
-                Err(error) => {
+        loop {
+            match timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => yield Ok(frame),
+                Ok(None) => break,
+                Err(_) => {
+                    // The upstream is too slow, or sends without end.
+                    flight.record_failure(clock::now());
+                    yield Err(std::io::Error::other("request deadline expired"));
+                    return;
+                }
+                Ok(Some(Err(error))) => {
                     drop(loss.probe_and_report(&core));
                     yield Err(std::io::Error::other(error));
                     return;
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -8,9 +8,9 @@
     Answered, QUARANTINED, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run,
 };
 use crate::relay::loss::{self, ANSWERED_FOR, BrokenAnswer};
-use crate::relay::plain::caller_response;
+use crate::relay::plain::{BUFFER_LIMIT, caller_response};
 use crate::relay::sse::{EventBatch, EventSplitter};
-use crate::upstream::{Connection, ResponseBody};
+use crate::upstream::{Connection, ResponseBody, collect};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
@@ -79,11 +79,15 @@
             ));
         }
         if !head.status.is_success() {
-            let read = timeout_at(self.job.deadline, body.collect()).await;
+            let read = timeout_at(self.job.deadline, collect(body, BUFFER_LIMIT)).await;
             let body = match read
                 .map_err(|_| "response body did not end before the deadline".to_owned())?
             {
-                Ok(body) => body.to_bytes(),
+                Ok(Some(body)) => body,
+                Ok(None) => {
+                    flight.record_failure(clock::now());
+                    return Err("the body of an error response exceeds the size limit".to_owned());
+                }
                 Err(error) => {
                     loss::report_broken_connection(
                         &self.core,
@@ -129,6 +133,10 @@
     ) -> Result<Option<EventBatch>, String> {
         let mut silent_since = Instant::now();
         loop {
+            // An upstream that sends without a pause never runs into a timeout.
+            if Instant::now() >= self.job.deadline + READ_GRACE {
+                return Err("request deadline expired".to_owned());
+            }
             let until = self
                 .silence_deadline(stream, silent_since)
                 .min(stream.next_check());
@@ -184,8 +192,11 @@
             {
                 permit.end_turn();
             }
-            let events = stream.splitter.push(&data);
-            if let Some(events) = events.map_err(|_| "event exceeds the size limit".to_owned())? {
+            let Ok(events) = stream.splitter.push(&data) else {
+                stream.flight.record_failure(clock::now());
+                return Err("event exceeds the size limit".to_owned());
+            };
+            if let Some(events) = events {
                 stream.event_received = true;
                 return Ok(Some(events));
             }
--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of upstreams' responses.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::Response;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -50,3 +50,23 @@
     };
     StreamBody::new(frames).boxed_unsync()
 }
+
+/// Reads a body of at most `limit` bytes to its end; `None` if it is longer.
+///
+/// # Errors
+/// If the body is incomplete.
+pub async fn collect(
+    mut body: ResponseBody,
+    limit: usize,
+) -> Result<Option<Bytes>, Box<dyn Error + Send + Sync>> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > limit {
+            return Ok(None);
+        }
+    }
+    Ok(Some(bytes.freeze()))
+}
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 pub mod gateway;
 pub mod routes;
 
-pub use body::ResponseBody;
+pub use body::{ResponseBody, collect};
 
 use crate::limits::permit::SendPermit;
 use body::{confirm_end, is_unframed};
@@ -28,6 +28,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+/// Longest head of a response, in bytes; an upstream in trouble may send one without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Maximum time to connect: many times the network delay within a region, and short enough that after a failure to
 /// reach an overloaded or dead upstream another one can still respond in time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -136,7 +139,9 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake
         .await
         .map_err(|error| SendError::Unreached(error.to_string()))?;
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod catalogue;
 mod copies;
 mod dead_calls;
+mod endless;
 mod fetches;
 mod fleet;
 mod fleet_records;
--- a/crates/sesamegap-entry/tests/testsuite/support/thin.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/thin.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -21,8 +21,6 @@
     carried: AtomicUsize,
     /// Reads of what the connecting side sends: a small request each.
     asked: AtomicUsize,
-    /// Whether the path loses everything from now on.
-    is_cut: AtomicBool,
     /// All connections share the link.
     link: Mutex<()>,
 }
@@ -52,11 +50,6 @@
         self.asked.load(Ordering::Relaxed)
     }
 
-    /// Loses everything from now on.
-    pub fn cut(&self) {
-        self.is_cut.store(true, Ordering::Relaxed);
-    }
-
     async fn join(&self, near: TcpStream, to: SocketAddr, bytes_per_s: f64) {
         let Ok(far) = TcpStream::connect(to).await else {
             return;
@@ -80,9 +73,6 @@
                 if time >= SHORTEST_SLEEP {
                     tokio::time::sleep(time).await;
                 }
-                if self.is_cut.load(Ordering::Relaxed) {
-                    std::future::pending::<()>().await;
-                }
                 self.carried.fetch_add(length, Ordering::Relaxed);
                 if near_out.write_all(&buffer[..length]).await.is_err() {
                     return;
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -41,6 +41,8 @@
     StalledEvents(std::ops::Range<u64>),
     /// Sends these events, pauses, and sends the rest up to this id.
     PausedEvents(std::ops::Range<u64>, Duration, u64),
+    /// Sends these bytes, and others again and again until the client closes.
+    Endless(&'static str, &'static str),
     /// Waits, then acts.
     After(Duration, Box<Act>),
     /// Sends these events after a time in the queue; drops the request if the connection closes
@@ -55,6 +57,7 @@
     seen: Arc<Mutex<Vec<String>>>,
     closed: Arc<Mutex<usize>>,
     started: Arc<Mutex<usize>>,
+    sent: Arc<Mutex<usize>>,
 }
 
 impl Upstream {
@@ -67,6 +70,7 @@
             seen: Arc::default(),
             closed: Arc::default(),
             started: Arc::default(),
+            sent: Arc::default(),
         };
         let state = upstream.clone();
         tokio::spawn(async move {
@@ -97,6 +101,11 @@
         *self.started.lock().unwrap()
     }
 
+    /// Bytes sent by acts without end.
+    pub fn sent(&self) -> usize {
+        *self.sent.lock().unwrap()
+    }
+
     async fn serve(self, mut stream: TcpStream, act: Act) {
         let Some(request) = read(&mut stream).await else {
             return;
@@ -183,6 +192,16 @@
                     false,
                 )
             }
+            Act::Endless(first, again) => {
+                let first = first.replace("ID", id);
+                drop(stream.write_all(first.as_bytes()).await);
+                while stream.write_all(again.as_bytes()).await.is_ok() {
+                    *self.sent.lock().unwrap() += again.len();
+                    // The other tasks of the test share the thread.
+                    tokio::task::yield_now().await;
+                }
+                return;
+            }
             Act::After(pause, act) => {
                 tokio::time::sleep(pause).await;
                 return Box::pin(self.act(stream, id, *act)).await;
--- a/crates/sesamegap/src/router/peers/client.rs
+++ b/crates/sesamegap/src/router/peers/client.rs
@@ -6,6 +6,7 @@
 use reqwest::{Client, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use sesamegap_http::read_body;
 use sesamegap_wire::peer::Warmth;
 use sesamegap_wire::{ModelId, VmId, codec};
 use smol_str::SmolStr;
@@ -20,6 +21,9 @@
 /// Longest time for one relayed answer, whole or as a stream; longer than any class allows.
 const RELAY_LONGEST: Duration = Duration::from_mins(10);
 
+/// Largest answer that is read whole, in bytes; settings of thousands of teams are under it.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// A peer that could not be asked.
 #[derive(Debug, Clone)]
 pub struct PeerError(String);
@@ -151,7 +155,8 @@
         let asked = async {
             let response = self.send(to, path, message).await?;
             let response = response.error_for_status().map_err(wrong)?;
-            let bytes = response.bytes().await.map_err(wrong)?;
+            let bytes = read_body(response, MAX_ANSWER_BYTES, self.limit).await;
+            let bytes = bytes.map_err(|error| PeerError(error.to_string()))?;
             codec::decode(&bytes).map_err(|error| PeerError(error.to_string()))
         };
         let asked = tokio::time::timeout(self.limit, asked).await;
