--- a/crates/sesamegap-entry/src/catalogue/entries.rs
+++ b/crates/sesamegap-entry/src/catalogue/entries.rs
@@ -1,6 +1,6 @@
 //! A document as a set of entries.
 
-use super::{Document, KvStore, Limits, Quota, Route, Service, Team};
+use super::document::{Document, KvStore, Limits, Quota, Route, Service, Team};
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::agreement::replication::EntryId;
 use std::collections::BTreeSet;
--- a/crates/sesamegap-entry/src/catalogue/exchange.rs
+++ b/crates/sesamegap-entry/src/catalogue/exchange.rs
@@ -1,6 +1,6 @@
 //! The encoding of entries in answers about a document.
 
-use super::Entry;
+use super::entries::Entry;
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sesamegap_policy::agreement::replication::{self, Ask, Content, Encode, EntryId, Fetch};
--- a/crates/sesamegap-entry/src/catalogue/index.rs
+++ b/crates/sesamegap-entry/src/catalogue/index.rs
@@ -1,7 +1,7 @@
 //! An index of a document by host, key and service.
 
-use super::entries::Common;
-use super::{Document, Entry, KvStore, Limits, Revision, Route, Service, Team};
+use super::document::{Document, KvStore, Limits, Revision, Route, Service, Team};
+use super::entries::{Common, Entry};
 use rustc_hash::{FxHashMap, FxHashSet};
 use sesamegap_policy::agreement::replication::{Content, Delta, EntryId};
 use sesamegap_wire::ServiceId;
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -7,6 +7,7 @@
 //! missed ([`pull`]). They read the store themselves only if their peers have nothing newer either, one after another.
 
 mod apply;
+mod fetch;
 mod journal;
 mod pull;
 mod reports;
@@ -14,10 +15,9 @@
 mod updates;
 mod vms;
 
+pub use fetch::{DocumentQuestion, DocumentReply, fetch_documents};
 pub use journal::Journal;
-pub use pull::{
-    DocumentQuestion, DocumentReply, PullReply, PullRequest, SettingsCopy, fetch_documents,
-};
+pub use pull::{PullReply, PullRequest, SettingsCopy};
 pub use snapshot::FleetSnapshot;
 use updates::read_table;
 pub use updates::{
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -1,6 +1,7 @@
 //! Periodic probes of peers, and broadcasts of this process's own state.
 
 use super::datagrams::{Datagram, encode_limits};
+use super::error::PeerError;
 use super::message::{Hello, HelloReply, apply_state, named_weights};
 use super::relay::broadcast;
 use super::server::MAX_MESSAGE_BYTES;
@@ -21,7 +22,6 @@
 use sesamegap_policy::routing::dissemination::MAX_DIRECT;
 use sesamegap_policy::routing::upstream_limits;
 use smol_str::ToSmolStr;
-use std::fmt;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -379,33 +379,6 @@
     Ok(reply)
 }
 
-/// Why a peer sent no reply.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PeerError {
-    /// Its release knows no such request.
-    Unknown,
-    /// No reply came within the time limit; it may still come.
-    Late,
-    /// The call failed.
-    Failed(String),
-}
-
-impl fmt::Display for PeerError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Unknown => f.write_str("the peer's release knows no such request"),
-            Self::Late => f.write_str("no reply in time"),
-            Self::Failed(why) => f.write_str(why),
-        }
-    }
-}
-
-impl std::error::Error for PeerError {}
-
-fn failed(error: impl fmt::Display) -> PeerError {
-    PeerError::Failed(error.to_string())
-}
-
 /// Sends a message; returns the reply and what follows it, if the peer's release sends that.
 async fn post<Q: Serialize, A: DeserializeOwned, B: DeserializeOwned>(
     core: &Core,
@@ -414,7 +387,7 @@
     message: &Q,
     limit: Duration,
 ) -> Result<(A, Option<B>), PeerError> {
-    let body = rmp_serde::to_vec(message).map_err(failed)?;
+    let body = rmp_serde::to_vec(message).map_err(PeerError::failed)?;
     let sent = core
         .peers
         .client
@@ -427,7 +400,7 @@
         if error.is_timeout() {
             PeerError::Late
         } else {
-            failed(error)
+            PeerError::failed(error)
         }
     })?;
     core.peers.record_heard(addr.ip());
@@ -439,16 +412,16 @@
     // An answer that is arriving is not given up: over a thin link the next one would take as long.
     let bytes = read_body(answer, MAX_MESSAGE_BYTES, limit)
         .await
-        .map_err(failed)?;
+        .map_err(PeerError::failed)?;
     if bytes.len() >= LARGE_REPLY_BYTES {
         info!(event = events::LARGE_REPLY, peer = %addr, call = name, bytes = bytes.len(), took_ms = clock::millis(clock::now().since(began)), "large answer of a peer");
     }
     let mut rest = bytes.as_ref();
-    let reply = rmp_serde::from_read(&mut rest).map_err(failed)?;
+    let reply = rmp_serde::from_read(&mut rest).map_err(PeerError::failed)?;
     let following = if rest.is_empty() {
         None
     } else {
-        Some(rmp_serde::from_read(&mut rest).map_err(failed)?)
+        Some(rmp_serde::from_read(&mut rest).map_err(PeerError::failed)?)
     };
     Ok((reply, following))
 }
--- a/crates/sesamegap-entry/src/peers/message.rs
+++ b/crates/sesamegap-entry/src/peers/message.rs
@@ -8,6 +8,7 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::agreement::membership::MemberUpdate;
+use sesamegap_policy::routing::belief::Change;
 use sesamegap_policy::routing::weights::{Named, Naming};
 use sesamegap_wire::{Incarnation, Moment, UpstreamId};
 use smol_str::SmolStr;
@@ -185,3 +186,48 @@
         learn_weights(core, &named.weights, named.age.to_named(), from);
     }
 }
+
+/// Applies updates on engines.
+pub fn apply_engine_updates(core: &Core, updates: &[EngineUpdate]) {
+    let now = clock::now();
+    let mut fleet = core.fleet.lock();
+    for update in updates {
+        match fleet.observe_incarnation(&update.engine, update.born) {
+            // A pause, or weights, of an earlier incarnation do not apply to the current one.
+            Change::Former => {
+                info!(event = events::DISCARDED, upstream = %update.engine, born = update.born.map(|born| born.0), "discarded a peer's update on an earlier incarnation");
+                continue;
+            }
+            Change::Restarted => {
+                info!(event = events::UPSTREAM, upstream = %update.engine, change = "Restarted", born = update.born.map(|born| born.0), "a peer found a newer incarnation");
+            }
+            _ => {}
+        }
+        let Some(engine) = fleet.get_mut(&update.engine) else {
+            continue;
+        };
+        let was_paused = engine.is_paused(now);
+        let until = now + Duration::from_millis(u64::from(update.out_ms));
+        if update.gone {
+            engine.mark_gone(until);
+        } else {
+            engine.pause(until);
+        }
+        if was_paused != (update.out_ms > 0) {
+            info!(event = events::UPSTREAM, upstream = %update.engine, change = if was_paused { "back" } else { "out" }, out_ms = update.out_ms, "a VM takes an upstream out or gives it back");
+        }
+        // Within an incarnation the weights version only increases, and the update on an earlier load may arrive
+        // after that on a later one.
+        if let Some(weights) = &update.weights
+            && engine.version(&weights.model) < Some(weights.version)
+        {
+            engine.record_version(&weights.model, weights.version);
+        }
+    }
+}
+
+/// Applies an engine update on this VM at once and broadcasts it to all peers.
+pub fn broadcast_engine_update(core: &Core, update: EngineUpdate) {
+    apply_engine_updates(core, std::slice::from_ref(&update));
+    core.peers.outbox.put(update);
+}
--- a/crates/sesamegap-entry/src/peers/mod.rs
+++ b/crates/sesamegap-entry/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod counting;
 mod datagrams;
+mod error;
 mod loads;
 mod message;
 pub mod numbers;
@@ -17,13 +18,17 @@
 mod server;
 mod socket;
 
-pub use client::{PeerError, ask_document, broadcast_state, pull, run_probes};
+pub use client::{ask_document, broadcast_state, pull, run_probes};
 pub use datagrams::{
-    apply_engine_updates, broadcast_engine_update, broadcast_store_unavailable, encode_limits,
-    encode_placing, encode_quarantine, encode_quota, encode_resumption, run_datagrams,
+    broadcast_store_unavailable, encode_limits, encode_placing, encode_quarantine, encode_quota,
+    encode_resumption, run_datagrams,
 };
+pub use error::PeerError;
 pub use loads::{Loads, UpstreamLoad};
-pub use message::{EngineUpdate, NamedWeights, apply_state, learn_weights, named_weights};
+pub use message::{
+    EngineUpdate, NamedWeights, apply_engine_updates, apply_state, broadcast_engine_update,
+    learn_weights, named_weights,
+};
 pub use numbers::MessageNumbers;
 pub use outbox::Outbox;
 pub use relay::{broadcast_quarantine, broadcast_resumption};
--- a/crates/sesamegap-entry/src/quarantine/outbox.rs
+++ b/crates/sesamegap-entry/src/quarantine/outbox.rs
@@ -1,7 +1,7 @@
 //! Queue of reports and records to be sent to other VMs.
 
 use super::message::Report;
-use crate::peers::take_repeated;
+use crate::peers::repeated::take_repeated;
 use sesamegap_policy::quarantine::Record;
 
 /// How many times each item is sent: if a report or record is lost, the request may crash one more upstream.
--- a/crates/sesamegap-entry/tests/testsuite/large_documents.rs
+++ b/crates/sesamegap-entry/tests/testsuite/large_documents.rs
@@ -140,3 +140,40 @@
     let cost = path.carried() - before;
     assert!(cost < 16_384, "{cost} bytes for one route");
 }
+
+/// Guards against a copy that begins at zero when its sender is lost, or a newer document appears: with many VMs it would
+/// never end.
+#[tokio::test]
+async fn a_copy_goes_on_after_its_sender_is_lost_and_a_newer_document_appears() {
+    let port = unused_addr().port();
+    let (first, first_path) = vm("vm-first", "127.0.61.7", port, 4.0 * THIN).await;
+    let (second, second_path) = vm("vm-second", "127.0.61.8", port, 4.0 * THIN).await;
+    let (behind, _) = vm("vm-behind", "127.0.61.9", port, WIDE).await;
+    let old = large(2, 4_250);
+    publish(&first, old.clone(), 2);
+    for no in 0..STRANGERS {
+        let peer = if no % 2 == 0 { &first } else { &second };
+        add_peer(
+            &behind,
+            &format!("stranger-{no}"),
+            peer.settings().listen.peers,
+        );
+    }
+    tokio::spawn(follow(Arc::clone(&behind), Table::Settings));
+    wait_until(|| first_path.carried() > 150_000).await;
+    assert_eq!(behind.revision(), Revision(0));
+    first_path.close();
+    let mut new = old;
+    new.revision = Revision(3);
+    new.routes[7].timeout = Duration::from_secs(1);
+    publish(&second, new.clone(), 3);
+    wait_until(|| behind.revision() == Revision(3)).await;
+    assert_eq!(behind.catalogue().unwrap().document().as_ref(), &new);
+    let whole = rmp_serde::to_vec(&new).unwrap().len();
+    let (lost, sent) = (first_path.carried(), second_path.carried());
+    // Ids and frames come on top of the entries; the first answers of both senders may overlap.
+    assert!(
+        sent < whole,
+        "{sent} bytes of {whole} after {lost} had arrived"
+    );
+}
--- a/crates/sesamegap-entry/tests/testsuite/support/thin.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/thin.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, watch};
 
 /// Bytes that are passed on at once: what a packet carries.
 const PACKET_BYTES: usize = 1_400;
@@ -21,6 +21,7 @@
     carried: AtomicUsize,
     /// Reads of what the connecting side sends: a small request each.
     asked: AtomicUsize,
+    is_closed: watch::Sender<bool>,
     /// All connections share the link.
     link: Mutex<()>,
 }
@@ -32,7 +33,12 @@
         let path = Arc::new(Self::default());
         let shared = Arc::clone(&path);
         tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
+            let mut closed = shared.is_closed.subscribe();
+            loop {
+                let near = tokio::select! {
+                    Ok((near, _)) = listener.accept() => near,
+                    _ = closed.wait_for(|is_closed| *is_closed) => return,
+                };
                 let path = Arc::clone(&shared);
                 tokio::spawn(async move { path.join(near, to, bytes_per_s).await });
             }
@@ -45,6 +51,11 @@
         self.carried.load(Ordering::Relaxed)
     }
 
+    /// Ends all connections, and accepts none any more.
+    pub fn close(&self) {
+        self.is_closed.send_replace(true);
+    }
+
     /// Small requests passed on so far.
     pub fn asked(&self) -> usize {
         self.asked.load(Ordering::Relaxed)
@@ -79,7 +90,9 @@
                 }
             }
         };
+        let mut closed = self.is_closed.subscribe();
         tokio::select! {
+            _ = closed.wait_for(|is_closed| *is_closed) => {}
             () = asked => {}
             () = answered => {}
         }
