--- a/crates/sesamegap-entry/src/follow/fetch.rs
+++ b/crates/sesamegap-entry/src/follow/fetch.rs
@@ -2,7 +2,7 @@
 //!
 //! A newer document is fetched by its parts, see [`replication`](sesamegap_policy::agreement::replication): one peer says
 //! what changed, and several peers send the missing entries. The fetch goes on with what has arrived as long as
-//! anything arrives, whatever time it takes, and turns to a newer document as soon as a peer tells of it.
+//! anything arrives, whatever time it takes, and turns to a newer document that a peer tells of.
 
 use super::pull::{Pulled, ask, choose_peers, is_from_earlier_timeline};
 use super::{BUSY_DELAY, MAX_PULL_DELAY};
@@ -34,12 +34,12 @@
 /// Shortest time for which entries of a document are fetched before a newer one is aimed at.
 const MIN_AIM_TIME: Duration = Duration::from_millis(700);
 
-/// Longest such delay: in a large fleet, most peers have nothing at first.
-const MAX_LANE_POLL: Duration = Duration::from_millis(240);
-
 /// Delay before entries are asked for again after an answer without any.
 const LANE_POLL: Duration = Duration::from_millis(60);
 
+/// Longest such delay: in a large fleet, most peers have nothing at first.
+const MAX_LANE_POLL: Duration = Duration::from_millis(240);
+
 /// Longest time for which a round of fetching lasts.
 const MAX_ROUND_TIME: Duration = Duration::from_secs(5);
 
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -235,8 +235,7 @@
             let changes = |since| known.journal().since(Table::Fleet, since);
             match request.since.and_then(changes) {
                 Some(update) => Found::Reply(PullReply::Changes(update, age_ms)),
-                None if may_copy => Found::WholeFleet(next, age_ms),
-                None => Found::Reply(PullReply::Busy),
+                None => Found::WholeFleet(next, age_ms),
             }
         }
         Table::Settings => Found::Reply(PullReply::Settings(Box::new(SettingsCopy {
