Clean-up after reading the change: one place for a store's restore, the common part and a busy reply

Behaviour stays. The restore of the store was noted by two like pieces of code, the common part of a document was built by two, and a busy reply to a table request was decided in two places. The virtual world makes its lanes in one place.

--- a/crates/sesamegap-entry/src/catalogue/entries.rs
+++ b/crates/sesamegap-entry/src/catalogue/entries.rs
@@ -87,13 +87,18 @@
 }
 
 impl Document {
-    /// The entries of the document, with their ids.
-    pub fn entries(&self) -> Vec<(EntryId, Entry)> {
-        let common = Entry::Common(Arc::new(Common {
+    /// All that is neither a route nor a team.
+    pub(super) fn common(&self) -> Common {
+        Common {
             services: self.services.clone(),
             kv_stores: self.kv_stores.clone(),
             limits: self.limits,
-        }));
+        }
+    }
+
+    /// The entries of the document, with their ids.
+    pub fn entries(&self) -> Vec<(EntryId, Entry)> {
+        let common = Entry::Common(Arc::new(self.common()));
         let routes = self.routes.iter();
         let routes = routes.map(|route| Entry::Route(Arc::new(route.clone())));
         let teams = self.teams.iter();
--- a/crates/sesamegap-entry/src/catalogue/index.rs
+++ b/crates/sesamegap-entry/src/catalogue/index.rs
@@ -33,14 +33,9 @@
 impl Catalogue {
     /// Indexes a document.
     pub fn new(document: &Document) -> Self {
-        let common = Common {
-            services: document.services.clone(),
-            kv_stores: document.kv_stores.clone(),
-            limits: document.limits,
-        };
         let entries = document.entries();
         let content = Content::default().changed(document.revision.0, Vec::new(), entries);
-        Self::index(Arc::new(common), content)
+        Self::index(Arc::new(document.common()), content)
     }
 
     /// Indexes the entries of a document; `None` if the common part is missing.
--- a/crates/sesamegap-entry/src/follow/fetch.rs
+++ b/crates/sesamegap-entry/src/follow/fetch.rs
@@ -4,7 +4,7 @@
 //! what changed, and several peers send the missing entries. The fetch goes on with what has arrived as long as
 //! anything arrives, whatever time it takes, and turns to a newer document that a peer tells of.
 
-use super::pull::{Pulled, ask, choose_peers, is_from_earlier_timeline};
+use super::pull::{Pulled, ask, choose_peers, is_from_earlier_timeline, record_restore};
 use super::{BUSY_DELAY, MAX_PULL_DELAY};
 use crate::catalogue::{Answer, Entry, Revision, apply_answer};
 use crate::clock;
@@ -249,16 +249,9 @@
 
 /// Records how far the settings are known.
 fn record_settings(core: &Core, next: LogPosition, age_ms: u64, asked: Moment) {
-    let known = core.table_progress(Table::Settings);
-    let is_restored = known
-        .position()
-        .next()
-        .is_some_and(|known| known.timeline < next.timeline);
-    if is_restored {
-        // Entries that the restored store lacks get time to reappear.
-        core.fleet.lock().record_store_restore(clock::now());
-    }
+    record_restore(core, Table::Settings, next);
     // The reply may have been on its way for as long as the call took.
     let at = asked.saturating_sub(Duration::from_millis(age_ms));
+    let known = core.table_progress(Table::Settings);
     known.position().record_pull(next, at, clock::now());
 }
--- a/crates/sesamegap-entry/src/follow/pull.rs
+++ b/crates/sesamegap-entry/src/follow/pull.rs
@@ -216,16 +216,20 @@
     next.timeline < core.store.timeline()
 }
 
+/// Records that the store was restored, if a peer's data is from a later timeline than what this VM knows of a table.
+pub(super) fn record_restore(core: &Core, table: Table, next: LogPosition) {
+    let known = core.table_progress(table).position().next();
+    if known.is_some_and(|known| known.timeline < next.timeline) {
+        // Entries that the restored store lacks get time to reappear.
+        core.fleet.lock().record_store_restore(clock::now());
+    }
+}
+
 fn apply_reply(core: &Core, table: Table, reply: PullReply, from: SocketAddr, asked: Moment) {
     let known = core.table_progress(table);
     let now = clock::now();
-    let is_restored = |next: LogPosition| {
-        let known = known.position().next();
-        known.is_some_and(|known| known.timeline < next.timeline)
-    };
-    if reply.next().is_some_and(is_restored) {
-        // Entries that the restored store lacks get time to reappear.
-        core.fleet.lock().record_store_restore(now);
+    if let Some(next) = reply.next() {
+        record_restore(core, table, next);
     }
     // The reply may have been on its way for as long as the call took.
     let at = |age_ms| asked.saturating_sub(Duration::from_millis(age_ms));
--- a/crates/sesamegap-entry/src/peers/server.rs
+++ b/crates/sesamegap-entry/src/peers/server.rs
@@ -158,7 +158,12 @@
     ) -> Result<Bytes, rmp_serde::encode::Error> {
         let allows_copy = self.allows_copy();
         let is_copy = request.since.is_none() || request.table == Table::Settings;
-        let mut bytes = match find_reply(core, request, allows_copy || !is_copy) {
+        let found = if is_copy && !allows_copy {
+            Found::Reply(PullReply::Busy)
+        } else {
+            find_reply(core, request)
+        };
+        let mut bytes = match found {
             Found::Reply(reply) => rmp_serde::to_vec(&reply)?.into(),
             Found::WholeFleet(next, age_ms) => self.encoded_fleet(core, next, age_ms)?,
         };
@@ -214,10 +219,7 @@
     WholeFleet(LogPosition, u64),
 }
 
-fn find_reply(core: &Core, request: &PullRequest, may_copy: bool) -> Found {
-    if !may_copy {
-        return Found::Reply(PullReply::Busy);
-    }
+fn find_reply(core: &Core, request: &PullRequest) -> Found {
     if request.table == Table::Vms {
         return Found::Reply(PullReply::Members(core.peers.export()));
     }
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -151,7 +151,8 @@
     ))
 }
 
-/// A body whose start has been read; it ends at the deadline, since the upstream may send without end. The connection and the flight in `rest` live as long as the body.
+/// A body whose start has been read; it ends at the deadline, since the upstream may send without end. The connection and
+/// the flight in `rest` live as long as the body.
 fn stream_rest<G: Send + 'static>(
     core: Arc<Core>,
     first_bytes: Bytes,
--- a/crates/sesamegap-policy/tests/testsuite/replication/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/replication/world.rs
@@ -64,6 +64,19 @@
     is_proven: bool,
 }
 
+impl Lane {
+    fn new(peer: usize) -> Self {
+        Self {
+            peer,
+            turn: 0,
+            ask: None,
+            is_answered: false,
+            useless: 0,
+            is_proven: false,
+        }
+    }
+}
+
 /// A VM.
 #[derive(Debug)]
 pub struct Vm {
@@ -214,14 +227,7 @@
         }
         let ask = vm.fetch.first_ask(&vm.content, &mut self.rng);
         let peer = self.choose_peer(no, true);
-        self.vms[no].lanes = vec![Lane {
-            peer,
-            turn: 0,
-            ask: None,
-            is_answered: false,
-            useless: 0,
-            is_proven: false,
-        }];
+        self.vms[no].lanes = vec![Lane::new(peer)];
         self.send_question(no, 0, ask);
     }
 
@@ -333,14 +339,7 @@
             vm.fetch.release(ask);
         }
         if vm.lanes.len() == 1 && vm.fetch.target().is_some() {
-            let new = (1..LANES).map(|_| Lane {
-                peer,
-                turn: 0,
-                ask: None,
-                is_answered: false,
-                useless: 0,
-                is_proven: false,
-            });
+            let new = (1..LANES).map(|_| Lane::new(peer));
             vm.lanes.extend(new);
             for lane in 1..LANES {
                 self.at(self.now, Event::Lane(no, lane));
