--- a/crates/sesamegap-entry/src/catalogue/index.rs
+++ b/crates/sesamegap-entry/src/catalogue/index.rs
@@ -7,7 +7,9 @@
 use sesamegap_wire::ServiceId;
 use smol_str::SmolStr;
 use std::cmp::Reverse;
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 /// Error of a lookup that matches no route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     teams: usize,
     /// Teams that have a rate limit.
     limited: usize,
+    /// Shortest objectives of each service by priority, computed on first use.
+    objectives: OnceLock<FxHashMap<ServiceId, BTreeMap<u8, Duration>>>,
 }
 
 impl Catalogue {
@@ -58,6 +62,7 @@
             routes: 0,
             teams: 0,
             limited: 0,
+            objectives: OnceLock::new(),
         };
         catalogue.apply(content, &delta);
         catalogue
@@ -69,6 +74,7 @@
             return Self::from_content(content);
         };
         let mut next = self.clone();
+        next.objectives = OnceLock::new();
         if let Some(common) = find_common(&content, delta.added.iter().copied()) {
             next.services = Arc::new(index_services(&common));
             next.common = common;
@@ -213,6 +219,28 @@
         found.cloned().ok_or(NoRoute)
     }
 
+    /// Shortest objective of the routes to a service that are more urgent than a priority.
+    pub fn urgent_objective(&self, service: &ServiceId, priority: u8) -> Option<Duration> {
+        let objectives = self.objectives.get_or_init(|| self.index_objectives());
+        let of_service = objectives.get(service)?;
+        of_service
+            .range(..priority)
+            .map(|(_, objective)| *objective)
+            .min()
+    }
+
+    fn index_objectives(&self) -> FxHashMap<ServiceId, BTreeMap<u8, Duration>> {
+        let mut objectives: FxHashMap<ServiceId, BTreeMap<u8, Duration>> = FxHashMap::default();
+        for route in self.hosts.values().flat_map(|routes| routes.iter()) {
+            for target in route.targets.iter().filter(|target| target.weight > 0) {
+                let of_service = objectives.entry(target.service.clone()).or_default();
+                let shortest = of_service.entry(route.priority).or_insert(route.objective);
+                *shortest = route.objective.min(*shortest);
+            }
+        }
+        objectives
+    }
+
     /// Whether callers must present a key.
     pub fn has_teams(&self) -> bool {
         self.teams > 0
--- /dev/null
+++ b/crates/sesamegap-entry/src/fleet/admission.rs
@@ -0,0 +1,96 @@
+//! Admission of prompts to the engines for which this VM places them.
+
+use super::{Fleet, Selection, Upstream};
+use rustc_hash::FxHashMap;
+use sesamegap_policy::admission::{Ask, Backlog, Desk, PutOff, Verdict};
+use sesamegap_policy::routing::Availability;
+use sesamegap_policy::routing::engines::{Engine, PREFILL_TOKENS_PER_MS};
+use sesamegap_wire::{Moment, ServiceId};
+
+/// Number under which the prompts are admitted that this VM places over all shards.
+const ALL_SHARDS: u32 = u32::MAX;
+
+/// Why no upstream was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotChosen {
+    /// None is available.
+    NoUpstream,
+    /// The prompt is not admitted now.
+    PutOff(PutOff),
+}
+
+/// The decisions on prompts of each shard, by service and number.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    desks: FxHashMap<(ServiceId, u32), Desk>,
+}
+
+impl Fleet {
+    /// The work that an engine has taken, as a prompt of this priority finds it.
+    pub(super) fn backlog(&self, upstream: &Upstream, priority: u8, now: Moment) -> Backlog {
+        let placed = self.placements.at(upstream.life);
+        // Peers report their prompts without priorities, so these count as urgent.
+        let others = self
+            .loads
+            .total_at(upstream.life)
+            .map_or(0, |held| held.unread);
+        let own = upstream.levels.at_least(priority);
+        Backlog {
+            unread: self.unread(upstream),
+            before: own + others + placed.levels.at_least(priority),
+            own: upstream.unread,
+            running: self.running(upstream, now),
+            urgent: u32::try_from(placed.running_levels.above(priority)).unwrap_or(u32::MAX),
+            slots: upstream.entry.slots,
+            rate: PREFILL_TOKENS_PER_MS as f64,
+        }
+    }
+}
+
+impl Admission {
+    /// Admits a prompt, and marks the engines without room for it as unavailable.
+    ///
+    /// # Errors
+    /// If it is not admitted now.
+    pub(super) fn admit(
+        &mut self,
+        selection: &Selection<'_>,
+        engines: &mut [Engine],
+        backlogs: &[Backlog],
+        now: Moment,
+    ) -> Result<(), NotChosen> {
+        let (Some(terms), Some(shape)) = (selection.terms, selection.shape) else {
+            return Ok(());
+        };
+        let mut ask = terms.ask(shape.prompt.tokens, selection.left);
+        ask.alone = selection.alone;
+        let usable: Vec<Backlog> = engines
+            .iter()
+            .zip(backlogs)
+            .filter(|(engine, _)| engine.state == Availability::Open)
+            .map(|(_, backlog)| *backlog)
+            .collect();
+        if usable.is_empty() {
+            return Ok(());
+        }
+        let number = selection.shard.map_or(ALL_SHARDS, |shard| shard.number);
+        let key = (selection.service.clone(), number);
+        let desk = self.desks.entry(key).or_default();
+        match desk.decide(&ask, &usable, now) {
+            Verdict::Place(reserve) => {
+                close_full(engines, backlogs, &ask, reserve);
+                Ok(())
+            }
+            Verdict::PutOff(put_off) => Err(NotChosen::PutOff(put_off)),
+        }
+    }
+}
+
+/// Marks engines without room for a prompt as unavailable.
+fn close_full(engines: &mut [Engine], backlogs: &[Backlog], ask: &Ask, reserve: u32) {
+    for (engine, backlog) in engines.iter_mut().zip(backlogs) {
+        if !backlog.has_room(ask, reserve) {
+            engine.state = Availability::Paused;
+        }
+    }
+}
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -131,6 +131,8 @@
     pub(super) life: u64,
     pub(super) prefixes: Vec<Prefix>,
     pub(super) unread: u64,
+    /// Its priority; 0 is the most urgent.
+    pub(super) priority: u8,
     /// When the engine last served the whole shared prefix, as reported by the shard's owner.
     pub(super) served: Option<Moment>,
     /// Set if the owner of the engine's shard knows the request.
@@ -143,6 +145,11 @@
         self.unread
     }
 
+    /// Its priority; 0 is the most urgent.
+    pub fn priority(&self) -> u8 {
+        self.priority
+    }
+
     /// Number derived from the upstream's id, the same in all VMs.
     pub fn seed(&self) -> u64 {
         self.seed
@@ -272,7 +279,7 @@
         }
         if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.record_received(now);
-            upstream.unread = upstream.unread.saturating_sub(unread);
+            upstream.record_prefill(unread, self.priority);
             upstream.shared.unread = upstream.shared.unread.saturating_sub(shared);
         }
     }
@@ -348,7 +355,7 @@
         let mut fleet = self.fleet.lock();
         if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.running = upstream.running.saturating_sub(1);
-            upstream.unread = upstream.unread.saturating_sub(self.unread);
+            upstream.record_prefill(self.unread, self.priority);
             if self.tracked_prompt.is_some() {
                 let shared = &mut upstream.shared;
                 shared.running = shared.running.saturating_sub(1);
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! reports override its entry, and its load is the last reported one plus the requests sent since. All
 //! observations belong to one incarnation of an upstream and are discarded when it restarts.
 
+mod admission;
 mod flight;
 mod index;
 mod list;
@@ -13,6 +14,7 @@
 mod upstream;
 mod versions;
 
+pub use admission::NotChosen;
 pub use flight::{Flight, GatePass, confirm_running};
 pub use index::ServiceIndex;
 pub use selection::{Chosen, PromptShape, Selection, Shard};
@@ -23,6 +25,7 @@
 use crate::limits::shared::SharedLimits;
 use crate::peers::{Loads, UpstreamLoad};
 use crate::ports::Weights;
+use admission::Admission;
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rustc_hash::FxHashMap;
@@ -69,6 +72,8 @@
     pub(crate) loads: Loads,
     /// Requests that this VM has placed for others, by the address of the asking VM and its request number.
     pub(crate) placements: Placements<(SocketAddr, u64)>,
+    /// Admission of the prompts that this VM places.
+    admission: Admission,
     pub(crate) kept: KvStoreStates,
     pub(crate) silence_reports: SilenceReports,
     /// Requests that upstreams say they take.
@@ -100,6 +105,7 @@
             cache_locations: CacheLocations::default(),
             loads: Loads::default(),
             placements: Placements::default(),
+            admission: Admission::default(),
             kept: KvStoreStates::default(),
             silence_reports: SilenceReports::default(),
             limits: SharedLimits::default(),
@@ -327,9 +333,9 @@
     }
 
     /// Records that a request of this VM begins at an upstream.
-    fn begin(&mut self, id: &UpstreamId, unread: u64) {
+    fn begin(&mut self, id: &UpstreamId, unread: u64, priority: u8) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.begin(unread);
+            upstream.begin(unread, priority);
             self.busy.insert(id.clone());
         }
     }
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -1,9 +1,11 @@
 //! Chooses an upstream for a request, from the fleet's state and the routing policy.
 
+use super::admission::{Admission, NotChosen};
 use super::{Fleet, Flight, ServiceIndex, SharedFleet, Upstream};
 use crate::catalogue::KvStore;
 use crate::kept;
-use crate::placing::{ChosenEngine, TrackedPrompt};
+use crate::placing::{ChosenEngine, Terms, TrackedPrompt};
+use sesamegap_policy::admission::Backlog;
 use sesamegap_policy::routing::shards::Division;
 use sesamegap_policy::routing::{Availability, candidates, engines, plain};
 use sesamegap_wire::{DomainId, Moment, ServiceId, SoftwareVersion, UpstreamId};
@@ -50,6 +52,12 @@
     pub least_loaded: bool,
     /// Software version that the upstream must run, if the request goes on with a stream.
     pub software: Option<&'a SoftwareVersion>,
+    /// What admission depends on; without it the request is placed whatever the backlog.
+    pub terms: Option<&'a Terms>,
+    /// Time until its caller gives up.
+    pub left: Duration,
+    /// Whether no VM answers that knows the prompts of others.
+    pub alone: bool,
 }
 
 impl Fleet {
@@ -130,10 +138,14 @@
 
 impl SharedFleet {
     /// Chooses an upstream and counts the request towards its load.
-    pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Option<Flight> {
+    ///
+    /// # Errors
+    /// If no upstream is available, or the request is not admitted now.
+    pub fn choose(&self, selection: &Selection<'_>, now: Moment) -> Result<Flight, NotChosen> {
         let mut fleet = self.lock();
         let chosen = fleet.choose(selection, now)?;
-        self.begin(&mut fleet, selection, chosen, now)
+        let flight = self.begin(&mut fleet, selection, chosen, now);
+        flight.ok_or(NotChosen::NoUpstream)
     }
 
     /// Accepts the placement by a shard's owner, unless this VM knows that the engine does not accept the request.
@@ -209,9 +221,10 @@
                 .shape
                 .map_or_else(Vec::new, |shape| shape.prompt.prefixes.clone()),
             unread: selection.shape.map_or(0, |shape| shape.prompt.tokens),
+            priority: selection.terms.map_or(0, |terms| terms.priority),
             id: chosen.id,
         };
-        fleet.begin(&flight.id, flight.unread);
+        fleet.begin(&flight.id, flight.unread, flight.priority);
         Some(flight)
     }
 }
@@ -236,7 +249,10 @@
 
 impl Fleet {
     /// Chooses an upstream. For a choice within a shard, the cache locations are marked as complete.
-    pub fn choose(&mut self, selection: &Selection<'_>, now: Moment) -> Option<Chosen> {
+    ///
+    /// # Errors
+    /// If no upstream is available, or the request is not admitted now.
+    pub fn choose(&mut self, selection: &Selection<'_>, now: Moment) -> Result<Chosen, NotChosen> {
         if selection.shard.is_some() {
             self.cache_locations.set_complete();
             let outer = selection
@@ -249,9 +265,22 @@
         self.pick(selection, now)
     }
 
-    fn pick(&mut self, selection: &Selection<'_>, now: Moment) -> Option<Chosen> {
+    fn pick(&mut self, selection: &Selection<'_>, now: Moment) -> Result<Chosen, NotChosen> {
         let index = self.index(selection.service, selection.stores, now);
-        let candidates = self.candidates(&index, selection, now);
+        let mut admission = std::mem::take(&mut self.admission);
+        let chosen = self.pick_admitted(&index, &mut admission, selection, now);
+        self.admission = admission;
+        chosen
+    }
+
+    fn pick_admitted(
+        &self,
+        index: &ServiceIndex,
+        admission: &mut Admission,
+        selection: &Selection<'_>,
+        now: Moment,
+    ) -> Result<Chosen, NotChosen> {
+        let candidates = self.candidates(index, selection, now);
         let open = candidates.into_iter().filter_map(|no| {
             let upstream = self.get(&index.ids[no])?;
             let accepted = self.accepts(selection, upstream);
@@ -262,8 +291,9 @@
             self.reserve_room(&mut open, selection, now);
         }
         if selection.least_loaded {
-            let id = self.least_loaded(&open, selection, now)?.id.clone();
-            return Some(Chosen {
+            let least = self.least_loaded(&open, selection, now);
+            let id = least.ok_or(NotChosen::NoUpstream)?.id.clone();
+            return Ok(Chosen {
                 id,
                 source: None,
                 at_store: false,
@@ -271,15 +301,16 @@
             });
         }
         let Some(shape) = selection.shape else {
-            let at = self.choose_plain(&open, selection, now)?;
-            return Some(Chosen {
+            let at = self.choose_plain(&open, selection, now);
+            let at = at.ok_or(NotChosen::NoUpstream)?;
+            return Ok(Chosen {
                 id: open[at].0.id.clone(),
                 source: None,
                 at_store: false,
                 engines: 0,
             });
         };
-        let views: Vec<engines::Engine> = open
+        let mut views: Vec<engines::Engine> = open
             .iter()
             .map(|(upstream, long)| {
                 let version = upstream.version(&shape.model).unwrap_or_default();
@@ -298,9 +329,18 @@
                 }
             })
             .collect();
+        let backlogs: Vec<Backlog> = match selection.terms {
+            Some(terms) => open
+                .iter()
+                .map(|(upstream, _)| self.backlog(upstream, terms.priority, now))
+                .collect(),
+            None => Vec::new(),
+        };
+        admission.admit(selection, &mut views, &backlogs, now)?;
         let newest = self.namings().target_version(&shape.model, now).0;
-        let choice = engines::choose(&shape.prompt, &views, newest, &self.cache_locations)?;
-        Some(Chosen {
+        let choice = engines::choose(&shape.prompt, &views, newest, &self.cache_locations);
+        let choice = choice.ok_or(NotChosen::NoUpstream)?;
+        Ok(Chosen {
             id: open[choice.at].0.id.clone(),
             source: choice.source.map(|no| open[no].0.entry.addr),
             at_store: choice.at_store,
@@ -386,6 +426,25 @@
         })
     }
 
+    /// The shard of the engine that would be a prompt's home without the engines of its home's shard.
+    pub fn second_shard(
+        &mut self,
+        selection: &Selection<'_>,
+        first: Shard,
+        now: Moment,
+    ) -> Option<Shard> {
+        let shape = selection.shape?;
+        let index = self.index(selection.service, selection.stores, now);
+        let shard = |no: usize| index.division.shard(index.seats[no].seed);
+        let home = candidates::home(&shape.prompt, &index.seats, |no| {
+            shard(no) != first.number && self.is_open(&index.ids[no], selection, shape, now)
+        })?;
+        Some(Shard {
+            division: index.division,
+            number: shard(home),
+        })
+    }
+
     fn choose_plain(
         &self,
         open: &[(&Upstream, bool)],
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sesamegap_policy::routing::belief::{Belief, Change};
 use sesamegap_policy::routing::brittle::Gate;
+use sesamegap_policy::routing::placements::Levels;
 use sesamegap_policy::routing::{Availability, engines};
 use sesamegap_wire::{
     DomainId, Incarnation, Moment, ServiceId, SoftwareVersion, UpstreamId, WeightsVersion,
@@ -78,6 +79,8 @@
     pub(super) running: u32,
     /// Prompt tokens of this VM that are not prefilled yet.
     pub(super) unread: u64,
+    /// These tokens by the urgency of their prompts.
+    pub(super) levels: Levels,
     /// The part of these that shard owners know, which need not be reported to all peers.
     pub(super) shared: OwnerKnown,
     /// Moving average of the response times of a plain service, in ms.
@@ -117,6 +120,7 @@
             last_received: Moment(0),
             running: 0,
             unread: 0,
+            levels: Levels::default(),
             shared: OwnerKnown::default(),
             response_ms: None,
             failure_rate: 0.0,
@@ -219,12 +223,19 @@
     }
 
     /// Counts a request that is sent to it, with its prompt tokens.
-    pub(super) fn begin(&mut self, unread: u64) {
+    pub(super) fn begin(&mut self, unread: u64, priority: u8) {
         self.running += 1;
         self.unread += unread;
+        self.levels.add(priority, unread);
         self.sent_since_load += 1;
     }
 
+    /// Counts tokens of its prompts as prefilled.
+    pub(super) fn record_prefill(&mut self, unread: u64, priority: u8) {
+        self.unread = self.unread.saturating_sub(unread);
+        self.levels.subtract(priority, unread);
+    }
+
     /// Records that bytes arrived from it.
     pub fn record_received(&mut self, now: Moment) {
         self.last_received = now;
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -343,8 +343,7 @@
                 .await;
         }
         Datagram::Placing(PlacementMessage::Answer(answer)) => {
-            core.placement_client
-                .complete_query(answer.number, answer.chosen);
+            core.placement_client.complete_query(answer);
         }
         Datagram::Placing(PlacementMessage::Reports(reports)) => {
             placing::apply_reports(core, from, &reports);
--- a/crates/sesamegap-entry/src/placing/client.rs
+++ b/crates/sesamegap-entry/src/placing/client.rs
@@ -1,6 +1,6 @@
 //! Open queries to shard owners, and prompt reports queued for them.
 
-use super::message::{ChosenEngine, PlacementMessage, PromptReport};
+use super::message::{PlacementAnswer, PlacementMessage, PromptReport};
 use crate::clock;
 use crate::fleet::Flight;
 use crate::peers::{self, MessageNumbers, PeerSocket};
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 struct State {
     numbers: MessageNumbers,
-    pending: FxHashMap<u64, oneshot::Sender<Option<ChosenEngine>>>,
+    pending: FxHashMap<u64, oneshot::Sender<PlacementAnswer>>,
     reports: FxHashMap<SocketAddr, Vec<PromptReport>>,
     unresponsive: FxHashMap<SocketAddr, Moment>,
 }
@@ -80,7 +80,7 @@
     pub fn start_query(
         &self,
         owner: SocketAddr,
-    ) -> (TrackedPrompt, oneshot::Receiver<Option<ChosenEngine>>) {
+    ) -> (TrackedPrompt, oneshot::Receiver<PlacementAnswer>) {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
         let number = state.numbers.allocate();
@@ -102,6 +102,7 @@
             life: flight.life(),
             tokens: flight.tokens(),
             left_ms: clock::wire_millis(left),
+            priority: flight.priority(),
         });
         tracked
     }
@@ -118,10 +119,11 @@
     ///
     /// If nothing waits for it any more, the owner counts the prompt until the report of its end,
     /// which the query sent when it was dropped.
-    pub fn complete_query(&self, number: u64, chosen: Option<ChosenEngine>) {
+    pub fn complete_query(&self, answer: PlacementAnswer) {
+        let number = answer.number;
         let sender = lock(&self.state).pending.remove(&number);
         if let Some(sender) = sender
-            && sender.send(chosen).is_err()
+            && sender.send(answer).is_err()
         {
             tracing::debug!(number, "an owner's answer came after its query had ended");
         }
--- a/crates/sesamegap-entry/src/placing/message.rs
+++ b/crates/sesamegap-entry/src/placing/message.rs
@@ -3,8 +3,9 @@
 use crate::clock;
 use crate::fleet::{PromptShape, Selection, Shard};
 use serde::{Deserialize, Serialize};
+use sesamegap_policy::admission::{Action, Ask, PutOff};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
-use sesamegap_wire::{DomainId, ServiceId, UpstreamId};
+use sesamegap_wire::{DomainId, ServiceId, TeamId, UpstreamId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,6 +43,47 @@
     pub shard: (u32, u32),
     /// Time left before the caller gives up, in milliseconds.
     pub left_ms: u32,
+    /// What the owner needs to decide whether the prompt is admitted; unset if the asking VM wants it placed anyway.
+    #[serde(default)]
+    pub terms: Option<Terms>,
+}
+
+/// What the admission of a prompt depends on besides its length.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Identifies the prompt each time it asks.
+    pub key: u64,
+    /// Its priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Priority of its route, which a team's own one may override.
+    pub class: u8,
+    /// Time from its arrival within which its first token is due, in milliseconds.
+    pub objective_ms: u32,
+    /// Shortest objective of the more urgent prompts of its service, in milliseconds.
+    pub urgent_ms: Option<u32>,
+    /// Time since its arrival, in milliseconds.
+    pub waited_ms: u32,
+    /// Its team.
+    pub team: Option<TeamId>,
+}
+
+impl Terms {
+    /// The question to a shard about a prompt of this length.
+    pub fn ask(&self, tokens: u64, left: Duration) -> Ask {
+        let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+        Ask {
+            key: self.key,
+            priority: self.priority,
+            class: self.class,
+            tokens,
+            objective: millis(self.objective_ms),
+            urgent_objective: self.urgent_ms.map(millis),
+            waited: millis(self.waited_ms),
+            left,
+            excess: false,
+            alone: false,
+        }
+    }
 }
 
 /// The answer to a query.
@@ -52,6 +94,52 @@
     /// The engine for the prompt, if any engine of the shard takes it.
     #[serde(rename = "found")]
     pub chosen: Option<ChosenEngine>,
+    /// Why the prompt is not admitted now.
+    #[serde(default)]
+    pub put_off: Option<PutOffAnswer>,
+}
+
+/// An owner's decision that a prompt is not placed now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PutOffAnswer {
+    /// Whether its caller is to be refused; otherwise it asks again.
+    pub is_refused: bool,
+    /// Time until it asks again or its caller should return, in milliseconds.
+    pub after_ms: u32,
+    /// Prompts in line before it.
+    pub before: u32,
+    /// Expected time until its turn, in milliseconds.
+    pub turn_ms: u32,
+}
+
+impl From<PutOff> for PutOffAnswer {
+    fn from(put_off: PutOff) -> Self {
+        let (is_refused, after_ms) = match put_off.action {
+            Action::Wait(ms) => (false, ms),
+            Action::Refuse(ms) => (true, ms),
+        };
+        Self {
+            is_refused,
+            after_ms,
+            before: put_off.before,
+            turn_ms: put_off.turn_ms,
+        }
+    }
+}
+
+impl From<PutOffAnswer> for PutOff {
+    fn from(answer: PutOffAnswer) -> Self {
+        let action = if answer.is_refused {
+            Action::Refuse(answer.after_ms)
+        } else {
+            Action::Wait(answer.after_ms)
+        };
+        Self {
+            action,
+            before: answer.before,
+            turn_ms: answer.turn_ms,
+        }
+    }
 }
 
 /// The engine that an owner chose for a prompt.
@@ -86,6 +174,9 @@
         tokens: u64,
         /// Time left before the caller gives up, in milliseconds.
         left_ms: u32,
+        /// Its priority; 0 is the most urgent.
+        #[serde(default)]
+        priority: u8,
     },
     /// Its engine has prefilled it.
     Read(u64),
@@ -112,6 +203,7 @@
             domain: selection.domain.clone(),
             shard: (shard.division.bits(), shard.number),
             left_ms: clock::wire_millis(left),
+            terms: selection.terms.cloned(),
         })
     }
 
--- a/crates/sesamegap-entry/src/placing/mod.rs
+++ b/crates/sesamegap-entry/src/placing/mod.rs
@@ -11,13 +11,17 @@
 mod owner;
 
 pub use client::{PlacementClient, TrackedPrompt};
-pub use message::{ChosenEngine, PlacementAnswer, PlacementMessage, PlacementQuery, PromptReport};
+pub use message::{
+    ChosenEngine, PlacementAnswer, PlacementMessage, PlacementQuery, PromptReport, PutOffAnswer,
+    Terms,
+};
 pub use owner::{answer_query, apply_reports};
 
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Flight, Selection, Shard};
+use crate::fleet::{Flight, NotChosen, Selection, Shard};
 use crate::telemetry::events;
+use sesamegap_policy::admission::PutOff;
 use sesamegap_policy::routing::shards::{self, Division, SMALL};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,28 +42,118 @@
 }
 
 /// Chooses an upstream for a request with this much time left, and counts the request there.
-pub async fn choose(core: &Core, selection: &Selection<'_>, left: Duration) -> Option<Flight> {
+///
+/// # Errors
+/// If no upstream is available, or the request is not admitted now.
+pub async fn choose(
+    core: &Core,
+    selection: &Selection<'_>,
+    left: Duration,
+) -> Result<Flight, NotChosen> {
     let Some((shard, owner)) = find_owner(core, selection) else {
         return core.fleet.choose(selection, clock::now());
     };
-    let flight = match owner {
-        // Owners place prompts at any software version: their messages name none.
-        _ if selection.software.is_some() => None,
+    // Owners place prompts at any software version: their messages name none.
+    let placed = if selection.software.is_some() {
+        Err(NotChosen::NoUpstream)
+    } else {
+        place_in_shard(core, selection, shard, owner, left).await
+    };
+    let placed = match placed {
+        Err(NotChosen::PutOff(put_off)) => {
+            return place_elsewhere(core, selection, shard, put_off, left).await;
+        }
+        placed => placed,
+    };
+    if placed.is_ok() {
+        return placed;
+    }
+    let alone = Selection {
+        alone: true,
+        ..*selection
+    };
+    let mut flight = core.fleet.choose(&alone, clock::now())?;
+    report_begun(core, &mut flight, shard.division, left);
+    Ok(flight)
+}
+
+/// Lets the owner of a shard place a prompt. If it does not answer, the next VM in rank takes its place.
+async fn place_in_shard(
+    core: &Core,
+    selection: &Selection<'_>,
+    shard: Shard,
+    owner: Owner,
+    left: Duration,
+) -> Result<Flight, NotChosen> {
+    let placed = place_at(core, selection, shard, owner, left).await;
+    let is_silent = matches!(placed, Err(OwnerError::NoAnswer));
+    // Without admission, the prompt is placed at once by what this VM knows.
+    let next = (is_silent && selection.terms.is_some()).then(|| {
+        let roster = core.peers.roster();
+        self::owner(core, shard.number, &roster)
+    });
+    let placed = match next.flatten() {
+        Some(next) => place_at(core, selection, shard, next, left).await,
+        None => placed,
+    };
+    placed.map_err(|error| match error {
+        OwnerError::NoAnswer => NotChosen::NoUpstream,
+        OwnerError::NotChosen(why) => why,
+    })
+}
+
+async fn place_at(
+    core: &Core,
+    selection: &Selection<'_>,
+    shard: Shard,
+    owner: Owner,
+    left: Duration,
+) -> Result<Flight, OwnerError> {
+    match owner {
         Owner::Local => {
             let in_shard = Selection {
                 shard: Some(shard),
                 ..*selection
             };
-            core.fleet.choose(&in_shard, clock::now())
+            let chosen = core.fleet.choose(&in_shard, clock::now());
+            chosen.map_err(OwnerError::NotChosen)
         }
         Owner::Remote(addr) => query(core, selection, shard, addr, left).await,
-    };
-    if flight.is_some() {
-        return flight;
     }
-    let mut flight = core.fleet.choose(selection, clock::now())?;
-    report_begun(core, &mut flight, shard.division, left);
-    Some(flight)
+}
+
+/// Places a prompt that its home's shard put off in a second shard, if that one has room at once.
+///
+/// A hot prefix may fill its home's shard while others are idle. The prompt waits in the line of one shard only.
+async fn place_elsewhere(
+    core: &Core,
+    selection: &Selection<'_>,
+    first: Shard,
+    put_off: PutOff,
+    left: Duration,
+) -> Result<Flight, NotChosen> {
+    let refused = Err(NotChosen::PutOff(put_off));
+    let second = core
+        .fleet
+        .lock()
+        .second_shard(selection, first, clock::now());
+    let Some(second) = second else {
+        return refused;
+    };
+    let Some(owner) = owner(core, second.number, &core.peers.roster()) else {
+        return refused;
+    };
+    let placed = place_at(core, selection, second, owner, left).await;
+    placed.or(refused)
+}
+
+/// Why an owner did not place a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnerError {
+    /// It does not answer.
+    NoAnswer,
+    /// It chose no engine, or one that this VM may not use.
+    NotChosen(NotChosen),
 }
 
 /// The shard of a prompt's home and its owner.
@@ -93,27 +187,35 @@
     Some(responsive[at].1.map_or(Owner::Local, Owner::Remote))
 }
 
-/// Queries an owner; none if it does not answer, finds no engine, or names one that this VM may not
-/// use.
+/// Queries an owner.
+///
+/// # Errors
+/// If it does not answer, does not admit the prompt, finds no engine, or names one that this VM may not use.
 async fn query(
     core: &Core,
     selection: &Selection<'_>,
     shard: Shard,
     owner: SocketAddr,
     left: Duration,
-) -> Option<Flight> {
+) -> Result<Flight, OwnerError> {
+    let no_upstream = OwnerError::NotChosen(NotChosen::NoUpstream);
     let (tracked, answer) = core.placement_client.start_query(owner);
-    let query = PlacementQuery::new(tracked.number(), selection, shard, left)?;
+    let query = PlacementQuery::new(tracked.number(), selection, shard, left).ok_or(no_upstream)?;
     core.placement_client
         .send(PlacementMessage::Ask(Box::new(query)), owner)
         .await;
-    let Ok(Ok(chosen)) = timeout(ANSWER_TIMEOUT, answer).await else {
+    let Ok(Ok(answer)) = timeout(ANSWER_TIMEOUT, answer).await else {
         core.placement_client.mark_unresponsive(owner, clock::now());
         info!(event = events::PEER, %owner, shard = shard.number, "shard owner does not answer");
-        return None;
+        return Err(OwnerError::NoAnswer);
     };
+    if let Some(put_off) = answer.put_off {
+        return Err(OwnerError::NotChosen(NotChosen::PutOff(put_off.into())));
+    }
+    let chosen = answer.chosen.ok_or(no_upstream)?;
     core.fleet
-        .accept_placement(selection, chosen?, tracked, clock::now())
+        .accept_placement(selection, chosen, tracked, clock::now())
+        .ok_or(no_upstream)
 }
 
 /// Reports a prompt to the owner of its engine's shard, which did not place it.
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -3,7 +3,7 @@
 use super::message::{ChosenEngine, PlacementAnswer, PlacementQuery, PromptReport};
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Selection, Shard};
+use crate::fleet::{NotChosen, Selection, Shard};
 use sesamegap_policy::routing::placements::Placement;
 use sesamegap_policy::routing::shards::Division;
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
 
 /// Places a prompt for another VM and counts it at the chosen engine.
 pub fn answer_query(core: &Core, from: SocketAddr, query: &PlacementQuery) -> PlacementAnswer {
-    let chosen = core.catalogue().and_then(|catalogue| {
+    let placed = core.catalogue().map(|catalogue| {
         let shape = query.shape();
         let (bits, number) = query.shard;
         let selection = Selection {
@@ -23,6 +23,9 @@
             tie_breaker: 0,
             least_loaded: false,
             software: None,
+            terms: query.terms.as_ref(),
+            left: Duration::from_millis(u64::from(query.left_ms)),
+            alone: false,
             shard: Some(Shard {
                 division: Division::from_bits(bits),
                 number,
@@ -30,9 +33,15 @@
         };
         place(core, from, query, &selection)
     });
+    let (chosen, put_off) = match placed {
+        Some(Ok(chosen)) => (Some(chosen), None),
+        Some(Err(NotChosen::PutOff(put_off))) => (None, Some(put_off.into())),
+        Some(Err(NotChosen::NoUpstream)) | None => (None, None),
+    };
     PlacementAnswer {
         number: query.number,
         chosen,
+        put_off,
     }
 }
 
@@ -41,11 +50,11 @@
     from: SocketAddr,
     query: &PlacementQuery,
     selection: &Selection<'_>,
-) -> Option<ChosenEngine> {
+) -> Result<ChosenEngine, NotChosen> {
     let now = clock::now();
     let mut fleet = core.fleet.lock();
     let chosen = fleet.choose(selection, now)?;
-    let engine = fleet.get(&chosen.id)?;
+    let engine = fleet.get(&chosen.id).ok_or(NotChosen::NoUpstream)?;
     let version = engine.version(&query.model).unwrap_or_default().0;
     let (life, running, ahead) = (
         engine.life,
@@ -64,9 +73,10 @@
         left: Duration::from_millis(u64::from(query.left_ms)),
         prefixes,
         version,
+        priority: query.terms.as_ref().map_or(0, |terms| terms.priority),
     };
     fleet.placements.begin((from, query.number), placement, now);
-    Some(ChosenEngine {
+    Ok(ChosenEngine {
         engine: chosen.id,
         life,
         source: chosen.source,
@@ -88,6 +98,7 @@
                 life,
                 tokens,
                 left_ms,
+                priority,
             } => {
                 let ahead = fleet.placements.at(life).unread;
                 let left = Duration::from_millis(u64::from(left_ms));
@@ -98,6 +109,7 @@
                     left,
                     prefixes: Vec::new(),
                     version: 0,
+                    priority,
                 };
                 fleet.placements.begin((from, number), placement, now);
             }
--- a/crates/sesamegap-entry/src/refusal.rs
+++ b/crates/sesamegap-entry/src/refusal.rs
@@ -54,6 +54,8 @@
     Outdated,
     /// No upstream is available; the request was not run and will not be.
     NoUpstream,
+    /// The engines' backlog is too long for it; it was not run and will not be.
+    Overloaded(Duration),
     /// The limits that all upstreams name are used up; it was not run and will not be.
     AllLimited(Duration),
     /// Upstreams crashed while they ran it, and another such request is on trial; it was not run
@@ -97,6 +99,7 @@
             Self::UnknownOrigin => Some(ORIGIN_RETRY_AFTER),
             Self::NotResumable => Some(NOT_RESUMABLE_RETRY_AFTER),
             Self::OutOfMemory => Some(MEMORY_RETRY_AFTER),
+            Self::Overloaded(wait) => Some(wait),
             Self::OverQuota(wait) | Self::NoQuotaRights(wait) | Self::AllLimited(wait) => {
                 Some(wait.max(MIN_QUOTA_RETRY_AFTER))
             }
@@ -116,6 +119,7 @@
             | Self::OldDocument
             | Self::Outdated
             | Self::NoUpstream
+            | Self::Overloaded(_)
             | Self::AllLimited(_)
             | Self::Suspect
             | Self::Quarantined
@@ -142,6 +146,7 @@
             Self::OldDocument => "not allowed by settings that may have been replaced; not run",
             Self::Outdated => "the settings here were replaced some time ago; not run",
             Self::NoUpstream => "no upstream can take it; not run",
+            Self::Overloaded(_) => "the engines have too much work before it; not run",
             Self::AllLimited(_) => "the upstreams take no more requests now; not run",
             Self::Suspect => {
                 "upstreams ended under it and it runs only by itself, not now; not run"
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -3,10 +3,11 @@
 use super::attempt::NotRun;
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::{Flight, PromptShape, Selection, Upstream};
+use crate::fleet::{Flight, NotChosen, PromptShape, Selection, Upstream};
 use crate::job::Job;
-use crate::placing;
+use crate::placing::{self, Terms};
 use crate::refusal::Refusal;
+use crate::settings::Settings;
 use sesamegap_policy::routing::Availability;
 use sesamegap_wire::{ServiceId, SoftwareVersion, UpstreamId};
 use smol_str::SmolStr;
@@ -57,9 +58,18 @@
     }
 
     /// Chooses the next upstream; for a request on trial, the one with the fewest requests.
-    pub async fn choose(&self, core: &Core, job: &Job, on_trial: bool) -> Option<Flight> {
+    ///
+    /// # Errors
+    /// If no upstream is available, or the request is not admitted now.
+    pub async fn choose(
+        &self,
+        core: &Core,
+        job: &Job,
+        on_trial: bool,
+    ) -> Result<Flight, NotChosen> {
         let tie_breaker = usize::try_from(job.hash() >> 40).unwrap_or(0);
         let settings = core.settings();
+        let terms = self.terms(job, &settings, on_trial);
         let selection = Selection {
             service: &self.service,
             domain: &settings.domain,
@@ -70,10 +80,34 @@
             shard: None,
             least_loaded: on_trial,
             software: self.software.as_ref(),
+            terms: terms.as_ref(),
+            left: job.time_left(),
+            alone: false,
         };
         placing::choose(core, &selection, job.time_left()).await
     }
 
+    /// What the admission of a prompt depends on, if it is to be decided.
+    ///
+    /// A stream that goes on was admitted when it began, and a trial runs at an engine without other requests.
+    fn terms(&self, job: &Job, settings: &Settings, on_trial: bool) -> Option<Terms> {
+        let is_decided = settings.load_control.admission && !on_trial && self.software.is_none();
+        if !is_decided || self.shape.is_none() {
+            return None;
+        }
+        let class = job.route.priority;
+        let urgent = job.catalogue.urgent_objective(&self.service, class);
+        Some(Terms {
+            key: job.hash(),
+            priority: job.priority(),
+            class,
+            objective_ms: clock::wire_millis(job.route.objective),
+            urgent_ms: urgent.map(clock::wire_millis),
+            waited_ms: clock::wire_millis(job.arrived.elapsed()),
+            team: job.team.as_ref().map(|team| team.name.clone()),
+        })
+    }
+
     /// Records that the request did not run at `at`; returns whether to try another upstream.
     pub fn should_retry_not_run(&mut self, core: &Core, at: UpstreamId, why: NotRun) -> bool {
         // Its weights are known now, so the same engine may be chosen again.
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -9,14 +9,17 @@
 use super::retry::RetryState;
 use crate::clock;
 use crate::core::Core;
-use crate::fleet::Flight;
+use crate::fleet::{Flight, NotChosen};
 use crate::job::Job;
 use crate::limits::acquire::acquire;
 use crate::quarantine::{Admission, admit};
 use crate::refusal::Refusal;
+use crate::telemetry::events;
+use sesamegap_policy::admission::{Action, PutOff};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use tracing::{debug, info};
 
 /// How often the fleet is checked again; the duration of a few typical responses.
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
@@ -41,11 +44,15 @@
         let mut poll_interval = POLL_INTERVAL;
         let refusal = match admit(core, job).await {
             Admission::Free => match choose_permitted(core, job, retry, false).await {
-                Some(flight) => return Ok(flight),
-                None => refusal_if_none(core, job, retry, deadline)?,
+                Ok(flight) => return Ok(flight),
+                Err(NotChosen::PutOff(put_off)) => {
+                    wait_for_turn(core, job, retry, put_off).await?;
+                    continue;
+                }
+                Err(NotChosen::NoUpstream) => refusal_if_none(core, job, retry, deadline)?,
             },
             Admission::Trial(permit) => {
-                if let Some(mut flight) = choose_permitted(core, job, retry, true).await {
+                if let Ok(mut flight) = choose_permitted(core, job, retry, true).await {
                     flight.permit = Some(permit);
                     return Ok(flight);
                 }
@@ -65,21 +72,57 @@
     }
 }
 
+/// Waits until a prompt that the engines have no room for should ask again.
+///
+/// # Errors
+/// If it is refused: its turn would come too late.
+async fn wait_for_turn(
+    core: &Core,
+    job: &Job,
+    retry: &RetryState,
+    put_off: PutOff,
+) -> Result<(), Refusal> {
+    let (ms, is_refused) = match put_off.action {
+        Action::Wait(ms) => (ms, false),
+        Action::Refuse(ms) => (ms, true),
+    };
+    let after = Duration::from_millis(u64::from(ms));
+    let is_over = is_refused || after >= job.time_left();
+    core.metrics.count_put_off(is_over, job.route.priority);
+    if !is_over {
+        debug!(event = events::PUT_OFF, request = %job.head.id, route = %job.route.name, before = put_off.before, turn_ms = put_off.turn_ms, after_ms = ms, "waits for room at an engine");
+        sleep(after).await;
+        return Ok(());
+    }
+    info!(
+        event = events::PUT_OFF,
+        request = %job.head.id,
+        route = %job.route.name,
+        priority = job.priority(),
+        waited_ms = clock::millis(job.arrived.elapsed()),
+        before = put_off.before,
+        turn_ms = put_off.turn_ms,
+        after_ms = ms,
+        "refused, its turn would come too late"
+    );
+    Err(retry.refusal_unless_run(Refusal::Overloaded(after)))
+}
+
 /// Chooses an upstream that permits the request; one that does not is passed over from then on.
 async fn choose_permitted(
     core: &Arc<Core>,
     job: &Job,
     retry: &RetryState,
     on_trial: bool,
-) -> Option<Flight> {
+) -> Result<Flight, NotChosen> {
     for _ in 0..MAX_UNPERMITTED {
         let mut flight = retry.choose(core, job, on_trial).await?;
         if let Ok(permit) = acquire(core, &flight.destination(), &job.head.id).await {
             flight.send_permit = Some(permit);
-            return Some(flight);
+            return Ok(flight);
         }
     }
-    None
+    Err(NotChosen::NoUpstream)
 }
 
 /// Why the request waits if no upstream was chosen.
--- a/crates/sesamegap-entry/src/settings.rs
+++ b/crates/sesamegap-entry/src/settings.rs
@@ -57,6 +57,13 @@
     }
 }
 
+/// Decisions under load that are switched on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadControl {
+    /// Whether prompts are admitted by the backlog of the engines.
+    pub admission: bool,
+}
+
 /// Settings of one process, as read by its adapter.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -80,4 +87,6 @@
     pub link_mbps: f64,
     /// Calls per second that the store accepts from all VMs together.
     pub store_calls_per_s: f64,
+    /// Decisions under load that are switched on.
+    pub load_control: LoadControl,
 }
--- a/crates/sesamegap-entry/src/telemetry/metrics.rs
+++ b/crates/sesamegap-entry/src/telemetry/metrics.rs
@@ -49,6 +49,7 @@
     attempts: Counter<u64>,
     refusals: Counter<u64>,
     quota_refusals: Counter<u64>,
+    put_offs: Counter<u64>,
     relayed: Counter<u64>,
     resumptions: Counter<u64>,
     request_time: Histogram<f64>,
@@ -93,6 +94,10 @@
                 .u64_counter("sesamegap_quota_refusals")
                 .with_description("Requests refused for a team's rate limit, by status")
                 .build(),
+            put_offs: meter
+                .u64_counter("sesamegap_put_off")
+                .with_description("Decisions not to place a prompt now, by outcome and priority")
+                .build(),
             relayed: meter
                 .u64_counter("sesamegap_relayed")
                 .with_description("Requests sent on for peers, by outcome")
@@ -153,6 +158,16 @@
         self.quota_refusals.add(1, &[status]);
     }
 
+    /// Counts a decision not to place a prompt now: it waits or is refused.
+    pub fn count_put_off(&self, is_refused: bool, priority: u8) {
+        let outcome = if is_refused { "refused" } else { "waits" };
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("priority", i64::from(priority)),
+        ];
+        self.put_offs.add(1, &labels);
+    }
+
     /// Counts a stream that a caller takes up again.
     pub fn count_resumption(&self, outcome: &'static str) {
         self.resumptions
--- a/crates/sesamegap-entry/tests/testsuite/belief.rs
+++ b/crates/sesamegap-entry/tests/testsuite/belief.rs
@@ -15,6 +15,7 @@
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{Incarnation, UpstreamId, WeightsVersion};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// An entry VM that has read the fleet list up to its first position.
 fn vm(name: &str) -> Arc<Core> {
@@ -129,8 +130,11 @@
         shard: None,
         least_loaded: false,
         software: None,
+        terms: None,
+        left: Duration::ZERO,
+        alone: false,
     };
-    core.fleet.choose(&selection, clock::now())
+    core.fleet.choose(&selection, clock::now()).ok()
 }
 
 /// An engine crashes and restarts with the same id. It has the weights from before the last roll, an empty cache
--- a/crates/sesamegap-entry/tests/testsuite/placing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/placing.rs
@@ -89,8 +89,11 @@
         shard: None,
         least_loaded: false,
         software: None,
+        terms: None,
+        left: Duration::ZERO,
+        alone: false,
     };
-    choose(core, &selection, Duration::from_secs(5)).await
+    choose(core, &selection, Duration::from_secs(5)).await.ok()
 }
 
 /// Prompt tokens that a VM counts as not prefilled yet, over all engines.
--- a/crates/sesamegap-entry/tests/testsuite/rolls.rs
+++ b/crates/sesamegap-entry/tests/testsuite/rolls.rs
@@ -295,6 +295,9 @@
         shard: None,
         least_loaded: false,
         software: None,
+        terms: None,
+        left: Duration::ZERO,
+        alone: false,
     };
     let stream = core.fleet.choose(&selection, clock::now()).unwrap();
     assert_eq!(stream.id, ids[8]);
--- a/crates/sesamegap-entry/tests/testsuite/software_versions/fleet.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/fleet.rs
@@ -122,8 +122,11 @@
         shard: None,
         least_loaded: false,
         software,
+        terms: None,
+        left: Duration::ZERO,
+        alone: false,
     };
-    core.fleet.choose(&selection, clock::now())
+    core.fleet.choose(&selection, clock::now()).ok()
 }
 
 /// Two upstreams whose versions are not known yet, as after restarts, may run different ones.
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -28,7 +28,7 @@
 use sesamegap_entry::fleet::Entry;
 use sesamegap_entry::intake;
 use sesamegap_entry::ports::{Batch, Record, Table, Weights};
-use sesamegap_entry::settings::{Listen, Settings, Spans};
+use sesamegap_entry::settings::{Listen, LoadControl, Settings, Spans};
 use sesamegap_entry::telemetry::Logging;
 use sesamegap_policy::agreement::ProcessId;
 use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
@@ -107,6 +107,7 @@
         body_memory: 8 << 20,
         link_mbps: 1_000.0,
         store_calls_per_s: 2_000.0,
+        load_control: LoadControl::default(),
     }
 }
 
--- a/crates/sesamegap-measure/src/slopes/upstreams.rs
+++ b/crates/sesamegap-measure/src/slopes/upstreams.rs
@@ -126,6 +126,9 @@
         shard,
         least_loaded: false,
         software: None,
+        terms: None,
+        left: Duration::ZERO,
+        alone: false,
     };
     let start = Instant::now();
     drop(fleet.index(service, &[], now));
--- /dev/null
+++ b/crates/sesamegap-policy/src/admission/desk.rs
@@ -0,0 +1,121 @@
+//! Decides whether a prompt is placed, waits or is refused.
+
+use super::line::{Line, Rank};
+use super::reserve::Reserve;
+use super::room::{Ask, Backlog};
+use super::{Action, PutOff};
+use sesamegap_wire::Moment;
+use std::time::Duration;
+
+/// Shortest wait before a prompt asks again: a few round trips between VMs.
+const MIN_WAIT: Duration = Duration::from_millis(12);
+
+/// Longest wait before a prompt asks again: engines may free up sooner than expected.
+const MAX_WAIT: Duration = Duration::from_millis(60);
+
+/// Least time to return: an earlier return would meet the same backlog.
+const MIN_RETURN: Duration = Duration::from_millis(250);
+
+/// Part of the time left within which callers honour a time to return.
+const PATIENCE_DIVISOR: u32 = 3;
+
+/// Part of an objective that a prompt may wait which is too long to be served within it.
+const LONG_PROMPT_DIVISOR: u32 = 4;
+
+/// Share of their prefill rate that engines reach, beside decoding and gaps between prompts.
+const UTILIZATION: f64 = 0.7;
+
+/// The decision on a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may run at the engines that have room, if they keep this many slots for more urgent prompts.
+    Place(u32),
+    /// It may not run now.
+    PutOff(PutOff),
+}
+
+/// Decides on the prompts of one shard.
+#[derive(Debug, Default)]
+pub struct Desk {
+    line: Line,
+    reserve: Reserve,
+}
+
+impl Desk {
+    /// Decides on a prompt, given the backlogs of the engines that accept it.
+    pub fn decide(&mut self, ask: &Ask, engines: &[Backlog], now: Moment) -> Verdict {
+        self.line.expire(now);
+        let rank = Rank {
+            priority: ask.priority,
+            class: ask.class,
+            excess: ask.excess,
+            arrived: now.saturating_sub(ask.waited),
+        };
+        let before = self.line.before(ask.key, rank);
+        let reserve = match ask.urgent_objective {
+            Some(_) => self.reserve.update(engines, now),
+            None => 0,
+        };
+        let has_room = |engine: &&Backlog| engine.has_room(ask, reserve);
+        let rooms = engines.iter().filter(has_room).count();
+        if rooms > before.count {
+            self.line.leave(ask.key);
+            return Verdict::Place(reserve);
+        }
+        let turn = time_to_turn(ask, engines, before.tokens);
+        let waits = turn <= patience(ask, engines);
+        let wait = (turn / 2).clamp(MIN_WAIT, MAX_WAIT);
+        let joined = waits && self.line.join(ask.key, rank, ask.tokens, wait, now);
+        let action = if joined {
+            Action::Wait(wire_millis(wait))
+        } else {
+            self.line.leave(ask.key);
+            Action::Refuse(wire_millis(return_time(ask, turn)))
+        };
+        Verdict::PutOff(PutOff {
+            action,
+            before: u32::try_from(before.count).unwrap_or(u32::MAX),
+            turn_ms: wire_millis(turn),
+        })
+    }
+
+    /// Number of waiting prompts.
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+}
+
+/// Expected time until a prompt has room: the line before it at the rate of all engines, and the time until the first of
+/// them has room.
+fn time_to_turn(ask: &Ask, engines: &[Backlog], before: u64) -> Duration {
+    let rate: f64 = engines.iter().map(|engine| engine.rate).sum();
+    let line = before as f64 / (rate * UTILIZATION).max(1.0) / 1_000.0;
+    let room = engines.iter().map(|engine| engine.time_to_room(ask)).min();
+    Duration::from_secs_f64(line) + room.unwrap_or(MIN_RETURN)
+}
+
+/// How long a prompt may still wait and be served within its objective.
+///
+/// One that takes longer than its objective anyway may wait a part of it: refusing it for good would not serve its
+/// caller better.
+fn patience(ask: &Ask, engines: &[Backlog]) -> Duration {
+    let rate = engines.iter().map(|engine| engine.rate).fold(1.0, f64::max);
+    let own = Duration::from_secs_f64(ask.tokens as f64 / rate / 1_000.0);
+    let in_time = ask.objective.saturating_sub(own);
+    let longest = in_time.max(ask.objective / LONG_PROMPT_DIVISOR);
+    longest.min(ask.left).saturating_sub(ask.waited)
+}
+
+/// When the caller should return: after the backlog, spread over as long again, and within the time that callers honour.
+fn return_time(ask: &Ask, turn: Duration) -> Duration {
+    let fraction = f64::from(u32::try_from(ask.key >> 32).unwrap_or(0)) / f64::from(u32::MAX);
+    let spread = turn.max(MIN_RETURN).mul_f64(1.0 + fraction);
+    let honoured = ask.left / PATIENCE_DIVISOR;
+    // Those that cannot wait that long are spread over the last part of what they honour.
+    let bounded = honoured.mul_f64(1.0 - fraction / 4.0);
+    spread.min(bounded).max(MIN_RETURN)
+}
+
+fn wire_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/sesamegap-policy/src/admission/room.rs
@@ -0,0 +1,108 @@
+//! Whether an engine has room for a prompt.
+
+use std::time::Duration;
+
+/// Time that an engine takes for a first token besides prefilling: a chunk in progress, and the first decode step.
+const FIRST_STEP: Duration = Duration::from_millis(80);
+
+/// Part of an engine's slots that the most urgent prompts may exceed: engines admit them first and preempt others.
+const URGENT_EXCESS_DIVISOR: u32 = 2;
+
+/// A prompt that asks for an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ask {
+    /// Identifies the prompt each time it asks.
+    pub key: u64,
+    /// Its priority at the engine; 0 is the most urgent.
+    pub priority: u8,
+    /// Priority of its class, which decides among prompts of equal priority.
+    pub class: u8,
+    /// Its length in tokens.
+    pub tokens: u64,
+    /// Time from its arrival within which its first token is due.
+    pub objective: Duration,
+    /// Shortest objective of the more urgent prompts of its service; `None` if no class is more urgent.
+    pub urgent_objective: Option<Duration>,
+    /// Time since its arrival.
+    pub waited: Duration,
+    /// Time until its caller gives up.
+    pub left: Duration,
+    /// Whether its team exceeds its share of the engines under overload.
+    pub excess: bool,
+    /// Whether the asking VM decides without the knowledge of other VMs' prompts.
+    pub alone: bool,
+}
+
+/// The work that an engine has taken.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Backlog {
+    /// Prompt tokens that it has not prefilled.
+    pub unread: u64,
+    /// The part of these that it prefills before the asking prompt.
+    pub before: u64,
+    /// The part of these that the deciding VM sent itself.
+    pub own: u64,
+    /// Running requests.
+    pub running: u32,
+    /// The part of these that are more urgent than the asking prompt.
+    pub urgent: u32,
+    /// Requests that it runs concurrently.
+    pub slots: u32,
+    /// Tokens that it prefills per millisecond.
+    pub rate: f64,
+}
+
+impl Backlog {
+    /// Time to prefill this many tokens.
+    pub fn time_for(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.rate.max(1.0) / 1_000.0)
+    }
+
+    /// Expected time from now to the first token of a prompt.
+    pub fn first_token(&self, ask: &Ask) -> Duration {
+        self.time_for(self.before + ask.tokens) + FIRST_STEP
+    }
+
+    /// Whether the engine has a slot that a prompt of this urgency may use.
+    ///
+    /// Less urgent prompts leave the reserve, as far as urgent ones do not use it already. The most urgent may exceed the slots by a part, since the engine preempts
+    /// others for them; beyond that they would only wait for each other.
+    fn has_slot(&self, ask: &Ask, reserve: u32) -> bool {
+        let usable = match ask.urgent_objective {
+            Some(_) => {
+                let kept = reserve.saturating_sub(self.urgent);
+                self.slots.saturating_sub(kept).max(1)
+            }
+            None => self.slots + self.slots / URGENT_EXCESS_DIVISOR,
+        };
+        self.running < usable
+    }
+
+    /// Time until the engine's prefill work permits the prompt; zero if it does now.
+    ///
+    /// Its own objective must be met, and the work that an urgent prompt finds here must not take longer than that one's
+    /// objective, as engines do not interrupt a prompt in every case. Without prefill work any length is permitted: the
+    /// longest prompts could otherwise never run.
+    pub fn time_to_room(&self, ask: &Ask) -> Duration {
+        if self.unread == 0 {
+            return Duration::ZERO;
+        }
+        let own_left = ask.objective.saturating_sub(ask.waited);
+        let own = self.first_token(ask).saturating_sub(own_left);
+        let others = ask.urgent_objective.map_or(Duration::ZERO, |urgent| {
+            self.time_for(self.unread + ask.tokens)
+                .saturating_sub(urgent)
+        });
+        let wait = own.max(others);
+        wait.min(self.time_for(self.unread))
+    }
+
+    /// Whether the prompt may be sent to the engine now.
+    ///
+    /// A VM that decides alone knows nothing of what others send at the same moment, so it sends one prompt at a time to
+    /// an engine: all VMs together exceed an engine's room by at most one prompt each.
+    pub fn has_room(&self, ask: &Ask, reserve: u32) -> bool {
+        let knows_enough = !ask.alone || self.own == 0;
+        knows_enough && self.has_slot(ask, reserve) && self.time_to_room(ask).is_zero()
+    }
+}
--- a/crates/sesamegap-policy/src/lib.rs
+++ b/crates/sesamegap-policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! rules by which processes agree through the platform's log. Time and randomness are always passed as arguments, so that
 //! tests and the measuring driver can simulate hours of traffic quickly.
 
+pub mod admission;
 pub mod agreement;
 pub mod decider;
 pub mod load;
--- a/crates/sesamegap-policy/src/routing/placements.rs
+++ b/crates/sesamegap-policy/src/routing/placements.rs
@@ -29,6 +29,8 @@
     pub prefixes: Vec<Prefix>,
     /// Version of the engine's weights.
     pub version: u32,
+    /// Its priority; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// A prompt that an engine has prefilled.
@@ -50,6 +52,7 @@
     unread: u64,
     unread_until: Moment,
     ends: Moment,
+    level: Level,
 }
 
 /// Total of the prompts placed at one engine.
@@ -59,6 +62,54 @@
     pub running: u32,
     /// Prompt tokens that are not prefilled.
     pub unread: u64,
+    /// These tokens by the urgency of their prompts.
+    pub levels: Levels,
+    /// Requests that have not ended, by their urgency.
+    pub running_levels: Levels,
+}
+
+/// Priorities that are told apart; prompts of the last ones count together.
+const LEVELS: usize = 4;
+
+/// Index of a priority in [`Levels`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Level(usize);
+
+impl From<u8> for Level {
+    fn from(priority: u8) -> Self {
+        Self(usize::from(priority).min(LEVELS - 1))
+    }
+}
+
+/// Amounts by the priority of the prompts that they belong to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Levels([u64; LEVELS]);
+
+impl Levels {
+    /// Adds an amount.
+    pub fn add(&mut self, priority: u8, amount: u64) {
+        self.0[Level::from(priority).0] += amount;
+    }
+
+    /// Subtracts an amount.
+    pub fn subtract(&mut self, priority: u8, amount: u64) {
+        self.reduce(Level::from(priority), amount);
+    }
+
+    fn reduce(&mut self, level: Level, amount: u64) {
+        let sum = &mut self.0[level.0];
+        *sum = sum.saturating_sub(amount);
+    }
+
+    /// Sum of the prompts that are at least as urgent as a priority.
+    pub fn at_least(&self, priority: u8) -> u64 {
+        self.0[..=Level::from(priority).0].iter().sum()
+    }
+
+    /// Sum of the prompts that are more urgent than a priority.
+    pub fn above(&self, priority: u8) -> u64 {
+        self.0[..Level::from(priority).0].iter().sum()
+    }
 }
 
 /// All prompts placed for peers, by a key that identifies the peer's request.
@@ -85,6 +136,8 @@
         let sum = self.sums.entry(placement.life).or_default();
         sum.running += 1;
         sum.unread += placement.tokens;
+        sum.levels.add(placement.priority, placement.tokens);
+        sum.running_levels.add(placement.priority, 1);
         let entry = Entry {
             life: placement.life,
             version: placement.version,
@@ -92,6 +145,7 @@
             unread: placement.tokens,
             unread_until: now + expected * PREFILL_FACTOR + PREFILL_SLACK,
             ends: now + placement.left,
+            level: placement.priority.into(),
         };
         self.entries.insert(key, entry);
     }
@@ -116,6 +170,7 @@
         let unread = std::mem::take(&mut entry.unread);
         if let Some(sum) = self.sums.get_mut(&entry.life) {
             sum.unread -= unread;
+            sum.levels.reduce(entry.level, unread);
         }
     }
 
@@ -127,6 +182,8 @@
         if let Some(sum) = self.sums.get_mut(&entry.life) {
             sum.running -= 1;
             sum.unread -= entry.unread;
+            sum.levels.reduce(entry.level, entry.unread);
+            sum.running_levels.reduce(entry.level, 1);
             if sum.running == 0 {
                 self.sums.remove(&entry.life);
             }
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy crate, by module.
 
+mod admission;
 mod load;
 #[expect(
     clippy::unwrap_used,
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -149,6 +149,7 @@
                 left: Duration::from_secs(5),
                 prefixes: Vec::new(),
                 version: 1,
+                priority: 0,
             };
             owned[placing_vm].begin(number, placement, at(now));
             reads.push((now + took, placing_vm, number));
@@ -230,30 +231,31 @@
             tokens: 2_000,
         }],
         version: 4,
+        priority: 1,
     }
 }
 
+/// One running prompt of [`placement`] with this many unread tokens.
+fn one_running(unread: u64) -> Sum {
+    let mut sum = Sum {
+        running: 1,
+        unread,
+        ..Sum::default()
+    };
+    sum.levels.add(1, unread);
+    sum.running_levels.add(1, 1);
+    sum
+}
+
 /// Guards against engines that look busy forever because a VM with prompts there crashed.
 #[test]
 fn placements_without_reports_expire() {
     let mut placed = Placements::default();
     placed.begin(1, placement(9), at(0));
     placed.expire(at(700));
-    assert_eq!(
-        placed.at(9),
-        Sum {
-            running: 1,
-            unread: 3_000
-        }
-    );
+    assert_eq!(placed.at(9), one_running(3_000));
     placed.expire(at(900));
-    assert_eq!(
-        placed.at(9),
-        Sum {
-            running: 1,
-            unread: 0
-        }
-    );
+    assert_eq!(placed.at(9), one_running(0));
     placed.expire(at(5_000));
     assert_eq!(placed.at(9), Sum::default());
 }
