--- a/crates/sesamegap-policy/tests/testsuite/load/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/load/mod.rs
@@ -2,6 +2,7 @@
 //! beside short ones, and saturation.
 
 mod limits;
+mod returns;
 mod windows;
 
 use crate::support::traffic::{Kind, calls};
