Team shares: decay time, overload ratio and tolerance set at construction, for the owner of a shard

Cause: demand decays in 20 s, as a router with few requests needs. Change: SharesBuilder; Shares::of_shard() with 1.5 s, 1.0 and 1.25; is_excess records and asks. A router's settings are the default and unchanged.

--- a/crates/sesamegap-policy/src/load/limits/mod.rs
+++ b/crates/sesamegap-policy/src/load/limits/mod.rs
@@ -14,5 +14,5 @@
 pub use peers::PeerDemand;
 pub use retry_schedule::RetrySchedule;
 pub use return_schedule::{Refused, RequestHash, ReturnSchedule, ReturnTime};
-pub use shares::{Claim, Shares};
+pub use shares::{Claim, Shares, SharesBuilder};
 pub use teams::TeamLimits;
--- a/crates/sesamegap-policy/tests/testsuite/load/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/load/mod.rs
@@ -3,6 +3,7 @@
 
 mod limits;
 mod returns;
+mod team_shares;
 mod windows;
 
 use crate::support::traffic::{Kind, calls};
