Speeds of engines: learned by the VM that places their prompts

Cause: all engines counted with one prefill speed; those that share their machines are slower, and prompts queue there. Change: routing::speeds compares prefill times with those of all engines for the same kind of prompt; costs, waits and the homes within an owner's shard use it. Fourth figure of the load header, event 768, speed in the dump.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -9,7 +9,8 @@
 use crate::quarantine::TrialPermit;
 use crate::upstream;
 use crate::upstream::gateway::Destination;
-use sesamegap_policy::routing::engines::Prefix;
+use sesamegap_policy::routing::engines::{self, Prefix};
+use sesamegap_policy::routing::speeds::{PromptKind, Sample};
 use sesamegap_wire::{DomainId, Incarnation, Moment, SoftwareVersion, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::{IpAddr, SocketAddr};
@@ -263,7 +264,11 @@
         } else {
             0
         };
+        let sample = self.sample(unread, now);
         let mut fleet = self.fleet.lock();
+        if let Some(sample) = sample {
+            fleet.record_sample(&sample, now);
+        }
         let version = self.weights.map_or(0, |version| version.0);
         for prefix in self.prefixes.drain(..) {
             fleet
@@ -277,6 +282,21 @@
         }
     }
 
+    /// How long its prompt took that has just been prefilled, if it has one.
+    fn sample(&self, tokens: u64, now: Moment) -> Option<Sample> {
+        let model = self.model.as_ref().filter(|_| tokens > 0)?;
+        Some(Sample {
+            life: self.life,
+            kind: PromptKind {
+                model: engines::seed(model),
+                cached: self.last_served().is_some(),
+            },
+            ahead: self.ahead,
+            tokens,
+            took: now.since(self.sent_at),
+        })
+    }
+
     /// When bytes last arrived from the upstream on any of this VM's connections.
     pub fn last_received(&self) -> Moment {
         let mut fleet = self.fleet.lock();
@@ -300,9 +320,13 @@
 
     /// Records the load that the response reports.
     pub fn record_load(&self, load: Load, now: Moment) {
-        if let Some(upstream) = self.fleet.lock().in_life(&self.id, self.life) {
+        let mut fleet = self.fleet.lock();
+        if let Some(upstream) = fleet.in_life(&self.id, self.life) {
             upstream.record_load(load, now);
         }
+        if let Some(work) = load.work {
+            fleet.record_work(self.life, work, now);
+        }
     }
 
     /// Records the version of the weights that the response reports.
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod index;
 mod list;
 mod selection;
+mod speeds;
 mod upstream;
 mod versions;
 
@@ -34,6 +35,7 @@
 use sesamegap_policy::routing::placements::Placements;
 use sesamegap_policy::routing::reachability::{MIN_UNREACHED, ReachChange, Reachability};
 use sesamegap_policy::routing::silence::SilenceReports;
+use sesamegap_policy::routing::speeds::Speeds;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::cmp::Reverse;
@@ -69,6 +71,8 @@
     pub(crate) loads: Loads,
     /// Requests that this VM has placed for others, by the address of the asking VM and its request number.
     pub(crate) placements: Placements<(SocketAddr, u64)>,
+    /// Speeds of the engines whose prompts this VM sent or placed.
+    speeds: Speeds,
     pub(crate) kept: KvStoreStates,
     pub(crate) silence_reports: SilenceReports,
     /// Requests that upstreams say they take.
@@ -100,6 +104,7 @@
             cache_locations: CacheLocations::default(),
             loads: Loads::default(),
             placements: Placements::default(),
+            speeds: Speeds::default(),
             kept: KvStoreStates::default(),
             silence_reports: SilenceReports::default(),
             limits: SharedLimits::default(),
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -5,6 +5,7 @@
 use crate::kept;
 use crate::placing::{ChosenEngine, TrackedPrompt};
 use sesamegap_policy::routing::shards::Division;
+use sesamegap_policy::routing::speeds::Speed;
 use sesamegap_policy::routing::{Availability, candidates, engines, plain};
 use sesamegap_wire::{DomainId, Moment, ServiceId, SoftwareVersion, UpstreamId};
 use smol_str::SmolStr;
@@ -123,7 +124,8 @@
 
     fn may_start(&self, upstream: &Upstream, shape: &PromptShape, now: Moment) -> bool {
         let version = upstream.version(&shape.model).unwrap_or_default();
-        let wait = engines::prefill_time(self.unread(upstream) + shape.prompt.tokens);
+        let tokens = self.unread(upstream) + shape.prompt.tokens;
+        let wait = engines::prefill_time(tokens, self.speed(upstream, now));
         self.namings().may_send(&shape.model, version, wait, now)
     }
 }
@@ -283,6 +285,7 @@
             .iter()
             .map(|(upstream, long)| {
                 let version = upstream.version(&shape.model).unwrap_or_default();
+                let speed = self.speed(upstream, now);
                 engines::Engine {
                     seed: upstream.seed,
                     life: upstream.life,
@@ -295,6 +298,9 @@
                     version: version.0,
                     long: *long,
                     state: self.availability_for(upstream, Some(shape), now),
+                    speed,
+                    // Other VMs that choose the home know other speeds.
+                    weight: selection.shard.map_or(Speed::USUAL, |_| speed),
                 }
             })
             .collect();
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -276,6 +276,7 @@
     let mut fleet = core.fleet.lock();
     fleet.loads.tick(clock::now());
     fleet.placements.expire(clock::now());
+    fleet.expire_speeds(clock::now());
     let mut loads = fleet.held_loads();
     // A store is reported like an upstream whose unread tokens are those in flight, so no separate message is needed.
     loads.extend(fleet.kept.loads());
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -4,8 +4,10 @@
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::{Selection, Shard};
+use sesamegap_policy::routing::engines;
 use sesamegap_policy::routing::placements::Placement;
 use sesamegap_policy::routing::shards::Division;
+use sesamegap_policy::routing::speeds::{PromptKind, Speed};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -64,6 +66,11 @@
         left: Duration::from_millis(u64::from(query.left_ms)),
         prefixes,
         version,
+        speed: fleet.speed(engine, now),
+        kind: Some(PromptKind {
+            model: engines::seed(&query.model),
+            cached: served.is_some(),
+        }),
     };
     fleet.placements.begin((from, query.number), placement, now);
     Some(ChosenEngine {
@@ -98,10 +105,16 @@
                     left,
                     prefixes: Vec::new(),
                     version: 0,
+                    speed: Speed::USUAL,
+                    // The VM that placed it measures it.
+                    kind: None,
                 };
                 fleet.placements.begin((from, number), placement, now);
             }
             PromptReport::Read(number) => {
+                if let Some(sample) = fleet.placements.take_sample(&(from, number), now) {
+                    fleet.record_sample(&sample, now);
+                }
                 if let Some(read) = fleet.placements.record_prefill(&(from, number)) {
                     for prefix in read.prefixes {
                         fleet
--- a/crates/sesamegap-entry/src/ports.rs
+++ b/crates/sesamegap-entry/src/ports.rs
@@ -11,7 +11,7 @@
 use sesamegap_policy::quarantine;
 use sesamegap_wire::{
     Fence, Incarnation, LogPosition, Offset, ParseError, RequestRate, TeamId, Timeline, Tokens,
-    UpstreamId, VmId, WeightsVersion,
+    UpstreamId, VmId, WeightsVersion, WorkPercent,
 };
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt;
@@ -299,6 +299,8 @@
     pub waiting: u32,
     /// Number of requests that it can run concurrently.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, if it says so.
+    pub work: Option<WorkPercent>,
 }
 
 /// Why the headers of a request are rejected.
--- a/crates/sesamegap-entry/src/telemetry/endpoints.rs
+++ b/crates/sesamegap-entry/src/telemetry/endpoints.rs
@@ -85,6 +85,8 @@
     state: SmolStr,
     running: u32,
     unread: u64,
+    /// Speed relative to a usual engine.
+    speed: f64,
     heard_ms_ago: u64,
     weights: Vec<(SmolStr, u32)>,
 }
@@ -156,6 +158,7 @@
         state: smol_str::format_smolstr!("{:?}", fleet.availability(up, now)),
         running: fleet.running(up, now),
         unread: fleet.unread(up),
+        speed: fleet.speed(up, now).ratio(),
         heard_ms_ago: clock::millis(now.since(up.last_received)),
         weights: up
             .entry
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -92,3 +92,5 @@
 pub const LARGE_REPLY: u16 = 766;
 /// A newer document that is fetched from peers by its parts has not arrived yet, or its parts do not fit together.
 pub const FETCH: u16 = 767;
+/// An engine counts as slower or faster than usual, or as usual again.
+pub const ENGINE_SPEED: u16 = 768;
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -23,9 +23,15 @@
 //!
 //! Some prefixes are hot, load comes in bursts, and engines leave. So that a hot prefix does not queue behind one
 //! engine, a lower-ranked engine is chosen when its wait is shorter by more than the cost of fetching the prefix.
+//!
+//! Some engines share their machines and are slower than the others. Waits are estimated by each engine's speed, and the
+//! VM that places all prompts of a shard gives each engine homes in proportion to its speed. VMs that place alone have
+//! each measured other prompts, so there all engines have the same weight, and the VMs agree on the homes.
 
 use super::Availability;
 use super::cache_locations::CacheLocations;
+use super::homes;
+use super::speeds::Speed;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -98,6 +104,10 @@
     pub long: bool,
     /// Seed of the kept-KV store that it uses, or zero if there is none.
     pub store: u64,
+    /// How fast it works.
+    pub speed: Speed,
+    /// Its share of the homes of prefixes relative to other engines; usual unless one VM places all of their prompts.
+    pub weight: Speed,
 }
 
 /// A shared prefix: all parts up to and including one of them.
@@ -183,9 +193,14 @@
     })
 }
 
-/// Time that an engine needs to prefill this many tokens.
-pub fn prefill_time(tokens: u64) -> Duration {
-    Duration::from_millis(tokens / PREFILL_TOKENS_PER_MS)
+/// Time that an engine of this speed needs to prefill this many tokens.
+pub fn prefill_time(tokens: u64, speed: Speed) -> Duration {
+    let usual = Duration::from_millis(tokens / PREFILL_TOKENS_PER_MS);
+    if speed.is_usual() {
+        usual
+    } else {
+        usual.div_f64(speed.ratio())
+    }
 }
 
 /// Rank of an engine for a prefix; the highest is its home.
@@ -215,7 +230,12 @@
     );
     let home_of = |no: usize| if fresh(&no) { new_home } else { old_home };
     let reach = |no: usize| Reach::between(engines, no, home_of(no));
-    let costed = open().map(|no| (cost(prompt, &engines[no], reach(no), fresh(&no)), no));
+    let inner = prompt.inner().hash;
+    let costed = open().map(|no| {
+        let engine = &engines[no];
+        let held = !engine.speed.is_usual() && cache_locations.served(inner, engine);
+        (cost(prompt, engine, reach(no), fresh(&no), held), no)
+    });
     let (_, at) = costed.min_by(|a, b| {
         let ranks = || {
             let rank = |no: usize| rank(prompt.inner().hash, engines[no].seed);
@@ -266,10 +286,10 @@
     };
     let same_kind = || open().filter(|no| engines[*no].long == prompt.is_long());
     let best = |prefix: u64| {
-        let by_rank = |no: &usize| rank(prefix, engines[*no].seed);
+        let by_rank = |a: &usize, b: &usize| homes::compare(prefix, &engines[*a], &engines[*b]);
         same_kind()
-            .max_by_key(by_rank)
-            .or_else(|| open().max_by_key(by_rank))
+            .max_by(by_rank)
+            .or_else(|| open().max_by(by_rank))
     };
     let first = best(prompt.outer().hash)?;
     let outer = prompt.outer().hash;
@@ -313,13 +333,17 @@
     match seen {
         Some(Some(holder)) => Some(holder),
         Some(None) => None,
-        None => home
-            .filter(usable)
-            .or_else(|| others().max_by_key(|no| rank(prompt.outer().hash, engines[*no].seed))),
+        None => home.filter(usable).or_else(|| {
+            let outer = prompt.outer().hash;
+            others().max_by(|a, b| homes::compare(outer, &engines[*a], &engines[*b]))
+        }),
     }
 }
 
-fn cost(prompt: &Prompt, engine: &Engine, reach: Reach, fresh: bool) -> f64 {
+/// Expected time to first token at an engine, in milliseconds; `held` tells whether it has the shared prefix, and matters
+/// only if its speed is not the usual one.
+fn cost(prompt: &Prompt, engine: &Engine, reach: Reach, fresh: bool, held: bool) -> f64 {
+    let speed = engine.speed.ratio();
     let queue = QUEUE_WEIGHT * engine.unread as f64 / PREFILL_TOKENS_PER_MS as f64;
     let excess = (engine.running + 1).saturating_sub(engine.slots);
     let load = RUNNING_MS * f64::from(engine.running)
@@ -331,7 +355,8 @@
         Reach::Store => transfer,
         // What the home has lost is prefilled again, which costs as much as the same work in a queue.
         Reach::Far => {
-            transfer + QUEUE_WEIGHT * prompt.inner().tokens as f64 / PREFILL_TOKENS_PER_MS as f64
+            let again = QUEUE_WEIGHT * prompt.inner().tokens as f64 / PREFILL_TOKENS_PER_MS as f64;
+            transfer + again / speed
         }
     };
     let other_kind = if engine.long == prompt.is_long() {
@@ -346,5 +371,19 @@
     } else {
         0.0
     };
-    queue + load + fetch + other_kind + far + old + suspect
+    let own = own_prefill(prompt, engine, reach, held);
+    queue / speed + load / speed + fetch + other_kind + far + old + suspect + own
+}
+
+/// Time that an engine needs for the prompt itself beyond that of a usual engine; zero for a usual one.
+fn own_prefill(prompt: &Prompt, engine: &Engine, reach: Reach, held: bool) -> f64 {
+    if engine.speed.is_usual() {
+        return 0.0;
+    }
+    // Elsewhere than at its home, the prompt's shared prefix is fetched.
+    let is_shared = held || reach != Reach::Home;
+    let shared = if is_shared { prompt.inner().tokens } else { 0 };
+    let tokens = prompt.tokens.saturating_sub(shared);
+    let usual = tokens as f64 / PREFILL_TOKENS_PER_MS as f64;
+    usual / engine.speed.ratio() - usual
 }
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -21,6 +21,8 @@
 //! - [`weights`] bounds the time until which a request may start on older weights.
 //! - [`rolls`] picks the engines that load new weights next.
 //! - [`shards`] assigns engines to the VMs that place their prompts in a large fleet.
+//! - [`homes`] picks the home of a prefix among engines with weights.
+//! - [`speeds`] learns which engines prefill slower or faster than usual.
 //! - [`placements`] counts the prompts that a VM has placed for its peers.
 
 pub mod belief;
@@ -32,6 +34,7 @@
 pub mod dissemination;
 pub mod engines;
 pub mod gateways;
+pub mod homes;
 pub mod link_budget;
 pub mod placements;
 pub mod plain;
@@ -42,6 +45,7 @@
 pub mod rolls;
 pub mod shards;
 pub mod silence;
+pub mod speeds;
 pub mod timeouts;
 pub mod transfers;
 pub mod upstream_limits;
--- a/crates/sesamegap-policy/src/routing/placements.rs
+++ b/crates/sesamegap-policy/src/routing/placements.rs
@@ -4,6 +4,7 @@
 //! time that its engine should take to prefill it, and as running until its caller has given up.
 
 use super::engines::{Prefix, prefill_time};
+use super::speeds::{PromptKind, Sample, Speed};
 use rustc_hash::FxHashMap;
 use sesamegap_wire::Moment;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 const PREFILL_SLACK: Duration = Duration::from_millis(500);
 
 /// A prompt placed at an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
     /// Seed of the engine's incarnation.
     pub life: u64,
@@ -29,6 +30,10 @@
     pub prefixes: Vec<Prefix>,
     /// Version of the engine's weights.
     pub version: u32,
+    /// Speed of the engine.
+    pub speed: Speed,
+    /// Kind of the prompt, if its prefill is to measure the engine's speed.
+    pub kind: Option<PromptKind>,
 }
 
 /// A prompt that an engine has prefilled.
@@ -50,6 +55,9 @@
     unread: u64,
     unread_until: Moment,
     ends: Moment,
+    begun: Moment,
+    /// The sample that its prefill gives, without the time that it took.
+    sample: Option<Sample>,
 }
 
 /// Total of the prompts placed at one engine.
@@ -81,11 +89,20 @@
     /// Starts to count a prompt.
     pub fn begin(&mut self, key: K, placement: Placement, now: Moment) {
         self.end(&key);
-        let expected = prefill_time(placement.ahead + placement.tokens);
+        let expected = prefill_time(placement.ahead + placement.tokens, placement.speed);
         let sum = self.sums.entry(placement.life).or_default();
         sum.running += 1;
         sum.unread += placement.tokens;
+        let sample = placement.kind.map(|kind| Sample {
+            life: placement.life,
+            kind,
+            ahead: placement.ahead,
+            tokens: placement.tokens,
+            took: Duration::ZERO,
+        });
         let entry = Entry {
+            begun: now,
+            sample,
             life: placement.life,
             version: placement.version,
             prefixes: placement.prefixes,
@@ -108,6 +125,13 @@
         })
     }
 
+    /// Returns how long a prompt took that was just prefilled, unless that was returned before or is not to be measured.
+    pub fn take_sample(&mut self, key: &K, now: Moment) -> Option<Sample> {
+        let entry = self.entries.get_mut(key)?;
+        let took = now.since(entry.begun);
+        entry.sample.take().map(|sample| Sample { took, ..sample })
+    }
+
     /// Stops counting a prompt as unread.
     fn clear_unread(&mut self, key: &K) {
         let Some(entry) = self.entries.get_mut(key) else {
--- a/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/engines.rs
@@ -3,6 +3,7 @@
 use sesamegap_policy::routing::engines::{
     Engine, EngineLocation, Prefix, Prompt, choose, for_long, rank,
 };
+use sesamegap_policy::routing::speeds::Speed;
 use sesamegap_wire::Moment;
 
 fn engines(count: u64) -> Vec<Engine> {
@@ -27,6 +28,8 @@
             version: 1,
             state: Availability::Open,
             long,
+            speed: Speed::USUAL,
+            weight: Speed::USUAL,
         })
         .collect()
 }
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -17,12 +17,14 @@
 mod rolls;
 mod shards;
 mod silence;
+mod speeds;
 mod transfers;
 mod upstream_limits;
 mod weights;
 
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::engines::Engine;
+use sesamegap_policy::routing::speeds::Speed;
 
 /// An engine for long prompts that runs nothing.
 fn idle_engine(seed: u64) -> Engine {
@@ -38,5 +40,7 @@
         state: Availability::Open,
         long: true,
         store: 1,
+        speed: Speed::USUAL,
+        weight: Speed::USUAL,
     }
 }
--- a/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/shards.rs
@@ -8,6 +8,7 @@
 use sesamegap_policy::routing::engines::{self, Engine, Prefix, Prompt, seed};
 use sesamegap_policy::routing::placements::{Placement, Placements, Sum};
 use sesamegap_policy::routing::shards::{Division, SMALL, owner};
+use sesamegap_policy::routing::speeds::Speed;
 use std::time::Duration;
 
 /// Prompt tokens that a simulated engine prefills per millisecond.
@@ -149,6 +150,8 @@
                 left: Duration::from_secs(5),
                 prefixes: Vec::new(),
                 version: 1,
+                speed: Speed::USUAL,
+                kind: None,
             };
             owned[placing_vm].begin(number, placement, at(now));
             reads.push((now + took, placing_vm, number));
@@ -230,6 +233,8 @@
             tokens: 2_000,
         }],
         version: 4,
+        speed: Speed::USUAL,
+        kind: None,
     }
 }
 
--- a/crates/sesamegap-wire/src/lib.rs
+++ b/crates/sesamegap-wire/src/lib.rs
@@ -24,5 +24,5 @@
 };
 pub use quantity::{
     Fence, Incarnation, LogPosition, Moment, Offset, RequestRate, Seq, Timeline, Tokens,
-    WeightsVersion,
+    WeightsVersion, WorkPercent,
 };
--- a/crates/sesamegap-wire/src/quantity/mod.rs
+++ b/crates/sesamegap-wire/src/quantity/mod.rs
@@ -1,8 +1,10 @@
 //! Newtypes for numbers, so that two kinds of number cannot be confused.
 
 mod rate;
+mod work;
 
 pub use rate::RequestRate;
+pub use work::WorkPercent;
 
 use crate::error::ParseError;
 use serde::{Deserialize, Serialize};
