--- a/crates/sesamegap-entry/src/fleet/admission.rs
+++ b/crates/sesamegap-entry/src/fleet/admission.rs
@@ -1,11 +1,13 @@
 //! Admission of prompts to the engines for which this VM places them.
 
 use super::{Fleet, Selection, Upstream};
+use crate::placing::Terms;
 use rustc_hash::FxHashMap;
 use sesamegap_policy::admission::{Ask, Backlog, Desk, PutOff, Verdict};
+use sesamegap_policy::load::limits::{Claim, Shares};
 use sesamegap_policy::routing::Availability;
-use sesamegap_policy::routing::engines::{Engine, PREFILL_TOKENS_PER_MS};
-use sesamegap_wire::{Moment, ServiceId};
+use sesamegap_policy::routing::engines::Engine;
+use sesamegap_wire::{ModelId, Moment, ServiceId};
 
 /// Number under which the prompts are admitted that this VM places over all shards.
 const ALL_SHARDS: u32 = u32::MAX;
@@ -20,9 +22,20 @@
 }
 
 /// The decisions on prompts of each shard, by service and number.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Admission {
     desks: FxHashMap<(ServiceId, u32), Desk>,
+    /// Demand of teams, to tell what exceeds a team's share.
+    shares: Shares,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            desks: FxHashMap::default(),
+            shares: Shares::of_shard(),
+        }
+    }
 }
 
 impl Fleet {
@@ -42,7 +55,7 @@
             running: self.running(upstream, now),
             urgent: u32::try_from(placed.running_levels.above(priority)).unwrap_or(u32::MAX),
             slots: upstream.entry.slots,
-            rate: PREFILL_TOKENS_PER_MS as f64,
+            rate: self.admission_rate.per_ms() * self.speed(upstream, now).ratio(),
         }
     }
 }
@@ -76,6 +89,15 @@
         let number = selection.shard.map_or(ALL_SHARDS, |shard| shard.number);
         let key = (selection.service.clone(), number);
         let desk = self.desks.entry(key).or_default();
+        ask.excess = is_excess(
+            &mut self.shares,
+            desk,
+            terms,
+            &shape.model,
+            &ask,
+            &usable,
+            now,
+        );
         match desk.decide(&ask, &usable, now) {
             Verdict::Place(reserve) => {
                 close_full(engines, backlogs, &ask, reserve);
@@ -86,6 +108,35 @@
     }
 }
 
+/// Whether a prompt exceeds its team's share of the engines; a prompt that asks again counts once.
+fn is_excess(
+    shares: &mut Shares,
+    desk: &Desk,
+    terms: &Terms,
+    model: &str,
+    ask: &Ask,
+    engines: &[Backlog],
+    now: Moment,
+) -> bool {
+    let (Some(team), Ok(model)) = (&terms.team, model.parse::<ModelId>()) else {
+        return false;
+    };
+    let claim = Claim {
+        model: &model,
+        team,
+        weight: 1.0,
+        priority: u8::MAX - ask.priority,
+        cost: ask.tokens,
+    };
+    let per_ms: f64 = engines.iter().map(|engine| engine.rate).sum();
+    let rate = Some(per_ms * 1_000.0);
+    if desk.is_waiting(ask.key) {
+        shares.exceeds(&claim, rate, now)
+    } else {
+        shares.is_excess(&claim, rate, now)
+    }
+}
+
 /// Marks engines without room for a prompt as unavailable.
 fn close_full(engines: &mut [Engine], backlogs: &[Backlog], ask: &Ask, reserve: u32) {
     for (engine, backlog) in engines.iter_mut().zip(backlogs) {
--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod index;
 mod list;
 mod selection;
+mod speeds;
 mod upstream;
 mod versions;
 
@@ -29,6 +30,7 @@
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rustc_hash::FxHashMap;
+use sesamegap_policy::admission::rate::WorkRate;
 use sesamegap_policy::resumption::ServedVersions;
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::belief::{self, Belief, StoreReachability};
@@ -37,6 +39,7 @@
 use sesamegap_policy::routing::placements::Placements;
 use sesamegap_policy::routing::reachability::{MIN_UNREACHED, ReachChange, Reachability};
 use sesamegap_policy::routing::silence::SilenceReports;
+use sesamegap_policy::routing::speeds::Speeds;
 use sesamegap_policy::routing::weights::{Named, Namings};
 use sesamegap_wire::{LogPosition, Moment, ServiceId, UpstreamId, WeightsVersion};
 use std::cmp::Reverse;
@@ -74,6 +77,10 @@
     pub(crate) placements: Placements<(SocketAddr, u64)>,
     /// Admission of the prompts that this VM places.
     admission: Admission,
+    /// Rate at which the engines work off the prompts that this VM places.
+    admission_rate: WorkRate,
+    /// Speeds of the engines whose prompts this VM sent or placed.
+    speeds: Speeds,
     pub(crate) kept: KvStoreStates,
     pub(crate) silence_reports: SilenceReports,
     /// Requests that upstreams say they take.
@@ -106,6 +113,8 @@
             loads: Loads::default(),
             placements: Placements::default(),
             admission: Admission::default(),
+            admission_rate: WorkRate::default(),
+            speeds: Speeds::default(),
             kept: KvStoreStates::default(),
             silence_reports: SilenceReports::default(),
             limits: SharedLimits::default(),
--- a/crates/sesamegap-entry/src/job.rs
+++ b/crates/sesamegap-entry/src/job.rs
@@ -57,6 +57,12 @@
     pub subjects: OnceLock<Arc<Subjects>>,
 }
 
+/// Priorities of routes that are told apart within one priority of a team.
+const CLASSES: u8 = 3;
+
+/// The least urgent priority that engines know.
+const LAST_RANK: u8 = 9;
+
 impl Job {
     /// Time until the deadline.
     pub fn time_left(&self) -> Duration {
@@ -77,6 +83,17 @@
         priority.unwrap_or(self.route.priority)
     }
 
+    /// Its priority at an engine if admission orders prompts: that of its team or route first, then that of its route.
+    ///
+    /// A team's priority overrides those of its routes, but does not make its own urgent prompts wait behind its others.
+    pub fn rank(&self) -> u8 {
+        let rank = self
+            .priority()
+            .saturating_mul(CLASSES)
+            .saturating_add(self.route.priority.min(CLASSES - 1));
+        rank.min(LAST_RANK)
+    }
+
     /// The error response if it may have run and no complete response arrived.
     pub fn lost_refusal(&self) -> Refusal {
         if self.time_left().is_zero() {
--- a/crates/sesamegap-entry/src/placing/message.rs
+++ b/crates/sesamegap-entry/src/placing/message.rs
@@ -53,10 +53,8 @@
 pub struct Terms {
     /// Identifies the prompt each time it asks.
     pub key: u64,
-    /// Its priority; 0 is the most urgent.
+    /// Its priority at the engine; 0 is the most urgent.
     pub priority: u8,
-    /// Priority of its route, which a team's own one may override.
-    pub class: u8,
     /// Time from its arrival within which its first token is due, in milliseconds.
     pub objective_ms: u32,
     /// Shortest objective of the more urgent prompts of its service, in milliseconds.
@@ -74,7 +72,6 @@
         Ask {
             key: self.key,
             priority: self.priority,
-            class: self.class,
             tokens,
             objective: millis(self.objective_ms),
             urgent_objective: self.urgent_ms.map(millis),
--- a/crates/sesamegap-entry/src/relay/attempt/dispatch.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/dispatch.rs
@@ -23,6 +23,11 @@
     } else {
         Transfer::default()
     };
+    let priority = if core.settings().load_control.admission {
+        job.rank()
+    } else {
+        job.priority()
+    };
     Dispatch {
         time_left: job.time_left(),
         upstream: Some(flight.id.clone()),
@@ -31,7 +36,7 @@
         weights: flight.weights.filter(|_| is_prompt),
         fetch: transfer.fetch,
         save: transfer.save,
-        priority: is_prompt.then_some(job.priority()),
+        priority: is_prompt.then_some(priority),
         after: resume_after,
     }
 }
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -99,8 +99,7 @@
         let urgent = job.catalogue.urgent_objective(&self.service, class);
         Some(Terms {
             key: job.hash(),
-            priority: job.priority(),
-            class,
+            priority: job.rank(),
             objective_ms: clock::wire_millis(job.route.objective),
             urgent_ms: urgent.map(clock::wire_millis),
             waited_ms: clock::wire_millis(job.arrived.elapsed()),
--- a/crates/sesamegap-policy/src/admission/desk.rs
+++ b/crates/sesamegap-policy/src/admission/desk.rs
@@ -4,6 +4,8 @@
 use super::reserve::Reserve;
 use super::room::{Ask, Backlog};
 use super::{Action, PutOff};
+use crate::load::limits::{Jitter, Refused, RequestHash, ReturnSchedule, ReturnTime};
+use crate::load::queue;
 use sesamegap_wire::Moment;
 use std::time::Duration;
 
@@ -16,9 +18,6 @@
 /// Least time to return: an earlier return would meet the same backlog.
 const MIN_RETURN: Duration = Duration::from_millis(250);
 
-/// Part of the time left within which callers honour a time to return.
-const PATIENCE_DIVISOR: u32 = 3;
-
 /// Part of an objective that a prompt may wait which is too long to be served within it.
 const LONG_PROMPT_DIVISOR: u32 = 4;
 
@@ -39,6 +38,7 @@
 pub struct Desk {
     line: Line,
     reserve: Reserve,
+    returns: ReturnSchedule,
 }
 
 impl Desk {
@@ -47,7 +47,6 @@
         self.line.expire(now);
         let rank = Rank {
             priority: ask.priority,
-            class: ask.class,
             excess: ask.excess,
             arrived: now.saturating_sub(ask.waited),
         };
@@ -70,7 +69,7 @@
             Action::Wait(wire_millis(wait))
         } else {
             self.line.leave(ask.key);
-            Action::Refuse(wire_millis(return_time(ask, turn)))
+            Action::Refuse(wire_millis(self.return_time(ask, engines, turn, now)))
         };
         Verdict::PutOff(PutOff {
             action,
@@ -79,6 +78,34 @@
         })
     }
 
+    /// When the caller of a refused prompt should return.
+    fn return_time(
+        &mut self,
+        ask: &Ask,
+        engines: &[Backlog],
+        turn: Duration,
+        now: Moment,
+    ) -> Duration {
+        let refused = Refused {
+            request: RequestHash(ask.key),
+            rank: queue::Rank::new(ask.excess, u8::MAX - ask.priority),
+            earliest: turn,
+            work: time_at_all(ask.tokens, engines),
+            patience: ask.left,
+        };
+        let jitter = Jitter::of_hash(ask.key);
+        let after = match self.returns.reserve(&refused, now, jitter) {
+            ReturnTime::Slot(after) => after,
+            ReturnTime::Late { useful } => useful,
+        };
+        after.max(MIN_RETURN)
+    }
+
+    /// Whether a prompt has a place in the line.
+    pub fn is_waiting(&self, key: u64) -> bool {
+        self.line.contains(key)
+    }
+
     /// Number of waiting prompts.
     pub fn waiting(&self) -> usize {
         self.line.len()
@@ -88,10 +115,8 @@
 /// Expected time until a prompt has room: the line before it at the rate of all engines, and the time until the first of
 /// them has room.
 fn time_to_turn(ask: &Ask, engines: &[Backlog], before: u64) -> Duration {
-    let rate: f64 = engines.iter().map(|engine| engine.rate).sum();
-    let line = before as f64 / (rate * UTILIZATION).max(1.0) / 1_000.0;
     let room = engines.iter().map(|engine| engine.time_to_room(ask)).min();
-    Duration::from_secs_f64(line) + room.unwrap_or(MIN_RETURN)
+    time_at_all(before, engines) + room.unwrap_or(MIN_RETURN)
 }
 
 /// How long a prompt may still wait and be served within its objective.
@@ -106,14 +131,10 @@
     longest.min(ask.left).saturating_sub(ask.waited)
 }
 
-/// When the caller should return: after the backlog, spread over as long again, and within the time that callers honour.
-fn return_time(ask: &Ask, turn: Duration) -> Duration {
-    let fraction = f64::from(u32::try_from(ask.key >> 32).unwrap_or(0)) / f64::from(u32::MAX);
-    let spread = turn.max(MIN_RETURN).mul_f64(1.0 + fraction);
-    let honoured = ask.left / PATIENCE_DIVISOR;
-    // Those that cannot wait that long are spread over the last part of what they honour.
-    let bounded = honoured.mul_f64(1.0 - fraction / 4.0);
-    spread.min(bounded).max(MIN_RETURN)
+/// Time in which the engines together prefill this many tokens.
+fn time_at_all(tokens: u64, engines: &[Backlog]) -> Duration {
+    let rate: f64 = engines.iter().map(|engine| engine.rate).sum();
+    Duration::from_secs_f64(tokens as f64 / (rate * UTILIZATION).max(1.0) / 1_000.0)
 }
 
 fn wire_millis(time: Duration) -> u32 {
--- a/crates/sesamegap-policy/src/admission/line.rs
+++ b/crates/sesamegap-policy/src/admission/line.rs
@@ -20,8 +20,6 @@
 pub struct Rank {
     /// Priority; 0 is the most urgent.
     pub priority: u8,
-    /// Priority of its class.
-    pub class: u8,
     /// Whether its team exceeds its share.
     pub excess: bool,
     /// When it arrived.
@@ -85,6 +83,11 @@
         self.waiting.retain(|_, waiting| now < waiting.until);
     }
 
+    /// Whether a prompt waits.
+    pub fn contains(&self, key: u64) -> bool {
+        self.waiting.contains_key(&key)
+    }
+
     /// Number of waiting prompts.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/sesamegap-policy/src/admission/mod.rs
+++ b/crates/sesamegap-policy/src/admission/mod.rs
@@ -10,6 +10,7 @@
 //!
 //! - [`room`] tells whether an engine can begin a prompt within its objective, and without delaying more urgent ones
 //!   beyond theirs. An engine without prefill work takes a prompt of any length.
+//! - [`rate`] learns how many prompt tokens an engine works off per millisecond, cached ones included.
 //! - [`reserve`] keeps slots for urgent prompts, as many as their demand needs.
 //! - [`line`] orders the prompts that wait for room: urgent classes first, teams within their share before those beyond,
 //!   and earlier prompts before later ones. A prompt waits at the VM that received it and asks again, so nothing is
@@ -19,6 +20,7 @@
 
 pub mod desk;
 pub mod line;
+pub mod rate;
 pub mod reserve;
 pub mod room;
 
--- a/crates/sesamegap-policy/src/admission/room.rs
+++ b/crates/sesamegap-policy/src/admission/room.rs
@@ -15,8 +15,6 @@
     pub key: u64,
     /// Its priority at the engine; 0 is the most urgent.
     pub priority: u8,
-    /// Priority of its class, which decides among prompts of equal priority.
-    pub class: u8,
     /// Its length in tokens.
     pub tokens: u64,
     /// Time from its arrival within which its first token is due.
--- a/crates/sesamegap-policy/tests/testsuite/admission/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/admission/mod.rs
@@ -22,7 +22,6 @@
     Ask {
         key,
         priority: 2,
-        class: 2,
         tokens: 9_000,
         objective: ms(1_200),
         urgent_objective: Some(ms(400)),
@@ -38,7 +37,6 @@
     Ask {
         key,
         priority: 0,
-        class: 0,
         tokens: 800,
         objective: ms(400),
         urgent_objective: None,
--- a/crates/sesamegap-policy/tests/testsuite/admission/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/admission/world.rs
@@ -101,7 +101,7 @@
             budget -= read;
             if held.unread == 0 && held.ends.is_none() {
                 held.ends = Some(now + held.prompt.answer);
-                let class = report.classes.entry(held.prompt.ask.class).or_default();
+                let class = report.classes.entry(held.prompt.ask.priority).or_default();
                 let took = Duration::from_millis(now - held.prompt.arrived);
                 let is_timely = took <= held.prompt.ask.objective;
                 class.in_time += u32::from(is_timely);
@@ -128,7 +128,7 @@
             desk = Desk::default();
         }
         while let Some(prompt) = next.next_if(|prompt| prompt.arrived <= now) {
-            report.classes.entry(prompt.ask.class).or_default().asked += 1;
+            report.classes.entry(prompt.ask.priority).or_default().asked += 1;
             waiting.insert((now, prompt.ask.key), *prompt);
         }
         let due: Vec<(u64, u64)> = waiting
@@ -146,7 +146,11 @@
                     waiting.insert((now + u64::from(after), prompt.ask.key), prompt);
                 }
                 Err(Action::Refuse(_)) => {
-                    report.classes.entry(prompt.ask.class).or_default().refused += 1;
+                    report
+                        .classes
+                        .entry(prompt.ask.priority)
+                        .or_default()
+                        .refused += 1;
                 }
             }
         }
@@ -181,7 +185,11 @@
 
 fn send(engine: &mut Engine, prompt: Prompt, report: &mut Report) {
     if engine.held.len() >= SLOTS as usize + QUEUE {
-        report.classes.entry(prompt.ask.class).or_default().rejected += 1;
+        report
+            .classes
+            .entry(prompt.ask.priority)
+            .or_default()
+            .rejected += 1;
         return;
     }
     engine.held.push(Held {
