Prompts are told to the next owner of their shard

Cause: an owner that takes over from one that was killed, paused, cut off or replaced knew nothing of the prompts that are at the engines, and placed as if they were idle. Change: a VM that asks another owner than before about a shard tells it of the prompts that it has there, and the former owner that they ended.

--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -24,7 +24,7 @@
 }
 
 /// A shard of the engines, for which one VM places all prompts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Shard {
     /// Division of the engines into shards.
     pub division: Division,
@@ -182,6 +182,7 @@
             flight.served = served;
             flight
         };
+        tracked_prompt.record_placed(&flight, selection.left, now);
         flight.set_owner(tracked_prompt);
         Some(flight)
     }
--- a/crates/sesamegap-entry/src/placing/client.rs
+++ b/crates/sesamegap-entry/src/placing/client.rs
@@ -2,7 +2,7 @@
 
 use super::message::{PlacementAnswer, PlacementMessage, PromptReport};
 use crate::clock;
-use crate::fleet::Flight;
+use crate::fleet::{Flight, Shard};
 use crate::peers::{self, MessageNumbers, PeerSocket};
 use rustc_hash::FxHashMap;
 use sesamegap_wire::Moment;
@@ -30,10 +30,82 @@
 struct State {
     numbers: MessageNumbers,
     pending: FxHashMap<u64, oneshot::Sender<PlacementAnswer>>,
+    /// Prompts that owners know or were asked about, by their numbers.
+    tracked: FxHashMap<u64, Tracked>,
+    /// The owner that was asked last about each shard.
+    owners: FxHashMap<Shard, SocketAddr>,
     reports: FxHashMap<SocketAddr, Vec<PromptReport>>,
     unresponsive: FxHashMap<SocketAddr, Moment>,
 }
 
+/// A prompt that an owner knows or was asked about.
+#[derive(Debug)]
+struct Tracked {
+    owner: SocketAddr,
+    shard: Shard,
+    /// Set once it was placed.
+    placed: Option<Placed>,
+}
+
+/// A placed prompt, as a new owner needs to know it.
+#[derive(Debug, Clone, Copy)]
+struct Placed {
+    life: u64,
+    /// Tokens that are not prefilled.
+    tokens: u64,
+    priority: u8,
+    /// Until when its caller waits.
+    until: Moment,
+}
+
+impl Placed {
+    fn new(flight: &Flight, left: Duration, now: Moment) -> Self {
+        Self {
+            life: flight.life(),
+            tokens: flight.tokens(),
+            priority: flight.priority(),
+            until: now + left,
+        }
+    }
+
+    fn report(&self, number: u64, now: Moment) -> PromptReport {
+        PromptReport::Began {
+            number,
+            life: self.life,
+            tokens: self.tokens,
+            left_ms: clock::wire_millis(self.until.since(now)),
+            priority: self.priority,
+        }
+    }
+}
+
+impl State {
+    fn report(&mut self, owner: SocketAddr, report: PromptReport) {
+        self.reports.entry(owner).or_default().push(report);
+    }
+
+    /// Tells a shard's new owner of the prompts that this VM has there, and the former one that they ended.
+    ///
+    /// A new owner knows nothing of what others placed before it, and would fill the engines a second time. The former
+    /// one may only have been paused.
+    fn hand_over(&mut self, shard: Shard, to: SocketAddr, now: Moment) {
+        let mut reports = Vec::new();
+        for (number, tracked) in &mut self.tracked {
+            if tracked.shard != shard || tracked.owner == to {
+                continue;
+            }
+            if let Some(placed) = &tracked.placed {
+                reports.push((tracked.owner, PromptReport::Ended(*number)));
+                reports.push((to, placed.report(*number, now)));
+                tracked.owner = to;
+            }
+        }
+        for (owner, report) in reports {
+            self.report(owner, report);
+        }
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -52,62 +124,97 @@
         self.number
     }
 
-    /// Address of the owner.
+    /// Address of the owner that was asked first.
     pub fn owner(&self) -> SocketAddr {
         self.owner
     }
 
-    /// Reports that the engine has prefilled the prompt.
-    pub fn report_read(&self) {
-        self.report(PromptReport::Read(self.number));
+    /// Records that the prompt was placed, so that the next owner of its shard is told of it.
+    pub fn record_placed(&self, flight: &Flight, left: Duration, now: Moment) {
+        let placed = Placed::new(flight, left, now);
+        if let Some(tracked) = lock(&self.state).tracked.get_mut(&self.number) {
+            tracked.placed = Some(placed);
+        }
     }
 
-    fn report(&self, report: PromptReport) {
+    /// Reports that the engine has prefilled the prompt.
+    pub fn report_read(&self) {
         let mut state = lock(&self.state);
-        state.reports.entry(self.owner).or_default().push(report);
+        let Some(tracked) = state.tracked.get_mut(&self.number) else {
+            return;
+        };
+        if let Some(placed) = &mut tracked.placed {
+            placed.tokens = 0;
+        }
+        let owner = tracked.owner;
+        state.report(owner, PromptReport::Read(self.number));
     }
 }
 
 impl Drop for TrackedPrompt {
     fn drop(&mut self) {
-        self.report(PromptReport::Ended(self.number));
-        lock(&self.state).pending.remove(&self.number);
+        let mut state = lock(&self.state);
+        if let Some(tracked) = state.tracked.remove(&self.number) {
+            state.report(tracked.owner, PromptReport::Ended(self.number));
+        }
+        state.pending.remove(&self.number);
     }
 }
 
 impl PlacementClient {
     /// Registers a query to an owner; the receiver gets the answer.
+    ///
+    /// If the owner of the shard is another one than before, it is told of the prompts that this VM has there.
     pub fn start_query(
         &self,
         owner: SocketAddr,
+        shard: Shard,
+        now: Moment,
     ) -> (TrackedPrompt, oneshot::Receiver<PlacementAnswer>) {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
+        let former = state.owners.insert(shard, owner);
+        if former.is_some_and(|former| former != owner) {
+            state.hand_over(shard, owner, now);
+        }
         let number = state.numbers.allocate();
         state.pending.insert(number, sender);
-        (self.track(owner, number), receiver)
+        (self.track(&mut state, owner, shard, number), receiver)
     }
 
     /// Reports a prompt to an owner that did not place it.
     pub fn report_begun(
         &self,
         owner: SocketAddr,
+        shard: Shard,
         flight: &Flight,
         left: Duration,
     ) -> TrackedPrompt {
-        let number = lock(&self.state).numbers.allocate();
-        let tracked = self.track(owner, number);
-        tracked.report(PromptReport::Began {
-            number,
-            life: flight.life(),
-            tokens: flight.tokens(),
-            left_ms: clock::wire_millis(left),
-            priority: flight.priority(),
-        });
-        tracked
+        let now = clock::now();
+        let placed = Placed::new(flight, left, now);
+        let mut state = lock(&self.state);
+        let number = state.numbers.allocate();
+        state.report(owner, placed.report(number, now));
+        let prompt = self.track(&mut state, owner, shard, number);
+        if let Some(tracked) = state.tracked.get_mut(&number) {
+            tracked.placed = Some(placed);
+        }
+        prompt
     }
 
-    fn track(&self, owner: SocketAddr, number: u64) -> TrackedPrompt {
+    fn track(
+        &self,
+        state: &mut State,
+        owner: SocketAddr,
+        shard: Shard,
+        number: u64,
+    ) -> TrackedPrompt {
+        let tracked = Tracked {
+            owner,
+            shard,
+            placed: None,
+        };
+        state.tracked.insert(number, tracked);
         TrackedPrompt {
             state: Arc::clone(&self.state),
             owner,
--- a/crates/sesamegap-entry/src/placing/mod.rs
+++ b/crates/sesamegap-entry/src/placing/mod.rs
@@ -199,7 +199,8 @@
     left: Duration,
 ) -> Result<Flight, OwnerError> {
     let no_upstream = OwnerError::NotChosen(NotChosen::NoUpstream);
-    let (tracked, answer) = core.placement_client.start_query(owner);
+    let client = &core.placement_client;
+    let (tracked, answer) = client.start_query(owner, shard, clock::now());
     let query = PlacementQuery::new(tracked.number(), selection, shard, left).ok_or(no_upstream)?;
     core.placement_client
         .send(PlacementMessage::Ask(Box::new(query)), owner)
@@ -220,9 +221,14 @@
 
 /// Reports a prompt to the owner of its engine's shard, which did not place it.
 fn report_begun(core: &Core, flight: &mut Flight, division: Division, left: Duration) {
-    let shard = division.shard(flight.seed());
-    if let Some(Owner::Remote(addr)) = owner(core, shard, &core.peers.roster()) {
-        let tracked = core.placement_client.report_begun(addr, flight, left);
+    let shard = Shard {
+        division,
+        number: division.shard(flight.seed()),
+    };
+    if let Some(Owner::Remote(addr)) = owner(core, shard.number, &core.peers.roster()) {
+        let tracked = core
+            .placement_client
+            .report_begun(addr, shard, flight, left);
         flight.set_owner(tracked);
     }
 }
--- a/crates/sesamegap-policy/src/routing/shards.rs
+++ b/crates/sesamegap-policy/src/routing/shards.rs
@@ -26,7 +26,7 @@
 const OWNER_KEY: u64 = 0x6f77_6e65_7273;
 
 /// Division of engines into shards; doubling the number of engines splits each shard in two.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Division {
     bits: u32,
 }
--- a/crates/sesamegap-policy/tests/testsuite/main.rs
+++ b/crates/sesamegap-policy/tests/testsuite/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the policy crate, by module.
 
+#[expect(
+    clippy::unwrap_used,
+    reason = "a test fails if one of its helpers does"
+)]
 mod admission;
 mod load;
 #[expect(
