--- a/crates/sesamegap-policy/src/routing/speeds/mod.rs
+++ b/crates/sesamegap-policy/src/routing/speeds/mod.rs
@@ -158,6 +158,8 @@
     confirmations: u32,
     changed_at: Option<Moment>,
     last: Moment,
+    /// When it was last known to have prefilled a prompt.
+    read_at: Option<Moment>,
 }
 
 /// Speeds of the engines whose prompts this VM has seen, by the seed of the engine's incarnation.
@@ -195,13 +197,6 @@
         work: Option<WorkPercent>,
         now: Moment,
     ) -> Option<SpeedChange> {
-        let tokens = sample.ahead + sample.tokens;
-        if sample.tokens == 0 || sample.took.is_zero() {
-            return None;
-        }
-        let work = work.map_or(1.0, WorkPercent::factor);
-        let per_token = sample.took.as_secs_f64() / work / tokens as f64;
-        let relative = self.kinds.compare(sample, per_token, now)?;
         if self.engines.len() >= MAX_ENGINES && !self.engines.contains_key(&sample.life) {
             return None;
         }
@@ -211,7 +206,11 @@
             confirmations: 0,
             changed_at: None,
             last: now,
+            read_at: None,
         });
+        let took = own_time(sample, engine.read_at.replace(now), now)?;
+        let work = work.map_or(1.0, WorkPercent::factor);
+        let relative = self.kinds.compare(sample, took.as_secs_f64() / work, now)?;
         engine.last = now;
         engine.samples.push(relative, now);
         engine.update(now).then(|| SpeedChange {
@@ -280,6 +279,20 @@
     }
 }
 
+/// Time that an engine spent on a prompt itself, if that is known.
+///
+/// The tokens ahead of a prompt tell little of its wait, since most of them may be cached or already prefilled. So the
+/// time of a prompt that waited counts from when the one before it was prefilled.
+fn own_time(sample: &Sample, previous: Option<Moment>, now: Moment) -> Option<Duration> {
+    let took = if sample.ahead == 0 {
+        sample.took
+    } else {
+        let since_previous = now.since(previous?);
+        (since_previous < sample.took).then_some(since_previous)?
+    };
+    (sample.tokens > 0 && !took.is_zero()).then_some(took)
+}
+
 /// The speed to use after a measurement.
 fn next_speed(used: Speed, measured: f64) -> Speed {
     let is_clear = if used.is_usual() {
--- a/crates/sesamegap-policy/src/routing/speeds/samples.rs
+++ b/crates/sesamegap-policy/src/routing/speeds/samples.rs
@@ -108,16 +108,15 @@
 pub(super) struct Kinds(FxHashMap<(PromptKind, u32), Usual>);
 
 impl Kinds {
-    /// Records a time per token; returns it relative to usual, unless that is unknown. A time that is too
+    /// Records the time of a prompt; returns it relative to usual, unless that is unknown. A time that is too
     /// short for any engine counts as usual.
     pub(super) fn compare(
         &mut self,
         sample: &Sample,
-        per_token: f64,
+        seconds: f64,
         now: Moment,
     ) -> Option<Relative> {
-        // The tokens ahead do not count to the size: slow engines have longer queues, and would only be compared with
-        // each other.
+        let per_token = seconds / sample.tokens.max(1) as f64;
         let key = (sample.kind, sample.tokens.max(1).ilog2());
         if self.0.len() >= MAX_KINDS && !self.0.contains_key(&key) {
             return None;
