Urgent prompts use free slots first; speeds count where engines say that they share their machines

Cause: in a burst of urgent prompts, those engines that are meant for short ones were given up to half more prompts than slots beside others with free slots; 187 of 345 began late. On even engines, load alone made engines count as slow or fast. Change: slots are exceeded only if no engine of the shard has a free one; speeds weigh homes and the waits of admission only, and only where load headers state the machines' share.

--- a/crates/sesamegap-entry/src/fleet/admission.rs
+++ b/crates/sesamegap-entry/src/fleet/admission.rs
@@ -3,7 +3,7 @@
 use super::{Fleet, Selection, Upstream};
 use crate::placing::Terms;
 use rustc_hash::FxHashMap;
-use sesamegap_policy::admission::{Ask, Backlog, Desk, PutOff, Verdict};
+use sesamegap_policy::admission::{Ask, Backlog, Desk, Keep, PutOff, Verdict};
 use sesamegap_policy::load::limits::{Claim, Shares};
 use sesamegap_policy::routing::Availability;
 use sesamegap_policy::routing::engines::Engine;
@@ -99,8 +99,8 @@
             now,
         );
         match desk.decide(&ask, &usable, now) {
-            Verdict::Place(reserve) => {
-                close_full(engines, backlogs, &ask, reserve);
+            Verdict::Place(keep) => {
+                close_full(engines, backlogs, &ask, keep);
                 Ok(())
             }
             Verdict::PutOff(put_off) => Err(NotChosen::PutOff(put_off)),
@@ -138,9 +138,9 @@
 }
 
 /// Marks engines without room for a prompt as unavailable.
-fn close_full(engines: &mut [Engine], backlogs: &[Backlog], ask: &Ask, reserve: u32) {
+fn close_full(engines: &mut [Engine], backlogs: &[Backlog], ask: &Ask, keep: Keep) {
     for (engine, backlog) in engines.iter_mut().zip(backlogs) {
-        if !backlog.has_room(ask, reserve) {
+        if !backlog.has_room(ask, keep) {
             engine.state = Availability::Paused;
         }
     }
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -330,7 +330,9 @@
                     version: version.0,
                     long: *long,
                     state: self.availability_for(upstream, Some(shape), now),
-                    speed,
+                    // Costs by speed would send prompts away from slow homes that hold their prefixes, and near
+                    // saturation the prefixes that are prefilled again cost more than the wait.
+                    speed: Speed::USUAL,
                     // Other VMs that choose the home know other speeds.
                     weight: selection.shard.map_or(Speed::USUAL, |_| speed),
                 }
--- a/crates/sesamegap-entry/src/fleet/speeds.rs
+++ b/crates/sesamegap-entry/src/fleet/speeds.rs
@@ -8,8 +8,14 @@
 
 impl Fleet {
     /// Speed of an engine relative to the usual one.
+    ///
+    /// Engines that do not share their machines are even; what differs is their load.
     pub fn speed(&self, upstream: &Upstream, now: Moment) -> Speed {
-        self.speeds.of(upstream.life, now)
+        if self.speeds.is_sharing_stated() {
+            self.speeds.of(upstream.life, now)
+        } else {
+            Speed::USUAL
+        }
     }
 
     /// Records how long work takes on an engine's machine at this moment.
--- a/crates/sesamegap-policy/src/admission/desk.rs
+++ b/crates/sesamegap-policy/src/admission/desk.rs
@@ -2,7 +2,7 @@
 
 use super::line::{Line, Rank};
 use super::reserve::Reserve;
-use super::room::{Ask, Backlog};
+use super::room::{Ask, Backlog, Keep};
 use super::{Action, PutOff};
 use crate::load::limits::{Jitter, Refused, RequestHash, ReturnSchedule, ReturnTime};
 use crate::load::queue;
@@ -27,8 +27,8 @@
 /// The decision on a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// It may run at the engines that have room, if they keep this many slots for more urgent prompts.
-    Place(u32),
+    /// It may run at the engines that have room under these terms.
+    Place(Keep),
     /// It may not run now.
     PutOff(PutOff),
 }
@@ -55,11 +55,13 @@
             Some(_) => self.reserve.update(engines, now),
             None => 0,
         };
-        let has_room = |engine: &&Backlog| engine.has_room(ask, reserve);
-        let rooms = engines.iter().filter(has_room).count();
-        if rooms > before.count {
-            self.line.leave(ask.key);
-            return Verdict::Place(reserve);
+        for exceed in [false, true] {
+            let keep = Keep { reserve, exceed };
+            let has_room = |engine: &&Backlog| engine.has_room(ask, keep);
+            if engines.iter().filter(has_room).count() > before.count {
+                self.line.leave(ask.key);
+                return Verdict::Place(keep);
+            }
         }
         let turn = time_to_turn(ask, engines, before.tokens);
         let waits = turn <= patience(ask, engines);
--- a/crates/sesamegap-policy/src/admission/mod.rs
+++ b/crates/sesamegap-policy/src/admission/mod.rs
@@ -25,7 +25,7 @@
 pub mod room;
 
 pub use desk::{Desk, Verdict};
-pub use room::{Ask, Backlog};
+pub use room::{Ask, Backlog, Keep};
 
 /// Why a prompt was not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sesamegap-policy/src/admission/room.rs
+++ b/crates/sesamegap-policy/src/admission/room.rs
@@ -31,6 +31,15 @@
     pub alone: bool,
 }
 
+/// What engines keep free, and how far they are filled beyond their slots.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Keep {
+    /// Slots that each engine keeps for more urgent prompts.
+    pub reserve: u32,
+    /// Whether the most urgent prompts may exceed the slots, since no engine has a free one.
+    pub exceed: bool,
+}
+
 /// The work that an engine has taken.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Backlog {
@@ -65,13 +74,14 @@
     ///
     /// Less urgent prompts leave the reserve, as far as urgent ones do not use it already. The most urgent may exceed the slots by a part, since the engine preempts
     /// others for them; beyond that they would only wait for each other.
-    fn has_slot(&self, ask: &Ask, reserve: u32) -> bool {
+    fn has_slot(&self, ask: &Ask, keep: Keep) -> bool {
         let usable = match ask.urgent_objective {
             Some(_) => {
-                let kept = reserve.saturating_sub(self.urgent);
+                let kept = keep.reserve.saturating_sub(self.urgent);
                 self.slots.saturating_sub(kept).max(1)
             }
-            None => self.slots + self.slots / URGENT_EXCESS_DIVISOR,
+            None if keep.exceed => self.slots + self.slots / URGENT_EXCESS_DIVISOR,
+            None => self.slots,
         };
         self.running < usable
     }
@@ -99,8 +109,8 @@
     ///
     /// A VM that decides alone knows nothing of what others send at the same moment, so it sends one prompt at a time to
     /// an engine: all VMs together exceed an engine's room by at most one prompt each.
-    pub fn has_room(&self, ask: &Ask, reserve: u32) -> bool {
+    pub fn has_room(&self, ask: &Ask, keep: Keep) -> bool {
         let knows_enough = !ask.alone || self.own == 0;
-        knows_enough && self.has_slot(ask, reserve) && self.time_to_room(ask).is_zero()
+        knows_enough && self.has_slot(ask, keep) && self.time_to_room(ask).is_zero()
     }
 }
--- a/crates/sesamegap-policy/src/routing/speeds/mod.rs
+++ b/crates/sesamegap-policy/src/routing/speeds/mod.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Whether engines say that they share their machines, so that they may be of uneven speed.
+    pub fn is_sharing_stated(&self) -> bool {
+        !self.work.is_empty()
+    }
+
     /// How long work takes on an engine's machine, if that was reported just now.
     pub fn work(&self, life: u64, now: Moment) -> Option<WorkPercent> {
         let (work, at) = self.work.get(&life)?;
--- a/crates/sesamegap-policy/tests/testsuite/admission/desk.rs
+++ b/crates/sesamegap-policy/tests/testsuite/admission/desk.rs
@@ -120,10 +120,10 @@
                 running: urgent,
                 ..engine(0, 0)
             }];
-            if let Verdict::Place(reserve) =
+            if let Verdict::Place(keep) =
                 desk.decide(&background(step), &engines, at(from + step * 100))
             {
-                slots = reserve;
+                slots = keep.reserve;
             }
         }
         slots
--- a/crates/sesamegap-policy/tests/testsuite/admission/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/admission/world.rs
@@ -170,14 +170,14 @@
     now: u64,
 ) -> Result<usize, Action> {
     let backlogs: Vec<Backlog> = world.iter().map(|engine| engine.backlog(ask)).collect();
-    let reserve = match rule {
+    let keep = match rule {
         Rule::Always => None,
         Rule::Admission => match desk.decide(ask, &backlogs, Moment(now * 1_000)) {
-            Verdict::Place(reserve) => Some(reserve),
+            Verdict::Place(keep) => Some(keep),
             Verdict::PutOff(put_off) => return Err(put_off.action),
         },
     };
-    let has_room = |no: &usize| reserve.is_none_or(|reserve| backlogs[*no].has_room(ask, reserve));
+    let has_room = |no: &usize| keep.is_none_or(|keep| backlogs[*no].has_room(ask, keep));
     let usable = (0..world.len()).filter(has_room);
     let least = usable.min_by_key(|no| (backlogs[*no].before, backlogs[*no].running));
     Ok(least.expect("a placed prompt has an engine with room"))
