--- a/crates/sesamegap-policy/src/admission/desk.rs
+++ b/crates/sesamegap-policy/src/admission/desk.rs
@@ -57,8 +57,8 @@
         };
         for exceed in [false, true] {
             let keep = Keep { reserve, exceed };
-            let has_room = |engine: &&Backlog| engine.has_room(ask, keep);
-            if engines.iter().filter(has_room).count() > before.count {
+            let rooms: u64 = engines.iter().map(|engine| engine.rooms(ask, keep)).sum();
+            if rooms > before.count {
                 self.line.leave(ask.key);
                 return Verdict::Place(keep);
             }
--- a/crates/sesamegap-policy/src/admission/line.rs
+++ b/crates/sesamegap-policy/src/admission/line.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Before {
     /// Their number.
-    pub count: usize,
+    pub count: u64,
     /// Their tokens.
     pub tokens: u64,
 }
--- a/crates/sesamegap-policy/src/admission/room.rs
+++ b/crates/sesamegap-policy/src/admission/room.rs
@@ -70,11 +70,11 @@
         self.time_for(self.before + ask.tokens) + FIRST_STEP
     }
 
-    /// Whether the engine has a slot that a prompt of this urgency may use.
+    /// Free slots that a prompt of this urgency may use.
     ///
-    /// Less urgent prompts leave the reserve, as far as urgent ones do not use it already. The most urgent may exceed the slots by a part, since the engine preempts
-    /// others for them; beyond that they would only wait for each other.
-    fn has_slot(&self, ask: &Ask, keep: Keep) -> bool {
+    /// Less urgent prompts leave the reserve, as far as urgent ones do not use it already. The most urgent may exceed the
+    /// slots by a part, since the engine preempts others for them; beyond that they would only wait for each other.
+    fn free_slots(&self, ask: &Ask, keep: Keep) -> u32 {
         let usable = match ask.urgent_objective {
             Some(_) => {
                 let kept = keep.reserve.saturating_sub(self.urgent);
@@ -83,7 +83,24 @@
             None if keep.exceed => self.slots + self.slots / URGENT_EXCESS_DIVISOR,
             None => self.slots,
         };
-        self.running < usable
+        usable.saturating_sub(self.running)
+    }
+
+    /// Tokens that the engine prefills in this time.
+    fn tokens_in(&self, time: Duration) -> u64 {
+        let micros = time.mul_f64(self.rate.max(1.0)).as_micros();
+        u64::try_from(micros / 1_000).unwrap_or(u64::MAX)
+    }
+
+    /// Number of prompts like this one that the engine's prefill work permits now.
+    fn prompts_permitted(&self, ask: &Ask) -> u64 {
+        let own_left = ask.objective.saturating_sub(ask.waited + FIRST_STEP);
+        let own = self.tokens_in(own_left).saturating_sub(self.before);
+        let others = ask.urgent_objective.map_or(u64::MAX, |urgent| {
+            self.tokens_in(urgent).saturating_sub(self.unread)
+        });
+        let permitted = own.min(others) / ask.tokens.max(1);
+        permitted.max(u64::from(self.unread == 0))
     }
 
     /// Time until the engine's prefill work permits the prompt; zero if it does now.
@@ -105,12 +122,22 @@
         wait.min(self.time_for(self.unread))
     }
 
-    /// Whether the prompt may be sent to the engine now.
+    /// Number of prompts like this one that may be sent to the engine now.
     ///
     /// A VM that decides alone knows nothing of what others send at the same moment, so it sends one prompt at a time to
     /// an engine: all VMs together exceed an engine's room by at most one prompt each.
+    pub fn rooms(&self, ask: &Ask, keep: Keep) -> u64 {
+        let slots = u64::from(self.free_slots(ask, keep));
+        let permitted = self.prompts_permitted(ask).min(slots);
+        match ask.alone {
+            true if self.own > 0 => 0,
+            true => permitted.min(1),
+            false => permitted,
+        }
+    }
+
+    /// Whether the prompt may be sent to the engine now.
     pub fn has_room(&self, ask: &Ask, keep: Keep) -> bool {
-        let knows_enough = !ask.alone || self.own == 0;
-        knows_enough && self.has_slot(ask, keep) && self.time_to_room(ask).is_zero()
+        self.rooms(ask, keep) > 0
     }
 }
