Admission also where engines say that they share their machines

Cause: where engines are of uneven and changing speed, queues of 25,000 to 62,000 unread tokens made the most urgent prompts late while nothing was refused.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -150,6 +150,12 @@
         self.settings.load_full()
     }
 
+    /// Whether prompts are admitted by the engines' backlog: the settings call for it, or engines say that they share their
+    /// machines, so that how much they can take is not known from the load alone.
+    pub fn admits_by_backlog(&self) -> bool {
+        self.settings().load_control.admission || self.fleet.lock().is_sharing_stated()
+    }
+
     /// Returns how far this VM has read a table of the store.
     pub fn table_progress(&self, table: Table) -> &TableState {
         &self.tables[table as usize]
--- a/crates/sesamegap-entry/src/fleet/speeds.rs
+++ b/crates/sesamegap-entry/src/fleet/speeds.rs
@@ -7,6 +7,11 @@
 use tracing::info;
 
 impl Fleet {
+    /// Whether engines say that they share their machines.
+    pub fn is_sharing_stated(&self) -> bool {
+        self.speeds.is_sharing_stated()
+    }
+
     /// Speed of an engine relative to the usual one.
     ///
     /// Engines that do not share their machines are even; what differs is their load.
--- a/crates/sesamegap-entry/src/relay/attempt/dispatch.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/dispatch.rs
@@ -23,7 +23,7 @@
     } else {
         Transfer::default()
     };
-    let priority = if core.settings().load_control.admission {
+    let priority = if core.admits_by_backlog() {
         job.rank()
     } else {
         job.priority()
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -7,7 +7,6 @@
 use crate::job::Job;
 use crate::placing::{self, Terms};
 use crate::refusal::Refusal;
-use crate::settings::Settings;
 use sesamegap_policy::routing::Availability;
 use sesamegap_wire::{ServiceId, SoftwareVersion, UpstreamId};
 use smol_str::SmolStr;
@@ -69,7 +68,7 @@
     ) -> Result<Flight, NotChosen> {
         let tie_breaker = usize::try_from(job.hash() >> 40).unwrap_or(0);
         let settings = core.settings();
-        let terms = self.terms(job, &settings, on_trial);
+        let terms = self.terms(core, job, on_trial);
         let selection = Selection {
             service: &self.service,
             domain: &settings.domain,
@@ -90,9 +89,9 @@
     /// What the admission of a prompt depends on, if it is to be decided.
     ///
     /// A stream that goes on was admitted when it began, and a trial runs at an engine without other requests.
-    fn terms(&self, job: &Job, settings: &Settings, on_trial: bool) -> Option<Terms> {
-        let is_decided = settings.load_control.admission && !on_trial && self.software.is_none();
-        if !is_decided || self.shape.is_none() {
+    fn terms(&self, core: &Core, job: &Job, on_trial: bool) -> Option<Terms> {
+        let is_decided = !on_trial && self.software.is_none() && self.shape.is_some();
+        if !is_decided || !core.admits_by_backlog() {
             return None;
         }
         let class = job.route.priority;
