Prompts beyond a team's share find room only where little waits

Change: they may find a quarter of their objective of work before them, so that the queue is left to teams within their share.

--- a/crates/sesamegap-policy/src/admission/room.rs
+++ b/crates/sesamegap-policy/src/admission/room.rs
@@ -8,6 +8,10 @@
 /// Part of an engine's slots that the most urgent prompts may exceed: engines admit them first and preempt others.
 const URGENT_EXCESS_DIVISOR: u32 = 2;
 
+/// Part of its objective for which a prompt beyond its team's share may find work before it: it uses engines that are
+/// nearly idle, and leaves the queue to teams within theirs.
+const EXCESS_DIVISOR: u32 = 4;
+
 /// A prompt that asks for an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ask {
@@ -40,6 +44,18 @@
     pub exceed: bool,
 }
 
+impl Ask {
+    /// Time from now within which an engine should have worked off what is before the prompt, and itself.
+    fn time_left(&self) -> Duration {
+        let objective = if self.excess {
+            self.objective / EXCESS_DIVISOR
+        } else {
+            self.objective
+        };
+        objective.saturating_sub(self.waited)
+    }
+}
+
 /// The work that an engine has taken.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Backlog {
@@ -94,7 +110,7 @@
 
     /// Number of prompts like this one that the engine's prefill work permits now.
     fn prompts_permitted(&self, ask: &Ask) -> u64 {
-        let own_left = ask.objective.saturating_sub(ask.waited + FIRST_STEP);
+        let own_left = ask.time_left().saturating_sub(FIRST_STEP);
         let own = self.tokens_in(own_left).saturating_sub(self.before);
         let others = ask.urgent_objective.map_or(u64::MAX, |urgent| {
             self.tokens_in(urgent).saturating_sub(self.unread)
@@ -112,8 +128,7 @@
         if self.unread == 0 {
             return Duration::ZERO;
         }
-        let own_left = ask.objective.saturating_sub(ask.waited);
-        let own = self.first_token(ask).saturating_sub(own_left);
+        let own = self.first_token(ask).saturating_sub(ask.time_left());
         let others = ask.urgent_objective.map_or(Duration::ZERO, |urgent| {
             self.time_for(self.unread + ask.tokens)
                 .saturating_sub(urgent)
--- a/crates/sesamegap-policy/tests/testsuite/admission/room.rs
+++ b/crates/sesamegap-policy/tests/testsuite/admission/room.rs
@@ -85,3 +85,14 @@
     ask.waited = ms(200);
     assert!(engine(6_000, 6_000).time_to_room(&ask) > ms(100));
 }
+
+/// Guards against a heavy team that fills the engines up to the objective, so that light teams' prompts find no room.
+#[test]
+fn prompts_beyond_a_teams_share_find_room_only_where_little_waits() {
+    let mut ask = background(1);
+    ask.urgent_objective = None;
+    assert!(engine(20_000, 20_000).has_room(&ask, keep(0)));
+    ask.excess = true;
+    assert!(!engine(20_000, 20_000).has_room(&ask, keep(0)));
+    assert!(engine(0, 0).has_room(&ask, keep(0)));
+}
