--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
     reason = "a failed unwrap in a helper fails its test"
 )]
 
+mod admission;
 mod belief;
 mod brittle;
 mod catalogue;
