--- a/crates/sesamegap-entry/src/fleet/speeds.rs
+++ b/crates/sesamegap-entry/src/fleet/speeds.rs
@@ -16,7 +16,7 @@
     ///
     /// Engines that do not share their machines are even; what differs is their load.
     pub fn speed(&self, upstream: &Upstream, now: Moment) -> Speed {
-        if self.speeds.is_sharing_stated() {
+        if self.is_sharing_stated() {
             self.speeds.of(upstream.life, now)
         } else {
             Speed::USUAL
@@ -32,6 +32,9 @@
     pub(crate) fn record_sample(&mut self, sample: &Sample, now: Moment) {
         let tokens = sample.ahead + sample.tokens;
         self.admission_rate.record(tokens, sample.took, now);
+        if !self.is_sharing_stated() {
+            return;
+        }
         let work = self.speeds.work(sample.life, now);
         if let Some(change) = self.speeds.record(sample, work, now) {
             self.log_speed(change);
