--- a/crates/sesamegap-entry/tests/testsuite/admission.rs
+++ b/crates/sesamegap-entry/tests/testsuite/admission.rs
@@ -79,12 +79,13 @@
     assert_eq!(answer.status, 200);
 }
 
-/// Reports that are queued for an owner.
-fn reports(client: &PlacementClient, owner: SocketAddr) -> Vec<PromptReport> {
+/// Queued reports, with the owners that they are for.
+fn reports(client: &PlacementClient) -> Vec<(SocketAddr, PromptReport)> {
     let queued = client.take_reports().into_iter();
-    let queued = queued.filter(|(to, _)| *to == owner);
-    let reports = queued.filter_map(|(_, message)| match message {
-        PlacementMessage::Reports(reports) => Some(reports),
+    let reports = queued.filter_map(|(to, message)| match message {
+        PlacementMessage::Reports(reports) => {
+            Some(reports.into_iter().map(move |report| (to, report)))
+        }
         _ => None,
     });
     reports.flatten().collect()
@@ -110,18 +111,9 @@
     let (prompt, _answer) = client.start_query(former, shard, clock::now());
     prompt.record_placed(&flight, Duration::from_secs(5), clock::now());
     let number = prompt.number();
-    assert_eq!(reports(client, next), Vec::new());
+    assert_eq!(reports(client), Vec::new());
     let (_other, _answer) = client.start_query(next, shard, clock::now());
-    let queued = client.take_reports();
-    let told: Vec<_> = queued
-        .into_iter()
-        .flat_map(|(to, message)| match message {
-            PlacementMessage::Reports(reports) => {
-                reports.into_iter().map(|report| (to, report)).collect()
-            }
-            _ => Vec::new(),
-        })
-        .collect();
+    let told = reports(client);
     assert!(told.contains(&(former, PromptReport::Ended(number))));
     let is_told = |(to, report): &(SocketAddr, PromptReport)| {
         *to == next
@@ -129,5 +121,5 @@
     };
     assert!(told.iter().any(is_told), "{told:?}");
     prompt.report_read();
-    assert_eq!(reports(client, next), vec![PromptReport::Read(number)]);
+    assert_eq!(reports(client), vec![(next, PromptReport::Read(number))]);
 }
