Placing: one type for a put-off, the time left from the selection

Cause: the message repeated the decision's type field by field with two conversions, and functions took the time left beside a selection that holds it. Change: the decision's type is sent, and the selection's time is used. A comment claimed that a prompt waits in one shard's line only; a second shard that has no room records it as well, and comment and page say so now.

--- a/crates/sesamegap-entry/src/placing/message.rs
+++ b/crates/sesamegap-entry/src/placing/message.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::fleet::{PromptShape, Selection, Shard};
 use serde::{Deserialize, Serialize};
-use sesamegap_policy::admission::{Action, Ask, PutOff};
+use sesamegap_policy::admission::{Ask, PutOff};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{DomainId, ServiceId, TeamId, UpstreamId};
 use smol_str::SmolStr;
@@ -93,50 +93,7 @@
     pub chosen: Option<ChosenEngine>,
     /// Why the prompt is not admitted now.
     #[serde(default)]
-    pub put_off: Option<PutOffAnswer>,
-}
-
-/// An owner's decision that a prompt is not placed now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PutOffAnswer {
-    /// Whether its caller is to be refused; otherwise it asks again.
-    pub is_refused: bool,
-    /// Time until it asks again or its caller should return, in milliseconds.
-    pub after_ms: u32,
-    /// Prompts in line before it.
-    pub before: u32,
-    /// Expected time until its turn, in milliseconds.
-    pub turn_ms: u32,
-}
-
-impl From<PutOff> for PutOffAnswer {
-    fn from(put_off: PutOff) -> Self {
-        let (is_refused, after_ms) = match put_off.action {
-            Action::Wait(ms) => (false, ms),
-            Action::Refuse(ms) => (true, ms),
-        };
-        Self {
-            is_refused,
-            after_ms,
-            before: put_off.before,
-            turn_ms: put_off.turn_ms,
-        }
-    }
-}
-
-impl From<PutOffAnswer> for PutOff {
-    fn from(answer: PutOffAnswer) -> Self {
-        let action = if answer.is_refused {
-            Action::Refuse(answer.after_ms)
-        } else {
-            Action::Wait(answer.after_ms)
-        };
-        Self {
-            action,
-            before: answer.before,
-            turn_ms: answer.turn_ms,
-        }
-    }
+    pub put_off: Option<PutOff>,
 }
 
 /// The engine that an owner chose for a prompt.
@@ -183,12 +140,7 @@
 
 impl PlacementQuery {
     /// A query for the prompt of a selection; none if the selection has no prompt.
-    pub fn new(
-        number: u64,
-        selection: &Selection<'_>,
-        shard: Shard,
-        left: Duration,
-    ) -> Option<Self> {
+    pub fn new(number: u64, selection: &Selection<'_>, shard: Shard) -> Option<Self> {
         let shape = selection.shape?;
         Some(Self {
             number,
@@ -199,7 +151,7 @@
             tried: selection.tried.to_vec(),
             domain: selection.domain.clone(),
             shard: (shard.division.bits(), shard.number),
-            left_ms: clock::wire_millis(left),
+            left_ms: clock::wire_millis(selection.left),
             terms: selection.terms.cloned(),
         })
     }
--- a/crates/sesamegap-entry/src/placing/mod.rs
+++ b/crates/sesamegap-entry/src/placing/mod.rs
@@ -12,8 +12,7 @@
 
 pub use client::{PlacementClient, TrackedPrompt};
 pub use message::{
-    ChosenEngine, PlacementAnswer, PlacementMessage, PlacementQuery, PromptReport, PutOffAnswer,
-    Terms,
+    ChosenEngine, PlacementAnswer, PlacementMessage, PlacementQuery, PromptReport, Terms,
 };
 pub use owner::{answer_query, apply_reports};
 
@@ -41,15 +40,11 @@
     Remote(SocketAddr),
 }
 
-/// Chooses an upstream for a request with this much time left, and counts the request there.
+/// Chooses an upstream for a request, and counts the request there.
 ///
 /// # Errors
 /// If no upstream is available, or the request is not admitted now.
-pub async fn choose(
-    core: &Core,
-    selection: &Selection<'_>,
-    left: Duration,
-) -> Result<Flight, NotChosen> {
+pub async fn choose(core: &Core, selection: &Selection<'_>) -> Result<Flight, NotChosen> {
     let Some((shard, owner)) = find_owner(core, selection) else {
         return core.fleet.choose(selection, clock::now());
     };
@@ -57,11 +52,11 @@
     let placed = if selection.software.is_some() {
         Err(NotChosen::NoUpstream)
     } else {
-        place_in_shard(core, selection, shard, owner, left).await
+        place_in_shard(core, selection, shard, owner).await
     };
     let placed = match placed {
         Err(NotChosen::PutOff(put_off)) => {
-            return place_elsewhere(core, selection, shard, put_off, left).await;
+            return place_elsewhere(core, selection, shard, put_off).await;
         }
         placed => placed,
     };
@@ -73,7 +68,7 @@
         ..*selection
     };
     let mut flight = core.fleet.choose(&alone, clock::now())?;
-    report_begun(core, &mut flight, shard.division, left);
+    report_begun(core, &mut flight, shard.division, selection.left);
     Ok(flight)
 }
 
@@ -83,9 +78,8 @@
     selection: &Selection<'_>,
     shard: Shard,
     owner: Owner,
-    left: Duration,
 ) -> Result<Flight, NotChosen> {
-    let placed = place_at(core, selection, shard, owner, left).await;
+    let placed = place_at(core, selection, shard, owner).await;
     let is_silent = matches!(placed, Err(OwnerError::NoAnswer));
     // Without admission, the prompt is placed at once by what this VM knows.
     let next = (is_silent && selection.terms.is_some()).then(|| {
@@ -93,7 +87,7 @@
         self::owner(core, shard.number, &roster)
     });
     let placed = match next.flatten() {
-        Some(next) => place_at(core, selection, shard, next, left).await,
+        Some(next) => place_at(core, selection, shard, next).await,
         None => placed,
     };
     placed.map_err(|error| match error {
@@ -107,7 +101,6 @@
     selection: &Selection<'_>,
     shard: Shard,
     owner: Owner,
-    left: Duration,
 ) -> Result<Flight, OwnerError> {
     match owner {
         Owner::Local => {
@@ -118,19 +111,19 @@
             let chosen = core.fleet.choose(&in_shard, clock::now());
             chosen.map_err(OwnerError::NotChosen)
         }
-        Owner::Remote(addr) => query(core, selection, shard, addr, left).await,
+        Owner::Remote(addr) => query(core, selection, shard, addr).await,
     }
 }
 
 /// Places a prompt that its home's shard put off in a second shard, if that one has room at once.
 ///
-/// A hot prefix may fill its home's shard while others are idle. The prompt waits in the line of one shard only.
+/// A hot prefix may fill its home's shard while others are idle. A second shard without room records the prompt in its
+/// line as well, where its place expires unless the prompt is put off at home again and asks there once more.
 async fn place_elsewhere(
     core: &Core,
     selection: &Selection<'_>,
     first: Shard,
     put_off: PutOff,
-    left: Duration,
 ) -> Result<Flight, NotChosen> {
     let refused = Err(NotChosen::PutOff(put_off));
     let second = core
@@ -143,7 +136,7 @@
     let Some(owner) = owner(core, second.number, &core.peers.roster()) else {
         return refused;
     };
-    let placed = place_at(core, selection, second, owner, left).await;
+    let placed = place_at(core, selection, second, owner).await;
     placed.or(refused)
 }
 
@@ -196,12 +189,11 @@
     selection: &Selection<'_>,
     shard: Shard,
     owner: SocketAddr,
-    left: Duration,
 ) -> Result<Flight, OwnerError> {
     let no_upstream = OwnerError::NotChosen(NotChosen::NoUpstream);
     let client = &core.placement_client;
     let (tracked, answer) = client.start_query(owner, shard, clock::now());
-    let query = PlacementQuery::new(tracked.number(), selection, shard, left).ok_or(no_upstream)?;
+    let query = PlacementQuery::new(tracked.number(), selection, shard).ok_or(no_upstream)?;
     core.placement_client
         .send(PlacementMessage::Ask(Box::new(query)), owner)
         .await;
@@ -211,7 +203,7 @@
         return Err(OwnerError::NoAnswer);
     };
     if let Some(put_off) = answer.put_off {
-        return Err(OwnerError::NotChosen(NotChosen::PutOff(put_off.into())));
+        return Err(OwnerError::NotChosen(NotChosen::PutOff(put_off)));
     }
     let chosen = answer.chosen.ok_or(no_upstream)?;
     core.fleet
--- a/crates/sesamegap-entry/src/placing/owner.rs
+++ b/crates/sesamegap-entry/src/placing/owner.rs
@@ -37,7 +37,7 @@
     });
     let (chosen, put_off) = match placed {
         Some(Ok(chosen)) => (Some(chosen), None),
-        Some(Err(NotChosen::PutOff(put_off))) => (None, Some(put_off.into())),
+        Some(Err(NotChosen::PutOff(put_off))) => (None, Some(put_off)),
         Some(Err(NotChosen::NoUpstream)) | None => (None, None),
     };
     PlacementAnswer {
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -83,7 +83,7 @@
             left: job.time_left(),
             alone: false,
         };
-        placing::choose(core, &selection, job.time_left()).await
+        placing::choose(core, &selection).await
     }
 
     /// What the admission of a prompt depends on, if it is to be decided.
--- a/crates/sesamegap-entry/tests/testsuite/placing.rs
+++ b/crates/sesamegap-entry/tests/testsuite/placing.rs
@@ -90,10 +90,10 @@
         least_loaded: false,
         software: None,
         terms: None,
-        left: Duration::ZERO,
+        left: Duration::from_secs(5),
         alone: false,
     };
-    choose(core, &selection, Duration::from_secs(5)).await.ok()
+    choose(core, &selection).await.ok()
 }
 
 /// Prompt tokens that a VM counts as not prefilled yet, over all engines.
--- a/crates/sesamegap-policy/src/admission/mod.rs
+++ b/crates/sesamegap-policy/src/admission/mod.rs
@@ -27,8 +27,10 @@
 pub use desk::{Desk, Verdict};
 pub use room::{Ask, Backlog, Keep};
 
+use serde::{Deserialize, Serialize};
+
 /// Why a prompt was not placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PutOff {
     /// What its VM should do.
     pub action: Action,
@@ -39,7 +41,7 @@
 }
 
 /// What becomes of a prompt that was not placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Action {
     /// It waits and asks again after this many milliseconds.
     Wait(u32),
