--- a/review/harness.py
+++ b/review/harness.py
@@ -21,6 +21,16 @@
 STANDIN = os.path.join(ROOT, "target/debug/sesamegap-platform-standin")
 
 
+# Bounds of the sheet of Desai Gridlink.
+BOUNDS = {
+    "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainMs": 2000,
+    "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000, "downgradeSlackMs": 250, "maxStretchMs": 5000,
+    "strictRevoke": False, "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 54,
+    "recoveryS": 12, "transitMs": 120, "reuseWindowS": 10, "enforceFencing": True, "leaseMs": 3000, "thawMs": 300,
+    "versionMs": 8000, "versionAllMs": 11000, "ttl_max_s": 5,
+}
+
+
 class CannotRun(Exception):
     """The case could not be set up, so that it says nothing."""
 
@@ -91,6 +101,7 @@
         self.net = f"127.{random.randint(20, 200)}.{random.randint(1, 250)}"
         self.store = None
         self.nodes = {}
+        self.bounds = {}
         self.loads_port = free_port("127.0.0.1")
 
     def path(self, name):
@@ -138,13 +149,11 @@
             answer.read()
         self.record("operator wrote", key, "version", value.get("version"))
 
-    def boot(self, name, no, **changes):
+    def boot(self, name, no):
         ip = f"{self.net}.{no}"
         listen = {k: f"{ip}:{free_port(ip)}" for k in ("front", "ready", "control", "directory")}
         last = free_port(ip)
-        fields = {
-            "grace_s": 8, "drain_ms": 2000, "lease_ms": 3000, "version_ms": 8000,
-        }
+        bounds = "\n".join(f"{key} = {json.dumps(value)}" for key, value in {**BOUNDS, **self.bounds}.items())
         text = f'''node = "{name}"
 role = "entry"
 machineClass = "front"
@@ -154,7 +163,7 @@
 region = "here"
 portRange = [{self.loads_port},{last}]
 seeds = {json.dumps([l["control"] for _, l in self.nodes.values()][:3])}
-bootstrap = {"false" if changes.get("late") else "true"}
+bootstrap = true
 discovery = "platform"
 entry = "directory"
 heartbeatMs = 1200
@@ -178,31 +187,7 @@
 zones = 0
 regions = 0
 [bounds]
-seedLagS = 3
-reuseAfterS = 2
-contactMs = 3000
-ackTimeoutMs = 4000
-catchUpS = 4
-drainMs = 2000
-graceS = 8
-lossSlackMs = 200
-configApplyMs = 2000
-downgradeSlackMs = 250
-maxStretchMs = 5000
-strictRevoke = false
-revokeMs = 5000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = 54
-recoveryS = 12
-transitMs = 120
-reuseWindowS = 10
-enforceFencing = true
-leaseMs = 3000
-thawMs = 300
-versionMs = 8000
-versionAllMs = 11000
-ttl_max_s = 5
+{bounds}
 [provider]
 address = "{self.store}"
 form = "log"
