--- a/crates/sesamegap-entry/src/fleet/versions.rs
+++ b/crates/sesamegap-entry/src/fleet/versions.rs
@@ -26,6 +26,11 @@
         self.list_as_of = self.list_as_of.max(as_of);
     }
 
+    /// How long the list of upstreams has been followed; `None` if it was never read.
+    pub fn list_followed_for(&self, now: Moment) -> Option<Duration> {
+        self.served.followed_for(now)
+    }
+
     /// The version of an upstream's software; an unstated one if it may have restarted since the list was last known.
     pub(super) fn software_of(&self, upstream: &Upstream) -> SoftwareVersion {
         if upstream.is_software_doubted(self.list_as_of) {
--- a/crates/sesamegap-entry/src/resumption/origin.rs
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -57,6 +57,8 @@
         Verdict::Ambiguous => Err(Refusal::NotResumable),
         Verdict::Uninformed => Err(Refusal::UnknownOrigin),
     };
+    let followed = core.fleet.lock().list_followed_for(clock::now());
+    let informed = answers.given.iter().filter_map(Answer::testimony);
     info!(
         event = events::RESUMED,
         request = %job.head.id,
@@ -65,7 +67,10 @@
         ?verdict,
         asked = answers.asked,
         answered = answers.given.len(),
+        informed = informed.filter(|testimony| testimony.complete).count(),
         versions = own.origins.len(),
+        followed_ms = followed.map(clock::millis),
+        window_ms = clock::millis(window),
         refused = found.as_ref().err().map(tracing::field::display),
         "a caller takes a stream up again"
     );
--- a/crates/sesamegap-policy/src/resumption/versions.rs
+++ b/crates/sesamegap-policy/src/resumption/versions.rs
@@ -73,9 +73,14 @@
         versions.any(|(software, _)| software.is_stated())
     }
 
+    /// How long the list has been followed; `None` if it was never read.
+    pub fn followed_for(&self, now: Moment) -> Option<Duration> {
+        self.followed_since.map(|since| now.since(since))
+    }
+
     /// Whether the list has been followed for this long.
     pub fn covers(&self, window: Duration, now: Moment) -> bool {
-        let since = self.followed_since;
-        since.is_some_and(|since| now.since(since) >= window)
+        let followed = self.followed_for(now);
+        followed.is_some_and(|time| time >= window)
     }
 }
