--- a/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
@@ -1,5 +1,6 @@
 //! Upstreams of several software versions in one service: a stream goes on only at the version that began it.
 
+mod all_killed;
 mod fleet;
 
 use crate::support::{
