Counts at the top of their types no longer overflow in sums

An upstream's answer may state 4,294,967,295 running requests, an entry as many slots, a caller as many tokens as a number holds. Sums of these wrapped around in a release build, so that a full upstream counted as idle, and ended the task in a build with overflow checks; where the request was being counted, the lock of the fleet stayed held and the process stood still.

Reported loads are believed up to 1,048,576 requests, and sums of counts and tokens in selection, admission and placements saturate.

`extreme_entries_keep_no_request_from_a_sound_upstream` plays entries, removals, reports, loads and requests with extreme values at a VM that reads the list and one that hears of it. Before, it failed at `Upstream::reported_running`; with that sum mended it stood still in `SharedFleet::begin`, then failed in turn at `reserve_room` and `Backlog::free_slots`. 3,000 cases pass.

--- a/crates/sesamegap-entry/src/fleet/admission.rs
+++ b/crates/sesamegap-entry/src/fleet/admission.rs
@@ -50,7 +50,9 @@
         let own = upstream.levels.at_least(priority);
         Backlog {
             unread: self.unread(upstream),
-            before: own + others + placed.levels.at_least(priority),
+            before: own
+                .saturating_add(others)
+                .saturating_add(placed.levels.at_least(priority)),
             own: upstream.unread,
             running: self.running(upstream, now),
             urgent: u32::try_from(placed.running_levels.above(priority)).unwrap_or(u32::MAX),
--- a/crates/sesamegap-entry/src/fleet/selection.rs
+++ b/crates/sesamegap-entry/src/fleet/selection.rs
@@ -77,7 +77,11 @@
             .loads
             .total_at(upstream.life)
             .map_or(0, |held| held.running);
-        upstream.running + others + self.placements.at(upstream.life).running
+        let placed = self.placements.at(upstream.life).running;
+        upstream
+            .running
+            .saturating_add(others)
+            .saturating_add(placed)
     }
 
     /// Tokens that all known VMs have requested from a kept-KV store and that have not arrived.
@@ -92,7 +96,11 @@
             .loads
             .total_at(upstream.life)
             .map_or(0, |held| held.unread);
-        upstream.unread + others + self.placements.at(upstream.life).unread
+        let placed = self.placements.at(upstream.life).unread;
+        upstream
+            .unread
+            .saturating_add(others)
+            .saturating_add(placed)
     }
 
     /// Whether an upstream accepts this request: a prompt must be able to start there before the bound on the age of
@@ -132,7 +140,7 @@
 
     fn may_start(&self, upstream: &Upstream, shape: &PromptShape, now: Moment) -> bool {
         let version = upstream.version(&shape.model).unwrap_or_default();
-        let tokens = self.unread(upstream) + shape.prompt.tokens;
+        let tokens = self.unread(upstream).saturating_add(shape.prompt.tokens);
         let wait = engines::prefill_time(tokens, self.speed(upstream, now));
         self.namings().may_send(&shape.model, version, wait, now)
     }
@@ -466,7 +474,9 @@
             .iter()
             .map(|(upstream, _)| plain::Worker {
                 near: upstream.entry.domain == *selection.domain,
-                busy: self.running(upstream, now) + upstream.reported_waiting(now),
+                busy: self
+                    .running(upstream, now)
+                    .saturating_add(upstream.reported_waiting(now)),
                 slots: upstream.entry.slots,
                 slowness: upstream.response_ms.map_or(1.0, |ms| ms / fastest),
                 faults: upstream.failure_rate,
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -26,6 +26,9 @@
 /// Age from which a reported load is ignored; requests last about a second.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(2);
 
+/// Most requests that an upstream is believed to hold. A larger report is a mistake, and sums of it would overflow.
+const MAX_REPORTED: u32 = 1 << 20;
+
 /// Weight of the newest response in the moving averages of response time and failure rate.
 const NEWEST_WEIGHT: f64 = 0.15;
 
@@ -218,6 +221,11 @@
 
     /// Records its reported load.
     pub fn record_load(&mut self, load: Load, now: Moment) {
+        let load = Load {
+            running: load.running.min(MAX_REPORTED),
+            waiting: load.waiting.min(MAX_REPORTED),
+            ..load
+        };
         self.load = Some((load, now));
         self.sent_since_load = 0;
     }
@@ -225,7 +233,7 @@
     /// Counts a request that is sent to it, with its prompt tokens.
     pub(super) fn begin(&mut self, unread: u64, priority: u8) {
         self.running += 1;
-        self.unread += unread;
+        self.unread = self.unread.saturating_add(unread);
         self.levels.add(priority, unread);
         self.sent_since_load += 1;
     }
@@ -340,7 +348,8 @@
     pub fn reported_running(&self, now: Moment) -> u32 {
         match self.load {
             Some((load, at)) if now.since(at) < MAX_LOAD_AGE => {
-                self.running.max(load.running + self.sent_since_load)
+                let since = load.running.saturating_add(self.sent_since_load);
+                self.running.max(since)
             }
             _ => self.running,
         }
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod locating;
 mod logs;
 mod non_idempotent;
+mod odd_entries;
 mod pages;
 mod partitions;
 mod peers;
--- a/crates/sesamegap-policy/src/admission/line.rs
+++ b/crates/sesamegap-policy/src/admission/line.rs
@@ -55,7 +55,7 @@
         let first = first.filter(|(other, waiting)| **other != key && waiting.rank < rank);
         first.fold(Before::default(), |sum, (_, waiting)| Before {
             count: sum.count + 1,
-            tokens: sum.tokens + waiting.tokens,
+            tokens: sum.tokens.saturating_add(waiting.tokens),
         })
     }
 
--- a/crates/sesamegap-policy/src/admission/reserve.rs
+++ b/crates/sesamegap-policy/src/admission/reserve.rs
@@ -27,8 +27,8 @@
         if engines.is_empty() {
             return 0;
         }
-        let running: u32 = engines.iter().map(|engine| engine.urgent).sum();
-        let sample = f64::from(running) / engines.len() as f64;
+        let running: f64 = engines.iter().map(|engine| f64::from(engine.urgent)).sum();
+        let sample = running / engines.len() as f64;
         let age = now.since(self.at).as_secs_f64();
         let weight = 1.0 - (-age / AVERAGE_TIME.as_secs_f64()).exp();
         self.mean += (sample - self.mean) * weight;
--- a/crates/sesamegap-policy/src/admission/room.rs
+++ b/crates/sesamegap-policy/src/admission/room.rs
@@ -84,7 +84,7 @@
 
     /// Expected time from now to the first token of a prompt.
     pub fn first_token(&self, ask: &Ask) -> Duration {
-        self.time_for(self.before + ask.tokens) + FIRST_STEP
+        self.time_for(self.before.saturating_add(ask.tokens)) + FIRST_STEP
     }
 
     /// Free slots that a prompt of this urgency may use.
@@ -97,7 +97,9 @@
                 let kept = keep.reserve.saturating_sub(self.urgent);
                 self.slots.saturating_sub(kept).max(1)
             }
-            None if keep.exceed => self.slots + self.slots / URGENT_EXCESS_DIVISOR,
+            None if keep.exceed => self
+                .slots
+                .saturating_add(self.slots / URGENT_EXCESS_DIVISOR),
             None => self.slots,
         };
         usable.saturating_sub(self.running)
@@ -131,7 +133,7 @@
         }
         let own = self.first_token(ask).saturating_sub(ask.time_left());
         let others = ask.urgent_objective.map_or(Duration::ZERO, |urgent| {
-            self.time_for(self.unread + ask.tokens)
+            self.time_for(self.unread.saturating_add(ask.tokens))
                 .saturating_sub(urgent)
         });
         let wait = own.max(others);
--- a/crates/sesamegap-policy/src/routing/brittle.rs
+++ b/crates/sesamegap-policy/src/routing/brittle.rs
@@ -77,7 +77,7 @@
             busy = busy.max(heard);
         }
         if self.limit == 0 {
-            self.limit = busy.max(slots / FIRST_LIMIT_DIVISOR) + 1;
+            self.limit = busy.max(slots / FIRST_LIMIT_DIVISOR).saturating_add(1);
         }
         self.raise(now);
         let has_room = busy < self.limit.min(slots);
@@ -106,7 +106,7 @@
     /// Records that the upstream took a request in.
     pub fn record_accepted(&mut self) {
         if self.lowered_at.is_none() && self.passing >= self.limit {
-            self.limit += 1;
+            self.limit = self.limit.saturating_add(1);
         }
     }
 
@@ -123,7 +123,7 @@
         };
         // A limit that is not used says nothing of the room above it.
         if now.since(at) >= RAISE_INTERVAL && self.passing >= self.limit {
-            self.limit += 1;
+            self.limit = self.limit.saturating_add(1);
             self.lowered_at = Some(now);
         }
     }
--- a/crates/sesamegap-policy/src/routing/engines.rs
+++ b/crates/sesamegap-policy/src/routing/engines.rs
@@ -345,7 +345,10 @@
 fn cost(prompt: &Prompt, engine: &Engine, reach: Reach, fresh: bool, held: bool) -> f64 {
     let speed = engine.speed.ratio();
     let queue = QUEUE_WEIGHT * engine.unread as f64 / PREFILL_TOKENS_PER_MS as f64;
-    let excess = (engine.running + 1).saturating_sub(engine.slots);
+    let excess = engine
+        .running
+        .saturating_add(1)
+        .saturating_sub(engine.slots);
     let load = RUNNING_MS * f64::from(engine.running)
         + WAITING_MS * f64::from(engine.waiting)
         + SLOT_WAIT_MS * f64::from(excess);
--- a/crates/sesamegap-policy/src/routing/placements.rs
+++ b/crates/sesamegap-policy/src/routing/placements.rs
@@ -93,10 +93,16 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Levels([u64; LEVELS]);
 
+/// Sum of amounts. Callers state the tokens of their prompts, so these may add up to more than there are.
+fn total(amounts: &[u64]) -> u64 {
+    amounts.iter().copied().fold(0, u64::saturating_add)
+}
+
 impl Levels {
     /// Adds an amount.
     pub fn add(&mut self, priority: u8, amount: u64) {
-        self.0[Level::from(priority).0] += amount;
+        let sum = &mut self.0[Level::from(priority).0];
+        *sum = sum.saturating_add(amount);
     }
 
     /// Subtracts an amount.
@@ -111,12 +117,12 @@
 
     /// Sum of the prompts that are at least as urgent as a priority.
     pub fn at_least(&self, priority: u8) -> u64 {
-        self.0[..=Level::from(priority).0].iter().sum()
+        total(&self.0[..=Level::from(priority).0])
     }
 
     /// Sum of the prompts that are more urgent than a priority.
     pub fn above(&self, priority: u8) -> u64 {
-        self.0[..Level::from(priority).0].iter().sum()
+        total(&self.0[..Level::from(priority).0])
     }
 }
 
@@ -140,10 +146,13 @@
     /// Starts to count a prompt.
     pub fn begin(&mut self, key: K, placement: Placement, now: Moment) {
         self.end(&key);
-        let expected = prefill_time(placement.ahead + placement.tokens, placement.speed);
+        let expected = prefill_time(
+            placement.ahead.saturating_add(placement.tokens),
+            placement.speed,
+        );
         let sum = self.sums.entry(placement.life).or_default();
         sum.running += 1;
-        sum.unread += placement.tokens;
+        sum.unread = sum.unread.saturating_add(placement.tokens);
         sum.levels.add(placement.priority, placement.tokens);
         sum.running_levels.add(placement.priority, 1);
         let sample = placement.kind.map(|kind| Sample {
@@ -193,7 +202,7 @@
         };
         let unread = std::mem::take(&mut entry.unread);
         if let Some(sum) = self.sums.get_mut(&entry.life) {
-            sum.unread -= unread;
+            sum.unread = sum.unread.saturating_sub(unread);
             sum.levels.reduce(entry.level, unread);
         }
     }
@@ -205,7 +214,7 @@
         };
         if let Some(sum) = self.sums.get_mut(&entry.life) {
             sum.running -= 1;
-            sum.unread -= entry.unread;
+            sum.unread = sum.unread.saturating_sub(entry.unread);
             sum.levels.reduce(entry.level, entry.unread);
             sum.running_levels.reduce(entry.level, 1);
             if sum.running == 0 {
--- a/crates/sesamegap-policy/src/routing/plain.rs
+++ b/crates/sesamegap-policy/src/routing/plain.rs
@@ -43,7 +43,7 @@
 }
 
 fn cost(worker: &Worker) -> f64 {
-    let queue = f64::from(worker.busy + 1) / f64::from(worker.slots.max(1));
+    let queue = f64::from(worker.busy.saturating_add(1)) / f64::from(worker.slots.max(1));
     let far = if worker.near { 0.0 } else { CROSS_DOMAIN };
     let suspect = if worker.state == Availability::Suspect {
         SUSPECT
