An unreadable record says something of an upstream only in the fleet list

A reader relayed an unreadable setting as a record that hides the upstream of the same name, at a position of another log: its peers lost a sound upstream until the next record of it, which may be long in coming. An unreadable record whose key is no id made a reading incomplete, so that after each of them every other VM asked its peers for what there was not.

Only records of the fleet list name upstreams now, also those that VMs of earlier releases relay, and a record that names none leaves the reading whole.

`an_unreadable_setting_removes_no_upstream` and `an_unreadable_record_without_an_id_leaves_nothing_to_ask_for` failed before.

--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -219,10 +219,13 @@
         whole: true,
     };
     for (at, record) in batch.records {
+        let is_unreadable = matches!(record, Record::Unreadable(_));
         let change = to_change(&record);
         match (apply(core, at, record, RecordSource::Written), change) {
             (RecordEffect::Heartbeat, _) => {}
             (_, Some(change)) => update.pieces.push((at, change)),
+            // It says nothing of an upstream, and peers that ask for it would find nothing.
+            (_, None) if is_unreadable => {}
             // A document is too large for a datagram, so the others ask for it.
             (_, None) => update.whole = false,
         }
@@ -236,8 +239,14 @@
         Record::Upstream(id, entry) => Some(TableChange::Upstream(id.clone(), entry.clone())),
         Record::Removed(id) => Some(TableChange::Removed(id.clone())),
         Record::Weights(weights) => Some(TableChange::Weights(weights.clone())),
-        Record::Unreadable(record) => record.key.parse().map(TableChange::Withdrawn).ok(),
-        Record::Document(_) | Record::Vm(..) | Record::VmRemoved(_) | Record::Quarantine(_) => None,
+        Record::Unreadable(record) if record.table == Table::Fleet => {
+            record.key.parse().map(TableChange::Withdrawn).ok()
+        }
+        Record::Unreadable(_)
+        | Record::Document(_)
+        | Record::Vm(..)
+        | Record::VmRemoved(_)
+        | Record::Quarantine(_) => None,
     }
 }
 
@@ -318,7 +327,11 @@
         known.journal().append(&update);
     }
     for (at, change) in update.pieces {
-        apply_change(core, at, change);
+        // VMs of earlier releases relay unreadable settings in the form of upstreams' records.
+        let is_of_upstream = update.table == Table::Fleet;
+        if is_of_upstream || matches!(change, TableChange::Weights(_)) {
+            apply_change(core, at, change);
+        }
     }
     if outcome == UpdateOutcome::Contiguous {
         record_as_of(core, update.table, known.position().last_update());
--- a/crates/sesamegap-entry/tests/testsuite/odd_entries.rs
+++ b/crates/sesamegap-entry/tests/testsuite/odd_entries.rs
@@ -299,3 +299,35 @@
         .tests(cases())
         .quickcheck(holds as fn(Vec<Step>) -> bool);
 }
+
+/// An unreadable record of the settings whose key is an upstream's id says nothing of the upstream: peers that hear of
+/// the reading must not lose it.
+#[test]
+fn an_unreadable_setting_removes_no_upstream() {
+    let world = World::new();
+    let [sound, _] = sound_ids();
+    let found = Unreadable::new(Table::Settings, Offset(9), sound.as_str(), &"no setting");
+    let records = batch(9, vec![Record::Unreadable(found)]);
+    let update = apply_batch(&world.reader, Table::Settings, offset(9), records);
+    apply_update(&world.hearer, update);
+    for core in [&world.reader, &world.hearer] {
+        assert!(core.fleet.lock().get(&sound).is_some());
+    }
+}
+
+/// An odd record with each heartbeat, under a key that is no upstream's id: every peer would ask for what it missed,
+/// though there is nothing to know.
+#[test]
+fn an_unreadable_record_without_an_id_leaves_nothing_to_ask_for() {
+    let world = World::new();
+    for (table, key) in [
+        (Table::Fleet, "two words"),
+        (Table::Fleet, ""),
+        (Table::Settings, "config"),
+    ] {
+        let found = Unreadable::new(table, Offset(2), key, &"no entry");
+        let records = batch(2, vec![Record::Unreadable(found)]);
+        let update = apply_batch(&world.reader, table, offset(2), records);
+        assert!(update.whole && update.pieces.is_empty(), "{update:?}");
+    }
+}
