Parts of a reading are split by their size

A part of a reading had up to eight changes, of whatever length. With long but valid names, or an entry with many models, it exceeded the size of a datagram and was not sent: peers missed all changes in it and heard of the gap with the next reading only.

Parts now end before 1,200 bytes of changes. A change that no datagram has room for is left out of a part that says so; peers ask for it, and the changes around it arrive.

--- a/crates/sesamegap-entry/src/follow/updates.rs
+++ b/crates/sesamegap-entry/src/follow/updates.rs
@@ -20,6 +20,9 @@
 /// Maximum number of changes in one datagram, of about 130 bytes each; an update with more is sent in parts.
 const MAX_CHANGES: usize = 8;
 
+/// Longest changes in one datagram, in bytes: the rest is for its other fields and for addresses of relays.
+const MAX_CHANGE_BYTES: usize = 1_200;
+
 /// Most parts of a reading that are held because one before them is missing, of about a kilobyte each.
 const MAX_HELD_PARTS: usize = 1_024;
 
@@ -117,16 +120,34 @@
         let end = self.reading.end;
         let mut rest = self.update;
         let mut parts = Vec::new();
-        while rest.pieces.len() > MAX_CHANGES {
-            let pieces = rest.pieces.split_off(MAX_CHANGES);
+        loop {
+            // One that no datagram has room for is left out, and the part says that it is not whole.
+            let is_oversized = rest
+                .pieces
+                .first()
+                .is_some_and(|piece| encoded_len(piece) > MAX_CHANGE_BYTES);
+            if is_oversized {
+                rest.pieces.remove(0);
+            }
+            let fitting = if is_oversized {
+                0
+            } else {
+                fitting(&rest.pieces)
+            };
+            if !is_oversized && fitting == rest.pieces.len() {
+                break;
+            }
+            let pieces = rest.pieces.split_off(fitting);
             // Changes found by reading the whole table lie before the range, in any order.
-            let boundary = pieces[0].0.max(rest.from);
+            let boundary = pieces
+                .first()
+                .map_or(rest.next, |(at, _)| (*at).max(rest.from));
             let update = TableUpdate {
                 table: rest.table,
                 from: rest.from,
                 next: boundary,
                 pieces: std::mem::replace(&mut rest.pieces, pieces),
-                whole: true,
+                whole: !is_oversized,
             };
             rest.from = boundary;
             parts.push(TablePart { update, end });
@@ -136,6 +157,21 @@
     }
 }
 
+/// Number of changes, from the first on, that fit into one datagram.
+fn fitting(pieces: &[(LogPosition, TableChange)]) -> usize {
+    let mut bytes = 0;
+    let fits = pieces.iter().take(MAX_CHANGES).take_while(|piece| {
+        bytes = encoded_len(piece).saturating_add(bytes);
+        bytes <= MAX_CHANGE_BYTES
+    });
+    fits.count()
+}
+
+/// Length of a change in a message; a change that cannot be encoded fits into none.
+fn encoded_len(piece: &(LogPosition, TableChange)) -> usize {
+    rmp_serde::to_vec(piece).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 impl From<TableUpdate> for TableReading {
     fn from(update: TableUpdate) -> Self {
         let reading = Reading {
--- a/crates/sesamegap-entry/tests/testsuite/odd_entries.rs
+++ b/crates/sesamegap-entry/tests/testsuite/odd_entries.rs
@@ -1,16 +1,19 @@
 //! Entries of other writers with extreme values among sound ones, and what is done with them after they are read.
 
-use crate::support::{Platform, batch, entry, offset, settings};
+use crate::support::{Platform, batch, entry, offset, settings, unused_addr, wait_until};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::{Entry, Flight, PromptShape, Selection, SharedFleet};
 use sesamegap_entry::follow::{FleetSnapshot, TableUpdate, apply_batch, apply_update};
+use sesamegap_entry::peers;
 use sesamegap_entry::placing::Terms;
 use sesamegap_entry::ports::{EngineReport, Load, Record, Table, Unreadable, Weights};
 use sesamegap_entry::settings::Settings;
 use sesamegap_entry::telemetry::Logging;
+use sesamegap_policy::agreement::membership::{MemberUpdate, Status};
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{Incarnation, Moment, Offset, UpstreamId, WeightsVersion};
+use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
@@ -331,3 +334,69 @@
         assert!(update.whole && update.pieces.is_empty(), "{update:?}");
     }
 }
+
+/// A VM that runs only the exchange of datagrams.
+fn datagram_vm(name: &str, ip: &str, port: u16) -> Arc<Core> {
+    let mut settings = settings(name, Vec::new());
+    settings.listen.loads = SocketAddr::new(ip.parse().unwrap(), port);
+    settings.listen.peers = settings.listen.loads;
+    let ports = Arc::new(Platform::default()).ports();
+    let core = Arc::new(Core::new(settings, ports, Logging::disabled()).unwrap());
+    core.table_progress(Table::Fleet)
+        .position()
+        .record_read(offset(0), sesamegap_entry::clock::now());
+    tokio::spawn(peers::run_datagrams(Arc::clone(&core)));
+    core
+}
+
+/// Entries with the longest names that are valid, and one that no datagram has room for: the others are relayed, and a
+/// peer knows that it lacks one.
+#[tokio::test]
+async fn long_entries_are_relayed_and_hold_back_no_other() {
+    let port = unused_addr().port();
+    let reader = datagram_vm("vm-1", "127.0.0.1", port);
+    let hearer = datagram_vm("vm-2", "127.0.0.2", port);
+    reader.peers.apply_update(
+        &MemberUpdate {
+            who: hearer.peers.local_process().clone(),
+            addr: hearer.settings().listen.peers,
+            version: 0,
+            status: Status::Alive,
+        },
+        sesamegap_entry::clock::now(),
+    );
+    let long = "n".repeat(62);
+    let listed = |no: usize, models: usize| {
+        let mut listed = entry("engines", "127.0.0.1:9".parse().unwrap());
+        listed.service = long.parse().unwrap();
+        listed.domain = long.parse().unwrap();
+        listed.software = long.parse().unwrap();
+        let held = (0..models).map(|model| Weights {
+            model: format!("{model}{long}").into(),
+            version: WeightsVersion(u32::MAX),
+        });
+        listed.weights = held.collect();
+        let id: UpstreamId = format!("{no:02}{long}").parse().unwrap();
+        (id, listed)
+    };
+    let all: Vec<_> = (0..20)
+        .map(|no| listed(no, if no == 7 { 60 } else { 2 }))
+        .collect();
+    let records = all.iter().cloned();
+    let records = records.map(|(id, entry)| Record::Upstream(id, Box::new(entry)));
+    let read = apply_batch(
+        &reader,
+        Table::Fleet,
+        offset(0),
+        batch(0, records.collect()),
+    );
+    reader.peers.outbox.put_reading(read);
+    wait_until(|| {
+        let fleet = hearer.fleet.lock();
+        let known = all.iter().filter(|(id, _)| fleet.get(id).is_some());
+        known.count() >= 19
+    })
+    .await;
+    assert!(hearer.fleet.lock().get(&all[7].0).is_none());
+    assert!(hearer.table_progress(Table::Fleet).position().has_missed());
+}
