Whole unframed answers are not cut while their engine takes no connections

Cause: such an answer counted as whole only if a connection that was made after its end stayed open. An engine whose queue is long resets further connections, which was taken for a sign that its process is gone.

Evidence: an_unframed_stream_is_complete_though_its_engine_takes_no_connections failed before: the stream was broken off after its last event.

Change: a crash ends all connections of a process, and an address belongs to one process at a time. So a connection that was open beside the answer, and is open 25 ms after its end, shows that the process goes on; no further connection is made then. Connections to upstreams are listed while they are open, and looked at with poll, which sees an end behind unread bytes. If another connection to that upstream broke in the 30 ms before, the survivor has to stay for 150 ms more, since a load balancer may be late to close what a crashed process left. The verdict is found when the end arrives, not when a slow caller has read up to it.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -21,6 +21,7 @@
 use crate::telemetry::metrics::Metrics;
 use crate::telemetry::{Logging, events, log_reach};
 use crate::upstream;
+use crate::upstream::OpenConnections;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use retries::RetryBudgets;
 use sesamegap_policy::agreement::replication::{Content, Fetch};
@@ -77,6 +78,8 @@
     pub document_heard: Notify,
     /// Held by the task that fetches a document.
     pub fetch_turn: tokio::sync::Mutex<()>,
+    /// Connections to upstreams.
+    pub connections: OpenConnections,
     /// Requests in progress.
     pub active: Arc<ActiveRequests>,
     /// Memory left for request bodies, one permit per KiB.
@@ -128,6 +131,7 @@
             weights_named: Notify::new(),
             document_heard: Notify::new(),
             fetch_turn: tokio::sync::Mutex::default(),
+            connections: OpenConnections::default(),
             active: Arc::default(),
             body_permits: Arc::new(Semaphore::new(settings.body_memory >> 10)),
             quarantine: Quarantine::default(),
--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -7,15 +7,17 @@
 use crate::placing::TrackedPrompt;
 use crate::ports::Load;
 use crate::quarantine::TrialPermit;
-use crate::upstream;
 use crate::upstream::gateway::Destination;
+use crate::upstream::{self, CLOSE_TIMEOUT, OpenConnections, OpenTime};
 use sesamegap_policy::routing::engines::{self, Prefix};
 use sesamegap_policy::routing::speeds::{PromptKind, Sample};
 use sesamegap_wire::{DomainId, Incarnation, Moment, SoftwareVersion, UpstreamId, WeightsVersion};
 use smol_str::SmolStr;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// A request that this VM has let through to a brittle upstream, until it is dropped.
 #[derive(Debug)]
@@ -69,15 +71,34 @@
 /// Time before the end of a response within which other connections break that end with the same crash.
 const BREAK_WINDOW: Duration = Duration::from_millis(30);
 
-/// Whether the incarnation of an upstream still runs.
+/// Time within which all connections of a process that crashed are closed, also through a load balancer.
+const SLOW_CLOSE: Duration = Duration::from_millis(150);
+
+/// Whether the incarnation of an upstream runs, just after the end of an answer on a connection that was open at `time`.
 pub async fn confirm_running(
     fleet: SharedFleet,
     id: UpstreamId,
     life: u64,
-    from: IpAddr,
-    addr: SocketAddr,
+    (from, addr): (IpAddr, SocketAddr),
+    connections: OpenConnections,
+    time: Arc<OpenTime>,
 ) -> bool {
     let ended_at = clock::now();
+    // A crash ends all connections, but not all at the same moment.
+    sleep(CLOSE_TIMEOUT).await;
+    let survives = || connections.has_survivor(addr, &time, CLOSE_TIMEOUT);
+    if survives() {
+        let broke = fleet
+            .lock()
+            .get(&id)
+            .map(|listed| listed.connection_broke_at);
+        if broke.is_none_or(|broke| broke + BREAK_WINDOW < ended_at) {
+            return true;
+        }
+        // A load balancer may be late to close the connections of a process that crashed.
+        sleep(SLOW_CLOSE).await;
+        return survives();
+    }
     // One that leaves accepts connections until it ends.
     if !upstream::is_running(from, addr).await {
         return false;
@@ -202,13 +223,19 @@
     }
 
     /// Returns a future that tells whether the upstream still runs, from the moment at which it is polled.
-    pub fn confirm_running(&self, from: IpAddr) -> impl Future<Output = bool> + Send + 'static {
+    pub fn confirm_running(
+        &self,
+        from: IpAddr,
+        connections: OpenConnections,
+        time: Arc<OpenTime>,
+    ) -> impl Future<Output = bool> + Send + use<> {
         confirm_running(
             self.fleet.clone(),
             self.id.clone(),
             self.life,
-            from,
-            self.addr,
+            (from, self.addr),
+            connections,
+            time,
         )
     }
 
--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -91,7 +91,7 @@
     *request.headers_mut() = strip_hop_by_hop(request.headers(), core.ports.headers.essential());
     let send_permit = renew(core, destination, id, send_permit).await;
     let send_permit = send_permit.map_err(limited)?;
-    let sent = upstream::send(stream, request, send_permit).await;
+    let sent = upstream::send(stream, &core.connections, request, send_permit).await;
     let exchange = sent.map_err(|error| match error {
         SendError::Unreached(_) => RelayOutcome::Unreached,
         SendError::Full | SendError::Limited => RelayOutcome::Full,
@@ -105,7 +105,8 @@
     }
     let fleet = core.fleet.clone();
     let Destination { id, life } = destination.clone();
-    let is_running = confirm_running(fleet, id, life, from, addr);
+    let connections = core.connections.clone();
+    let is_running = |time| confirm_running(fleet, id, life, (from, addr), connections, time);
     Ok((exchange.confirm_end(is_running), (permit, gate_pass)))
 }
 
@@ -128,6 +129,7 @@
     let Exchange {
         response,
         connection,
+        ..
     } = exchange;
     let (head, body) = response.into_parts();
     let mut response = Response::new(guard_body(body, (connection, guards)));
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -161,7 +161,8 @@
         Ok(Ok((exchange, gate_pass))) => {
             flight.gate_pass = gate_pass;
             let from = core.settings().listen.callers.ip();
-            exchange.confirm_end(flight.confirm_running(from))
+            let connections = core.connections.clone();
+            exchange.confirm_end(|time| flight.confirm_running(from, connections, time))
         }
         Ok(Err(SendError::Unreached(error))) => {
             flight.record_failure(clock::now());
--- a/crates/sesamegap-entry/src/relay/attempt/routes.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/routes.rs
@@ -9,9 +9,9 @@
 use crate::limits::permit::SendPermit;
 use crate::ports::Dispatch;
 use crate::telemetry::events;
-use crate::upstream::SendError;
 use crate::upstream::gateway::{Destination, RelayError, RelayOutcome};
 use crate::upstream::routes::Routes;
+use crate::upstream::{OpenConnections, SendError};
 use http::Request;
 use http_body_util::Full;
 use sesamegap_policy::routing::gateways::MAX_GATEWAYS;
@@ -84,6 +84,10 @@
         limited(renew(self.core, &self.upstream(), &self.job.head.id, permit).await)
     }
 
+    fn connections(&self) -> &OpenConnections {
+        &self.core.connections
+    }
+
     fn record_connection(&self, began: Moment, is_connected: bool) {
         let life = self.flight.life();
         self.core.record_connection(life, began, is_connected);
--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -1,5 +1,7 @@
 //! Bodies of upstreams' responses.
 
+use super::Connection;
+use super::connections::Watch;
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
@@ -8,6 +10,12 @@
 use hyper::body::Body;
 use std::error::Error;
 use std::fmt;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+/// How often the connection of a response without a length is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A response body, whose last frame is an error unless it is complete.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>>;
@@ -45,12 +53,26 @@
     last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
 }
 
-/// A body that ends with an error if the upstream does not run any more.
+/// A body that ends with an error unless the upstream was running when its connection ended.
+///
+/// The caller may read slowly, so that the end is noticed beside the body, before another process may run there.
 pub(super) fn confirm_end(
     mut body: ResponseBody,
+    watch: Watch,
     is_running: impl Future<Output = bool> + Send + 'static,
 ) -> ResponseBody {
+    let (ended, on_end) = oneshot::channel::<()>();
+    let (verdict, on_verdict) = oneshot::channel();
+    let watching = tokio::spawn(async move {
+        tokio::select! {
+            _ = on_end => {}
+            () = until_ended(&watch) => {}
+        }
+        _ = verdict.send(is_running.await);
+    });
+    let watching = Connection(watching);
     let frames = async_stream::stream! {
+        let _watching = watching;
         while let Some(frame) = body.frame().await {
             let is_last = frame.is_err();
             yield frame;
@@ -58,13 +80,20 @@
                 return;
             }
         }
-        if !is_running.await {
+        _ = ended.send(());
+        if !on_verdict.await.unwrap_or(false) {
             yield Err(UnconfirmedEnd.into());
         }
     };
     StreamBody::new(frames).boxed_unsync()
 }
 
+async fn until_ended(watch: &Watch) {
+    while watch.look() {
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
 /// Reads a body of at most `limit` bytes to its end; `None` if it is longer.
 ///
 /// # Errors
--- a/crates/sesamegap-entry/src/upstream/gateway.rs
+++ b/crates/sesamegap-entry/src/upstream/gateway.rs
@@ -151,7 +151,7 @@
     let no_gateway = |error: SendError| RelayError::NoGateway(error.to_string());
     let stream = connect(from, gateway).await.map_err(no_gateway)?;
     // The gateway acquires the permit.
-    let sent = exchange(stream, request, || {}).await;
+    let sent = exchange(stream, None, request, || {}).await;
     let mut exchange = sent.map_err(|error| match error {
         SendError::Unreached(why) => RelayError::NoGateway(why),
         SendError::Full | SendError::Limited => RelayError::Declined(RelayOutcome::Full),
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -7,13 +7,16 @@
 //! therefore uses `hyper`'s connection API, which is below the level of `reqwest`.
 
 mod body;
+mod connections;
 pub mod gateway;
 pub mod routes;
 
 pub use body::{ResponseBody, collect};
+pub use connections::{OpenConnections, OpenTime};
 
 use crate::limits::permit::SendPermit;
 use body::{confirm_end, is_unframed};
+use connections::{Watch, WatchedStream};
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -23,6 +26,7 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
@@ -38,8 +42,11 @@
 /// Maximum number of connections by which an upstream is found to be running.
 const CONFIRMATIONS: usize = 3;
 
+/// How often a connection is looked at on which a response head is awaited: often enough to tell when an answer ended.
+const HEAD_LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time within which a connection is closed that was accepted for a process that does not run any more.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(25);
+pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Time after which unacknowledged data closes a connection: otherwise a network failure would go unnoticed for
 /// minutes.
@@ -94,18 +101,27 @@
     pub response: Response<ResponseBody>,
     /// The connection, which must outlive the body.
     pub connection: Connection,
+    watch: Watch,
 }
 
 impl Exchange {
     /// Confirms the end of a response with neither a length nor chunks. Such a response ends with its connection, also if
-    /// the upstream crashes; it is complete only if `is_running` finds the upstream running afterwards.
+    /// the upstream crashes; it is complete only if `is_running` finds the upstream running at that moment. It is given
+    /// when the connection was last seen open.
     #[must_use]
-    pub fn confirm_end(self, is_running: impl Future<Output = bool> + Send + 'static) -> Self {
+    pub fn confirm_end<F>(self, is_running: impl FnOnce(Arc<OpenTime>) -> F) -> Self
+    where
+        F: Future<Output = bool> + Send + 'static,
+    {
         if !is_unframed(&self.response) {
             return self;
         }
+        let is_running = is_running(self.watch.time());
+        let watch = self.watch.clone();
         Self {
-            response: self.response.map(|body| confirm_end(body, is_running)),
+            response: self
+                .response
+                .map(|body| confirm_end(body, watch, is_running)),
             ..self
         }
     }
@@ -117,6 +133,7 @@
 /// Returns [`SendError::Unreached`] only if no byte of the request was written.
 pub async fn send<B>(
     stream: TcpStream,
+    connections: &OpenConnections,
     request: Request<B>,
     permit: SendPermit,
 ) -> Result<Exchange, SendError>
@@ -125,12 +142,14 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    exchange(stream, request, || permit.use_up()).await
+    let connections = Some(connections);
+    exchange(stream, connections, request, || permit.use_up()).await
 }
 
 /// Sends a request on a new connection; `on_send` is called when it may be written from then on.
 async fn exchange<B>(
     stream: TcpStream,
+    connections: Option<&OpenConnections>,
     request: Request<B>,
     on_send: impl FnOnce() + Send,
 ) -> Result<Exchange, SendError>
@@ -139,6 +158,7 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let (stream, watch) = WatchedStream::new(stream, connections);
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream));
@@ -151,13 +171,18 @@
     });
     let connection = Connection(driver);
     on_send();
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(|error| SendError::Broken(error_with_cause(&error)))?;
+    let mut response = std::pin::pin!(sender.send_request(request));
+    let response = loop {
+        match timeout(HEAD_LOOK_INTERVAL, &mut response).await {
+            Ok(response) => break response,
+            Err(_) => _ = watch.look(),
+        }
+    };
+    let response = response.map_err(|error| SendError::Broken(error_with_cause(&error)))?;
     Ok(Exchange {
         response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
         connection,
+        watch,
     })
 }
 
--- a/crates/sesamegap-entry/src/upstream/routes.rs
+++ b/crates/sesamegap-entry/src/upstream/routes.rs
@@ -4,7 +4,7 @@
 //! one that counts the requests for the upstream. No way is tried after one on which the request may have run.
 
 use super::gateway::{Destination, RelayError, RelayOutcome, send_through};
-use super::{Exchange, SendError, connect, send};
+use super::{Exchange, OpenConnections, SendError, connect, send};
 use crate::clock;
 use crate::limits::permit::SendPermit;
 use http::Request;
@@ -61,6 +61,9 @@
         permit: SendPermit,
     ) -> impl Future<Output = Result<SendPermit, SendError>> + Send;
 
+    /// The connections of this process to upstreams.
+    fn connections(&self) -> &OpenConnections;
+
     /// Records whether the upstream accepted a connection that was attempted since `began`.
     fn record_connection(&self, began: Moment, is_connected: bool);
 
@@ -95,7 +98,8 @@
         match connect_directly(routes).await {
             Ok(stream) => {
                 let permit = routes.renew_permit(permit).await?;
-                return send(stream, routes.build_request()?, permit).await;
+                let request = routes.build_request()?;
+                return send(stream, routes.connections(), request, permit).await;
             }
             Err(error) if !routes.is_partitioned() => return Err(error),
             // This failure shows that the VM is partitioned, so the upstream may be well.
--- a/crates/sesamegap-entry/tests/testsuite/unframed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/unframed.rs
@@ -1,12 +1,13 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
 use crate::support::{
-    Act, Answer, CrashingUpstream, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask,
-    crashing_engines, entry, offset, read, unused_addr, vms,
+    Act, Answer, Caller, CrashingUpstream, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask,
+    crashing_engines, entry, offset, read, request_of, unused_addr, vms,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::fleet::Entry;
 use sesamegap_wire::Moment;
+use socket2::SockRef;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -164,3 +165,43 @@
     let mut fleet = vm.core.fleet.lock();
     fleet.apply(&id, entry, offset(1_000), clock::now());
 }
+
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 X\r\nx-id: r1\r\nx-seal: s\r\n\r\n";
+
+const EVENT: &str = "id: 0\ndata: t\n\n";
+
+/// Guards against whole streams that are cut because their engine, whose queue is long, resets further connections.
+#[tokio::test]
+async fn an_unframed_stream_is_complete_though_its_engine_takes_no_connections() {
+    let process = Process::new().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    process.add("e1", "engines", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut waiting, _) = listener.accept().await.unwrap();
+        read(&mut waiting).await;
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::spawn(async move {
+            read(&mut stream).await;
+            drop(stream.write_all(UNFRAMED_HEAD.as_bytes()).await);
+            for _ in 0..4 {
+                sleep(Duration::from_millis(50)).await;
+                drop(stream.write_all(b": more\n\n").await);
+            }
+            drop(stream.write_all(EVENT.as_bytes()).await);
+        });
+        while let Ok((stream, _)) = listener.accept().await {
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .unwrap();
+        }
+        drop(waiting);
+    });
+    let mut other = Caller::connect(process.callers).await;
+    other
+        .send(&request_of("r2", "POST", "/chat/a", CHAT, ""))
+        .await;
+    sleep(Duration::from_millis(50)).await;
+    let answer = ask(process.callers, "POST", "/chat/a", CHAT, "").await;
+    assert!(answer.body.contains(EVENT), "{answer:?}");
+    assert!(answer.is_complete);
+}
