A VM that stood still does not take a crash for the end of an answer

The entry VM had stood still until another engine served at the address.

Cause: without another connection that outlives the answer, one that is accepted after the end counts as a sign that the process goes on, whoever accepts it and however late the end was noticed.

Evidence: a_crash_while_the_vm_stands_still_does_not_end_an_unframed_stream failed before: the stream looked complete after its first event.

Change: such a connection counts only if the answer's own was seen open less than a second before the end was noticed, half of the shortest time after which an address goes to another process.

--- a/crates/sesamegap-entry/src/fleet/flight.rs
+++ b/crates/sesamegap-entry/src/fleet/flight.rs
@@ -71,6 +71,10 @@
 /// Time before the end of a response within which other connections break that end with the same crash.
 const BREAK_WINDOW: Duration = Duration::from_millis(30);
 
+/// Longest time since a connection was seen open for which one that is accepted now is taken to be the same process's: half
+/// of the shortest time after which platforms give an address to another process.
+const PROMPT: Duration = Duration::from_secs(1);
+
 /// Time within which all connections of a process that crashed are closed, also through a load balancer.
 const SLOW_CLOSE: Duration = Duration::from_millis(150);
 
@@ -99,6 +103,10 @@
         sleep(SLOW_CLOSE).await;
         return survives();
     }
+    // This VM may have stood still while another process took over.
+    if ended_at.since(time.last_seen()) > PROMPT {
+        return false;
+    }
     // One that leaves accepts connections until it ends.
     if !upstream::is_running(from, addr).await {
         return false;
--- a/crates/sesamegap-entry/tests/testsuite/unframed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/unframed.rs
@@ -8,10 +8,12 @@
 use sesamegap_entry::fleet::Entry;
 use sesamegap_wire::Moment;
 use socket2::SockRef;
+use std::io::{Read, Write};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
@@ -166,10 +168,44 @@
     fleet.apply(&id, entry, offset(1_000), clock::now());
 }
 
+/// Time for which a VM stands still: longer than a process may take to start at the address of another one.
+const STANDSTILL: Duration = Duration::from_millis(2_500);
+
 const UNFRAMED_HEAD: &str = "HTTP/1.1 200 X\r\nx-id: r1\r\nx-seal: s\r\n\r\n";
 
 const EVENT: &str = "id: 0\ndata: t\n\n";
 
+/// Guards against a VM that stands still while an engine crashes and another one starts there, and takes the second one's
+/// connection for a sign that the first goes on.
+#[tokio::test]
+async fn a_crash_while_the_vm_stands_still_does_not_end_an_unframed_stream() {
+    let process = Process::new().await;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    process.add("e1", "engines", listener.local_addr().unwrap());
+    let (began, on_began) = oneshot::channel();
+    // In threads of its own, so that it goes on while the VM stands still.
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+        stream.write_all(UNFRAMED_HEAD.as_bytes()).unwrap();
+        stream.write_all(EVENT.as_bytes()).unwrap();
+        began.send(()).unwrap();
+        std::thread::sleep(STANDSTILL / 10);
+        // The next process listens at the address.
+        drop(stream);
+        listener.accept().unwrap();
+        std::thread::sleep(STANDSTILL);
+    });
+    let answer = tokio::join!(ask(process.callers, "POST", "/chat/a", CHAT, ""), async {
+        on_began.await.unwrap();
+        sleep(STANDSTILL / 50).await;
+        std::thread::sleep(STANDSTILL);
+    });
+    let answer = answer.0;
+    assert!(answer.body.contains(EVENT), "{answer:?}");
+    assert!(!answer.is_complete, "a broken stream looks complete");
+}
+
 /// Guards against whole streams that are cut because their engine, whose queue is long, resets further connections.
 #[tokio::test]
 async fn an_unframed_stream_is_complete_though_its_engine_takes_no_connections() {
