Tests of resumable streams whose engine falls silent; eleven fail

Callers lose streams whose engines are sound and only pause. The tests run real sockets: an engine sends two events of five, pauses for 1.3 or 2.6 s and goes on, beside another engine that refuses, answers 500, closes, is silent or begins anew; all engines pause at once; a process stops meanwhile. Two more let a second run end a stream.

Seen: each of the first nine ends after event 2 with a broken body,

left: "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n" right: "id: 1 ... id: 5\ndata: t5\n\n"

and the two others end as complete after event 3, one of them with an event without a number behind it. Three tests pass already and guard what must stay: the stream leaves an engine that never returns, no event comes twice, and the one that lost is closed.

`process::stop` becomes public for the test of a stop.

--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -136,7 +136,7 @@
 }
 
 /// Lets requests complete for as long as the grace period lasts.
-async fn stop(core: &Core) {
+pub async fn stop(core: &Core) {
     let stop_requested = Instant::now();
     let grace = core.settings().spans.grace;
     let deadlines = StopDeadlines::new(grace);
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod restored;
 mod rolls;
 mod silence;
+mod silent_streams;
 mod software_versions;
 mod sse;
 mod stopping;
--- a/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/upstream.rs
@@ -27,6 +27,8 @@
     Half,
     /// Sends a complete answer without a length and closes.
     NoLength(&'static str),
+    /// Sends these bytes.
+    Bytes(&'static str),
     /// Sends bytes that are not HTTP.
     Garbage,
     /// Closes without an answer.
@@ -157,6 +159,7 @@
             ),
             Act::Half => (format!("{}half", head(200, "content-length: 8\r\n")), true),
             Act::NoLength(body) => (format!("{}{body}", head(200, "")), true),
+            Act::Bytes(bytes) => (bytes.into(), false),
             Act::Garbage => ("\u{1}\u{2} not an answer\r\n\r\n".into(), true),
             Act::Close => (String::new(), true),
             Act::Silent => return,
