A silent stream stays until another upstream goes on

Callers lost resumable streams whose engines were sound: an engine that paused for a second had its connection closed after 0.9 s (1.1 s before the first event, 2.5 s before the head), and if the next engine refused, failed, answered 500 or was silent too, the stream had nothing to come back to. In a pause of all engines every stream left its engine, at the price of a retry and of reading the prompt again.

Cause: a decision that can't be undone was taken before its alternative stood.

Change: the silent connection stays open while another upstream is asked. The first of the two that goes on serves the stream, the other one is closed before its event is passed on. A second run must show that it goes on: its first event must be the one after the last one passed on. So a run that sends no event, or begins with one that has no number, no longer ends or extends a stream (two more ways to a wrong end).

--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod index;
 mod list;
 mod selection;
+mod silence;
 mod speeds;
 mod upstream;
 mod versions;
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -1,6 +1,7 @@
 //! Tracks the attempts of a request and decides whether it may be retried.
 
 use super::attempt::NotRun;
+use crate::catalogue::Kind;
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::{Flight, NotChosen, PromptShape, Selection, Upstream};
@@ -149,6 +150,22 @@
         self.runs += 1;
     }
 
+    /// Takes back that the request may have run at an upstream, as it still runs there.
+    pub fn take_back_run(&mut self, at: &UpstreamId) {
+        for list in [&mut self.excluded, &mut self.possibly_run_at] {
+            if let Some(last) = list.iter().rposition(|id| id == at) {
+                list.remove(last);
+            }
+        }
+        self.runs -= 1;
+    }
+
+    /// Whether the route allows a run beside the present one.
+    pub fn can_run_beside(&self, job: &Job) -> bool {
+        let is_resumable = job.route.kind == Kind::ResumableStream;
+        is_resumable && self.runs + 1 < job.route.attempts && job.time_left() > MIN_ATTEMPT_TIME
+    }
+
     /// Whether the route and the time left allow another run.
     pub fn can_run_again(&self, job: &Job) -> bool {
         let allowed = job.route.kind.is_repeatable() && self.runs < job.route.attempts;
@@ -186,11 +203,11 @@
         fleet.is_version_gone(&self.service, software, &self.possibly_run_at, clock::now())
     }
 
-    /// Whether the request may move to another upstream while `at` is silent.
+    /// Whether another upstream may be asked while `at` is silent.
     ///
     /// An upstream that falls over when it rejects too much lets none wait, so that one that is available mostly has no
-    /// room. What a silent one has done would be lost for it.
-    pub fn may_abandon(&self, core: &Core, job: &Job, at: &UpstreamId) -> bool {
+    /// room, and would only reject one more.
+    pub fn may_ask_another(&self, core: &Core, job: &Job, at: &UpstreamId) -> bool {
         let is_brittle = core.fleet.lock().is_brittle(&self.service, clock::now());
         !is_brittle && self.has_other_upstream(core, job, Some(at))
     }
--- a/crates/sesamegap-entry/src/relay/sse.rs
+++ b/crates/sesamegap-entry/src/relay/sse.rs
@@ -9,7 +9,7 @@
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Complete events that were read together.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EventBatch {
     /// The events as received.
     pub bytes: Bytes,
@@ -17,6 +17,23 @@
     pub ids: Vec<u64>,
 }
 
+impl EventBatch {
+    /// Number of its first event; `None` if it is only comments, and an inner `None` if that event has no number.
+    pub fn first_number(&self) -> Option<Option<u64>> {
+        let mut number = None;
+        let mut is_event = false;
+        for line in self.bytes.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line.is_empty() && is_event {
+                return Some(number);
+            }
+            number = number.or_else(|| id(line));
+            is_event |= line.starts_with(b"id:") || line.starts_with(b"data:");
+        }
+        None
+    }
+}
+
 /// Buffers a stream up to the next event boundary.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -1,20 +1,23 @@
-//! Reads the events of an upstream, and decides how long its silence is tolerated.
+//! Reads the events of an upstream, and tells when it is silent for too long.
 
-use super::{Opened, StreamRelay};
+use super::opening::Opened;
 use crate::clock;
+use crate::core::Core;
 use crate::fleet::Flight;
 use crate::intake::full_body;
+use crate::job::Job;
 use crate::relay::attempt::{
     Answered, QUARANTINED, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run,
 };
 use crate::relay::loss::{self, ANSWERED_FOR, BrokenAnswer};
 use crate::relay::plain::{BUFFER_LIMIT, caller_response};
+use crate::relay::retry::RetryState;
 use crate::relay::sse::{EventBatch, EventSplitter};
 use crate::upstream::{Connection, ResponseBody, collect};
-use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use sesamegap_policy::routing::timeouts;
+use sesamegap_policy::routing::timeouts::{SILENT_AFTER, Silence};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -37,6 +40,21 @@
     begun_at: Option<Instant>,
     /// Whether a complete event has arrived.
     event_received: bool,
+    /// When bytes last arrived.
+    silent_since: Instant,
+    /// Before this moment its silence is not told again.
+    pub(super) patient_until: Instant,
+}
+
+/// What an upstream's stream brought.
+#[derive(Debug)]
+pub(super) enum Read {
+    /// Events.
+    Events(EventBatch),
+    /// Its end.
+    End,
+    /// Nothing, for longer than is tolerated.
+    Silent,
 }
 
 impl UpstreamStream {
@@ -54,6 +72,30 @@
         self.left_to_begin().is_some_and(|left| left.is_zero())
     }
 
+    /// Whether its upstream has sent on another connection since.
+    fn is_active_elsewhere(&self) -> bool {
+        let silent = clock::now().since(self.flight.last_received());
+        silent + Duration::from_millis(1) < self.silent_since.elapsed()
+    }
+
+    /// Records that its upstream is silent for longer than a pause.
+    pub(super) fn record_silence(&mut self) {
+        // Its trial must not keep the request from another upstream.
+        if let Some(permit) = &mut self.flight.permit {
+            permit.end_turn();
+        }
+        if !self.is_active_elsewhere() {
+            self.flight.record_failure(clock::now());
+        }
+    }
+
+    /// Reports that another upstream goes on with its request, since it was silent.
+    pub(super) fn report_given_up(&mut self, core: &Core, job: &Job) {
+        if !self.is_active_elsewhere() {
+            BrokenAnswer::new(job, &mut self.flight, self.sent, self.begun_at).report_silence(core);
+        }
+    }
+
     /// When to recheck the deadlines.
     fn next_check(&self) -> Instant {
         let left = self
@@ -63,173 +105,196 @@
     }
 }
 
-impl StreamRelay {
-    /// Reads up to the first complete event, or an error response to its end.
-    pub(super) async fn read_start(&mut self, answered: Answered) -> Result<Opened, String> {
-        let Answered {
-            mut flight,
-            exchange,
-            sent,
-        } = answered;
-        let (head, body) = exchange.response.into_parts();
-        if falsely_implies_not_run(self.job.route.kind, head.status) {
-            return Err(format!(
-                "status {} from an upstream that may have run the request",
-                head.status
-            ));
-        }
-        if !head.status.is_success() {
-            let read = timeout_at(self.job.deadline, collect(body, BUFFER_LIMIT)).await;
-            let body = match read
-                .map_err(|_| "response body did not end before the deadline".to_owned())?
-            {
-                Ok(Some(body)) => body,
-                Ok(None) => {
-                    flight.record_failure(clock::now());
-                    return Err("the body of an error response exceeds the size limit".to_owned());
-                }
-                Err(error) => {
-                    loss::report_broken_connection(
-                        &self.core,
-                        &self.job,
-                        &mut flight,
-                        sent,
-                        Some(Instant::now()),
-                    )
+/// Reads up to the first complete event, or an error response to its end.
+///
+/// A run that resumes a stream must begin with the event that follows `resumed`.
+pub(super) async fn read_start(
+    core: &Arc<Core>,
+    job: &Job,
+    answered: Answered,
+    resumed: Option<u64>,
+) -> Result<Opened, String> {
+    let Answered {
+        mut flight,
+        exchange,
+        sent,
+    } = answered;
+    let (head, body) = exchange.response.into_parts();
+    if falsely_implies_not_run(job.route.kind, head.status) {
+        return Err(format!(
+            "status {} from an upstream that may have run the request",
+            head.status
+        ));
+    }
+    if !head.status.is_success() {
+        let read = timeout_at(job.deadline, collect(body, BUFFER_LIMIT)).await;
+        let body = match read
+            .map_err(|_| "response body did not end before the deadline".to_owned())?
+        {
+            Ok(Some(body)) => body,
+            Ok(None) => {
+                flight.record_failure(clock::now());
+                return Err("the body of an error response exceeds the size limit".to_owned());
+            }
+            Err(error) => {
+                loss::report_broken_connection(core, job, &mut flight, sent, Some(Instant::now()))
                     .await;
-                    return Err(error.to_string());
-                }
-            };
-            return Ok(Opened::Complete(caller_response(
-                head.status,
-                &head.headers,
-                full_body(body),
-            )));
-        }
-        let mut stream = UpstreamStream {
-            flight,
-            sent,
-            body,
-            _connection: exchange.connection,
-            splitter: EventSplitter::default(),
-            status: head.status,
-            headers: head.headers,
-            first_events: None,
-            begun_at: None,
-            event_received: false,
+                return Err(error.to_string());
+            }
         };
-        let first = self.read_events(&mut stream).await?;
-        stream.first_events = Some(first.unwrap_or(EventBatch {
-            bytes: Bytes::new(),
-            ids: Vec::new(),
-        }));
-        Ok(Opened::Stream(Box::new(stream)))
+        return Ok(Opened::Complete(caller_response(
+            head.status,
+            &head.headers,
+            full_body(body),
+        )));
     }
+    let mut stream = UpstreamStream {
+        flight,
+        sent,
+        body,
+        _connection: exchange.connection,
+        splitter: EventSplitter::default(),
+        status: head.status,
+        headers: head.headers,
+        first_events: None,
+        begun_at: None,
+        event_received: false,
+        silent_since: Instant::now(),
+        patient_until: Instant::now(),
+    };
+    stream.first_events = Some(read_first(core, job, &mut stream, resumed).await?);
+    Ok(Opened::Stream(Box::new(stream)))
+}
 
-    /// Reads the next complete events from an upstream; `None` at the end of the stream.
-    pub(super) async fn read_events(
-        &self,
-        stream: &mut UpstreamStream,
-    ) -> Result<Option<EventBatch>, String> {
-        let mut silent_since = Instant::now();
-        loop {
-            // An upstream that sends without a pause never runs into a timeout.
-            if Instant::now() >= self.job.deadline + READ_GRACE {
-                return Err("request deadline expired".to_owned());
-            }
-            let until = self
-                .silence_deadline(stream, silent_since)
-                .min(stream.next_check());
-            let frame = tokio::select! {
-                biased;
-                frame = timeout_at(until, stream.body.frame()) => frame,
-                () = self.core.quarantine.wait_until_refused(self.job.subjects()), if stream.begun_at.is_none() => {
-                    return Err(QUARANTINED.to_owned());
-                }
-            };
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
-                    return Err(self.report_broken(stream, &error.to_string()).await);
-                }
-                Ok(None) if stream.splitter.is_partial() => {
-                    return Err(self
-                        .report_broken(stream, "stream ended within an event")
-                        .await);
-                }
-                Ok(None) => return Ok(None),
-                Err(_) if Instant::now() >= self.job.deadline => {
-                    return Err("request deadline expired".to_owned());
-                }
-                Err(_) if stream.weights_expired() => return Err(WEIGHTS_EXPIRED.to_owned()),
-                Err(_) if Instant::now() < self.silence_deadline(stream, silent_since) => continue,
-                Err(_) if Self::is_active_on_other_connections(stream, silent_since) => {
-                    return Err(
-                        "stream went silent while its upstream sent on other connections"
-                            .to_owned(),
-                    );
-                }
-                Err(_) => {
-                    stream.flight.record_failure(clock::now());
-                    let loss = BrokenAnswer::new(
-                        &self.job,
-                        &mut stream.flight,
-                        stream.sent,
-                        stream.begun_at,
-                    );
-                    loss.report_silence(&self.core);
-                    return Err("upstream went silent".to_owned());
-                }
-            };
-            stream.flight.record_received(clock::now());
-            silent_since = Instant::now();
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let begun_at = *stream.begun_at.get_or_insert(silent_since);
-            if let Some(permit) = &mut stream.flight.permit
-                && begun_at.elapsed() >= ANSWERED_FOR
-            {
-                permit.end_turn();
-            }
-            let Ok(events) = stream.splitter.push(&data) else {
-                stream.flight.record_failure(clock::now());
-                return Err("event exceeds the size limit".to_owned());
-            };
-            if let Some(events) = events {
-                stream.event_received = true;
-                return Ok(Some(events));
+/// Reads the first events.
+async fn read_first(
+    core: &Arc<Core>,
+    job: &Job,
+    stream: &mut UpstreamStream,
+    resumed: Option<u64>,
+) -> Result<EventBatch, String> {
+    loop {
+        let read = read_events(core, job, stream, None).await?;
+        let events = match (read, resumed) {
+            (Read::Events(events), _) => events,
+            (Read::End, None) => return Ok(EventBatch::default()),
+            // The head and the end of a second run do not show that it goes on where the first one stopped.
+            (Read::End, Some(_)) => return Err("resumed stream ended without an event".to_owned()),
+            (Read::Silent, _) => continue,
+        };
+        let Some(last) = resumed else {
+            return Ok(events);
+        };
+        match events.first_number() {
+            // Comments may come before the first event.
+            None => {}
+            Some(Some(first)) if first == last + 1 => return Ok(events),
+            Some(first) => {
+                return Err(format!(
+                    "resumed stream began with event {first:?} after event {last}"
+                ));
             }
         }
     }
+}
 
-    /// Reports that a stream's connection broke, and returns the reason.
-    async fn report_broken(&self, stream: &mut UpstreamStream, why: &str) -> String {
-        let (sent, begun) = (stream.sent, stream.begun_at);
-        loss::report_broken_connection(&self.core, &self.job, &mut stream.flight, sent, begun)
-            .await;
-        why.to_owned()
-    }
-
-    /// Until when silence is tolerated.
-    fn silence_deadline(&self, stream: &UpstreamStream, silent_since: Instant) -> Instant {
-        // Without another engine to resume at, waiting is better: the response may still continue.
-        if !self.can_move()
-            || !self
-                .retry
-                .may_abandon(&self.core, &self.job, &stream.flight.id)
+/// Reads the next complete events from an upstream.
+///
+/// [`Read::Silent`] is returned only with the attempts of the request, which say whether another upstream may be asked.
+/// Nothing is lost if the future is dropped.
+pub(super) async fn read_events(
+    core: &Arc<Core>,
+    job: &Job,
+    stream: &mut UpstreamStream,
+    retry: Option<&RetryState>,
+) -> Result<Read, String> {
+    loop {
+        // An upstream that sends without a pause never runs into a timeout.
+        if Instant::now() >= job.deadline + READ_GRACE {
+            return Err("request deadline expired".to_owned());
+        }
+        let until = silence_deadline(core, job, stream, retry).min(stream.next_check());
+        let frame = tokio::select! {
+            biased;
+            frame = timeout_at(until, stream.body.frame()) => frame,
+            () = core.quarantine.wait_until_refused(job.subjects()), if stream.begun_at.is_none() => {
+                return Err(QUARANTINED.to_owned());
+            }
+        };
+        let frame = match frame {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => {
+                return Err(report_broken(core, job, stream, &error.to_string()).await);
+            }
+            Ok(None) if stream.splitter.is_partial() => {
+                let why = "stream ended within an event";
+                return Err(report_broken(core, job, stream, why).await);
+            }
+            Ok(None) => return Ok(Read::End),
+            Err(_) if Instant::now() >= job.deadline => {
+                return Err("request deadline expired".to_owned());
+            }
+            Err(_) if stream.weights_expired() => return Err(WEIGHTS_EXPIRED.to_owned()),
+            Err(_) if Instant::now() < silence_deadline(core, job, stream, retry) => continue,
+            Err(_) if retry.is_none() => continue,
+            Err(_) => return Ok(Read::Silent),
+        };
+        stream.flight.record_received(clock::now());
+        stream.silent_since = Instant::now();
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let begun_at = *stream.begun_at.get_or_insert(stream.silent_since);
+        if let Some(permit) = &mut stream.flight.permit
+            && begun_at.elapsed() >= ANSWERED_FOR
         {
-            return self.job.deadline;
+            permit.end_turn();
+        }
+        let Ok(events) = stream.splitter.push(&data) else {
+            stream.flight.record_failure(clock::now());
+            return Err("event exceeds the size limit".to_owned());
+        };
+        if let Some(events) = events {
+            stream.event_received = true;
+            return Ok(Read::Events(events));
         }
-        let active_on_other_connections =
-            Self::is_active_on_other_connections(stream, silent_since);
-        let tolerated = timeouts::stream(stream.event_received, active_on_other_connections);
-        self.job.deadline.min(silent_since + tolerated)
     }
+}
 
-    /// Whether bytes arrived from the upstream on another connection since.
-    fn is_active_on_other_connections(stream: &UpstreamStream, silent_since: Instant) -> bool {
-        let silent = clock::now().since(stream.flight.last_received());
-        silent + Duration::from_millis(1) < silent_since.elapsed()
-    }
+/// Reports that a stream's connection broke, and returns the reason.
+async fn report_broken(
+    core: &Arc<Core>,
+    job: &Job,
+    stream: &mut UpstreamStream,
+    why: &str,
+) -> String {
+    let (sent, begun) = (stream.sent, stream.begun_at);
+    loss::report_broken_connection(core, job, &mut stream.flight, sent, begun).await;
+    why.to_owned()
+}
+
+/// Until when nothing is done about an upstream's silence.
+fn silence_deadline(
+    core: &Core,
+    job: &Job,
+    stream: &UpstreamStream,
+    retry: Option<&RetryState>,
+) -> Instant {
+    let at = &stream.flight.id;
+    let asks =
+        retry.filter(|retry| retry.can_run_beside(job) && retry.may_ask_another(core, job, at));
+    let Some(retry) = asks else {
+        return job.deadline;
+    };
+    let silence = Silence {
+        started: stream.event_received,
+        active_elsewhere: stream.is_active_elsewhere(),
+        common: stream.silent_since.elapsed() >= SILENT_AFTER
+            && core
+                .fleet
+                .lock()
+                .is_silence_common(&retry.service, at, clock::now()),
+    };
+    let until = (stream.silent_since + silence.tolerated()).max(stream.patient_until);
+    job.deadline.min(until)
 }
--- a/crates/sesamegap-entry/tests/testsuite/silent_streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/silent_streams.rs
@@ -1,8 +1,10 @@
 //! Resumable streams whose engine falls silent, and what becomes of them at two engines.
 
 use crate::support::{Act, Answer, Caller, Process, Upstream, request, request_of, wait_until};
+use sesamegap_entry::clock;
 use sesamegap_entry::core::Phase;
 use sesamegap_entry::process;
+use sesamegap_policy::routing::timeouts::SILENT_AFTER;
 use std::time::Duration;
 
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
@@ -130,6 +132,41 @@
     assert_eq!(arrivals, 6, "no stream is sent twice");
 }
 
+/// Guards against a pause of all engines that counts as the silence of one.
+#[tokio::test]
+async fn engines_that_are_silent_together_are_told_apart_from_one() {
+    let process = Process::new().await;
+    let stalled = Act::StalledEvents(1..3);
+    let mut callers = Vec::new();
+    let mut engines = Vec::new();
+    let service = "engines".parse().unwrap();
+    let is_common = |id: &str| {
+        let fleet = process.core.fleet.lock();
+        fleet.is_silence_common(&service, &id.parse().unwrap(), clock::now())
+    };
+    for id in ["e1", "e2"] {
+        let engine = Upstream::start(vec![stalled.clone()]).await;
+        process.add(id, "engines", engine.addr);
+        // Requests go to either engine.
+        while engine.seen().is_empty() {
+            let mut caller = Caller::connect(process.callers).await;
+            let name = format!("r{}", callers.len());
+            caller
+                .send(&request_of(&name, "POST", "/chat/", CHAT, ""))
+                .await;
+            caller.until("t2").await;
+            callers.push(caller);
+        }
+        if id == "e1" {
+            tokio::time::sleep(SILENT_AFTER).await;
+            assert!(!is_common("e1"), "nothing is known of others");
+        }
+        engines.push(engine);
+    }
+    tokio::time::sleep(SILENT_AFTER).await;
+    assert!(is_common("e1") && is_common("e2"));
+}
+
 /// Guards against a stream that waits for an engine that never returns.
 #[tokio::test]
 async fn a_stream_goes_on_elsewhere_if_its_engine_stays_silent() {
--- a/crates/sesamegap-entry/tests/testsuite/sse.rs
+++ b/crates/sesamegap-entry/tests/testsuite/sse.rs
@@ -28,3 +28,22 @@
     let piece = vec![b'x'; 64 << 10];
     assert!((0..8).any(|_| splitter.push(&piece).is_err()));
 }
+
+/// Guards against a second run that is joined to the first by a comment, or by the number of a later event.
+#[test]
+fn the_number_of_the_first_event_is_told() {
+    let numbers = [
+        ("id: 7\ndata: a\n\nid: 8\ndata: b\n\n", Some(Some(7))),
+        ("data: a\r\nid: 7\r\n\r\n", Some(Some(7))),
+        (": ping\n\nid: 7\ndata: a\n\n", Some(Some(7))),
+        ("data: a\n\nid: 8\ndata: b\n\n", Some(None)),
+        ("id: x\ndata: a\n\n", Some(None)),
+        (": ping\n\n", None),
+        ("retry: 10\n\n", None),
+    ];
+    for (text, number) in numbers {
+        let pushed = EventSplitter::default().push(text.as_bytes());
+        let events = pushed.unwrap().unwrap();
+        assert_eq!(events.first_number(), number, "{text:?}");
+    }
+}
