A stream that is taken up begins with the next event

Callers that took a stream up after event 3 got whatever their upstream sent: events 1 to 5, or 5 alone, with a success and the upstream's seal.

Cause: the order of events was checked from the first event of a request on, and not from the event that the caller named.

Change: the event that the caller has counts as the last one passed on. A run that begins with another one is a failed try, so that the head is not sent. A run that ends without an event is passed on, unlike in a stream that this process resumed: the stream may have broken off behind its last event, and the caller can tell.

Failed before, passes now: silent_streams::a_stream_that_is_taken_up_begins_with_the_next_event, left: (200, Some("s-r1")) right: (502, None)

--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -47,7 +47,7 @@
     retry: RetryState,
     /// Whether the caller got the head.
     has_begun: bool,
-    /// Id of the last event sent to the caller.
+    /// Id of the last event that the caller has, from here or before.
     last_event_id: Option<u64>,
     /// The version that was recorded to have begun the stream.
     recorded: Option<SoftwareVersion>,
@@ -57,12 +57,13 @@
 pub async fn run(core: Arc<Core>, job: Job) -> Response<Body> {
     let mut log = RequestLog::new(&core, &job);
     let retry = RetryState::new(&job);
+    let last_event_id = last_event_id(&job);
     let mut relay = StreamRelay {
         core,
         job: Arc::new(job),
         retry,
         has_begun: false,
-        last_event_id: None,
+        last_event_id,
         recorded: None,
     };
     match relay.open().await {
@@ -85,6 +86,12 @@
     }
 }
 
+/// Id of the last event that the caller has of a stream that it takes up.
+fn last_event_id(job: &Job) -> Option<u64> {
+    let after = job.head.after.as_ref()?;
+    job.takes_up().then(|| after.parse().ok())?
+}
+
 /// The response body: events of one upstream, continued at others after failures.
 fn relay_body(
     mut relay: StreamRelay,
--- a/crates/sesamegap-entry/src/relay/stream/opening.rs
+++ b/crates/sesamegap-entry/src/relay/stream/opening.rs
@@ -5,7 +5,7 @@
 //! for no longer than an event takes to arrive here.
 
 use super::StreamRelay;
-use super::reading::{UpstreamStream, read_start};
+use super::reading::{Position, UpstreamStream, read_start};
 use crate::clock;
 use crate::core::Core;
 use crate::fleet::Flight;
@@ -272,15 +272,6 @@
     }
 }
 
-/// Where a run begins.
-#[derive(Debug, Clone, Copy)]
-struct Position {
-    /// The event after which it begins.
-    after: Option<u64>,
-    /// Whether the caller has the head and part of the stream from another run.
-    is_resumed: bool,
-}
-
 /// Sends the request to an upstream, and reads up to the first event.
 async fn run_at(
     core: Arc<Core>,
@@ -297,8 +288,7 @@
         Outcome::Lost(_) => return Attempted::Lost,
     };
     answered_at.get_or_init(Instant::now);
-    let resumed = position.after.filter(|_| position.is_resumed);
-    match read_start(&core, &job, answered, resumed).await {
+    match read_start(&core, &job, answered, position).await {
         Ok(opened) => Attempted::Opened(opened),
         Err(why) => {
             warn!(event = events::ATTEMPT, request = %job.head.id, upstream = %id, why, "invalid response to a stream request");
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -46,6 +46,15 @@
     pub(super) patient_until: Instant,
 }
 
+/// Where a run begins.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Position {
+    /// The event after which it begins.
+    pub(super) after: Option<u64>,
+    /// Whether the caller has the head and part of the stream from another run.
+    pub(super) is_resumed: bool,
+}
+
 /// What an upstream's stream brought.
 #[derive(Debug)]
 pub(super) enum Read {
@@ -107,12 +116,12 @@
 
 /// Reads up to the first complete event, or an error response to its end.
 ///
-/// A run that resumes a stream must begin with the event that follows `resumed`.
+/// A run that resumes a stream must begin with the event that follows.
 pub(super) async fn read_start(
     core: &Arc<Core>,
     job: &Job,
     answered: Answered,
-    resumed: Option<u64>,
+    position: Position,
 ) -> Result<Opened, String> {
     let Answered {
         mut flight,
@@ -162,7 +171,7 @@
         silent_since: Instant::now(),
         patient_until: Instant::now(),
     };
-    stream.first_events = Some(read_first(core, job, &mut stream, resumed).await?);
+    stream.first_events = Some(read_first(core, job, &mut stream, position).await?);
     Ok(Opened::Stream(Box::new(stream)))
 }
 
@@ -171,18 +180,18 @@
     core: &Arc<Core>,
     job: &Job,
     stream: &mut UpstreamStream,
-    resumed: Option<u64>,
+    position: Position,
 ) -> Result<EventBatch, String> {
     loop {
         let read = read_events(core, job, stream, None).await?;
-        let events = match (read, resumed) {
-            (Read::Events(events), _) => events,
-            (Read::End, None) => return Ok(EventBatch::default()),
+        let events = match read {
+            Read::Events(events) => events,
+            Read::End if !position.is_resumed => return Ok(EventBatch::default()),
             // The head and the end of a second run do not show that it goes on where the first one stopped.
-            (Read::End, Some(_)) => return Err("resumed stream ended without an event".to_owned()),
-            (Read::Silent, _) => continue,
+            Read::End => return Err("resumed stream ended without an event".to_owned()),
+            Read::Silent => continue,
         };
-        let Some(last) = resumed else {
+        let Some(last) = position.after else {
             return Ok(events);
         };
         match events.first_number() {
--- a/crates/sesamegap-entry/tests/testsuite/silent_streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/silent_streams.rs
@@ -1,6 +1,8 @@
 //! Resumable streams whose engine falls silent, and what becomes of them at two engines.
 
-use crate::support::{Act, Answer, Caller, Process, Upstream, request, request_of, wait_until};
+use crate::support::{
+    Act, Answer, Caller, Process, Upstream, ask, request, request_of, wait_until,
+};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Phase;
 use sesamegap_entry::process;
@@ -271,3 +273,33 @@
     assert!(!answer.is_complete, "{answer:?}");
     assert_eq!(answer.body, events(1..4));
 }
+
+/// Guards against a stream that a caller takes up, and that begins anew or elsewhere behind what the caller has.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_begins_with_the_next_event() {
+    let process = Process::new().await;
+    let ranges = [1..4, 1..6, 5..6, 4..6, 6..6];
+    let acts = ranges.into_iter().map(Act::Events).collect();
+    let engine = Upstream::start(acts).await;
+    process.add("e1", "engines", engine.addr);
+    let begun = ask(process.callers, "POST", "/review/", CHAT, "").await;
+    assert_eq!(begun.body, events(1..4));
+    let take_up = format!("{CHAT}x-after: 3\r\nx-resumes: r1\r\n");
+    for _ in 0..2 {
+        let answer = ask(process.callers, "POST", "/review/", &take_up, "").await;
+        assert_eq!(
+            (answer.status, answer.header("x-seal")),
+            (502, None),
+            "{answer:?}"
+        );
+    }
+    let answer = ask(process.callers, "POST", "/review/", &take_up, "").await;
+    assert_eq!(answer.body, events(4..6));
+    // Its first run may have broken off behind the last event.
+    let answer = ask(process.callers, "POST", "/review/", &take_up, "").await;
+    assert_eq!(
+        (answer.status, answer.is_complete),
+        (200, true),
+        "{answer:?}"
+    );
+}
