An error of a second upstream does not replace a silent first one

Before its first event, a stream whose engine was silent for 2.5 s ended with the 500 of the engine that was asked beside it, though its own engine answered a second later.

Cause: an error answer was passed on as the answer of the request, also by the second of two runs.

Change: beside a silent upstream an error answer is a failed try, as it is in the middle of a stream.

Failed before, passes now: silent_streams::silence_before_the_head_ends_no_stream, left: "failed" right: "id: 1\ndata: t1\n\n ... id: 5\ndata: t5\n\n"

--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -47,6 +47,8 @@
     retry: RetryState,
     /// Whether the caller got the head.
     has_begun: bool,
+    /// Whether another upstream, which is silent, still has the request.
+    is_beside: bool,
     /// Id of the last event that the caller has, from here or before.
     last_event_id: Option<u64>,
     /// The version that was recorded to have begun the stream.
@@ -63,6 +65,7 @@
         job: Arc::new(job),
         retry,
         has_begun: false,
+        is_beside: false,
         last_event_id,
         recorded: None,
     };
--- a/crates/sesamegap-entry/src/relay/stream/opening.rs
+++ b/crates/sesamegap-entry/src/relay/stream/opening.rs
@@ -151,9 +151,11 @@
                     Beside::Neither => Attempted::Lost,
                 };
                 match attempted {
-                    Attempted::Opened(Opened::Complete(response)) if self.has_begun => {
-                        // The caller has the head and part of a stream; an error cannot follow.
-                        warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, status = response.status().as_u16(), why = "failed to resume the stream", "invalid response to a stream request");
+                    Attempted::Opened(Opened::Complete(response))
+                        if self.has_begun || self.is_beside =>
+                    {
+                        // An error cannot follow a part of a stream, and must not precede the answer of a silent upstream.
+                        warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, status = response.status().as_u16(), why = "failed to go on", "invalid response to a stream request");
                     }
                     Attempted::Opened(opened) => return Ok(opened),
                     Attempted::NotRun(why) => {
@@ -243,6 +245,7 @@
         }
         info!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %silent, passed = self.last_event_id, why = "silent for longer than a pause", "another upstream is asked beside it");
         self.retry.record_run(silent.clone());
+        let is_inner = std::mem::replace(&mut self.is_beside, true);
         let beside = {
             let mut second = self.open();
             tokio::select! {
@@ -258,6 +261,7 @@
                 opened = &mut second => opened.map_or(Beside::Neither, |opened| Beside::Second(opened, Fate::Silent)),
             }
         };
+        self.is_beside = is_inner;
         let why = match &beside {
             Beside::First(_) => "the silent one went on or ended",
             Beside::Second(..) => "the second one went on",
--- a/crates/sesamegap-entry/tests/testsuite/silent_streams.rs
+++ b/crates/sesamegap-entry/tests/testsuite/silent_streams.rs
@@ -6,7 +6,7 @@
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Phase;
 use sesamegap_entry::process;
-use sesamegap_policy::routing::timeouts::SILENT_AFTER;
+use sesamegap_policy::routing::timeouts::{FIRST_EVENT_BUSY, SILENT_AFTER};
 use std::time::Duration;
 
 const CHAT: &str = "x-model: m\r\nx-parts: preamble,own\r\n";
@@ -109,6 +109,37 @@
     stays_whole_beside(Act::Events(1..6)).await;
 }
 
+/// Guards against a stream that is given up before its head, while the other engine refuses, fails or is silent too.
+#[tokio::test]
+async fn silence_before_the_head_ends_no_stream() {
+    let others = [
+        Act::NotRun(503),
+        Act::Answer(500, "failed"),
+        Act::Close,
+        Act::Silent,
+    ];
+    let mut tasks = Vec::new();
+    for other in others {
+        tasks.push(tokio::spawn(async move {
+            let process = Process::new().await;
+            let late = Act::After(FIRST_EVENT_BUSY + PAUSE, Box::new(Act::Events(1..6)));
+            let first = Upstream::start(vec![late]).await;
+            let other = Upstream::start(vec![other]).await;
+            process.add("e1", "engines", first.addr);
+            let mut caller = Caller::connect(process.callers).await;
+            caller.send(&request("POST", "/review/", CHAT, "")).await;
+            wait_until(|| first.seen().len() == 1).await;
+            process.add("e2", "engines", other.addr);
+            let answer = caller.answer().await;
+            wait_until(|| other.closed() == other.seen().len()).await;
+            answer
+        }));
+    }
+    for task in tasks {
+        assert_whole(&task.await.unwrap());
+    }
+}
+
 /// Guards against streams that all leave their engines for other silent ones, and are paid for twice.
 #[tokio::test]
 async fn a_pause_of_all_engines_moves_no_stream() {
