A plain request stays at a silent worker until another one answers

Callers of idempotent requests got the 500 of a second worker, or a 502 if the retry budget was used up, though their own worker only paused and answered a moment later.

Cause: as for streams, the connection was closed after 2.5 times the objective, before another worker had answered.

Change: the request waits at its worker while another one is asked. The first good answer counts, and an error of the second worker only if the first one has nothing better. Without a retry in the budget, or without another worker, the request waits where it is. A worker that is silent is avoided by others, and reported, as before.

--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -7,6 +7,7 @@
 use crate::quarantine::{ProcessState, TrialPermit, UpstreamLoss};
 use crate::telemetry::events;
 use sesamegap_policy::quarantine::Crash;
+use sesamegap_wire::UpstreamId;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,6 +57,21 @@
     }
 }
 
+/// Reports that a request is no longer waited for at a silent upstream, since another one goes on with it. Whether the
+/// silent one ended follows from the fleet list.
+pub fn report_given_up(core: &Core, job: &Job, upstream: UpstreamId, life: u64) {
+    core.quarantine.record_unconfirmed_loss(UpstreamLoss {
+        subjects: Arc::clone(job.subjects()),
+        upstream,
+        crash: Crash {
+            life,
+            trial: false,
+            begun: false,
+        },
+        at: None,
+    });
+}
+
 impl BrokenAnswer {
     /// Captures the request's current state; takes its trial permit.
     pub fn new(job: &Job, flight: &mut Flight, sent: Instant, begun: Option<Instant>) -> Self {
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -1,27 +1,32 @@
 //! Relays buffered responses of plain services.
 //!
 //! A response is read to its end before its head is sent to the caller. If the upstream breaks off, the request
-//! can still be retried where the route allows it, and otherwise fails with an error status.
+//! can still be retried where the route allows it, and otherwise fails with an error status. While an upstream keeps a
+//! retryable request waiting, another one is asked beside it.
 
-use super::attempt::{Answered, Outcome, falsely_implies_not_run, send};
+use super::attempt::{Answered, NotRun, Outcome, falsely_implies_not_run, send};
 use super::headers::caller_headers;
 use super::loss::{self, BrokenAnswer};
 use super::request_log::RequestLog;
-use super::retry::RetryState;
+use super::retry::{self, RetryState};
 use super::waiting::wait_for_upstream;
 use crate::clock;
 use crate::core::Core;
+use crate::fleet::Flight;
 use crate::intake::{Body, full_body, refusal_response};
 use crate::job::Job;
 use crate::refusal::Refusal;
+use crate::telemetry::events;
 use crate::upstream::ResponseBody;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use sesamegap_policy::routing::timeouts;
-use std::sync::Arc;
-use tokio::time::{Instant, timeout_at};
+use std::pin::{Pin, pin};
+use std::sync::{Arc, OnceLock};
+use tokio::time::{Instant, timeout, timeout_at};
+use tracing::info;
 
 /// Largest response that is buffered, in bytes; what follows in a longer one is streamed.
 pub(super) const BUFFER_LIMIT: usize = 256 << 10;
@@ -39,47 +44,138 @@
     response
 }
 
-async fn try_upstreams(
-    core: &Arc<Core>,
-    job: &Job,
-    retry: &mut RetryState,
-) -> Result<Response<Body>, Refusal> {
-    let mut failure: Option<Response<Body>> = None;
-    loop {
-        let flight = match wait_for_upstream(core, job, retry).await {
-            Ok(flight) => flight,
-            Err(refusal) => return failure.ok_or(refusal),
-        };
-        let is_last = !job.route.kind.is_repeatable() || retry.runs + 1 >= job.route.attempts;
-        let time = if is_last {
-            job.time_left()
-        } else {
-            timeouts::plain(job.route.objective)
-        };
-        let (id, outcome) = send(core, job, flight, time, None).await;
-        let may_have_run = match outcome {
-            Outcome::Answered(answered) => match read_answer(core, job, *answered).await {
-                Some(response) if !is_server_failure(&response) => {
+/// What became of an attempt.
+#[derive(Debug)]
+enum Attempted {
+    /// A complete response.
+    Answered(Response<Body>),
+    /// The request did not run and will not.
+    NotRun(NotRun),
+    /// The request may have run.
+    Lost,
+}
+
+impl Attempted {
+    /// Whether another upstream may do better.
+    fn has_failed(&self) -> bool {
+        !matches!(self, Self::Answered(response) if !is_server_failure(response))
+    }
+
+    /// This one, unless it brought no answer and the other one did.
+    fn or(self, other: Option<Self>) -> Self {
+        match (self, other) {
+            (Self::NotRun(_) | Self::Lost, Some(other)) => other,
+            (own, _) => own,
+        }
+    }
+}
+
+/// What an upstream and others beside it brought.
+#[derive(Debug)]
+struct Beside {
+    first: Option<Attempted>,
+    second: Option<Response<Body>>,
+}
+
+/// Sends the request until an upstream answers it.
+fn try_upstreams<'a>(
+    core: &'a Arc<Core>,
+    job: &'a Job,
+    retry: &'a mut RetryState,
+) -> Pin<Box<dyn Future<Output = Result<Response<Body>, Refusal>> + Send + 'a>> {
+    // An attempt beside a silent one is made in the same way.
+    Box::pin(async move {
+        let mut failure: Option<Response<Body>> = None;
+        loop {
+            let flight = match wait_for_upstream(core, job, retry).await {
+                Ok(flight) => flight,
+                Err(refusal) => return failure.ok_or(refusal),
+            };
+            let id = flight.id.clone();
+            let may_have_run = match attempt(core, job, flight, retry).await {
+                Attempted::Answered(response) if !is_server_failure(&response) => {
                     retry.record_run(id);
                     return Ok(response);
                 }
-                Some(response) => {
+                Attempted::Answered(response) => {
                     failure = Some(response);
                     true
                 }
-                None => true,
-            },
-            Outcome::NotRun(why) => {
-                if !retry.should_retry_not_run(core, id.clone(), why) {
-                    return failure.ok_or(retry.no_upstream());
+                Attempted::NotRun(why) => {
+                    if !retry.should_retry_not_run(core, id.clone(), why) {
+                        return failure.ok_or(retry.no_upstream());
+                    }
+                    false
                 }
-                false
+                Attempted::Lost => true,
+            };
+            if may_have_run && !retry.should_retry_possible_run(core, job, id) {
+                return failure.ok_or(job.lost_refusal());
+            }
+        }
+    })
+}
+
+/// Sends the request to an upstream, and to others too while this one keeps it waiting. The first good answer counts.
+async fn attempt(core: &Arc<Core>, job: &Job, flight: Flight, retry: &mut RetryState) -> Attempted {
+    let (id, life) = (flight.id.clone(), flight.life());
+    let is_trial = flight.permit.is_some();
+    let tolerated = timeouts::plain(job.route.objective);
+    let answered = OnceLock::new();
+    let mut run = pin!(run_at(core, job, flight, &answered));
+    loop {
+        if let Ok(attempted) = timeout(tolerated, run.as_mut()).await {
+            return attempted;
+        }
+        let may_ask = !is_trial && answered.get().is_none() && retry.can_repeat_beside(job);
+        if !may_ask || !retry.has_other_upstream(core, job, Some(&id)) || !retry.try_charge(core) {
+            continue;
+        }
+        retry::record_silence(core, &id, life, tolerated);
+        info!(event = events::ATTEMPT, request = %job.head.id, upstream = %id, why = "no response head in the time for one worker", "another upstream is asked beside it");
+        retry.record_run(id.clone());
+        let beside = {
+            let mut second = try_upstreams(core, job, retry);
+            tokio::select! {
+                biased;
+                first = run.as_mut() => Beside {
+                    // The others are awaited only if this one came to nothing.
+                    second: if first.has_failed() { second.await.ok() } else { None },
+                    first: Some(first),
+                },
+                second = &mut second => Beside { first: None, second: second.ok() },
             }
-            Outcome::Lost(_) => true,
         };
-        if may_have_run && !retry.should_retry_possible_run(core, job, id) {
-            return failure.ok_or(job.lost_refusal());
+        retry.take_back_run(&id);
+        let second = beside.second.map(Attempted::Answered);
+        return match (beside.first, second) {
+            (Some(_), Some(second)) if !second.has_failed() => second,
+            (None, Some(second)) if !second.has_failed() => {
+                loss::report_given_up(core, job, id, life);
+                second
+            }
+            (Some(first), second) => first.or(second),
+            (None, second) => run.await.or(second),
+        };
+    }
+}
+
+/// Sends the request to an upstream and reads its answer.
+async fn run_at(
+    core: &Arc<Core>,
+    job: &Job,
+    flight: Flight,
+    answered_at: &OnceLock<Instant>,
+) -> Attempted {
+    let (_, outcome) = send(core, job, flight, job.time_left(), None).await;
+    match outcome {
+        Outcome::Answered(answered) => {
+            answered_at.get_or_init(Instant::now);
+            let response = read_answer(core, job, *answered).await;
+            response.map_or(Attempted::Lost, Attempted::Answered)
         }
+        Outcome::NotRun(why) => Attempted::NotRun(why),
+        Outcome::Lost(_) => Attempted::Lost,
     }
 }
 
@@ -156,7 +252,7 @@
 fn stream_rest<G: Send + 'static>(
     core: Arc<Core>,
     first_bytes: Bytes,
-    rest: (ResponseBody, G, crate::fleet::Flight),
+    rest: (ResponseBody, G, Flight),
     loss: BrokenAnswer,
     deadline: Instant,
 ) -> Body {
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -162,8 +162,13 @@
 
     /// Whether the route allows a run beside the present one.
     pub fn can_run_beside(&self, job: &Job) -> bool {
-        let is_resumable = job.route.kind == Kind::ResumableStream;
-        is_resumable && self.runs + 1 < job.route.attempts && job.time_left() > MIN_ATTEMPT_TIME
+        job.route.kind == Kind::ResumableStream && self.can_repeat_beside(job)
+    }
+
+    /// Whether the route allows an answer from the start beside the present one.
+    pub fn can_repeat_beside(&self, job: &Job) -> bool {
+        let is_allowed = job.route.kind.is_repeatable() && self.runs + 1 < job.route.attempts;
+        is_allowed && job.time_left() > MIN_ATTEMPT_TIME
     }
 
     /// Whether the route and the time left allow another run.
@@ -227,3 +232,13 @@
         others.any(|id| !self.excluded.contains(id) && fleet.get(id).is_some_and(is_open))
     }
 }
+
+/// Records that an upstream keeps a request waiting, if it is silent on all connections for this long.
+pub fn record_silence(core: &Core, id: &UpstreamId, life: u64, silent: Duration) {
+    let now = clock::now();
+    let mut fleet = core.fleet.lock();
+    let listed = fleet.get(id).filter(|listed| listed.life == life);
+    if listed.is_some_and(|listed| now.since(listed.last_received) >= silent) {
+        fleet.record_failure(id, now);
+    }
+}
--- a/crates/sesamegap-entry/src/relay/stream/opening.rs
+++ b/crates/sesamegap-entry/src/relay/stream/opening.rs
@@ -11,13 +11,13 @@
 use crate::fleet::Flight;
 use crate::intake::Body;
 use crate::job::Job;
-use crate::quarantine::UpstreamLoss;
 use crate::refusal::Refusal;
 use crate::relay::attempt::{NotRun, Outcome, send};
+use crate::relay::loss;
+use crate::relay::retry::record_silence;
 use crate::relay::waiting::wait_for_upstream;
 use crate::telemetry::events;
 use http::Response;
-use sesamegap_policy::quarantine::Crash;
 use sesamegap_policy::routing::timeouts::{self, Silence};
 use sesamegap_wire::UpstreamId;
 use std::pin::{Pin, pin};
@@ -106,33 +106,6 @@
         };
         since.elapsed() >= silence.tolerated()
     }
-
-    /// Records that it is silent for longer than a pause.
-    fn record_silence(&self, core: &Core) {
-        let now = clock::now();
-        let mut fleet = core.fleet.lock();
-        let listed = fleet.get(&self.upstream);
-        let is_silent = listed.is_some_and(|listed| {
-            listed.life == self.life && now.since(listed.last_received) >= timeouts::PAUSE
-        });
-        if is_silent {
-            fleet.record_failure(&self.upstream, now);
-        }
-    }
-
-    /// Reports that another upstream goes on with its request, since it was silent.
-    fn report_given_up(self, core: &Core, job: &Job) {
-        core.quarantine.record_unconfirmed_loss(UpstreamLoss {
-            subjects: Arc::clone(job.subjects()),
-            upstream: self.upstream,
-            crash: Crash {
-                life: self.life,
-                trial: false,
-                begun: false,
-            },
-            at: None,
-        });
-    }
 }
 
 impl StreamRelay {
@@ -213,14 +186,19 @@
             if !may_ask {
                 continue;
             }
-            waiting.record_silence(&self.core);
+            record_silence(&self.core, &waiting.upstream, waiting.life, timeouts::PAUSE);
             let beside = self.open_beside(&waiting.upstream, run.as_mut(), Attempted::has_failed);
             match beside.await {
                 Beside::Neither => patience = timeouts::NEXT_TRY,
                 Beside::First(attempted) => return Beside::First(attempted),
                 Beside::Second(opened, fate) => {
                     if fate == Fate::Silent {
-                        waiting.report_given_up(&self.core, &self.job);
+                        loss::report_given_up(
+                            &self.core,
+                            &self.job,
+                            waiting.upstream,
+                            waiting.life,
+                        );
                     }
                     return Beside::Second(opened, fate);
                 }
--- a/crates/sesamegap-entry/tests/testsuite/silence.rs
+++ b/crates/sesamegap-entry/tests/testsuite/silence.rs
@@ -28,6 +28,25 @@
     assert_eq!((worker.seen().len(), engine.seen().len()), (1, 1));
 }
 
+/// Guards against an idempotent request that is given up at a silent worker, and fails since the other worker does.
+#[tokio::test]
+async fn an_idempotent_request_survives_a_pause_beside_a_worker_that_fails() {
+    let process = Process::new().await;
+    let late = Act::After(
+        Duration::from_millis(2_600),
+        Box::new(Act::Answer(200, "done")),
+    );
+    let paused = Upstream::start(vec![late]).await;
+    let failing = Upstream::start(vec![Act::Answer(500, "failed")]).await;
+    process.add("w0", "desk", paused.addr);
+    let answer = tokio::spawn(ask(process.callers, "POST", "/pull/a", "", "{}"));
+    while paused.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    process.add("w1", "desk", failing.addr);
+    assert_eq!(answer.await.unwrap().status, 200);
+}
+
 /// The link to an upstream is lost while it works on a request. With a user timeout set, the kernel gives up by that time
 /// and not by the number of keepalive probes; a caller must neither wait for minutes, nor lose a request that is merely
 /// slow.
--- a/crates/sesamegap-policy/src/routing/timeouts.rs
+++ b/crates/sesamegap-policy/src/routing/timeouts.rs
@@ -33,7 +33,7 @@
 /// every few tens of milliseconds.
 pub const SILENT_AFTER: Duration = Duration::from_millis(500);
 
-/// Multiple of its latency objective that a plain request waits before it is retried elsewhere.
+/// Multiple of its latency objective that a plain request waits before another worker is asked.
 const PLAIN_OBJECTIVE_FACTOR: f64 = 2.5;
 
 /// What is known of an upstream that sends nothing on a stream.
@@ -65,7 +65,7 @@
     silent_others * 2 > others
 }
 
-/// Time that a retryable plain request may take at one worker.
+/// Time that a retryable plain request waits at one worker until another one is asked beside it.
 pub fn plain(objective: Duration) -> Duration {
     objective.mul_f64(PLAIN_OBJECTIVE_FACTOR)
 }
