--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -148,7 +148,7 @@
         self.check_order(&events)?;
         let recorded = self.recorded.as_ref();
         if !recorded.is_some_and(SoftwareVersion::is_stated) {
-            self.record_version(stream.flight.begun_software());
+            self.record_version(stream.flight.begun_software()).await;
         }
         Ok(Some(events.bytes))
     }
@@ -183,7 +183,9 @@
 
     /// Reads on while another upstream is asked.
     async fn read_beside(&mut self, stream: &mut UpstreamStream) -> Beside<Result<Read, String>> {
-        self.forget_contradicted(stream);
+        if self.is_contradicted(stream) {
+            self.record_version(SoftwareVersion::default()).await;
+        }
         let (core, job) = (Arc::clone(&self.core), Arc::clone(&self.job));
         let silent = stream.flight.id.clone();
         let first = pin!(read_events(&core, &job, stream, None));
@@ -194,16 +196,14 @@
         self.open_beside(&silent, first, Result::is_err).await
     }
 
-    /// Unbinds the stream from its software version if the list now names another one for its upstream.
-    fn forget_contradicted(&mut self, stream: &UpstreamStream) {
+    /// Whether the list now names another software version for the upstream than the one that was recorded.
+    fn is_contradicted(&self, stream: &UpstreamStream) -> bool {
         let recorded = self.recorded.as_ref();
-        if recorded.is_some_and(|software| stream.flight.contradicts(software)) {
-            self.record_version(SoftwareVersion::default());
-        }
+        recorded.is_some_and(|software| stream.flight.contradicts(software))
     }
 
     /// Binds a resumable stream to the software version of its upstream, for this VM and those that may take it up.
-    fn record_version(&mut self, software: SoftwareVersion) {
+    async fn record_version(&mut self, software: SoftwareVersion) {
         if self.job.route.kind != Kind::ResumableStream {
             return;
         }
@@ -214,7 +214,7 @@
             service: self.retry.service.clone(),
             software: software.clone(),
         };
-        record_begin(&self.core, &self.job, origin);
+        record_begin(&self.core, &self.job, origin).await;
         self.retry.software = Some(software.clone());
         self.recorded = Some(software);
     }
@@ -236,7 +236,9 @@
     async fn resume(&mut self, stream: UpstreamStream, why: &str) -> Option<UpstreamStream> {
         let id = stream.flight.id.clone();
         warn!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %id, software = %stream.flight.software, why, passed = self.last_event_id, "stream broke off");
-        self.forget_contradicted(&stream);
+        if self.is_contradicted(&stream) {
+            self.record_version(SoftwareVersion::default()).await;
+        }
         // Closes the connection so that two upstreams do not work on one request.
         drop(stream);
         // Without an event id there is no position to resume from.
