--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -60,7 +60,7 @@
 pub const REFUSED: u16 = 750;
 /// A request was sent to an upstream.
 pub const PLACED: u16 = 751;
-/// An attempt at an upstream failed.
+/// An attempt at an upstream failed, or another upstream is asked beside one that is silent; `why` tells which.
 pub const ATTEMPT: u16 = 752;
 /// A request ended.
 pub const ENDED: u16 = 753;
