--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -132,7 +132,7 @@
             continue;
         }
         retry::record_silence(core, &id, life, tolerated);
-        info!(event = events::ATTEMPT, request = %job.head.id, upstream = %id, why = "no response head in the time for one worker", "another upstream is asked beside it");
+        info!(event = events::ATTEMPT, request = %job.head.id, silent = %id, why = "no response head in the time for one worker", "another upstream is asked beside it");
         retry.record_run(id.clone());
         let beside = {
             let mut second = try_upstreams(core, job, retry);
--- a/crates/sesamegap-entry/src/relay/stream/opening.rs
+++ b/crates/sesamegap-entry/src/relay/stream/opening.rs
@@ -221,7 +221,7 @@
         if self.is_refused() || !self.retry.try_charge(&self.core) {
             return Beside::Neither;
         }
-        info!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %silent, passed = self.last_event_id, why = "silent for longer than a pause", "another upstream is asked beside it");
+        info!(event = events::ATTEMPT, request = %self.job.head.id, silent = %silent, passed = self.last_event_id, why = "silent for longer than a pause", "another upstream is asked beside it");
         self.retry.record_run(silent.clone());
         let is_inner = std::mem::replace(&mut self.is_beside, true);
         let beside = {
@@ -245,7 +245,7 @@
             Beside::Second(..) => "the second one went on",
             Beside::Neither => "the second one did not begin",
         };
-        info!(event = events::ATTEMPT, request = %self.job.head.id, upstream = %silent, passed = self.last_event_id, why, "two upstreams were asked");
+        info!(event = events::ATTEMPT, request = %self.job.head.id, silent = %silent, passed = self.last_event_id, why, "two upstreams were asked");
         if !matches!(beside, Beside::Second(..)) {
             self.retry.take_back_run(silent);
             self.retry.reset_refusals();
