What a review of the fix found: the log is asked first, stale lists confirm nothing, reads and appends are bounded

- The log was not asked when the table left one version, so that a version which nobody could write there was lost.
It is asked unless the VM has followed the list for the window itself.
- A VM whose list lags narrowed the table.
Only one whose list is current writes.
- An empty table counted as knowledge, also of a store that was restored from an older copy, and an empty set of another writer.
Neither does now.
- Answers of VMs whose list was not current counted as complete, and any answer as confirmation.
The claim of completeness needs a current list at the VM that makes it.
A test of a stream that goes on at the only version had VMs that had never read the list; it gives them a reading and asserts what it did.
A partition is read at most each 100 ms for all questions, outside of the share; what a VM appends for itself is inside it.
- An append could be longer than a record of the store, and be tried again for ever.
It is bounded by its records, and what the store refuses is dropped.
- Records wait no longer for a task that has ended while a process stops; a reader that the store turns away asks the other one.

New: the first event waits for the record; five VMs record and find for each other; the table without a version, emptied by a restore, and a lagging writer.

--- a/crates/sesamegap-entry/src/resumption/client.rs
+++ b/crates/sesamegap-entry/src/resumption/client.rs
@@ -257,8 +257,14 @@
 pub(super) fn testimony(core: &Core, services: &[ServiceId], window: Duration) -> Testimony {
     let catalogue = core.catalogue();
     let stores = catalogue.as_ref().map(|all| all.kv_stores());
-    let mut fleet = core.fleet.lock();
-    fleet.testimony(services, stores.unwrap_or_default(), window, clock::now())
+    let now = clock::now();
+    let mut testimony = {
+        let mut fleet = core.fleet.lock();
+        fleet.testimony(services, stores.unwrap_or_default(), window, now)
+    };
+    // A VM that has heard nothing for a while may lack a version that others have used since.
+    testimony.complete &= is_list_current(core);
+    testimony
 }
 
 /// Whether this VM has heard of changes of the fleet list lately.
--- a/crates/sesamegap-entry/src/resumption/history.rs
+++ b/crates/sesamegap-entry/src/resumption/history.rs
@@ -4,6 +4,7 @@
 //! meanwhile. The first VM in a ranking writes what has changed: twice in a release, when a version appears and once the
 //! streams of one that left are over.
 
+use super::client::is_list_current;
 use super::log;
 use crate::clock;
 use crate::core::{Core, Phase};
@@ -94,6 +95,10 @@
         let mut is_whole = true;
         for (_, record) in batch.records {
             match record {
+                Record::Versions(service, versions) if versions.is_empty() => {
+                    is_whole = false;
+                    info!(event = events::UNREADABLE, %service, "a service without software versions");
+                }
                 Record::Versions(service, versions) => {
                     info!(event = events::STREAM_LOG, %service, ?versions, "software versions that can have begun streams");
                     stored.insert(service, versions);
@@ -109,6 +114,8 @@
                 _ => {}
             }
         }
+        // The copy of a restored store may be older than the table.
+        is_whole &= core.store.timeline() == Timeline::default();
         let now = clock::now();
         core.fleet.lock().record_history(&stored, is_whole, now);
         self.named = stored.into_keys().collect();
@@ -125,6 +132,10 @@
         let Some(catalogue) = core.catalogue() else {
             return Ok(());
         };
+        // What a VM that lags knows would take away what others have written.
+        if !is_list_current(core) {
+            return Ok(());
+        }
         for (service, window) in catalogue.resumption_windows() {
             let (versions, has_followed) = {
                 let mut fleet = core.fleet.lock();
--- a/crates/sesamegap-entry/src/resumption/log.rs
+++ b/crates/sesamegap-entry/src/resumption/log.rs
@@ -7,7 +7,7 @@
 
 use super::history::is_divided;
 use crate::clock;
-use crate::core::{Core, Phase};
+use crate::core::Core;
 use crate::ports::StoreError;
 use crate::telemetry::events;
 use bytes::Bytes;
@@ -21,7 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tracing::{info, warn};
 
 /// Added to a partition's number, the key of the ranking of the VMs that append to it and read it.
@@ -44,6 +44,9 @@
 /// Time between a failed append and the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Minimum time between two readings of a partition; questions that come meanwhile wait for the next one.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest sleep of the task that appends.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
@@ -81,6 +84,8 @@
 #[derive(Debug, Default)]
 struct Reading {
     next: LogPosition,
+    /// When the last reading began.
+    begun: Option<Instant>,
     /// When the last complete reading began; later records may be missing.
     as_of: Option<Instant>,
     streams: LoggedStreams,
@@ -209,10 +214,10 @@
     core.resumption.log.collected.notify_one();
 }
 
-/// Appends the records that were collected, until the process ends.
+/// Appends the records that were collected, also while the last requests of a process end.
 pub async fn run_log(core: Arc<Core>) {
     let log = &core.resumption.log;
-    while core.phase() < Phase::Ended {
+    loop {
         let now = clock::now();
         let due = {
             let writing = log.lock();
@@ -252,12 +257,23 @@
         }
     }
     let outcome = match rmp_serde::to_vec(&batch) {
-        Ok(bytes) => core.store.append_streams(partition, bytes.into()).await,
+        Ok(bytes) => {
+            let is_for_all = core.peers.is_among_first(1, ranking_key(partition));
+            let appended = core
+                .store
+                .append_streams(partition, bytes.into(), is_for_all);
+            appended.await
+        }
         Err(error) => {
             warn!(event = events::STREAM_LOG, %partition, %error, "failed to encode records of streams");
             return;
         }
     };
+    if let Err(error @ StoreError::Malformed(_)) = &outcome {
+        // What the store does not take now it never takes.
+        warn!(event = events::STREAM_LOG, %partition, streams = batch.len(), %error, "records of streams were not written");
+        return;
+    }
     if let Err(error) = outcome {
         let retry_at = clock::now() + RETRY_DELAY;
         let mut writing = core.resumption.log.lock();
@@ -284,7 +300,7 @@
     let marker = marker.map_err(|error| StoreError::Malformed(error.to_string()))?;
     for partition in Partition::all() {
         let record = Bytes::from(marker.clone());
-        core.store.append_streams(partition, record).await?;
+        core.store.append_streams(partition, record, false).await?;
     }
     Ok(())
 }
@@ -294,7 +310,11 @@
     let partition = Partition::of(stream);
     let readers = core.peers.first_ranked(READERS, ranking_key(partition));
     if readers.contains(&None) {
-        return read(core, stream).await;
+        let answer = read(core, stream).await;
+        // The store may turn this VM away and serve others.
+        if answer != LogAnswer::Unread || readers.len() == 1 {
+            return answer;
+        }
     }
     let mut pending = core.resumption.start_log_question();
     let message = Message::AskLog(pending.number, stream);
@@ -302,7 +322,7 @@
         core.resumption.send(&message, *reader);
     }
     let until = Instant::now() + READ_TIMEOUT;
-    let mut left = readers.len();
+    let mut left = readers.iter().flatten().count();
     while left > 0 {
         match timeout_at(until, pending.answers.recv()).await {
             Ok(Some(LogAnswer::Unread)) => left -= 1,
@@ -331,6 +351,10 @@
         let mut reading = core.resumption.log.readings[index(partition)].lock().await;
         // A reading that began after this question has all that it needs.
         if reading.as_of.is_none_or(|as_of| as_of < asked_at) {
+            if let Some(begun) = reading.begun {
+                sleep_until(begun + READ_INTERVAL).await;
+            }
+            reading.begun = Some(Instant::now());
             reading.catch_up(core, partition).await?;
         }
         Ok::<_, StoreError>(match reading.streams.get(stream) {
--- a/crates/sesamegap-entry/src/resumption/origin.rs
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -1,6 +1,6 @@
 //! Looks up which version began a stream that a caller takes up again.
 
-use super::client::{is_list_current, record_vms, testimony};
+use super::client::{record_vms, testimony};
 use super::log;
 use crate::clock;
 use crate::core::Core;
@@ -48,11 +48,11 @@
         },
         None => ask(core, job, &services, window).await,
     };
-    let mut own = testimony(core, &services, window);
-    // A VM that has heard nothing for a while may lack a version that others have used since.
-    own.complete &= is_list_current(core) || !answers.given.is_empty();
+    let own = testimony(core, &services, window);
+    let followed = core.fleet.lock().list_followed_for(clock::now());
+    let has_followed = followed.is_some_and(|time| time >= window);
     let mut verdict = decide(&own, &answers.given);
-    if needs_log(&verdict, &answers.given) {
+    if needs_log(&verdict, &answers.given, has_followed) {
         let log = log::find(core, job.stream_key()).await;
         verdict = decide_by_log(verdict, log, &own, &answers.given);
     }
@@ -63,7 +63,6 @@
         Verdict::Ambiguous => Err(Refusal::NotResumable),
         Verdict::Uninformed | Verdict::Unread => Err(Refusal::UnknownOrigin),
     };
-    let followed = core.fleet.lock().list_followed_for(clock::now());
     let informed = answers.given.iter().filter_map(Answer::testimony);
     info!(
         event = events::RESUMED,
--- a/crates/sesamegap-entry/src/store/mod.rs
+++ b/crates/sesamegap-entry/src/store/mod.rs
@@ -179,6 +179,8 @@
 
     /// Reads a partition of the log of streams starting at a position; returns the records and where to continue.
     ///
+    /// As [`StoreClient::append_streams`], it draws on no budget: a few VMs read for all, each at a fixed interval at the most.
+    ///
     /// # Errors
     /// If the store could not be read, or the position belongs to an earlier timeline.
     pub async fn stream_records(
@@ -187,7 +189,6 @@
         from: LogPosition,
     ) -> Result<(Vec<Bytes>, LogPosition), StoreError> {
         self.check_position(from)?;
-        self.wait_for_budget().await;
         let reply = self.port.stream_records(partition, from.offset).await;
         let (timeline, (records, next)) = self.validate(Some(from), reply)?;
         Ok((records, LogPosition::new(timeline, next)))
@@ -195,8 +196,9 @@
 
     /// Appends a record to a partition of the log of streams.
     ///
-    /// The call draws on no budget: a few VMs append for all, each at a fixed interval at the most, so that the calls of the
-    /// whole fleet are bounded whatever its size. A VM's share would be too small for it in a large one.
+    /// The call draws on no budget if the VM appends for all: a few VMs do, each at a fixed interval at the most, so that the
+    /// calls of the whole fleet are bounded whatever its size. A VM's share would be too small for it in a large one. What
+    /// a VM appends for itself draws on its share.
     ///
     /// # Errors
     /// If the record is not known to have been appended.
@@ -204,7 +206,11 @@
         &self,
         partition: Partition,
         record: Bytes,
+        is_for_all: bool,
     ) -> Result<(), StoreError> {
+        if !is_for_all {
+            self.wait_for_budget().await;
+        }
         let reply = self.port.append_streams(partition, record).await;
         self.validate(None, reply).map(|_| ())
     }
--- a/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
@@ -206,6 +206,8 @@
     let engines = Engines::start().await;
     for vm in &vms {
         vm.core.fleet.lock().record_list(Moment(1));
+        let known = vm.core.table_progress(Table::Fleet);
+        known.position().record_read(offset(1), clock::now());
         list(&vm.core, "same", engines.same.addr, "v1");
     }
     let answer = take_up(vms[1].callers, 0, "s0").await;
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -18,7 +18,7 @@
 pub use platform::{Platform, StandinEngine, StandinKvStore};
 pub use thin::ThinPath;
 pub use upstream::{Act, Upstream, header, listen, read};
-pub use vms::{Vm, member_update, vm, vms};
+pub use vms::{Vm, member_update, vm, vms, vms_on};
 
 use sesamegap_entry::catalogue::{
     Document, EngineSpec, Kind, Limits, Revision, Route, Service, Target, Team,
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -216,6 +216,8 @@
     pub versions: Mutex<BTreeMap<ServiceId, BTreeSet<SoftwareVersion>>>,
     /// Appends to each partition of the log of streams.
     pub streams: Mutex<BTreeMap<Partition, Vec<Bytes>>>,
+    /// Time that an append to it takes.
+    pub append_time: Mutex<Duration>,
     leases: Mutex<Vec<Bytes>>,
 }
 
@@ -389,11 +391,16 @@
     }
 
     fn append_streams(&self, partition: Partition, record: Bytes) -> StoreCall<'_, ()> {
-        let appended = self.check_available().map(|()| {
-            let mut streams = self.streams.lock().unwrap();
-            streams.entry(partition).or_default().push(record);
-        });
-        async move { self.reply(appended) }.boxed()
+        async move {
+            let time = *self.append_time.lock().unwrap();
+            tokio::time::sleep(time).await;
+            let appended = self.check_available().map(|()| {
+                let mut streams = self.streams.lock().unwrap();
+                streams.entry(partition).or_default().push(record);
+            });
+            self.reply(appended)
+        }
+        .boxed()
     }
 
     fn lease_records(&self, from: Offset) -> StoreCall<'_, (Vec<Bytes>, Offset)> {
--- a/crates/sesamegap-entry/tests/testsuite/support/vms.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/vms.rs
@@ -54,11 +54,15 @@
 
 /// Starts VMs in the network 127.0.`net` that have each other as members.
 pub async fn vms(count: usize, net: u8) -> Vec<Vm> {
-    let platform = Arc::new(Platform::default());
+    vms_on(count, net, &Arc::new(Platform::default())).await
+}
+
+/// Starts VMs in the network 127.0.`net` that share a platform and have each other as members.
+pub async fn vms_on(count: usize, net: u8, platform: &Arc<Platform>) -> Vec<Vm> {
     let port = unused_addr().port();
     let mut all = Vec::new();
     for no in 0..count {
-        all.push(vm(no, net, port, &platform).await);
+        all.push(vm(no, net, port, platform).await);
     }
     for one in &all {
         for other in &all {
--- a/crates/sesamegap-policy/src/resumption/log.rs
+++ b/crates/sesamegap-policy/src/resumption/log.rs
@@ -27,8 +27,9 @@
 /// callers' time ends first.
 const MAX_PENDING: usize = 10_000;
 
-/// Most submissions in one append, which stays far below the size of a record that a store accepts.
-const MAX_APPENDED: usize = 2_000;
+/// Records in one append from which on no further submission is added. At 11 bytes each they take half of what a store
+/// accepts in one record.
+const MAX_APPENDED: usize = 10_000;
 
 /// A part of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -165,7 +166,18 @@
     /// Takes the records of an append that begins now.
     pub fn take(&mut self, now: Moment) -> Vec<Submission<W>> {
         self.next_append = now + APPEND_INTERVAL;
-        let count = self.pending.len().min(MAX_APPENDED);
+        let mut records = 0;
+        let fits = |submission: &Submission<W>| {
+            let has_room = records < MAX_APPENDED;
+            records += submission.batch.len();
+            has_room
+        };
+        let count = self
+            .pending
+            .iter()
+            .map(fits)
+            .take_while(|fits| *fits)
+            .count();
         self.pending.drain(..count).collect()
     }
 
--- a/crates/sesamegap-policy/src/resumption/mod.rs
+++ b/crates/sesamegap-policy/src/resumption/mod.rs
@@ -98,9 +98,15 @@
 
 /// Whether the store's log may tell what this VM and those that answered cannot.
 ///
-/// Records that contradict each other are not settled by a third one.
-pub fn needs_log(verdict: &Verdict, answers: &[Answer]) -> bool {
-    let is_open = matches!(verdict, Verdict::Ambiguous | Verdict::Uninformed);
+/// That one version has served counts without the log only if this VM has followed the list for long enough itself: what it
+/// knows from the store may lack a version whose appearance nobody could write there. Records that contradict each
+/// other are not settled by a third one.
+pub fn needs_log(verdict: &Verdict, answers: &[Answer], has_followed: bool) -> bool {
+    let is_open = match verdict {
+        Verdict::Ambiguous | Verdict::Uninformed => true,
+        Verdict::At(_, Evidence::OnlyVersion) => !has_followed,
+        Verdict::At(..) | Verdict::Unread => false,
+    };
     is_open && answers.iter().all(|answer| answer.record().is_none())
 }
 
@@ -118,6 +124,7 @@
     match log {
         LogAnswer::Record(origin) => Verdict::At(origin, Evidence::Log),
         LogAnswer::Unread => Verdict::Unread,
+        LogAnswer::Absent(_) if matches!(verdict, Verdict::At(..)) => verdict,
         LogAnswer::Absent(recorded) => {
             let testimonies = answers.iter().filter_map(Answer::testimony).chain([own]);
             let mut alone = testimonies.flat_map(|testimony| &testimony.alone);
--- a/crates/sesamegap-policy/tests/testsuite/resumption/all_killed.rs
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/all_killed.rs
@@ -326,7 +326,8 @@
                 })
                 .collect();
             let mut verdict = decide(&own, &answers);
-            if needs_log(&verdict, &answers) {
+            let has_followed = self.vms[vm].served.covers(WINDOW, now);
+            if needs_log(&verdict, &answers, has_followed) {
                 let log = match self.store.log.get(stream.key) {
                     _ if !self.is_store_up() => LogAnswer::Unread,
                     Some(origin) => LogAnswer::Record(origin.clone()),
--- a/crates/sesamegap-policy/tests/testsuite/resumption/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/mod.rs
@@ -201,7 +201,7 @@
     let own = testimony(&["v1", "v2"], true);
     let unknown = [versions(&["v1"], true)];
     let verdict = decide(&own, &unknown);
-    assert!(needs_log(&verdict, &unknown));
+    assert!(needs_log(&verdict, &unknown, true));
     let logged = LogAnswer::Record(origin("v2"));
     let by_log = |log| decide_by_log(verdict.clone(), log, &own, &unknown);
     assert_eq!(by_log(logged), goes_on_at("v2", Evidence::Log));
@@ -211,9 +211,28 @@
     );
     assert_eq!(by_log(LogAnswer::Unread), Verdict::Unread);
     let contradicting = [recorded("v1"), recorded("v2")];
-    assert!(!needs_log(&decide(&own, &contradicting), &contradicting));
+    assert!(!needs_log(
+        &decide(&own, &contradicting),
+        &contradicting,
+        true
+    ));
     let known = [recorded("v1")];
-    assert!(!needs_log(&decide(&own, &known), &known));
+    assert!(!needs_log(&decide(&own, &known), &known, false));
+}
+
+/// The VM that writes the table was cut from the store when a version appeared, so that the table lacks it.
+#[test]
+fn the_log_goes_before_what_only_the_store_knows_of_the_past() {
+    let own = testimony(&["v2"], true);
+    let verdict = decide(&own, &[]);
+    assert_eq!(verdict, goes_on_at("v2", Evidence::OnlyVersion));
+    assert!(!needs_log(&verdict, &[], true));
+    assert!(needs_log(&verdict, &[], false));
+    let by_log = |log| decide_by_log(verdict.clone(), log, &own, &[]);
+    let logged = LogAnswer::Record(origin("v1"));
+    assert_eq!(by_log(logged), goes_on_at("v1", Evidence::Log));
+    assert_eq!(by_log(LogAnswer::Absent(BTreeSet::new())), verdict);
+    assert_eq!(by_log(LogAnswer::Unread), Verdict::Unread);
 }
 
 /// A second version appears only while all VMs are off: streams without a record began at the first one.
@@ -305,6 +324,35 @@
     assert!(backlog.len() <= 10_000);
 }
 
+/// Many VMs record their running streams at once when a version appears: a record too long for the store would be refused
+/// for ever.
+#[test]
+fn an_append_fits_into_a_record_of_the_store() {
+    let mut backlog: Backlog<()> = Backlog::default();
+    let mut key = 0_u64;
+    for _ in 0..2_000 {
+        let records = (0..64).map(|_| {
+            key = key.wrapping_add(0x9E37_79B9_7F4A_7C15);
+            (StreamKey(key), origin("v1"))
+        });
+        backlog.push(Submission {
+            batch: records.collect(),
+            waiter: None,
+        });
+    }
+    let (mut appends, mut now) = (0, Moment(0));
+    while !backlog.is_empty() {
+        now = now + Duration::from_secs(1);
+        let mut all = StreamBatch::default();
+        for submission in backlog.take(now) {
+            assert!(all.extend(&submission.batch));
+        }
+        assert!(rmp_serde::to_vec(&all).unwrap().len() <= 262_144);
+        appends += 1;
+    }
+    assert!(appends > 1);
+}
+
 /// A record whose version has come into doubt replaces the one before it, also across messages.
 #[test]
 fn the_last_record_of_a_stream_counts() {
