--- a/crates/sesamegap-entry/src/resumption/log.rs
+++ b/crates/sesamegap-entry/src/resumption/log.rs
@@ -294,17 +294,6 @@
     }
 }
 
-/// Marks in the log that a version is alone in its service.
-pub(super) async fn mark_alone(core: &Core, origin: &Origin) -> Result<(), StoreError> {
-    let marker = rmp_serde::to_vec(&StreamBatch::alone(origin.clone()));
-    let marker = marker.map_err(|error| StoreError::Malformed(error.to_string()))?;
-    for partition in Partition::all() {
-        let record = Bytes::from(marker.clone());
-        core.store.append_streams(partition, record, false).await?;
-    }
-    Ok(())
-}
-
 /// What the log tells of a stream, from this VM's reading or another one's.
 pub(super) async fn find(core: &Core, stream: StreamKey) -> LogAnswer {
     let partition = Partition::of(stream);
@@ -359,7 +348,7 @@
         }
         Ok::<_, StoreError>(match reading.streams.get(stream) {
             Some(origin) => LogAnswer::Record(origin.clone()),
-            None => LogAnswer::Absent(reading.streams.origins().clone()),
+            None => LogAnswer::Absent,
         })
     };
     match timeout(READ_TIMEOUT, read).await {
--- a/crates/sesamegap-entry/tests/testsuite/software_versions/all_killed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/all_killed.rs
@@ -245,7 +245,7 @@
 async fn a_table_that_a_restore_has_emptied_tells_of_no_past() {
     let platform = Arc::new(Platform::default());
     let engines = Engines::start().await;
-    *platform.timeline.lock().unwrap() = Some(Timeline(1));
+    *platform.timeline.lock().unwrap() = Some(Timeline(2));
     let after = start(87, &platform).await;
     engines.list_others(&after.core);
     sleep(SETTLED).await;
--- a/crates/sesamegap-policy/src/resumption/log.rs
+++ b/crates/sesamegap-policy/src/resumption/log.rs
@@ -10,7 +10,6 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::Moment;
-use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -64,14 +63,6 @@
 }
 
 impl StreamBatch {
-    /// Marks in the log that a version is alone in its service, and that the streams of all others are over.
-    pub fn alone(origin: Origin) -> Self {
-        Self {
-            origins: vec![origin],
-            streams: Vec::new(),
-        }
-    }
-
     /// Adds a record; returns false if the batch holds as many origins as it can.
     pub fn push(&mut self, stream: StreamKey, origin: &Origin) -> bool {
         let known = self.origins.iter().position(|known| known == origin);
@@ -209,8 +200,6 @@
 pub struct LoggedStreams {
     recent: FxHashMap<StreamKey, Origin>,
     older: FxHashMap<StreamKey, Origin>,
-    /// The versions of records since one was last marked to be alone.
-    origins: BTreeSet<Origin>,
 }
 
 impl LoggedStreams {
@@ -220,21 +209,11 @@
         if self.recent.len() >= MAX_KEPT {
             self.older = std::mem::take(&mut self.recent);
         }
-        if batch.is_empty() {
-            let alone = |known: &Origin| batch.origins.iter().all(|of| of.service != known.service);
-            self.origins.retain(alone);
-        }
-        self.origins.extend(batch.origins.iter().cloned());
         let records = batch.records();
         self.recent
             .extend(records.map(|(stream, origin)| (stream, origin.clone())));
     }
 
-    /// The versions of records since one was last marked to be alone.
-    pub fn origins(&self) -> &BTreeSet<Origin> {
-        &self.origins
-    }
-
     /// The version that began a stream.
     pub fn get(&self, stream: StreamKey) -> Option<&Origin> {
         let recent = self.recent.get(&stream);
--- a/crates/sesamegap-policy/src/resumption/message.rs
+++ b/crates/sesamegap-policy/src/resumption/message.rs
@@ -5,7 +5,6 @@
 use super::versions::{Origin, Testimony};
 use serde::{Deserialize, Serialize};
 use sesamegap_wire::ServiceId;
-use std::collections::BTreeSet;
 
 /// A message between VMs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,8 +45,8 @@
 pub enum LogAnswer {
     /// The version that began it.
     Record(Origin),
-    /// The log was read to its end and has no record of it, but of streams of these versions since one was last alone.
-    Absent(BTreeSet<Origin>),
+    /// The log was read to its end and has no record of it.
+    Absent,
     /// The log cannot be read now.
     Unread,
 }
--- a/crates/sesamegap-policy/src/resumption/mod.rs
+++ b/crates/sesamegap-policy/src/resumption/mod.rs
@@ -113,8 +113,7 @@
 /// Decides by the store's log where a verdict left it open.
 ///
 /// A stream of which neither the VMs nor the log have a record began before the VMs were killed. If one version was alone
-/// then, as VMs that have started since read in the store, it began there, whatever has appeared meanwhile; but not if
-/// streams of others are in the log, as then some may have begun without a record.
+/// then, as VMs that have started since read in the store, it began there, whatever has appeared meanwhile.
 pub fn decide_by_log(
     verdict: Verdict,
     log: LogAnswer,
@@ -124,16 +123,12 @@
     match log {
         LogAnswer::Record(origin) => Verdict::At(origin, Evidence::Log),
         LogAnswer::Unread => Verdict::Unread,
-        LogAnswer::Absent(_) if matches!(verdict, Verdict::At(..)) => verdict,
-        LogAnswer::Absent(recorded) => {
+        LogAnswer::Absent if matches!(verdict, Verdict::At(..)) => verdict,
+        LogAnswer::Absent => {
             let testimonies = answers.iter().filter_map(Answer::testimony).chain([own]);
             let mut alone = testimonies.flat_map(|testimony| &testimony.alone);
-            let is_recorded = |first: &Origin| {
-                let other = |of: &&Origin| of.service == first.service && *of != first;
-                recorded.iter().any(|of| other(&of))
-            };
             match alone.next() {
-                Some(first) if alone.all(|other| other == first) && !is_recorded(first) => {
+                Some(first) if alone.all(|other| other == first) => {
                     Verdict::At(first.clone(), Evidence::AloneBefore)
                 }
                 _ => verdict,
