One function finds the versions that can have begun streams

What a VM tells of the versions that served was put together twice, for its testimony and for the store's table, from the same index and the same past. The testimony uses versions_within now.

--- a/crates/sesamegap-entry/src/fleet/versions.rs
+++ b/crates/sesamegap-entry/src/fleet/versions.rs
@@ -105,20 +105,14 @@
             alone: BTreeSet::new(),
         };
         for service in services {
-            let index = self.index(service, stores, now);
-            let alone = self.served.alone_before(service, window, now);
-            testimony.alone.extend(alone.map(|software| Origin {
+            let origin = |software| Origin {
                 service: service.clone(),
-                software: software.clone(),
-            }));
-            let past = self.served.within(service, window, now);
-            let all: BTreeSet<&SoftwareVersion> = index.software.iter().chain(past).collect();
-            testimony
-                .origins
-                .extend(stated(&all).map(|software| Origin {
-                    service: service.clone(),
-                    software: software.clone(),
-                }));
+                software,
+            };
+            let alone = self.served.alone_before(service, window, now).cloned();
+            testimony.alone.extend(alone.map(origin));
+            let versions = self.versions_within(service, stores, window, now);
+            testimony.origins.extend(versions.into_iter().map(origin));
         }
         testimony
     }
