--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -3,7 +3,7 @@
 mod active;
 mod retries;
 
-pub use active::{ActiveRequestGuard, ActiveRequests};
+pub use active::{ActiveRequest, ActiveRequestGuard, ActiveRequests, Arrival};
 
 use crate::catalogue::{Catalogue, Document, Entry, Revision};
 use crate::clock;
@@ -30,9 +30,10 @@
 use sesamegap_wire::{Moment, ServiceId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
+use tokio::time::Instant;
 use tracing::info;
 
 /// Upstreams that are connected to before the loss of another one is put down to that one.
@@ -101,6 +102,8 @@
     /// A newer document that is being fetched from peers.
     fetch: Mutex<Fetch<Entry>>,
     phase: watch::Sender<Phase>,
+    /// When the process was asked to stop.
+    stop_requested: OnceLock<Instant>,
 }
 
 impl Core {
@@ -143,6 +146,7 @@
             newest_heard: Mutex::default(),
             fetch: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
+            stop_requested: OnceLock::new(),
             store: StoreClient::new(Arc::clone(&ports.store), settings.store_calls_per_s),
             settings: ArcSwap::from_pointee(settings),
             ports,
@@ -379,6 +383,16 @@
         });
     }
 
+    /// Begins the stop; returns when it began, which a second call does not change.
+    pub fn begin_stop(&self) -> Instant {
+        *self.stop_requested.get_or_init(Instant::now)
+    }
+
+    /// How long after the process was asked to stop a moment was; `None` before.
+    pub fn time_in_stop(&self, at: Instant) -> Option<Duration> {
+        at.checked_duration_since(*self.stop_requested.get()?)
+    }
+
     /// Returns whether callers may be sent to this VM.
     pub fn is_ready(&self) -> bool {
         let has_document = self.catalogue.load().is_some();
@@ -391,6 +405,6 @@
 
     /// Returns the number of requests in progress.
     pub fn active(&self) -> usize {
-        self.active.ids().len()
+        self.active.count()
     }
 }
--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -1,7 +1,7 @@
 //! One request of a peer on its way to an upstream and back.
 
 use crate::clock;
-use crate::core::{ActiveRequestGuard, Core, Phase};
+use crate::core::{ActiveRequestGuard, Arrival, Core, Phase};
 use crate::fleet::{GatePass, confirm_running};
 use crate::limits::acquire::{Closed, acquire, renew};
 use crate::relay::strip_hop_by_hop;
@@ -30,7 +30,7 @@
 ) -> Response<ResponseBody> {
     let id = core.ports.headers.read_request(request.headers());
     let id = id.map(|head| head.id).unwrap_or_default();
-    let active = ActiveRequestGuard::new(&core.active, id.clone());
+    let active = ActiveRequestGuard::new(&core.active, id.clone(), Arrival::alone());
     let mut destination = None;
     let sent = match gateway::unwrap(request) {
         Some((upstream, is_counted, request)) => {
--- a/crates/sesamegap-entry/src/intake/connection.rs
+++ b/crates/sesamegap-entry/src/intake/connection.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tracing::debug;
+use tracing::{debug, info};
 
 /// Limits until the first document is in force.
 const DEFAULT_LIMITS: Limits = Limits {
@@ -36,6 +36,15 @@
     fn max_head_bytes(&self) -> usize {
         limits(self).head
     }
+
+    fn unread_report(&self) -> fn(u64) {
+        |unread| {
+            info!(
+                event = events::CALLER_UNREAD,
+                unread, "connection closed with a caller's bytes unread"
+            );
+        }
+    }
 }
 
 /// Serves a connection until either side closes it.
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -4,7 +4,7 @@
 use super::reply::{Body, refusal_response};
 use crate::catalogue::{Catalogue, Route, Team};
 use crate::clock;
-use crate::core::{ActiveRequestGuard, Core, Phase};
+use crate::core::{ActiveRequestGuard, Arrival, Core, Phase};
 use crate::job::Job;
 use crate::ports::RequestHead;
 use crate::refusal::Refusal;
@@ -33,12 +33,13 @@
     request: Request<Incoming>,
     busy: RequestGuard,
 ) -> Response<Body> {
-    let received = receive(&core, request).await;
+    let arrival = Arrival::now(&busy);
+    let received = receive(&core, request, arrival).await;
     let id = match &received {
         Ok(job) => job.head.id.clone(),
         Err(refused) => refused.id.clone(),
     };
-    let active = ActiveRequestGuard::new(&core.active, id);
+    let active = ActiveRequestGuard::new(&core.active, id, arrival);
     let mut response = match received {
         Ok(job) => relay::run(&core, job).await,
         Err(refused) => {
@@ -49,6 +50,7 @@
                 request = %id,
                 revision = core.revision().0,
                 known_ms = core.settings_age().map(clock::millis),
+                stop_ms = core.time_in_stop(arrival.at).map(clock::millis),
                 status = refusal.status().as_u16(),
                 why = %refusal,
                 "request refused"
@@ -77,8 +79,11 @@
     id: smol_str::SmolStr,
 }
 
-async fn receive(core: &Arc<Core>, request: Request<Incoming>) -> Result<Job, Refused> {
-    let arrived = Instant::now();
+async fn receive(
+    core: &Arc<Core>,
+    request: Request<Incoming>,
+    arrival: Arrival,
+) -> Result<Job, Refused> {
     let (parts, body) = request.into_parts();
     let head = match core.ports.headers.read_request(&parts.headers) {
         Ok(head) => head,
@@ -103,7 +108,7 @@
         }
     };
     let caller_timeout = head.timeout.unwrap_or(route.timeout);
-    let deadline = arrived + caller_timeout.min(route.timeout);
+    let deadline = arrival.at + caller_timeout.min(route.timeout);
     let body = read_body(core, body, deadline).await.map_err(refused)?;
     Ok(Job {
         head,
@@ -115,7 +120,7 @@
         headers: parts.headers,
         body: body.bytes,
         body_permit: body.permit,
-        arrived,
+        arrival,
         deadline,
         charge: None,
         origin: None,
--- a/crates/sesamegap-entry/src/job.rs
+++ b/crates/sesamegap-entry/src/job.rs
@@ -1,6 +1,7 @@
 //! A request that was accepted and is to be forwarded.
 
 use crate::catalogue::{Catalogue, Kind, Route, Team};
+use crate::core::Arrival;
 use crate::fleet::PromptShape;
 use crate::ports::{PromptPart, RequestHead};
 use crate::quota::Charged;
@@ -45,8 +46,8 @@
     pub body: Bytes,
     /// Share of the body memory limit that it occupies, released when the request is dropped.
     pub body_permit: Option<OwnedSemaphorePermit>,
-    /// When its head arrived.
-    pub arrived: Instant,
+    /// When and on what connection its head arrived.
+    pub arrival: Arrival,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
     /// The charge to its team's rate limit, if it has one.
@@ -163,7 +164,7 @@
     pub fn caller_time_left(&self) -> Duration {
         let window = resumption::window(self.route.timeout);
         let patience = self.head.timeout.unwrap_or(window);
-        patience.saturating_sub(self.arrived.elapsed())
+        patience.saturating_sub(self.arrival.at.elapsed())
     }
 
     /// Services to which its route sends requests.
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -140,7 +140,7 @@
 
 /// Lets requests complete for as long as the grace period lasts.
 pub async fn stop(core: &Core) {
-    let stop_requested = Instant::now();
+    let stop_requested = core.begin_stop();
     let grace = core.settings().spans.grace;
     let deadlines = StopDeadlines::new(grace);
     info!(
@@ -174,10 +174,11 @@
     while core.active() > 0 && stop_requested.elapsed() < deadlines.exit {
         sleep(POLL_INTERVAL).await;
     }
-    let ids = core.active.ids();
-    if !ids.is_empty() {
-        let logged = &ids[..ids.len().min(MAX_LOGGED_IDS)];
-        warn!(event = events::REQUESTS_CUT, active = ids.len(), requests = ?logged, "stopped with requests in flight");
+    let cut = core.active.all();
+    if !cut.is_empty() {
+        let logged = cut.iter().take(MAX_LOGGED_IDS);
+        let requests: Vec<String> = logged.map(ToString::to_string).collect();
+        warn!(event = events::REQUESTS_CUT, active = cut.len(), phase = ?core.phase(), ?requests, "stopped with requests in flight");
     }
     info!(
         event = events::STOPPED,
--- a/crates/sesamegap-entry/src/relay/request_log.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -2,7 +2,7 @@
 
 use crate::catalogue::Kind;
 use crate::clock;
-use crate::core::Core;
+use crate::core::{Arrival, Core};
 use crate::job::Job;
 use crate::telemetry::events;
 use smol_str::SmolStr;
@@ -18,9 +18,11 @@
     kind: Kind,
     id: SmolStr,
     route: SmolStr,
-    arrived: Instant,
+    arrival: Arrival,
     runs: u32,
     first_event_after: Option<Duration>,
+    events: usize,
+    last_event: Option<u64>,
     last_event_at: Option<Instant>,
     longest_gap: Duration,
     status: Option<u16>,
@@ -35,9 +37,11 @@
             kind: job.route.kind,
             id: job.head.id.clone(),
             route: job.route.name.clone(),
-            arrived: job.arrived,
+            arrival: job.arrival,
             runs: 0,
             first_event_after: None,
+            events: 0,
+            last_event: None,
             last_event_at: None,
             longest_gap: Duration::ZERO,
             status: None,
@@ -47,12 +51,14 @@
 
     /// Records that the first event is sent to the caller.
     pub fn record_first_event(&mut self) {
-        self.first_event_after = Some(self.arrived.elapsed());
+        self.first_event_after = Some(self.arrival.at.elapsed());
     }
 
-    /// Records that events are sent to the caller. The longest gap distinguishes a stream that stalled from one
-    /// that began late.
-    pub fn record_events(&mut self) {
+    /// Records that events with these ids are sent to the caller. The longest gap distinguishes a stream that stalled from
+    /// one that began late.
+    pub fn record_events(&mut self, ids: &[u64]) {
+        self.events += ids.len();
+        self.last_event = ids.last().copied().or(self.last_event);
         let now = Instant::now();
         if let Some(last_event_at) = self.last_event_at.replace(now) {
             self.longest_gap = self.longest_gap.max(now - last_event_at);
@@ -69,17 +75,21 @@
 
 impl Drop for RequestLog {
     fn drop(&mut self) {
-        let span = self.arrived.elapsed();
+        let span = self.arrival.at.elapsed();
         self.core
             .metrics
             .record_request(self.kind, self.status, span, self.first_event_after);
         let took = clock::millis(span);
+        let stop_ms = self.core.time_in_stop(self.arrival.at).map(clock::millis);
         let Some(status) = self.status else {
             info!(
                 event = events::CALLER_LEFT,
                 request = %self.id,
                 route = %self.route,
+                events = self.events,
+                last = self.last_event,
                 took_ms = took,
+                stop_ms,
                 "caller left"
             );
             return;
@@ -92,7 +102,10 @@
             runs = self.runs,
             first_ms = self.first_event_after.map(clock::millis),
             pause_ms = self.last_event_at.map(|_| clock::millis(self.longest_gap)),
+            events = self.events,
+            last = self.last_event,
             took_ms = took,
+            stop_ms,
             why = %self.reason,
             "ended"
         );
--- a/crates/sesamegap-entry/src/relay/retry.rs
+++ b/crates/sesamegap-entry/src/relay/retry.rs
@@ -102,7 +102,7 @@
             priority: job.rank(),
             objective_ms: clock::wire_millis(job.route.objective),
             urgent_ms: urgent.map(clock::wire_millis),
-            waited_ms: clock::wire_millis(job.arrived.elapsed()),
+            waited_ms: clock::wire_millis(job.arrival.at.elapsed()),
             team: job.team.as_ref().map(|team| team.name.clone()),
         })
     }
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -104,9 +104,9 @@
     async_stream::stream! {
         loop {
             match relay.next_events(&mut stream).await {
-                Ok(Some(bytes)) => {
-                    log.record_events();
-                    yield Ok(Frame::data(bytes));
+                Ok(Some(events)) => {
+                    log.record_events(&events.ids);
+                    yield Ok(Frame::data(events.bytes));
                 }
                 Ok(None) => {
                     let quarantine = &relay.core.quarantine;
@@ -136,7 +136,10 @@
     }
 
     /// The next events for the caller; `None` at the end of the stream.
-    async fn next_events(&mut self, stream: &mut UpstreamStream) -> Result<Option<Bytes>, String> {
+    async fn next_events(
+        &mut self,
+        stream: &mut UpstreamStream,
+    ) -> Result<Option<EventBatch>, String> {
         let events = match stream.first_events.take() {
             Some(events) => events,
             None => match self.read_on(stream).await? {
@@ -150,7 +153,7 @@
         if !recorded.is_some_and(SoftwareVersion::is_stated) {
             self.record_version(stream.flight.begun_software()).await;
         }
-        Ok(Some(events.bytes))
+        Ok(Some(events))
     }
 
     /// Reads on, at another upstream if this one is silent and that one goes on first.
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -99,7 +99,7 @@
         request = %job.head.id,
         route = %job.route.name,
         priority = job.priority(),
-        waited_ms = clock::millis(job.arrived.elapsed()),
+        waited_ms = clock::millis(job.arrival.at.elapsed()),
         before = put_off.before,
         turn_ms = put_off.turn_ms,
         after_ms = ms,
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -12,6 +12,8 @@
 pub const REQUESTS_CUT: u16 = 704;
 /// The settings file was read again after a change, or could not be read.
 pub const RELOADED: u16 = 705;
+/// A caller's connection was closed with bytes of the caller unread, which resets it.
+pub const CALLER_UNREAD: u16 = 706;
 /// A document came into force.
 pub const DOCUMENT: u16 = 710;
 /// Weights were named.
--- a/crates/sesamegap-http/src/serving/activity.rs
+++ b/crates/sesamegap-http/src/serving/activity.rs
@@ -22,7 +22,7 @@
 pub struct Activity {
     opened: Instant,
     requests: AtomicUsize,
-    received_request: AtomicBool,
+    received: AtomicUsize,
     idle_since: AtomicU64,
     head_since: AtomicU64,
     checks_unread: AtomicBool,
@@ -48,7 +48,7 @@
         Arc::new(Self {
             opened: Instant::now(),
             requests: AtomicUsize::new(0),
-            received_request: AtomicBool::new(false),
+            received: AtomicUsize::new(0),
             idle_since: AtomicU64::new(0),
             head_since: AtomicU64::new(NO_HEAD),
             checks_unread: AtomicBool::new(false),
@@ -61,9 +61,12 @@
     /// Records a request, which is in progress until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.requests.fetch_add(1, Ordering::Relaxed);
-        self.received_request.store(true, Ordering::Relaxed);
+        let number = self.received.fetch_add(1, Ordering::Relaxed) + 1;
         self.head_since.store(NO_HEAD, Ordering::Relaxed);
-        RequestGuard(Arc::clone(self))
+        RequestGuard {
+            activity: Arc::clone(self),
+            number,
+        }
     }
 
     /// Returns the timeout that applies now.
@@ -80,7 +83,7 @@
 
     /// Whether the connection has received any request.
     pub(super) fn has_received_request(&self) -> bool {
-        self.received_request.load(Ordering::Relaxed)
+        self.received.load(Ordering::Relaxed) > 0
     }
 
     /// Makes the stream check the socket for unread bytes whenever a read is pending.
@@ -171,13 +174,28 @@
 
 /// Marks a request as in progress on its connection until dropped.
 #[derive(Debug)]
-pub struct RequestGuard(Arc<Activity>);
+pub struct RequestGuard {
+    activity: Arc<Activity>,
+    number: usize,
+}
+
+impl RequestGuard {
+    /// Number of the request on its connection, from 1.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
+    /// When the connection was opened.
+    pub fn opened(&self) -> Instant {
+        self.activity.opened
+    }
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let now = self.0.now();
-        self.0.idle_since.store(now, Ordering::Relaxed);
-        self.0.head_since.store(NO_HEAD, Ordering::Relaxed);
-        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+        let activity = &self.activity;
+        activity.idle_since.store(activity.now(), Ordering::Relaxed);
+        activity.head_since.store(NO_HEAD, Ordering::Relaxed);
+        activity.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/sesamegap-http/src/serving/mod.rs
+++ b/crates/sesamegap-http/src/serving/mod.rs
@@ -64,6 +64,11 @@
         Bytes::new()
     }
 
+    /// Told of the bytes that a connection has received and nobody will read, when it is closed.
+    fn unread_report(&self) -> fn(u64) {
+        |_| {}
+    }
+
     /// Whether a stop also closes connections that have not received a request yet.
     fn closes_unused_on_stop(&self) -> bool {
         false
@@ -98,7 +103,7 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let activity = Activity::new();
-    let monitored = MonitoredStream::new(stream, Arc::clone(&activity), policy.closing_response());
+    let monitored = MonitoredStream::new(stream, Arc::clone(&activity), policy);
     let service = service_fn(|request| {
         let answered = answer(request, activity.begin_request());
         async move { Ok::<_, Infallible>(answered.await) }
--- a/crates/sesamegap-http/src/serving/monitored.rs
+++ b/crates/sesamegap-http/src/serving/monitored.rs
@@ -1,5 +1,6 @@
 //! A caller's stream that records reads and writes, and closes with a last response.
 
+use super::ConnectionPolicy;
 use super::activity::Activity;
 use bytes::{Buf, Bytes};
 use rustix::io::ioctl_fionread;
@@ -23,34 +24,46 @@
 
 /// A stream that records reads and writes, and can be closed between two requests.
 #[derive(Debug)]
-pub struct MonitoredStream<S> {
+pub struct MonitoredStream<S: AsFd> {
     stream: S,
     activity: Arc<Activity>,
     closing_response: Bytes,
     /// Whether there is a closing response, which the caller needs time to read.
     has_closing_response: bool,
     linger_timer: Option<Pin<Box<Sleep>>>,
+    unread_report: fn(u64),
+}
+
+impl<S: AsFd> Drop for MonitoredStream<S> {
+    fn drop(&mut self) {
+        let unread = self.unread();
+        if unread > 0 {
+            (self.unread_report)(unread);
+        }
+    }
 }
 
 impl<S: AsFd> MonitoredStream<S> {
-    /// Wraps a stream; its caller is sent `closing_response` if it is closed between two requests.
-    pub fn new(stream: S, activity: Arc<Activity>, closing_response: Bytes) -> Self {
+    /// Wraps a stream; its caller is sent the policy's closing response if it is closed between two requests.
+    pub fn new(stream: S, activity: Arc<Activity>, policy: &dyn ConnectionPolicy) -> Self {
+        let closing_response = policy.closing_response();
         Self {
             stream,
             activity,
             has_closing_response: !closing_response.is_empty(),
             closing_response,
             linger_timer: None,
+            unread_report: policy.unread_report(),
         }
     }
 
-    /// Whether the socket's receive buffer holds unread bytes.
+    /// Number of unread bytes in the socket's receive buffer.
     ///
     /// Asks the kernel rather than the runtime, which learns of them only at its next poll of all
     /// sockets: a process that was paused has requests that the runtime does not know of yet.
-    fn has_unread(&self) -> bool {
+    fn unread(&self) -> u64 {
         // Nothing can be read from a socket on which this call fails.
-        ioctl_fionread(&self.stream).is_ok_and(|count| count > 0)
+        ioctl_fionread(&self.stream).unwrap_or(0)
     }
 }
 
@@ -69,13 +82,13 @@
             self.activity.record_read();
         }
         if polled.is_pending() && self.activity.checks_unread() {
-            self.activity.set_unread(self.has_unread());
+            self.activity.set_unread(self.unread() > 0);
         }
         polled
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> MonitoredStream<S> {
+impl<S: AsyncRead + AsyncWrite + AsFd + Unpin> MonitoredStream<S> {
     /// Sends the rest of the closing response.
     fn write_closing_response(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while self.closing_response.has_remaining() {
@@ -104,7 +117,7 @@
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for MonitoredStream<S> {
+impl<S: AsyncRead + AsyncWrite + AsFd + Unpin> AsyncWrite for MonitoredStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
