--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod forwarding;
 mod idle_close;
 mod large_documents;
+mod late_requests;
 mod limits;
 mod locating;
 mod logs;
--- a/crates/sesamegap-entry/tests/testsuite/support/caller.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/caller.rs
@@ -93,7 +93,8 @@
         !self.read_more().await
     }
 
-    async fn read_more(&mut self) -> bool {
+    /// Reads what has come; false if the connection is closed.
+    pub async fn read_more(&mut self) -> bool {
         let mut chunk = [0; 4096];
         let read = timeout(READ_TIMEOUT, self.stream.read(&mut chunk)).await;
         let count = read.expect("an answer in time").unwrap_or(0);
