The log's writer outlives the runtime

The writer was kept by the state that all tasks share, and its queue was written out when the last task was dropped, if that ever came. Lines that tasks write as they are dropped at the exit, which tell what became of each request, depended on that order. The program now holds the writer itself and drops it after the runtime. No line is known to have been lost by it: by reading. Tests of logs pass.

--- a/crates/sesamegap-entry/src/telemetry/mod.rs
+++ b/crates/sesamegap-entry/src/telemetry/mod.rs
@@ -17,26 +17,34 @@
 /// Capacity of the queue in lines; at about 250 bytes per line this is about a megabyte.
 const QUEUE_LINES: usize = 4_096;
 
-/// Keeps the writer thread running; dropping it flushes the queue.
+/// What is known of the log while it is written.
 #[derive(Debug)]
 pub struct Logging {
     dropped: Option<ErrorCounter>,
-    _guard: Option<WorkerGuard>,
+}
+
+/// Keeps the writer thread running; dropping it writes the lines in the queue.
+#[derive(Debug)]
+pub struct LogWriter {
+    _guard: WorkerGuard,
 }
 
 impl Logging {
     /// Starts logging to standard output, at the level in `RUST_LOG` or `info`.
-    pub fn start() -> Self {
+    pub fn start() -> (Self, LogWriter) {
         let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-        let (subscriber, logging) = Self::to_writer(std::io::stdout(), filter);
+        let (subscriber, logging, writer) = Self::to_writer(std::io::stdout(), filter);
         let result = tracing::subscriber::set_global_default(subscriber);
         // Fails if a test has set its own subscriber, which then stays.
         drop(result);
-        logging
+        (logging, writer)
     }
 
     /// A subscriber that logs to a writer; a writer that blocks holds up only the writer thread.
-    pub fn to_writer<W>(writer: W, filter: EnvFilter) -> (impl Subscriber + Send + Sync, Self)
+    pub fn to_writer<W>(
+        writer: W,
+        filter: EnvFilter,
+    ) -> (impl Subscriber + Send + Sync, Self, LogWriter)
     where
         W: std::io::Write + Send + 'static,
     {
@@ -54,17 +62,13 @@
             .finish();
         let logging = Self {
             dropped: Some(dropped),
-            _guard: Some(guard),
         };
-        (subscriber, logging)
+        (subscriber, logging, LogWriter { _guard: guard })
     }
 
     /// No logging, for tests.
     pub fn disabled() -> Self {
-        Self {
-            dropped: None,
-            _guard: None,
-        }
+        Self { dropped: None }
     }
 
     /// Number of lines dropped so far.
--- a/crates/sesamegap-entry/tests/testsuite/logs.rs
+++ b/crates/sesamegap-entry/tests/testsuite/logs.rs
@@ -31,7 +31,7 @@
     let (write_started, writes) = channel();
     let (resume_sender, resume) = channel();
     let filter = EnvFilter::new("info");
-    let (subscriber, logging) = Logging::to_writer(
+    let (subscriber, logging, _writer) = Logging::to_writer(
         BlockedPipe {
             write_started,
             resume,
--- a/crates/sesamegap-entry/tests/testsuite/support/lines.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/lines.rs
@@ -1,6 +1,6 @@
 //! A log in memory.
 
-use sesamegap_entry::telemetry::Logging;
+use sesamegap_entry::telemetry::{LogWriter, Logging};
 use std::io::{self, Write};
 use std::sync::{Arc, LazyLock, Mutex};
 use tracing::subscriber::NoSubscriber;
@@ -26,10 +26,12 @@
 pub struct LogLines(Arc<Mutex<Vec<u8>>>);
 
 impl LogLines {
-    /// A subscriber that logs here; all lines are written once the [`Logging`] is dropped.
-    pub fn subscriber(&self) -> (impl Subscriber + Send + Sync + use<>, Logging) {
+    /// A subscriber that logs here; all lines are written once the [`LogWriter`] is dropped.
+    pub fn subscriber(&self) -> (impl Subscriber + Send + Sync + use<>, LogWriter) {
         keep_call_sites_shared();
-        Logging::to_writer(self.clone(), EnvFilter::new("info"))
+        let filter = EnvFilter::new("info");
+        let (subscriber, _, writer) = Logging::to_writer(self.clone(), filter);
+        (subscriber, writer)
     }
 
     /// Lines with this event number.
