A stopping VM takes what it can finish, and tells the rest that it was not run

Cause: the stop bounded connections, not requests. A connection without a request outlived the closing of idle ones and of the port, and nothing looked at what was left of the grace: not when a head came, not when its body was whole, not after a wait for an upstream, not for another VM's request at a gateway (which refused by phase).

Change: one decision, policy::routing::stopping. Up to a third of the grace, 2.65 s at most, requests are taken as before; later only those whose deadline comes before the exit. The others get 503 with a time to come back: at once if another VM is known. It is asked at the head, after the body, while a request waits for its first upstream, and at the gateway, where only what ends before the exit is taken. Connections without a request are closed with the port. Half a second before SIGKILL the phase Exiting begins, or as soon as no request is in hand: what is incomplete or has no answer is told whether it may have run, and the process waits until callers have received their answers. Timers that are late bring the exit forward by twice their delay. The shortest grace that the settings have named since the signal counts; they are read again at the signal.

--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -1,7 +1,7 @@
 //! One request of a peer on its way to an upstream and back.
 
 use crate::clock;
-use crate::core::{ActiveRequestGuard, Arrival, Core, Phase};
+use crate::core::{ActiveRequestGuard, Arrival, Core};
 use crate::fleet::{GatePass, confirm_running};
 use crate::limits::acquire::{Closed, acquire, renew};
 use crate::relay::strip_hop_by_hop;
@@ -15,9 +15,14 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 use tracing::info;
 
+/// Stands for the time left to a request that states none.
+const UNLIMITED: Duration = Duration::from_hours(1);
+
 /// What a request holds until its response has ended.
 type Permits = (OwnedSemaphorePermit, Option<GatePass>);
 
@@ -28,11 +33,16 @@
     from: Option<SocketAddr>,
     permits: Arc<Semaphore>,
 ) -> Response<ResponseBody> {
-    let id = core.ports.headers.read_request(request.headers());
-    let id = id.map(|head| head.id).unwrap_or_default();
+    let head = core.ports.headers.read_request(request.headers());
+    let timeout = head.as_ref().ok().and_then(|head| head.timeout);
+    let id = head.map(|head| head.id).unwrap_or_default();
     let active = ActiveRequestGuard::new(&core.active, id.clone(), Arrival::alone());
     let mut destination = None;
     let sent = match gateway::unwrap(request) {
+        // The peer has no excuse for a request that is cut here.
+        Some(_) if !core.ends_before_exit(Instant::now() + timeout.unwrap_or(UNLIMITED)) => {
+            Err(RelayOutcome::Stopping)
+        }
         Some((upstream, is_counted, request)) => {
             destination = Some(upstream.id.clone());
             send(&core, &upstream, is_counted, request, &id, permits).await
@@ -64,10 +74,6 @@
     id: &SmolStr,
     permits: Arc<Semaphore>,
 ) -> Result<(Exchange, Permits), RelayOutcome> {
-    // Peers that know of no other gateway left still use a VM that has been asked to stop.
-    if core.phase() > Phase::Leaving {
-        return Err(RelayOutcome::Stopping);
-    }
     let addr = locate(core, destination)?;
     let permit = permits.try_acquire_owned();
     let permit = permit.map_err(|_| RelayOutcome::Busy)?;
--- a/crates/sesamegap-entry/src/intake/connection.rs
+++ b/crates/sesamegap-entry/src/intake/connection.rs
@@ -2,9 +2,10 @@
 
 use super::request;
 use crate::catalogue::Limits;
-use crate::core::{Core, Phase};
+use crate::core::{CallerGuard, Core, Phase};
 use crate::telemetry::events;
-use sesamegap_http::serving::{self, Bounds, CloseReason, ConnectionPolicy};
+use bytes::Bytes;
+use sesamegap_http::serving::{self, Bounds, CloseReason, ClosedOnStop, ConnectionPolicy};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -18,6 +19,11 @@
     idle_time: Duration::from_secs(10),
 };
 
+/// Sent when a connection is closed between two requests.
+const CLOSING_RESPONSE: Bytes = Bytes::from_static(
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-type: text/plain\r\ncontent-length: 28\r\n\r\nconnection closed; not run\r\n",
+);
+
 /// Limits of the document in force, or the defaults.
 pub fn limits(core: &Core) -> Limits {
     core.catalogue()
@@ -37,6 +43,19 @@
         limits(self).head
     }
 
+    /// What is closed here was not run, which the caller of a request that is on its way could not tell otherwise.
+    fn closing_response(&self) -> Bytes {
+        CLOSING_RESPONSE
+    }
+
+    fn closes_on_stop(&self) -> ClosedOnStop {
+        match self.phase() {
+            Phase::Serving | Phase::Leaving | Phase::Closing => ClosedOnStop::Idle,
+            Phase::Ended => ClosedOnStop::Unused,
+            Phase::Exiting => ClosedOnStop::Incomplete,
+        }
+    }
+
     fn unread_report(&self) -> fn(u64) {
         |unread| {
             info!(
@@ -53,6 +72,7 @@
         debug!(event = events::CALLER_CONNECTION, %error, "cannot set TCP_NODELAY; connection closed");
         return;
     }
+    let _open = CallerGuard::new(&core);
     let mut phases = core.subscribe_phase();
     let closing = super::wait_for_phase(&mut phases, Phase::Closing);
     let handle = |request, busy| request::handle(Arc::clone(&core), request, busy);
--- a/crates/sesamegap-entry/src/intake/request.rs
+++ b/crates/sesamegap-entry/src/intake/request.rs
@@ -16,6 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use sesamegap_http::serving::{RequestGuard, guard_body};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -41,7 +42,7 @@
     };
     let active = ActiveRequestGuard::new(&core.active, id, arrival);
     let mut response = match received {
-        Ok(job) => relay::run(&core, job).await,
+        Ok(job) => run_until_exit(&core, job).await,
         Err(refused) => {
             let Refused { refusal, id } = refused;
             core.metrics.count_refusal(refusal.status().as_u16());
@@ -72,6 +73,19 @@
     })
 }
 
+/// Relays a request; one without an answer when only the last ones are sent is told whether it may have run.
+async fn run_until_exit(core: &Arc<Core>, job: Job) -> Response<Body> {
+    let sent = Arc::clone(&job.sent);
+    tokio::select! {
+        biased;
+        response = relay::run(core, job) => response,
+        () = core.wait_for_exit() => {
+            let may_have_run = sent.load(Ordering::Relaxed);
+            refusal_response(if may_have_run { Refusal::Lost } else { core.stopping() })
+        }
+    }
+}
+
 /// A request that was refused before it was placed.
 #[derive(Debug)]
 struct Refused {
@@ -109,7 +123,18 @@
     };
     let caller_timeout = head.timeout.unwrap_or(route.timeout);
     let deadline = arrival.at + caller_timeout.min(route.timeout);
-    let body = read_body(core, body, deadline).await.map_err(refused)?;
+    if let Err(refusal) = core.check_stop(deadline) {
+        drain(body).await;
+        return Err(refused(refusal));
+    }
+    let body = tokio::select! {
+        biased;
+        body = read_body(core, body, deadline) => body,
+        () = core.wait_for_exit() => Err(core.stopping()),
+    };
+    let body = body.map_err(refused)?;
+    // The body may have taken long.
+    core.check_stop(deadline).map_err(refused)?;
     Ok(Job {
         head,
         catalogue,
@@ -124,6 +149,7 @@
         deadline,
         charge: None,
         origin: None,
+        sent: Arc::default(),
         subjects: OnceLock::new(),
     })
 }
--- a/crates/sesamegap-entry/src/job.rs
+++ b/crates/sesamegap-entry/src/job.rs
@@ -14,6 +14,7 @@
 use sesamegap_policy::routing::engines::{Prefix, Prompt};
 use sesamegap_wire::{Fingerprint, ServiceId};
 use std::hash::{Hash, Hasher};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -54,6 +55,8 @@
     pub charge: Option<Charged>,
     /// The version at which it must run, if it takes a stream up again.
     pub origin: Option<Origin>,
+    /// Whether any of it may have reached an upstream.
+    pub sent: Arc<AtomicBool>,
     /// Computed on first use by [`Job::subjects`].
     pub subjects: OnceLock<Arc<Subjects>>,
 }
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -1,8 +1,5 @@
 //! Starts the process, and stops it without cutting requests.
 
-pub mod stopping;
-
-use self::stopping::StopDeadlines;
 use crate::core::{Core, Phase};
 use crate::follow;
 use crate::gateway;
@@ -20,11 +17,12 @@
 use poem::endpoint::BoxEndpoint;
 use poem::listener::TcpAcceptor;
 use poem::{IntoEndpoint, Server};
+use sesamegap_policy::routing::stopping::StopDeadlines;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
 
@@ -54,7 +52,7 @@
     }
 }
 
-/// Runs the process until it receives SIGTERM.
+/// Runs the process until it receives SIGTERM, and stops it.
 ///
 /// # Errors
 /// If a socket cannot be bound or a signal handler cannot be installed.
@@ -86,35 +84,61 @@
     tokio::spawn(quarantine::sync(Arc::clone(&core)));
     tokio::spawn(resumption::run_history(Arc::clone(&core)));
     tokio::spawn(resumption::run_log(Arc::clone(&core)));
-    wait_for_stop(&core, reload).await?;
-    stop(&core).await;
+    let mut signals = Signals::new()?;
+    tokio::select! {
+        _ = signals.terminate.recv() => {}
+        () = apply_settings(&core, reload, &mut signals.hangup) => {}
+    }
+    // The file may have changed without a signal.
+    reload_settings(&core, reload);
+    tokio::select! {
+        () = stop(&core) => {}
+        () = apply_settings(&core, reload, &mut signals.hangup) => {}
+    }
     Ok(())
 }
 
 /// Reads the settings file again.
 pub type Reload<'a> = dyn Fn() -> anyhow::Result<Settings> + Send + Sync + 'a;
 
-/// Waits for SIGTERM, and applies changed settings meanwhile.
-async fn wait_for_stop(core: &Core, reload: &Reload<'_>) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
-    let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
+/// The signals that the process handles.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?,
+            hangup: signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?,
+        })
+    }
+}
+
+/// Applies changed settings, without end.
+async fn apply_settings(core: &Core, reload: &Reload<'_>, hangup: &mut Signal) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
             _ = hangup.recv() => {}
             () = sleep(RELOAD_INTERVAL) => {}
         }
-        match reload() {
-            Ok(settings) if settings == *core.settings() => {}
-            Ok(settings) => core.reload(settings),
-            Err(error) => {
-                // The previous settings stay in force.
-                warn!(
-                    event = events::RELOADED,
-                    error = format!("{error:#}"),
-                    "cannot read the settings file; keeping the previous settings"
-                );
-            }
+        reload_settings(core, reload);
+    }
+}
+
+fn reload_settings(core: &Core, reload: &Reload<'_>) {
+    match reload() {
+        Ok(settings) if settings == *core.settings() => {}
+        Ok(settings) => core.reload(settings),
+        Err(error) => {
+            // The previous settings stay in force.
+            warn!(
+                event = events::RELOADED,
+                error = format!("{error:#}"),
+                "cannot read the settings file; keeping the previous settings"
+            );
         }
     }
 }
@@ -140,49 +164,75 @@
 
 /// Lets requests complete for as long as the grace period lasts.
 pub async fn stop(core: &Core) {
-    let stop_requested = core.begin_stop();
-    let grace = core.settings().spans.grace;
-    let deadlines = StopDeadlines::new(grace);
+    core.begin_stop();
     info!(
         event = events::STOPPING,
         active = core.active(),
-        grace_s = grace.as_secs_f64(),
+        callers = core.open_callers(),
+        grace_s = core.settings().spans.grace.as_secs_f64(),
         "asked to stop"
     );
     core.advance_phase(Phase::Leaving);
     core.peers.leave();
     quota::stop(core);
     peers::broadcast_state(core).await;
-    sleep(
-        deadlines
-            .close_idle
-            .saturating_sub(stop_requested.elapsed()),
-    )
-    .await;
+    wait_in_stop(core, |deadlines, elapsed| elapsed >= deadlines.close_idle).await;
     core.advance_phase(Phase::Closing);
     let mut last_active = Instant::now();
-    while stop_requested.elapsed() < deadlines.stop_accepting && last_active.elapsed() < QUIET_TIME
-    {
+    wait_in_stop(core, |deadlines, elapsed| {
         if core.active() > 0 {
             last_active = Instant::now();
         }
-        sleep(POLL_INTERVAL).await;
-    }
+        elapsed >= deadlines.stop_accepting || last_active.elapsed() >= QUIET_TIME
+    })
+    .await;
     core.advance_phase(Phase::Ended);
     // Requests on the last accepted connections are read and counted as active only now.
-    sleep(POLL_INTERVAL).await;
-    while core.active() > 0 && stop_requested.elapsed() < deadlines.exit {
-        sleep(POLL_INTERVAL).await;
-    }
+    pause_in_stop(core).await;
+    wait_in_stop(core, |deadlines, elapsed| {
+        core.active() == 0 || elapsed >= deadlines.answer
+    })
+    .await;
+    core.advance_phase(Phase::Exiting);
+    // An answer that has ended here may still be on its way to a slow caller.
+    wait_in_stop(core, |deadlines, elapsed| {
+        (core.active() == 0 && core.open_callers() == 0) || elapsed >= deadlines.exit
+    })
+    .await;
     let cut = core.active.all();
     if !cut.is_empty() {
         let logged = cut.iter().take(MAX_LOGGED_IDS);
         let requests: Vec<String> = logged.map(ToString::to_string).collect();
-        warn!(event = events::REQUESTS_CUT, active = cut.len(), phase = ?core.phase(), ?requests, "stopped with requests in flight");
+        warn!(
+            event = events::REQUESTS_CUT,
+            active = cut.len(),
+            ?requests,
+            "stopped with requests in flight"
+        );
     }
     info!(
         event = events::STOPPED,
-        took_ms = crate::clock::millis(stop_requested.elapsed()),
+        callers = core.open_callers(),
+        took_ms = core.time_in_stop(Instant::now()).map(crate::clock::millis),
+        delay_ms = crate::clock::millis(core.timer_delay()),
         "stopped"
     );
 }
+
+/// Waits until a condition on the deadlines and the time since the signal holds.
+async fn wait_in_stop(core: &Core, mut is_met: impl FnMut(StopDeadlines, Duration) -> bool) {
+    loop {
+        let elapsed = core.time_in_stop(Instant::now()).unwrap_or_default();
+        if is_met(core.stop_deadlines(), elapsed) {
+            return;
+        }
+        pause_in_stop(core).await;
+    }
+}
+
+/// Sleeps for [`POLL_INTERVAL`], and records by how much it took longer.
+async fn pause_in_stop(core: &Core) {
+    let began = Instant::now();
+    sleep(POLL_INTERVAL).await;
+    core.record_timer_delay(began.elapsed().saturating_sub(POLL_INTERVAL));
+}
--- a/crates/sesamegap-entry/src/refusal.rs
+++ b/crates/sesamegap-entry/src/refusal.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// `Retry-After` if no document is in force yet, or a newer one is about to be: a copy takes about this long.
-const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// `Retry-After` if no upstream is available.
 ///
@@ -74,6 +74,9 @@
     NotResumable,
     /// The memory for request bodies is used up.
     OutOfMemory,
+    /// This VM stops before the request could end, and can take it up again after this time if no other VM does; it was not
+    /// run and will not be.
+    Stopping(Duration),
     /// It may have run, but no complete response came.
     Lost,
     /// Its deadline has passed; it may have run.
@@ -99,7 +102,7 @@
             Self::UnknownOrigin => Some(ORIGIN_RETRY_AFTER),
             Self::NotResumable => Some(NOT_RESUMABLE_RETRY_AFTER),
             Self::OutOfMemory => Some(MEMORY_RETRY_AFTER),
-            Self::Overloaded(wait) => Some(wait),
+            Self::Overloaded(wait) | Self::Stopping(wait) => Some(wait),
             Self::OverQuota(wait) | Self::NoQuotaRights(wait) | Self::AllLimited(wait) => {
                 Some(wait.max(MIN_QUOTA_RETRY_AFTER))
             }
@@ -126,7 +129,8 @@
             | Self::NoQuotaRights(_)
             | Self::UnknownOrigin
             | Self::NotResumable
-            | Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::OutOfMemory
+            | Self::Stopping(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -161,6 +165,7 @@
                 "the stream cannot go on at the software version that began it; not run"
             }
             Self::OutOfMemory => "too many requests at once; not run",
+            Self::Stopping(_) => "this VM is stopping, others serve; not run",
             Self::Lost => "no whole answer from the upstream; it may have run",
             Self::Timeout => "time is over; it may have run",
         })
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -19,6 +19,7 @@
 use routes::AttemptRoutes;
 use sesamegap_wire::UpstreamId;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{info, warn};
@@ -138,6 +139,7 @@
         "sent"
     );
     let deadline = job.deadline.min(sent + head_timeout);
+    job.sent.store(true, Ordering::Relaxed);
     let permit = flight.send_permit.take();
     let mut routes = AttemptRoutes {
         core,
--- a/crates/sesamegap-entry/src/relay/request_log.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -2,7 +2,7 @@
 
 use crate::catalogue::Kind;
 use crate::clock;
-use crate::core::{Arrival, Core};
+use crate::core::{Arrival, Core, Phase};
 use crate::job::Job;
 use crate::telemetry::events;
 use smol_str::SmolStr;
@@ -81,6 +81,19 @@
             .record_request(self.kind, self.status, span, self.first_event_after);
         let took = clock::millis(span);
         let stop_ms = self.core.time_in_stop(self.arrival.at).map(clock::millis);
+        if self.status.is_none() && self.core.phase() >= Phase::Exiting {
+            info!(
+                event = events::CUT,
+                request = %self.id,
+                route = %self.route,
+                events = self.events,
+                last = self.last_event,
+                took_ms = took,
+                stop_ms,
+                "cut by the stop"
+            );
+            return;
+        }
         let Some(status) = self.status else {
             info!(
                 event = events::CALLER_LEFT,
--- a/crates/sesamegap-entry/src/relay/waiting.rs
+++ b/crates/sesamegap-entry/src/relay/waiting.rs
@@ -41,6 +41,9 @@
 ) -> Result<Flight, Refusal> {
     let deadline = job.wait_deadline();
     loop {
+        if retry.runs == 0 {
+            core.check_stop(job.deadline)?;
+        }
         let mut poll_interval = POLL_INTERVAL;
         let refusal = match admit(core, job).await {
             Admission::Free => match choose_permitted(core, job, retry, false).await {
--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -14,6 +14,8 @@
 pub const RELOADED: u16 = 705;
 /// A caller's connection was closed with bytes of the caller unread, which resets it.
 pub const CALLER_UNREAD: u16 = 706;
+/// A request was given up, or its answer cut, because the process stops.
+pub const CUT: u16 = 707;
 /// A document came into force.
 pub const DOCUMENT: u16 = 710;
 /// Weights were named.
--- a/crates/sesamegap-entry/tests/testsuite/late_requests.rs
+++ b/crates/sesamegap-entry/tests/testsuite/late_requests.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{
     Act, Answer, Caller, Platform, Process, Upstream, document, entry, offset, settings,
-    unused_addr, wait_until,
+    unused_addr, vms, wait_until,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::core::{Core, Phase};
@@ -11,8 +11,12 @@
 use sesamegap_entry::process;
 use sesamegap_entry::settings::Settings;
 use sesamegap_entry::telemetry::Logging;
+use sesamegap_wire::Moment;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 /// Long enough for what tests do in a stop, and far shorter than the route's time limit.
@@ -27,7 +31,7 @@
     engine: Upstream,
     desk: Upstream,
     /// The caller of the first stream.
-    busy: Caller,
+    _busy: Caller,
     /// Callers that have a connection and have sent nothing on it.
     unused: Vec<Caller>,
 }
@@ -52,7 +56,7 @@
             process,
             engine,
             desk,
-            busy,
+            _busy: busy,
             unused: callers,
         }
     }
@@ -72,6 +76,20 @@
     process.core.reload(settings);
 }
 
+/// A socket that holds little of an answer.
+fn small_buffers() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4_096).unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket
+}
+
+fn small_buffers_listener() -> TcpListener {
+    let socket = small_buffers();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket.listen(8).unwrap()
+}
+
 fn head(path: &str, headers: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nauthorization: clerks-key\r\n{headers}\r\n"
@@ -192,32 +210,41 @@
 /// Guards against a process that ends with nothing in hand while a caller has not received all of its answer.
 #[tokio::test]
 async fn a_process_does_not_end_before_a_slow_caller_has_its_answer() {
-    const LENGTH: usize = 6 << 20;
-    let process = Process::new().await;
-    let text = format!(
-        "HTTP/1.1 200 X\r\nx-id: r1\r\nx-seal: s\r\ncontent-length: {LENGTH}\r\n\r\n{}",
-        "x".repeat(LENGTH)
-    );
-    let desk = Upstream::start(vec![Act::Bytes(Box::leak(text.into_boxed_str()))]).await;
-    process.add("w1", "desk", desk.addr);
-    set_grace(&process, GRACE);
-    let mut caller = Caller::connect(process.callers).await;
+    const LENGTH: usize = 200 << 10;
+    let body: &str = Box::leak("x".repeat(LENGTH).into_boxed_str());
+    let desk = Upstream::start(vec![Act::Answer(200, body)]).await;
+    let addr = desk.addr;
+    let (start, started) = oneshot::channel();
+    let (stop, stopped) = oneshot::channel();
+    // A runtime of its own, whose end closes all sockets as that of a process does.
+    let ended = std::thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        runtime.unwrap().block_on(async {
+            let process = Process::on(small_buffers_listener());
+            process.add("w1", "desk", addr);
+            set_grace(&process, GRACE);
+            start
+                .send((Arc::clone(&process.core), process.callers))
+                .unwrap();
+            stopped.await.unwrap();
+            process::stop(&process.core).await;
+        });
+    });
+    let (core, callers) = started.await.unwrap();
+    let mut caller = Caller::on(small_buffers().connect(callers).await.unwrap());
     caller.send(&head("/pull/", "content-length: 0\r\n")).await;
-    wait_until(|| process.core.active() == 1).await;
-    while process.core.active() > 0 {
-        assert!(caller.read_more().await);
-    }
-    let core = Arc::clone(&process.core);
-    let reads = async {
-        wait_until(|| core.phase() >= Phase::Ended).await;
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        caller.answer().await
-    };
-    tokio::select! {
-        biased;
-        answer = reads => assert!(answer.is_complete),
-        () = process::stop(&process.core) => panic!("ended before the caller had its answer"),
-    }
+    wait_until(|| desk.closed() == 1 && core.active() == 0).await;
+    stop.send(()).unwrap();
+    wait_until(|| core.phase() >= Phase::Ended).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(core);
+    while caller.read_more().await {}
+    let answer = caller.answer().await;
+    assert!(answer.is_complete, "{} bytes", answer.body.len());
+    tokio::task::spawn_blocking(|| ended.join())
+        .await
+        .unwrap()
+        .unwrap();
 }
 
 /// Guards against a stop that goes on by a grace which has been shortened since the process was asked to stop.
@@ -258,3 +285,32 @@
         wait_until(|| known() == usize::from(no)).await;
     }
 }
+
+/// Guards against a request of another VM that a stopping gateway passes on and cuts.
+#[tokio::test]
+async fn a_stopping_gateway_takes_only_requests_that_it_can_finish() {
+    let vm = vms(1, 93).await.remove(0);
+    let desk = Upstream::start(vec![Act::Answer(200, "ok")]).await;
+    let id = "w1".parse().unwrap();
+    let entry = entry("desk", desk.addr);
+    vm.core.fleet.lock().apply(&id, entry, offset(0), Moment(1));
+    let life = vm.core.fleet.lock().get(&id).unwrap().life;
+    let addr = vm.core.settings().listen.loads;
+    wait_until(|| std::net::TcpStream::connect(addr).is_ok()).await;
+    let outcome = async |patience: u32| {
+        let mut peer = Caller::connect(addr).await;
+        let text = format!(
+            "POST /relay HTTP/1.1\r\nhost: desk.example\r\nx-id: r1\r\nx-patience: {patience}\r\n\
+            sesamegap-upstream: w1\r\nsesamegap-life: {life}\r\nsesamegap-target: /save/\r\n\
+            content-length: 0\r\n\r\n"
+        );
+        peer.send(&text).await;
+        let answer = peer.answer().await;
+        answer.header("sesamegap-relay").map(str::to_owned)
+    };
+    assert_eq!(outcome(60_000).await.as_deref(), Some("answered"));
+    vm.core.begin_stop();
+    assert_eq!(outcome(60_000).await.as_deref(), Some("stopping"));
+    assert_eq!(outcome(500).await.as_deref(), Some("answered"));
+    assert_eq!(desk.seen().len(), 2);
+}
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -39,7 +39,6 @@
 mod silent_streams;
 mod software_versions;
 mod sse;
-mod stopping;
 mod stops;
 mod streams;
 mod support;
--- a/crates/sesamegap-entry/tests/testsuite/stops.rs
+++ b/crates/sesamegap-entry/tests/testsuite/stops.rs
@@ -28,6 +28,13 @@
     process.core.advance_phase(Phase::Leaving);
     assert!(!process.core.is_ready());
     process.core.advance_phase(Phase::Closing);
+    // A request that crosses the close is told that it was not run.
+    let closing = idle.answer().await;
+    assert_eq!(
+        (closing.status, closing.header("connection")),
+        (408, Some("close"))
+    );
+    assert!(closing.body.contains("not run"));
     assert!(idle.is_closed().await);
     let answer = busy.answer().await;
     assert_eq!((answer.status, answer.body.as_str()), (200, "late"));
--- a/crates/sesamegap-entry/tests/testsuite/support/caller.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/caller.rs
@@ -38,8 +38,12 @@
 
 impl Caller {
     pub async fn connect(addr: SocketAddr) -> Self {
+        Self::on(TcpStream::connect(addr).await.unwrap())
+    }
+
+    pub fn on(stream: TcpStream) -> Self {
         Self {
-            stream: TcpStream::connect(addr).await.unwrap(),
+            stream,
             bytes: Vec::new(),
         }
     }
@@ -47,10 +51,7 @@
     /// A caller on an open blocking connection.
     pub fn from_stream(stream: std::net::TcpStream) -> Self {
         stream.set_nonblocking(true).unwrap();
-        Self {
-            stream: TcpStream::from_std(stream).unwrap(),
-            bytes: Vec::new(),
-        }
+        Self::on(TcpStream::from_std(stream).unwrap())
     }
 
     /// Sends without yielding to other tasks.
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -114,6 +114,10 @@
 impl Process {
     /// Serves callers on a free port, without a document or upstreams.
     pub async fn empty() -> Self {
+        Self::without_document(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    fn without_document(listener: TcpListener) -> Self {
         let platform = Arc::new(Platform::default());
         let core = Core::new(
             settings("vm-1", Vec::new()),
@@ -121,7 +125,6 @@
             Logging::disabled(),
         );
         let core = Arc::new(core.unwrap());
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let callers = listener.local_addr().unwrap();
         tokio::spawn(intake::serve(Arc::clone(&core), listener));
         Self { core, callers }
@@ -129,7 +132,12 @@
 
     /// Serves callers with [`document`] in force.
     pub async fn new() -> Self {
-        let process = Self::empty().await;
+        Self::on(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    /// Serves the callers of a listener with [`document`] in force.
+    pub fn on(listener: TcpListener) -> Self {
+        let process = Self::without_document(listener);
         process.core.adopt(&Arc::new(document(1)), "test");
         let settings = process.core.table_progress(Table::Settings);
         settings.position().record_read(offset(1), clock::now());
--- a/crates/sesamegap-http/src/serving/activity.rs
+++ b/crates/sesamegap-http/src/serving/activity.rs
@@ -81,6 +81,11 @@
         Deadline::Idle(self.instant(self.idle_since.load(Ordering::Relaxed)) + bounds.idle)
     }
 
+    /// How long the connection has been open.
+    pub(super) fn age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+
     /// Whether the connection has received any request.
     pub(super) fn has_received_request(&self) -> bool {
         self.received.load(Ordering::Relaxed) > 0
--- a/crates/sesamegap-http/src/serving/mod.rs
+++ b/crates/sesamegap-http/src/serving/mod.rs
@@ -48,6 +48,9 @@
 /// a core.
 const CLOSING_RECHECK: Duration = Duration::from_millis(100);
 
+/// Time after which a stop may close a connection that has not received anything: its request may be on the way.
+const UNUSED_TIME: Duration = Duration::from_millis(200);
+
 /// Longest time for a close, including the closing response and the wait for the caller's close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -69,9 +72,31 @@
         |_| {}
     }
 
-    /// Whether a stop also closes connections that have not received a request yet.
-    fn closes_unused_on_stop(&self) -> bool {
-        false
+    /// Which connections a server that stops closes now; it may close more later.
+    fn closes_on_stop(&self) -> ClosedOnStop {
+        ClosedOnStop::Idle
+    }
+}
+
+/// Connections that a stopping server closes, each value more of them. One with a request in progress ends with its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ClosedOnStop {
+    /// Those between two requests.
+    Idle,
+    /// Those too that have not received anything.
+    Unused,
+    /// Those too that have received a part of a request head.
+    Incomplete,
+}
+
+impl ClosedOnStop {
+    /// Whether it includes a connection with this deadline.
+    fn includes(self, deadline: Deadline, is_used: bool) -> bool {
+        match deadline {
+            Deadline::Busy => true,
+            Deadline::Idle(_) => is_used || self >= Self::Unused,
+            Deadline::Head(_) => self >= Self::Incomplete,
+        }
     }
 }
 
@@ -126,15 +151,19 @@
             () = stop.as_mut(), if !stopping => stopping = true,
             () = sleep(wait) => {}
         }
-        let unused = !activity.has_received_request() && !policy.closes_unused_on_stop();
-        let closes = stopping && !unused;
-        if closes && activity.deadline(bounds) == Deadline::Busy {
+        let is_closed = |deadline| {
+            let is_used = activity.has_received_request();
+            let is_settled = is_used || activity.age() >= UNUSED_TIME;
+            stopping && is_settled && policy.closes_on_stop().includes(deadline, is_used)
+        };
+        if stopping && activity.deadline(bounds) == Deadline::Busy {
             // The response head may have been sent before the stop, without `connection: close`. A
             // connection kept alive could deliver another request late in the stop, which the
             // process's kill would then abort.
             served.as_mut().graceful_shutdown();
         }
-        if !closes && !activity.deadline(bounds).is_past() {
+        let deadline = activity.deadline(bounds);
+        if !is_closed(deadline) && !deadline.is_past() {
             continue;
         }
         // Processes the bytes that the runtime knows of, which may hold a request head, and checks
@@ -153,7 +182,7 @@
             break CloseReason::TimedOut(deadline);
         }
         // The end of a response may still be unsent because the caller reads slowly.
-        if closes && matches!(deadline, Deadline::Idle(_)) && !activity.has_unsent() {
+        if deadline != Deadline::Busy && is_closed(deadline) && !activity.has_unsent() {
             break CloseReason::Stopped;
         }
     };
--- a/crates/sesamegap-policy/src/routing/mod.rs
+++ b/crates/sesamegap-policy/src/routing/mod.rs
@@ -23,6 +23,7 @@
 //! - [`shards`] assigns engines to the VMs that place their prompts in a large fleet.
 //! - [`homes`] picks the home of a prefix among engines with weights.
 //! - [`speeds`] learns which engines prefill slower or faster than usual.
+//! - [`stopping`] bounds what a VM that was asked to stop still takes on.
 //! - [`placements`] counts the prompts that a VM has placed for its peers.
 
 pub mod belief;
@@ -46,6 +47,7 @@
 pub mod shards;
 pub mod silence;
 pub mod speeds;
+pub mod stopping;
 pub mod timeouts;
 pub mod transfers;
 pub mod upstream_limits;
--- a/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/mod.rs
@@ -18,6 +18,7 @@
 mod shards;
 mod silence;
 mod speeds;
+mod stopping;
 mod timeouts;
 mod transfers;
 mod upstream_limits;
--- a/crates/sesamegap/src/router/door.rs
+++ b/crates/sesamegap/src/router/door.rs
@@ -22,7 +22,9 @@
 use poem::http::uri::Scheme;
 use poem::web::{LocalAddr, RemoteAddr};
 use rustix::io::ioctl_fionread;
-use sesamegap_http::serving::{self, Bounds, ConnectionPolicy, RequestGuard, guard_body};
+use sesamegap_http::serving::{
+    self, Bounds, ClosedOnStop, ConnectionPolicy, RequestGuard, guard_body,
+};
 use std::io::Result;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd};
@@ -207,8 +209,8 @@
         ))
     }
 
-    fn closes_unused_on_stop(&self) -> bool {
-        true
+    fn closes_on_stop(&self) -> ClosedOnStop {
+        ClosedOnStop::Unused
     }
 }
 
