A stopping VM follows lists, documents and peers to its end

Once the port was closed, after a third of the grace, the process no longer followed the fleet list, documents and peers, though streams in hand may break off and go on elsewhere for five more seconds: by then at upstreams that had left, while new ones were unknown, and without answers of peers on permits, placements and streams. Found by reading; late_requests::a_stopping_process_follows_the_fleet_list_to_its_end failed before. Following now ends with the phase Exiting.

--- a/crates/sesamegap-entry/src/follow/fetch.rs
+++ b/crates/sesamegap-entry/src/follow/fetch.rs
@@ -72,7 +72,7 @@
 ///
 /// The task that follows the settings may be waiting for the store, which may lag behind the peers or turn this VM away.
 pub async fn fetch_documents(core: Arc<Core>) {
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         let before = core.revision();
         if core.behind_for().is_some() {
             fetch_document(&core).await;
--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -71,7 +71,7 @@
     }
     core.peers.wait_for_list().await;
     let mut follower = Follower::new(table);
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         follower.step(&core).await;
         follower.expire(&core);
     }
--- a/crates/sesamegap-entry/src/follow/vms.rs
+++ b/crates/sesamegap-entry/src/follow/vms.rs
@@ -38,7 +38,7 @@
 pub async fn follow_vms(core: Arc<Core>) {
     let mut timelines = core.store.subscribe_timeline();
     let mut backoff = Backoff::default();
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         timelines.mark_unchanged();
         if let Err(error) = update_entry(&core).await {
             info!(event = events::STORE_LOST, table = ?Table::Vms, %error, "cannot read the list of entry VMs or write this VM's entry");
--- a/crates/sesamegap-entry/src/gateway/mod.rs
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -77,9 +77,9 @@
 
 /// Tests, after a connection failed, whether any upstream accepts one, until one does.
 pub async fn test_connections(core: Arc<Core>) {
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         core.connection_failed.notified().await;
-        while core.fleet.lock().is_reach_in_doubt(clock::now()) && core.phase() < Phase::Ended {
+        while core.fleet.lock().is_reach_in_doubt(clock::now()) && core.phase() < Phase::Exiting {
             sleep(TEST_POLL_INTERVAL).await;
             let claimed = core
                 .fleet
--- a/crates/sesamegap-entry/src/kept/mod.rs
+++ b/crates/sesamegap-entry/src/kept/mod.rs
@@ -117,7 +117,7 @@
 pub async fn watch(core: Arc<Core>) {
     core.peers.wait_for_list().await;
     let mut watched = Vec::new();
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         if let Some(catalogue) = core.catalogue() {
             for store in catalogue.kv_stores() {
                 if !watched.contains(&store.addr) {
@@ -135,7 +135,7 @@
     let mut since = 0;
     let mut born = None;
     let mut answering = true;
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         if !core.peers.is_among_first(WATCHERS, ranking_key) {
             sleep(POLL_INTERVAL * 4).await;
             continue;
--- a/crates/sesamegap-entry/src/peers/client.rs
+++ b/crates/sesamegap-entry/src/peers/client.rs
@@ -91,7 +91,7 @@
     tokio::spawn(announce(Arc::clone(&core)));
     tokio::spawn(copy_members(Arc::clone(&core)));
     let mut was_cut_off = false;
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         let vms = core.peers.count();
         core.store.set_vms(vms);
         if vms == 1 {
--- a/crates/sesamegap-entry/src/peers/datagrams.rs
+++ b/crates/sesamegap-entry/src/peers/datagrams.rs
@@ -150,7 +150,7 @@
     let mut recipients = RecipientSelector::default();
     let mut next_peer = 0;
     let mut ticks: u32 = 0;
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         sleep(TICK).await;
         ticks = ticks.wrapping_add(1);
         core.peers.log_changes();
@@ -304,7 +304,7 @@
 
 async fn receive(core: Arc<Core>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             sleep(TICK).await;
             continue;
--- a/crates/sesamegap-entry/src/peers/relay.rs
+++ b/crates/sesamegap-entry/src/peers/relay.rs
@@ -177,7 +177,7 @@
 
 /// Sends readings until the process ends.
 pub(super) async fn run_readings(core: Arc<Core>) {
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         let readings = core.peers.outbox.readings();
         if readings.is_empty() {
             let queued = core.peers.outbox.reading_queued.notified();
--- a/crates/sesamegap-entry/src/quarantine/sync.rs
+++ b/crates/sesamegap-entry/src/quarantine/sync.rs
@@ -32,7 +32,7 @@
 
 /// Synchronizes records with the store until the process ends.
 pub async fn sync(core: Arc<Core>) {
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         if let Err(error) = exchange(&core).await {
             info!(event = events::STORE_LOST, table = ?Table::Quarantine, %error, "failed to synchronize quarantine records with the store");
             sleep(RETRY_DELAY).await;
@@ -47,7 +47,7 @@
 async fn wait_for_changes(core: &Core) {
     let began = clock::now();
     let timeline = core.store.timeline();
-    while core.phase() < Phase::Ended && clock::now().since(began) < poll_interval(core) {
+    while core.phase() < Phase::Exiting && clock::now().since(began) < poll_interval(core) {
         // A restored store may have lost what was written.
         if is_coordinator(core) && core.store.timeline() != timeline {
             return;
--- a/crates/sesamegap-entry/src/resumption/history.rs
+++ b/crates/sesamegap-entry/src/resumption/history.rs
@@ -42,7 +42,7 @@
 pub async fn run_history(core: Arc<Core>) {
     core.peers.wait_for_list().await;
     let mut history = History::default();
-    while core.phase() < Phase::Ended {
+    while core.phase() < Phase::Exiting {
         let delay = match history.step(&core).await {
             Ok(()) => INTERVAL,
             Err(error) => {
