The older router asks again whether it refuses once a body is whole

The same cause as in the entry process: the router looked whether it refuses when a head came, and then read the body, which may end after it has begun to refuse and has stopped waiting for new requests. router::closing::a_request_whose_body_ends_while_the_router_refuses_is_not_run failed before (200, run) and passes; all 106 tests of the crate pass.

--- a/crates/sesamegap/src/router/callers/admit.rs
+++ b/crates/sesamegap/src/router/callers/admit.rs
@@ -6,7 +6,7 @@
 //!
 //! [`Once`]: crate::router::once::Once
 
-use super::intake::{Asked, REQUEST_ID};
+use super::intake::{self, Asked, REQUEST_ID};
 use super::relay::{self, Relayed};
 use super::reply::{self, Form};
 use super::{ApiError, Shared};
@@ -151,6 +151,8 @@
 
 /// Opens the answer, if there is room for another request.
 fn open(core: &Core, admit: &Admit, request: RequestId) -> Result<Arc<Answer>, ApiError> {
+    // The router may have begun to refuse while the body came.
+    intake::open(core)?;
     let limit = core.config.bounds.flights;
     if core.flights.len() >= limit {
         let message = format!("the router has {limit} requests in flight");
--- a/crates/sesamegap/tests/testsuite/router/closing.rs
+++ b/crates/sesamegap/tests/testsuite/router/closing.rs
@@ -6,11 +6,13 @@
 //! the caller has not seen yet (no 105, the error comes right after 103). In both cases the caller
 //! had an error that leaves open whether the request ran, and a filing must not be sent again then.
 
-use crate::support::{ALPHA, Site, plan, question, url};
+use crate::support::{ALPHA, Got, PATIENCE, Site, plan, plan_with, question, url};
 use reqwest::StatusCode;
 use serde_json::Value;
+use sesamegap::router::phase::Phase;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A question of team alpha, as it stands on the wire.
@@ -94,3 +96,35 @@
     assert!(told, "no answer said that its connection ends");
     stop.await.unwrap();
 }
+
+/// Guards against a request whose body ends after its router has begun to refuse, and that is run and cut.
+#[tokio::test]
+async fn a_request_whose_body_ends_while_the_router_refuses_is_not_run() {
+    let slow = plan_with(Duration::from_millis(8));
+    let mut site = Site::start(slow, 2).await;
+    let running = site.stream("hello", 400).await;
+    let stopping = site.routers.remove(0);
+    let mut half = TcpStream::connect(stopping.addr()).unwrap();
+    let text = request();
+    let (first, rest) = text.split_at(text.len() - 5);
+    half.write_all(first.as_bytes()).unwrap();
+    let core = Arc::clone(stopping.core());
+    let stop = tokio::spawn(stopping.stop());
+    let refuses = async {
+        while core.phases.now() < Phase::Refusing {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, refuses).await.unwrap();
+    let before = site.deployment.executions().requests.len();
+    half.write_all(rest.as_bytes()).unwrap();
+    let (status, body) = last_answer(half).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(
+        (&body["code"], &body["ran"]),
+        (&"stopping".into(), &"no".into())
+    );
+    assert_eq!(site.deployment.executions().requests.len(), before);
+    assert!(Got::all(running).await.done);
+    stop.await.unwrap();
+}
