A VM that is out of touch asks the store before it takes its only version for that of a stream

An operator of a system like ours saw streams go on at another version (ORDER): one VM was out of step for a few seconds, cut off from the others or standing still, while upstreams of a new version joined; streams that had begun there through other VMs broke and were taken up at that VM.

Cause: a list that was renewed less than 5 s ago counted as current, and a VM that had once followed the list for long enough as knowing all versions. Cut off from the others it got no answer to its questions, took that for no record, and its only version for the one that began the stream; the store's log, which has the record, was not asked. Class of fault: no answer is read as an answer.

Change: a VM is in touch if most of those that it asked have answered. One that is not reads the log first; the VMs that read for all may be out of reach, so that it reads itself when they do not answer. What cannot be read is refused with a return in half a second.

a_stream_goes_on_after_all_vms_restarted_… gets the record of its engine in the stand-in's store, which the VM now reads; its assertions stay. The model's check for planted flaws has one more.

--- a/crates/sesamegap-entry/src/follow/mod.rs
+++ b/crates/sesamegap-entry/src/follow/mod.rs
@@ -77,6 +77,15 @@
     }
 }
 
+/// Reads the fleet list from the store up to now.
+///
+/// # Errors
+/// If a call to the store failed.
+pub async fn read_list(core: &Core) -> Result<(), StoreError> {
+    while read_table(core, Table::Fleet, Duration::ZERO, &mut None).await? {}
+    Ok(())
+}
+
 /// The task that follows one table.
 #[derive(Debug)]
 struct Follower {
--- a/crates/sesamegap-entry/src/resumption/client.rs
+++ b/crates/sesamegap-entry/src/resumption/client.rs
@@ -1,5 +1,6 @@
 //! Records of streams, and questions about them, as entry VMs exchange them in datagrams.
 
+use super::list::ListReadings;
 use super::log::{self, LogState};
 use crate::clock;
 use crate::core::Core;
@@ -34,6 +35,8 @@
     state: Mutex<State>,
     /// The log of streams in the store.
     pub(super) log: LogState,
+    /// Readings of the fleet list.
+    pub(super) list: ListReadings,
     /// Socket for all messages.
     pub(crate) socket: PeerSocket,
 }
--- a/crates/sesamegap-entry/src/resumption/log.rs
+++ b/crates/sesamegap-entry/src/resumption/log.rs
@@ -3,7 +3,8 @@
 //! A record goes to the VM that appends to its partition for all ([`record`]), which collects it and appends it with others
 //! ([`run_log`]). The first event of a stream waits for it, so that no caller takes up a stream that is not in the log; but
 //! not for long, as a stream must begin while the store is away too. A VM that finds no record
-//! of a stream at others reads the log if it is one of the first two in the partition's ranking, or asks these ([`find`]).
+//! of a stream at others reads the log if it is one of the first two in the partition's ranking, or asks these, and reads it
+//! itself if they do not answer ([`find`]).
 
 use super::history::is_divided;
 use crate::clock;
@@ -319,7 +320,12 @@
             Ok(None) | Err(_) => break,
         }
     }
-    LogAnswer::Unread
+    let is_own = readers.contains(&None);
+    if left == 0 || is_own {
+        return LogAnswer::Unread;
+    }
+    // This VM may be cut off from the others, and reach the store.
+    read(core, stream).await
 }
 
 /// Answers another VM's question once the log has been read.
--- a/crates/sesamegap-entry/src/resumption/mod.rs
+++ b/crates/sesamegap-entry/src/resumption/mod.rs
@@ -9,6 +9,7 @@
 
 mod client;
 mod history;
+mod list;
 mod log;
 pub mod origin;
 
--- a/crates/sesamegap-entry/src/resumption/origin.rs
+++ b/crates/sesamegap-entry/src/resumption/origin.rs
@@ -8,7 +8,8 @@
 use crate::refusal::Refusal;
 use crate::telemetry::events;
 use sesamegap_policy::resumption::{
-    self, Answer, Message, Origin, Question, Verdict, decide, decide_by_log, needs_log,
+    self, Answer, Message, Origin, Question, Testimony, Verdict, decide, decide_by_log,
+    is_in_touch, needs_list, needs_log,
 };
 use sesamegap_wire::ServiceId;
 use std::net::SocketAddr;
@@ -48,16 +49,25 @@
         },
         None => ask(core, job, &services, window).await,
     };
-    let own = testimony(core, &services, window);
+    let mut own = testimony(core, &services, window);
     let followed = core.fleet.lock().list_followed_for(clock::now());
     let has_followed = followed.is_some_and(|time| time >= window);
+    let is_in_touch = is_in_touch(answers.asked, answers.given.len());
     let mut verdict = decide(&own, &answers.given);
-    if needs_log(&verdict, &answers.given, has_followed) {
+    if needs_log(&verdict, &answers.given, has_followed, is_in_touch) {
         let log = log::find(core, job.stream_key()).await;
         verdict = decide_by_log(verdict, log, &own, &answers.given);
     }
+    if needs_list(&verdict, is_in_touch) {
+        verdict = if core.resumption.list.read(core).await {
+            own = testimony(core, &services, window);
+            decide(&own, &answers.given)
+        } else {
+            Verdict::Unread
+        };
+    }
     let found = match &verdict {
-        Verdict::At(origin, _) => place(core, job, &services, origin),
+        Verdict::At(origin, _) => place(core, job, &services, origin, &own),
         // The record may be at a VM that does not answer now.
         Verdict::Ambiguous if answers.given.len() < answers.asked => Err(Refusal::UnknownOrigin),
         Verdict::Ambiguous => Err(Refusal::NotResumable),
@@ -75,6 +85,7 @@
         informed = informed.filter(|testimony| testimony.complete).count(),
         versions = own.origins.len(),
         followed_ms = followed.map(clock::millis),
+        in_touch = is_in_touch,
         window_ms = clock::millis(window),
         refused = found.as_ref().err().map(tracing::field::display),
         "a caller takes a stream up again"
@@ -90,6 +101,7 @@
     job: &Job,
     services: &[ServiceId],
     origin: &Origin,
+    own: &Testimony,
 ) -> Result<Origin, Refusal> {
     let is_target = services.contains(&origin.service);
     let service = if is_target {
@@ -99,7 +111,13 @@
     };
     let fleet = core.fleet.lock();
     if fleet.is_version_gone(service, &origin.software, &[], clock::now()) {
-        return Err(Refusal::NotResumable);
+        // A version that was never listed here has just appeared, or was missed.
+        let is_missed = is_target && !own.origins.contains(origin);
+        return Err(if is_missed {
+            Refusal::UnknownOrigin
+        } else {
+            Refusal::NotResumable
+        });
     }
     Ok(Origin {
         service: service.clone(),
--- a/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/mod.rs
@@ -2,6 +2,7 @@
 
 mod all_killed;
 mod fleet;
+mod out_of_step;
 
 use crate::support::{
     Act, Answer, Caller, Process, Upstream, document, entry, offset, request_of, vms, wait_until,
@@ -10,7 +11,7 @@
 use sesamegap_entry::clock;
 use sesamegap_entry::core::Core;
 use sesamegap_entry::fleet::{Change, Entry};
-use sesamegap_entry::ports::Table;
+use sesamegap_entry::ports::{Record, Table};
 use sesamegap_entry::resumption::History;
 use sesamegap_wire::{Moment, UpstreamId};
 use std::net::SocketAddr;
@@ -40,6 +41,15 @@
     fleet.apply(&id, entry, offset(0), clock::now());
 }
 
+/// The record of an engine of a software version in the store.
+fn listed(id: &str, addr: SocketAddr, software: &str) -> Record {
+    let entry = Entry {
+        software: software.parse().unwrap(),
+        ..entry("engines", addr)
+    };
+    Record::Upstream(id.parse().unwrap(), Box::new(entry))
+}
+
 fn prompt(no: usize) -> String {
     format!("x-model: m\r\nx-parts: preamble-{no},own-{no}\r\n")
 }
@@ -249,6 +259,8 @@
 async fn a_stream_goes_on_after_all_vms_restarted_while_one_version_serves() {
     let process = Process::new().await;
     let engines = Engines::start().await;
+    let record = listed("same", engines.same.addr, "v1");
+    process.platform.records.lock().unwrap().push(record);
     list(&process.core, "same", engines.same.addr, "v1");
     let known = process.core.table_progress(Table::Fleet);
     known.position().record_read(offset(1), clock::now());
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -55,6 +55,7 @@
 pub struct Process {
     pub core: Arc<Core>,
     pub callers: SocketAddr,
+    pub platform: Arc<Platform>,
 }
 
 /// An address with a port that nothing listens on, for servers that a test does not start.
@@ -127,7 +128,11 @@
         let core = Arc::new(core.unwrap());
         let callers = listener.local_addr().unwrap();
         tokio::spawn(intake::serve(Arc::clone(&core), listener));
-        Self { core, callers }
+        Self {
+            core,
+            callers,
+            platform,
+        }
     }
 
     /// Serves callers with [`document`] in force.
--- a/crates/sesamegap-policy/src/resumption/mod.rs
+++ b/crates/sesamegap-policy/src/resumption/mod.rs
@@ -96,20 +96,39 @@
     }
 }
 
+/// Whether a VM is in touch with the others: most of those that it asked have answered.
+///
+/// A VM that is not may be cut off from them, however recent its list is: a version that has appeared since may have begun
+/// streams elsewhere, and their records have not reached it.
+pub fn is_in_touch(asked: usize, answered: usize) -> bool {
+    answered * 2 > asked
+}
+
 /// Whether the store's log may tell what this VM and those that answered cannot.
 ///
-/// That one version has served counts without the log only if this VM has followed the list for long enough itself: what it
-/// knows from the store may lack a version whose appearance nobody could write there. Records that contradict each
-/// other are not settled by a third one.
-pub fn needs_log(verdict: &Verdict, answers: &[Answer], has_followed: bool) -> bool {
+/// That one version has served counts without the log only if this VM is in touch with the others, and has followed the
+/// list for long enough itself: what it knows from the store may lack a version whose appearance nobody could write
+/// there. Records that contradict each other are not settled by a third one.
+pub fn needs_log(
+    verdict: &Verdict,
+    answers: &[Answer],
+    has_followed: bool,
+    is_in_touch: bool,
+) -> bool {
     let is_open = match verdict {
         Verdict::Ambiguous | Verdict::Uninformed => true,
-        Verdict::At(_, Evidence::OnlyVersion) => !has_followed,
+        Verdict::At(_, Evidence::OnlyVersion) => !has_followed || !is_in_touch,
         Verdict::At(..) | Verdict::Unread => false,
     };
     is_open && answers.iter().all(|answer| answer.record().is_none())
 }
 
+/// Whether the list must be read from the store before the only version that it names counts: a VM that is out of touch may
+/// lack another one, and the log may lack a stream that began at a VM which was out of touch too.
+pub fn needs_list(verdict: &Verdict, is_in_touch: bool) -> bool {
+    !is_in_touch && matches!(verdict, Verdict::At(_, Evidence::OnlyVersion))
+}
+
 /// Decides by the store's log where a verdict left it open.
 ///
 /// A stream of which neither the VMs nor the log have a record began before the VMs were killed. If one version was alone
--- a/crates/sesamegap-policy/tests/testsuite/resumption/all_killed.rs
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/all_killed.rs
@@ -326,7 +326,7 @@
                 .collect();
             let mut verdict = decide(&own, &answers);
             let has_followed = self.vms[vm].served.covers(WINDOW, now);
-            if needs_log(&verdict, &answers, has_followed) {
+            if needs_log(&verdict, &answers, has_followed, true) {
                 let log = match self.store.log.get(stream.key) {
                     _ if !self.is_store_up() => LogAnswer::Unread,
                     Some(origin) => LogAnswer::Record(origin.clone()),
--- a/crates/sesamegap-policy/tests/testsuite/resumption/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/mod.rs
@@ -7,7 +7,7 @@
 use sesamegap_policy::resumption::{
     Answer, Backlog, Evidence, LogAnswer, LoggedStreams, Origin, Partition, Records,
     ServedVersions, StreamBatch, StreamKey, Submission, Testimony, Verdict, decide, decide_by_log,
-    needs_log,
+    is_in_touch, needs_log,
 };
 use sesamegap_wire::Moment;
 use std::collections::BTreeSet;
@@ -186,6 +186,7 @@
         Flaw::KeepsRecords,
         Flaw::TrustsItself,
         Flaw::ForgetsVersions,
+        Flaw::TrustsItsList,
     ] {
         let found = (0..HISTORIES).any(|seed| {
             let world = World::play(seed, Some(flaw));
@@ -201,7 +202,7 @@
     let own = testimony(&["v1", "v2"], true);
     let unknown = [versions(&["v1"], true)];
     let verdict = decide(&own, &unknown);
-    assert!(needs_log(&verdict, &unknown, true));
+    assert!(needs_log(&verdict, &unknown, true, true));
     let logged = LogAnswer::Record(origin("v2"));
     let by_log = |log| decide_by_log(verdict.clone(), log, &own, &unknown);
     assert_eq!(by_log(logged), goes_on_at("v2", Evidence::Log));
@@ -211,10 +212,11 @@
     assert!(!needs_log(
         &decide(&own, &contradicting),
         &contradicting,
+        true,
         true
     ));
     let known = [recorded("v1")];
-    assert!(!needs_log(&decide(&own, &known), &known, false));
+    assert!(!needs_log(&decide(&own, &known), &known, false, true));
 }
 
 /// The VM that writes the table was cut from the store when a version appeared, so that the table lacks it.
@@ -223,8 +225,8 @@
     let own = testimony(&["v2"], true);
     let verdict = decide(&own, &[]);
     assert_eq!(verdict, goes_on_at("v2", Evidence::OnlyVersion));
-    assert!(!needs_log(&verdict, &[], true));
-    assert!(needs_log(&verdict, &[], false));
+    assert!(!needs_log(&verdict, &[], true, true));
+    assert!(needs_log(&verdict, &[], false, true));
     let by_log = |log| decide_by_log(verdict.clone(), log, &own, &[]);
     let logged = LogAnswer::Record(origin("v1"));
     assert_eq!(by_log(logged), goes_on_at("v1", Evidence::Log));
@@ -232,6 +234,24 @@
     assert_eq!(by_log(LogAnswer::Unread), Verdict::Unread);
 }
 
+/// Guards against a VM that is cut off from the others, and takes the only version that it knows for that of a stream.
+#[test]
+fn the_log_goes_before_the_list_of_a_vm_that_is_out_of_touch() {
+    let own = testimony(&["v1"], true);
+    let verdict = decide(&own, &[]);
+    let touch = |asked, answered| is_in_touch(asked, answered);
+    assert!(needs_log(&verdict, &[], true, touch(5, 0)));
+    assert!(needs_log(&verdict, &[], true, touch(5, 2)));
+    assert!(!needs_log(&verdict, &[], true, touch(5, 3)));
+    // One that knows of no other VM does not know whether there is any.
+    assert!(needs_log(&verdict, &[], true, touch(0, 0)));
+    let logged = LogAnswer::Record(origin("v2"));
+    let by_log = |log| decide_by_log(verdict.clone(), log, &own, &[]);
+    assert_eq!(by_log(logged), goes_on_at("v2", Evidence::Log));
+    assert_eq!(by_log(LogAnswer::Absent), verdict);
+    assert_eq!(by_log(LogAnswer::Unread), Verdict::Unread);
+}
+
 /// A second version appears only while all VMs are off: streams without a record began at the first one.
 #[test]
 fn a_version_that_was_alone_before_decides_where_nothing_is_recorded() {
--- a/crates/sesamegap-policy/tests/testsuite/resumption/world.rs
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/world.rs
@@ -6,11 +6,13 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use sesamegap_policy::resumption::{
-    ASKED, Answer, HOLDERS, Origin, Records, ServedVersions, StreamKey, Testimony, Verdict, decide,
+    ASKED, Answer, HOLDERS, LogAnswer, Origin, Records, ServedVersions, StreamKey, Testimony,
+    Verdict, decide, decide_by_log, is_in_touch, needs_list, needs_log,
 };
 use sesamegap_policy::routing::engines::rank;
 use sesamegap_wire::{Moment, ServiceId, SoftwareVersion};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::time::Duration;
 
 /// Entry VMs.
@@ -38,12 +40,18 @@
     TrustsItself,
     /// A version is forgotten once its last upstream has gone.
     ForgetsVersions,
+    /// A VM that is cut off takes what it knows for what there is.
+    TrustsItsList,
 }
 
 #[derive(Debug, Default)]
 struct Vm {
     runs: bool,
+    /// From when until when it is cut off from the other VMs.
+    cut_from: u32,
     cut_until: u32,
+    /// Whether it is cut off from the store then, too.
+    lacks_store: bool,
     lag: usize,
     records: Records,
     served: ServedVersions,
@@ -67,6 +75,8 @@
     /// The versions that serve, at each step so far.
     serving: Vec<BTreeSet<SoftwareVersion>>,
     streams: Vec<Stream>,
+    /// Streams that began while their VM knew several versions, as the store has them.
+    log: BTreeMap<StreamKey, Origin>,
     /// Streams that went on at another version.
     pub mixed: usize,
     /// Streams that were taken up while an upstream of their version served.
@@ -90,6 +100,7 @@
             vms: (0..VMS).map(|_| Vm::default()).collect(),
             serving: vec![first; 1],
             streams: Vec::new(),
+            log: BTreeMap::new(),
             mixed: 0,
             taken_up: 0,
             went_on: 0,
@@ -115,6 +126,7 @@
         self.release();
         self.learn();
         self.begin();
+        self.break_off();
         self.disturb();
     }
 
@@ -126,6 +138,8 @@
             let version: SoftwareVersion = version.parse().unwrap();
             if !now.remove(&version) || now.is_empty() {
                 now.insert(version);
+                let vm = self.rng.random_range(0..VMS);
+                self.cut(vm, 3..60);
             }
         }
         self.serving.push(now);
@@ -133,8 +147,12 @@
 
     /// Versions that a VM knows to serve.
     fn known(&self, vm: usize) -> &BTreeSet<SoftwareVersion> {
-        let at = self.serving.len() - 1;
-        &self.serving[at.saturating_sub(self.vms[vm].lag)]
+        let heard = if self.is_cut(vm) {
+            self.vms[vm].cut_from as usize
+        } else {
+            self.serving.len() - 1
+        };
+        &self.serving[heard.saturating_sub(self.vms[vm].lag)]
     }
 
     fn learn(&mut self) {
@@ -173,6 +191,10 @@
         self.step < self.vms[vm].cut_until
     }
 
+    fn has_store(&self, vm: usize) -> bool {
+        !self.is_cut(vm) || !self.vms[vm].lacks_store
+    }
+
     /// VMs that run, ranked for a stream.
     fn ranked(&self, stream: StreamKey) -> Vec<usize> {
         let mut ranked: Vec<usize> = (0..VMS).filter(|vm| self.vms[*vm].runs).collect();
@@ -218,6 +240,9 @@
             let until = self.now() + WINDOW;
             self.vms[vm].records.insert(key, origin.clone(), until);
             if self.flaw != Some(Flaw::KeepsRecords) {
+                if self.testimony(vm).origins.len() > 1 && self.has_store(vm) {
+                    self.log.insert(key, origin.clone());
+                }
                 self.publish(vm, key, &origin, until);
             }
             self.streams.push(Stream {
@@ -248,8 +273,7 @@
             return;
         }
         if self.rng.random_bool(0.01) {
-            let time = self.rng.random_range(10..40);
-            self.vms[vm].cut_until = self.step + time;
+            self.cut(vm, 10..40);
         }
         if self.rng.random_bool(0.015) {
             self.vms[vm].runs = false;
@@ -258,17 +282,38 @@
                 .partition(|stream| stream.vm == vm);
             self.streams = kept;
             for stream in moved {
-                self.take_up(stream);
+                let running = (0..VMS).filter(|vm| self.vms[*vm].runs);
+                let running: Vec<usize> = running.collect();
+                if let Some(at) = running.into_iter().choose(&mut self.rng) {
+                    self.take_up(stream, at, true);
+                }
             }
         }
     }
 
-    /// A caller comes to any VM that runs.
-    fn take_up(&mut self, mut stream: Stream) {
-        let running = (0..VMS).filter(|vm| self.vms[*vm].runs);
-        let Some(vm) = running.choose(&mut self.rng) else {
+    /// Cuts a VM off from the others for some steps, and maybe from the store.
+    fn cut(&mut self, vm: usize, steps: Range<u32>) {
+        self.vms[vm].cut_from = self.step;
+        self.vms[vm].cut_until = self.step + self.rng.random_range(steps);
+        self.vms[vm].lacks_store = self.rng.random_bool(0.5);
+    }
+
+    /// Breaks some streams off, whose callers come to a VM that is cut off from the others.
+    fn break_off(&mut self) {
+        let is_cut = |vm: &usize| self.vms[*vm].runs && self.is_cut(*vm);
+        let cut: Vec<usize> = (0..VMS).filter(is_cut).collect();
+        let Some(at) = cut.into_iter().choose(&mut self.rng) else {
             return;
         };
+        if !self.streams.is_empty() {
+            let broken = self.rng.random_range(0..self.streams.len());
+            let stream = self.streams.swap_remove(broken);
+            self.take_up(stream, at, false);
+        }
+    }
+
+    /// A caller comes to a VM with its stream, which may be counted among those that go on or not.
+    fn take_up(&mut self, mut stream: Stream, vm: usize, is_counted: bool) {
         let now = self.now();
         let answer = |world: &Self, vm: usize| match world.vms[vm].records.get(stream.key, now) {
             Some(origin) => Answer::Record(origin.clone()),
@@ -276,17 +321,43 @@
         };
         let mut own = self.testimony(vm);
         let mut answers = Vec::new();
+        let mut asked_count = 0;
         if let record @ Answer::Record(_) = answer(self, vm) {
             answers.push(record);
-        } else if !self.is_cut(vm) && self.flaw != Some(Flaw::TrustsItself) {
+        } else if self.flaw != Some(Flaw::TrustsItself) {
             let asked = self.ranked(stream.key).into_iter().take(ASKED);
-            let asked = asked.filter(|other| *other != vm && !self.is_cut(*other));
-            answers.extend(asked.map(|other| answer(self, other)));
+            let asked: Vec<usize> = asked.filter(|other| *other != vm).collect();
+            asked_count = asked.len();
+            let reached = asked.into_iter().filter(|other| !self.is_cut(*other));
+            let reached = reached.filter(|_| !self.is_cut(vm));
+            answers.extend(reached.map(|other| answer(self, other)));
+        }
+        let trusts = matches!(self.flaw, Some(Flaw::TrustsItself | Flaw::TrustsItsList));
+        let is_in_touch = trusts || is_in_touch(asked_count, answers.len());
+        let mut verdict = decide(&own, &answers);
+        let has_followed = self.vms[vm].served.covers(WINDOW, now);
+        if needs_log(&verdict, &answers, has_followed, is_in_touch) {
+            let log = match self.log.get(&stream.key) {
+                _ if !self.has_store(vm) => LogAnswer::Unread,
+                Some(origin) => LogAnswer::Record(origin.clone()),
+                None => LogAnswer::Absent,
+            };
+            verdict = decide_by_log(verdict, log, &own, &answers);
+        }
+        if needs_list(&verdict, is_in_touch) {
+            // The store has the list as it is now, and is in reach: else the log would not have been read.
+            let serving = self.serving[self.serving.len() - 1].iter().cloned();
+            let listed = serving.map(|software| Origin {
+                service: service(),
+                software,
+            });
+            own.origins.extend(listed);
+            verdict = decide(&own, &answers);
         }
-        own.complete &= !self.is_cut(vm);
-        let is_served = self.serving[self.serving.len() - 1].contains(&stream.origin.software);
+        let serving = &self.serving[self.serving.len() - 1];
+        let is_served = is_counted && serving.contains(&stream.origin.software);
         self.taken_up += usize::from(is_served);
-        match decide(&own, &answers) {
+        match verdict {
             Verdict::At(origin, _) if origin != stream.origin => self.mixed += 1,
             Verdict::At(origin, _) => {
                 self.went_on += usize::from(is_served);
