A list that is read anew after a gap no longer counts as followed

A VM that was cut off or stood still, and then replaces its whole list, does not know versions that came and went meanwhile; it counted as having followed the list all the time (design/software-versions.md listed it as open).

A whole list that replaces one of over a second ago starts the time anew, and the VM reads again from the store which versions can have begun streams. That one is alone there decides nothing after a gap: another may have joined that nobody has written yet.

--- a/crates/sesamegap-entry/src/fleet/versions.rs
+++ b/crates/sesamegap-entry/src/fleet/versions.rs
@@ -13,6 +13,9 @@
 /// that breaks off has only the upstreams of its version to go to.
 const RESERVED_PART: u32 = 8;
 
+/// Longest time without word of the list in which no version comes and goes: an upstream that leaves is listed for longer.
+const MAX_GAP: Duration = Duration::from_secs(1);
+
 impl Selection<'_> {
     /// Whether the request is a prompt that may run at any software version.
     pub(super) fn begins_stream(&self) -> bool {
@@ -27,6 +30,18 @@
         self.list_as_of = self.list_as_of.max(as_of);
     }
 
+    /// Records that the list of upstreams is replaced as a whole.
+    pub fn record_replacement(&mut self, now: Moment) {
+        if self.list_as_of > Moment::default() && now.since(self.list_as_of) > MAX_GAP {
+            self.served.record_gap(now);
+        }
+    }
+
+    /// Whether versions may have come and gone unnoticed, of which the store may know.
+    pub fn lacks_history(&self) -> bool {
+        self.served.has_gap()
+    }
+
     /// How long the list of upstreams has been followed; `None` if it was never read.
     pub fn list_followed_for(&self, now: Moment) -> Option<Duration> {
         self.served.followed_for(now)
@@ -130,6 +145,7 @@
         if is_whole {
             self.served.record_no_other_history();
         }
+        self.served.record_history_read();
     }
 
     /// The versions of a service that served within a time before now, as far as this VM knows.
--- a/crates/sesamegap-entry/src/follow/apply.rs
+++ b/crates/sesamegap-entry/src/follow/apply.rs
@@ -69,6 +69,9 @@
     let mut listed = FxHashSet::default();
     let records = batch.records.len();
     let is_bulk = records > MAX_LOGGED_RECORDS;
+    if table == Table::Fleet {
+        core.fleet.lock().record_replacement(clock::now());
+    }
     for (at, record) in batch.records {
         let Record::Upstream(id, entry) = record else {
             apply(core, at, record, RecordSource::Found(complete));
--- a/crates/sesamegap-entry/src/resumption/history.rs
+++ b/crates/sesamegap-entry/src/resumption/history.rs
@@ -60,7 +60,7 @@
     /// # Errors
     /// If a call to the store failed.
     pub async fn step(&mut self, core: &Core) -> Result<(), StoreError> {
-        if self.read_on.is_none() {
+        if self.read_on.is_none() || core.fleet.lock().lacks_history() {
             // What it lacks is written with the next step: the VMs that were killed with this one are to read the same.
             return self.read(core).await;
         }
--- a/crates/sesamegap-entry/tests/testsuite/software_versions/out_of_step.rs
+++ b/crates/sesamegap-entry/tests/testsuite/software_versions/out_of_step.rs
@@ -1,9 +1,11 @@
 //! A VM that was cut off from the others, or stood still, while upstreams of a new version joined.
 
 use super::{Engines, STREAMS, events, list, listed, prompt, send, take_up};
-use crate::support::{Platform, Vm, add_peer, offset, unused_addr, vms, vms_on};
+use crate::support::{Platform, Process, Vm, add_peer, offset, unused_addr, vms, vms_on};
 use sesamegap_entry::clock;
+use sesamegap_entry::follow::read_list;
 use sesamegap_entry::ports::Table;
+use sesamegap_entry::resumption::History;
 use sesamegap_policy::resumption::{Origin, Partition, StreamBatch, StreamKey};
 use sesamegap_wire::Moment;
 use std::sync::Arc;
@@ -117,3 +119,22 @@
     assert_eq!((answer.status, answer.body), (200, events(4..9)));
     assert_eq!(engines.same.seen().len(), 0);
 }
+
+/// Guards against a VM that was out of step, reads the whole list anew, and counts as having followed it meanwhile.
+#[tokio::test]
+async fn a_list_that_is_read_anew_after_a_gap_tells_nothing_of_the_gap() {
+    let process = Process::new().await;
+    let core = &process.core;
+    let engines = Engines::start().await;
+    let record = listed("same", engines.same.addr, "v1");
+    process.platform.records.lock().unwrap().push(record);
+    core.fleet.lock().record_list(Moment(1));
+    list(core, "same", engines.same.addr, "v1");
+    assert!(core.fleet.lock().list_followed_for(clock::now()) > Some(Duration::from_hours(1)));
+    read_list(core).await.unwrap();
+    let followed = core.fleet.lock().list_followed_for(clock::now()).unwrap();
+    assert!(followed < Duration::from_mins(1), "{followed:?}");
+    assert!(core.fleet.lock().lacks_history());
+    History::default().step(core).await.unwrap();
+    assert!(!core.fleet.lock().lacks_history());
+}
--- a/crates/sesamegap-policy/src/resumption/versions.rs
+++ b/crates/sesamegap-policy/src/resumption/versions.rs
@@ -43,6 +43,8 @@
     alone: FxHashMap<ServiceId, (SoftwareVersion, Moment)>,
     /// Whether the store was read, and named the versions of all services that it keeps any of.
     all_informed: bool,
+    /// Whether the list was not heard of for a time, and the store was not read since.
+    has_gap: bool,
 }
 
 impl ServedVersions {
@@ -51,6 +53,20 @@
         self.followed_since.get_or_insert(now);
     }
 
+    /// Records that the list was replaced as a whole after it had not been heard of for a time: versions that came and went
+    /// in that time are not known.
+    pub fn record_gap(&mut self, now: Moment) {
+        self.followed_since = Some(now);
+        self.informed.clear();
+        self.all_informed = false;
+        self.has_gap = true;
+    }
+
+    /// Whether the store was not read since the last gap.
+    pub fn has_gap(&self) -> bool {
+        self.has_gap
+    }
+
     /// Records the versions of a service that, as the store says, can have begun streams that still go on.
     pub fn record_history<'a>(
         &mut self,
@@ -61,7 +77,8 @@
         let mut versions = versions.into_iter().peekable();
         if let Some(first) = versions.next() {
             self.record(service, first, now);
-            if versions.peek().is_none() && first.is_stated() {
+            // After a gap, another version may have appeared that nobody has written to the store yet.
+            if versions.peek().is_none() && first.is_stated() && !self.has_gap {
                 self.alone.insert(service.clone(), (first.clone(), now));
             }
         }
@@ -71,6 +88,11 @@
         self.informed.insert(service.clone());
     }
 
+    /// Records that all that the store tells of the past has been read.
+    pub fn record_history_read(&mut self) {
+        self.has_gap = false;
+    }
+
     /// The version that was alone in a service when the store was read, if streams that began before then may still go on.
     ///
     /// While a version is alone its streams are not recorded in the store, so that those without a record are its.
--- a/crates/sesamegap-policy/tests/testsuite/resumption/mod.rs
+++ b/crates/sesamegap-policy/tests/testsuite/resumption/mod.rs
@@ -234,6 +234,31 @@
     assert_eq!(by_log(LogAnswer::Unread), Verdict::Unread);
 }
 
+/// Guards against a VM that was out of step, and counts as having followed the list all the time.
+#[test]
+fn a_gap_ends_what_is_known_of_the_past() {
+    let (service, v1) = (origin("v1").service, origin("v1").software);
+    let window = Duration::from_secs(12);
+    let start = Moment(0) + Duration::from_hours(1);
+    let at = |after| start + Duration::from_secs(after);
+    let mut served = ServedVersions::default();
+    served.record_history(&service, [&v1], start);
+    served.record_history_read();
+    served.record_list(start);
+    assert!(served.covers_service(&service, window, at(1)));
+    served.record_gap(at(20));
+    served.record_list(at(20));
+    assert!(served.has_gap());
+    assert!(!served.covers_service(&service, window, at(21)));
+    assert!(!served.covers(window, at(31)));
+    // What the store tells fills the gap; that a version is alone there says nothing of what joined since.
+    served.record_history(&service, [&v1], at(22));
+    served.record_history_read();
+    assert!(served.covers_service(&service, window, at(22)));
+    assert_eq!(served.alone_before(&service, window, at(22)), None);
+    assert!(served.covers(window, at(32)));
+}
+
 /// Guards against a VM that is cut off from the others, and takes the only version that it knows for that of a stream.
 #[test]
 fn the_log_goes_before_the_list_of_a_vm_that_is_out_of_touch() {
