Late timers bring the exit forward within the last sixth of the grace only

Found by reading the fix again: twice the longest delay of a timer was taken off the grace without a bound, so that a VM that stands still for two seconds in its stop would have cut at once what had five seconds left. Operators bear a cut in the last sixth, so that the exit is never before it. late_timers_bring_the_exit_forward has the case.

--- a/crates/sesamegap-policy/src/routing/stopping.rs
+++ b/crates/sesamegap-policy/src/routing/stopping.rs
@@ -36,6 +36,10 @@
 /// noticed as late, and the exit will be.
 const DELAYS: u32 = 2;
 
+/// Parts of the grace, of [`PARTS`], before which the exit never is: operators bear that an answer is cut in the last one.
+const KEPT_PARTS: u32 = 5;
+const PARTS: u32 = 6;
+
 /// Deadlines, as time since the process was asked to stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopDeadlines {
@@ -54,7 +58,9 @@
 impl StopDeadlines {
     /// The deadlines for the time between SIGTERM and SIGKILL, in a process whose timers were late by up to `delay`.
     pub fn new(grace: Duration, delay: Duration) -> Self {
-        let exit = grace.saturating_sub(EXIT_TIME + delay * DELAYS);
+        let latest = grace.saturating_sub(EXIT_TIME);
+        let earliest = (grace * KEPT_PARTS / PARTS).min(latest);
+        let exit = latest.saturating_sub(delay * DELAYS).max(earliest);
         let stop_accepting = grace * ACCEPT_PERCENT / 100;
         Self {
             close_idle: grace * IDLE_PERCENT / 100,
--- a/crates/sesamegap-policy/tests/testsuite/routing/stopping.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/stopping.rs
@@ -59,4 +59,7 @@
     let deadlines = StopDeadlines::new(grace, delay);
     assert!(deadlines.exit + delay * 2 < grace);
     assert!(deadlines.answer < deadlines.exit);
+    // A long pause must not have the process cut what may end in the grace.
+    let paused = StopDeadlines::new(grace, Duration::from_secs(3));
+    assert!(paused.exit >= grace * 5 / 6);
 }
