An entry without weights does not empty what is known of its engine's, nor share a cache over versions

Such an entry now leaves the weights that the process has named; an engine that has never named any, in a service where others do, gets a namespace of the request's own, and nothing is fetched or saved.

--- a/crates/sesamegap-entry/src/fleet/mod.rs
+++ b/crates/sesamegap-entry/src/fleet/mod.rs
@@ -191,6 +191,12 @@
             .filter(move |upstream| upstream.entry.service == *service)
     }
 
+    /// Whether any upstream of a service states its weights, so that one that does not may hold any version.
+    pub fn states_weights(&self, service: &ServiceId) -> bool {
+        self.of_service(service)
+            .any(|upstream| !upstream.entry.weights.is_empty())
+    }
+
     /// Whether an upstream accepts requests, according to the observations of this VM and its peers.
     pub fn availability(&self, upstream: &Upstream, now: Moment) -> Availability {
         if self.is_overdue(upstream, now) {
--- a/crates/sesamegap-entry/src/fleet/upstream.rs
+++ b/crates/sesamegap-entry/src/fleet/upstream.rs
@@ -159,6 +159,11 @@
                 weights.version = weights.version.max(held.version);
             }
         }
+        // An entry of another writer may lack them, and the weights are those of the process.
+        let held = std::mem::take(&mut self.entry.weights).into_iter();
+        let unnamed = held.filter(|held| entry.weights.iter().all(|w| w.model != held.model));
+        let unnamed: Vec<Weights> = unnamed.collect();
+        entry.weights.extend(unnamed);
         self.entry = entry;
         match change {
             Change::Same if reloaded => Change::Reloaded,
--- a/crates/sesamegap-entry/src/relay/attempt/dispatch.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::job::Job;
 use crate::ports::Dispatch;
 use crate::relay::headers::upstream_headers;
-use crate::relay::transfer::{Transfer, cache_namespace, plan_transfer};
+use crate::relay::transfer::{Transfer, cache_namespace, plan_transfer, private_namespace};
 use http::Request;
 use http_body_util::Full;
 
@@ -17,8 +17,14 @@
 ) -> Dispatch {
     let isolated = job.team.as_ref().filter(|team| team.isolated);
     let is_prompt = job.head.model.is_some();
-    let namespace = cache_namespace(flight.weights, isolated.map(|team| team.name.as_str()));
-    let transfer = if is_prompt {
+    let is_unknown =
+        is_prompt && flight.weights.is_none() && core.fleet.lock().states_weights(job.service());
+    let namespace = if is_unknown {
+        private_namespace(&job.head.id)
+    } else {
+        cache_namespace(flight.weights, isolated.map(|team| team.name.as_str()))
+    };
+    let transfer = if is_prompt && !is_unknown {
         plan_transfer(core, job, flight)
     } else {
         Transfer::default()
--- a/crates/sesamegap-entry/src/relay/transfer.rs
+++ b/crates/sesamegap-entry/src/relay/transfer.rs
@@ -87,3 +87,8 @@
         format_smolstr!("w{version}")
     }
 }
+
+/// Cache namespace of a single request, for an engine whose weights are not known: its entries may be of any version.
+pub fn private_namespace(request: &str) -> SmolStr {
+    format_smolstr!("r{request}")
+}
--- a/crates/sesamegap-entry/tests/testsuite/weights.rs
+++ b/crates/sesamegap-entry/tests/testsuite/weights.rs
@@ -1,5 +1,8 @@
-use crate::support::{Act, Caller, Process, Upstream, ask, request};
+use crate::support::{
+    Act, Caller, Process, Upstream, ask, entry, header, offset, request, request_of,
+};
 use sesamegap_entry::clock;
+use sesamegap_entry::fleet::Entry;
 use sesamegap_entry::peers::{EngineUpdate, apply_engine_updates};
 use sesamegap_entry::ports::Weights;
 use sesamegap_wire::WeightsVersion;
@@ -295,3 +298,59 @@
     let engine = fleet.get(&"e1".parse().unwrap()).unwrap();
     assert_eq!(engine.version("m"), Some(WeightsVersion(3)));
 }
+
+/// Guards against prompts that run on parts of older weights, as another writer's entry for their engine names no weights.
+#[tokio::test]
+async fn an_entry_without_weights_does_not_share_a_cache_over_versions() {
+    let process = Process::new().await;
+    let engines = [
+        Upstream::start(vec![Act::Events(1..3)]).await,
+        Upstream::start(vec![Act::Events(1..3)]).await,
+    ];
+    let namespaces = async |count: usize| {
+        let mut seen = Vec::new();
+        for no in 0..count {
+            let headers = format!("x-model: m\r\nx-parts: preamble,own-{no}\r\n");
+            let text = request_of(&format!("s{no}"), "POST", "/chat/", &headers, "");
+            let mut caller = Caller::connect(process.callers).await;
+            caller.send(&text).await;
+            assert_eq!(caller.answer().await.status, 200);
+        }
+        for engine in &engines {
+            let requests = engine.seen();
+            seen.extend(requests.iter().map(|text| header(text, "x-space").unwrap()));
+        }
+        seen
+    };
+    let unnamed = |addr| Entry {
+        weights: Vec::new(),
+        beat: 2,
+        ..entry("engines", addr)
+    };
+    // It has named its weights before: they stay.
+    process.add("e1", "engines", engines[0].addr);
+    let id = "e1".parse().unwrap();
+    let odd = unnamed(engines[0].addr);
+    process
+        .core
+        .fleet
+        .lock()
+        .apply(&id, odd, offset(1), clock::now());
+    assert_eq!(namespaces(2).await, ["w1", "w1"]);
+    // It has named none, while another one does: nothing is shared.
+    let id = "e2".parse().unwrap();
+    let odd = unnamed(engines[1].addr);
+    process
+        .core
+        .fleet
+        .lock()
+        .apply(&id, odd, offset(2), clock::now());
+    process
+        .core
+        .fleet
+        .lock()
+        .get_mut(&"e1".parse().unwrap())
+        .unwrap()
+        .pause(clock::now() + Duration::from_mins(1));
+    assert_eq!(namespaces(2).await[2..], ["rs0", "rs1"]);
+}
