--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -2,8 +2,10 @@
 
 mod active;
 mod retries;
+mod stop;
 
 pub use active::{ActiveRequest, ActiveRequestGuard, ActiveRequests, Arrival};
+pub use stop::CallerGuard;
 
 use crate::catalogue::{Catalogue, Document, Entry, Revision};
 use crate::clock;
@@ -15,7 +17,6 @@
 use crate::ports::{Ports, Table};
 use crate::quarantine::Quarantine;
 use crate::quota::QuotaClient;
-use crate::refusal::{Refusal, START_RETRY_AFTER};
 use crate::resumption::Resumption;
 use crate::settings::Settings;
 use crate::store::StoreClient;
@@ -28,15 +29,13 @@
 use sesamegap_policy::agreement::replication::{Content, Fetch};
 use sesamegap_policy::routing::belief;
 use sesamegap_policy::routing::revisions::NewestHeard;
-use sesamegap_policy::routing::stopping::StopDeadlines;
 use sesamegap_wire::{Moment, ServiceId};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use stop::StopState;
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::time::Instant;
 use tracing::info;
 
 /// Upstreams that are connected to before the loss of another one is put down to that one.
@@ -107,32 +106,8 @@
     /// A newer document that is being fetched from peers.
     fetch: Mutex<Fetch<Entry>>,
     phase: watch::Sender<Phase>,
-    /// When the process was asked to stop.
-    stop_requested: OnceLock<Instant>,
-    /// By how much timers were late at most since then, in milliseconds.
-    timer_delay: AtomicU64,
-    /// Shortest grace of the settings since then, in milliseconds.
-    stop_grace: AtomicU64,
-    /// Open connections of callers.
-    callers: AtomicUsize,
-}
-
-/// An open connection of a caller until it is dropped.
-#[derive(Debug)]
-pub struct CallerGuard(Arc<Core>);
-
-impl CallerGuard {
-    /// Counts a connection.
-    pub fn new(core: &Arc<Core>) -> Self {
-        core.callers.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(core))
-    }
-}
-
-impl Drop for CallerGuard {
-    fn drop(&mut self) {
-        self.0.callers.fetch_sub(1, Ordering::Relaxed);
-    }
+    /// What is known of the stop.
+    stop: StopState,
 }
 
 impl Core {
@@ -175,10 +150,7 @@
             newest_heard: Mutex::default(),
             fetch: Mutex::default(),
             phase: watch::channel(Phase::Serving).0,
-            stop_requested: OnceLock::new(),
-            timer_delay: AtomicU64::new(0),
-            stop_grace: AtomicU64::new(u64::MAX),
-            callers: AtomicUsize::new(0),
+            stop: StopState::default(),
             store: StoreClient::new(Arc::clone(&ports.store), settings.store_calls_per_s),
             settings: ArcSwap::from_pointee(settings),
             ports,
@@ -404,19 +376,6 @@
         self.phase.subscribe()
     }
 
-    /// Waits until only the last answers are sent.
-    pub async fn wait_for_exit(&self) {
-        let mut phases = self.subscribe_phase();
-        if phases
-            .wait_for(|phase| *phase >= Phase::Exiting)
-            .await
-            .is_err()
-        {
-            // The sender lives as long as the process.
-            std::future::pending::<()>().await;
-        }
-    }
-
     /// Moves to a later phase; an earlier one is ignored.
     pub fn advance_phase(&self, phase: Phase) {
         self.phase.send_if_modified(|current| {
@@ -428,80 +387,6 @@
         });
     }
 
-    /// Begins the stop; returns when it began, which a second call does not change.
-    pub fn begin_stop(&self) -> Instant {
-        *self.stop_requested.get_or_init(Instant::now)
-    }
-
-    /// Records by how much a timer was late in the stop.
-    pub fn record_timer_delay(&self, delay: Duration) {
-        self.timer_delay
-            .fetch_max(clock::millis(delay), Ordering::Relaxed);
-    }
-
-    /// By how much timers were late at most in the stop.
-    pub fn timer_delay(&self) -> Duration {
-        Duration::from_millis(self.timer_delay.load(Ordering::Relaxed))
-    }
-
-    /// The deadlines of the stop, by the settings and delays up to now.
-    ///
-    /// Whether a grace that is prolonged after the signal delays the kill is not known, so the shortest one counts.
-    pub fn stop_deadlines(&self) -> StopDeadlines {
-        let present = clock::millis(self.settings().spans.grace);
-        let former = self.stop_grace.fetch_min(present, Ordering::Relaxed);
-        let grace = Duration::from_millis(present.min(former));
-        StopDeadlines::new(grace, self.timer_delay())
-    }
-
-    /// Why a request with this deadline is not taken, if this VM stops before; it has not run.
-    ///
-    /// # Errors
-    /// If it is not taken.
-    pub fn check_stop(&self, deadline: Instant) -> Result<(), Refusal> {
-        let Some(elapsed) = self.time_in_stop(Instant::now()) else {
-            return Ok(());
-        };
-        let left = deadline.saturating_duration_since(Instant::now());
-        let is_taken = self.stop_deadlines().takes(elapsed, left);
-        if is_taken && self.phase() < Phase::Exiting {
-            Ok(())
-        } else {
-            Err(self.stopping())
-        }
-    }
-
-    /// Whether a request with this deadline ends before this VM does.
-    pub fn ends_before_exit(&self, deadline: Instant) -> bool {
-        let Some(elapsed) = self.time_in_stop(Instant::now()) else {
-            return true;
-        };
-        let left = deadline.saturating_duration_since(Instant::now());
-        self.stop_deadlines().ends_in_time(elapsed, left)
-    }
-
-    /// The refusal of a request that this VM does not take since it stops.
-    pub fn stopping(&self) -> Refusal {
-        let others = self.peers.addrs_by_status().alive;
-        if !others.is_empty() {
-            return Refusal::Stopping(Duration::ZERO);
-        }
-        // No other VM is known; this one is back soon after its exit.
-        let elapsed = self.time_in_stop(Instant::now()).unwrap_or_default();
-        let exit = self.stop_deadlines().exit;
-        Refusal::Stopping(exit.saturating_sub(elapsed) + START_RETRY_AFTER)
-    }
-
-    /// Number of open connections of callers.
-    pub fn open_callers(&self) -> usize {
-        self.callers.load(Ordering::Relaxed)
-    }
-
-    /// How long after the process was asked to stop a moment was; `None` before.
-    pub fn time_in_stop(&self, at: Instant) -> Option<Duration> {
-        at.checked_duration_since(*self.stop_requested.get()?)
-    }
-
     /// Returns whether callers may be sent to this VM.
     pub fn is_ready(&self) -> bool {
         let has_document = self.catalogue.load().is_some();
--- a/crates/sesamegap-entry/src/relay/request_log.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -81,29 +81,21 @@
             .record_request(self.kind, self.status, span, self.first_event_after);
         let took = clock::millis(span);
         let stop_ms = self.core.time_in_stop(self.arrival.at).map(clock::millis);
-        if self.status.is_none() && self.core.phase() >= Phase::Exiting {
-            info!(
-                event = events::CUT,
-                request = %self.id,
-                route = %self.route,
-                events = self.events,
-                last = self.last_event,
-                took_ms = took,
-                stop_ms,
-                "cut by the stop"
-            );
-            return;
-        }
         let Some(status) = self.status else {
+            let (event, what) = if self.core.phase() >= Phase::Exiting {
+                (events::CUT, "cut by the stop")
+            } else {
+                (events::CALLER_LEFT, "caller left")
+            };
             info!(
-                event = events::CALLER_LEFT,
+                event,
                 request = %self.id,
                 route = %self.route,
                 events = self.events,
                 last = self.last_event,
                 took_ms = took,
                 stop_ms,
-                "caller left"
+                "{what}"
             );
             return;
         };
