--- a/crates/sesamegap-entry/src/resumption/list.rs
+++ b/crates/sesamegap-entry/src/resumption/list.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::follow;
+use crate::ports::StoreError;
 use crate::telemetry::events;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -42,12 +43,11 @@
             times.begun = Some(began);
             follow::read_list(core).await?;
             times.as_of = Some(began);
-            Ok(())
+            Ok::<_, StoreError>(())
         };
         match timeout(READ_TIMEOUT, read).await {
             Ok(Ok(())) => true,
             Ok(Err(error)) => {
-                let error: crate::ports::StoreError = error;
                 info!(event = events::STREAM_LOG, %error, "the fleet list cannot be read for a stream that is taken up");
                 false
             }
