One wait for a phase, and one reckoning of what is left of a stop

Found in a last reading of this change: Core::wait_for_exit repeated the wait for a phase of the intake, and check_stop and ends_before_exit each reckoned the time since the signal and the time left. The wait now stands in core/stop.rs for both, and the two rules of the stop share is_within_stop.

--- a/crates/sesamegap-entry/src/core/stop.rs
+++ b/crates/sesamegap-entry/src/core/stop.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// State of the stop.
@@ -86,11 +87,7 @@
     /// # Errors
     /// If it is not taken.
     pub fn check_stop(&self, deadline: Instant) -> Result<(), Refusal> {
-        let Some(elapsed) = self.time_in_stop(Instant::now()) else {
-            return Ok(());
-        };
-        let left = deadline.saturating_duration_since(Instant::now());
-        let is_taken = self.stop_deadlines().takes(elapsed, left);
+        let is_taken = self.is_within_stop(deadline, StopDeadlines::takes);
         if is_taken && self.phase() < Phase::Exiting {
             Ok(())
         } else {
@@ -100,11 +97,19 @@
 
     /// Whether a request with this deadline ends before this VM does.
     pub fn ends_before_exit(&self, deadline: Instant) -> bool {
-        let Some(elapsed) = self.time_in_stop(Instant::now()) else {
-            return true;
-        };
-        let left = deadline.saturating_duration_since(Instant::now());
-        self.stop_deadlines().ends_in_time(elapsed, left)
+        self.is_within_stop(deadline, StopDeadlines::ends_in_time)
+    }
+
+    /// Whether a rule of the stop allows a request with this deadline; true before the stop.
+    fn is_within_stop(
+        &self,
+        deadline: Instant,
+        rule: impl Fn(&StopDeadlines, Duration, Duration) -> bool,
+    ) -> bool {
+        let now = Instant::now();
+        let left = deadline.saturating_duration_since(now);
+        let elapsed = self.time_in_stop(now);
+        elapsed.is_none_or(|elapsed| rule(&self.stop_deadlines(), elapsed, left))
     }
 
     /// The refusal of a request that this VM does not take since it stops.
@@ -131,14 +136,14 @@
 
     /// Waits until only the last answers are sent.
     pub async fn wait_for_exit(&self) {
-        let mut phases = self.subscribe_phase();
-        if phases
-            .wait_for(|phase| *phase >= Phase::Exiting)
-            .await
-            .is_err()
-        {
-            // The sender lives as long as the process.
-            std::future::pending::<()>().await;
-        }
+        wait_for_phase(&mut self.subscribe_phase(), Phase::Exiting).await;
+    }
+}
+
+/// Waits until the process has reached a phase or a later one.
+pub async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, phase: Phase) {
+    if phases.wait_for(|current| *current >= phase).await.is_err() {
+        // The sender lives as long as the process; without it no phase can follow.
+        std::future::pending::<()>().await;
     }
 }
--- a/crates/sesamegap-entry/src/intake/connection.rs
+++ b/crates/sesamegap-entry/src/intake/connection.rs
@@ -2,7 +2,7 @@
 
 use super::request;
 use crate::catalogue::Limits;
-use crate::core::{CallerGuard, Core, Phase};
+use crate::core::{CallerGuard, Core, Phase, wait_for_phase};
 use crate::telemetry::events;
 use bytes::Bytes;
 use sesamegap_http::serving::{self, Bounds, CloseReason, ClosedOnStop, ConnectionPolicy};
@@ -74,7 +74,7 @@
     }
     let _open = CallerGuard::new(&core);
     let mut phases = core.subscribe_phase();
-    let closing = super::wait_for_phase(&mut phases, Phase::Closing);
+    let closing = wait_for_phase(&mut phases, Phase::Closing);
     let handle = |request, busy| request::handle(Arc::clone(&core), request, busy);
     match serving::serve(stream, core.as_ref(), handle, closing).await {
         CloseReason::Closed(Some(error)) => {
--- a/crates/sesamegap-entry/src/intake/mod.rs
+++ b/crates/sesamegap-entry/src/intake/mod.rs
@@ -9,11 +9,10 @@
 
 pub use reply::{Body, full_body, refusal_response};
 
-use crate::core::{Core, Phase};
+use crate::core::{Core, Phase, wait_for_phase};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 use tracing::warn;
 
@@ -27,14 +26,6 @@
 /// accepted late would be cut when the process is killed.
 const FINAL_ACCEPT_TIME: Duration = Duration::from_millis(20);
 
-/// Waits until the process has reached a phase or a later one.
-async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, phase: Phase) {
-    if phases.wait_for(|current| *current >= phase).await.is_err() {
-        // The sender lives as long as the process; without it no phase can follow.
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Accepts connections until the process ends.
 pub async fn serve(core: Arc<Core>, listener: TcpListener) {
     let mut phases = core.subscribe_phase();
