--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -7,10 +7,11 @@
 use crate::relay::strip_hop_by_hop;
 use crate::telemetry::events;
 use crate::upstream::gateway::{self, DECLINED_STATUS, Destination, RelayOutcome};
-use crate::upstream::{self, Exchange, ResponseBody, SendError};
+use crate::upstream::{self, BrokenBody, Exchange, SendError};
 use http::{Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Incoming};
 use sesamegap_http::serving::guard_body;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -23,6 +24,9 @@
 /// Stands for the time left to a request that states none.
 const UNLIMITED: Duration = Duration::from_hours(1);
 
+/// The response body for a peer.
+type RelayedBody = UnsyncBoxBody<Bytes, BrokenBody>;
+
 /// What a request holds until its response has ended.
 type Permits = (OwnedSemaphorePermit, Option<GatePass>);
 
@@ -32,7 +36,7 @@
     request: Request<Incoming>,
     from: Option<SocketAddr>,
     permits: Arc<Semaphore>,
-) -> Response<ResponseBody> {
+) -> Response<RelayedBody> {
     let head = core.ports.headers.read_request(request.headers());
     let timeout = head.as_ref().ok().and_then(|head| head.timeout);
     let id = head.map(|head| head.id).unwrap_or_default();
@@ -131,7 +135,7 @@
     Ok(usable.entry.addr)
 }
 
-fn respond(exchange: Exchange, guards: (ActiveRequestGuard, Permits)) -> Response<ResponseBody> {
+fn respond(exchange: Exchange, guards: (ActiveRequestGuard, Permits)) -> Response<RelayedBody> {
     let Exchange {
         response,
         connection,
@@ -145,7 +149,7 @@
     response
 }
 
-fn decline(outcome: RelayOutcome) -> Response<ResponseBody> {
+fn decline(outcome: RelayOutcome) -> Response<RelayedBody> {
     let body = Empty::new().map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = DECLINED_STATUS;
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -17,7 +17,7 @@
 use crate::job::Job;
 use crate::refusal::Refusal;
 use crate::telemetry::events;
-use crate::upstream::ResponseBody;
+use crate::upstream::{Delimiter, ResponseBody};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -37,7 +37,12 @@
     let mut retry = RetryState::new(job);
     let answer = try_upstreams(core, job, &mut retry).await;
     let (response, why) = match answer {
-        Ok(response) => (response, String::new()),
+        Ok(response) => {
+            if let Some(delimiter) = response.extensions().get::<Delimiter>() {
+                log.record_whole(*delimiter);
+            }
+            (response, String::new())
+        }
         Err(refusal) => (refusal_response(refusal), refusal.to_string()),
     };
     log.record_end(response.status().as_u16(), retry.runs, why);
@@ -232,6 +237,7 @@
             return Some(caller_response(head.status, &head.headers, body));
         }
     }
+    let delimiter = body.delimiter();
     let failed = head.status.is_server_error();
     if head.status.is_success() {
         core.quarantine
@@ -240,11 +246,9 @@
     answered
         .flight
         .record_answer(answered.sent.elapsed(), failed);
-    Some(caller_response(
-        head.status,
-        &head.headers,
-        full_body(bytes.freeze()),
-    ))
+    let mut response = caller_response(head.status, &head.headers, full_body(bytes.freeze()));
+    response.extensions_mut().insert(delimiter);
+    Some(response)
 }
 
 /// A body whose start has been read; it ends at the deadline, since the upstream may send without end. The connection and
--- a/crates/sesamegap-entry/src/relay/request_log.rs
+++ b/crates/sesamegap-entry/src/relay/request_log.rs
@@ -5,6 +5,7 @@
 use crate::core::{Arrival, Core, Phase};
 use crate::job::Job;
 use crate::telemetry::events;
+use crate::upstream::Delimiter;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
     last_event_at: Option<Instant>,
     longest_gap: Duration,
     status: Option<u16>,
+    end: Option<Delimiter>,
     reason: SmolStr,
 }
 
@@ -45,6 +47,7 @@
             last_event_at: None,
             longest_gap: Duration::ZERO,
             status: None,
+            end: None,
             reason: SmolStr::default(),
         }
     }
@@ -65,6 +68,11 @@
         }
     }
 
+    /// Records what shows that the upstream's response is complete.
+    pub fn record_whole(&mut self, delimiter: Delimiter) {
+        self.end = Some(delimiter);
+    }
+
     /// Records how the request ended.
     pub fn record_end(&mut self, status: u16, runs: u32, reason: impl Into<SmolStr>) {
         self.status = Some(status);
@@ -111,6 +119,7 @@
             last = self.last_event,
             took_ms = took,
             stop_ms,
+            end = self.end.map(tracing::field::display),
             why = %self.reason,
             "ended"
         );
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -111,6 +111,7 @@
                 Ok(None) => {
                     let quarantine = &relay.core.quarantine;
                     quarantine.record_completion(relay.job.subjects(), stream.sent);
+                    log.record_whole(stream.delimiter());
                     log.record_end(stream.status.as_u16(), relay.retry.runs + 1, "");
                     return;
                 }
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -13,7 +13,7 @@
 use crate::relay::plain::{BUFFER_LIMIT, caller_response};
 use crate::relay::retry::RetryState;
 use crate::relay::sse::{EventBatch, EventSplitter};
-use crate::upstream::{Connection, ResponseBody, collect};
+use crate::upstream::{Connection, Delimiter, ResponseBody, collect};
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use sesamegap_policy::routing::timeouts::{SILENT_AFTER, Silence};
@@ -105,6 +105,11 @@
         }
     }
 
+    /// What shows that it is complete.
+    pub(super) fn delimiter(&self) -> Delimiter {
+        self.body.delimiter()
+    }
+
     /// When to recheck the deadlines.
     fn next_check(&self) -> Instant {
         let left = self
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -11,14 +11,12 @@
 pub mod gateway;
 pub mod routes;
 
-pub use body::{ResponseBody, collect};
+pub use body::{BrokenBody, Delimiter, ResponseBody, collect};
 pub use connections::{OpenConnections, OpenTime};
 
 use crate::limits::permit::SendPermit;
-use body::{confirm_end, is_unframed};
 use connections::{Watch, WatchedStream};
 use http::{Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -113,7 +111,7 @@
     where
         F: Future<Output = bool> + Send + 'static,
     {
-        if !is_unframed(&self.response) {
+        if self.response.body().delimiter() != Delimiter::Connection {
             return self;
         }
         let is_running = is_running(self.watch.time());
@@ -121,7 +119,7 @@
         Self {
             response: self
                 .response
-                .map(|body| confirm_end(body, watch, is_running)),
+                .map(|body| body.confirm_end(watch, is_running)),
             ..self
         }
     }
@@ -180,7 +178,7 @@
     };
     let response = response.map_err(|error| SendError::Broken(error_with_cause(&error)))?;
     Ok(Exchange {
-        response: response.map(|body| body.map_err(Into::into).boxed_unsync()),
+        response: ResponseBody::of(response),
         connection,
         watch,
     })
