Failing tests of streams that end as complete before their last event

Five ways in which the entry process concludes the end of a stream too early, each run, on this code: an error that is dropped with a future when a second run fails (by a reset, and by the deadline), the time limit of an engine that ends an answer without a length, a second run that ends without an event, and a run that takes a stream up and is closed at once. Two further tests pass here: a reset of all connections at once, and plain answers.

--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod copies;
 mod cut_heads;
 mod dead_calls;
+mod early_ends;
 mod endless;
 mod fetches;
 mod fleet;
