The end of a response body is a value that stays

Callers saw resumable streams end as complete before their last event. While an upstream is silent, its stream is read in a future that races a run at a second upstream. When its connection broke, the read took the error out of the body and waited for the probe of the upstream; if the second run failed meanwhile, by a reset, a refusal or its deadline, that future was dropped with the error. The body was exhausted, so that the next read found no frame, which counted as the end: last chunk, and complete.

Now a body is running, whole or broken, and stays so: each later read returns the same end or the same error. Reading returns data or an end that names what showed it, and no caller concludes an end from a missing frame. The probe of a broken stream is made once and waited for by whoever reads on, until the request's deadline at most.

Trailers of plain answers that are too long to be buffered are no longer passed on, as those of shorter ones never were.

--- a/crates/sesamegap-entry/src/relay/loss.rs
+++ b/crates/sesamegap-entry/src/relay/loss.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use tracing::info;
 
 /// Time for which an upstream must have answered a request for its crash to be less likely due to this one. Upstreams
@@ -49,11 +49,33 @@
     sent: Instant,
     begun: Option<Instant>,
 ) {
-    flight.record_broken(clock::now());
-    let reported = BrokenAnswer::new(job, flight, sent, begun).probe_and_report(core);
-    if job.route.kind.is_repeatable() {
-        // A panic of the probe task has nothing to report.
-        drop(reported.await);
+    let mut report = BrokenReport::default();
+    report.run(core, job, flight, sent, begun).await;
+}
+
+/// The report that a request's connection broke, which is made once.
+#[derive(Debug, Default)]
+pub struct BrokenReport(Option<JoinHandle<()>>);
+
+impl BrokenReport {
+    /// As [`report_broken_connection`]. A further call after one that was dropped waits for the same probe.
+    pub async fn run(
+        &mut self,
+        core: &Arc<Core>,
+        job: &Job,
+        flight: &mut Flight,
+        sent: Instant,
+        begun: Option<Instant>,
+    ) {
+        let probe = self.0.get_or_insert_with(|| {
+            flight.record_broken(clock::now());
+            BrokenAnswer::new(job, flight, sent, begun).probe_and_report(core)
+        });
+        // A finished task must not be polled again.
+        if job.route.kind.is_repeatable() && !probe.is_finished() {
+            // A panic of the probe task has nothing to report, and a request that is over needs no result.
+            _ = timeout_at(job.deadline, probe).await;
+        }
     }
 }
 
--- a/crates/sesamegap-entry/src/relay/plain.rs
+++ b/crates/sesamegap-entry/src/relay/plain.rs
@@ -17,7 +17,7 @@
 use crate::job::Job;
 use crate::refusal::Refusal;
 use crate::telemetry::events;
-use crate::upstream::{Delimiter, ResponseBody};
+use crate::upstream::{Delimiter, Part, ResponseBody};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -201,11 +201,11 @@
         return None;
     }
     let mut bytes = BytesMut::new();
-    loop {
-        let frame = match timeout_at(job.deadline, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => break,
-            Ok(Some(Err(_))) => {
+    let delimiter = loop {
+        let data = match timeout_at(job.deadline, body.read()).await {
+            Ok(Ok(Part::Data(data))) => data,
+            Ok(Ok(Part::End(delimiter))) => break delimiter,
+            Ok(Err(_)) => {
                 answered.flight.record_answer(answered.sent.elapsed(), true);
                 loss::report_broken_connection(
                     core,
@@ -222,9 +222,7 @@
                 return None;
             }
         };
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
+        bytes.extend_from_slice(&data);
         if bytes.len() > BUFFER_LIMIT {
             let loss = BrokenAnswer::new(
                 job,
@@ -236,8 +234,7 @@
             let body = stream_rest(Arc::clone(core), bytes.freeze(), rest, loss, job.deadline);
             return Some(caller_response(head.status, &head.headers, body));
         }
-    }
-    let delimiter = body.delimiter();
+    };
     let failed = head.status.is_server_error();
     if head.status.is_success() {
         core.quarantine
@@ -264,16 +261,16 @@
         let (mut body, _connection, flight) = rest;
         yield Ok(Frame::data(first_bytes));
         loop {
-            match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => yield Ok(frame),
-                Ok(None) => break,
+            match timeout_at(deadline, body.read()).await {
+                Ok(Ok(Part::Data(data))) => yield Ok(Frame::data(data)),
+                Ok(Ok(Part::End(_))) => break,
                 Err(_) => {
                     // The upstream is too slow, or sends without end.
                     flight.record_failure(clock::now());
                     yield Err(std::io::Error::other("request deadline expired"));
                     return;
                 }
-                Ok(Some(Err(error))) => {
+                Ok(Err(error)) => {
                     drop(loss.probe_and_report(&core));
                     yield Err(std::io::Error::other(error));
                     return;
--- a/crates/sesamegap-entry/src/relay/stream/mod.rs
+++ b/crates/sesamegap-entry/src/relay/stream/mod.rs
@@ -19,6 +19,7 @@
 use crate::job::Job;
 use crate::resumption::record_begin;
 use crate::telemetry::events;
+use crate::upstream::Delimiter;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -55,6 +56,15 @@
     recorded: Option<SoftwareVersion>,
 }
 
+/// What comes next in a stream.
+#[derive(Debug)]
+enum Next {
+    /// Events.
+    Events(EventBatch),
+    /// Its end; it is complete.
+    End(Delimiter),
+}
+
 /// Relays a stream request.
 pub async fn run(core: Arc<Core>, job: Job) -> Response<Body> {
     let mut log = RequestLog::new(&core, &job);
@@ -104,14 +114,14 @@
     async_stream::stream! {
         loop {
             match relay.next_events(&mut stream).await {
-                Ok(Some(events)) => {
+                Ok(Next::Events(events)) => {
                     log.record_events(&events.ids);
                     yield Ok(Frame::data(events.bytes));
                 }
-                Ok(None) => {
+                Ok(Next::End(delimiter)) => {
                     let quarantine = &relay.core.quarantine;
                     quarantine.record_completion(relay.job.subjects(), stream.sent);
-                    log.record_whole(stream.delimiter());
+                    log.record_whole(delimiter);
                     log.record_end(stream.status.as_u16(), relay.retry.runs + 1, "");
                     return;
                 }
@@ -136,16 +146,13 @@
         self.core.quarantine.standing(self.job.subjects()) == Standing::Quarantined
     }
 
-    /// The next events for the caller; `None` at the end of the stream.
-    async fn next_events(
-        &mut self,
-        stream: &mut UpstreamStream,
-    ) -> Result<Option<EventBatch>, String> {
+    /// The next events for the caller.
+    async fn next_events(&mut self, stream: &mut UpstreamStream) -> Result<Next, String> {
         let events = match stream.first_events.take() {
             Some(events) => events,
             None => match self.read_on(stream).await? {
-                Some(events) => events,
-                None => return Ok(None),
+                Next::Events(events) => events,
+                end @ Next::End(_) => return Ok(end),
             },
         };
         self.has_begun = true;
@@ -154,16 +161,16 @@
         if !recorded.is_some_and(SoftwareVersion::is_stated) {
             self.record_version(stream.flight.begun_software()).await;
         }
-        Ok(Some(events))
+        Ok(Next::Events(events))
     }
 
     /// Reads on, at another upstream if this one is silent and that one goes on first.
-    async fn read_on(&mut self, stream: &mut UpstreamStream) -> Result<Option<EventBatch>, String> {
+    async fn read_on(&mut self, stream: &mut UpstreamStream) -> Result<Next, String> {
         let mut read = read_events(&self.core, &self.job, stream, Some(&self.retry)).await?;
         loop {
             match read {
-                Read::Events(events) => return Ok(Some(events)),
-                Read::End => return Ok(None),
+                Read::Events(events) => return Ok(Next::Events(events)),
+                Read::End(delimiter) => return Ok(Next::End(delimiter)),
                 Read::Silent => {}
             }
             stream.record_silence();
@@ -175,7 +182,7 @@
                     }
                     // Closes the silent connection before an event of the other one is passed on.
                     *stream = *second;
-                    return Ok(stream.first_events.take());
+                    return Ok(Next::Events(stream.first_events.take().unwrap_or_default()));
                 }
                 Beside::Second(Opened::Complete(_), _) | Beside::Neither => {
                     stream.patient_until = Instant::now() + timeouts::NEXT_TRY;
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -9,13 +9,12 @@
 use crate::relay::attempt::{
     Answered, QUARANTINED, READ_GRACE, WEIGHTS_EXPIRED, falsely_implies_not_run,
 };
-use crate::relay::loss::{self, ANSWERED_FOR, BrokenAnswer};
+use crate::relay::loss::{self, ANSWERED_FOR, BrokenAnswer, BrokenReport};
 use crate::relay::plain::{BUFFER_LIMIT, caller_response};
 use crate::relay::retry::RetryState;
 use crate::relay::sse::{EventBatch, EventSplitter};
-use crate::upstream::{Connection, Delimiter, ResponseBody, collect};
+use crate::upstream::{Connection, Delimiter, Part, ResponseBody, collect};
 use http::{HeaderMap, StatusCode};
-use http_body_util::BodyExt;
 use sesamegap_policy::routing::timeouts::{SILENT_AFTER, Silence};
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +32,7 @@
     body: ResponseBody,
     _connection: Connection,
     splitter: EventSplitter,
+    broken: BrokenReport,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) first_events: Option<EventBatch>,
@@ -60,8 +60,8 @@
 pub(super) enum Read {
     /// Events.
     Events(EventBatch),
-    /// Its end.
-    End,
+    /// Its end; it is complete.
+    End(Delimiter),
     /// Nothing, for longer than is tolerated.
     Silent,
 }
@@ -105,11 +105,6 @@
         }
     }
 
-    /// What shows that it is complete.
-    pub(super) fn delimiter(&self) -> Delimiter {
-        self.body.delimiter()
-    }
-
     /// When to recheck the deadlines.
     fn next_check(&self) -> Instant {
         let left = self
@@ -168,6 +163,7 @@
         body,
         _connection: exchange.connection,
         splitter: EventSplitter::default(),
+        broken: BrokenReport::default(),
         status: head.status,
         headers: head.headers,
         first_events: None,
@@ -191,9 +187,9 @@
         let read = read_events(core, job, stream, None).await?;
         let events = match read {
             Read::Events(events) => events,
-            Read::End if !position.is_resumed => return Ok(EventBatch::default()),
+            Read::End(_) if !position.is_resumed => return Ok(EventBatch::default()),
             // The head and the end of a second run do not show that it goes on where the first one stopped.
-            Read::End => return Err("resumed stream ended without an event".to_owned()),
+            Read::End(_) => return Err("resumed stream ended without an event".to_owned()),
             Read::Silent => continue,
         };
         let Some(last) = position.after else {
@@ -215,7 +211,7 @@
 /// Reads the next complete events from an upstream.
 ///
 /// [`Read::Silent`] is returned only with the attempts of the request, which say whether another upstream may be asked.
-/// Nothing is lost if the future is dropped.
+/// Nothing is lost if the future is dropped: a stream that broke off or ended does so again at the next read.
 pub(super) async fn read_events(
     core: &Arc<Core>,
     job: &Job,
@@ -228,23 +224,23 @@
             return Err("request deadline expired".to_owned());
         }
         let until = silence_deadline(core, job, stream, retry).min(stream.next_check());
-        let frame = tokio::select! {
+        let read = tokio::select! {
             biased;
-            frame = timeout_at(until, stream.body.frame()) => frame,
+            read = timeout_at(until, stream.body.read()) => read,
             () = core.quarantine.wait_until_refused(job.subjects()), if stream.begun_at.is_none() => {
                 return Err(QUARANTINED.to_owned());
             }
         };
-        let frame = match frame {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
+        let data = match read {
+            Ok(Ok(Part::Data(data))) => data,
+            Ok(Err(error)) => {
                 return Err(report_broken(core, job, stream, &error.to_string()).await);
             }
-            Ok(None) if stream.splitter.is_partial() => {
+            Ok(Ok(Part::End(_))) if stream.splitter.is_partial() => {
                 let why = "stream ended within an event";
                 return Err(report_broken(core, job, stream, why).await);
             }
-            Ok(None) => return Ok(Read::End),
+            Ok(Ok(Part::End(delimiter))) => return Ok(Read::End(delimiter)),
             Err(_) if Instant::now() >= job.deadline => {
                 return Err("request deadline expired".to_owned());
             }
@@ -255,9 +251,6 @@
         };
         stream.flight.record_received(clock::now());
         stream.silent_since = Instant::now();
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
         let begun_at = *stream.begun_at.get_or_insert(stream.silent_since);
         if let Some(permit) = &mut stream.flight.permit
             && begun_at.elapsed() >= ANSWERED_FOR
@@ -283,7 +276,10 @@
     why: &str,
 ) -> String {
     let (sent, begun) = (stream.sent, stream.begun_at);
-    loss::report_broken_connection(core, job, &mut stream.flight, sent, begun).await;
+    let report = stream
+        .broken
+        .run(core, job, &mut stream.flight, sent, begun);
+    report.await;
     why.to_owned()
 }
 
--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -1,4 +1,7 @@
 //! Bodies of upstreams' responses.
+//!
+//! The end of a body, whole or broken off, is a value that stays: whoever reads on after it gets the same one again. A read that
+//! is dropped, or whose result is, therefore cannot turn a response that broke off into one that ended.
 
 use super::Connection;
 use super::connections::Watch;
@@ -12,7 +15,7 @@
 use std::error::Error;
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -56,14 +59,30 @@
     }
 }
 
-/// A response body, whose last frame is an error unless it is complete.
+/// What a read of a body brings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// Bytes.
+    Data(Bytes),
+    /// Its end; it is complete.
+    End(Delimiter),
+}
+
+/// A response body.
 #[derive(Debug)]
 pub struct ResponseBody {
-    frames: Frames,
-    /// What shows its end, once the connection that bears it is known.
+    state: State,
+    /// What shows that it is complete, once its frames have ended.
     delimiter: Delimiter,
 }
 
+#[derive(Debug)]
+enum State {
+    Running(Frames),
+    Whole,
+    Broken(BrokenBody),
+}
+
 impl ResponseBody {
     /// The body of a response as its connection brings it.
     pub(super) fn of<B>(response: Response<B>) -> Response<Self>
@@ -72,17 +91,30 @@
     {
         let delimiter = delimiter(&response);
         response.map(|body| Self {
-            frames: body.map_err(broken).boxed_unsync(),
+            state: State::Running(body.map_err(broken).boxed_unsync()),
             delimiter,
         })
     }
 
-    /// What shows that it is complete.
-    pub fn delimiter(&self) -> Delimiter {
+    /// Reads on. Nothing is lost if the future is dropped.
+    ///
+    /// # Errors
+    /// If the response broke off, at this and each later read.
+    pub async fn read(&mut self) -> Result<Part, BrokenBody> {
+        while let Some(frame) = self.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                return Ok(Part::Data(data));
+            }
+        }
+        Ok(Part::End(self.delimiter))
+    }
+
+    /// What ends it.
+    pub(super) fn delimiter(&self) -> Delimiter {
         self.delimiter
     }
 
-    /// A body that ends with an error unless the upstream was running when its connection ended.
+    /// A body that breaks off unless the upstream was running when its connection ended.
     ///
     /// The caller may read slowly, so that the end is noticed beside the body, before another process may run there.
     pub(super) fn confirm_end(
@@ -90,10 +122,11 @@
         watch: Watch,
         is_running: impl Future<Output = bool> + Send + 'static,
     ) -> Self {
-        Self {
-            frames: confirm_end(self.frames, watch, is_running),
-            ..self
-        }
+        let state = match self.state {
+            State::Running(frames) => State::Running(confirm_end(frames, watch, is_running)),
+            ended => ended,
+        };
+        Self { state, ..self }
     }
 }
 
@@ -104,16 +137,35 @@
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.frames).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
+        let frames = match &mut self.state {
+            State::Running(frames) => frames,
+            State::Whole => return Poll::Ready(None),
+            State::Broken(why) => return Poll::Ready(Some(Err(why.clone()))),
+        };
+        let frame = ready!(Pin::new(frames).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(why)) => self.state = State::Broken(why.clone()),
+            None => self.state = State::Whole,
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.frames.is_end_stream()
+        match &self.state {
+            State::Running(frames) => frames.is_end_stream(),
+            State::Whole => true,
+            State::Broken(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.frames.size_hint()
+        match &self.state {
+            State::Running(frames) => frames.size_hint(),
+            State::Whole => SizeHint::with_exact(0),
+            State::Broken(_) => SizeHint::default(),
+        }
     }
 }
 
@@ -192,10 +244,8 @@
 /// If the body is incomplete.
 pub async fn collect(mut body: ResponseBody, limit: usize) -> Result<Option<Bytes>, BrokenBody> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
-        }
+    while let Part::Data(data) = body.read().await? {
+        bytes.extend_from_slice(&data);
         if bytes.len() > limit {
             return Ok(None);
         }
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 pub mod gateway;
 pub mod routes;
 
-pub use body::{BrokenBody, Delimiter, ResponseBody, collect};
+pub use body::{BrokenBody, Delimiter, Part, ResponseBody, collect};
 pub use connections::{OpenConnections, OpenTime};
 
 use crate::limits::permit::SendPermit;
--- a/crates/sesamegap-entry/tests/testsuite/early_ends.rs
+++ b/crates/sesamegap-entry/tests/testsuite/early_ends.rs
@@ -90,8 +90,10 @@
 }
 
 fn reset(stream: TcpStream) {
-    let socket = SockRef::from(&stream);
-    socket.set_linger(Some(Duration::ZERO)).unwrap();
+    SockRef::from(&stream)
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
+    drop(stream);
 }
 
 fn id_of(request: &str) -> String {
@@ -139,7 +141,7 @@
     let process = Process::empty().await;
     let mut document = document(1);
     for route in &mut document.routes {
-        route.timeout = Duration::from_millis(3_000);
+        route.timeout = Duration::from_secs(3);
     }
     process.core.adopt(&Arc::new(document), "test");
     let first = Engine::listen();
