An end without events ends no stream unless it shows that none is missing

Callers saw streams that ended as complete without an event. A second run beside a silent upstream that had not begun won with its end, though an end without an event does not show that it goes on; the design said so, and the code asked only whether the caller had a part already. And an answer without a length whose connection closed before the first event counted as whole if the process went on, so that a stream that a caller took up ended there.

Now such an end counts only for the only run of a stream, and only if a length or the last chunk shows it; otherwise the attempt has failed.

--- a/crates/sesamegap-entry/src/relay/stream/opening.rs
+++ b/crates/sesamegap-entry/src/relay/stream/opening.rs
@@ -164,7 +164,7 @@
             flight,
             Position {
                 after: self.last_event_id,
-                is_resumed: self.has_begun,
+                has_other: self.has_begun || self.is_beside,
             },
             Arc::clone(&waiting.answered),
         );
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -51,8 +51,16 @@
 pub(super) struct Position {
     /// The event after which it begins.
     pub(super) after: Option<u64>,
-    /// Whether the caller has the head and part of the stream from another run.
-    pub(super) is_resumed: bool,
+    /// Whether the stream has another run, which goes on or has sent a part of it to the caller.
+    pub(super) has_other: bool,
+}
+
+impl Position {
+    /// Whether a run that ends without an event shows that no event is missing.
+    fn may_be_empty(self, delimiter: Delimiter) -> bool {
+        // A connection also closes if its upstream gives the request up.
+        !self.has_other && delimiter != Delimiter::Connection
+    }
 }
 
 /// What an upstream's stream brought.
@@ -187,9 +195,11 @@
         let read = read_events(core, job, stream, None).await?;
         let events = match read {
             Read::Events(events) => events,
-            Read::End(_) if !position.is_resumed => return Ok(EventBatch::default()),
+            Read::End(delimiter) if position.may_be_empty(delimiter) => {
+                return Ok(EventBatch::default());
+            }
             // The head and the end of a second run do not show that it goes on where the first one stopped.
-            Read::End(_) => return Err("resumed stream ended without an event".to_owned()),
+            Read::End(_) => return Err("stream ended without an event".to_owned()),
             Read::Silent => continue,
         };
         let Some(last) = position.after else {
