--- a/crates/sesamegap-entry/src/telemetry/events.rs
+++ b/crates/sesamegap-entry/src/telemetry/events.rs
@@ -66,7 +66,7 @@
 pub const PLACED: u16 = 751;
 /// An attempt at an upstream failed, or another upstream is asked beside one that is silent; `why` tells which.
 pub const ATTEMPT: u16 = 752;
-/// A request ended.
+/// A request ended; `end` tells what showed that its answer was whole.
 pub const ENDED: u16 = 753;
 /// A caller disconnected before its answer ended.
 pub const CALLER_LEFT: u16 = 754;
