An answer without a length that ends at its request's time limit is not complete

Callers may take a stream for complete whose engine stopped work on it at its time limit: an answer with neither a length nor chunks ends with its connection, in order, between two events, and its end was confirmed by the process alone, which goes on. The confirmation takes 25 ms, so that an end 60 ms before the limit counted as whole.

Now such an end within a tenth of a second before the limit counts as a cut, at gateways too.

--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -40,16 +40,15 @@
     let head = core.ports.headers.read_request(request.headers());
     let timeout = head.as_ref().ok().and_then(|head| head.timeout);
     let id = head.map(|head| head.id).unwrap_or_default();
+    let limit = Instant::now() + timeout.unwrap_or(UNLIMITED);
     let active = ActiveRequestGuard::new(&core.active, id.clone(), Arrival::alone());
     let mut destination = None;
     let sent = match gateway::unwrap(request) {
         // The peer has no excuse for a request that is cut here.
-        Some(_) if !core.ends_before_exit(Instant::now() + timeout.unwrap_or(UNLIMITED)) => {
-            Err(RelayOutcome::Stopping)
-        }
+        Some(_) if !core.ends_before_exit(limit) => Err(RelayOutcome::Stopping),
         Some((upstream, is_counted, request)) => {
             destination = Some(upstream.id.clone());
-            send(&core, &upstream, is_counted, request, &id, permits).await
+            send(&core, &upstream, is_counted, request, (&id, limit), permits).await
         }
         None => Err(RelayOutcome::Unlisted),
     };
@@ -75,7 +74,7 @@
     destination: &Destination,
     is_counted: bool,
     mut request: Request<Incoming>,
-    id: &SmolStr,
+    (id, limit): (&SmolStr, Instant),
     permits: Arc<Semaphore>,
 ) -> Result<(Exchange, Permits), RelayOutcome> {
     let addr = locate(core, destination)?;
@@ -117,7 +116,7 @@
     let Destination { id, life } = destination.clone();
     let connections = core.connections.clone();
     let is_running = |time| confirm_running(fleet, id, life, (from, addr), connections, time);
-    Ok((exchange.confirm_end(is_running), (permit, gate_pass)))
+    Ok((exchange.confirm_end(limit, is_running), (permit, gate_pass)))
 }
 
 /// The address of an upstream to which this VM would send requests of its own.
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -164,7 +164,9 @@
             flight.gate_pass = gate_pass;
             let from = core.settings().listen.callers.ip();
             let connections = core.connections.clone();
-            exchange.confirm_end(|time| flight.confirm_running(from, connections, time))
+            exchange.confirm_end(job.deadline, |time| {
+                flight.confirm_running(from, connections, time)
+            })
         }
         Ok(Err(SendError::Unreached(error))) => {
             flight.record_failure(clock::now());
--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -11,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, SizeHint};
+use sesamegap_policy::routing::timeouts::may_be_cut;
 use smol_str::{SmolStr, format_smolstr};
 use std::error::Error;
 use std::fmt;
@@ -18,7 +19,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// How often the connection of a response without a length is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -114,16 +115,18 @@
         self.delimiter
     }
 
-    /// A body that breaks off unless the upstream was running when its connection ended.
+    /// A body that breaks off unless the upstream was running when its connection ended, well before the `limit` at which
+    /// the upstream stops work on the request.
     ///
     /// The caller may read slowly, so that the end is noticed beside the body, before another process may run there.
     pub(super) fn confirm_end(
         self,
         watch: Watch,
+        limit: Instant,
         is_running: impl Future<Output = bool> + Send + 'static,
     ) -> Self {
         let state = match self.state {
-            State::Running(frames) => State::Running(confirm_end(frames, watch, is_running)),
+            State::Running(frames) => State::Running(confirm_end(frames, watch, limit, is_running)),
             ended => ended,
         };
         Self { state, ..self }
@@ -174,6 +177,11 @@
     "a response without a length ended together with its upstream",
 ));
 
+/// Why a response is incomplete that its upstream may have cut.
+const LIMIT_REACHED: BrokenBody = BrokenBody(SmolStr::new_static(
+    "a response without a length ended at the time limit of its request",
+));
+
 /// What ends a response.
 ///
 /// A transfer coding overrides the length, and delimits the body only if `chunked` is the last one.
@@ -203,6 +211,7 @@
 fn confirm_end(
     mut body: Frames,
     watch: Watch,
+    limit: Instant,
     is_running: impl Future<Output = bool> + Send + 'static,
 ) -> Frames {
     let (ended, on_end) = oneshot::channel::<()>();
@@ -212,7 +221,14 @@
             _ = on_end => {}
             () = until_ended(&watch) => {}
         }
-        _ = verdict.send(is_running.await);
+        let left = limit.saturating_duration_since(Instant::now());
+        _ = verdict.send(if may_be_cut(left) {
+            Err(LIMIT_REACHED)
+        } else if is_running.await {
+            Ok(())
+        } else {
+            Err(UNCONFIRMED)
+        });
     });
     let watching = Connection(watching);
     let frames = async_stream::stream! {
@@ -225,8 +241,8 @@
             }
         }
         _ = ended.send(());
-        if !on_verdict.await.unwrap_or(false) {
-            yield Err(UNCONFIRMED);
+        if let Err(why) = on_verdict.await.unwrap_or(Err(UNCONFIRMED)) {
+            yield Err(why);
         }
     };
     StreamBody::new(frames).boxed_unsync()
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -28,7 +28,7 @@
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Longest head of a response, in bytes; an upstream in trouble may send one without end.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -104,10 +104,10 @@
 
 impl Exchange {
     /// Confirms the end of a response with neither a length nor chunks. Such a response ends with its connection, also if
-    /// the upstream crashes; it is complete only if `is_running` finds the upstream running at that moment. It is given
-    /// when the connection was last seen open.
+    /// the upstream crashes or gives the request up at its `limit`; it is complete only if it ends well before that, and
+    /// `is_running` finds the upstream running at that moment. It is given when the connection was last seen open.
     #[must_use]
-    pub fn confirm_end<F>(self, is_running: impl FnOnce(Arc<OpenTime>) -> F) -> Self
+    pub fn confirm_end<F>(self, limit: Instant, is_running: impl FnOnce(Arc<OpenTime>) -> F) -> Self
     where
         F: Future<Output = bool> + Send + 'static,
     {
@@ -119,7 +119,7 @@
         Self {
             response: self
                 .response
-                .map(|body| body.confirm_end(watch, is_running)),
+                .map(|body| body.confirm_end(watch, limit, is_running)),
             ..self
         }
     }
--- a/crates/sesamegap-policy/src/routing/timeouts.rs
+++ b/crates/sesamegap-policy/src/routing/timeouts.rs
@@ -33,6 +33,10 @@
 /// every few tens of milliseconds.
 pub const SILENT_AFTER: Duration = Duration::from_millis(500);
 
+/// Time before the limit of a request within which its upstream may have stopped work because of the limit: the clocks and
+/// timers of two machines, and the rounding of the limit to milliseconds, differ by less.
+const LIMIT_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// Multiple of its latency objective that a plain request waits before another worker is asked.
 const PLAIN_OBJECTIVE_FACTOR: f64 = 2.5;
 
@@ -69,3 +73,12 @@
 pub fn plain(objective: Duration) -> Duration {
     objective.mul_f64(PLAIN_OBJECTIVE_FACTOR)
 }
+
+/// Whether an upstream may have ended its answer because the request's time was up, `left` before that.
+///
+/// Upstreams stop work at the limit that they are given. If only the end of the connection delimits the answer, a stream that
+/// stalled until then would look complete; a sound one that ends so late is broken off for it, just before callers would
+/// give it up.
+pub fn may_be_cut(left: Duration) -> bool {
+    left < LIMIT_TOLERANCE
+}
--- a/crates/sesamegap-policy/tests/testsuite/routing/timeouts.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/timeouts.rs
@@ -1,7 +1,7 @@
 //! How long silence is tolerated before another upstream is asked.
 
 use sesamegap_policy::routing::timeouts::{
-    COMMON_PAUSE, FIRST_EVENT_BUSY, PAUSE, Silence, is_common,
+    COMMON_PAUSE, FIRST_EVENT_BUSY, PAUSE, Silence, is_common, may_be_cut,
 };
 use std::time::Duration;
 
@@ -63,3 +63,15 @@
             .all(|(silent, others)| is_common(*silent, *others))
     );
 }
+
+/// Guards against an answer that its upstream cut at its time limit and that counts as whole, and against sound ones that are
+/// broken off.
+#[test]
+fn only_an_answer_that_ends_at_its_limit_may_be_cut() {
+    for ms in 0..=60 {
+        assert!(may_be_cut(Duration::from_millis(ms)));
+    }
+    for ms in 150..1_000 {
+        assert!(!may_be_cut(Duration::from_millis(ms)));
+    }
+}
