The tolerance at a time limit is a tenth of the request's time at most

A request that is sent again with less than a tenth of a second left, and gets a prompt answer without a length, was broken off: any end so close to the limit counted as a cut. Now a tenth of the time that the upstream was given bounds the tolerance; the policy's test goes over all times up to a second.

--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -7,7 +7,7 @@
 use crate::relay::strip_hop_by_hop;
 use crate::telemetry::events;
 use crate::upstream::gateway::{self, DECLINED_STATUS, Destination, RelayOutcome};
-use crate::upstream::{self, BrokenBody, Exchange, SendError};
+use crate::upstream::{self, BrokenBody, Exchange, SendError, TimeLimit};
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty};
@@ -40,12 +40,16 @@
     let head = core.ports.headers.read_request(request.headers());
     let timeout = head.as_ref().ok().and_then(|head| head.timeout);
     let id = head.map(|head| head.id).unwrap_or_default();
-    let limit = Instant::now() + timeout.unwrap_or(UNLIMITED);
+    let received = Instant::now();
+    let limit = TimeLimit {
+        sent: received,
+        until: received + timeout.unwrap_or(UNLIMITED),
+    };
     let active = ActiveRequestGuard::new(&core.active, id.clone(), Arrival::alone());
     let mut destination = None;
     let sent = match gateway::unwrap(request) {
         // The peer has no excuse for a request that is cut here.
-        Some(_) if !core.ends_before_exit(limit) => Err(RelayOutcome::Stopping),
+        Some(_) if !core.ends_before_exit(limit.until) => Err(RelayOutcome::Stopping),
         Some((upstream, is_counted, request)) => {
             destination = Some(upstream.id.clone());
             send(&core, &upstream, is_counted, request, (&id, limit), permits).await
@@ -74,7 +78,7 @@
     destination: &Destination,
     is_counted: bool,
     mut request: Request<Incoming>,
-    (id, limit): (&SmolStr, Instant),
+    (id, limit): (&SmolStr, TimeLimit),
     permits: Arc<Semaphore>,
 ) -> Result<(Exchange, Permits), RelayOutcome> {
     let addr = locate(core, destination)?;
--- a/crates/sesamegap-entry/src/relay/attempt/mod.rs
+++ b/crates/sesamegap-entry/src/relay/attempt/mod.rs
@@ -13,7 +13,7 @@
 use crate::job::Job;
 use crate::telemetry::events;
 use crate::upstream::routes::exchange;
-use crate::upstream::{Exchange, SendError};
+use crate::upstream::{Exchange, SendError, TimeLimit};
 use answer::classify_answer;
 use dispatch::build_dispatch;
 use routes::AttemptRoutes;
@@ -164,7 +164,8 @@
             flight.gate_pass = gate_pass;
             let from = core.settings().listen.callers.ip();
             let connections = core.connections.clone();
-            exchange.confirm_end(job.deadline, |time| {
+            let until = job.deadline;
+            exchange.confirm_end(TimeLimit { sent, until }, |time| {
                 flight.confirm_running(from, connections, time)
             })
         }
--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -27,6 +27,23 @@
 /// The frames of a response, the last one an error unless it is complete.
 type Frames = UnsyncBoxBody<Bytes, BrokenBody>;
 
+/// The time that an upstream was given for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct TimeLimit {
+    /// When the request was sent.
+    pub sent: Instant,
+    /// When the time is up.
+    pub until: Instant,
+}
+
+impl TimeLimit {
+    /// Whether an answer that ended at this moment may have been cut because the time was up.
+    fn may_have_cut(self, ended: Instant) -> bool {
+        let left = self.until.saturating_duration_since(ended);
+        may_be_cut(left, self.until.saturating_duration_since(self.sent))
+    }
+}
+
 /// Why a response is incomplete.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenBody(SmolStr);
@@ -122,7 +139,7 @@
     pub(super) fn confirm_end(
         self,
         watch: Watch,
-        limit: Instant,
+        limit: TimeLimit,
         is_running: impl Future<Output = bool> + Send + 'static,
     ) -> Self {
         let state = match self.state {
@@ -211,7 +228,7 @@
 fn confirm_end(
     mut body: Frames,
     watch: Watch,
-    limit: Instant,
+    limit: TimeLimit,
     is_running: impl Future<Output = bool> + Send + 'static,
 ) -> Frames {
     let (ended, on_end) = oneshot::channel::<()>();
@@ -221,8 +238,7 @@
             _ = on_end => {}
             () = until_ended(&watch) => {}
         }
-        let left = limit.saturating_duration_since(Instant::now());
-        _ = verdict.send(if may_be_cut(left) {
+        _ = verdict.send(if limit.may_have_cut(Instant::now()) {
             Err(LIMIT_REACHED)
         } else if is_running.await {
             Ok(())
--- a/crates/sesamegap-entry/src/upstream/mod.rs
+++ b/crates/sesamegap-entry/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 pub mod gateway;
 pub mod routes;
 
-pub use body::{BrokenBody, Delimiter, Part, ResponseBody, collect};
+pub use body::{BrokenBody, Delimiter, Part, ResponseBody, TimeLimit, collect};
 pub use connections::{OpenConnections, OpenTime};
 
 use crate::limits::permit::SendPermit;
@@ -28,7 +28,7 @@
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 /// Longest head of a response, in bytes; an upstream in trouble may send one without end.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -107,7 +107,11 @@
     /// the upstream crashes or gives the request up at its `limit`; it is complete only if it ends well before that, and
     /// `is_running` finds the upstream running at that moment. It is given when the connection was last seen open.
     #[must_use]
-    pub fn confirm_end<F>(self, limit: Instant, is_running: impl FnOnce(Arc<OpenTime>) -> F) -> Self
+    pub fn confirm_end<F>(
+        self,
+        limit: TimeLimit,
+        is_running: impl FnOnce(Arc<OpenTime>) -> F,
+    ) -> Self
     where
         F: Future<Output = bool> + Send + 'static,
     {
--- a/crates/sesamegap-policy/src/routing/timeouts.rs
+++ b/crates/sesamegap-policy/src/routing/timeouts.rs
@@ -37,6 +37,9 @@
 /// timers of two machines, and the rounding of the limit to milliseconds, differ by less.
 const LIMIT_TOLERANCE: Duration = Duration::from_millis(100);
 
+/// Largest part of a request's time that is such a tolerance, as a divisor.
+const LIMIT_SHARE: u32 = 10;
+
 /// Multiple of its latency objective that a plain request waits before another worker is asked.
 const PLAIN_OBJECTIVE_FACTOR: f64 = 2.5;
 
@@ -74,11 +77,12 @@
     objective.mul_f64(PLAIN_OBJECTIVE_FACTOR)
 }
 
-/// Whether an upstream may have ended its answer because the request's time was up, `left` before that.
+/// Whether an upstream may have ended its answer because the request's time was up, `left` before that and `given` that time
+/// in all.
 ///
 /// Upstreams stop work at the limit that they are given. If only the end of the connection delimits the answer, a stream that
 /// stalled until then would look complete; a sound one that ends so late is broken off for it, just before callers would
-/// give it up.
-pub fn may_be_cut(left: Duration) -> bool {
-    left < LIMIT_TOLERANCE
+/// give it up. A share of the time bounds what a request with little time left can lose.
+pub fn may_be_cut(left: Duration, given: Duration) -> bool {
+    left < LIMIT_TOLERANCE.min(given / LIMIT_SHARE)
 }
--- a/crates/sesamegap-policy/tests/testsuite/routing/timeouts.rs
+++ b/crates/sesamegap-policy/tests/testsuite/routing/timeouts.rs
@@ -68,10 +68,20 @@
 /// broken off.
 #[test]
 fn only_an_answer_that_ends_at_its_limit_may_be_cut() {
+    let given = Duration::from_secs(2);
     for ms in 0..=60 {
-        assert!(may_be_cut(Duration::from_millis(ms)));
+        assert!(may_be_cut(Duration::from_millis(ms), given));
     }
     for ms in 150..1_000 {
-        assert!(!may_be_cut(Duration::from_millis(ms)));
+        assert!(!may_be_cut(Duration::from_millis(ms), given));
+    }
+}
+
+/// Guards against an answer to a request with little time left that never counts as whole.
+#[test]
+fn an_answer_that_is_prompt_is_not_cut() {
+    for ms in 1..1_000 {
+        let given = Duration::from_millis(ms);
+        assert!(!may_be_cut(given * 9 / 10, given), "{given:?}");
     }
 }
