A gateway tells whether only the end of a connection delimits a response

Behind a gateway, which frames each response anew, the end of an upstream's connection arrives as a last chunk.

Now the gateway, which confirms such an end itself, says so in a header, and the sender takes it for what it is. Ports of the tests read what is left of a request at a gateway as those of the platform do, so that the time limit is tested there as well.

--- a/crates/sesamegap-entry/src/gateway/relaying.rs
+++ b/crates/sesamegap-entry/src/gateway/relaying.rs
@@ -145,10 +145,12 @@
         ..
     } = exchange;
     let (head, body) = response.into_parts();
+    let delimiter = body.delimiter();
     let mut response = Response::new(guard_body(body, (connection, guards)));
     *response.status_mut() = head.status;
     *response.headers_mut() = strip_hop_by_hop(&head.headers, &[]);
     gateway::mark(response.headers_mut(), RelayOutcome::Answered);
+    gateway::mark_unframed(response.headers_mut(), delimiter);
     response
 }
 
--- a/crates/sesamegap-entry/src/relay/stream/reading.rs
+++ b/crates/sesamegap-entry/src/relay/stream/reading.rs
@@ -59,7 +59,7 @@
     /// Whether a run that ends without an event shows that no event is missing.
     fn may_be_empty(self, delimiter: Delimiter) -> bool {
         // A connection also closes if its upstream gives the request up.
-        !self.has_other && delimiter != Delimiter::Connection
+        !self.has_other && matches!(delimiter, Delimiter::LastChunk | Delimiter::Length)
     }
 }
 
--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -65,6 +65,8 @@
     Length,
     /// The end of its connection, while its upstream went on.
     Connection,
+    /// The end of its connection to a gateway, which found that its upstream went on.
+    GatewayConnection,
 }
 
 impl fmt::Display for Delimiter {
@@ -73,6 +75,7 @@
             Self::LastChunk => "last chunk",
             Self::Length => "length",
             Self::Connection => "end of the connection, upstream running",
+            Self::GatewayConnection => "end of the connection to a gateway, upstream running",
         })
     }
 }
@@ -128,10 +131,15 @@
     }
 
     /// What ends it.
-    pub(super) fn delimiter(&self) -> Delimiter {
+    pub fn delimiter(&self) -> Delimiter {
         self.delimiter
     }
 
+    /// Records that a gateway framed it anew, and confirmed its end.
+    pub(super) fn set_confirmed(&mut self) {
+        self.delimiter = Delimiter::GatewayConnection;
+    }
+
     /// A body that breaks off unless the upstream was running when its connection ended, well before the `limit` at which
     /// the upstream stops work on the request.
     ///
--- a/crates/sesamegap-entry/src/upstream/gateway.rs
+++ b/crates/sesamegap-entry/src/upstream/gateway.rs
@@ -5,7 +5,7 @@
 //! upstream it may decline, and the request has provably not run; if the connection to the gateway breaks later, it may
 //! have run. The response is framed anew on each hop, so that one that breaks off on either never looks complete.
 
-use super::{Exchange, SendError, connect, exchange};
+use super::{Delimiter, Exchange, SendError, connect, exchange};
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Request, StatusCode, Uri};
 use hyper::body::Body;
@@ -32,6 +32,9 @@
 /// Header of a gateway's response with its [`RelayOutcome`].
 const OUTCOME: HeaderName = HeaderName::from_static("sesamegap-relay");
 
+/// Header of a gateway's response that ended with its connection at the upstream.
+const UNFRAMED: HeaderName = HeaderName::from_static("sesamegap-unframed");
+
 /// What became of a request at a gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayOutcome {
@@ -162,6 +165,9 @@
         .as_ref()
         .and_then(|value| value.to_str().ok())
         .map_or(Err(UnknownOutcome), str::parse);
+    if exchange.response.headers_mut().remove(UNFRAMED).is_some() {
+        exchange.response.body_mut().set_confirmed();
+    }
     match outcome {
         Ok(RelayOutcome::Answered) => Ok(exchange),
         Ok(RelayOutcome::Broken) => {
@@ -216,5 +222,12 @@
     headers.insert(OUTCOME, HeaderValue::from_static(outcome.name()));
 }
 
+/// Marks a response that is framed anew for the peer, if only the end of its connection delimits it.
+pub fn mark_unframed(headers: &mut HeaderMap, delimiter: Delimiter) {
+    if delimiter == Delimiter::Connection {
+        headers.insert(UNFRAMED, HeaderValue::from_static("1"));
+    }
+}
+
 /// Status of a response that the gateway gives itself.
 pub const DECLINED_STATUS: StatusCode = StatusCode::BAD_GATEWAY;
--- a/crates/sesamegap-entry/tests/testsuite/support/platform.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/platform.rs
@@ -49,7 +49,9 @@
         let parts = parts.split(',').filter(|name| !name.is_empty());
         Ok(RequestHead {
             id: text(headers, &ID).ok_or(InvalidHeader("no id"))?,
-            timeout: text(headers, &HeaderName::from_static("x-patience"))
+            // What is left stands in a request that comes through a peer.
+            timeout: text(headers, &LEFT)
+                .or_else(|| text(headers, &HeaderName::from_static("x-patience")))
                 .and_then(|ms| ms.parse().ok())
                 .map(Duration::from_millis),
             key: text(headers, &AUTHORIZATION),
--- a/crates/sesamegap-entry/tests/testsuite/unframed.rs
+++ b/crates/sesamegap-entry/tests/testsuite/unframed.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{
     Act, Answer, Caller, CrashingUpstream, MIDWAY_MARK, Process, UNFRAMED_MARK, Upstream, Vm, ask,
-    crashing_engines, entry, offset, read, request_of, unused_addr, vms,
+    crashing_engines, document, entry, header, offset, read, request_of, unused_addr, vms,
 };
 use sesamegap_entry::clock;
 use sesamegap_entry::fleet::Entry;
@@ -157,6 +157,74 @@
     assert!(!answer.is_complete, "a broken stream looks complete");
 }
 
+/// Time before a request's limit at which an engine ends its answer: their clocks and the rounding of the limit differ a little.
+const BEFORE_LIMIT: Duration = Duration::from_millis(60);
+
+/// Answers requests without a length: with one event and, on `/review/`, until their time is up; with none if the caller
+/// has that event.
+async fn serve_unframed(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let Some(request) = read(&mut stream).await else {
+                return;
+            };
+            let event = header(&request, "x-after").map_or(EVENT, |_| "");
+            let answer = format!("{UNFRAMED_HEAD}{event}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            if !event.is_empty() && request.starts_with("POST /review/") {
+                let left: u64 = header(&request, "x-left").unwrap().parse().unwrap();
+                sleep(Duration::from_millis(left).saturating_sub(BEFORE_LIMIT)).await;
+            }
+        });
+    }
+}
+
+/// Two VMs, the first of which reaches the engines only through the second.
+async fn vm_behind_gateway(net: u8) -> Vec<Vm> {
+    let vms = vms(2, net).await;
+    let mut document = document(2);
+    for route in &mut document.routes {
+        route.timeout = Duration::from_millis(1_500);
+    }
+    for vm in &vms {
+        vm.core.adopt(&Arc::new(document.clone()), "test");
+    }
+    for no in 0..3 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listed = entry("engines", listener.local_addr().unwrap());
+        let id = format!("e{no}-0");
+        let mut fleet = vms[1].core.fleet.lock();
+        fleet.apply(&id.parse().unwrap(), listed, offset(no), clock::now());
+        drop(fleet);
+        list_elsewhere(&vms[0], &id);
+        tokio::spawn(serve_unframed(listener));
+    }
+    for _ in 0..6 {
+        ask(vms[0].callers, "POST", "/chat/a", CHAT, "hello").await;
+    }
+    vms
+}
+
+/// Guards against an unframed stream that its engine ends since its time is up, and that a gateway frames anew as complete.
+#[tokio::test]
+async fn an_unframed_stream_that_ends_at_the_time_limit_is_not_complete_through_a_gateway() {
+    let vms = vm_behind_gateway(35).await;
+    let answer = ask(vms[0].callers, "POST", "/review/a", CHAT, "hello").await;
+    assert!(answer.body.contains("id: 0\n"), "{answer:?}");
+    assert!(!answer.is_complete, "a broken stream looks complete");
+}
+
+/// Guards against a stream that a caller takes up, and that ends as complete since a gateway frames the end of a connection
+/// anew.
+#[tokio::test]
+async fn a_stream_taken_up_through_a_gateway_is_not_complete_if_its_connection_closes_at_once() {
+    let vms = vm_behind_gateway(36).await;
+    ask(vms[0].callers, "POST", "/review/a", CHAT, "hello").await;
+    let take_up = format!("{CHAT}x-after: 0\r\nx-resumes: r1\r\n");
+    let answer = ask(vms[0].callers, "POST", "/review/a", &take_up, "hello").await;
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
 /// Lists an engine at an address that refuses connections.
 fn list_elsewhere(vm: &Vm, id: &str) {
     let entry = Entry {
