A service's reply is whole with its length or last chunk only

What callers saw: half of a plain service's reply with status 200, if its worker sent neither a length nor chunks and crashed within the body (sesamegap-router).

Cause: the end of such a body is the end of its connection, and a process that crashes ends that too, in order if it has read all that came. HttpWorker took it for the end of the reply: an end concluded from the absence of anything further, as in the incident of streams that end early, whose cause this was looked for.

Change: such a reply is broken and leaves unknown whether the call ran, so that a repeatable one goes to another worker. A refusal still needs no length, as it counts by its head. The rule for transfer codings moves to sesamegap-http.

replies::a_reply_that_ends_with_its_connection_is_not_whole failed before (it got the first half as a reply) and passes now, beside a test that replies with a length, with chunks or without a body are whole.

--- a/crates/sesamegap-http/src/body.rs
+++ b/crates/sesamegap-http/src/body.rs
@@ -1,7 +1,9 @@
-//! Reads of whole bodies.
+//! Reads of whole bodies, and what shows that they are whole.
 
 use crate::failure::Failure;
 use bytes::{Bytes, BytesMut};
+use http::HeaderMap;
+use http::header::TRANSFER_ENCODING;
 use reqwest::Response;
 use std::fmt;
 use std::time::Duration;
@@ -36,3 +38,12 @@
         body.extend_from_slice(&chunk);
     }
 }
+
+/// Whether its last chunk ends a body; `None` without a transfer coding, which would override a length.
+///
+/// A body with other transfer codings than `chunked` at the end is delimited by its connection.
+pub fn is_chunked(headers: &HeaderMap) -> Option<bool> {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back()?;
+    let last = codings.to_str().ok().and_then(|all| all.rsplit(',').next());
+    Some(last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked")))
+}
--- a/crates/sesamegap-http/src/lib.rs
+++ b/crates/sesamegap-http/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod settings;
 pub mod sse;
 
-pub use body::read_body;
+pub use body::{is_chunked, read_body};
 pub use failure::Failure;
 pub use pool::Pool;
 pub use settings::{Settings, SettingsBuilder};
--- a/crates/sesamegap-upstream/src/service/http.rs
+++ b/crates/sesamegap-upstream/src/service/http.rs
@@ -3,7 +3,8 @@
 //! The call is forwarded unchanged with two added headers: [`REQUEST_HEADER`] carries the request
 //! id, which the worker echoes, and [`IDEMPOTENCY_KEY_HEADER`] the idempotency key. A reply without
 //! the echo, or with another id, is discarded. A worker that did not run the call sets
-//! [`RAN_HEADER`] and status 429 or 503; any other status is the service's own reply.
+//! [`RAN_HEADER`] and status 429 or 503; any other status is the service's own reply. It has a length or
+//! chunks: a worker that crashes also ends its connection, so that this shows no reply to be complete.
 
 use super::{Call, PlainService, Reply};
 use crate::client::invalid_response;
@@ -12,7 +13,7 @@
 use futures_util::future::{BoxFuture, FutureExt};
 use reqwest::header::{CONTENT_TYPE, HeaderMap};
 use reqwest::{Method, RequestBuilder, Response, StatusCode};
-use sesamegap_http::{Failure, Pool, Settings};
+use sesamegap_http::{Failure, Pool, Settings, is_chunked};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -80,10 +81,14 @@
         let status = response.status();
         let not_run = header(response.headers(), RAN_HEADER).as_deref() == Some("no");
         let content_type = header(response.headers(), CONTENT_TYPE.as_str());
+        let is_delimited = is_delimited(&response);
         let body = self.pool.read_body(response).await?;
         if not_run {
             return Err(not_run_error(status));
         }
+        if !is_delimited {
+            return Err(invalid_response("a reply with neither a length nor chunks"));
+        }
         Ok(Reply {
             status: status.as_u16(),
             content_type,
@@ -92,6 +97,12 @@
     }
 }
 
+/// Whether a reply's body shows where it ends.
+fn is_delimited(response: &Response) -> bool {
+    let has_length = || response.content_length().is_some();
+    is_chunked(response.headers()).unwrap_or_else(has_length)
+}
+
 fn not_run_error(status: StatusCode) -> UpstreamError {
     let fault = match status {
         StatusCode::TOO_MANY_REQUESTS => Fault::Busy,
--- a/crates/sesamegap-upstream/tests/testsuite/main.rs
+++ b/crates/sesamegap-upstream/tests/testsuite/main.rs
@@ -11,3 +11,4 @@
 
 mod chunks;
 mod limits;
+mod replies;
