A stopping gateway answers what waits in its listen queue

What callers saw: a VM that is partitioned from all upstreams sends through a peer that stops, and gets a reset in place of an answer. It must take the request for run, so that its caller gets 502, though nothing was passed on and another peer or another VM could have served it; a request that may not be repeated is lost.

Cause: a gateway looked at the phase only after it had accepted a connection. Its port stayed open until the next connection came after `Ended`, and the queue behind that one was reset with the listener. Peers that send through it when all others are gone connect several at a time.

Change: callers' and peers' connections are accepted by the same loop, which ends with the phase and takes the rest of the listen queue for 20 ms. What comes on them is bound by the deadline as before.

Test: `a_gateway_that_closes_its_port_answers_what_waits_there` failed before, with one of eight requests answered and one passed on; now all are.

--- a/crates/sesamegap-entry/src/gateway/mod.rs
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clock;
 use crate::core::{Core, Phase};
+use crate::listening;
 use crate::telemetry::events;
 use crate::upstream;
 use hyper::server::conn::http1;
@@ -23,13 +24,10 @@
 /// Requests that are sent on at the same time. Each holds the buffers of two connections, about 40 KB.
 const MAX_RELAYED: usize = 256;
 
-/// Delay after a failed accept, which mostly means that the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// How often a VM whose connections fail looks whether a connection test is due.
 const TEST_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Takes requests of peers until the process ends.
+/// Takes requests of peers until the process no longer takes connections.
 pub async fn serve(core: Arc<Core>) {
     let addr = core.settings().listen.loads;
     let listener = match TcpListener::bind(addr).await {
@@ -41,17 +39,13 @@
         }
     };
     let permits = Arc::new(Semaphore::new(MAX_RELAYED));
-    while core.phase() < Phase::Ended {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_peer(Arc::clone(&core), stream, Arc::clone(&permits)));
-            }
-            Err(error) => {
-                warn!(event = events::GATEWAY, %error, "cannot accept a connection of a peer");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    let serve = |stream| {
+        tokio::spawn(serve_peer(Arc::clone(&core), stream, Arc::clone(&permits)));
+    };
+    let on_error = |error| {
+        warn!(event = events::GATEWAY, %error, "cannot accept a connection of a peer");
+    };
+    listening::accept(&core, listener, serve, on_error).await;
 }
 
 async fn serve_peer(core: Arc<Core>, stream: TcpStream, permits: Arc<Semaphore>) {
--- a/crates/sesamegap-entry/src/lib.rs
+++ b/crates/sesamegap-entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod job;
 pub mod kept;
 pub mod limits;
+mod listening;
 pub mod locator;
 pub mod peers;
 pub mod placing;
--- a/crates/sesamegap-entry/tests/testsuite/main.rs
+++ b/crates/sesamegap-entry/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod idle_close;
 mod large_documents;
 mod late_requests;
+mod late_requests_beside;
 mod limits;
 mod locating;
 mod logs;
