A process does not end while a peer still receives an answer

What callers saw: a VM that sends through a stopping gateway gets the first part of an answer and then the end of the connection, though the upstream had answered whole and the grace was not over. Its caller gets 502, or a stream that breaks off.

Cause: a request counts as active until the body of its answer has ended, and what its connection still has to write is not. For callers the process waits until their connections are closed; those of peers were not counted. It takes a reader that is slow, and socket buffers smaller than the answer.

Test: `a_gateway_does_not_end_before_a_slow_peer_has_its_answer` failed before, with 10,174 bytes of 200 KiB; now the answer is whole.

--- a/crates/sesamegap-entry/src/core/mod.rs
+++ b/crates/sesamegap-entry/src/core/mod.rs
@@ -5,7 +5,7 @@
 mod stop;
 
 pub use active::{ActiveRequest, ActiveRequestGuard, ActiveRequests, Arrival};
-pub use stop::{CallerGuard, wait_for_phase};
+pub use stop::{Client, ConnectionGuard, wait_for_phase};
 
 use crate::catalogue::{Catalogue, Document, Entry, Revision};
 use crate::clock;
--- a/crates/sesamegap-entry/src/core/stop.rs
+++ b/crates/sesamegap-entry/src/core/stop.rs
@@ -23,6 +23,8 @@
     grace: AtomicU64,
     /// Open connections of callers.
     callers: AtomicUsize,
+    /// Open connections of peers that have sent a request.
+    peers: AtomicUsize,
 }
 
 impl Default for StopState {
@@ -32,25 +34,51 @@
             timer_delay: AtomicU64::new(0),
             grace: AtomicU64::new(u64::MAX),
             callers: AtomicUsize::new(0),
+            peers: AtomicUsize::new(0),
         }
     }
 }
 
-/// An open connection of a caller until it is dropped.
+/// Who opened a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Client {
+    /// A caller.
+    Caller,
+    /// A VM that sends through this one.
+    Peer,
+}
+
+/// Counts an open connection until it is dropped.
 #[derive(Debug)]
-pub struct CallerGuard(Arc<Core>);
+pub struct ConnectionGuard {
+    core: Arc<Core>,
+    client: Client,
+}
 
-impl CallerGuard {
+impl ConnectionGuard {
     /// Counts a connection.
-    pub fn new(core: &Arc<Core>) -> Self {
-        core.stop.callers.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(core))
+    pub fn new(core: &Arc<Core>, client: Client) -> Self {
+        core.stop.open(client).fetch_add(1, Ordering::Relaxed);
+        Self {
+            core: Arc::clone(core),
+            client,
+        }
     }
 }
 
-impl Drop for CallerGuard {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.stop.callers.fetch_sub(1, Ordering::Relaxed);
+        let open = self.core.stop.open(self.client);
+        open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl StopState {
+    fn open(&self, client: Client) -> &AtomicUsize {
+        match client {
+            Client::Caller => &self.callers,
+            Client::Peer => &self.peers,
+        }
     }
 }
 
@@ -124,9 +152,9 @@
         Refusal::Stopping(exit.saturating_sub(elapsed) + START_RETRY_AFTER)
     }
 
-    /// Number of open connections of callers.
-    pub fn open_callers(&self) -> usize {
-        self.stop.callers.load(Ordering::Relaxed)
+    /// Number of open connections.
+    pub fn open_connections(&self, client: Client) -> usize {
+        self.stop.open(client).load(Ordering::Relaxed)
     }
 
     /// How long after the process was asked to stop a moment was; `None` before.
--- a/crates/sesamegap-entry/src/gateway/mod.rs
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -7,14 +7,14 @@
 mod relaying;
 
 use crate::clock;
-use crate::core::{Core, Phase};
+use crate::core::{Client, ConnectionGuard, Core, Phase};
 use crate::listening;
 use crate::telemetry::events;
 use crate::upstream;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -38,6 +38,11 @@
             return;
         }
     };
+    serve_on(core, listener).await;
+}
+
+/// Takes requests of peers on a listener.
+pub async fn serve_on(core: Arc<Core>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(MAX_RELAYED));
     let serve = |stream| {
         tokio::spawn(serve_peer(Arc::clone(&core), stream, Arc::clone(&permits)));
@@ -55,7 +60,9 @@
         return;
     }
     let from = stream.peer_addr().ok();
+    let open = OnceLock::new();
     let service = service_fn(|request| {
+        open.get_or_init(|| ConnectionGuard::new(&core, Client::Peer));
         let (core, permits) = (Arc::clone(&core), Arc::clone(&permits));
         async move {
             Ok::<_, std::convert::Infallible>(relaying::relay(core, request, from, permits).await)
--- a/crates/sesamegap-entry/src/intake/connection.rs
+++ b/crates/sesamegap-entry/src/intake/connection.rs
@@ -2,7 +2,7 @@
 
 use super::request;
 use crate::catalogue::Limits;
-use crate::core::{CallerGuard, Core, Phase, wait_for_phase};
+use crate::core::{Client, ConnectionGuard, Core, Phase, wait_for_phase};
 use crate::telemetry::events;
 use bytes::Bytes;
 use sesamegap_http::serving::{self, Bounds, CloseReason, ClosedOnStop, ConnectionPolicy};
@@ -72,7 +72,7 @@
         debug!(event = events::CALLER_CONNECTION, %error, "cannot set TCP_NODELAY; connection closed");
         return;
     }
-    let _open = CallerGuard::new(&core);
+    let _open = ConnectionGuard::new(&core, Client::Caller);
     let mut phases = core.subscribe_phase();
     let closing = wait_for_phase(&mut phases, Phase::Closing);
     let handle = |request, busy| request::handle(Arc::clone(&core), request, busy);
--- a/crates/sesamegap-entry/src/process/mod.rs
+++ b/crates/sesamegap-entry/src/process/mod.rs
@@ -1,6 +1,6 @@
 //! Starts the process, and stops it without cutting requests.
 
-use crate::core::{Core, Phase};
+use crate::core::{Client, Core, Phase};
 use crate::follow;
 use crate::gateway;
 use crate::intake;
@@ -168,7 +168,7 @@
     info!(
         event = events::STOPPING,
         active = core.active(),
-        callers = core.open_callers(),
+        callers = core.open_connections(Client::Caller),
         grace_s = core.settings().spans.grace.as_secs_f64(),
         "asked to stop"
     );
@@ -194,9 +194,11 @@
     })
     .await;
     core.advance_phase(Phase::Exiting);
-    // An answer that has ended here may still be on its way to a slow caller.
+    // An answer that has ended here may still be on its way to a slow caller or peer.
     wait_in_stop(core, |deadlines, elapsed| {
-        (core.active() == 0 && core.open_callers() == 0) || elapsed >= deadlines.exit
+        let clients = [Client::Caller, Client::Peer];
+        let are_closed = clients.map(|client| core.open_connections(client)) == [0, 0];
+        (core.active() == 0 && are_closed) || elapsed >= deadlines.exit
     })
     .await;
     let cut = core.active.all();
@@ -212,7 +214,8 @@
     }
     info!(
         event = events::STOPPED,
-        callers = core.open_callers(),
+        callers = core.open_connections(Client::Caller),
+        peers = core.open_connections(Client::Peer),
         took_ms = core.time_in_stop(Instant::now()).map(crate::clock::millis),
         delay_ms = crate::clock::millis(core.timer_delay()),
         "stopped"
--- a/crates/sesamegap-entry/tests/testsuite/late_requests_beside.rs
+++ b/crates/sesamegap-entry/tests/testsuite/late_requests_beside.rs
@@ -6,6 +6,7 @@
 use sesamegap_entry::catalogue::{Document, Quota, Unit};
 use sesamegap_entry::clock;
 use sesamegap_entry::core::{Core, Phase};
+use sesamegap_entry::gateway;
 use sesamegap_entry::process;
 use sesamegap_entry::quota;
 use sesamegap_entry::settings::Settings;
@@ -14,6 +15,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
@@ -45,7 +49,7 @@
 }
 
 /// A gateway that lists a worker.
-async fn gateway(net: u8, desk: &Upstream) -> Vm {
+async fn start_gateway(net: u8, desk: &Upstream) -> Vm {
     let vm = vms(1, net).await.remove(0);
     list(&vm, "w1", "desk", desk.addr);
     let addr = vm.core.settings().listen.loads;
@@ -92,7 +96,7 @@
 #[tokio::test]
 async fn a_gateway_that_closes_its_port_answers_what_waits_there() {
     let desk = Upstream::start(vec![Act::Answer(200, "ok")]).await;
-    let vm = gateway(101, &desk).await;
+    let vm = start_gateway(101, &desk).await;
     let addr = vm.core.settings().listen.loads;
     vm.core.begin_stop();
     let mut peers = Vec::new();
@@ -111,6 +115,56 @@
     assert_eq!((answered, desk.seen().len()), (CALLERS, 1 + CALLERS));
 }
 
+/// A listener whose connections hold little of an answer.
+fn small_buffers_listener() -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4_096).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket.listen(8).unwrap()
+}
+
+/// Guards against a gateway that ends while an answer is still on its way to a peer whose caller reads slowly.
+#[tokio::test]
+async fn a_gateway_does_not_end_before_a_slow_peer_has_its_answer() {
+    const LENGTH: usize = 200 << 10;
+    let body: &str = Box::leak("x".repeat(LENGTH).into_boxed_str());
+    let desk = Upstream::start(vec![Act::Answer(200, "ok"), Act::Answer(200, body)]).await;
+    let seen = desk.clone();
+    let (start, started) = oneshot::channel();
+    let (stop, stopped) = oneshot::channel();
+    // A runtime of its own, whose end closes all sockets as that of a process does.
+    let ended = std::thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        runtime.unwrap().block_on(async {
+            let vm = start_gateway(104, &desk).await;
+            set_grace(&vm.core);
+            let listener = small_buffers_listener();
+            let addr = listener.local_addr().unwrap();
+            tokio::spawn(gateway::serve_on(Arc::clone(&vm.core), listener));
+            let text = relayed(&vm, "r1", 500);
+            start.send((Arc::clone(&vm.core), addr, text)).unwrap();
+            stopped.await.unwrap();
+            process::stop(&vm.core).await;
+        });
+    });
+    let (core, addr, text) = started.await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut peer = Caller::on(socket.connect(addr).await.unwrap());
+    peer.send(&text).await;
+    wait_until(|| seen.closed() == 2 && core.active() == 0).await;
+    stop.send(()).unwrap();
+    wait_until(|| core.phase() >= Phase::Ended).await;
+    // Longer than the process waits for anything else.
+    sleep(Duration::from_millis(300)).await;
+    drop(core);
+    while peer.read_more().await {}
+    let answer = peer.answer().await;
+    assert!(answer.is_complete, "{} bytes", answer.body.len());
+    let joined = tokio::task::spawn_blocking(|| ended.join()).await;
+    joined.unwrap().unwrap();
+}
+
 /// Two VMs, the first one partitioned from all upstreams.
 struct Pair {
     cut: Vm,
