--- a/crates/sesamegap-entry/src/gateway/mod.rs
+++ b/crates/sesamegap-entry/src/gateway/mod.rs
@@ -7,13 +7,14 @@
 mod relaying;
 
 use crate::clock;
-use crate::core::{Core, Phase};
+use crate::core::{Client, ConnectionGuard, Core, Phase};
+use crate::listening;
 use crate::telemetry::events;
 use crate::upstream;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -23,13 +24,10 @@
 /// Requests that are sent on at the same time. Each holds the buffers of two connections, about 40 KB.
 const MAX_RELAYED: usize = 256;
 
-/// Delay after a failed accept, which mostly means that the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// How often a VM whose connections fail looks whether a connection test is due.
 const TEST_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Takes requests of peers until the process ends.
+/// Takes requests of peers until the process no longer takes connections.
 pub async fn serve(core: Arc<Core>) {
     let addr = core.settings().listen.loads;
     let listener = match TcpListener::bind(addr).await {
@@ -40,18 +38,19 @@
             return;
         }
     };
+    serve_on(core, listener).await;
+}
+
+/// Takes requests of peers on a listener.
+pub async fn serve_on(core: Arc<Core>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(MAX_RELAYED));
-    while core.phase() < Phase::Ended {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_peer(Arc::clone(&core), stream, Arc::clone(&permits)));
-            }
-            Err(error) => {
-                warn!(event = events::GATEWAY, %error, "cannot accept a connection of a peer");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    let serve = |stream| {
+        tokio::spawn(serve_peer(Arc::clone(&core), stream, Arc::clone(&permits)));
+    };
+    let on_error = |error| {
+        warn!(event = events::GATEWAY, %error, "cannot accept a connection of a peer");
+    };
+    listening::accept(&core, listener, serve, on_error).await;
 }
 
 async fn serve_peer(core: Arc<Core>, stream: TcpStream, permits: Arc<Semaphore>) {
@@ -61,7 +60,9 @@
         return;
     }
     let from = stream.peer_addr().ok();
+    let open = OnceLock::new();
     let service = service_fn(|request| {
+        open.get_or_init(|| ConnectionGuard::new(&core, Client::Peer));
         let (core, permits) = (Arc::clone(&core), Arc::clone(&permits));
         async move {
             Ok::<_, std::convert::Infallible>(relaying::relay(core, request, from, permits).await)
