--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -7,10 +7,11 @@
 use super::connections::Watch;
 use bytes::{Bytes, BytesMut};
 use http::Response;
-use http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::header::CONTENT_LENGTH;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, SizeHint};
+use sesamegap_http::is_chunked;
 use sesamegap_policy::routing::timeouts::may_be_cut;
 use smol_str::{SmolStr, format_smolstr};
 use std::error::Error;
@@ -212,9 +213,8 @@
 /// A transfer coding overrides the length, and delimits the body only if `chunked` is the last one.
 fn delimiter<B: Body>(response: &Response<B>) -> Delimiter {
     let headers = response.headers();
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    match codings {
-        Some(codings) if is_chunked(codings) => Delimiter::LastChunk,
+    match is_chunked(headers) {
+        Some(true) => Delimiter::LastChunk,
         None if headers.contains_key(CONTENT_LENGTH) => Delimiter::Length,
         _ if response.body().is_end_stream() => Delimiter::Length,
         _ => Delimiter::Connection,
@@ -225,14 +225,6 @@
     BrokenBody(format_smolstr!("{error}"))
 }
 
-fn is_chunked(codings: &HeaderValue) -> bool {
-    let last = codings
-        .to_str()
-        .ok()
-        .and_then(|text| text.rsplit(',').next());
-    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
-}
-
 fn confirm_end(
     mut body: Frames,
     watch: Watch,
