Failing test of a broken stream to a caller of HTTP/1.0

Only the end of the connection ends an answer for such a caller, and a broken stream ends it in order.

--- a/crates/sesamegap-entry/tests/testsuite/early_ends.rs
+++ b/crates/sesamegap-entry/tests/testsuite/early_ends.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
@@ -312,3 +312,18 @@
     let is_whole = |answer: &Answer| answer.status == 200 && answer.body == "whole";
     assert!(answers.iter().any(is_whole), "{answers:?}");
 }
+
+/// Guards against a stream that breaks off and looks whole to a caller for whom only the end of the connection ends it.
+#[tokio::test]
+async fn a_broken_stream_does_not_close_a_plain_connection_in_order() {
+    let process = Process::new().await;
+    let engine = Upstream::start(vec![Act::CutEvents(1..3)]).await;
+    process.add("e1", "engines", engine.addr);
+    let mut stream = TcpStream::connect(process.callers).await.unwrap();
+    let request = request_of("r1", "POST", "/chat/", CHAT, "").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes).await;
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(read.is_err() || text.starts_with("HTTP/1.0 505"), "{text}");
+}
