--- a/crates/sesamegap-entry/src/upstream/body.rs
+++ b/crates/sesamegap-entry/src/upstream/body.rs
@@ -66,7 +66,7 @@
     Length,
     /// The end of its connection, while its upstream went on.
     Connection,
-    /// The end of its connection to a gateway, which found that its upstream went on.
+    /// The end of its connection at a gateway, while its upstream went on.
     GatewayConnection,
 }
 
@@ -76,7 +76,7 @@
             Self::LastChunk => "last chunk",
             Self::Length => "length",
             Self::Connection => "end of the connection, upstream running",
-            Self::GatewayConnection => "end of the connection to a gateway, upstream running",
+            Self::GatewayConnection => "end of the connection at a gateway, upstream running",
         })
     }
 }
