--- a/crates/sesamegap-entry/tests/testsuite/early_ends.rs
+++ b/crates/sesamegap-entry/tests/testsuite/early_ends.rs
@@ -1,11 +1,11 @@
 //! Streams whose upstream breaks off or ends without having sent its last event.
 
-use crate::support::{Act, Answer, Process, Upstream, ask, header, read, request_of, wait_until};
-use crate::support::{Caller, document};
+use crate::support::{
+    Act, Answer, Caller, Process, Upstream, ask, header, read, request_of, wait_until,
+};
 use sesamegap_policy::routing::timeouts::FIRST_EVENT_BUSY;
 use socket2::SockRef;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -138,12 +138,7 @@
 /// Guards against the same at the deadline, where an engine stops work and the second run's time is up at once.
 #[tokio::test]
 async fn a_stream_that_its_engine_breaks_off_at_the_deadline_is_not_complete() {
-    let process = Process::empty().await;
-    let mut document = document(1);
-    for route in &mut document.routes {
-        route.timeout = Duration::from_secs(3);
-    }
-    process.core.adopt(&Arc::new(document), "test");
+    let process = Process::with_timeout(Duration::from_secs(3)).await;
     let first = Engine::listen();
     let second = Upstream::start(vec![Act::Silent]).await;
     process.add("e1", "engines", first.addr);
@@ -203,12 +198,7 @@
 /// since the engine goes on.
 #[tokio::test]
 async fn an_unframed_stream_that_ends_at_its_engines_time_limit_is_not_complete() {
-    let process = Process::empty().await;
-    let mut document = document(1);
-    for route in &mut document.routes {
-        route.timeout = Duration::from_millis(1_500);
-    }
-    process.core.adopt(&Arc::new(document), "test");
+    let process = Process::with_timeout(Duration::from_millis(1_500)).await;
     let engine = Engine::listen();
     process.add("e1", "engines", engine.addr);
     for path in ["/review/", "/chat/"] {
@@ -296,12 +286,7 @@
 /// Guards against an answer without a length that is broken off since its request had little time from the start.
 #[tokio::test]
 async fn a_prompt_unframed_answer_to_a_request_with_little_time_is_complete() {
-    let process = Process::empty().await;
-    let mut document = document(1);
-    for route in &mut document.routes {
-        route.timeout = Duration::from_millis(95);
-    }
-    process.core.adopt(&Arc::new(document), "test");
+    let process = Process::with_timeout(Duration::from_millis(95)).await;
     let worker = Upstream::start(vec![Act::NoLength("whole")]).await;
     process.add("w1", "desk", worker.addr);
     let mut answers = Vec::new();
--- a/crates/sesamegap-entry/tests/testsuite/endless.rs
+++ b/crates/sesamegap-entry/tests/testsuite/endless.rs
@@ -1,11 +1,10 @@
 //! Upstreams and peers that send bytes without end until their connection is closed.
 
-use crate::support::{Act, Answer, Process, Upstream, ask, document, wait_until};
+use crate::support::{Act, Answer, Process, Upstream, ask, wait_until};
 use sesamegap_entry::catalogue::Revision;
 use sesamegap_entry::follow::DocumentQuestion;
 use sesamegap_entry::peers;
 use sesamegap_policy::agreement::replication::Ask;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Most bytes that a VM may take from such an upstream before it closes, with what the sockets hold.
@@ -19,12 +18,7 @@
 
 /// Asks a process whose upstreams of a service all act alike, on routes that end after a time.
 async fn ask_upstreams(service: &str, act: Act, path: &str, time: Duration) -> (Answer, Upstream) {
-    let process = Process::empty().await;
-    let mut document = document(1);
-    for route in &mut document.routes {
-        route.timeout = time;
-    }
-    process.core.adopt(&Arc::new(document), "test");
+    let process = Process::with_timeout(time).await;
     let upstream = Upstream::start(vec![act]).await;
     process.add("u1", service, upstream.addr);
     let headers = if service == "engines" { CHAT } else { "" };
--- a/crates/sesamegap-entry/tests/testsuite/endless_sum.rs
+++ b/crates/sesamegap-entry/tests/testsuite/endless_sum.rs
@@ -1,7 +1,6 @@
 //! Many upstreams' answers that cannot be passed on yet, at once.
 
-use crate::support::{Act, Process, Upstream, ask, document, wait_until};
-use std::sync::Arc;
+use crate::support::{Act, Process, Upstream, ask, wait_until};
 use std::time::Duration;
 use tokio::task::JoinSet;
 
@@ -27,12 +26,7 @@
 /// Asks many times for answers whose bytes cannot be passed on, and a few times beside them for whole ones.
 async fn hold(service: &str, path: &'static str, status: u16) {
     let headers = if service == "engines" { CHAT } else { "" };
-    let process = Process::empty().await;
-    let mut document = document(1);
-    for route in &mut document.routes {
-        route.timeout = TIME;
-    }
-    process.core.adopt(&Arc::new(document), "test");
+    let process = Process::with_timeout(TIME).await;
     let bound = process.core.settings().answer_memory;
     let first = format!("{}{BYTES:x}\r\n{}\r\n", head(status), "x".repeat(BYTES));
     let endless = Upstream::start(vec![Act::Drip(
--- a/crates/sesamegap-entry/tests/testsuite/refusals.rs
+++ b/crates/sesamegap-entry/tests/testsuite/refusals.rs
@@ -120,12 +120,7 @@
 /// when it expires.
 #[tokio::test]
 async fn a_request_ends_at_its_routes_timeout() {
-    let process = Process::empty().await;
-    let mut document = document(1);
-    for route in &mut document.routes {
-        route.timeout = Duration::from_millis(300);
-    }
-    process.core.adopt(&Arc::new(document), "test");
+    let process = Process::with_timeout(Duration::from_millis(300)).await;
     let worker = Upstream::start(vec![Act::Silent]).await;
     process.add("w1", "desk", worker.addr);
     let answer = ask(
--- a/crates/sesamegap-entry/tests/testsuite/support/mod.rs
+++ b/crates/sesamegap-entry/tests/testsuite/support/mod.rs
@@ -141,6 +141,17 @@
         Self::on(TcpListener::bind("127.0.0.1:0").await.unwrap())
     }
 
+    /// Serves callers with [`document`] in force, whose routes all end after a time.
+    pub async fn with_timeout(time: Duration) -> Self {
+        let process = Self::empty().await;
+        let mut document = document(1);
+        for route in &mut document.routes {
+            route.timeout = time;
+        }
+        process.core.adopt(&Arc::new(document), "test");
+        process
+    }
+
     /// Serves the callers of a listener with [`document`] in force.
     pub fn on(listener: TcpListener) -> Self {
         let process = Self::without_document(listener);
