--- a/review/plain_worker2.py
+++ b/review/plain_worker2.py
@@ -1,12 +1,14 @@
 """A worker of a plain service, as a process of its own: ID SERVICE ZONE LISTEN STORE_CONTROL FIRST_MS REST_MS BYTES UNFRAMED.
 
 It registers itself and answers each request with BYTES bytes: half of them after FIRST_MS, the others REST_MS later. What it
-runs is told on standard output in the form of the project's stand-ins.
+runs is told on standard output in the form of the project's stand-ins. After SIGUSR1 it writes its entry no more, serves on for
+2.6 s and exits.
 """
 
 import asyncio
 import hashlib
 import json
+import signal
 import sys
 import time
 import urllib.request
@@ -80,15 +82,23 @@
     host, port = LISTEN.rsplit(":", 1)
     server = await asyncio.start_server(serve, host, int(port))
     note({"listening": {"listen": LISTEN, "control": LISTEN}})
+    leaves = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leaves.set)
     seq = 0
     async with server:
-        while True:
+        while not leaves.is_set():
             seq += 1
             try:
                 await asyncio.to_thread(beat, seq)
             except OSError:
                 pass
-            await asyncio.sleep(1.2)
+            try:
+                await asyncio.wait_for(leaves.wait(), 1.2)
+            except asyncio.TimeoutError:
+                pass
+        note("unlisted")
+        await asyncio.sleep(2.6)
+        note("exits")
 
 
 asyncio.run(main())
--- a/review/site2.py
+++ b/review/site2.py
@@ -415,6 +415,65 @@
             reset(writer)
 
 
+class StoreWay:
+    """One VM's way to the platform's store, which can turn this VM away with 503."""
+
+    def __init__(self, site):
+        self.site, self.ip, self.refuses, self.open_ways, self.refused = site, site.ip(), False, set(), 0
+
+    async def open(self):
+        server = await asyncio.start_server(self.serve, self.ip, 0)
+        return f"{self.ip}:{server.sockets[0].getsockname()[1]}"
+
+    def turn_away(self, refuses):
+        """From now on each call of this VM gets 503, and the calls that wait get nothing more; or no longer."""
+        self.refuses = refuses
+        if refuses:
+            for writer in list(self.open_ways):
+                reset(writer)
+
+    async def serve(self, reader, writer):
+        self.open_ways.add(writer)
+        far_writer = None
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.decode("latin-1").split("\r\n"):
+                    if line.lower().startswith("content-length:"):
+                        length = int(line.split(":")[1])
+                body = await reader.readexactly(length)
+                if self.refuses:
+                    self.refused += 1
+                    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                    await writer.drain()
+                    continue
+                if far_writer is None:
+                    host, port = self.site.store_api.rsplit(":", 1)
+                    far_reader, far_writer = await asyncio.open_connection(host, int(port))
+                far_writer.write(head + body)
+                answer = await far_reader.readuntil(b"\r\n\r\n")
+                # The users' pages know no such header.
+                kept = [line for line in answer.split(b"\r\n") if not line.lower().startswith(b"store-era:")]
+                answer = b"\r\n".join(kept)
+                length, chunked = 0, False
+                for line in answer.decode("latin-1").split("\r\n"):
+                    if line.lower().startswith("content-length:"):
+                        length = int(line.split(":")[1])
+                    chunked |= line.lower().startswith("transfer-encoding:")
+                if chunked:
+                    raise CannotRun("the store answers in chunks")
+                writer.write(answer + await far_reader.readexactly(length))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, RuntimeError):
+            pass
+        finally:
+            self.open_ways.discard(writer)
+            writer.close()
+            if far_writer:
+                far_writer.close()
+
+
 async def engine(site, name, service, *more, proxy=False):
     """Starts a model worker; behind a proxy if wanted."""
     ip = site.ip()
